Lay out the workspace and the shared vocabulary

Cause: nothing existed; the packages need one vocabulary and one protocol towards the platform before they can be worked side by side. Conclusion: packages can be built in parallel from here.

--- /dev/null
+++ b/coltsfoot-catalog/src/object.rs
@@ -0,0 +1,245 @@
+//! The named objects that operators publish.
+
+use std::collections;
+
+use coltsfoot_types::{id, name};
+use serde::{Deserialize, Serialize};
+
+/// A configured object of any kind.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[serde(tag = "kind", rename_all = "snake_case")]
+pub enum CatalogObject {
+    /// Bounds set by head office.
+    Policy(FleetPolicy),
+    /// A tenant.
+    Customer(CustomerObject),
+    /// A caller key.
+    Key(KeyObject),
+    /// A LoRA adapter with its versions.
+    Adapter(AdapterObject),
+    /// An address that callers use.
+    Route(RouteObject),
+    /// A branch's exception to a route.
+    Exception(BranchException),
+}
+
+/// Kind of a configured object.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ObjectKind {
+    /// See [`FleetPolicy`].
+    Policy,
+    /// See [`CustomerObject`].
+    Customer,
+    /// See [`KeyObject`].
+    Key,
+    /// See [`AdapterObject`].
+    Adapter,
+    /// See [`RouteObject`].
+    Route,
+    /// See [`BranchException`].
+    Exception,
+}
+
+/// Bounds of head office that no customer, route or branch exception may exceed.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct FleetPolicy {
+    /// Name of the policy; there is one, called `fleet`.
+    pub name: name::ObjectName,
+    /// Largest rate of a customer, in tokens per second.
+    pub max_rate_tokens_per_second: u64,
+    /// Largest burst of a customer, in tokens.
+    pub max_burst_tokens: u64,
+    /// Largest output of one request, in tokens.
+    pub max_output_tokens: u32,
+    /// Longest deadline of a route, in milliseconds.
+    pub max_deadline_ms: u32,
+    /// Highest priority that a branch exception may give a route.
+    pub max_exception_priority: u8,
+}
+
+/// A tenant with its rate and burst over the whole fleet.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct CustomerObject {
+    /// Name of the customer.
+    pub name: name::CustomerName,
+    /// Rate over all instances together, in tokens per second.
+    pub rate_tokens_per_second: u64,
+    /// Burst over all instances together, in tokens.
+    pub burst_tokens: u64,
+    /// Weight in the fair queue, from 1.
+    #[serde(default = "default_weight")]
+    pub weight: u32,
+    /// Parts of rate and burst that each zone holds, in thousandths that sum to 1,000.
+    pub zone_permille: collections::BTreeMap<name::ZoneName, u16>,
+}
+
+/// A caller key. The log holds only its digest.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct KeyObject {
+    /// Name of the key, for operators.
+    pub name: name::KeyName,
+    /// The customer that the key speaks for.
+    pub customer: name::CustomerName,
+    /// BLAKE3 digest of the key, in hexadecimal.
+    pub digest: String,
+    /// Whether the key is withdrawn.
+    #[serde(default)]
+    pub withdrawn: bool,
+}
+
+/// A LoRA adapter with the versions that can be served.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct AdapterObject {
+    /// Name of the adapter.
+    pub name: name::AdapterName,
+    /// The base model that it was trained for.
+    pub base_model: name::ModelName,
+    /// The customer that owns it; nobody else may address it.
+    pub customer: name::CustomerName,
+    /// Versions that can be served.
+    pub versions: Vec<u32>,
+}
+
+/// An address that callers use.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct RouteObject {
+    /// Name of the route.
+    pub name: name::RouteName,
+    /// What the route leads to.
+    pub target: RouteTarget,
+    /// Who may use the route.
+    pub access: RouteAccess,
+    /// Whether calls may be repeated. Calls of other routes are claimed on the log and run once.
+    #[serde(default = "default_true")]
+    pub idempotent: bool,
+    /// Priority inside a customer; a higher one goes first.
+    #[serde(default)]
+    pub priority: u8,
+    /// Largest output of one request, in tokens.
+    #[serde(default = "default_output_tokens")]
+    pub max_output_tokens: u32,
+    /// Time within which a request is answered, in milliseconds.
+    #[serde(default = "default_deadline_ms")]
+    pub deadline_ms: u32,
+    /// Age of the configuration at which an instance that is cut off refuses, in milliseconds.
+    /// Without it the instance serves on.
+    #[serde(default)]
+    pub refuse_when_stale_ms: Option<u32>,
+}
+
+/// What a route leads to.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum RouteTarget {
+    /// An adapter on a model engine.
+    Model {
+        /// Name of the adapter.
+        adapter: name::AdapterName,
+        /// Version; the highest one if absent.
+        #[serde(default)]
+        version: Option<u32>,
+    },
+    /// A plain service.
+    Service {
+        /// Name of the service.
+        service: name::ServiceName,
+    },
+}
+
+/// Who may use a route.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RouteAccess {
+    /// Everybody, without a key. Such calls are charged to the named customer.
+    Open {
+        /// The customer that is charged.
+        charged: name::CustomerName,
+    },
+    /// The named customers.
+    Customers(Vec<name::CustomerName>),
+}
+
+/// A branch's exception to a route for one customer, inside head office's bounds.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct BranchException {
+    /// Name of the exception.
+    pub name: name::ObjectName,
+    /// The customer whom it holds for.
+    pub customer: name::CustomerName,
+    /// The route that it changes.
+    pub route: name::RouteName,
+    /// Version of the route's adapter to use instead.
+    #[serde(default)]
+    pub version: Option<u32>,
+    /// Adapter of the same base model to use instead.
+    #[serde(default)]
+    pub adapter: Option<name::AdapterName>,
+    /// Priority to use instead.
+    #[serde(default)]
+    pub priority: Option<u8>,
+    /// Largest output to use instead, in tokens.
+    #[serde(default)]
+    pub max_output_tokens: Option<u32>,
+}
+
+/// One change of a set: the object's new state, or its removal.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ObjectChange {
+    /// Revision that the operator saw: offset of the record that wrote the object last, absent for
+    /// a new object.
+    #[serde(default)]
+    pub revision: Option<id::LogOffset>,
+    /// What happens to the object.
+    pub action: ChangeAction,
+}
+
+/// What a change does to an object.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ChangeAction {
+    /// Creates or replaces the object.
+    Put(CatalogObject),
+    /// Removes the object.
+    Remove {
+        /// Kind of the object.
+        kind: ObjectKind,
+        /// Name of the object.
+        name: name::ObjectName,
+    },
+}
+
+/// A set of changes that is accepted or rejected as a whole.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ChangeSet {
+    /// Unique id; a set that is appended twice folds once.
+    pub change_id: uuid::Uuid,
+    /// Who publishes it, for the history.
+    pub author: String,
+    /// The changes.
+    pub changes: Vec<ObjectChange>,
+}
+
+fn default_weight() -> u32 {
+    1
+}
+
+fn default_true() -> bool {
+    true
+}
+
+fn default_output_tokens() -> u32 {
+    256
+}
+
+fn default_deadline_ms() -> u32 {
+    30_000
+}
--- /dev/null
+++ b/coltsfoot-placement/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/coltsfootd/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
