Name the parts of a measure's table row

Cause: the linter rejects the tuple type as too complex. Change: a struct with name and function. Measured: clippy is clean. Conclusion: kept.

--- a/coltsfoot-measure/src/cmd/mod.rs
+++ b/coltsfoot-measure/src/cmd/mod.rs
@@ -4,8 +4,14 @@
 
 use lexopt::ValueExt as _;
 
-/// Subcommands by name. Each one takes the options that all share.
-const COMMANDS: &[(&str, fn(&MeasureOptions) -> Result<(), MeasureError>)] = &[];
+/// A subcommand.
+struct MeasureCommand {
+    name: &'static str,
+    run: fn(&MeasureOptions) -> Result<(), MeasureError>,
+}
+
+/// All subcommands.
+const COMMANDS: &[MeasureCommand] = &[];
 
 /// An error that ends a measure.
 #[derive(Debug, thiserror::Error)]
@@ -61,15 +67,15 @@
         print_help();
         return Ok(());
     };
-    let run = COMMANDS.iter().find(|(name, _)| *name == command);
-    let (_, run) = run.ok_or(MeasureError::UnknownCommand(command))?;
-    run(&options)
+    let found = COMMANDS.iter().find(|candidate| candidate.name == command);
+    let command = found.ok_or(MeasureError::UnknownCommand(command))?;
+    (command.run)(&options)
 }
 
 fn print_help() {
     println!("Usage: coltsfoot-measure COMMAND [--seed N] [--workload FILE.json] [--case NAME]");
     println!("Commands:");
-    for (name, _) in COMMANDS {
-        println!("  {name}");
+    for command in COMMANDS {
+        println!("  {}", command.name);
     }
 }
