Add HTTP clients of the platform and the engines

Cause: the daemon, the stand-ins and the tests need one client that keeps the cut points of an exchange apart, since only "nothing was sent" may be reported as not run.

--- /dev/null
+++ b/coltsfoot-platform/src/json.rs
@@ -0,0 +1,63 @@
+//! JSON calls shared by the clients.
+
+use std::net;
+
+use http_types::Method;
+use serde::{Serialize, de};
+
+use crate::error;
+use crate::http;
+
+/// Largest answer of a management call.
+const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+
+/// Builds a request without a body.
+pub(crate) fn request(
+    address: net::SocketAddr,
+    method: Method,
+    path: &str,
+) -> Result<http_types::Request, error::HttpError> {
+    Ok(http_types::Request::new(method, http::url(address, path)?))
+}
+
+/// Builds a request with a JSON body.
+pub(crate) fn request_with<B: Serialize>(
+    address: net::SocketAddr,
+    method: Method,
+    path: &str,
+    body: &B,
+) -> Result<http_types::Request, error::HttpError> {
+    let mut request = request(address, method, path)?;
+    let bytes = serde_json::to_vec(body)
+        .map_err(|error| error::HttpError::Encode { address, detail: error.to_string() })?;
+    request.set_body(bytes);
+    request.set_content_type(http_types::mime::JSON);
+    Ok(request)
+}
+
+/// Sends a request and reads the whole answer, which must have a status of success.
+pub(crate) async fn call(
+    pool: &http::HttpPool,
+    address: net::SocketAddr,
+    request: http_types::Request,
+) -> Result<Vec<u8>, error::ClientError> {
+    let exchange = pool.send(address, request, http::ConnectionReuse::Allow).await?;
+    let status = exchange.status();
+    let body = exchange.read_body(MAX_ANSWER_BYTES).await?;
+    if (200..300).contains(&status) {
+        return Ok(body);
+    }
+    let body = String::from_utf8_lossy(&body).into_owned();
+    Err(error::ClientError::Status { address, status, body })
+}
+
+/// Sends a request and decodes the JSON of the answer.
+pub(crate) async fn fetch<A: de::DeserializeOwned>(
+    pool: &http::HttpPool,
+    address: net::SocketAddr,
+    request: http_types::Request,
+) -> Result<A, error::ClientError> {
+    let body = call(pool, address, request).await?;
+    serde_json::from_slice(&body)
+        .map_err(|source| error::ClientError::Malformed { address, source })
+}
--- a/coltsfoot-platform/src/protocol.rs
+++ b/coltsfoot-platform/src/protocol.rs
@@ -121,6 +121,13 @@
     pub lora_name: adapter::AdapterVersion,
 }
 
+/// Body of `POST /loads` at the weight store, answered when the weights have come.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct StoreLoad {
+    /// The adapter version whose weights are fetched.
+    pub adapter: adapter::AdapterVersion,
+}
+
 /// Answer of `GET /load`: what the engine reports of itself, with a lag.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct LoadReport {
