Add a queue that is fair among customers by tokens

Cause: placement needs an order of service in which one customer's flood does not delay the others, with priorities, aging, bounds and deadlines. Change: FairQueue, start-time fair queueing over tokens among customers; inside a customer by priority, with linear aging as a constant rank; a full queue displaces the largest backlog; requests whose deadline can't be met are refused on entry (predicted wait) or expire, with the reason. Shares and waits under load are not measured yet. Conclusion: placement can use it; the API is push, pop_where, iter, cancel, expire, refund.

--- /dev/null
+++ b/coltsfoot-quota/src/fair_queue.rs
@@ -0,0 +1,365 @@
+//! A bounded queue that serves customers by weighted fair shares of tokens.
+//!
+//! Among customers: start-time fair queueing (Goyal, Vin, Cheng 1996) over tokens. Inside a
+//! customer: by priority, where waiting raises the priority linearly, so that nothing starves.
+
+use std::collections;
+use std::time;
+
+use coltsfoot_types::{id, name, refusal, time as clock};
+use smallvec::SmallVec;
+
+use crate::fair_order;
+use crate::queue_entry;
+
+/// Virtual time of one token at weight 1. Weights divide it.
+const VIRTUAL_TOKEN: u128 = 1 << 32;
+
+/// Place of an entry among those of its customer: the smallest is served first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) struct EntryRank {
+    /// Arrival in microseconds, moved earlier by the priority.
+    aged_arrival: i64,
+    /// Order of arrival.
+    sequence: u64,
+}
+
+/// Where an entry is kept.
+#[derive(Debug)]
+struct EntryPlace {
+    customer: name::CustomerName,
+    rank: EntryRank,
+}
+
+/// The waiting entries of a customer and its place in virtual time.
+#[derive(Debug)]
+pub(crate) struct CustomerBacklog<T> {
+    pub(crate) entries: collections::BTreeMap<EntryRank, queue_entry::QueueEntry<T>>,
+    pub(crate) tokens: u64,
+    pub(crate) weight: u32,
+    /// Virtual time at which the next entry starts.
+    pub(crate) start: u128,
+}
+
+/// A bounded queue, fair among customers by tokens.
+///
+/// Entries leave it by [`Self::pop_where`], [`Self::cancel`] or [`Self::expire`]. The caller
+/// polls [`Self::expire`]; nothing expires by itself.
+#[derive(Debug)]
+pub struct FairQueue<T> {
+    limits: queue_entry::QueueLimits,
+    backlogs: collections::BTreeMap<name::CustomerName, CustomerBacklog<T>>,
+    places: collections::BTreeMap<id::RequestId, EntryPlace>,
+    latest_starts: collections::BTreeSet<(clock::MonotonicTime, id::RequestId)>,
+    virtual_time: u128,
+    sequence: u64,
+    service_rate: Option<u64>,
+}
+
+impl<T> FairQueue<T> {
+    /// Builds an empty queue.
+    pub fn new(limits: queue_entry::QueueLimits) -> Self {
+        Self {
+            limits,
+            backlogs: collections::BTreeMap::new(),
+            places: collections::BTreeMap::new(),
+            latest_starts: collections::BTreeSet::new(),
+            virtual_time: 0,
+            sequence: 0,
+            service_rate: None,
+        }
+    }
+
+    /// Returns the number of waiting entries.
+    pub fn len(&self) -> usize {
+        self.places.len()
+    }
+
+    /// Returns whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.places.is_empty()
+    }
+
+    /// Returns the waiting tokens of a customer.
+    pub fn waiting_tokens(&self, customer: &name::CustomerName) -> u64 {
+        self.backlogs.get(customer).map_or(0, |backlog| backlog.tokens)
+    }
+
+    /// Returns a waiting entry.
+    pub fn get(&self, request: id::RequestId) -> Option<&queue_entry::QueueEntry<T>> {
+        let place = self.places.get(&request)?;
+        self.backlogs.get(&place.customer)?.entries.get(&place.rank)
+    }
+
+    /// Sets the rate at which entries have lately been served, in tokens per second. Without it
+    /// waits are not predicted.
+    pub fn set_service_rate(&mut self, tokens_per_second: u64) {
+        self.service_rate = Some(tokens_per_second).filter(|rate| *rate > 0);
+    }
+
+    /// Adds an entry.
+    ///
+    /// Refuses it if its predicted wait exceeds its deadline, or if the queue is full and the
+    /// entry outranks none. A full queue gives up the last entry of the customer with the largest
+    /// backlog for its weight; the displaced entry is returned.
+    pub fn push(
+        &mut self,
+        now: clock::MonotonicTime,
+        entry: queue_entry::QueueEntry<T>,
+    ) -> Result<Option<queue_entry::RefusedEntry<T>>, Box<queue_entry::RefusedEntry<T>>> {
+        if self.places.contains_key(&entry.request) {
+            return Err(self.refuse(entry, refusal::RefusalReason::QueueFull));
+        }
+        let rank = self.rank(now, entry.priority);
+        let start = now + self.predicted_wait_at(&entry.customer, entry.weight, rank);
+        if start > entry.latest_start() {
+            let reason = deadline_reason(now, entry.deadline);
+            return Err(self.refuse(entry, reason));
+        }
+        let victim = match self.find_victim(&entry, rank) {
+            Ok(victim) => victim,
+            Err(reason) => return Err(self.refuse(entry, reason)),
+        };
+        let displaced = victim.and_then(|request| self.remove(request));
+        self.insert(entry, rank);
+        Ok(displaced.map(|entry| *self.refuse(entry, refusal::RefusalReason::QueueFull)))
+    }
+
+    /// Removes the first entry in fair order that satisfies `eligible`, and charges its customer.
+    pub fn pop_where(
+        &mut self,
+        now: clock::MonotonicTime,
+        mut eligible: impl FnMut(&queue_entry::QueueEntry<T>) -> bool,
+    ) -> Option<queue_entry::QueueEntry<T>> {
+        let request = self.find_first(now, &mut eligible)?;
+        let entry = self.get(request)?;
+        let customer = entry.customer.clone();
+        let cost = virtual_cost(entry.tokens, entry.weight);
+        let backlog = self.backlogs.get_mut(&customer)?;
+        let floor = self.virtual_time.saturating_sub(lag_bound(&self.limits, backlog.weight));
+        let start = backlog.start.max(floor);
+        backlog.start = start + cost;
+        self.virtual_time = self.virtual_time.max(start);
+        self.remove(request)
+    }
+
+    /// Removes the first entry in fair order.
+    pub fn pop(&mut self, now: clock::MonotonicTime) -> Option<queue_entry::QueueEntry<T>> {
+        self.pop_where(now, |_| true)
+    }
+
+    /// Gives a customer back what a served entry was charged with but did not use.
+    pub fn refund(&mut self, customer: &name::CustomerName, tokens: u64) {
+        let Some(backlog) = self.backlogs.get_mut(customer) else {
+            return;
+        };
+        let refund = virtual_cost(tokens, backlog.weight);
+        backlog.start = backlog.start.saturating_sub(refund);
+        self.forget_idle(customer.clone());
+    }
+
+    /// Iterates over the entries in the order in which they would be popped if all were eligible.
+    pub fn iter(&self) -> fair_order::FairOrder<'_, T> {
+        fair_order::FairOrder::new(self.backlogs.values().map(|backlog| {
+            let floor = self.virtual_time.saturating_sub(lag_bound(&self.limits, backlog.weight));
+            fair_order::OrderCursor::new(backlog, backlog.start.max(floor))
+        }))
+    }
+
+    /// Removes an entry without charging its customer.
+    pub fn cancel(&mut self, request: id::RequestId) -> Option<queue_entry::QueueEntry<T>> {
+        self.remove(request)
+    }
+
+    /// Removes the entries that can no longer be served before their deadline.
+    pub fn expire(
+        &mut self,
+        now: clock::MonotonicTime,
+    ) -> SmallVec<[queue_entry::RefusedEntry<T>; 4]> {
+        let mut expired = SmallVec::new();
+        while let Some(&(latest_start, request)) = self.latest_starts.first() {
+            if latest_start >= now {
+                break;
+            }
+            let Some(entry) = self.remove(request) else {
+                break;
+            };
+            let reason = deadline_reason(now, entry.deadline);
+            expired.push(*self.refuse(entry, reason));
+        }
+        expired
+    }
+
+    /// Returns the instant at which the next entry expires.
+    pub fn next_expiry(&self) -> Option<clock::MonotonicTime> {
+        self.latest_starts.first().map(|(latest_start, _)| *latest_start)
+    }
+
+    /// Returns the predicted wait of a new entry, zero while the service rate is unknown.
+    pub fn predicted_wait(
+        &self,
+        now: clock::MonotonicTime,
+        customer: &name::CustomerName,
+        weight: u32,
+        priority: u8,
+    ) -> time::Duration {
+        self.predicted_wait_at(customer, weight, self.rank(now, priority))
+    }
+
+    fn rank(&self, now: clock::MonotonicTime, priority: u8) -> EntryRank {
+        let lead = i64::from(priority) * self.limits.aging_step.as_micros() as i64;
+        EntryRank { aged_arrival: now.0 as i64 - lead, sequence: self.sequence }
+    }
+
+    /// Time until the customer's entries ahead of `rank` are served, while every other customer
+    /// takes at most its weighted share.
+    fn predicted_wait_at(
+        &self,
+        customer: &name::CustomerName,
+        weight: u32,
+        rank: EntryRank,
+    ) -> time::Duration {
+        let Some(rate) = self.service_rate else {
+            return time::Duration::ZERO;
+        };
+        let ahead = self.backlogs.get(customer).map_or(0, |backlog| {
+            backlog.entries.range(..rank).map(|(_, entry)| entry.tokens).sum::<u64>()
+        });
+        let others = self.backlogs.iter().filter(|(name, _)| *name != customer);
+        let others = others.map(|(_, backlog)| {
+            let share = ahead.saturating_mul(backlog.weight.into()) / u64::from(weight.max(1));
+            backlog.tokens.min(share)
+        });
+        let tokens = ahead.saturating_add(others.sum());
+        time::Duration::from_secs_f64(tokens as f64 / rate as f64)
+    }
+
+    /// Returns the entry that must leave so that the new one can enter, if any.
+    fn find_victim(
+        &self,
+        entry: &queue_entry::QueueEntry<T>,
+        rank: EntryRank,
+    ) -> Result<Option<id::RequestId>, refusal::RefusalReason> {
+        let own = self.backlogs.get(&entry.customer);
+        if own.is_some_and(|own| own.entries.len() >= self.limits.max_customer_entries) {
+            return self.last_behind(&entry.customer, rank).map(Some);
+        }
+        if self.places.len() < self.limits.max_entries {
+            return Ok(None);
+        }
+        let largest = self
+            .backlogs
+            .iter()
+            .max_by_key(|(_, backlog)| virtual_cost(backlog.tokens, backlog.weight));
+        let Some((largest, backlog)) = largest else {
+            return Err(refusal::RefusalReason::QueueFull);
+        };
+        if *largest == entry.customer {
+            return self.last_behind(largest, rank).map(Some);
+        }
+        let tokens = own.map_or(0, |own| own.tokens) + entry.tokens;
+        if virtual_cost(tokens, entry.weight) > virtual_cost(backlog.tokens, backlog.weight) {
+            return Err(refusal::RefusalReason::QueueFull);
+        }
+        Ok(backlog.entries.last_key_value().map(|(_, last)| last.request))
+    }
+
+    fn last_behind(
+        &self,
+        customer: &name::CustomerName,
+        rank: EntryRank,
+    ) -> Result<id::RequestId, refusal::RefusalReason> {
+        let last = self.backlogs.get(customer).and_then(|own| own.entries.last_key_value());
+        last.filter(|(last_rank, _)| **last_rank > rank)
+            .map(|(_, last)| last.request)
+            .ok_or(refusal::RefusalReason::QueueFull)
+    }
+
+    fn insert(&mut self, entry: queue_entry::QueueEntry<T>, rank: EntryRank) {
+        let customer = entry.customer.clone();
+        let virtual_time = self.virtual_time;
+        let backlog = self.backlogs.entry(customer.clone()).or_insert_with(|| CustomerBacklog {
+            entries: collections::BTreeMap::new(),
+            tokens: 0,
+            weight: entry.weight.max(1),
+            start: virtual_time,
+        });
+        if backlog.entries.is_empty() {
+            backlog.start = backlog.start.max(virtual_time);
+        }
+        backlog.weight = entry.weight.max(1);
+        backlog.tokens += entry.tokens;
+        self.sequence += 1;
+        self.latest_starts.insert((entry.latest_start(), entry.request));
+        self.places.insert(entry.request, EntryPlace { customer, rank });
+        backlog.entries.insert(rank, entry);
+    }
+
+    fn remove(&mut self, request: id::RequestId) -> Option<queue_entry::QueueEntry<T>> {
+        let place = self.places.remove(&request)?;
+        let backlog = self.backlogs.get_mut(&place.customer)?;
+        let entry = backlog.entries.remove(&place.rank)?;
+        backlog.tokens -= entry.tokens;
+        self.latest_starts.remove(&(entry.latest_start(), request));
+        self.forget_idle(place.customer);
+        Some(entry)
+    }
+
+    /// Drops the state of a customer that waits for nothing and owes nothing.
+    fn forget_idle(&mut self, customer: name::CustomerName) {
+        let collections::btree_map::Entry::Occupied(occupied) = self.backlogs.entry(customer)
+        else {
+            return;
+        };
+        if occupied.get().entries.is_empty() && occupied.get().start <= self.virtual_time {
+            occupied.remove();
+        }
+    }
+
+    /// Finds the first eligible entry of the customer with the smallest start that has one.
+    fn find_first(
+        &mut self,
+        now: clock::MonotonicTime,
+        eligible: &mut impl FnMut(&queue_entry::QueueEntry<T>) -> bool,
+    ) -> Option<id::RequestId> {
+        let virtual_time = self.virtual_time;
+        self.backlogs
+            .retain(|_, backlog| !backlog.entries.is_empty() || backlog.start > virtual_time);
+        let mut order = self.backlogs.values().collect::<SmallVec<[_; 16]>>();
+        order.sort_by_key(|backlog| {
+            backlog.start.max(virtual_time.saturating_sub(lag_bound(&self.limits, backlog.weight)))
+        });
+        let entries = order.into_iter().flat_map(|backlog| backlog.entries.values());
+        let mut startable = entries.filter(|entry| entry.latest_start() >= now);
+        startable.find(|entry| eligible(entry)).map(|entry| entry.request)
+    }
+
+    fn refuse(
+        &self,
+        entry: queue_entry::QueueEntry<T>,
+        reason: refusal::RefusalReason,
+    ) -> Box<queue_entry::RefusedEntry<T>> {
+        let last = EntryRank { aged_arrival: i64::MAX, sequence: u64::MAX };
+        let retry_after = self.predicted_wait_at(&entry.customer, entry.weight, last);
+        Box::new(queue_entry::RefusedEntry { entry, reason, retry_after })
+    }
+}
+
+/// Virtual time that tokens take at a weight.
+pub(crate) fn virtual_cost(tokens: u64, weight: u32) -> u128 {
+    u128::from(tokens) * VIRTUAL_TOKEN / u128::from(weight.max(1))
+}
+
+fn lag_bound(limits: &queue_entry::QueueLimits, weight: u32) -> u128 {
+    virtual_cost(limits.max_lag_tokens, weight)
+}
+
+fn deadline_reason(
+    now: clock::MonotonicTime,
+    deadline: clock::MonotonicTime,
+) -> refusal::RefusalReason {
+    if now > deadline {
+        return refusal::RefusalReason::DeadlineExceeded;
+    }
+    refusal::RefusalReason::DeadlineUnreachable
+}
