Decide permits, pins and loads of an engine cell

Cause: instances that route by themselves on lagging reports herd onto one engine and evict adapters under running requests.

Change: `EngineCell` is the owner's machine for a few engines: permits, pins, residency by orders and reports, one load for all that wait, retries, replicas, eviction by decayed popularity, a fair queue per engine's batch and one for loads, takeover by another owner. `PermitAgent` is the side of an instance, `LoadLedger` a zone's part of the load budget with loans to other zones. Lease facts are inputs.

--- /dev/null
+++ b/coltsfoot-placement/src/agent.rs
@@ -0,0 +1,472 @@
+//! The side of an instance: asks the owners of cells for permits and gives them back.
+
+use std::collections;
+use std::time;
+
+use coltsfoot_types::{adapter, id, name, refusal, time as clock};
+use coltsfoot_wire::placement;
+use rustc_hash::FxHashMap;
+use smallvec::SmallVec;
+
+use crate::residency_cache;
+use crate::settings;
+
+/// A cell as seen by an instance.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct CellRoute {
+    /// The cell.
+    pub cell: placement::CellId,
+    /// Its owner. None once the former owner's lease has certainly lapsed and no other owns it.
+    pub owner: Option<name::InstanceName>,
+    /// Whether the cell belongs to the zone of this instance.
+    pub is_local: bool,
+}
+
+/// What happens to an agent.
+#[derive(Clone, Debug)]
+pub enum AgentEvent {
+    /// A request needs a permit. Its adapter version is settled.
+    Wanted {
+        /// Base model of the adapter.
+        base_model: name::ModelName,
+        /// What is to run.
+        demand: placement::PermitDemand,
+    },
+    /// The attempt has ended at the engine.
+    Ended {
+        /// The release to pass on.
+        release: placement::PermitRelease,
+    },
+    /// The caller has gone before the attempt was sent.
+    Cancelled {
+        /// The attempt.
+        attempt: id::AttemptId,
+    },
+    /// The reachable cells and their owners have changed; cells that can't be reached are absent.
+    RoutesChanged {
+        /// All reachable cells.
+        routes: Vec<CellRoute>,
+    },
+    /// A message from the owner of a cell.
+    Received {
+        /// The message.
+        message: placement::PlacementMessage,
+        /// Who sent it.
+        sender: name::InstanceName,
+    },
+    /// Time has passed. Sent every 50 ms or so.
+    Tick,
+}
+
+/// What an agent orders.
+#[derive(Clone, Debug, PartialEq)]
+pub enum AgentAction {
+    /// Sends a message to an instance, which may be this one.
+    Send {
+        /// The receiver.
+        receiver: name::InstanceName,
+        /// The message.
+        message: placement::PlacementMessage,
+    },
+    /// Sends the attempt to an engine.
+    Dispatch {
+        /// The attempt.
+        attempt: id::AttemptId,
+        /// The engine.
+        engine: name::UpstreamName,
+        /// The adapter version.
+        adapter: adapter::AdapterVersion,
+        /// Fencing number of the permit, for engines that check it.
+        fencing: id::FencingNumber,
+        /// When it must have been sent, else [`AgentEvent::Ended`] says that it was not.
+        send_by: clock::MonotonicTime,
+    },
+    /// Refuses the request as not run.
+    Refuse {
+        /// The attempt.
+        attempt: id::AttemptId,
+        /// Why.
+        reason: refusal::RefusalReason,
+        /// Time after which the caller may ask again.
+        retry_after: time::Duration,
+    },
+}
+
+/// Actions of one event.
+pub type AgentActions = SmallVec<[AgentAction; 4]>;
+
+/// A request that waits for the answer of an owner.
+#[derive(Debug)]
+struct PendingRequest {
+    base_model: name::ModelName,
+    demand: placement::PermitDemand,
+    deadline: clock::MonotonicTime,
+    /// Cell that was asked, if one could be.
+    asked: Option<placement::CellId>,
+    asked_at: clock::MonotonicTime,
+    /// Cells that refused, so that another one is asked next.
+    refused_by: SmallVec<[placement::CellId; 2]>,
+}
+
+/// A permit that the instance holds.
+#[derive(Debug)]
+struct HeldGrant {
+    cell: placement::CellId,
+    permit: placement::HeldPermit,
+}
+
+/// The side of an instance.
+#[derive(Debug)]
+pub struct PermitAgent {
+    settings: settings::AgentSettings,
+    routes: collections::BTreeMap<placement::CellId, CellRoute>,
+    pending: collections::BTreeMap<id::AttemptId, PendingRequest>,
+    held: FxHashMap<id::AttemptId, HeldGrant>,
+    confirmed: residency_cache::ResidencyCache,
+}
+
+impl PermitAgent {
+    /// Builds an agent that knows no cells.
+    pub fn new(settings: settings::AgentSettings) -> Self {
+        let confirmed =
+            residency_cache::ResidencyCache::new(settings.confirmed_for, settings.max_confirmed);
+        Self {
+            settings,
+            routes: collections::BTreeMap::new(),
+            pending: collections::BTreeMap::new(),
+            held: FxHashMap::default(),
+            confirmed,
+        }
+    }
+
+    /// Takes an event and returns what is to be done.
+    pub fn handle(&mut self, now: clock::MonotonicTime, event: AgentEvent) -> AgentActions {
+        let mut actions = AgentActions::new();
+        match event {
+            AgentEvent::Wanted { base_model, demand } => {
+                self.take_demand(now, base_model, demand, &mut actions);
+            }
+            AgentEvent::Ended { release } => self.end(release, &mut actions),
+            AgentEvent::Cancelled { attempt } => self.cancel(attempt, &mut actions),
+            AgentEvent::RoutesChanged { routes } => self.change_routes(now, routes, &mut actions),
+            AgentEvent::Received { message, sender } => {
+                self.receive(now, message, sender, &mut actions);
+            }
+            AgentEvent::Tick => self.tick(now, &mut actions),
+        }
+        actions
+    }
+
+    /// Returns the number of requests that wait for a permit.
+    pub fn pending(&self) -> usize {
+        self.pending.len()
+    }
+
+    /// Returns the number of permits held.
+    pub fn held(&self) -> usize {
+        self.held.len()
+    }
+
+    fn take_demand(
+        &mut self,
+        now: clock::MonotonicTime,
+        base_model: name::ModelName,
+        demand: placement::PermitDemand,
+        actions: &mut AgentActions,
+    ) {
+        let attempt = demand.attempt;
+        let request = PendingRequest {
+            base_model,
+            deadline: now + demand.time_left,
+            demand,
+            asked: None,
+            asked_at: now,
+            refused_by: SmallVec::new(),
+        };
+        self.pending.insert(attempt, request);
+        self.ask(now, attempt, actions);
+    }
+
+    /// Asks the best reachable cell, or goes by a confirmed residency if that cell has no owner.
+    fn ask(
+        &mut self,
+        now: clock::MonotonicTime,
+        attempt: id::AttemptId,
+        actions: &mut AgentActions,
+    ) {
+        let Some(request) = self.pending.get_mut(&attempt) else {
+            return;
+        };
+        request.asked_at = now;
+        let route = crate::routing::choose_cell(
+            &self.routes,
+            &request.base_model,
+            &request.demand.adapter,
+            &request.refused_by,
+        );
+        let Some(route) = route else {
+            self.pending.remove(&attempt);
+            let reason = refusal::RefusalReason::NoUpstream;
+            let retry_after = time::Duration::from_secs(1);
+            actions.push(AgentAction::Refuse { attempt, reason, retry_after });
+            return;
+        };
+        let cell = route.cell.clone();
+        request.asked = Some(cell.clone());
+        let Some(owner) = route.owner.clone() else {
+            self.dispatch_confirmed(now, attempt, cell, actions);
+            return;
+        };
+        let mut demand = request.demand.clone();
+        demand.time_left = request.deadline.since(now);
+        let message = placement::PlacementMessage::Request { cell, demand };
+        actions.push(AgentAction::Send { receiver: owner, message });
+    }
+
+    /// Dispatches without a permit on an engine that a recent permit showed to hold the adapter.
+    /// Only for cells whose former owner's lease has lapsed, so that nothing is evicted; the next
+    /// owner learns of it by the report before it evicts.
+    fn dispatch_confirmed(
+        &mut self,
+        now: clock::MonotonicTime,
+        attempt: id::AttemptId,
+        cell: placement::CellId,
+        actions: &mut AgentActions,
+    ) {
+        let Some(request) = self.pending.get(&attempt) else {
+            return;
+        };
+        let adapter = request.demand.adapter.clone();
+        let Some(confirmed) = self.confirmed.get(now, &cell, &adapter) else {
+            return;
+        };
+        let grant = placement::PermitGrant {
+            attempt,
+            adapter,
+            engine: confirmed.engine.clone(),
+            fencing: confirmed.fencing,
+            send_within: self.settings.repeat_interval,
+        };
+        self.accept(now, now, cell, grant, actions);
+    }
+
+    fn accept(
+        &mut self,
+        _now: clock::MonotonicTime,
+        asked_at: clock::MonotonicTime,
+        cell: placement::CellId,
+        grant: placement::PermitGrant,
+        actions: &mut AgentActions,
+    ) {
+        let attempt = grant.attempt;
+        self.pending.remove(&attempt);
+        let permit = placement::HeldPermit {
+            attempt,
+            adapter: grant.adapter.clone(),
+            engine: grant.engine.clone(),
+        };
+        self.held.insert(attempt, HeldGrant { cell, permit });
+        actions.push(AgentAction::Dispatch {
+            attempt,
+            engine: grant.engine,
+            adapter: grant.adapter,
+            fencing: grant.fencing,
+            send_by: asked_at + grant.send_within,
+        });
+    }
+
+    fn receive(
+        &mut self,
+        now: clock::MonotonicTime,
+        message: placement::PlacementMessage,
+        sender: name::InstanceName,
+        actions: &mut AgentActions,
+    ) {
+        use placement::PlacementMessage;
+        match message {
+            PlacementMessage::Grant { cell, grant } => {
+                self.take_grant(now, cell, grant, sender, actions);
+            }
+            PlacementMessage::Refusal { cell, refusal } => {
+                self.take_refusal(now, &cell, refusal, actions);
+            }
+            PlacementMessage::ReportRequest { cell, fencing } => {
+                self.report(cell, fencing, sender, actions);
+            }
+            _ => {}
+        }
+    }
+
+    /// Uses a permit, or gives it back if it is not needed any more, has expired, or is for
+    /// another adapter version than the one asked for.
+    fn take_grant(
+        &mut self,
+        now: clock::MonotonicTime,
+        cell: placement::CellId,
+        grant: placement::PermitGrant,
+        sender: name::InstanceName,
+        actions: &mut AgentActions,
+    ) {
+        let attempt = grant.attempt;
+        if self.held.contains_key(&attempt) {
+            return;
+        }
+        let pending = self.pending.get(&attempt);
+        let usable = pending.filter(|request| {
+            request.asked.as_ref() == Some(&cell)
+                && request.demand.adapter == grant.adapter
+                && now < request.asked_at + grant.send_within
+        });
+        let Some(asked_at) = usable.map(|request| request.asked_at) else {
+            let outcome = placement::AttemptOutcome::NotSent;
+            let release = placement::PermitRelease { attempt, outcome };
+            let message = placement::PlacementMessage::Release { cell, release };
+            actions.push(AgentAction::Send { receiver: sender, message });
+            return;
+        };
+        self.confirmed.insert(now, &cell, &grant);
+        self.accept(now, asked_at, cell, grant, actions);
+    }
+
+    fn take_refusal(
+        &mut self,
+        now: clock::MonotonicTime,
+        cell: &placement::CellId,
+        refusal: placement::PermitRefusal,
+        actions: &mut AgentActions,
+    ) {
+        let attempt = refusal.attempt;
+        let Some(request) = self.pending.get_mut(&attempt) else {
+            return;
+        };
+        if request.asked.as_ref() != Some(cell) {
+            return;
+        }
+        let placement::PermitRefusalReason::Refused(reason) = refusal.reason else {
+            // The routes lag behind the ownership: asks again at the next tick that is due.
+            return;
+        };
+        request.refused_by.push(cell.clone());
+        let refused_by = &request.refused_by;
+        let is_elsewhere = crate::routing::overflows(reason)
+            && now < request.deadline
+            && crate::routing::choose_cell(
+                &self.routes,
+                &request.base_model,
+                &request.demand.adapter,
+                refused_by,
+            )
+            .is_some();
+        if is_elsewhere {
+            self.ask(now, attempt, actions);
+            return;
+        }
+        self.pending.remove(&attempt);
+        let retry_after = refusal.retry_after;
+        actions.push(AgentAction::Refuse { attempt, reason, retry_after });
+    }
+
+    fn report(
+        &mut self,
+        cell: placement::CellId,
+        fencing: id::FencingNumber,
+        receiver: name::InstanceName,
+        actions: &mut AgentActions,
+    ) {
+        let route = self.routes.get_mut(&cell);
+        if let Some(route) = route.filter(|route| route.owner.is_none()) {
+            // From here on nothing is dispatched without the new owner's permit.
+            route.owner = Some(receiver.clone());
+        }
+        let held = self.held.values().filter(|grant| grant.cell == cell);
+        let mut permits: Vec<_> = held.map(|grant| grant.permit.clone()).collect();
+        permits.sort_by_key(|permit| permit.attempt);
+        let message = placement::PlacementMessage::Report { cell, fencing, permits };
+        actions.push(AgentAction::Send { receiver, message });
+    }
+
+    fn end(&mut self, release: placement::PermitRelease, actions: &mut AgentActions) {
+        let Some(held) = self.held.remove(&release.attempt) else {
+            return;
+        };
+        if release.outcome == placement::AttemptOutcome::NotResident {
+            self.confirmed.remove(&held.cell, &held.permit.adapter);
+        }
+        self.send_to_owner(held.cell, actions, |cell| placement::PlacementMessage::Release {
+            cell,
+            release,
+        });
+    }
+
+    fn cancel(&mut self, attempt: id::AttemptId, actions: &mut AgentActions) {
+        let Some(cell) = self.pending.remove(&attempt).and_then(|request| request.asked) else {
+            return;
+        };
+        self.send_to_owner(cell, actions, |cell| placement::PlacementMessage::Cancel {
+            cell,
+            attempt,
+        });
+    }
+
+    fn send_to_owner(
+        &self,
+        cell: placement::CellId,
+        actions: &mut AgentActions,
+        build: impl FnOnce(placement::CellId) -> placement::PlacementMessage,
+    ) {
+        let owner = self.routes.get(&cell).and_then(|route| route.owner.clone());
+        if let Some(receiver) = owner {
+            actions.push(AgentAction::Send { receiver, message: build(cell) });
+        }
+    }
+
+    /// Takes the reachable cells. Requests whose cell has another owner now, or can't be reached
+    /// any more, are asked for again.
+    fn change_routes(
+        &mut self,
+        now: clock::MonotonicTime,
+        routes: Vec<CellRoute>,
+        actions: &mut AgentActions,
+    ) {
+        let former = std::mem::take(&mut self.routes);
+        self.routes = routes.into_iter().map(|route| (route.cell.clone(), route)).collect();
+        let is_moved = |cell: &placement::CellId| {
+            let owner = |route: &CellRoute| route.owner.clone();
+            former.get(cell).map(owner) != self.routes.get(cell).map(owner)
+        };
+        let pending = self.pending.iter();
+        let moved = pending.filter(|(_, request)| request.asked.as_ref().is_none_or(is_moved));
+        let moved: Vec<_> = moved.map(|(attempt, _)| *attempt).collect();
+        for attempt in moved {
+            self.ask(now, attempt, actions);
+        }
+    }
+
+    fn tick(&mut self, now: clock::MonotonicTime, actions: &mut AgentActions) {
+        let expired = self.pending.iter().filter(|(_, request)| request.deadline <= now);
+        let expired: Vec<_> = expired.map(|(attempt, _)| *attempt).collect();
+        for attempt in expired {
+            self.cancel(attempt, actions);
+            let reason = refusal::RefusalReason::DeadlineExceeded;
+            let retry_after = time::Duration::from_secs(1);
+            actions.push(AgentAction::Refuse { attempt, reason, retry_after });
+        }
+        let due = self.pending.iter().filter(|(_, request)| self.is_due(now, request));
+        let due: Vec<_> = due.map(|(attempt, _)| *attempt).collect();
+        for attempt in due {
+            self.ask(now, attempt, actions);
+        }
+        self.confirmed.expire(now);
+    }
+
+    fn is_due(&self, now: clock::MonotonicTime, request: &PendingRequest) -> bool {
+        let has_owner = request
+            .asked
+            .as_ref()
+            .and_then(|cell| self.routes.get(cell))
+            .is_some_and(|route| route.owner.is_some());
+        let interval =
+            if has_owner { self.settings.repeat_interval } else { self.settings.no_owner_interval };
+        now.since(request.asked_at) >= interval
+    }
+}
--- /dev/null
+++ b/coltsfoot-placement/src/budget.rs
@@ -0,0 +1,417 @@
+//! The fleet-wide load budget: loads in flight and the store's rate, shared among cells by demand.
+//!
+//! Each zone's [`LoadLedger`] holds a fixed part of the fleet's budget, so that the parts of zones
+//! that can't reach one another never exceed the whole, and lends what it does not need.
+
+use std::collections;
+use std::time;
+
+use coltsfoot_types::{id, name, time as clock};
+use coltsfoot_wire::placement;
+use smallvec::SmallVec;
+
+use crate::cell::CellActions;
+use crate::event;
+
+/// Leave for loads that a cell has and has not used.
+#[derive(Debug, Default)]
+pub(crate) struct LoadShare {
+    grants: collections::VecDeque<UnusedGrant>,
+    asked_at: clock::MonotonicTime,
+    asked: u32,
+}
+
+#[derive(Debug)]
+struct UnusedGrant {
+    id: placement::LoadGrantId,
+    start_by: clock::MonotonicTime,
+}
+
+impl LoadShare {
+    /// Adds a grant. Its time counts from when the cell asked last.
+    pub(crate) fn add(
+        &mut self,
+        now: clock::MonotonicTime,
+        id: placement::LoadGrantId,
+        start_within: time::Duration,
+    ) {
+        let start_by = (self.asked_at + start_within).min(now + start_within);
+        self.grants.push_back(UnusedGrant { id, start_by });
+        self.asked = self.asked.saturating_sub(1);
+    }
+
+    /// Returns whether a load may start.
+    pub(crate) fn is_available(&self, now: clock::MonotonicTime) -> bool {
+        self.grants.iter().any(|grant| now < grant.start_by)
+    }
+
+    /// Takes leave for one load, and gives expired leave back.
+    pub(crate) fn take(
+        &mut self,
+        now: clock::MonotonicTime,
+        actions: &mut CellActions,
+    ) -> Option<placement::LoadGrantId> {
+        while let Some(grant) = self.grants.pop_front() {
+            if now < grant.start_by {
+                return Some(grant.id);
+            }
+            actions.push(event::CellAction::ReturnLoad { grant: grant.id, used: false });
+        }
+        None
+    }
+
+    /// Asks the ledger for the loads wanted, when their number has risen or some time has passed.
+    /// Gives leave back that nothing needs.
+    pub(crate) fn request(
+        &mut self,
+        now: clock::MonotonicTime,
+        wanted: u32,
+        interval: time::Duration,
+        actions: &mut CellActions,
+    ) {
+        if wanted == 0 {
+            if self.asked > 0 {
+                actions.push(event::CellAction::RequestLoads { wanted: 0 });
+            }
+            self.asked = 0;
+            self.give_back(actions);
+            return;
+        }
+        if wanted <= self.asked && now.since(self.asked_at) < interval {
+            return;
+        }
+        self.asked = wanted;
+        self.asked_at = now;
+        actions.push(event::CellAction::RequestLoads { wanted });
+    }
+
+    pub(crate) fn give_back(&mut self, actions: &mut CellActions) {
+        for grant in self.grants.drain(..) {
+            actions.push(event::CellAction::ReturnLoad { grant: grant.id, used: false });
+        }
+    }
+}
+
+/// Limits of a zone's part of the load budget.
+#[derive(Clone, Debug, bon::Builder)]
+pub struct LedgerSettings {
+    /// The zone.
+    pub zone: name::ZoneName,
+    /// The other zones of the fleet.
+    pub peers: Vec<name::ZoneName>,
+    /// Loads in flight that the zone may have by itself. The parts of all zones sum to at most
+    /// the fleet's limit.
+    pub loads_in_flight: u32,
+    /// Loads per second that the zone may start by itself. The parts of all zones sum to the
+    /// store's rate.
+    pub loads_per_second: f64,
+    /// Loads that may start at once after a pause.
+    #[builder(default = 1)]
+    pub burst: u32,
+    /// Time within which a granted load must start.
+    #[builder(default = time::Duration::from_secs(2))]
+    pub start_within: time::Duration,
+    /// Longest time that a load takes; the order is given up after it.
+    #[builder(default = time::Duration::from_secs(10))]
+    pub load_limit: time::Duration,
+    /// Interval between repeated requests for loans.
+    #[builder(default = time::Duration::from_millis(100))]
+    pub repeat_interval: time::Duration,
+}
+
+/// What happens to a zone's ledger.
+#[derive(Clone, Debug)]
+pub enum LedgerEvent {
+    /// This instance owns the ledger from now on, after the former owner's lease has lapsed.
+    OwnershipGained {
+        /// Fencing number.
+        fencing: id::FencingNumber,
+    },
+    /// This instance does not own the ledger any more.
+    OwnershipLost,
+    /// A cell wants loads beyond those granted; replaces what it wanted before.
+    LoadsWanted {
+        /// The cell.
+        cell: placement::CellId,
+        /// Number of loads.
+        wanted: u32,
+    },
+    /// A load has ended or is not needed.
+    LoadReturned {
+        /// The grant.
+        grant: placement::LoadGrantId,
+        /// Whether a load took place.
+        used: bool,
+    },
+    /// Another zone's ledger asks for a loan.
+    LoanWanted {
+        /// The zone.
+        zone: name::ZoneName,
+        /// Number of loads.
+        wanted: u32,
+    },
+    /// Another zone's ledger lends loads.
+    Lent {
+        /// The zone.
+        zone: name::ZoneName,
+        /// Number of loads.
+        loads: u32,
+        /// Time within which they must be started, from when the loan was asked for.
+        start_within: time::Duration,
+    },
+    /// Time has passed.
+    Tick,
+}
+
+/// What a zone's ledger orders.
+#[derive(Clone, Debug, PartialEq)]
+pub enum LedgerAction {
+    /// Sends leave for one load to the owner of a cell.
+    Grant {
+        /// The cell.
+        cell: placement::CellId,
+        /// The grant.
+        grant: placement::LoadGrantId,
+        /// Time until the load must have started.
+        start_within: time::Duration,
+    },
+    /// Asks another zone's ledger for a loan.
+    RequestLoan {
+        /// The zone.
+        zone: name::ZoneName,
+        /// Number of loads.
+        wanted: u32,
+    },
+    /// Lends loads to another zone's ledger.
+    Lend {
+        /// The zone.
+        zone: name::ZoneName,
+        /// Number of loads.
+        loads: u32,
+        /// Time within which they must be started.
+        start_within: time::Duration,
+    },
+}
+
+/// Actions of one event of a ledger.
+pub type LedgerActions = SmallVec<[LedgerAction; 4]>;
+
+/// A load that may be in flight.
+#[derive(Debug)]
+struct OpenLoad {
+    /// When it must have ended, whatever the messages about it say.
+    ends_by: clock::MonotonicTime,
+}
+
+/// A zone's part of the load budget, on the instance that owns it.
+#[derive(Debug)]
+pub struct LoadLedger {
+    settings: LedgerSettings,
+    fencing: Option<id::FencingNumber>,
+    sequence: u64,
+    open: collections::BTreeMap<placement::LoadGrantId, OpenLoad>,
+    /// Ends of the loads that are lent out.
+    lent: collections::VecDeque<clock::MonotonicTime>,
+    /// When loads of other zones that are still unused must have started.
+    borrowed: collections::VecDeque<clock::MonotonicTime>,
+    /// Loads wanted by each cell, served in turn.
+    wanted: collections::BTreeMap<placement::CellId, u32>,
+    last_served: Option<placement::CellId>,
+    tokens: f64,
+    filled_at: clock::MonotonicTime,
+    loan_asked_at: clock::MonotonicTime,
+    next_peer: usize,
+    /// Until when loads of a former owner may be in flight.
+    unknown_until: clock::MonotonicTime,
+}
+
+impl LoadLedger {
+    /// Builds a ledger that nobody owns.
+    pub fn new(settings: LedgerSettings) -> Self {
+        Self {
+            fencing: None,
+            sequence: 0,
+            open: collections::BTreeMap::new(),
+            lent: collections::VecDeque::new(),
+            borrowed: collections::VecDeque::new(),
+            wanted: collections::BTreeMap::new(),
+            last_served: None,
+            tokens: 0.0,
+            filled_at: clock::MonotonicTime::default(),
+            loan_asked_at: clock::MonotonicTime::default(),
+            next_peer: 0,
+            unknown_until: clock::MonotonicTime::default(),
+            settings,
+        }
+    }
+
+    /// Takes an event and returns what is to be done.
+    pub fn handle(&mut self, now: clock::MonotonicTime, event: LedgerEvent) -> LedgerActions {
+        let mut actions = LedgerActions::new();
+        self.fill(now);
+        match event {
+            LedgerEvent::OwnershipGained { fencing } => self.gain(now, fencing),
+            LedgerEvent::OwnershipLost => self.lose(),
+            LedgerEvent::LoadsWanted { cell, wanted } => self.want(cell, wanted),
+            LedgerEvent::LoadReturned { grant, used } => self.take_back(&grant, used),
+            LedgerEvent::LoanWanted { zone, wanted } => self.lend(now, zone, wanted, &mut actions),
+            LedgerEvent::Lent { loads, start_within, .. } => {
+                self.borrow(now, loads, start_within);
+            }
+            LedgerEvent::Tick => {}
+        }
+        if self.fencing.is_some() {
+            self.serve(now, &mut actions);
+            self.request_loan(now, &mut actions);
+        }
+        actions
+    }
+
+    /// Returns the loads that may be in flight by leave of this ledger.
+    pub fn open_loads(&self) -> usize {
+        self.open.len()
+    }
+
+    /// A new owner starts without tokens. Loads of the former one count until they must have
+    /// ended.
+    fn gain(&mut self, now: clock::MonotonicTime, fencing: id::FencingNumber) {
+        self.lose();
+        self.fencing = Some(fencing);
+        self.unknown_until = now + self.settings.start_within + self.settings.load_limit;
+    }
+
+    fn lose(&mut self) {
+        self.fencing = None;
+        self.open.clear();
+        self.lent.clear();
+        self.borrowed.clear();
+        self.wanted.clear();
+        self.tokens = 0.0;
+    }
+
+    fn fill(&mut self, now: clock::MonotonicTime) {
+        let earned = now.since(self.filled_at).as_secs_f64() * self.settings.loads_per_second;
+        self.tokens = (self.tokens + earned).min(f64::from(self.settings.burst));
+        self.filled_at = now;
+        self.open.retain(|_, load| now < load.ends_by);
+        self.lent.retain(|ends_by| now < *ends_by);
+        self.borrowed.retain(|start_by| now < *start_by);
+    }
+
+    fn want(&mut self, cell: placement::CellId, wanted: u32) {
+        if wanted == 0 {
+            self.wanted.remove(&cell);
+            return;
+        }
+        self.wanted.insert(cell, wanted);
+    }
+
+    fn take_back(&mut self, grant: &placement::LoadGrantId, used: bool) {
+        if self.open.remove(grant).is_some() && !used {
+            self.tokens = (self.tokens + 1.0).min(f64::from(self.settings.burst));
+        }
+    }
+
+    /// Loads of its own part that may start now. While loads of a former owner may be in flight,
+    /// half of the part is kept back for them.
+    fn free_loads(&self, now: clock::MonotonicTime) -> u32 {
+        let part = self.settings.loads_in_flight;
+        let taken = (self.open.len() + self.lent.len()) as u32;
+        let is_unknown = now < self.unknown_until;
+        let part = if is_unknown { part - part / 2 } else { part };
+        part.saturating_sub(taken).min(self.tokens as u32)
+    }
+
+    fn serve(&mut self, now: clock::MonotonicTime, actions: &mut LedgerActions) {
+        while let Some(cell) = self.next_cell() {
+            let Some(start_within) = self.take_leave(now) else {
+                return;
+            };
+            self.last_served = Some(cell.clone());
+            if let Some(wanted) = self.wanted.get_mut(&cell) {
+                *wanted -= 1;
+                if *wanted == 0 {
+                    self.wanted.remove(&cell);
+                }
+            }
+            actions.push(self.grant(now, cell, start_within));
+        }
+    }
+
+    fn grant(
+        &mut self,
+        now: clock::MonotonicTime,
+        cell: placement::CellId,
+        start_within: time::Duration,
+    ) -> LedgerAction {
+        let zone = self.settings.zone.clone();
+        let fencing = self.fencing.unwrap_or_default();
+        let grant = placement::LoadGrantId { zone, fencing, sequence: self.sequence };
+        self.sequence += 1;
+        let ends_by = now + start_within + self.settings.load_limit;
+        self.open.insert(grant.clone(), OpenLoad { ends_by });
+        LedgerAction::Grant { cell, grant, start_within }
+    }
+
+    /// Takes leave for one load: a borrowed one first, since it expires sooner.
+    fn take_leave(&mut self, now: clock::MonotonicTime) -> Option<time::Duration> {
+        if let Some(start_by) = self.borrowed.pop_front() {
+            return Some(start_by.since(now));
+        }
+        if self.free_loads(now) == 0 {
+            return None;
+        }
+        self.tokens -= 1.0;
+        Some(self.settings.start_within)
+    }
+
+    /// The cell after the one served last, among those that want loads.
+    fn next_cell(&self) -> Option<placement::CellId> {
+        let after = self.last_served.as_ref().and_then(|last| {
+            let range = (std::ops::Bound::Excluded(last), std::ops::Bound::Unbounded);
+            self.wanted.range::<placement::CellId, _>(range).next()
+        });
+        let next = after.or_else(|| self.wanted.iter().next());
+        next.map(|(cell, _)| cell.clone())
+    }
+
+    /// Lends what its own cells don't want at the moment.
+    fn lend(
+        &mut self,
+        now: clock::MonotonicTime,
+        zone: name::ZoneName,
+        wanted: u32,
+        actions: &mut LedgerActions,
+    ) {
+        if self.fencing.is_none() || !self.wanted.is_empty() {
+            return;
+        }
+        let loads = wanted.min(self.free_loads(now));
+        if loads == 0 {
+            return;
+        }
+        let start_within = self.settings.start_within;
+        let ends_by = now + start_within * 2 + self.settings.load_limit;
+        self.tokens -= f64::from(loads);
+        self.lent.extend((0..loads).map(|_| ends_by));
+        actions.push(LedgerAction::Lend { zone, loads, start_within });
+    }
+
+    fn borrow(&mut self, now: clock::MonotonicTime, loads: u32, start_within: time::Duration) {
+        let start_by = (self.loan_asked_at + start_within).min(now + start_within);
+        self.borrowed.extend((0..loads).map(|_| start_by));
+    }
+
+    /// Asks one other zone after the other.
+    fn request_loan(&mut self, now: clock::MonotonicTime, actions: &mut LedgerActions) {
+        let wanted = self.wanted.values().sum::<u32>();
+        let is_early = now.since(self.loan_asked_at) < self.settings.repeat_interval;
+        if wanted == 0 || is_early || self.settings.peers.is_empty() {
+            return;
+        }
+        let zone = self.settings.peers[self.next_peer % self.settings.peers.len()].clone();
+        self.next_peer += 1;
+        self.loan_asked_at = now;
+        actions.push(LedgerAction::RequestLoan { zone, wanted });
+    }
+}
--- /dev/null
+++ b/coltsfoot-placement/src/engine.rs
@@ -0,0 +1,199 @@
+//! What the owner of a cell knows of one engine.
+
+use std::collections;
+
+use coltsfoot_quota::{fair_queue, queue_entry};
+use coltsfoot_types::{adapter, id, name, time as clock};
+use rustc_hash::FxHashMap;
+
+use crate::event;
+use crate::service_time;
+
+/// A resident adapter.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Residency {
+    /// When the adapter was last loaded, adopted or used.
+    pub(crate) used_at: clock::MonotonicTime,
+    /// When the residency became known.
+    pub(crate) since: clock::MonotonicTime,
+}
+
+/// State of an engine.
+#[derive(Debug)]
+pub(crate) struct EngineState {
+    pub(crate) listing: event::EngineListing,
+    pub(crate) leaving: bool,
+    pub(crate) generation: Option<u64>,
+    pub(crate) resident: FxHashMap<adapter::AdapterVersion, Residency>,
+    /// Adapters being loaded; each takes a slot.
+    pub(crate) loading: collections::BTreeSet<adapter::AdapterVersion>,
+    /// Adapters being unloaded; each takes a slot until the order has ended.
+    pub(crate) unloading: collections::BTreeSet<adapter::AdapterVersion>,
+    /// Adapters without a slot that are being unloaded.
+    pub(crate) strays: collections::BTreeSet<adapter::AdapterVersion>,
+    /// Permits out for each adapter, whether or not it is resident.
+    pub(crate) pins: FxHashMap<adapter::AdapterVersion, u32>,
+    /// Permits out.
+    pub(crate) running: u32,
+    /// Requests whose adapter is resident and that wait for room in the batch.
+    pub(crate) ready: fair_queue::FairQueue<()>,
+    /// Requests in `ready` for each adapter.
+    pub(crate) queued: FxHashMap<adapter::AdapterVersion, u32>,
+    /// Until then permits that this owner doesn't know may be out.
+    pub(crate) unknown_until: Option<clock::MonotonicTime>,
+    /// Until then the engine is not used, since it failed.
+    pub(crate) suspended_until: clock::MonotonicTime,
+    /// Failures since the last answer.
+    pub(crate) failures: u32,
+    /// When orders about an adapter last ended, as far as reports may not show them yet.
+    pub(crate) settled: FxHashMap<adapter::AdapterVersion, clock::MonotonicTime>,
+    pub(crate) service: service_time::ServiceTime,
+}
+
+impl EngineState {
+    pub(crate) fn new(listing: event::EngineListing, limits: queue_entry::QueueLimits) -> Self {
+        Self {
+            listing,
+            leaving: false,
+            generation: None,
+            resident: FxHashMap::default(),
+            loading: collections::BTreeSet::new(),
+            unloading: collections::BTreeSet::new(),
+            strays: collections::BTreeSet::new(),
+            pins: FxHashMap::default(),
+            running: 0,
+            ready: fair_queue::FairQueue::new(limits),
+            queued: FxHashMap::default(),
+            unknown_until: None,
+            suspended_until: clock::MonotonicTime::default(),
+            failures: 0,
+            settled: FxHashMap::default(),
+            service: service_time::ServiceTime::default(),
+        }
+    }
+
+    pub(crate) fn name(&self) -> &name::UpstreamName {
+        &self.listing.name
+    }
+
+    /// Returns whether the engine takes new work.
+    pub(crate) fn is_usable(&self, now: clock::MonotonicTime) -> bool {
+        !self.leaving && now >= self.suspended_until
+    }
+
+    /// Returns whether a request for the adapter could run at once.
+    pub(crate) fn holds(&self, adapter: &adapter::AdapterVersion) -> bool {
+        self.resident.contains_key(adapter)
+    }
+
+    /// Returns the number of requests that can be added to the batch. A slow engine is given a
+    /// part of its batch.
+    pub(crate) fn room(&self) -> u32 {
+        self.service.usable_batch(self.listing.batch_size).saturating_sub(self.running)
+    }
+
+    /// Returns whether a slot is free.
+    pub(crate) fn has_free_slot(&self) -> bool {
+        let taken = self.resident.len() + self.loading.len() + self.unloading.len();
+        taken + self.strays.len() < self.listing.slots as usize
+    }
+
+    /// Returns whether the engine answers much later than the others of its cell.
+    pub(crate) fn is_slow(&self) -> bool {
+        self.service.is_slow()
+    }
+
+    /// Returns whether the adapter may be evicted.
+    pub(crate) fn is_evictable(
+        &self,
+        now: clock::MonotonicTime,
+        adapter: &adapter::AdapterVersion,
+    ) -> bool {
+        let is_used = self.pins.contains_key(adapter) || self.queued.contains_key(adapter);
+        !is_used && self.unknown_until.is_none_or(|until| now >= until)
+    }
+
+    pub(crate) fn pin(&mut self, now: clock::MonotonicTime, adapter: &adapter::AdapterVersion) {
+        self.running += 1;
+        *self.pins.entry(adapter.clone()).or_default() += 1;
+        if let Some(residency) = self.resident.get_mut(adapter) {
+            residency.used_at = now;
+        }
+    }
+
+    pub(crate) fn unpin(&mut self, adapter: &adapter::AdapterVersion) {
+        self.running = self.running.saturating_sub(1);
+        decrement(&mut self.pins, adapter);
+    }
+
+    pub(crate) fn enqueue(&mut self, adapter: &adapter::AdapterVersion) {
+        *self.queued.entry(adapter.clone()).or_default() += 1;
+    }
+
+    pub(crate) fn dequeue(&mut self, adapter: &adapter::AdapterVersion) {
+        decrement(&mut self.queued, adapter);
+    }
+
+    pub(crate) fn add_resident(
+        &mut self,
+        now: clock::MonotonicTime,
+        adapter: adapter::AdapterVersion,
+    ) {
+        self.resident.insert(adapter, Residency { used_at: now, since: now });
+        let taken = self.resident.len() + self.loading.len() + self.unloading.len();
+        assert!(taken <= self.listing.slots as usize, "more adapters than slots");
+    }
+
+    /// Forgets what the engine held before it restarted. Pins stay until their permits end.
+    pub(crate) fn forget_residency(&mut self) {
+        self.resident.clear();
+        self.settled.clear();
+    }
+}
+
+fn decrement(
+    counts: &mut FxHashMap<adapter::AdapterVersion, u32>,
+    adapter: &adapter::AdapterVersion,
+) {
+    let Some(count) = counts.get_mut(adapter) else {
+        return;
+    };
+    *count -= 1;
+    if *count == 0 {
+        counts.remove(adapter);
+    }
+}
+
+/// A permit that is out.
+#[derive(Clone, Debug)]
+pub(crate) struct OutstandingPermit {
+    pub(crate) engine: name::UpstreamName,
+    pub(crate) adapter: adapter::AdapterVersion,
+    pub(crate) instance: name::InstanceName,
+    pub(crate) granted_at: clock::MonotonicTime,
+    pub(crate) estimated_tokens: u32,
+    /// When the pin ends at the latest.
+    pub(crate) ends_at: clock::MonotonicTime,
+    /// Whether the instance can no longer release it.
+    pub(crate) orphaned: bool,
+}
+
+/// A request that waits for a permit.
+#[derive(Clone, Debug)]
+pub(crate) struct WaitingPermit {
+    pub(crate) attempt: id::AttemptId,
+    pub(crate) instance: name::InstanceName,
+    pub(crate) demand: coltsfoot_wire::placement::PermitDemand,
+    pub(crate) arrived: clock::MonotonicTime,
+    pub(crate) deadline: clock::MonotonicTime,
+    pub(crate) place: WaitingPlace,
+}
+
+/// What a request waits for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum WaitingPlace {
+    /// A load of its adapter.
+    Load,
+    /// Room in the batch of an engine.
+    Batch(name::UpstreamName),
+}
--- /dev/null
+++ b/coltsfoot-placement/src/popularity.rs
@@ -0,0 +1,75 @@
+//! Popularity of adapter versions: request counts that decay exponentially.
+
+use std::time;
+
+use coltsfoot_types::{adapter, time as clock};
+use rustc_hash::FxHashMap;
+
+/// Decayed count under which an adapter is forgotten.
+const FORGOTTEN_COUNT: f64 = 0.05;
+/// Entries per half-life table that one sweep step looks at.
+const SWEEP_STEP: usize = 256;
+
+/// A count that halves with each half-life.
+#[derive(Clone, Copy, Debug)]
+struct DecayedCount {
+    value: f64,
+    at: clock::MonotonicTime,
+}
+
+impl DecayedCount {
+    fn value(self, now: clock::MonotonicTime, half_life: time::Duration) -> f64 {
+        let age = now.since(self.at).as_secs_f64();
+        self.value * (-age / half_life.as_secs_f64()).exp2()
+    }
+}
+
+/// Decayed request counts of the adapters that are awake.
+#[derive(Debug)]
+pub(crate) struct PopularityTable {
+    half_life: time::Duration,
+    counts: FxHashMap<adapter::AdapterVersion, DecayedCount>,
+    /// Adapters left to look at in the running sweep.
+    sweep: Vec<adapter::AdapterVersion>,
+}
+
+impl PopularityTable {
+    pub(crate) fn new(half_life: time::Duration) -> Self {
+        Self { half_life, counts: FxHashMap::default(), sweep: Vec::new() }
+    }
+
+    /// Counts a request.
+    pub(crate) fn count(&mut self, now: clock::MonotonicTime, adapter: &adapter::AdapterVersion) {
+        if let Some(count) = self.counts.get_mut(adapter) {
+            *count = DecayedCount { value: count.value(now, self.half_life) + 1.0, at: now };
+            return;
+        }
+        self.counts.insert(adapter.clone(), DecayedCount { value: 1.0, at: now });
+    }
+
+    /// Returns the decayed number of requests.
+    pub(crate) fn get(&self, now: clock::MonotonicTime, adapter: &adapter::AdapterVersion) -> f64 {
+        self.counts.get(adapter).map_or(0.0, |count| count.value(now, self.half_life))
+    }
+
+    /// Returns the number of adapters that are counted.
+    pub(crate) fn len(&self) -> usize {
+        self.counts.len()
+    }
+
+    /// Forgets some of the adapters that have fallen idle, in bounded time.
+    pub(crate) fn sweep(&mut self, now: clock::MonotonicTime) {
+        if self.sweep.is_empty() {
+            self.sweep.extend(self.counts.keys().cloned());
+        }
+        let keep = self.sweep.len().saturating_sub(SWEEP_STEP);
+        for adapter in self.sweep.split_off(keep) {
+            if self.get(now, &adapter) < FORGOTTEN_COUNT {
+                self.counts.remove(&adapter);
+            }
+        }
+        if self.counts.len() * 4 < self.counts.capacity() {
+            self.counts.shrink_to_fit();
+        }
+    }
+}
--- /dev/null
+++ b/coltsfoot-placement/src/report.rs
@@ -0,0 +1,149 @@
+//! Engines as listed and as they report themselves, which lags behind their state.
+
+use std::collections;
+
+use coltsfoot_types::{adapter, name, time as clock};
+
+use crate::cell::{CellActions, EngineCell};
+use crate::engine;
+use crate::event;
+use crate::loading;
+
+impl EngineCell {
+    /// Adds an engine, or takes its changed listing.
+    pub(crate) fn list_engine(&mut self, listing: event::EngineListing) {
+        let limits = Self::queue_limits(&self.settings);
+        let Some(state) = self.engines.get_mut(&listing.name) else {
+            let name = listing.name.clone();
+            let state = engine::EngineState::new(listing, limits);
+            self.engines.insert(name, state);
+            return;
+        };
+        state.listing = listing;
+        state.leaving = false;
+    }
+
+    /// Gives a leaving engine no new work. What runs on it ends by itself.
+    pub(crate) fn retire_engine(
+        &mut self,
+        now: clock::MonotonicTime,
+        engine: &name::UpstreamName,
+        actions: &mut CellActions,
+    ) {
+        let Some(state) = self.engines.get_mut(engine) else {
+            return;
+        };
+        state.leaving = true;
+        self.readmit_ready(now, engine, |_| true, actions);
+    }
+
+    /// Forgets an engine with all that ran on it.
+    pub(crate) fn remove_engine(
+        &mut self,
+        now: clock::MonotonicTime,
+        engine: &name::UpstreamName,
+        actions: &mut CellActions,
+    ) {
+        self.retire_engine(now, engine, actions);
+        self.engines.remove(engine);
+        self.permits.retain(|_, permit| permit.engine != *engine);
+        self.prefixes.forget_engine(engine);
+    }
+
+    /// Compares an engine's report with what is known. Orders of the last moments go before the
+    /// report, since it may be older.
+    pub(crate) fn reconcile(
+        &mut self,
+        now: clock::MonotonicTime,
+        engine: &name::UpstreamName,
+        report: event::EngineReport,
+        actions: &mut CellActions,
+    ) {
+        let Some(state) = self.engines.get_mut(engine) else {
+            return;
+        };
+        let former = state.generation.replace(report.generation);
+        if former.is_some_and(|former| former != report.generation) {
+            state.forget_residency();
+            self.prefixes.forget_engine(engine);
+        }
+        if report.running == 0 && report.waiting == 0 {
+            self.end_unknown_permits(now, engine);
+            self.end_orphaned_permits(now, engine, actions);
+        }
+        let reported: collections::BTreeSet<_> = report.resident.into_iter().collect();
+        self.drop_missing(now, engine, &reported, actions);
+        self.adopt_reported(now, engine, reported, actions);
+        self.serve_ready(now, engine, actions);
+    }
+
+    /// Returns whether the owner may order unloads on the engine.
+    fn may_evict(&self, now: clock::MonotonicTime, engine: &name::UpstreamName) -> bool {
+        let checks = self.engines.get(engine).is_some_and(|state| state.listing.checks_fencing);
+        let is_restricted = self.lease.is_some_and(|lease| lease.restricted);
+        self.fencing(now).is_some() && (checks || !is_restricted)
+    }
+
+    /// Forgets adapters that the report doesn't show, though it must if they were resident.
+    fn drop_missing(
+        &mut self,
+        now: clock::MonotonicTime,
+        engine: &name::UpstreamName,
+        reported: &collections::BTreeSet<adapter::AdapterVersion>,
+        actions: &mut CellActions,
+    ) {
+        let lag = self.settings.report_lag;
+        let Some(state) = self.engines.get_mut(engine) else {
+            return;
+        };
+        state.settled.retain(|_, at| *at + lag > now);
+        let settled = &state.settled;
+        let resident = &mut state.resident;
+        let before = resident.len();
+        resident.retain(|adapter, residency| {
+            reported.contains(adapter)
+                || settled.contains_key(adapter)
+                || residency.since + lag > now
+        });
+        if resident.len() == before {
+            return;
+        }
+        let kept: collections::BTreeSet<_> = resident.keys().cloned().collect();
+        self.readmit_ready(now, engine, |adapter| !kept.contains(adapter), actions);
+    }
+
+    /// Takes over adapters that the engine holds unknown to the cell, and clears those that there
+    /// is no slot for.
+    fn adopt_reported(
+        &mut self,
+        now: clock::MonotonicTime,
+        engine: &name::UpstreamName,
+        reported: collections::BTreeSet<adapter::AdapterVersion>,
+        actions: &mut CellActions,
+    ) {
+        for adapter in reported {
+            let Some(state) = self.engines.get_mut(engine) else {
+                return;
+            };
+            let is_known = state.holds(&adapter)
+                || state.settled.contains_key(&adapter)
+                || state.loading.contains(&adapter)
+                || state.unloading.contains(&adapter)
+                || state.strays.contains(&adapter);
+            if is_known {
+                continue;
+            }
+            if state.has_free_slot() {
+                state.add_resident(now, adapter.clone());
+                self.readmit_waiters(now, &adapter, actions);
+                continue;
+            }
+            if state.is_evictable(now, &adapter) && self.may_evict(now, engine) {
+                if let Some(state) = self.engines.get_mut(engine) {
+                    state.strays.insert(adapter.clone());
+                }
+                self.send_order(now, engine.clone(), adapter, loading::OrderStep::Clear, actions);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/coltsfoot-placement/src/routing.rs
@@ -0,0 +1,47 @@
+//! Which cell a request is sent to.
+
+use std::collections;
+
+use coltsfoot_types::{adapter, name, refusal};
+use coltsfoot_wire::placement;
+
+use crate::agent;
+
+/// Chooses the cell that is asked for a permit: among the reachable cells of the model, the one
+/// that the adapter's name hashes to, so that all instances use the same copy of it. Cells
+/// without an owner and cells that refused come last.
+pub(crate) fn choose_cell<'a>(
+    routes: &'a collections::BTreeMap<placement::CellId, agent::CellRoute>,
+    base_model: &name::ModelName,
+    adapter: &adapter::AdapterVersion,
+    refused_by: &[placement::CellId],
+) -> Option<&'a agent::CellRoute> {
+    let candidates = routes
+        .values()
+        .filter(|route| route.cell.base_model == *base_model && !refused_by.contains(&route.cell));
+    candidates.max_by_key(|route| {
+        let is_near = route.is_local;
+        (route.owner.is_some() || is_near, cell_weight(&route.cell, adapter))
+    })
+}
+
+/// Returns whether another cell may be asked after a refusal for this reason.
+pub(crate) fn overflows(reason: refusal::RefusalReason) -> bool {
+    use refusal::RefusalReason;
+    matches!(
+        reason,
+        RefusalReason::QueueFull | RefusalReason::NoUpstream | RefusalReason::LoadFailed
+    )
+}
+
+/// Rendezvous weight of a cell for an adapter. All versions of an adapter go to the same cell.
+fn cell_weight(cell: &placement::CellId, adapter: &adapter::AdapterVersion) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(cell.zone.as_str().as_bytes());
+    hasher.update(&cell.index.to_le_bytes());
+    hasher.update(adapter.adapter.as_str().as_bytes());
+    let digest = hasher.finalize();
+    let mut weight = [0; 8];
+    weight.copy_from_slice(&digest.as_bytes()[..8]);
+    u64::from_le_bytes(weight)
+}
--- /dev/null
+++ b/coltsfoot-placement/src/takeover.rs
@@ -0,0 +1,195 @@
+//! Ownership of a cell: what a new owner must learn before it evicts.
+
+use std::collections;
+
+use coltsfoot_types::{id, name, time as clock};
+use coltsfoot_wire::placement;
+
+use crate::cell::{self, CellActions, EngineCell};
+use crate::engine;
+use crate::event;
+
+/// What a new owner waits for.
+#[derive(Debug, Default)]
+pub(crate) struct TakeoverState {
+    /// Instances that may hold permits of the former owner and have not reported them.
+    awaited: collections::BTreeSet<name::InstanceName>,
+    /// Whether permits may be out that no report will show.
+    unknown_permits: bool,
+    asked_at: clock::MonotonicTime,
+}
+
+impl TakeoverState {
+    /// Gives up waiting for an instance that died before it reported.
+    pub(crate) fn forget_reporter(&mut self, instance: &name::InstanceName) {
+        if self.awaited.remove(instance) {
+            self.unknown_permits = true;
+        }
+    }
+
+    fn is_complete(&self) -> bool {
+        self.awaited.is_empty() && !self.unknown_permits
+    }
+}
+
+impl EngineCell {
+    /// Takes the cell over. No adapter is evicted until the permits of the former owner are known
+    /// or must have ended.
+    pub(crate) fn gain(
+        &mut self,
+        now: clock::MonotonicTime,
+        lease: event::CellLease,
+        reporters: Vec<name::InstanceName>,
+        unknown_permits: bool,
+        actions: &mut CellActions,
+    ) {
+        self.forget_lease(actions);
+        self.lease = Some(lease);
+        let awaited = reporters.into_iter().collect();
+        self.takeover = TakeoverState { awaited, unknown_permits, asked_at: now };
+        let start = lease.acting_from.max(now);
+        let limit = start + self.settings.send_within + self.settings.request_limit;
+        let is_known = self.takeover.is_complete();
+        for engine in self.engines.values_mut() {
+            engine.unknown_until = (!is_known).then_some(limit);
+        }
+        self.send_report_requests(now, actions);
+    }
+
+    /// Extends the running lease. One that has lapsed must be gained anew.
+    pub(crate) fn renew(&mut self, now: clock::MonotonicTime, until: clock::MonotonicTime) {
+        if let Some(lease) = self.lease.as_mut().filter(|lease| now < lease.until) {
+            lease.until = lease.until.max(until);
+        }
+    }
+
+    /// Ends the ownership. Waiting requests are sent back, to be asked for at the new owner.
+    pub(crate) fn lose(&mut self, actions: &mut CellActions) {
+        self.forget_lease(actions);
+    }
+
+    fn forget_lease(&mut self, actions: &mut CellActions) {
+        self.lease = None;
+        self.started = false;
+        let mut waits: Vec<_> = self.waits.drain().map(|(_, wait)| wait).collect();
+        waits.sort_by_key(|wait| wait.attempt);
+        for wait in waits {
+            let reason = placement::PermitRefusalReason::NotOwner;
+            actions.push(cell::refuse(&wait, reason, std::time::Duration::ZERO));
+        }
+        self.deadlines.clear();
+        self.permits.clear();
+        self.demands.clear();
+        self.retries.clear();
+        self.replicas.clear();
+        self.orders.clear();
+        self.budget.give_back(actions);
+        let limits = Self::queue_limits(&self.settings);
+        self.load_queue = coltsfoot_quota::fair_queue::FairQueue::new(limits.clone());
+        for state in self.engines.values_mut() {
+            let mut fresh = engine::EngineState::new(state.listing.clone(), limits.clone());
+            fresh.leaving = state.leaving;
+            *state = fresh;
+        }
+    }
+
+    /// Admits the requests that came before the lease began.
+    pub(crate) fn start_lease(&mut self, now: clock::MonotonicTime, actions: &mut CellActions) {
+        if self.started || self.fencing(now).is_none() {
+            return;
+        }
+        self.started = true;
+        let requests: collections::BTreeSet<_> = self.waits.keys().copied().collect();
+        for request in requests {
+            if let Some(wait) = self.drop_wait(request) {
+                self.admit(now, wait, actions);
+            }
+        }
+    }
+
+    /// Takes the permits that an instance holds from the former owner.
+    pub(crate) fn take_report(
+        &mut self,
+        now: clock::MonotonicTime,
+        instance: &name::InstanceName,
+        fencing: id::FencingNumber,
+        permits: Vec<placement::HeldPermit>,
+    ) {
+        if self.lease.is_none_or(|lease| lease.fencing != fencing) {
+            return;
+        }
+        for held in permits {
+            self.adopt_permit(now, instance, held);
+        }
+        if self.takeover.awaited.remove(instance) && self.takeover.is_complete() {
+            for engine in self.engines.values_mut() {
+                engine.unknown_until = None;
+            }
+        }
+    }
+
+    fn adopt_permit(
+        &mut self,
+        now: clock::MonotonicTime,
+        instance: &name::InstanceName,
+        held: placement::HeldPermit,
+    ) {
+        if self.permits.contains_key(&held.attempt) {
+            return;
+        }
+        let Some(state) = self.engines.get_mut(&held.engine) else {
+            return;
+        };
+        state.pin(now, &held.adapter);
+        let permit = engine::OutstandingPermit {
+            engine: held.engine,
+            adapter: held.adapter,
+            instance: instance.clone(),
+            granted_at: now,
+            estimated_tokens: u32::MAX,
+            ends_at: now + self.settings.send_within + self.settings.request_limit,
+            orphaned: false,
+        };
+        self.permits.insert(held.attempt, permit);
+    }
+
+    /// Asks the instances again that have not reported yet.
+    pub(crate) fn repeat_report_requests(
+        &mut self,
+        now: clock::MonotonicTime,
+        actions: &mut CellActions,
+    ) {
+        if now.since(self.takeover.asked_at) >= self.settings.repeat_interval {
+            self.takeover.asked_at = now;
+            self.send_report_requests(now, actions);
+        }
+    }
+
+    fn send_report_requests(&self, _now: clock::MonotonicTime, actions: &mut CellActions) {
+        let Some(lease) = self.lease else {
+            return;
+        };
+        for instance in &self.takeover.awaited {
+            let instance = instance.clone();
+            actions.push(event::CellAction::RequestReport { instance, fencing: lease.fencing });
+        }
+    }
+
+    /// Learns from an idle report that no permit of the former owner runs on the engine.
+    pub(crate) fn end_unknown_permits(
+        &mut self,
+        now: clock::MonotonicTime,
+        engine: &name::UpstreamName,
+    ) {
+        let Some(lease) = self.lease else {
+            return;
+        };
+        let settled = lease.acting_from + self.settings.send_within + self.settings.report_lag;
+        if settled > now || !self.takeover.awaited.is_empty() {
+            return;
+        }
+        if let Some(state) = self.engines.get_mut(engine) {
+            state.unknown_until = None;
+        }
+    }
+}
