Keep pins over crashes, pauses and restarts, with tests

Cause: a new owner, a dead instance or a restarted engine must never lead to an eviction under a running request, and unusable load grants were hoarded: a cell whose slots were all pinned asked for grants without end.

Change: engines that are listed after the reports get their pins, self-dispatch is tied to the fencing number of the lapsed owner, a cell asks for grants only if a load has a place, and each event ends with a check that the pins are those of the permits that are out. 14 tests of pins.

Conclusion: pins hold in all cases of the issue that don't need an engine's own cooperation.

--- a/coltsfoot-placement/src/agent.rs
+++ b/coltsfoot-placement/src/agent.rs
@@ -16,12 +16,33 @@
 pub struct CellRoute {
     /// The cell.
     pub cell: placement::CellId,
-    /// Its owner. None once the former owner's lease has certainly lapsed and no other owns it.
-    pub owner: Option<name::InstanceName>,
+    /// Who owns it.
+    pub owner: CellOwner,
     /// Whether the cell belongs to the zone of this instance.
     pub is_local: bool,
 }
 
+/// Who owns a cell, as far as an instance knows.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum CellOwner {
+    /// An instance.
+    Instance(name::InstanceName),
+    /// Nobody: the lease of the owner with this fencing number has certainly lapsed.
+    Lapsed(id::FencingNumber),
+    /// Not known; the former owner's lease may still run.
+    Unknown,
+}
+
+impl CellOwner {
+    /// Returns the owning instance.
+    pub fn instance(&self) -> Option<&name::InstanceName> {
+        match self {
+            Self::Instance(instance) => Some(instance),
+            Self::Lapsed(_) | Self::Unknown => None,
+        }
+    }
+}
+
 /// What happens to an agent.
 #[derive(Clone, Debug)]
 pub enum AgentEvent {
@@ -123,6 +144,8 @@
     pending: collections::BTreeMap<id::AttemptId, PendingRequest>,
     held: FxHashMap<id::AttemptId, HeldGrant>,
     confirmed: residency_cache::ResidencyCache,
+    /// Highest fencing number of an owner that was told the held permits.
+    reported: collections::BTreeMap<placement::CellId, id::FencingNumber>,
 }
 
 impl PermitAgent {
@@ -136,6 +159,7 @@
             pending: collections::BTreeMap::new(),
             held: FxHashMap::default(),
             confirmed,
+            reported: collections::BTreeMap::new(),
         }
     }
 
@@ -213,9 +237,13 @@
         };
         let cell = route.cell.clone();
         request.asked = Some(cell.clone());
-        let Some(owner) = route.owner.clone() else {
-            self.dispatch_confirmed(now, attempt, cell, actions);
-            return;
+        let owner = match route.owner.clone() {
+            CellOwner::Instance(owner) => owner,
+            CellOwner::Lapsed(fencing) => {
+                self.dispatch_confirmed(now, attempt, cell, fencing, actions);
+                return;
+            }
+            CellOwner::Unknown => return,
         };
         let mut demand = request.demand.clone();
         demand.time_left = request.deadline.since(now);
@@ -231,13 +259,18 @@
         now: clock::MonotonicTime,
         attempt: id::AttemptId,
         cell: placement::CellId,
+        lapsed: id::FencingNumber,
         actions: &mut AgentActions,
     ) {
         let Some(request) = self.pending.get(&attempt) else {
             return;
         };
+        if self.reported.get(&cell).is_some_and(|reported| *reported > lapsed) {
+            return;
+        }
         let adapter = request.demand.adapter.clone();
-        let Some(confirmed) = self.confirmed.get(now, &cell, &adapter) else {
+        let confirmed = self.confirmed.get(now, &cell, &adapter);
+        let Some(confirmed) = confirmed.filter(|confirmed| confirmed.fencing == lapsed) else {
             return;
         };
         let grant = placement::PermitGrant {
@@ -373,11 +406,9 @@
         receiver: name::InstanceName,
         actions: &mut AgentActions,
     ) {
-        let route = self.routes.get_mut(&cell);
-        if let Some(route) = route.filter(|route| route.owner.is_none()) {
-            // From here on nothing is dispatched without the new owner's permit.
-            route.owner = Some(receiver.clone());
-        }
+        // From here on nothing is dispatched on the strength of an older owner's permits.
+        let reported = self.reported.entry(cell.clone()).or_default();
+        *reported = fencing.max(*reported);
         let held = self.held.values().filter(|grant| grant.cell == cell);
         let mut permits: Vec<_> = held.map(|grant| grant.permit.clone()).collect();
         permits.sort_by_key(|permit| permit.attempt);
@@ -414,8 +445,8 @@
         actions: &mut AgentActions,
         build: impl FnOnce(placement::CellId) -> placement::PlacementMessage,
     ) {
-        let owner = self.routes.get(&cell).and_then(|route| route.owner.clone());
-        if let Some(receiver) = owner {
+        let owner = self.routes.get(&cell).and_then(|route| route.owner.instance());
+        if let Some(receiver) = owner.cloned() {
             actions.push(AgentAction::Send { receiver, message: build(cell) });
         }
     }
@@ -464,7 +495,7 @@
             .asked
             .as_ref()
             .and_then(|cell| self.routes.get(cell))
-            .is_some_and(|route| route.owner.is_some());
+            .is_some_and(|route| route.owner.instance().is_some());
         let interval =
             if has_owner { self.settings.repeat_interval } else { self.settings.no_owner_interval };
         now.since(request.asked_at) >= interval
--- a/coltsfoot-placement/src/budget.rs
+++ b/coltsfoot-placement/src/budget.rs
@@ -4,6 +4,7 @@
 //! that can't reach one another never exceed the whole, and lends what it does not need.
 
 use std::collections;
+use std::mem;
 use std::time;
 
 use coltsfoot_types::{id, name, time as clock};
@@ -60,32 +61,34 @@
         None
     }
 
-    /// Asks the ledger for the loads wanted, when their number has risen or some time has passed.
-    /// Gives leave back that nothing needs.
+    /// Returns whether the ledger is to be asked: the number of loads wanted has risen, or the
+    /// last request may be lost.
+    pub(crate) fn is_due(
+        &self,
+        now: clock::MonotonicTime,
+        wanted: u32,
+        interval: time::Duration,
+    ) -> bool {
+        wanted > self.asked || now.since(self.asked_at) >= interval
+    }
+
+    /// Asks the ledger for loads.
     pub(crate) fn request(
         &mut self,
         now: clock::MonotonicTime,
         wanted: u32,
-        interval: time::Duration,
         actions: &mut CellActions,
     ) {
-        if wanted == 0 {
-            if self.asked > 0 {
-                actions.push(event::CellAction::RequestLoads { wanted: 0 });
-            }
-            self.asked = 0;
-            self.give_back(actions);
-            return;
-        }
-        if wanted <= self.asked && now.since(self.asked_at) < interval {
-            return;
-        }
         self.asked = wanted;
         self.asked_at = now;
         actions.push(event::CellAction::RequestLoads { wanted });
     }
 
+    /// Gives all leave back and wants nothing more.
     pub(crate) fn give_back(&mut self, actions: &mut CellActions) {
+        if mem::take(&mut self.asked) > 0 {
+            actions.push(event::CellAction::RequestLoads { wanted: 0 });
+        }
         for grant in self.grants.drain(..) {
             actions.push(event::CellAction::ReturnLoad { grant: grant.id, used: false });
         }
--- a/coltsfoot-placement/src/cell.rs
+++ b/coltsfoot-placement/src/cell.rs
@@ -118,6 +118,7 @@
         if self.fencing(now).is_some() {
             self.plan_loads(now, &mut actions);
         }
+        debug_assert!(self.counts_pins_exactly(), "pins differ from the permits that are out");
         actions
     }
 
@@ -158,6 +159,15 @@
             .build()
     }
 
+    /// Returns whether each engine's pins are those of the permits that are out.
+    fn counts_pins_exactly(&self) -> bool {
+        self.engines.iter().all(|(name, engine)| {
+            let permits = self.permits.values().filter(|permit| permit.engine == *name);
+            let pins = engine.pins.values().sum::<u32>();
+            pins == engine.running && pins as usize == permits.count()
+        })
+    }
+
     fn apply(
         &mut self,
         now: clock::MonotonicTime,
@@ -170,7 +180,7 @@
                 self.take_demand(now, instance, demand, actions);
             }
             CellEvent::PermitReleased { release, .. } => self.release(now, &release, actions),
-            CellEvent::PermitCancelled { attempt } => self.cancel(now, attempt, actions),
+            CellEvent::PermitCancelled { attempt } => self.cancel_wait(attempt),
             CellEvent::PermitsReported { instance, fencing, permits } => {
                 self.take_report(now, &instance, fencing, permits);
             }
@@ -181,7 +191,7 @@
             CellEvent::UnloadEnded { order, outcome } => {
                 self.end_unload(now, order, outcome, actions);
             }
-            CellEvent::EngineListed { engine } => self.list_engine(engine),
+            CellEvent::EngineListed { engine } => self.list_engine(now, engine),
             CellEvent::EngineLeaving { engine } => self.retire_engine(now, &engine, actions),
             CellEvent::EngineGone { engine } => self.remove_engine(now, &engine, actions),
             CellEvent::EngineReported { engine, report } => {
--- a/coltsfoot-placement/src/loading.rs
+++ b/coltsfoot-placement/src/loading.rs
@@ -136,14 +136,34 @@
     /// Orders the loads that the budget and the engines allow, and asks for more budget.
     pub(crate) fn plan_loads(&mut self, now: clock::MonotonicTime, actions: &mut CellActions) {
         self.queue_due_retries(now);
-        while !self.load_queue.is_empty() && self.budget.is_available(now) {
-            if !self.order_first_load(now, actions) {
-                break;
-            }
+        let mut is_blocked = false;
+        while !is_blocked && !self.load_queue.is_empty() && self.budget.is_available(now) {
+            is_blocked = !self.order_first_load(now, actions);
         }
         self.plan_replica(now, actions);
         let wanted = self.load_queue.len() + usize::from(!self.replicas.is_empty());
-        self.budget.request(now, wanted as u32, self.settings.repeat_interval, actions);
+        let wanted = if is_blocked { 0 } else { wanted as u32 };
+        let interval = self.settings.repeat_interval;
+        if wanted == 0 {
+            self.budget.give_back(actions);
+        } else if self.budget.is_due(now, wanted, interval) && self.has_place(now) {
+            self.budget.request(now, wanted, actions);
+        }
+    }
+
+    /// Returns whether some engine could take the load that is first in fair order.
+    fn has_place(&self, now: clock::MonotonicTime) -> bool {
+        let Some(entry) = self.load_queue.iter().next() else {
+            return true;
+        };
+        let chooser = eviction::PlaceChooser {
+            now,
+            engines: &self.engines,
+            popularity: &self.popularity,
+            restricted: self.lease.is_some_and(|lease| lease.restricted),
+            pack_batches: self.settings.pack_batches,
+        };
+        chooser.choose(&entry.item, None).is_some()
     }
 
     fn queue_due_retries(&mut self, now: clock::MonotonicTime) {
--- a/coltsfoot-placement/src/permits.rs
+++ b/coltsfoot-placement/src/permits.rs
@@ -65,16 +65,7 @@
     }
 
     /// Drops a waiting request. A permit that is out stays until the instance releases it.
-    pub(crate) fn cancel(
-        &mut self,
-        _now: clock::MonotonicTime,
-        attempt: id::AttemptId,
-        _actions: &mut CellActions,
-    ) {
-        self.cancel_wait(attempt);
-    }
-
-    fn cancel_wait(&mut self, attempt: id::AttemptId) {
+    pub(crate) fn cancel_wait(&mut self, attempt: id::AttemptId) {
         let is_waiting =
             self.waits.get(&attempt.request).is_some_and(|wait| wait.attempt == attempt);
         if is_waiting {
--- a/coltsfoot-placement/src/report.rs
+++ b/coltsfoot-placement/src/report.rs
@@ -11,16 +11,20 @@
 
 impl EngineCell {
     /// Adds an engine, or takes its changed listing.
-    pub(crate) fn list_engine(&mut self, listing: event::EngineListing) {
-        let limits = Self::queue_limits(&self.settings);
-        let Some(state) = self.engines.get_mut(&listing.name) else {
-            let name = listing.name.clone();
-            let state = engine::EngineState::new(listing, limits);
-            self.engines.insert(name, state);
+    pub(crate) fn list_engine(&mut self, now: clock::MonotonicTime, listing: event::EngineListing) {
+        if let Some(state) = self.engines.get_mut(&listing.name) {
+            state.listing = listing;
+            state.leaving = false;
             return;
-        };
-        state.listing = listing;
-        state.leaving = false;
+        }
+        let limits = Self::queue_limits(&self.settings);
+        let name = listing.name.clone();
+        let mut state = engine::EngineState::new(listing, limits);
+        state.unknown_until = self.takeover.unknown_until();
+        for permit in self.permits.values().filter(|permit| permit.engine == name) {
+            state.pin(now, &permit.adapter);
+        }
+        self.engines.insert(name, state);
     }
 
     /// Gives a leaving engine no new work. What runs on it ends by itself.
--- a/coltsfoot-placement/src/routing.rs
+++ b/coltsfoot-placement/src/routing.rs
@@ -21,7 +21,7 @@
         .filter(|route| route.cell.base_model == *base_model && !refused_by.contains(&route.cell));
     candidates.max_by_key(|route| {
         let is_near = route.is_local;
-        (route.owner.is_some() || is_near, cell_weight(&route.cell, adapter))
+        (route.owner.instance().is_some() || is_near, cell_weight(&route.cell, adapter))
     })
 }
 
--- a/coltsfoot-placement/src/takeover.rs
+++ b/coltsfoot-placement/src/takeover.rs
@@ -16,6 +16,8 @@
     awaited: collections::BTreeSet<name::InstanceName>,
     /// Whether permits may be out that no report will show.
     unknown_permits: bool,
+    /// When permits of the former owner must have ended.
+    limit: clock::MonotonicTime,
     asked_at: clock::MonotonicTime,
 }
 
@@ -27,6 +29,11 @@
         }
     }
 
+    /// Returns until when an engine may run permits that this owner doesn't know.
+    pub(crate) fn unknown_until(&self) -> Option<clock::MonotonicTime> {
+        (!self.is_complete()).then_some(self.limit)
+    }
+
     fn is_complete(&self) -> bool {
         self.awaited.is_empty() && !self.unknown_permits
     }
@@ -46,14 +53,13 @@
         self.forget_lease(actions);
         self.lease = Some(lease);
         let awaited = reporters.into_iter().collect();
-        self.takeover = TakeoverState { awaited, unknown_permits, asked_at: now };
         let start = lease.acting_from.max(now);
         let limit = start + self.settings.send_within + self.settings.request_limit;
-        let is_known = self.takeover.is_complete();
+        self.takeover = TakeoverState { awaited, unknown_permits, limit, asked_at: now };
         for engine in self.engines.values_mut() {
-            engine.unknown_until = (!is_known).then_some(limit);
+            engine.unknown_until = self.takeover.unknown_until();
         }
-        self.send_report_requests(now, actions);
+        self.send_report_requests(actions);
     }
 
     /// Extends the running lease. One that has lapsed must be gained anew.
@@ -137,10 +143,9 @@
         if self.permits.contains_key(&held.attempt) {
             return;
         }
-        let Some(state) = self.engines.get_mut(&held.engine) else {
-            return;
-        };
-        state.pin(now, &held.adapter);
+        if let Some(state) = self.engines.get_mut(&held.engine) {
+            state.pin(now, &held.adapter);
+        }
         let permit = engine::OutstandingPermit {
             engine: held.engine,
             adapter: held.adapter,
@@ -161,11 +166,11 @@
     ) {
         if now.since(self.takeover.asked_at) >= self.settings.repeat_interval {
             self.takeover.asked_at = now;
-            self.send_report_requests(now, actions);
+            self.send_report_requests(actions);
         }
     }
 
-    fn send_report_requests(&self, _now: clock::MonotonicTime, actions: &mut CellActions) {
+    fn send_report_requests(&self, actions: &mut CellActions) {
         let Some(lease) = self.lease else {
             return;
         };
--- /dev/null
+++ b/coltsfoot-placement/tests/pins.rs
@@ -0,0 +1,225 @@
+//! An adapter that serves a request is never evicted, whatever happens around it.
+
+mod common;
+
+use std::time;
+
+use coltsfoot_placement::event::{CellEvent, OrderOutcome};
+use coltsfoot_types::id;
+use coltsfoot_wire::placement::{AttemptOutcome, HeldPermit};
+
+/// A cell whose only engine has one slot, taken by an adapter that serves a request.
+fn busy_cell() -> (common::TestCell, id::AttemptId) {
+    let mut test = common::TestCell::new(1, 1, 8);
+    let attempt = test.want("menus@1");
+    test.settle();
+    assert!(test.granted(attempt).is_some());
+    test.advance(2_000);
+    (test, attempt)
+}
+
+fn held(attempt: id::AttemptId) -> HeldPermit {
+    HeldPermit { attempt, adapter: "menus@1".parse().unwrap(), engine: "e0".into() }
+}
+
+fn assert_not_evicted_within(test: &mut common::TestCell, millis: u64) {
+    for _ in 0..millis / 500 {
+        test.advance(500);
+        assert!(test.unloads.is_empty(), "evicted at {:?}", test.now);
+    }
+}
+
+#[test]
+fn a_running_request_keeps_its_adapter_until_it_ends() {
+    let (mut test, attempt) = busy_cell();
+    let other = test.want("rosters@1");
+    assert_not_evicted_within(&mut test, 5_000);
+    test.answer(attempt);
+    test.settle();
+    assert!(test.granted(other).is_some());
+}
+
+#[test]
+fn a_dead_instances_pin_lasts_until_the_request_limit() {
+    let (mut test, _) = busy_cell();
+    test.send(CellEvent::InstanceDead { instance: "a".into() });
+    test.want_from("b", "acme", "rosters@1");
+    test.report("e0", 1, 1, &["menus@1"]);
+    assert_not_evicted_within(&mut test, 25_000);
+    let late = test.want_from("b", "acme", "rosters@1");
+    test.advance(25_000);
+    test.want_from("b", "acme", "rosters@1");
+    test.advance(12_000);
+    assert_eq!(test.unloads.len(), 1, "the limit of 60 s has passed; {late} waits");
+}
+
+#[test]
+fn a_dead_instances_pin_ends_with_an_idle_report_that_is_new_enough() {
+    let (mut test, _) = busy_cell();
+    test.send(CellEvent::InstanceDead { instance: "a".into() });
+    test.want_from("b", "acme", "rosters@1");
+    test.advance(1_000);
+    test.report("e0", 1, 0, &["menus@1"]);
+    assert!(test.unloads.is_empty(), "the report may be older than the last request");
+    test.advance(3_000);
+    test.report("e0", 1, 0, &["menus@1"]);
+    assert_eq!(test.unloads.len(), 1);
+}
+
+#[test]
+fn an_attempt_with_a_lost_connection_keeps_its_pin() {
+    let (mut test, attempt) = busy_cell();
+    test.release(attempt, AttemptOutcome::Unknown);
+    test.want("rosters@1");
+    assert_not_evicted_within(&mut test, 20_000);
+}
+
+#[test]
+fn a_new_owner_evicts_only_after_all_instances_have_reported() {
+    let (mut test, attempt) = busy_cell();
+    test.gain(&["a", "b"], false);
+    test.report("e0", 1, 1, &["menus@1"]);
+    test.want("rosters@1");
+    assert_not_evicted_within(&mut test, 2_000);
+    assert!(test.report_requests.len() > 2, "asks again");
+    let fencing = id::FencingNumber(test.fencing);
+    let report = |instance: &str, permits| CellEvent::PermitsReported {
+        instance: instance.into(),
+        fencing,
+        permits,
+    };
+    test.send(report("a", vec![held(attempt)]));
+    assert_not_evicted_within(&mut test, 2_000);
+    test.send(report("b", vec![]));
+    assert_not_evicted_within(&mut test, 2_000);
+    test.answer(attempt);
+    assert_eq!(test.unloads.len(), 1);
+}
+
+#[test]
+fn a_report_to_an_older_owner_counts_for_nothing() {
+    let (mut test, _) = busy_cell();
+    test.gain(&["a"], false);
+    test.report("e0", 1, 1, &["menus@1"]);
+    let fencing = id::FencingNumber(test.fencing - 1);
+    test.send(CellEvent::PermitsReported { instance: "a".into(), fencing, permits: vec![] });
+    test.want("rosters@1");
+    assert_not_evicted_within(&mut test, 5_000);
+}
+
+#[test]
+fn permits_that_died_with_the_former_owner_keep_their_pins() {
+    let (mut test, _) = busy_cell();
+    test.gain(&[], true);
+    test.report("e0", 1, 1, &["menus@1"]);
+    test.want("rosters@1");
+    assert_not_evicted_within(&mut test, 25_000);
+    test.report("e0", 1, 0, &["menus@1"]);
+    assert_eq!(test.unloads.len(), 1);
+}
+
+#[test]
+fn an_instance_that_dies_before_its_report_leaves_its_pins() {
+    let (mut test, _) = busy_cell();
+    test.gain(&["a"], false);
+    test.report("e0", 1, 1, &["menus@1"]);
+    test.send(CellEvent::InstanceDead { instance: "a".into() });
+    test.want_from("b", "acme", "rosters@1");
+    assert_not_evicted_within(&mut test, 25_000);
+}
+
+#[test]
+fn an_engine_listed_after_the_reports_has_its_pins() {
+    let (mut test, attempt) = busy_cell();
+    test.send(CellEvent::EngineGone { engine: "e0".into() });
+    test.gain(&["a"], false);
+    let fencing = id::FencingNumber(test.fencing);
+    let permits = vec![held(attempt)];
+    test.send(CellEvent::PermitsReported { instance: "a".into(), fencing, permits });
+    let listing = coltsfoot_placement::event::EngineListing {
+        name: "e0".into(),
+        slots: 1,
+        batch_size: 8,
+        checks_fencing: true,
+    };
+    test.send(CellEvent::EngineListed { engine: listing });
+    test.report("e0", 1, 1, &["menus@1"]);
+    test.want("rosters@1");
+    assert_not_evicted_within(&mut test, 5_000);
+}
+
+#[test]
+fn an_owner_that_was_paused_past_its_lease_orders_nothing() {
+    let mut test = common::TestCell::new(1, 1, 8);
+    test.warm("menus@1");
+    test.gain_lease(&[], false, 1, false);
+    test.report("e0", 1, 0, &["menus@1"]);
+    test.now = test.now + time::Duration::from_secs(5);
+    let (loads, grants) = (test.loads.len(), test.grants.len());
+    let attempt = test.want("rosters@1");
+    test.want("menus@1");
+    test.send(CellEvent::Tick);
+    assert!(test.unloads.is_empty());
+    assert_eq!((test.loads.len(), test.grants.len()), (loads, grants));
+    assert!(test.refused(attempt).is_some(), "sent to the new owner");
+}
+
+#[test]
+fn a_lapsed_lease_is_not_revived_by_a_late_renewal() {
+    let mut test = common::TestCell::new(1, 1, 8);
+    test.gain_lease(&[], false, 1, false);
+    test.now = test.now + time::Duration::from_secs(2);
+    let until = test.now + time::Duration::from_secs(9);
+    test.send(CellEvent::OwnershipRenewed { until });
+    let attempt = test.want("menus@1");
+    assert!(test.refused(attempt).is_some());
+}
+
+#[test]
+fn an_owner_without_a_majority_evicts_only_where_fencing_is_checked() {
+    let mut test = common::TestCell::new(2, 1, 8);
+    test.warm("menus@1");
+    test.warm("rosters@1");
+    test.gain_lease(&[], false, 600, true);
+    let (first, second) = if test.holds("e0", "menus@1") {
+        ("menus@1", "rosters@1")
+    } else {
+        ("rosters@1", "menus@1")
+    };
+    test.report("e0", 1, 0, &[first]);
+    test.report("e1", 1, 0, &[second]);
+    test.advance(3_000);
+    test.want("x@1");
+    test.want("y@1");
+    test.advance(3_000);
+    let engines: Vec<_> = test.unloads.iter().map(|order| order.engine.to_string()).collect();
+    assert_eq!(engines, ["e0"], "only e0 checks fencing numbers");
+}
+
+#[test]
+fn a_cold_restart_forgets_residency_at_once_and_keeps_the_pins() {
+    let (mut test, attempt) = busy_cell();
+    test.report("e0", 2, 0, &[]);
+    assert!(!test.holds("e0", "menus@1"));
+    let other = test.want("menus@1");
+    assert!(test.granted(other).is_none(), "no permit on a cold engine");
+    test.settle();
+    assert!(test.granted(other).is_some());
+    test.answer(other);
+    test.want("rosters@1");
+    assert_not_evicted_within(&mut test, 5_000);
+    test.answer(attempt);
+    assert_eq!(test.unloads.len(), 1);
+}
+
+#[test]
+fn a_load_of_the_run_before_a_restart_does_not_count() {
+    let mut test = common::TestCell::new(1, 2, 8);
+    let attempt = test.want("menus@1");
+    test.report("e0", 2, 0, &[]);
+    test.end_load(OrderOutcome::Done);
+    assert!(test.granted(attempt).is_none());
+    test.advance(500);
+    test.settle();
+    assert!(test.granted(attempt).is_some());
+}
