--- a/coltsfoot-catalog/src/fold.rs
+++ b/coltsfoot-catalog/src/fold.rs
@@ -11,6 +11,9 @@
 /// within them folds once.
 pub const CHANGE_ID_RETENTION_OFFSETS: u64 = 16_384;
 
+/// Largest record, in bytes.
+pub const MAX_RECORD_BYTES: usize = 1024 * 1024;
+
 /// What the fold of one record did.
 #[derive(Debug)]
 pub enum FoldOutcome {
@@ -41,6 +44,9 @@
     /// The record isn't a change set.
     #[error("the record is not a change set: {0}; publish with coltsfootctl")]
     Malformed(#[from] serde_json::Error),
+    /// The record is too large.
+    #[error("the record has {0} bytes, more than {MAX_RECORD_BYTES}; split the set")]
+    TooLarge(usize),
     /// The set has no changes.
     #[error("the set changes nothing; list at least one change")]
     Empty,
@@ -73,6 +79,21 @@
         Self::default()
     }
 
+    /// Builds a fold from a consistent state that holds all records below `next_offset`.
+    pub(crate) fn restore(
+        next_offset: id::LogOffset,
+        state: state::CatalogState,
+        changes: Vec<RecentChange>,
+    ) -> Self {
+        let change_offsets = changes.iter().map(|change| (change.change_id, change.offset));
+        Self {
+            next_offset,
+            state,
+            change_offsets: change_offsets.collect(),
+            change_order: changes.into(),
+        }
+    }
+
     /// Returns the offset of the next record to fold.
     pub fn next_offset(&self) -> id::LogOffset {
         self.next_offset
@@ -103,6 +124,9 @@
         }
         self.next_offset = offset.next();
         self.forget_changes();
+        if value.len() > MAX_RECORD_BYTES {
+            return FoldOutcome::Rejected(RejectReason::TooLarge(value.len()));
+        }
         let set = match serde_json::from_str::<object::ChangeSet>(value) {
             Ok(set) => set,
             Err(error) => return FoldOutcome::Rejected(error.into()),
--- a/coltsfoot-catalog/src/lib.rs
+++ b/coltsfoot-catalog/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod problem;
 pub mod reference;
 pub mod resolve;
+pub mod snapshot;
 pub mod state;
 pub mod validate;
 pub mod view;
--- /dev/null
+++ b/coltsfoot-catalog/src/snapshot.rs
@@ -0,0 +1,267 @@
+//! Snapshots of the folded state in compressed chunks that are checked by digests.
+//!
+//! A snapshot at offset N holds the effect of all records below N. Equal states give equal bytes,
+//! so that chunks written by several instances are interchangeable.
+
+use base64::Engine as _;
+use coltsfoot_types::id;
+use serde::{Deserialize, Serialize};
+
+use crate::{fold, object, state};
+
+/// Stream of the configuration log.
+pub const CONFIG_STREAM: &str = "config";
+/// Stream that holds the chunks of snapshots.
+pub const SNAPSHOT_STREAM: &str = "config-snapshot";
+/// Stream that holds one [`SnapshotIndex`] for each whole snapshot.
+pub const INDEX_STREAM: &str = "config-snapshot-index";
+
+/// Size of a chunk before compression above which the next one begins.
+const CHUNK_BYTES: usize = 256 * 1024;
+/// Largest size of a chunk before compression.
+const MAX_CHUNK_BYTES: usize = CHUNK_BYTES + fold::MAX_RECORD_BYTES;
+/// Most chunks of a snapshot.
+const MAX_CHUNKS: u32 = 4_096;
+/// Length of the size that precedes compressed bytes.
+const SIZE_PREFIX_BYTES: usize = 4;
+
+/// Digest of a whole snapshot.
+pub type SnapshotDigest = [u8; 32];
+
+/// Names a whole snapshot on the log.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct SnapshotIndex {
+    /// All records below this offset are in the snapshot.
+    pub offset: id::LogOffset,
+    /// Offsets of its chunks in the stream of chunks.
+    pub chunk_offsets: Vec<id::LogOffset>,
+}
+
+/// A snapshot that can't be read.
+#[derive(Debug, thiserror::Error)]
+pub enum SnapshotError {
+    /// A chunk can't be decoded.
+    #[error("a snapshot chunk is malformed; run the same version on all instances")]
+    Malformed,
+    /// A chunk does not fit its digest, or the chunks do not fit the digest of the whole.
+    #[error("a snapshot chunk does not fit its digest; read another snapshot")]
+    WrongDigest,
+    /// A chunk belongs to another snapshot than those before it.
+    #[error("a snapshot chunk belongs to another snapshot; read the chunks of one snapshot")]
+    OtherSnapshot,
+    /// Not all chunks are there.
+    #[error("{missing} snapshot chunks are missing; read them as well")]
+    Incomplete {
+        /// Number of missing chunks.
+        missing: u32,
+    },
+}
+
+/// A snapshot in chunks, ready to be sent to a peer or appended to the log.
+#[derive(Clone, Debug)]
+pub struct EncodedSnapshot {
+    /// All records below this offset are in the snapshot.
+    pub offset: id::LogOffset,
+    /// The chunks in their order.
+    pub chunks: Vec<Vec<u8>>,
+}
+
+/// One part of a snapshot.
+#[derive(Debug, Deserialize, Serialize)]
+struct SnapshotChunk {
+    offset: id::LogOffset,
+    digest: SnapshotDigest,
+    number: u32,
+    count: u32,
+    payload: Vec<u8>,
+}
+
+/// One item of a snapshot.
+#[derive(Debug, Deserialize, Serialize)]
+enum SnapshotEntry {
+    Policy(id::LogOffset, object::FleetPolicy),
+    Customer(id::LogOffset, object::CustomerObject),
+    Key(id::LogOffset, object::KeyObject),
+    Adapter(id::LogOffset, object::AdapterObject),
+    Route(id::LogOffset, object::RouteObject),
+    Exception(id::LogOffset, object::BranchException),
+    Change(fold::RecentChange),
+}
+
+impl From<state::VersionedObject> for SnapshotEntry {
+    fn from(versioned: state::VersionedObject) -> Self {
+        let revision = versioned.revision;
+        match versioned.object {
+            object::CatalogObject::Policy(object) => Self::Policy(revision, object),
+            object::CatalogObject::Customer(object) => Self::Customer(revision, object),
+            object::CatalogObject::Key(object) => Self::Key(revision, object),
+            object::CatalogObject::Adapter(object) => Self::Adapter(revision, object),
+            object::CatalogObject::Route(object) => Self::Route(revision, object),
+            object::CatalogObject::Exception(object) => Self::Exception(revision, object),
+        }
+    }
+}
+
+/// Encodes the state of a fold.
+pub fn encode(fold: &fold::CatalogFold) -> Result<EncodedSnapshot, SnapshotError> {
+    let payloads = payloads(fold)?;
+    let offset = fold.next_offset();
+    let digest = snapshot_digest(offset, &payloads);
+    let count = payloads.len() as u32;
+    let chunk = |(number, payload)| {
+        let chunk = SnapshotChunk { offset, digest, number: number as u32, count, payload };
+        postcard::to_stdvec(&chunk).map_err(|_| SnapshotError::Malformed)
+    };
+    let chunks = payloads.into_iter().enumerate().map(chunk).collect::<Result<_, _>>()?;
+    Ok(EncodedSnapshot { offset, chunks })
+}
+
+/// Writes a chunk as text for the log.
+pub fn chunk_text(chunk: &[u8]) -> String {
+    base64::engine::general_purpose::STANDARD.encode(chunk)
+}
+
+/// Reads a chunk from the text on the log.
+pub fn chunk_from_text(text: &str) -> Result<Vec<u8>, SnapshotError> {
+    base64::engine::general_purpose::STANDARD.decode(text).map_err(|_| SnapshotError::Malformed)
+}
+
+/// Collects the chunks of one snapshot, in any order.
+#[derive(Debug, Default)]
+pub struct SnapshotRestorer {
+    offset: id::LogOffset,
+    digest: SnapshotDigest,
+    payloads: Vec<Option<Vec<u8>>>,
+    missing: u32,
+}
+
+impl SnapshotRestorer {
+    /// Starts without chunks.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds a chunk; a repeated one changes nothing. Returns whether all chunks are there.
+    pub fn add(&mut self, bytes: &[u8]) -> Result<bool, SnapshotError> {
+        let chunk: SnapshotChunk =
+            postcard::from_bytes(bytes).map_err(|_| SnapshotError::Malformed)?;
+        if chunk.number >= chunk.count || chunk.count > MAX_CHUNKS {
+            return Err(SnapshotError::Malformed);
+        }
+        if self.payloads.is_empty() {
+            self.offset = chunk.offset;
+            self.digest = chunk.digest;
+            self.payloads.resize(chunk.count as usize, None);
+            self.missing = chunk.count;
+        }
+        let count = self.payloads.len() as u32;
+        if (chunk.offset, chunk.digest, chunk.count) != (self.offset, self.digest, count) {
+            return Err(SnapshotError::OtherSnapshot);
+        }
+        if self.payloads[chunk.number as usize].replace(chunk.payload).is_none() {
+            self.missing -= 1;
+        }
+        Ok(self.missing == 0)
+    }
+
+    /// Returns the number of the first missing chunk.
+    pub fn first_missing(&self) -> u32 {
+        let missing = self.payloads.iter().position(Option::is_none);
+        missing.unwrap_or(self.payloads.len()) as u32
+    }
+
+    /// Returns the offset of the snapshot, once a chunk is there.
+    pub fn offset(&self) -> Option<id::LogOffset> {
+        (!self.payloads.is_empty()).then_some(self.offset)
+    }
+
+    /// Builds the fold from the whole snapshot.
+    pub fn restore(self) -> Result<fold::CatalogFold, SnapshotError> {
+        if self.missing > 0 || self.payloads.is_empty() {
+            return Err(SnapshotError::Incomplete { missing: self.missing.max(1) });
+        }
+        let payloads: Vec<Vec<u8>> = self.payloads.into_iter().flatten().collect();
+        if snapshot_digest(self.offset, &payloads) != self.digest {
+            return Err(SnapshotError::WrongDigest);
+        }
+        let mut state = state::CatalogState::default();
+        let mut changes = Vec::new();
+        for payload in payloads {
+            restore_entries(&payload, &mut state, &mut changes)?;
+        }
+        Ok(fold::CatalogFold::restore(self.offset, state, changes))
+    }
+}
+
+fn payloads(fold: &fold::CatalogFold) -> Result<Vec<Vec<u8>>, SnapshotError> {
+    let changes = fold.recent_changes().copied().map(SnapshotEntry::Change);
+    let mut payloads = Vec::new();
+    let mut raw = Vec::with_capacity(CHUNK_BYTES);
+    for entry in fold.state().objects().map(SnapshotEntry::from).chain(changes) {
+        raw = postcard::to_extend(&entry, raw).map_err(|_| SnapshotError::Malformed)?;
+        if raw.len() >= CHUNK_BYTES {
+            payloads.push(lz4_flex::compress_prepend_size(&raw));
+            raw.clear();
+        }
+    }
+    if !raw.is_empty() || payloads.is_empty() {
+        payloads.push(lz4_flex::compress_prepend_size(&raw));
+    }
+    Ok(payloads)
+}
+
+fn restore_entries(
+    payload: &[u8],
+    state: &mut state::CatalogState,
+    changes: &mut Vec<fold::RecentChange>,
+) -> Result<(), SnapshotError> {
+    let raw = decompress(payload)?;
+    let mut rest = raw.as_slice();
+    while !rest.is_empty() {
+        let (entry, tail) =
+            postcard::take_from_bytes(rest).map_err(|_| SnapshotError::Malformed)?;
+        rest = tail;
+        match entry {
+            SnapshotEntry::Policy(revision, object) => {
+                state.insert(revision, object::CatalogObject::Policy(object));
+            }
+            SnapshotEntry::Customer(revision, object) => {
+                state.insert(revision, object::CatalogObject::Customer(object));
+            }
+            SnapshotEntry::Key(revision, object) => {
+                state.insert(revision, object::CatalogObject::Key(object));
+            }
+            SnapshotEntry::Adapter(revision, object) => {
+                state.insert(revision, object::CatalogObject::Adapter(object));
+            }
+            SnapshotEntry::Route(revision, object) => {
+                state.insert(revision, object::CatalogObject::Route(object));
+            }
+            SnapshotEntry::Exception(revision, object) => {
+                state.insert(revision, object::CatalogObject::Exception(object));
+            }
+            SnapshotEntry::Change(change) => changes.push(change),
+        }
+    }
+    Ok(())
+}
+
+fn decompress(payload: &[u8]) -> Result<Vec<u8>, SnapshotError> {
+    let prefix = payload.get(..SIZE_PREFIX_BYTES).ok_or(SnapshotError::Malformed)?;
+    let prefix = <[u8; SIZE_PREFIX_BYTES]>::try_from(prefix);
+    let size = u32::from_le_bytes(prefix.map_err(|_| SnapshotError::Malformed)?);
+    if size as usize > MAX_CHUNK_BYTES {
+        return Err(SnapshotError::Malformed);
+    }
+    lz4_flex::decompress_size_prepended(payload).map_err(|_| SnapshotError::Malformed)
+}
+
+fn snapshot_digest(offset: id::LogOffset, payloads: &[Vec<u8>]) -> SnapshotDigest {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&offset.0.to_le_bytes());
+    for payload in payloads {
+        hasher.update(blake3::hash(payload).as_bytes());
+    }
+    *hasher.finalize().as_bytes()
+}
--- /dev/null
+++ b/coltsfoot-catalog/tests/snapshot.rs
@@ -0,0 +1,73 @@
+//! Snapshots: round trip, order, damage, and what follows a restored state.
+
+mod common;
+
+use coltsfoot_catalog::{fold, object, snapshot};
+use coltsfoot_types::id;
+
+/// Adapters of the large configuration, enough for several chunks.
+const ADAPTERS: u32 = 20_000;
+
+fn large_fold() -> fold::CatalogFold {
+    let mut fold = common::base_fold();
+    for part in 0..ADAPTERS / 1_000 {
+        let names = (part * 1_000..(part + 1) * 1_000).map(|number| format!("adapter-{number}"));
+        let puts = names.map(|name| common::put(None, common::adapter(&name, "hotel", &[1, 2])));
+        let set = common::set(100 + u128::from(part), puts.collect());
+        let outcome = fold.apply(fold.next_offset(), &common::text(&set));
+        assert!(matches!(outcome, fold::FoldOutcome::Accepted { .. }));
+    }
+    fold
+}
+
+fn restored(chunks: &[Vec<u8>]) -> Result<fold::CatalogFold, snapshot::SnapshotError> {
+    let mut restorer = snapshot::SnapshotRestorer::new();
+    for chunk in chunks {
+        restorer.add(chunk)?;
+    }
+    restorer.restore()
+}
+
+#[test]
+fn a_restored_fold_equals_the_original_and_goes_on_alike() {
+    let mut original = large_fold();
+    let encoded = snapshot::encode(&original).unwrap();
+    assert!(encoded.chunks.len() > 2, "{} chunks", encoded.chunks.len());
+    let texts = encoded.chunks.iter().rev().map(|chunk| snapshot::chunk_text(chunk));
+    let chunks: Vec<_> = texts.map(|text| snapshot::chunk_from_text(&text).unwrap()).collect();
+    let mut copy = restored(&chunks).unwrap();
+    let repeated = common::text(&common::base_set());
+    let removal = common::remove(Some(0), object::ObjectKind::Exception, "festival-brief");
+    let faulty = common::text(&common::set(7, vec![removal]));
+    for value in [&repeated, &faulty] {
+        let offset = original.next_offset();
+        let outcomes = [original.apply(offset, value), copy.apply(offset, value)];
+        assert_eq!(format!("{:?}", outcomes[0]), format!("{:?}", outcomes[1]));
+        assert!(!matches!(outcomes[0], fold::FoldOutcome::Accepted { .. }));
+    }
+    let again = snapshot::encode(&copy).unwrap();
+    assert_eq!(again.chunks, snapshot::encode(&original).unwrap().chunks);
+}
+
+#[test]
+fn a_missing_damaged_or_foreign_chunk_is_refused() {
+    let fold = large_fold();
+    let chunks = snapshot::encode(&fold).unwrap().chunks;
+    let missing = restored(&chunks[1..]).unwrap_err();
+    assert!(matches!(missing, snapshot::SnapshotError::Incomplete { missing: 1 }));
+    let mut damaged = chunks.clone();
+    let last = damaged[1].len() - 1;
+    damaged[1][last] ^= 1;
+    assert!(matches!(restored(&damaged).unwrap_err(), snapshot::SnapshotError::WrongDigest));
+    let mut mixed = chunks;
+    mixed[0] = snapshot::encode(&common::base_fold()).unwrap().chunks.remove(0);
+    assert!(matches!(restored(&mixed).unwrap_err(), snapshot::SnapshotError::OtherSnapshot));
+    assert!(matches!(restored(&[vec![1, 2]]).unwrap_err(), snapshot::SnapshotError::Malformed));
+}
+
+#[test]
+fn an_empty_fold_has_a_snapshot() {
+    let chunks = snapshot::encode(&fold::CatalogFold::new()).unwrap().chunks;
+    let copy = restored(&chunks).unwrap();
+    assert_eq!((copy.next_offset(), copy.state().len()), (id::LogOffset(0), 0));
+}
