--- a/coltsfoot-catalog/src/fold.rs
+++ b/coltsfoot-catalog/src/fold.rs
@@ -109,6 +109,11 @@
         self.change_order.iter()
     }
 
+    /// Returns the offset of the first record with a change id, if the id is remembered.
+    pub fn change_offset(&self, change_id: &uuid::Uuid) -> Option<id::LogOffset> {
+        self.change_offsets.get(change_id).copied()
+    }
+
     /// Returns a view for traffic threads.
     pub fn view(&self) -> view::CatalogView {
         view::CatalogView::new(self.next_offset, self.state.clone())
