Add stand-ins of the platform, the engines and a plain service

Cause: the path, the tests and the demo need the platform's services with their faults, as processes and embedded.

Change: coltsfoot-fakes as a library and a binary: engine (slots, batch with priorities, paced and resumable streams, late cache events and reports, fencing, crash prompt), log, weight store, instance list, plain service; each fault is a switch, counters are served as JSON.

--- /dev/null
+++ b/coltsfoot-fakes/src/engine_calls.rs
@@ -0,0 +1,389 @@
+//! HTTP calls of a stand-in engine.
+
+use std::sync;
+use std::time;
+
+use coltsfoot_platform::{http, prefix, protocol};
+use coltsfoot_types::{adapter, id};
+use http_types::{Method, Request, Response};
+
+use crate::engine_state::{EngineState, OrderOutcome};
+use crate::{answer, batch, control, residency, run, server, stream};
+
+/// Interval at which a second order for the same load looks whether the first has ended.
+const JOIN_INTERVAL: time::Duration = time::Duration::from_millis(2);
+
+/// Answers a request to an engine; a stopped one closes the connection.
+pub(crate) async fn answer(
+    state: Option<sync::Arc<EngineState>>,
+    mut request: Request,
+) -> http_types::Result<Response> {
+    let state = state.ok_or_else(control::close_connection)?;
+    if request.header("authorization").is_some() {
+        server::lock(&state.core).observations.authorization_headers += 1;
+    }
+    let path = request.url().path().to_owned();
+    match (request.method(), path.as_str()) {
+        (_, "/switches") => control::serve_switches(&mut request, &state.switches).await,
+        (Method::Get, "/observations") => control::json_answer(200, &state.observations()),
+        (Method::Post, "/crash") => {
+            let outage_ms = state.switches().crash_outage_ms;
+            state.crash(time::Duration::from_millis(outage_ms));
+            Err(control::close_connection())
+        }
+        (Method::Get, "/load") => report(&state),
+        (Method::Get, "/cache_events") => cache_events(&state, &request),
+        (Method::Post, "/v1/load_lora_adapter") => order(&state, &mut request, true).await,
+        (Method::Post, "/v1/unload_lora_adapter") => order(&state, &mut request, false).await,
+        (Method::Post, "/v1/chat/completions") => chat(&state, &mut request).await,
+        (method, path) => match path.strip_prefix("/v1/streams/") {
+            Some(attempt) if method == Method::Get => resume(&state, &request, attempt),
+            Some(attempt) if method == Method::Delete => cancel(&state, attempt),
+            _ => control::text_answer(404, "no such call"),
+        },
+    }
+}
+
+fn report(state: &EngineState) -> http_types::Result<Response> {
+    let lag = time::Duration::from_millis(state.switches().report_lag_ms);
+    let mut core = server::lock(&state.core);
+    let report = core.reports.get(time::Instant::now(), lag);
+    control::json_answer(200, &report)
+}
+
+fn cache_events(state: &EngineState, request: &Request) -> http_types::Result<Response> {
+    let after = control::query_number(request, "after").unwrap_or_default();
+    let lag = time::Duration::from_millis(state.switches().cache_event_lag_ms);
+    let events = server::lock(&state.core).cache.events_after(after, lag);
+    control::json_answer(200, &events)
+}
+
+async fn order(
+    state: &EngineState,
+    request: &mut Request,
+    is_load: bool,
+) -> http_types::Result<Response> {
+    let header = request.header(protocol::FENCING_HEADER);
+    let number = header.and_then(|values| values.last().as_str().parse().ok());
+    let number = id::FencingNumber(number.unwrap_or_default());
+    let order = match control::read_json::<protocol::AdapterOrder>(request).await? {
+        Ok(order) => order,
+        Err(answer) => return Ok(answer),
+    };
+    let outcome = if is_load {
+        load(state, &order.lora_name, number).await
+    } else {
+        unload(state, &order.lora_name, number)
+    };
+    match outcome {
+        OrderOutcome::Done => control::text_answer(200, ""),
+        OrderOutcome::StaleFencing => control::text_answer(409, "old fencing number"),
+        OrderOutcome::NotResident => control::text_answer(404, "not resident"),
+        OrderOutcome::NoFreeSlot => control::text_answer(507, "no free slot"),
+        OrderOutcome::LoadFailed => control::text_answer(507, "load failed"),
+    }
+}
+
+async fn load(
+    state: &EngineState,
+    adapter: &adapter::AdapterVersion,
+    number: id::FencingNumber,
+) -> OrderOutcome {
+    if let Some(outcome) = begin_load(state, adapter, number) {
+        return outcome;
+    }
+    if !take_slot(state, adapter) {
+        return join_load(state, adapter).await;
+    }
+    let generation = server::lock(&state.core).observations.generation;
+    let fetched = fetch_weights(state, adapter).await;
+    let report_lag_ms = state.switches().report_lag_ms;
+    let mut core = server::lock(&state.core);
+    if core.observations.generation != generation || !core.slots.slots.contains_key(adapter) {
+        return OrderOutcome::LoadFailed;
+    }
+    if fetched {
+        core.slots.slots.insert(adapter.clone(), residency::SlotState::Resident);
+        core.observations.loads += 1;
+    } else {
+        core.slots.slots.remove(adapter);
+        core.observations.failed_loads += 1;
+    }
+    core.note_change(report_lag_ms);
+    if fetched { OrderOutcome::Done } else { OrderOutcome::LoadFailed }
+}
+
+/// Checks an order; returns the outcome if there is nothing to fetch.
+fn begin_load(
+    state: &EngineState,
+    adapter: &adapter::AdapterVersion,
+    number: id::FencingNumber,
+) -> Option<OrderOutcome> {
+    let checks_fencing = state.switches().checks_fencing;
+    let mut core = server::lock(&state.core);
+    if !core.check_fencing(number, checks_fencing) {
+        return Some(OrderOutcome::StaleFencing);
+    }
+    if core.slots.is_resident(adapter) {
+        return Some(OrderOutcome::Done);
+    }
+    let occupied = core.slots.slots.len() as u32;
+    if !core.slots.slots.contains_key(adapter) && occupied >= state.options.slots {
+        core.observations.loads_without_slot += 1;
+        return Some(OrderOutcome::NoFreeSlot);
+    }
+    None
+}
+
+/// Marks the adapter as loading; returns false if it is being loaded already.
+fn take_slot(state: &EngineState, adapter: &adapter::AdapterVersion) -> bool {
+    let mut core = server::lock(&state.core);
+    if core.slots.slots.contains_key(adapter) {
+        return false;
+    }
+    core.slots.slots.insert(adapter.clone(), residency::SlotState::Loading);
+    true
+}
+
+/// Waits for a load that another order has begun.
+async fn join_load(state: &EngineState, adapter: &adapter::AdapterVersion) -> OrderOutcome {
+    loop {
+        match server::lock(&state.core).slots.slots.get(adapter) {
+            Some(residency::SlotState::Resident) => return OrderOutcome::Done,
+            Some(residency::SlotState::Loading) => {}
+            None => return OrderOutcome::LoadFailed,
+        }
+        async_io::Timer::after(JOIN_INTERVAL).await;
+    }
+}
+
+async fn fetch_weights(state: &EngineState, adapter: &adapter::AdapterVersion) -> bool {
+    let switches = state.switches();
+    let Some(store) = state.store() else {
+        async_io::Timer::after(time::Duration::from_millis(switches.load_ms)).await;
+        return !switches.fail_loads;
+    };
+    let body = protocol::StoreLoad { adapter: adapter.clone() };
+    let Ok(url) = http::url(store, "/loads") else { return false };
+    let mut request = Request::new(Method::Post, url);
+    let Ok(body) = serde_json::to_vec(&body) else { return false };
+    request.set_body(body);
+    let sent = state.pool.send(store, request, http::ConnectionReuse::Allow).await;
+    sent.is_ok_and(|exchange| exchange.status() == 200) && !switches.fail_loads
+}
+
+fn unload(
+    state: &EngineState,
+    adapter: &adapter::AdapterVersion,
+    number: id::FencingNumber,
+) -> OrderOutcome {
+    let switches = state.switches();
+    let mut core = server::lock(&state.core);
+    if !core.check_fencing(number, switches.checks_fencing) {
+        return OrderOutcome::StaleFencing;
+    }
+    if core.slots.slots.remove(adapter).is_none() {
+        return OrderOutcome::NotResident;
+    }
+    core.observations.unloads += 1;
+    let cut = core.cut_runs(Some(adapter));
+    core.observations.evicted_under_request += cut;
+    core.note_change(switches.report_lag_ms);
+    OrderOutcome::Done
+}
+
+async fn chat(
+    state: &sync::Arc<EngineState>,
+    request: &mut Request,
+) -> http_types::Result<Response> {
+    let switches = state.switches();
+    if switches.silent {
+        futures_lite::future::pending::<()>().await;
+    }
+    let header = request.header(protocol::ATTEMPT_HEADER);
+    let attempt = header.map_or_else(String::new, |values| values.last().as_str().to_owned());
+    let chat = match control::read_json::<protocol::ChatRequest>(request).await? {
+        Ok(chat) => chat,
+        Err(answer) => return Ok(answer),
+    };
+    if switches.refuse_chats {
+        return not_run(503, "refused by a switch");
+    }
+    let Ok(adapter) = chat.model.parse::<adapter::AdapterVersion>() else {
+        return not_run(400, "`model` is not an adapter version");
+    };
+    let Some(run) = begin_run(state, &chat, adapter, attempt) else {
+        return not_run(404, "the adapter is not resident");
+    };
+    let faults = stream::StreamFaults {
+        cut_after_tokens: switches.cut_after_tokens,
+        stall_after_tokens: switches.stall_after_tokens,
+    };
+    let mut response = Response::new(200);
+    response.insert_header(protocol::ATTEMPT_HEADER, run.attempt.as_str());
+    if chat.stream {
+        response.set_body(stream::body(run, 0, faults));
+        response.set_content_type(http_types::mime::SSE);
+        return Ok(response);
+    }
+    run.ended.wait().await;
+    if run.is_cut() {
+        return Err(control::close_connection());
+    }
+    response.set_body(serde_json::to_vec(&run.answer())?);
+    response.set_content_type(http_types::mime::JSON);
+    Ok(response)
+}
+
+fn not_run(status: u16, text: &str) -> http_types::Result<Response> {
+    let mut response = control::text_answer(status, text)?;
+    response.insert_header(protocol::NOT_RUN_HEADER, "true");
+    Ok(response)
+}
+
+/// Starts a run whose progress doesn't depend on the caller's connection.
+fn begin_run(
+    state: &sync::Arc<EngineState>,
+    chat: &protocol::ChatRequest,
+    adapter: adapter::AdapterVersion,
+    attempt: String,
+) -> Option<sync::Arc<run::EngineRun>> {
+    let switches = state.switches();
+    let continued = chat.continue_from.as_deref().unwrap_or_default();
+    let continued_tokens = continued.split_whitespace().count();
+    let max_tokens = chat.max_tokens.map(|max_tokens| max_tokens + continued_tokens as u32);
+    let expected = answer::ExpectedAnswer::new(&adapter, &chat.messages, max_tokens);
+    let mut core = server::lock(&state.core);
+    if !core.slots.is_resident(&adapter) {
+        core.observations.not_resident += 1;
+        return None;
+    }
+    let named = switches.wrong_adapter.clone().unwrap_or_else(|| adapter.clone());
+    let run = sync::Arc::new(run::EngineRun::new(
+        switches.wrong_attempt.clone().unwrap_or(attempt),
+        run::RunAdapters { running: adapter, named },
+        expected.tokens.into_iter().skip(continued_tokens).collect(),
+        expected.prompt_tokens + continued_tokens as u32,
+        time::Duration::from_micros(switches.token_us),
+    ));
+    core.add_run(&run);
+    let drive = RunDrive {
+        state: sync::Arc::clone(state),
+        run: sync::Arc::clone(&run),
+        ticket: core.batch.enter(chat.priority.unwrap_or_default(), state.options.batch_size),
+        generation: core.observations.generation,
+        prompt: RunPrompt::new(chat, &switches.crash_prompt),
+    };
+    drop(core);
+    state.executor.spawn(drive.drive()).detach();
+    Some(run)
+}
+
+/// What matters of a prompt while it runs.
+struct RunPrompt {
+    prefix_hash: u64,
+    prefix_tokens: u32,
+    crashes: bool,
+}
+
+impl RunPrompt {
+    fn new(chat: &protocol::ChatRequest, crash_prompt: &Option<String>) -> Self {
+        let first = chat.messages.first().map_or("", |message| message.content.as_str());
+        let crashes = |text: &str| chat.messages.iter().any(|line| line.content.contains(text));
+        Self {
+            prefix_hash: prefix::prefix_hash(first),
+            prefix_tokens: first.split_whitespace().count() as u32,
+            crashes: crash_prompt.as_deref().is_some_and(crashes),
+        }
+    }
+}
+
+/// A run on its way through the batch.
+struct RunDrive {
+    state: sync::Arc<EngineState>,
+    run: sync::Arc<run::EngineRun>,
+    ticket: batch::BatchTicket,
+    generation: u64,
+    prompt: RunPrompt,
+}
+
+impl RunDrive {
+    async fn drive(self) {
+        futures_lite::future::or(self.ticket.gate.wait(), self.run.ended.wait()).await;
+        let started_at = time::Instant::now();
+        if !self.run.is_cut() {
+            let prefill = start_run(&self.state, &self.run, &self.prompt);
+            if self.prompt.crashes {
+                async_io::Timer::after(prefill).await;
+                let outage_ms = self.state.switches().crash_outage_ms;
+                self.state.crash(time::Duration::from_millis(outage_ms));
+                return;
+            }
+            wait_until_end(&self.run).await;
+        }
+        self.finish(started_at.elapsed());
+    }
+
+    fn finish(&self, run_time: time::Duration) {
+        let report_lag_ms = self.state.switches().report_lag_ms;
+        let mut core = server::lock(&self.state.core);
+        if core.observations.generation == self.generation {
+            core.batch.leave(&self.ticket);
+            core.count_end(&self.run, run_time);
+            core.note_change(report_lag_ms);
+        }
+        drop(core);
+        self.run.ended.open();
+    }
+}
+
+fn start_run(state: &EngineState, run: &run::EngineRun, prompt: &RunPrompt) -> time::Duration {
+    let switches = state.switches();
+    let mut core = server::lock(&state.core);
+    core.count_start();
+    core.note_change(switches.report_lag_ms);
+    let capacity = state.options.cached_prefixes;
+    let loss_permille = switches.cache_event_loss_permille;
+    let cached = core.touch_prefix(&run.adapter, prompt.prefix_hash, capacity, loss_permille);
+    let cached_tokens = if cached { prompt.prefix_tokens } else { 0 };
+    let tokens = run.prompt_tokens.saturating_sub(cached_tokens);
+    let prefill = time::Duration::from_micros(switches.prefill_us * u64::from(tokens));
+    run.start(prefill);
+    prefill
+}
+
+async fn wait_until_end(run: &run::EngineRun) {
+    let Some(end_at) = run.end_at().filter(|_| !run.is_cut()) else { return };
+    let timer = async {
+        async_io::Timer::at(end_at).await;
+    };
+    futures_lite::future::or(timer, run.ended.wait()).await;
+}
+
+fn resume(state: &EngineState, request: &Request, attempt: &str) -> http_types::Result<Response> {
+    let from = control::query_number(request, "from").unwrap_or_default() as usize;
+    let forget_streams = state.switches().forget_streams;
+    let mut core = server::lock(&state.core);
+    let run = core.runs.get(attempt).filter(|run| !run.is_cut() && !forget_streams).cloned();
+    let Some(run) = run.filter(|run| from <= run.tokens.len()) else {
+        return control::text_answer(404, "no such stream");
+    };
+    core.observations.resumed += 1;
+    let mut response = Response::new(200);
+    response.insert_header(protocol::ATTEMPT_HEADER, attempt);
+    response.set_body(stream::body(run, from, stream::StreamFaults::default()));
+    response.set_content_type(http_types::mime::SSE);
+    Ok(response)
+}
+
+fn cancel(state: &EngineState, attempt: &str) -> http_types::Result<Response> {
+    let mut core = server::lock(&state.core);
+    let Some(run) = core.runs.remove(attempt) else {
+        return control::text_answer(404, "no such stream");
+    };
+    if !run.ended.is_open() {
+        run.cut();
+        core.observations.cancelled += 1;
+    }
+    control::text_answer(200, "")
+}
--- /dev/null
+++ b/coltsfoot-fakes/src/run.rs
@@ -0,0 +1,124 @@
+//! One run of a request in an engine. What it has produced is a function of time.
+
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use coltsfoot_platform::protocol;
+use coltsfoot_types::adapter;
+
+use crate::gate;
+
+/// A request that an engine runs, has run, or has cut.
+pub(crate) struct EngineRun {
+    /// Attempt id as sent by the caller.
+    pub(crate) attempt: String,
+    /// Adapter version that the answer names.
+    pub(crate) named_adapter: adapter::AdapterVersion,
+    /// Adapter version that runs.
+    pub(crate) adapter: adapter::AdapterVersion,
+    /// Output of this attempt.
+    pub(crate) tokens: Vec<String>,
+    /// Tokens of the prompt and of the text to continue after.
+    pub(crate) prompt_tokens: u32,
+    /// Time between two tokens.
+    pub(crate) token_time: time::Duration,
+    /// Opens when the first token is due to be computed.
+    pub(crate) started: gate::WaitGate,
+    /// Opens when the run has ended or was cut.
+    pub(crate) ended: gate::WaitGate,
+    first_token_at: sync::OnceLock<time::Instant>,
+    cut: atomic::AtomicBool,
+}
+
+impl EngineRun {
+    pub(crate) fn new(
+        attempt: String,
+        adapters: RunAdapters,
+        tokens: Vec<String>,
+        prompt_tokens: u32,
+        token_time: time::Duration,
+    ) -> Self {
+        Self {
+            attempt,
+            named_adapter: adapters.named,
+            adapter: adapters.running,
+            tokens,
+            prompt_tokens,
+            token_time,
+            started: gate::WaitGate::new(),
+            ended: gate::WaitGate::new(),
+            first_token_at: sync::OnceLock::new(),
+            cut: atomic::AtomicBool::new(false),
+        }
+    }
+
+    pub(crate) fn start(&self, prefill: time::Duration) {
+        let first_token_at = time::Instant::now() + prefill + self.token_time;
+        self.first_token_at.get_or_init(|| first_token_at);
+        self.started.open();
+    }
+
+    pub(crate) fn cut(&self) {
+        self.cut.store(true, atomic::Ordering::SeqCst);
+        self.started.open();
+        self.ended.open();
+    }
+
+    pub(crate) fn is_cut(&self) -> bool {
+        self.cut.load(atomic::Ordering::SeqCst)
+    }
+
+    /// Returns when a token is there, counted from zero; none before the start.
+    pub(crate) fn token_at(&self, index: usize) -> Option<time::Instant> {
+        Some(*self.first_token_at.get()? + self.token_time * index as u32)
+    }
+
+    pub(crate) fn end_at(&self) -> Option<time::Instant> {
+        self.token_at(self.tokens.len().saturating_sub(1))
+    }
+
+    pub(crate) fn usage(&self) -> protocol::TokenUsage {
+        protocol::TokenUsage {
+            prompt_tokens: self.prompt_tokens,
+            completion_tokens: self.tokens.len() as u32,
+        }
+    }
+
+    pub(crate) fn answer(&self) -> protocol::ChatAnswer {
+        let message =
+            protocol::ChatMessage { role: "assistant".to_owned(), content: self.tokens.concat() };
+        protocol::ChatAnswer {
+            id: self.attempt.clone(),
+            model: self.named_adapter.to_string(),
+            choices: vec![protocol::ChatChoice {
+                index: 0,
+                message,
+                finish_reason: Some("stop".to_owned()),
+            }],
+            usage: self.usage(),
+        }
+    }
+
+    /// Returns the event of a token, counted from zero.
+    pub(crate) fn event(&self, index: usize) -> serde_json::Result<String> {
+        let is_last = index + 1 == self.tokens.len();
+        let chunk = protocol::ChatChunk {
+            id: self.attempt.clone(),
+            model: self.named_adapter.to_string(),
+            choices: vec![protocol::ChunkChoice {
+                index: 0,
+                delta: protocol::ChunkDelta { content: self.tokens[index].clone() },
+                finish_reason: is_last.then(|| "stop".to_owned()),
+            }],
+            usage: is_last.then(|| self.usage()),
+        };
+        Ok(format!("id: {}\ndata: {}\n\n", index + 1, serde_json::to_string(&chunk)?))
+    }
+}
+
+/// The adapter that runs and the one that the answer names.
+pub(crate) struct RunAdapters {
+    pub(crate) running: adapter::AdapterVersion,
+    pub(crate) named: adapter::AdapterVersion,
+}
--- a/coltsfoot-platform/src/lib.rs
+++ b/coltsfoot-platform/src/lib.rs
@@ -6,5 +6,6 @@
 mod json;
 pub mod list;
 pub mod log;
+pub mod prefix;
 pub mod protocol;
 pub mod sse;
