Add membership and ownership of a zone without I/O

Cause: the daemon needs an owner per resource that survives crashes, pauses and log outages. Change: ZoneMember (heartbeats, views on the log or provisional, quorum with restricted halves, leases checked at use, drain), wire types, ResourceName.

--- /dev/null
+++ b/coltsfoot-member/src/handover.rs
@@ -0,0 +1,81 @@
+//! When owners of a new view may begin.
+
+use std::time as std_time;
+
+use coltsfoot_types::{name, time};
+use coltsfoot_wire::member;
+
+use crate::{rendezvous, settings};
+
+/// An installed view with what is known of the owners before.
+#[derive(Clone, Debug, Hash)]
+pub struct ViewHandover {
+    /// The view.
+    pub installed: member::InstalledView,
+    /// When this instance learned of it.
+    pub installed_at: time::MonotonicTime,
+}
+
+impl ViewHandover {
+    /// Returns the epoch and members.
+    pub fn view(&self) -> &member::ViewSummary {
+        &self.installed.proposal.view
+    }
+
+    /// Returns the owner of a resource under this view.
+    pub fn owner(&self, resource: &name::ResourceName) -> Option<&name::InstanceName> {
+        rendezvous::choose_member(resource, &self.view().members)
+    }
+
+    /// Returns when `own_name` may begin to act as owner of the resource: once no owner under an
+    /// older view can act and no order of it is under way.
+    pub fn begins_at(
+        &self,
+        resource: &name::ResourceName,
+        own_name: &name::InstanceName,
+        timing: &settings::TimingSettings,
+    ) -> time::MonotonicTime {
+        if self.installed.counted_gone {
+            return self.installed_at + timing.lapse_time();
+        }
+        let predecessors = self.installed.proposal.predecessors.iter();
+        let owners = predecessors
+            .filter_map(|view| rendezvous::choose_member(resource, &view.members))
+            .filter(|owner| *owner != own_name);
+        let waits = owners.map(|owner| self.wait_for(owner, timing));
+        self.installed_at + waits.max().unwrap_or_default()
+    }
+
+    /// Returns whether all leases of older views have lapsed.
+    pub fn is_settled(&self, now: time::MonotonicTime, timing: &settings::TimingSettings) -> bool {
+        self.installed.grade == member::ViewGrade::Full
+            && now.since(self.installed_at) >= timing.lapse_time()
+    }
+
+    fn wait_for(
+        &self,
+        owner: &name::InstanceName,
+        timing: &settings::TimingSettings,
+    ) -> std_time::Duration {
+        let mut released = self.installed.released.iter();
+        match released.find(|entry| entry.instance == *owner) {
+            Some(entry) if entry.quiescent => std_time::Duration::ZERO,
+            Some(_) => timing.order_delay,
+            None => self.remaining_lapse(owner, timing),
+        }
+    }
+
+    fn remaining_lapse(
+        &self,
+        owner: &name::InstanceName,
+        timing: &settings::TimingSettings,
+    ) -> std_time::Duration {
+        let mut grants = self.installed.grants.iter();
+        let Some(grant) = grants.find(|grant| grant.instance == *owner) else {
+            return std_time::Duration::ZERO;
+        };
+        let age = std_time::Duration::from_millis(grant.age_ms.into());
+        let drift = age * timing.clock_drift_permille / 1_000;
+        (timing.lapse_time() + drift).saturating_sub(age)
+    }
+}
--- /dev/null
+++ b/coltsfoot-member/src/lease.rs
@@ -0,0 +1,92 @@
+//! Acknowledgements of this instance's lease and those it gave to others.
+
+use std::{collections, time as std_time};
+
+use coltsfoot_types::{name, time};
+use coltsfoot_wire::member;
+
+/// Heartbeat rounds whose answers still count.
+const KEPT_ROUNDS: usize = 8;
+
+/// A heartbeat round.
+#[derive(Clone, Debug, Hash)]
+struct HeartbeatRound {
+    sequence: u32,
+    sent_at: time::MonotonicTime,
+}
+
+/// Acknowledgements got and given.
+#[derive(Clone, Debug, Default, Hash)]
+pub struct LeaseTable {
+    rounds: collections::VecDeque<HeartbeatRound>,
+    next_sequence: u32,
+    acknowledged: collections::BTreeMap<name::InstanceName, time::MonotonicTime>,
+    granted: collections::BTreeMap<name::InstanceName, time::MonotonicTime>,
+}
+
+impl LeaseTable {
+    /// Begins a heartbeat round and returns its number.
+    pub fn begin_round(&mut self, now: time::MonotonicTime) -> u32 {
+        self.next_sequence += 1;
+        if self.rounds.len() == KEPT_ROUNDS {
+            self.rounds.pop_front();
+        }
+        self.rounds.push_back(HeartbeatRound { sequence: self.next_sequence, sent_at: now });
+        self.next_sequence
+    }
+
+    /// Notes an acknowledgement. It counts from when the round was sent.
+    pub fn acknowledge(&mut self, peer: name::InstanceName, sequence: u32) {
+        let Some(round) = self.rounds.iter().find(|round| round.sequence == sequence) else {
+            return;
+        };
+        let since = self.acknowledged.entry(peer).or_insert(round.sent_at);
+        *since = (*since).max(round.sent_at);
+    }
+
+    /// Forgets acknowledgements and rounds, since the epoch changed.
+    pub fn clear_acknowledged(&mut self) {
+        self.acknowledged.clear();
+        self.rounds.clear();
+    }
+
+    /// Returns the instant that a majority's acknowledgements count from, `None` without one.
+    /// The instance's own acknowledgement counts from now.
+    pub fn majority_since(
+        &self,
+        now: time::MonotonicTime,
+        own_name: &name::InstanceName,
+        members: &[name::InstanceName],
+    ) -> Option<time::MonotonicTime> {
+        let mut instants: Vec<_> = members
+            .iter()
+            .filter_map(|peer| match peer == own_name {
+                true => Some(now),
+                false => self.acknowledged.get(peer).copied(),
+            })
+            .collect();
+        instants.sort_unstable_by(|left, right| right.cmp(left));
+        instants.get(members.len() / 2).copied()
+    }
+
+    /// Notes that this instance acknowledged a peer's lease.
+    pub fn grant(&mut self, now: time::MonotonicTime, peer: name::InstanceName) {
+        self.granted.insert(peer, now);
+    }
+
+    /// Forgets grants older than `horizon` and returns the ages of the others.
+    pub fn grant_ages(
+        &mut self,
+        now: time::MonotonicTime,
+        horizon: std_time::Duration,
+    ) -> Vec<member::GrantAge> {
+        self.granted.retain(|_, granted_at| now.since(*granted_at) <= horizon);
+        let grants = self.granted.iter();
+        grants
+            .map(|(peer, granted_at)| member::GrantAge {
+                instance: peer.clone(),
+                age_ms: now.since(*granted_at).as_millis() as u32,
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/coltsfoot-member/src/promise.rs
@@ -0,0 +1,105 @@
+//! What an instance has promised to others: the newest view it accepted and those before it.
+
+use coltsfoot_types::id;
+use coltsfoot_wire::member;
+
+/// The acceptor's side of a view change.
+#[derive(Clone, Debug, Hash)]
+pub struct PromiseState {
+    promised: Option<member::ViewSummary>,
+    open: Vec<member::ViewSummary>,
+    known_since: Option<id::FencingNumber>,
+}
+
+impl Default for PromiseState {
+    /// Returns the state of a new instance, which knows everything that it ever accepted.
+    fn default() -> Self {
+        Self { promised: None, open: Vec::new(), known_since: Some(id::FencingNumber(0)) }
+    }
+}
+
+impl PromiseState {
+    /// Returns the epoch of the newest accepted view, zero without one.
+    pub fn epoch(&self) -> id::FencingNumber {
+        self.promised.as_ref().map_or(id::FencingNumber(0), |view| view.epoch)
+    }
+
+    /// Returns the newest accepted view.
+    pub fn promised(&self) -> Option<&member::ViewSummary> {
+        self.promised.as_ref()
+    }
+
+    /// Returns the accepted views whose owners may still act.
+    pub fn open(&self) -> &[member::ViewSummary] {
+        &self.open
+    }
+
+    /// Returns whether the instance may acknowledge leases of an epoch.
+    pub fn acknowledges(&self, epoch: id::FencingNumber) -> bool {
+        self.known_since.is_some() && epoch != id::FencingNumber(0) && epoch == self.epoch()
+    }
+
+    /// Accepts a proposal and returns since which epoch the instance knows what it accepted, or
+    /// refuses it.
+    pub fn accept(
+        &mut self,
+        proposal: &member::ViewProposal,
+    ) -> Result<id::FencingNumber, member::ProposalReject> {
+        let epoch = proposal.view.epoch;
+        let repeated = self.promised.as_ref() == Some(&proposal.view);
+        if !repeated && (epoch <= self.epoch() || !self.is_covered_by(proposal)) {
+            return Err(self.reject(epoch));
+        }
+        if !repeated {
+            self.promised = Some(proposal.view.clone());
+            self.open.clone_from(&proposal.predecessors);
+            self.open.push(proposal.view.clone());
+        }
+        Ok(*self.known_since.get_or_insert(epoch))
+    }
+
+    /// Moves on to a view that got its acknowledgements; returns false if a newer one was accepted.
+    pub fn install(&mut self, proposal: &member::ViewProposal) -> bool {
+        let epoch = proposal.view.epoch;
+        if epoch < self.epoch() {
+            return false;
+        }
+        assert!(
+            epoch > self.epoch() || self.promised.as_ref() == Some(&proposal.view),
+            "two views share the epoch {epoch}; give each instance a name of its own"
+        );
+        self.promised = Some(proposal.view.clone());
+        self.open.clone_from(&proposal.predecessors);
+        self.open.push(proposal.view.clone());
+        self.known_since.get_or_insert(epoch);
+        true
+    }
+
+    /// Drops the views before the newest one, once their leases have lapsed.
+    pub fn settle(&mut self) {
+        let epoch = self.epoch();
+        self.open.retain(|view| view.epoch == epoch);
+    }
+
+    /// Forgets all accepted views but their epoch, since others may have gone on without this
+    /// instance.
+    pub fn forget(&mut self) {
+        self.open.clear();
+        self.known_since = None;
+    }
+
+    /// Returns whether the instance has forgotten what it accepted.
+    pub fn has_forgotten(&self) -> bool {
+        self.known_since.is_none()
+    }
+
+    fn is_covered_by(&self, proposal: &member::ViewProposal) -> bool {
+        self.open.iter().all(|view| {
+            proposal.predecessors.iter().any(|predecessor| predecessor.epoch == view.epoch)
+        })
+    }
+
+    fn reject(&self, epoch: id::FencingNumber) -> member::ProposalReject {
+        member::ProposalReject { epoch, promised: self.promised.clone(), open: self.open.clone() }
+    }
+}
--- /dev/null
+++ b/coltsfoot-member/src/proposal.rs
@@ -0,0 +1,206 @@
+//! The proposer's side of a view change: collecting acknowledgements.
+
+use std::{collections, time as std_time};
+
+use coltsfoot_types::{name, time};
+use coltsfoot_wire::member;
+
+use crate::{contact, settings};
+
+/// An acknowledgement with the instant of its arrival.
+#[derive(Clone, Debug, Hash)]
+struct ReceivedAccept {
+    accept: member::ProposalAccept,
+    received_at: time::MonotonicTime,
+}
+
+/// How far the acknowledgements reach.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ProposalQuorum {
+    /// Too few.
+    Missing,
+    /// Half of a predecessor.
+    Half {
+        /// Members of that predecessor that acknowledged.
+        kept: u8,
+        /// All its members.
+        of: u8,
+    },
+    /// A majority of each predecessor, without counting anybody as gone.
+    Majority,
+    /// A majority of each predecessor, counting the members that the platform removed.
+    MajorityWithGone,
+}
+
+/// A proposal for which acknowledgements are collected.
+#[derive(Clone, Debug, Hash)]
+pub struct ProposalRound {
+    proposal: member::ViewProposal,
+    is_bootstrap: bool,
+    started_at: time::MonotonicTime,
+    accepts: collections::BTreeMap<name::InstanceName, ReceivedAccept>,
+    bystanders: collections::BTreeSet<name::InstanceName>,
+}
+
+impl ProposalRound {
+    /// Begins to collect. A proposer that holds no view says so by `is_bootstrap`: it can't know
+    /// all views that may be in force, so that all listed instances have to answer.
+    pub fn new(
+        proposal: member::ViewProposal,
+        is_bootstrap: bool,
+        started_at: time::MonotonicTime,
+    ) -> Self {
+        Self {
+            proposal,
+            is_bootstrap,
+            started_at,
+            accepts: collections::BTreeMap::new(),
+            bystanders: collections::BTreeSet::new(),
+        }
+    }
+
+    /// Returns the proposal.
+    pub fn proposal(&self) -> &member::ViewProposal {
+        &self.proposal
+    }
+
+    /// Returns the time since the start.
+    pub fn age(&self, now: time::MonotonicTime) -> std_time::Duration {
+        now.since(self.started_at)
+    }
+
+    /// Notes an acknowledgement.
+    pub fn add_accept(
+        &mut self,
+        now: time::MonotonicTime,
+        sender: name::InstanceName,
+        accept: member::ProposalAccept,
+    ) {
+        let received = ReceivedAccept { accept, received_at: now };
+        self.accepts.entry(sender).or_insert(received);
+    }
+
+    /// Notes that an instance belongs to another group.
+    pub fn add_bystander(&mut self, sender: name::InstanceName) {
+        self.bystanders.insert(sender);
+    }
+
+    /// Returns whether an instance has answered.
+    pub fn has_answered(&self, peer: &name::InstanceName) -> bool {
+        self.accepts.contains_key(peer) || self.bystanders.contains(peer)
+    }
+
+    /// Returns the instances that matter to the quorum.
+    pub fn participants(&self) -> collections::BTreeSet<name::InstanceName> {
+        let predecessors = self.proposal.predecessors.iter();
+        let members = predecessors.flat_map(|view| view.members.iter());
+        members.chain(&self.proposal.view.members).cloned().collect()
+    }
+
+    /// Returns how far the acknowledgements reach.
+    pub fn quorum(
+        &self,
+        now: time::MonotonicTime,
+        listing: &contact::InstanceListing,
+        timing: &settings::TimingSettings,
+    ) -> ProposalQuorum {
+        let predecessors = &self.proposal.predecessors;
+        if !self.is_bootstrap && predecessors.iter().all(|view| self.has_majority(view, 0)) {
+            return ProposalQuorum::Majority;
+        }
+        let may_count_gone = self.is_on_log() && self.all_listed_answered(now, listing);
+        let with_gone = |view: &member::ViewSummary| {
+            self.has_majority(view, self.gone_count(view, now, listing, timing))
+        };
+        if may_count_gone && predecessors.iter().all(with_gone) {
+            return ProposalQuorum::MajorityWithGone;
+        }
+        if self.is_bootstrap {
+            return ProposalQuorum::Missing;
+        }
+        let ratios = predecessors.iter().map(|view| (self.known_count(view), view.members.len()));
+        let least = ratios.min_by(|left, right| (left.0 * right.1).cmp(&(right.0 * left.1)));
+        match least {
+            Some((kept, of)) if 2 * kept >= of => {
+                ProposalQuorum::Half { kept: kept as u8, of: of as u8 }
+            }
+            _ => ProposalQuorum::Missing,
+        }
+    }
+
+    /// Returns the message that makes the view known.
+    pub fn install(
+        &self,
+        now: time::MonotonicTime,
+        grade: member::ViewGrade,
+        counted_gone: bool,
+    ) -> member::InstalledView {
+        let accepts = self.accepts.iter();
+        let released = accepts.map(|(instance, received)| member::ReleasedInstance {
+            instance: instance.clone(),
+            quiescent: received.accept.quiescent,
+        });
+        member::InstalledView {
+            proposal: self.proposal.clone(),
+            grade,
+            released: released.collect(),
+            grants: self.least_ages(now),
+            counted_gone,
+        }
+    }
+
+    fn least_ages(&self, now: time::MonotonicTime) -> Vec<member::GrantAge> {
+        let mut ages = collections::BTreeMap::new();
+        for received in self.accepts.values() {
+            let elapsed = now.since(received.received_at).as_millis() as u32;
+            for grant in &received.accept.grants {
+                let age = grant.age_ms.saturating_add(elapsed);
+                let least = ages.entry(grant.instance.clone()).or_insert(age);
+                *least = age.min(*least);
+            }
+        }
+        let ages = ages.into_iter();
+        ages.map(|(instance, age_ms)| member::GrantAge { instance, age_ms }).collect()
+    }
+
+    fn is_on_log(&self) -> bool {
+        self.proposal.view.epoch.0 & 0xffff == 0
+    }
+
+    fn all_listed_answered(
+        &self,
+        now: time::MonotonicTime,
+        listing: &contact::InstanceListing,
+    ) -> bool {
+        listing.is_current(now) && listing.names().all(|peer| self.has_answered(peer))
+    }
+
+    fn has_majority(&self, view: &member::ViewSummary, gone: usize) -> bool {
+        view.members.is_empty() || 2 * (self.known_count(view) + gone) > view.members.len()
+    }
+
+    /// Counts members that accepted and know all that they accepted since the view.
+    fn known_count(&self, view: &member::ViewSummary) -> usize {
+        view.members.iter().filter(|peer| self.knows(peer, view)).count()
+    }
+
+    fn knows(&self, peer: &name::InstanceName, view: &member::ViewSummary) -> bool {
+        let received = self.accepts.get(peer);
+        received.is_some_and(|received| received.accept.known_since <= view.epoch)
+    }
+
+    /// Counts members that the platform removed or that have forgotten what they accepted.
+    fn gone_count(
+        &self,
+        view: &member::ViewSummary,
+        now: time::MonotonicTime,
+        listing: &contact::InstanceListing,
+        timing: &settings::TimingSettings,
+    ) -> usize {
+        let unknowing = view.members.iter().filter(|peer| !self.knows(peer, view));
+        let gone = unknowing.filter(|peer| {
+            self.accepts.contains_key(*peer) || listing.is_gone(peer, now, timing.removal_time)
+        });
+        gone.count()
+    }
+}
--- /dev/null
+++ b/coltsfoot-member/src/record.rs
@@ -0,0 +1,76 @@
+//! Records of the `members` stream and their fold.
+
+use std::collections;
+
+use coltsfoot_types::{id, name};
+use coltsfoot_wire::member;
+use serde::{Deserialize, Serialize};
+
+use crate::{event, settings};
+
+/// A view as written to the log. Its epoch is the offset of the record.
+#[derive(Clone, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ViewRecord {
+    /// Unique id.
+    pub record_id: uuid::Uuid,
+    /// Zone.
+    pub zone: name::ZoneName,
+    /// Group within the zone.
+    pub group: member::GroupNumber,
+    /// Offset of the group's record that this one follows; a record with another base is void.
+    pub base: Option<id::LogOffset>,
+    /// Members, sorted by name.
+    pub members: Vec<name::InstanceName>,
+}
+
+/// Valid record of a group.
+#[derive(Clone, Debug, Hash)]
+pub struct HeadRecord {
+    /// Its offset.
+    pub offset: id::LogOffset,
+    /// The record.
+    pub record: ViewRecord,
+}
+
+/// State folded from the `members` stream: the newest valid record of each group of the zone.
+#[derive(Clone, Debug, Default, Hash)]
+pub struct RecordFold {
+    position: Option<id::LogOffset>,
+    last_offsets: collections::BTreeMap<member::GroupNumber, id::LogOffset>,
+    heads: collections::BTreeMap<member::GroupNumber, HeadRecord>,
+}
+
+impl RecordFold {
+    /// Folds a record; offsets that were folded before are skipped.
+    ///
+    /// A record is valid if it follows the group's previous record, valid or not. The first record
+    /// that is seen counts as valid, since its predecessor may have been forgotten.
+    pub fn fold(&mut self, zone: &name::ZoneName, stream_record: &event::StreamRecord) {
+        if self.position.is_some_and(|position| stream_record.offset <= position) {
+            return;
+        }
+        self.position = Some(stream_record.offset);
+        let Ok(record) = serde_json::from_str::<ViewRecord>(&stream_record.text) else {
+            return;
+        };
+        if record.zone != *zone || record.members.len() > settings::MAX_GROUP_MEMBERS {
+            return;
+        }
+        let previous = self.last_offsets.insert(record.group, stream_record.offset);
+        if previous.is_some() && previous != record.base {
+            return;
+        }
+        self.heads.insert(record.group, HeadRecord { offset: stream_record.offset, record });
+    }
+
+    /// Returns the base that a new record of the group needs.
+    pub fn base(&self, group: member::GroupNumber) -> Option<id::LogOffset> {
+        self.last_offsets.get(&group).copied()
+    }
+
+    /// Returns the newest valid record of a group.
+    pub fn head(&self, group: member::GroupNumber) -> Option<&HeadRecord> {
+        self.heads.get(&group)
+    }
+}
--- /dev/null
+++ b/coltsfoot-member/src/zone_member/heartbeat.rs
@@ -0,0 +1,205 @@
+//! Heartbeats: lease requests, votes, and probes of silent instances.
+
+use std::time as std_time;
+
+use coltsfoot_types::{id, name, time};
+use coltsfoot_wire::member;
+use rand::seq::SliceRandom as _;
+
+use super::{ActionList, ZoneMember};
+use crate::event;
+
+/// Most instances that one heartbeat round goes to.
+const HEARTBEAT_FANOUT: usize = 4;
+/// Time between indirect probes.
+const INDIRECT_INTERVAL: std_time::Duration = std_time::Duration::from_millis(300);
+/// Instances asked about a silent one.
+const INDIRECT_FANOUT: usize = 2;
+
+impl ZoneMember {
+    /// Starts a heartbeat round when it is due. Rounds go to the members in turn, the ones that
+    /// were asked longest ago first.
+    pub(super) fn send_heartbeats(&mut self, now: time::MonotonicTime, actions: &mut ActionList) {
+        if now < self.clock.next_heartbeat || self.installed.is_none() {
+            return;
+        }
+        self.clock.next_heartbeat = now + self.timing.heartbeat_interval;
+        let sequence = self.leases.begin_round(now);
+        let peers = self.live_peers(now);
+        let start = sequence as usize * HEARTBEAT_FANOUT;
+        let count = peers.len().min(HEARTBEAT_FANOUT);
+        for step in 0..count {
+            let receiver = peers[(start + step) % peers.len()].clone();
+            self.send_probe(sequence, receiver, actions);
+        }
+        let lost = self.lost_peers(now);
+        if !lost.is_empty() {
+            let receiver = lost[sequence as usize % lost.len()].clone();
+            self.send_probe(sequence, receiver, actions);
+        }
+    }
+
+    /// Probes instances that have been silent, directly and by asking others.
+    pub(super) fn send_indirect_probes(
+        &mut self,
+        now: time::MonotonicTime,
+        actions: &mut ActionList,
+    ) {
+        if now < self.clock.next_indirect {
+            return;
+        }
+        self.clock.next_indirect = now + INDIRECT_INTERVAL;
+        let peers = self.live_peers(now);
+        let is_silent = |peer: &name::InstanceName| {
+            self.contacts.silence(peer, now) >= self.timing.indirect_after
+        };
+        let (silent, mut heard): (Vec<_>, Vec<_>) = peers.into_iter().partition(is_silent);
+        if silent.is_empty() {
+            return;
+        }
+        let sequence = self.leases.begin_round(now);
+        for target in silent {
+            self.send_probe(sequence, target.clone(), actions);
+            heard.shuffle(&mut self.seed);
+            for receiver in heard.iter().take(INDIRECT_FANOUT) {
+                let message = member::MemberMessage::IndirectProbe { target: target.clone() };
+                send(receiver.clone(), message, actions);
+            }
+        }
+    }
+
+    pub(super) fn answer_probe(
+        &mut self,
+        now: time::MonotonicTime,
+        sender: name::InstanceName,
+        probe: &member::ProbeRequest,
+        actions: &mut ActionList,
+    ) {
+        self.contacts.note_leaving(&sender, probe.leaving);
+        self.note_view_sign(now, probe.epoch);
+        let granted = self.promise.acknowledges(probe.epoch);
+        if granted {
+            self.leases.grant(now, sender.clone());
+        }
+        let answer = member::ProbeAnswer {
+            sequence: probe.sequence,
+            epoch: self.installed_epoch(),
+            granted,
+            leaving: self.is_draining(),
+        };
+        send(sender.clone(), member::MemberMessage::ProbeAnswer(answer), actions);
+        self.update_peer(sender, probe.epoch, actions);
+    }
+
+    pub(super) fn handle_probe_answer(
+        &mut self,
+        now: time::MonotonicTime,
+        sender: name::InstanceName,
+        answer: &member::ProbeAnswer,
+        actions: &mut ActionList,
+    ) {
+        self.contacts.note_leaving(&sender, answer.leaving);
+        self.note_view_sign(now, answer.epoch);
+        if answer.granted {
+            self.leases.acknowledge(sender.clone(), answer.sequence);
+            self.note_acting(now);
+        }
+        self.update_peer(sender, answer.epoch, actions);
+    }
+
+    pub(super) fn answer_indirect(
+        &mut self,
+        now: time::MonotonicTime,
+        sender: name::InstanceName,
+        target: name::InstanceName,
+        actions: &mut ActionList,
+    ) {
+        let silence = self.contacts.silence(&target, now);
+        if silence < self.timing.suspect_after {
+            let age_ms = silence.as_millis() as u32;
+            send(sender, member::MemberMessage::IndirectAnswer { target, age_ms }, actions);
+        }
+    }
+
+    pub(super) fn handle_indirect_answer(
+        &mut self,
+        now: time::MonotonicTime,
+        target: &name::InstanceName,
+        age_ms: u32,
+    ) {
+        let age = std_time::Duration::from_millis(age_ms.into());
+        self.contacts.hear(target, now - age);
+    }
+
+    /// Returns the epoch of the installed view, zero without one.
+    pub(super) fn installed_epoch(&self) -> id::FencingNumber {
+        self.installed.as_ref().map_or(id::FencingNumber(0), |view| view.view().epoch)
+    }
+
+    /// Returns the other members of the view that are not suspected.
+    pub(super) fn live_peers(&self, now: time::MonotonicTime) -> Vec<name::InstanceName> {
+        let Some(installed) = &self.installed else {
+            return Vec::new();
+        };
+        let others = installed.view().members.iter().filter(|peer| **peer != self.own_name);
+        others.filter(|peer| !self.is_suspected(peer, now)).cloned().collect()
+    }
+
+    /// Returns instances that are silent or were left out of the view, yet may come back.
+    fn lost_peers(&self, now: time::MonotonicTime) -> Vec<name::InstanceName> {
+        let members = self.installed.iter().flat_map(|installed| &installed.view().members);
+        let open = self.promise.open().iter().flat_map(|view| &view.members);
+        let mut lost: Vec<_> = open
+            .chain(members)
+            .filter(|peer| **peer != self.own_name && self.is_suspected(peer, now))
+            .cloned()
+            .collect();
+        lost.sort_unstable();
+        lost.dedup();
+        lost
+    }
+
+    pub(super) fn is_suspected(&self, peer: &name::InstanceName, now: time::MonotonicTime) -> bool {
+        self.contacts.silence(peer, now) >= self.timing.suspect_after
+    }
+
+    fn send_probe(&self, sequence: u32, receiver: name::InstanceName, actions: &mut ActionList) {
+        let probe = member::ProbeRequest {
+            sequence,
+            epoch: self.installed_epoch(),
+            leaving: self.is_draining(),
+        };
+        send(receiver, member::MemberMessage::Probe(probe), actions);
+    }
+
+    /// Sends the installed view to a peer that holds an older one.
+    fn update_peer(
+        &self,
+        peer: name::InstanceName,
+        epoch: id::FencingNumber,
+        actions: &mut ActionList,
+    ) {
+        let Some(view) = &self.installed else {
+            return;
+        };
+        if epoch < view.view().epoch {
+            let message = member::MemberMessage::Installed(view.installed.clone());
+            send(peer, message, actions);
+        }
+    }
+
+    fn note_view_sign(&mut self, now: time::MonotonicTime, epoch: id::FencingNumber) {
+        if epoch != id::FencingNumber(0) {
+            self.clock.view_heard_at = Some(now);
+        }
+    }
+}
+
+/// Adds a message to the actions.
+pub(super) fn send(
+    receiver: name::InstanceName,
+    message: member::MemberMessage,
+    actions: &mut ActionList,
+) {
+    actions.push(event::MemberAction::Send { receiver, message });
+}
--- /dev/null
+++ b/coltsfoot-member/src/zone_member/ownership.rs
@@ -0,0 +1,125 @@
+//! Ownership of resources: who owns, and whether this instance may act now.
+
+use coltsfoot_types::{name, time};
+use coltsfoot_wire::member;
+
+use super::{ActionList, ZoneMember};
+use crate::{event, handover, rendezvous};
+
+impl ZoneMember {
+    /// Returns the view in force.
+    pub fn view(&self) -> Option<event::ZoneView> {
+        let installed = self.installed.as_ref()?;
+        Some(event::ZoneView {
+            group: installed.installed.proposal.group,
+            epoch: installed.view().epoch,
+            members: installed.view().members.clone(),
+            grade: installed.installed.grade,
+        })
+    }
+
+    /// Returns the instance that owns a resource, as far as this instance knows.
+    ///
+    /// For a resource of another group it is taken from the newest view on the log; the instance
+    /// that is asked may know better and refuse.
+    pub fn owner_of(&self, resource: &name::ResourceName) -> Option<name::InstanceName> {
+        let group = rendezvous::choose_group(resource, self.group_count);
+        let installed = self.installed.as_ref().filter(|_| self.group == Some(group));
+        let members = match installed {
+            Some(installed) => &installed.view().members,
+            None => &self.log.fold.head(group)?.record.members,
+        };
+        rendezvous::choose_member(resource, members).cloned()
+    }
+
+    /// Returns the permission to act as owner of a resource at this moment.
+    ///
+    /// Nothing of the answer may be kept beyond its `until`: a pause must not outlive the lease.
+    pub fn lease(
+        &self,
+        now: time::MonotonicTime,
+        resource: &name::ResourceName,
+    ) -> Option<event::OwnerLease> {
+        let group = rendezvous::choose_group(resource, self.group_count);
+        let installed = self.installed.as_ref().filter(|_| self.group == Some(group))?;
+        let until = self.acting_until(now)?;
+        if installed.owner(resource) != Some(&self.own_name) {
+            return None;
+        }
+        if now < installed.begins_at(resource, &self.own_name, &self.timing) {
+            return None;
+        }
+        Some(event::OwnerLease {
+            fencing: installed.view().epoch,
+            until,
+            orders_until: until - self.timing.order_delay,
+            grade: installed.installed.grade,
+        })
+    }
+
+    /// Returns how far this instance may act at this moment.
+    pub fn mode(&self, now: time::MonotonicTime) -> event::MemberMode {
+        let installed = self.installed.as_ref().filter(|_| self.acting_until(now).is_some());
+        match installed.map(|installed| installed.installed.grade) {
+            None => event::MemberMode::Inactive,
+            Some(member::ViewGrade::Full) => event::MemberMode::Full,
+            Some(member::ViewGrade::Restricted { kept, of }) => {
+                event::MemberMode::Restricted { kept, of }
+            }
+        }
+    }
+
+    /// Asks for notices about a resource.
+    pub fn track(&mut self, resource: name::ResourceName) {
+        self.owned.entry(resource).or_default();
+    }
+
+    /// Ends the notices about a resource.
+    pub fn untrack(&mut self, resource: &name::ResourceName) {
+        self.owned.remove(resource);
+    }
+
+    /// Tells the host which tracked resources it gained or lost.
+    pub(super) fn report_ownership(&mut self, now: time::MonotonicTime, actions: &mut ActionList) {
+        let mut owned = std::mem::take(&mut self.owned);
+        for (resource, fencing) in &mut owned {
+            let current = self.lease(now, resource).map(|lease| lease.fencing);
+            if current == *fencing {
+                continue;
+            }
+            *fencing = current;
+            actions.push(match current {
+                Some(fencing) => {
+                    event::MemberAction::OwnershipGained { resource: resource.clone(), fencing }
+                }
+                None => event::MemberAction::OwnershipLost { resource: resource.clone() },
+            });
+        }
+        self.owned = owned;
+    }
+
+    /// Notes how long this instance may act under the acknowledgements that it has.
+    pub(super) fn note_acting(&mut self, now: time::MonotonicTime) {
+        if let Some(until) = self.acting_until(now) {
+            self.clock.acted_until = self.clock.acted_until.max(until);
+        }
+    }
+
+    /// Returns the end of the lease that a majority's acknowledgements give.
+    fn acting_until(&self, now: time::MonotonicTime) -> Option<time::MonotonicTime> {
+        let installed = self.installed.as_ref()?;
+        let accepted_newer = !self.promise.acknowledges(installed.view().epoch);
+        if accepted_newer || self.drained || self.is_isolated(now) {
+            return None;
+        }
+        let members = &installed.view().members;
+        let since = self.leases.majority_since(now, &self.own_name, members)?;
+        let until = since + self.timing.lease_ttl;
+        (until > now).then_some(until)
+    }
+
+    /// Returns the installed view with what is known of the owners before.
+    pub fn handover(&self) -> Option<&handover::ViewHandover> {
+        self.installed.as_ref()
+    }
+}
--- /dev/null
+++ b/coltsfoot-member/src/zone_member/plan.rs
@@ -0,0 +1,250 @@
+//! When to change the view, and to which members.
+
+use std::time as std_time;
+
+use coltsfoot_types::{id, name, time};
+use coltsfoot_wire::member;
+
+use super::{ActionList, ChangeStage, PendingRecord, ZoneMember};
+use crate::{event, record, settings};
+
+/// Time within which a request to be taken in counts.
+const JOIN_VALIDITY: std_time::Duration = std_time::Duration::from_secs(3);
+/// Time between attempts to make a restricted view a full one.
+const UPGRADE_INTERVAL: std_time::Duration = std_time::Duration::from_secs(5);
+/// Time after which a view of a log outage is written to the log.
+const RELOG_DELAY: std_time::Duration = std_time::Duration::from_secs(2);
+/// Low bits of an epoch that hold the place of a provisional view's proposer.
+const PROPOSER_BITS: u32 = 4;
+/// Largest round of provisional views within one offset.
+const MAX_PROVISIONAL_ROUND: u64 = 0xfff;
+
+impl ZoneMember {
+    /// Starts a view change if one is needed and it is this instance's turn.
+    pub(super) fn consider_change(&mut self, now: time::MonotonicTime, actions: &mut ActionList) {
+        if self.drained || now < self.attempt.not_before {
+            return;
+        }
+        if self.awaits_proposer(now) {
+            return;
+        }
+        let desired = self.desired_members(now);
+        let needed = match self.installed {
+            Some(_) => self.needs_change(now, &desired),
+            None => self.needs_bootstrap(now),
+        };
+        if !needed {
+            self.attempt.needed_since = None;
+            return;
+        }
+        let since = *self.attempt.needed_since.get_or_insert(now);
+        if now.since(since) < self.proposer_delay(&desired) {
+            return;
+        }
+        self.start_change(now, desired, actions);
+    }
+
+    /// Returns whether another proposer may still be collecting answers.
+    fn awaits_proposer(&self, now: time::MonotonicTime) -> bool {
+        self.promise.epoch() > self.installed_epoch()
+            && now.since(self.clock.promised_at) < self.timing.proposal_timeout
+            && self.attempt.failures == 0
+    }
+
+    /// Returns the members that the next view should have.
+    fn desired_members(&self, now: time::MonotonicTime) -> Vec<name::InstanceName> {
+        let installed = self.installed.iter().flat_map(|view| view.view().members.iter());
+        let promised = self.promise.promised().filter(|_| self.installed.is_some());
+        let promised = promised.into_iter().flat_map(|view| view.members.iter());
+        let mut desired: Vec<_> = installed.chain(promised).cloned().collect();
+        desired.push(self.own_name.clone());
+        desired.sort_unstable();
+        desired.dedup();
+        desired.retain(|peer| self.may_stay(peer, now));
+        let joining = self.contacts.joining(now, JOIN_VALIDITY);
+        let admitted = joining.filter(|peer| self.listing.shows(peer) && self.may_stay(peer, now));
+        for peer in admitted {
+            if desired.len() < settings::MAX_GROUP_MEMBERS && !desired.contains(peer) {
+                desired.push(peer.clone());
+            }
+        }
+        desired.sort_unstable();
+        desired
+    }
+
+    fn may_stay(&self, peer: &name::InstanceName, now: time::MonotonicTime) -> bool {
+        if *peer == self.own_name {
+            return !self.is_draining();
+        }
+        !self.is_suspected(peer, now) && !self.contacts.is_leaving(peer)
+    }
+
+    fn needs_change(&self, now: time::MonotonicTime, desired: &[name::InstanceName]) -> bool {
+        let Some(installed) = &self.installed else {
+            return false;
+        };
+        let age = now.since(installed.installed_at);
+        let restricted = installed.installed.grade != member::ViewGrade::Full;
+        let on_log = installed.view().epoch.0 & 0xffff == 0;
+        let changed = installed.view().members != desired;
+        let abandoned = self.promise.epoch() > installed.view().epoch;
+        let outdated = self.log.reachable
+            && (restricted && age >= UPGRADE_INTERVAL
+                || !on_log && age >= RELOG_DELAY
+                || age >= self.timing.refresh_interval);
+        (changed || abandoned || outdated) && self.can_reach_half(now)
+    }
+
+    /// Returns whether enough members seem alive for a proposal to be worth its epoch.
+    fn can_reach_half(&self, now: time::MonotonicTime) -> bool {
+        let counts = |peer: &&name::InstanceName| {
+            **peer == self.own_name
+                || !self.is_suspected(peer, now)
+                || self.log.reachable && self.listing.is_gone(peer, now, self.timing.removal_time)
+        };
+        self.predecessors()
+            .iter()
+            .all(|view| 2 * view.members.iter().filter(counts).count() >= view.members.len())
+    }
+
+    /// Returns the time that this instance leaves to those before it.
+    fn proposer_delay(&self, desired: &[name::InstanceName]) -> std_time::Duration {
+        let place = desired.iter().position(|peer| *peer == self.own_name);
+        self.timing.proposer_stagger * place.unwrap_or(0) as u32
+    }
+
+    /// Returns the views that a proposal has to cover, as far as this instance knows.
+    pub(super) fn predecessors(&self) -> Vec<member::ViewSummary> {
+        let mut views = self.promise.open().to_vec();
+        views.extend(self.attempt.learned.iter().cloned());
+        if self.installed.is_none() {
+            views.extend(self.head_view());
+        }
+        views.sort_unstable_by_key(|view| view.epoch);
+        views.dedup();
+        views
+    }
+
+    fn head_view(&self) -> Option<member::ViewSummary> {
+        let head = self.log.fold.head(self.group?)?;
+        Some(member::ViewSummary {
+            epoch: id::FencingNumber::new(head.offset, 0),
+            members: head.record.members.clone(),
+            roster: head.record.members.clone(),
+        })
+    }
+
+    fn start_change(
+        &mut self,
+        now: time::MonotonicTime,
+        desired: Vec<name::InstanceName>,
+        actions: &mut ActionList,
+    ) {
+        let Some(group) = self.group else {
+            return;
+        };
+        let predecessors = self.predecessors();
+        if self.log.reachable {
+            self.append_view(now, group, desired, predecessors, actions);
+            return;
+        }
+        let Some(view) = self.provisional_view(desired) else {
+            self.fail_attempt(now);
+            return;
+        };
+        let proposal = member::ViewProposal { group, view, predecessors };
+        self.start_collection(now, proposal, actions);
+    }
+
+    fn append_view(
+        &mut self,
+        now: time::MonotonicTime,
+        group: member::GroupNumber,
+        members: Vec<name::InstanceName>,
+        predecessors: Vec<member::ViewSummary>,
+        actions: &mut ActionList,
+    ) {
+        let record = record::ViewRecord {
+            record_id: self.new_record_id(),
+            zone: self.zone.clone(),
+            group,
+            base: self.log.fold.base(group),
+            members,
+        };
+        let text = serde_json::to_string(&record).expect("a record of names is valid JSON");
+        let record_id = record.record_id;
+        let pending = PendingRecord { record, predecessors, started_at: now };
+        self.attempt.stage = ChangeStage::Appending(pending);
+        actions.push(event::MemberAction::AppendView { record_id, text });
+    }
+
+    pub(super) fn handle_append(
+        &mut self,
+        now: time::MonotonicTime,
+        record_id: uuid::Uuid,
+        outcome: event::AppendOutcome,
+        actions: &mut ActionList,
+    ) {
+        let ChangeStage::Appending(pending) = &self.attempt.stage else {
+            return;
+        };
+        if pending.record.record_id != record_id {
+            return;
+        }
+        match outcome {
+            event::AppendOutcome::Done(_) => self.check_pending_record(now, actions),
+            event::AppendOutcome::Failed => {
+                self.log.reachable = false;
+                self.fail_attempt(now);
+            }
+            event::AppendOutcome::Unknown => {}
+        }
+    }
+
+    /// Goes on with the change once its record was read back as the newest valid one.
+    pub(super) fn check_pending_record(
+        &mut self,
+        now: time::MonotonicTime,
+        actions: &mut ActionList,
+    ) {
+        let ChangeStage::Appending(pending) = &self.attempt.stage else {
+            return;
+        };
+        let group = pending.record.group;
+        let overtaken = self.log.fold.base(group) != pending.record.base;
+        let Some(head) = self.log.fold.head(group).filter(|_| overtaken) else {
+            return;
+        };
+        if head.record.record_id != pending.record.record_id {
+            self.fail_attempt(now);
+            return;
+        }
+        let members = head.record.members.clone();
+        let epoch = id::FencingNumber::new(head.offset, 0);
+        let view = member::ViewSummary { epoch, roster: members.clone(), members };
+        let predecessors = pending.predecessors.clone();
+        let proposal = member::ViewProposal { group, view, predecessors };
+        self.start_collection(now, proposal, actions);
+    }
+
+    /// Returns a view with an epoch above all known ones that no other proposer can use.
+    fn provisional_view(&self, members: Vec<name::InstanceName>) -> Option<member::ViewSummary> {
+        let refusal = self.attempt.newest_refusal.as_ref();
+        let newest = self.promise.promised().into_iter().chain(refusal);
+        let newest = newest.max_by_key(|view| view.epoch)?;
+        let place = newest.roster.iter().position(|peer| *peer == self.own_name)? as u64;
+        let offset = id::LogOffset(newest.epoch.0 >> 16);
+        let round = ((newest.epoch.0 & 0xffff) >> PROPOSER_BITS) + 1;
+        if round > MAX_PROVISIONAL_ROUND || self.promise.has_forgotten() {
+            return None;
+        }
+        let counter = (round << PROPOSER_BITS | place) as u16;
+        let epoch = id::FencingNumber::new(offset, counter);
+        Some(member::ViewSummary { epoch, members, roster: newest.roster.clone() })
+    }
+
+    fn new_record_id(&mut self) -> uuid::Uuid {
+        let bytes = rand::RngExt::random::<u128>(&mut self.seed).to_be_bytes();
+        uuid::Builder::from_random_bytes(bytes).into_uuid()
+    }
+}
--- a/coltsfoot-types/src/name.rs
+++ b/coltsfoot-types/src/name.rs
@@ -86,3 +86,8 @@
     /// Name of an availability zone.
     ZoneName
 }
+shared_name! {
+    /// Name of a resource that one instance of a zone owns at a time, such as a customer's bucket,
+    /// an engine cell or a shard of claims.
+    ResourceName
+}
