--- /dev/null
+++ b/coltsfoot-quota/src/agent_account.rs
@@ -0,0 +1,234 @@
+//! What an instance holds and wants of one customer's tokens.
+
+use std::collections;
+use std::time;
+
+use coltsfoot_types::{id, name, refusal, time as clock};
+use coltsfoot_wire::quota;
+
+use crate::demand_meter;
+use crate::event;
+use crate::limit_history;
+use crate::owner_link;
+
+/// Time for whose demand tokens are held in advance.
+const DEMAND_HORIZON: time::Duration = time::Duration::from_secs(1);
+/// Requests of a customer that wait at an instance.
+const MAX_WAITING_REQUESTS: usize = 256;
+/// When a caller should come back if no owner could be asked.
+const UNKNOWN_RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
+/// Silence of the own zone's owner after which another zone's owner is asked as well.
+const OWNER_SILENCE: time::Duration = time::Duration::from_millis(300);
+
+/// Refunds that no report carries yet.
+#[derive(Clone, Copy, Debug)]
+struct UnreportedRefund {
+    tokens: u64,
+    oldest_admission: clock::MonotonicTime,
+}
+
+/// Why a request that waits is refused.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RefusedRequest {
+    request: id::RequestId,
+    reason: refusal::RefusalReason,
+    retry_after: time::Duration,
+}
+
+impl From<RefusedRequest> for event::QuotaAction {
+    fn from(refused: RefusedRequest) -> Self {
+        Self::Refuse {
+            request: refused.request,
+            reason: refused.reason,
+            retry_after: refused.retry_after,
+        }
+    }
+}
+
+/// State of one customer at an instance.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct AgentAccount {
+    pub(crate) limits: Option<limit_history::CustomerLimits>,
+    waiting: collections::VecDeque<owner_link::WaitingRequest>,
+    links: collections::BTreeMap<name::ZoneName, owner_link::OwnerLink>,
+    demand: demand_meter::DemandMeter,
+    refund: Option<UnreportedRefund>,
+    arrivals: u64,
+}
+
+impl AgentAccount {
+    /// Queues a request, or says why it can't be served.
+    pub(crate) fn enqueue(
+        &mut self,
+        now: clock::MonotonicTime,
+        admission: &event::AdmissionRequest,
+        max_wait: time::Duration,
+    ) -> Result<(), RefusedRequest> {
+        let refuse = |reason, retry_after| {
+            Err(RefusedRequest { request: admission.request, reason, retry_after })
+        };
+        let Some(limits) = &self.limits else {
+            return refuse(refusal::RefusalReason::NotPermitted, time::Duration::ZERO);
+        };
+        if admission.tokens > limits.total.burst {
+            return refuse(refusal::RefusalReason::ExceedsBurst, time::Duration::ZERO);
+        }
+        if self.waiting.len() >= MAX_WAITING_REQUESTS {
+            let queued = self.waiting.iter().map(|waiting| waiting.ask.tokens).sum();
+            let retry_after = limits.total.time_for(queued).min(max_wait);
+            return refuse(refusal::RefusalReason::RateLimited, retry_after);
+        }
+        self.demand.add(now, admission.tokens);
+        self.arrivals += 1;
+        self.waiting.push_back(owner_link::WaitingRequest {
+            ask: quota::TokenAsk {
+                request: admission.request,
+                fingerprint: admission.fingerprint,
+                tokens: admission.tokens,
+                wait_ms: 0,
+            },
+            arrival: self.arrivals,
+            deadline: admission.deadline,
+            give_up: admission.deadline.min(now + max_wait),
+        });
+        Ok(())
+    }
+
+    /// Removes and returns the waiting requests that the tokens held cover, in order.
+    pub(crate) fn admit(&mut self, now: clock::MonotonicTime) -> Vec<quota::TokenAsk> {
+        let mut admitted = Vec::new();
+        while let Some(first) = self.waiting.front() {
+            let tokens = first.ask.tokens;
+            let held = self.links.values().map(|link| link.allowance(now)).sum::<u64>();
+            if tokens > held {
+                break;
+            }
+            let rest = self.links.values_mut().fold(tokens, |rest, link| link.spend(now, rest));
+            assert!(rest == 0, "a request was admitted without its tokens");
+            admitted.extend(self.waiting.pop_front().map(|first| first.ask));
+        }
+        admitted
+    }
+
+    /// Removes the requests that have waited as long as they could.
+    pub(crate) fn give_up(&mut self, now: clock::MonotonicTime) -> Vec<RefusedRequest> {
+        let mut refused = Vec::new();
+        self.waiting.retain(|waiting| {
+            if now < waiting.give_up {
+                return true;
+            }
+            let reason = if now >= waiting.deadline {
+                refusal::RefusalReason::DeadlineExceeded
+            } else {
+                refusal::RefusalReason::RateLimited
+            };
+            let request = waiting.ask.request;
+            refused.push(RefusedRequest { request, reason, retry_after: UNKNOWN_RETRY_AFTER });
+            false
+        });
+        refused
+    }
+
+    /// Removes a waiting request. Returns whether it waited.
+    pub(crate) fn cancel(&mut self, request: id::RequestId) -> bool {
+        let before = self.waiting.len();
+        self.waiting.retain(|waiting| waiting.ask.request != request);
+        self.waiting.len() < before
+    }
+
+    /// Adds what a request did not use.
+    pub(crate) fn refund(&mut self, admitted: clock::MonotonicTime, tokens: u64) {
+        let refund =
+            self.refund.unwrap_or(UnreportedRefund { tokens: 0, oldest_admission: admitted });
+        self.refund = Some(UnreportedRefund {
+            tokens: refund.tokens + tokens,
+            oldest_admission: refund.oldest_admission.min(admitted),
+        });
+    }
+
+    /// Takes in an owner's answer. Returns the requests that it refuses.
+    pub(crate) fn apply(
+        &mut self,
+        sender: &name::InstanceName,
+        update: &quota::GrantUpdate,
+    ) -> Vec<RefusedRequest> {
+        let Some(link) = self.links.get_mut(&update.zone) else {
+            return Vec::new();
+        };
+        if !link.apply(sender, update) {
+            return Vec::new();
+        }
+        let mut refused = Vec::new();
+        for refusal in &update.refusals {
+            if self.cancel(refusal.request) {
+                refused.push(RefusedRequest {
+                    request: refusal.request,
+                    reason: refusal::RefusalReason::RateLimited,
+                    retry_after: refusal.retry_after,
+                });
+            }
+        }
+        refused
+    }
+
+    /// Builds the reports that are due.
+    pub(crate) fn reports(
+        &mut self,
+        now: clock::MonotonicTime,
+        customer: &name::CustomerName,
+        own_zone: &name::ZoneName,
+        unreachable: &collections::BTreeSet<name::ZoneName>,
+        next_sequence: &mut u64,
+    ) -> Vec<quota::GrantReport> {
+        let wanted = (self.demand.rate(now) * DEMAND_HORIZON.as_secs_f64()) as u64;
+        let burst = self.limits.as_ref().map_or(0, |limits| limits.total.burst);
+        let fallback = self.fallback(now, own_zone, unreachable);
+        self.links.entry(own_zone.clone()).or_default();
+        if let Some(fallback) = &fallback {
+            self.links.entry(fallback.clone()).or_default();
+        }
+        let nobody = collections::VecDeque::new();
+        let mut reports = Vec::new();
+        for (zone, link) in &mut self.links {
+            let is_asked = zone == own_zone || fallback.as_ref() == Some(zone);
+            let wanted = if zone == own_zone { wanted.min(burst) } else { 0 };
+            let waiting = if is_asked { &self.waiting } else { &nobody };
+            let demand = owner_link::TokenDemand { wanted, waiting };
+            let carries_refund = zone == own_zone && self.refund.is_some();
+            if carries_refund && link.has_session() {
+                let refund = self.refund.take();
+                refund
+                    .iter()
+                    .for_each(|refund| link.refund(refund.oldest_admission, refund.tokens));
+            }
+            if link.is_due(now, demand) {
+                reports.push(link.report(now, customer, zone, demand, next_sequence));
+            }
+        }
+        reports
+    }
+
+    /// Forgets what is certainly over. Returns whether nothing is left to do.
+    pub(crate) fn retire(&mut self, now: clock::MonotonicTime) -> bool {
+        self.links.retain(|_, link| !link.retire(now) || link.is_silent(now, time::Duration::ZERO));
+        self.links.is_empty() && self.waiting.is_empty() && self.demand.rate(now) < 1.0
+    }
+
+    /// Returns the zone whose owner is asked while the own zone's owner is silent.
+    fn fallback(
+        &self,
+        now: clock::MonotonicTime,
+        own_zone: &name::ZoneName,
+        unreachable: &collections::BTreeSet<name::ZoneName>,
+    ) -> Option<name::ZoneName> {
+        let silent = self.links.get(own_zone).is_some_and(|own| own.is_silent(now, OWNER_SILENCE));
+        if !silent || self.waiting.is_empty() {
+            return None;
+        }
+        let zones = self.limits.iter().flat_map(|limits| &limits.zone_permille);
+        let others = zones.filter(|(zone, permille)| {
+            *zone != own_zone && **permille > 0 && !unreachable.contains(*zone)
+        });
+        others.max_by_key(|(_, permille)| **permille).map(|(zone, _)| zone.clone())
+    }
+}
--- /dev/null
+++ b/coltsfoot-quota/src/bucket_owner.rs
@@ -0,0 +1,329 @@
+//! The owner of customers' zone buckets: grants to instances, loans from and to other zones.
+//!
+//! An owner acts only while its lease holds, which it checks with every event. A new owner starts
+//! with an empty bucket after all grants of its predecessor have lapsed, unless that handed over.
+
+use std::collections;
+
+use coltsfoot_types::{id, name, time as clock};
+use coltsfoot_wire::quota;
+
+use crate::ask_service;
+use crate::event;
+use crate::limit_history;
+use crate::zone_bucket;
+
+/// Part of the local demand that is kept back from other zones.
+const LENDING_RESERVE_FACTOR: u64 = 2;
+
+/// Owns the zone buckets of customers that ownership assigns to this instance.
+#[derive(Clone, Debug)]
+pub struct BucketOwner {
+    zone: name::ZoneName,
+    lease_until: clock::MonotonicTime,
+    limits: collections::BTreeMap<name::CustomerName, limit_history::LimitHistory>,
+    buckets: collections::BTreeMap<name::CustomerName, zone_bucket::ZoneBucket>,
+    unreachable: collections::BTreeSet<name::ZoneName>,
+    next_session: u64,
+    next_sequence: u64,
+}
+
+impl BucketOwner {
+    /// Builds an owner without buckets. The name must be new for every run of the program.
+    pub fn new(instance: &name::InstanceName, zone: name::ZoneName) -> Self {
+        let digest = blake3::hash(instance.as_str().as_bytes());
+        let prefix = digest.as_bytes()[..4]
+            .iter()
+            .fold(0_u64, |prefix, byte| (prefix << 8) | u64::from(*byte));
+        Self {
+            zone,
+            lease_until: clock::MonotonicTime(0),
+            limits: collections::BTreeMap::new(),
+            buckets: collections::BTreeMap::new(),
+            unreachable: collections::BTreeSet::new(),
+            next_session: prefix << 32,
+            next_sequence: 0,
+        }
+    }
+
+    /// Returns the limits that an owned bucket applies at present, and its level in tokens.
+    pub fn inspect(&self, customer: &name::CustomerName) -> Option<BucketStatus> {
+        let bucket = self.buckets.get(customer)?;
+        Some(BucketStatus {
+            rate: bucket.effective_limits().rate,
+            burst: bucket.effective_limits().burst,
+            level: bucket.bucket.level(),
+            outstanding: bucket.own_outstanding(),
+        })
+    }
+
+    /// Takes in an event.
+    pub fn handle(
+        &mut self,
+        now: clock::MonotonicTime,
+        event: event::OwnerEvent,
+    ) -> event::QuotaActions {
+        let mut actions = event::QuotaActions::new();
+        match event {
+            event::OwnerEvent::OwnershipGained { customer, term } => self.gain(customer, term),
+            event::OwnerEvent::OwnershipLost { customer, successor_view } => {
+                actions.extend(self.lose(now, customer, successor_view));
+            }
+            event::OwnerEvent::LeaseRenewed { until } => {
+                self.lease_until = self.lease_until.max(until);
+            }
+            event::OwnerEvent::Report { sender, report } => {
+                self.report(now, sender, &report, &mut actions);
+            }
+            event::OwnerEvent::Grant { sender, update } => {
+                self.grant(now, &sender, &update, &mut actions);
+            }
+            event::OwnerEvent::Handover(handover) => self.take_over(now, &handover, &mut actions),
+            event::OwnerEvent::Configured { customer, offset, limits } => {
+                self.limits.entry(customer).or_default().push(offset, limits);
+            }
+            event::OwnerEvent::Settled { offset } => self.settle(now, offset),
+            event::OwnerEvent::Reachability { zone, reachable } => {
+                self.set_reachable(zone, reachable);
+            }
+            event::OwnerEvent::Tick => self.tick(now, &mut actions),
+        }
+        actions
+    }
+
+    fn gain(&mut self, customer: name::CustomerName, term: event::OwnershipTerm) {
+        match self.buckets.entry(customer) {
+            collections::btree_map::Entry::Occupied(mut occupied) => {
+                occupied.get_mut().change_term(term);
+            }
+            collections::btree_map::Entry::Vacant(vacant) => {
+                vacant.insert(zone_bucket::ZoneBucket::new(term));
+            }
+        }
+    }
+
+    /// Drops a bucket. Hands it over if the lease still holds.
+    fn lose(
+        &mut self,
+        now: clock::MonotonicTime,
+        customer: name::CustomerName,
+        successor_view: Option<id::FencingNumber>,
+    ) -> Option<event::QuotaAction> {
+        self.refresh(now, &customer);
+        let bucket = self.buckets.remove(&customer)?;
+        let view = successor_view?;
+        if now >= self.lease_until || !bucket.has_started(now) {
+            return None;
+        }
+        let handover = quota::BucketHandover {
+            customer: customer.clone(),
+            zone: self.zone.clone(),
+            view,
+            level: bucket.bucket.level(),
+            outstanding: bucket.own_outstanding() + bucket.loans.lent_out(),
+        };
+        let destination = event::QuotaDestination::Owner { customer, zone: self.zone.clone() };
+        let message = quota::QuotaMessage::Handover(handover);
+        Some(event::QuotaAction::Send { destination, message })
+    }
+
+    fn settle(&mut self, now: clock::MonotonicTime, offset: id::LogOffset) {
+        for limits in self.limits.values_mut() {
+            limits.settle(now, offset);
+        }
+    }
+
+    fn set_reachable(&mut self, zone: name::ZoneName, reachable: bool) {
+        if reachable {
+            self.unreachable.remove(&zone);
+        } else {
+            self.unreachable.insert(zone);
+        }
+    }
+
+    fn tick(&mut self, now: clock::MonotonicTime, actions: &mut event::QuotaActions) {
+        let customers = self.buckets.keys().cloned().collect::<Vec<_>>();
+        for customer in customers {
+            self.advance(now, &customer, actions);
+        }
+    }
+
+    fn report(
+        &mut self,
+        now: clock::MonotonicTime,
+        sender: name::InstanceName,
+        report: &quota::GrantReport,
+        actions: &mut event::QuotaActions,
+    ) {
+        if report.zone != self.zone || !self.may_act(now, &report.customer) {
+            return;
+        }
+        self.refresh(now, &report.customer);
+        let Some(bucket) = self.buckets.get_mut(&report.customer) else {
+            return;
+        };
+        let Some(key) = bucket.report(now, sender, report, &mut self.next_session) else {
+            return;
+        };
+        self.advance_for(now, &report.customer, Some(&key), actions);
+    }
+
+    fn grant(
+        &mut self,
+        now: clock::MonotonicTime,
+        sender: &name::InstanceName,
+        update: &quota::GrantUpdate,
+        actions: &mut event::QuotaActions,
+    ) {
+        self.refresh(now, &update.customer);
+        let Some(bucket) = self.buckets.get_mut(&update.customer) else {
+            return;
+        };
+        if bucket.loans.apply(now, sender, update) {
+            self.advance(now, &update.customer, actions);
+        }
+    }
+
+    fn take_over(
+        &mut self,
+        now: clock::MonotonicTime,
+        handover: &quota::BucketHandover,
+        actions: &mut event::QuotaActions,
+    ) {
+        if handover.zone != self.zone {
+            return;
+        }
+        self.refresh(now, &handover.customer);
+        if let Some(bucket) = self.buckets.get_mut(&handover.customer) {
+            bucket.take_over(now, handover);
+        }
+        self.advance(now, &handover.customer, actions);
+    }
+
+    fn may_act(&self, now: clock::MonotonicTime, customer: &name::CustomerName) -> bool {
+        let started = self.buckets.get(customer).is_some_and(|bucket| bucket.has_started(now));
+        started && now < self.lease_until
+    }
+
+    fn refresh(&mut self, now: clock::MonotonicTime, customer: &name::CustomerName) {
+        let Some(bucket) = self.buckets.get_mut(customer) else {
+            return;
+        };
+        let limits = self.limits.get_mut(customer).map(|limits| {
+            limits.refresh(now);
+            limits.zone(&self.zone)
+        });
+        bucket.refresh(now, limits.unwrap_or_default());
+    }
+
+    fn advance(
+        &mut self,
+        now: clock::MonotonicTime,
+        customer: &name::CustomerName,
+        actions: &mut event::QuotaActions,
+    ) {
+        if !self.may_act(now, customer) {
+            return;
+        }
+        self.refresh(now, customer);
+        self.advance_for(now, customer, None, actions);
+    }
+
+    /// Serves waiting requests, then the reporting holder's demand, then borrows what lacks.
+    fn advance_for(
+        &mut self,
+        now: clock::MonotonicTime,
+        customer: &name::CustomerName,
+        reporter: Option<&zone_bucket::HolderKey>,
+        actions: &mut event::QuotaActions,
+    ) {
+        let lenders = self.lenders(customer);
+        let Some(bucket) = self.buckets.get_mut(customer) else {
+            return;
+        };
+        let served = ask_service::serve(now, bucket, &lenders);
+        if let Some(reporter) = reporter
+            && served.lacking == 0
+            && bucket.promises.is_empty()
+        {
+            grant_demand(now, bucket, reporter);
+        }
+        let shortage = shortage(now, bucket, served.lacking);
+        let sequence = &mut self.next_sequence;
+        for report in bucket.loans.reports(now, customer, &lenders, shortage, sequence) {
+            let (customer, zone) = (customer.clone(), report.zone.clone());
+            actions.push(event::QuotaAction::Send {
+                destination: event::QuotaDestination::Owner { customer, zone },
+                message: quota::QuotaMessage::Report(report),
+            });
+        }
+        let news = bucket.holders.iter().filter(|(_, holder)| holder.has_news);
+        for key in news.map(|(key, _)| key.clone()).collect::<Vec<_>>() {
+            let update = bucket.update(now, customer, &self.zone, &key);
+            actions.extend(update.map(|update| event::QuotaAction::Send {
+                destination: event::QuotaDestination::Instance(key.instance),
+                message: quota::QuotaMessage::Grant(update),
+            }));
+        }
+    }
+
+    /// Returns the other reachable zones that hold a part of the customer's limits.
+    fn lenders(&self, customer: &name::CustomerName) -> collections::BTreeMap<name::ZoneName, u16> {
+        let newest = self.limits.get(customer).and_then(|limits| limits.newest());
+        let zones = newest.into_iter().flat_map(|limits| &limits.zone_permille);
+        let others = zones.filter(|(zone, permille)| {
+            **zone != self.zone && **permille > 0 && !self.unreachable.contains(*zone)
+        });
+        others.map(|(zone, permille)| (zone.clone(), *permille)).collect()
+    }
+}
+
+/// State of an owned bucket, for operators.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct BucketStatus {
+    /// Tokens per second that accrue at present.
+    pub rate: u64,
+    /// Largest number of tokens at present.
+    pub burst: u64,
+    /// Tokens that can be granted.
+    pub level: u64,
+    /// Tokens granted and possibly unspent.
+    pub outstanding: u64,
+}
+
+/// Grants the reporting holder its part of what it wants to hold: an instance in proportion to
+/// its demand, another zone out of what is idle here.
+fn grant_demand(
+    now: clock::MonotonicTime,
+    bucket: &mut zone_bucket::ZoneBucket,
+    key: &zone_bucket::HolderKey,
+) {
+    let Some(holder) = bucket.holders.get(key) else {
+        return;
+    };
+    let wanted = holder.lender.wanted;
+    let missing = wanted.saturating_sub(holder.lender.outstanding());
+    let local = bucket.local_wanted();
+    let level = bucket.bucket.level();
+    let limit = match key.role {
+        quota::HolderRole::Instance => {
+            let share = u128::from(level) * u128::from(wanted) / u128::from(local.max(1));
+            share as u64
+        }
+        quota::HolderRole::Zone => level.saturating_sub(local * LENDING_RESERVE_FACTOR),
+    };
+    let tokens = missing.min(limit).min(level);
+    if tokens > 0 {
+        bucket.give(now, key, tokens);
+    }
+}
+
+/// Returns the tokens to borrow: what waiting requests lack, and what the instances want to hold
+/// beyond what is there.
+fn shortage(now: clock::MonotonicTime, bucket: &zone_bucket::ZoneBucket, lacking: u64) -> u64 {
+    if !bucket.can_borrow() {
+        return 0;
+    }
+    let wanted = lacking + bucket.local_missing();
+    wanted.saturating_sub(bucket.available(now))
+}
--- /dev/null
+++ b/coltsfoot-quota/src/demand_meter.rs
@@ -0,0 +1,29 @@
+//! An exponentially decaying estimate of demand.
+
+use std::time;
+
+use coltsfoot_types::time as clock;
+
+/// Time constant of the decay.
+const DECAY_TIME: time::Duration = time::Duration::from_secs(1);
+
+/// Tokens per second that were lately asked for.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct DemandMeter {
+    rate: f64,
+    updated: clock::MonotonicTime,
+}
+
+impl DemandMeter {
+    /// Adds tokens asked for.
+    pub(crate) fn add(&mut self, now: clock::MonotonicTime, tokens: u64) {
+        self.rate = self.rate(now) + tokens as f64 / DECAY_TIME.as_secs_f64();
+        self.updated = now;
+    }
+
+    /// Returns the estimate in tokens per second.
+    pub(crate) fn rate(&self, now: clock::MonotonicTime) -> f64 {
+        let elapsed = now.since(self.updated).as_secs_f64();
+        self.rate * (-elapsed / DECAY_TIME.as_secs_f64()).exp()
+    }
+}
--- /dev/null
+++ b/coltsfoot-quota/src/limit_history.rs
@@ -0,0 +1,84 @@
+//! Limits of a customer while a change of its configuration spreads.
+
+use std::collections;
+
+use coltsfoot_types::{id, name, time as clock};
+
+use crate::session;
+use crate::token_bucket;
+
+/// Rate and burst of a customer over the fleet and their division into zones.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct CustomerLimits {
+    /// Rate and burst over all instances together.
+    pub total: token_bucket::BucketLimits,
+    /// Parts that each zone holds, in thousandths that sum to 1,000.
+    pub zone_permille: collections::BTreeMap<name::ZoneName, u16>,
+}
+
+impl CustomerLimits {
+    /// Returns the part of a zone.
+    pub fn zone(&self, zone: &name::ZoneName) -> token_bucket::BucketLimits {
+        self.total.part(self.zone_permille.get(zone).copied().unwrap_or(0))
+    }
+}
+
+#[derive(Clone, Debug)]
+struct LimitVersion {
+    offset: id::LogOffset,
+    limits: CustomerLimits,
+}
+
+/// Versions of a customer's limits that some instance may still apply.
+#[derive(Clone, Debug, Default)]
+pub struct LimitHistory {
+    versions: Vec<LimitVersion>,
+    /// When versions older than the offset cease to matter.
+    settling: Option<(id::LogOffset, clock::MonotonicTime)>,
+}
+
+impl LimitHistory {
+    /// Adds a version. Absent limits remove the customer, which then has none.
+    pub fn push(&mut self, offset: id::LogOffset, limits: Option<CustomerLimits>) {
+        if self.versions.last().is_some_and(|last| last.offset >= offset) {
+            return;
+        }
+        self.versions.push(LimitVersion { offset, limits: limits.unwrap_or_default() });
+    }
+
+    /// Notes that every instance has folded the log up to `offset`. Older versions are dropped
+    /// once the grants that they allowed have lapsed.
+    pub fn settle(&mut self, now: clock::MonotonicTime, offset: id::LogOffset) {
+        self.refresh(now);
+        let newest = self.versions.iter().rev().find(|version| version.offset <= offset);
+        let Some(newest) = newest.map(|version| version.offset) else {
+            return;
+        };
+        let known = self.settling.is_some_and(|(settling, _)| settling >= newest);
+        if !known && self.versions[0].offset < newest {
+            self.settling =
+                Some((newest, now + session::GRANT_LIFETIME + session::CLOCK_DRIFT_MARGIN));
+        }
+    }
+
+    /// Drops versions that have ceased to matter.
+    pub fn refresh(&mut self, now: clock::MonotonicTime) {
+        if let Some((offset, at)) = self.settling
+            && now >= at
+        {
+            self.versions.retain(|version| version.offset >= offset);
+            self.settling = None;
+        }
+    }
+
+    /// Returns the newest limits.
+    pub fn newest(&self) -> Option<&CustomerLimits> {
+        self.versions.last().map(|version| &version.limits)
+    }
+
+    /// Returns the smallest limits of a zone over all versions that may still be applied.
+    pub fn zone(&self, zone: &name::ZoneName) -> token_bucket::BucketLimits {
+        let limits = self.versions.iter().map(|version| version.limits.zone(zone));
+        limits.reduce(token_bucket::BucketLimits::min).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/coltsfoot-quota/src/loan_book.rs
@@ -0,0 +1,253 @@
+//! Tokens that the owner of a zone bucket borrows from the owners of other zones.
+//!
+//! A loan is a session of the same kind as an instance has with its owner. Borrowed tokens are
+//! granted on; spent ones are counted against loans first, so that loans end early.
+
+use std::collections;
+use std::time;
+
+use coltsfoot_types::{name, time as clock};
+use coltsfoot_wire::quota;
+
+use crate::session;
+
+/// Shortest validity of a loan whose tokens are granted on.
+const MIN_ONWARD_VALIDITY: time::Duration = time::Duration::from_millis(500);
+/// Time after which a loan that is in use is renewed.
+const RENEWAL_INTERVAL: time::Duration = time::Duration::from_millis(500);
+/// Time after which an unanswered report is sent again, and its lender no longer waited for.
+const ANSWER_TIMEOUT: time::Duration = time::Duration::from_millis(150);
+/// Time for which a lender that had too little is not asked again.
+const EXHAUSTED_PAUSE: time::Duration = time::Duration::from_millis(250);
+
+/// The borrowing end of the sessions with one zone.
+#[derive(Clone, Debug, Default)]
+struct ZoneLoan {
+    session: Option<session::HolderSession>,
+    /// Borrowed tokens granted on and possibly unspent.
+    lent_out: u64,
+    /// Tokens asked for in the last report.
+    wanted: u64,
+    sent: Option<SentReport>,
+    answered: bool,
+    exhausted_until: clock::MonotonicTime,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct SentReport {
+    sequence: u64,
+    at: clock::MonotonicTime,
+}
+
+impl ZoneLoan {
+    fn allowance(&self, now: clock::MonotonicTime) -> u64 {
+        self.session.as_ref().map_or(0, |session| session.allowance(now))
+    }
+
+    fn available(&self, now: clock::MonotonicTime) -> u64 {
+        self.allowance(now).saturating_sub(self.lent_out)
+    }
+
+    fn valid_until(&self) -> clock::MonotonicTime {
+        self.session.as_ref().map_or(clock::MonotonicTime(0), |session| session.valid_until)
+    }
+
+    fn can_grant_on(&self, now: clock::MonotonicTime) -> bool {
+        now + MIN_ONWARD_VALIDITY < self.valid_until()
+    }
+
+    fn sent_within(&self, now: clock::MonotonicTime, period: time::Duration) -> bool {
+        self.sent.is_some_and(|sent| now.since(sent.at) < period)
+    }
+
+    fn is_due(&self, now: clock::MonotonicTime, shortage: u64) -> bool {
+        if !self.answered && self.sent_within(now, ANSWER_TIMEOUT) {
+            return false;
+        }
+        if shortage > 0 && now >= self.exhausted_until {
+            return true;
+        }
+        self.allowance(now) > 0 && !self.sent_within(now, RENEWAL_INTERVAL)
+    }
+}
+
+/// Loans of a customer's tokens from all other zones.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct LoanBook {
+    loans: collections::BTreeMap<name::ZoneName, ZoneLoan>,
+}
+
+impl LoanBook {
+    /// Returns the borrowed tokens that can be granted on.
+    pub(crate) fn available(&self, now: clock::MonotonicTime) -> u64 {
+        let usable = self.loans.values().filter(|loan| loan.can_grant_on(now));
+        usable.map(|loan| loan.available(now)).sum()
+    }
+
+    /// Returns the borrowed tokens that are granted on and possibly unspent.
+    pub(crate) fn lent_out(&self) -> u64 {
+        self.loans.values().map(|loan| loan.lent_out).sum()
+    }
+
+    /// Returns the instant until which tokens that are granted on may be spent.
+    pub(crate) fn valid_until(&self) -> Option<clock::MonotonicTime> {
+        let used = self.loans.values().filter(|loan| loan.lent_out > 0);
+        used.map(ZoneLoan::valid_until).min()
+    }
+
+    /// Takes tokens to be granted on.
+    pub(crate) fn take(&mut self, now: clock::MonotonicTime, tokens: u64) {
+        let mut rest = tokens;
+        for loan in self.loans.values_mut().filter(|loan| loan.can_grant_on(now)) {
+            let part = rest.min(loan.available(now));
+            loan.lent_out += part;
+            rest -= part;
+        }
+        assert!(rest == 0, "more borrowed tokens were taken than available");
+    }
+
+    /// Counts spent tokens against the loans. Returns those that no loan accounts for.
+    pub(crate) fn spend(&mut self, tokens: u64) -> u64 {
+        let mut rest = tokens;
+        for loan in self.loans.values_mut() {
+            let part = rest.min(loan.lent_out);
+            loan.lent_out -= part;
+            rest -= part;
+            if let Some(session) = &mut loan.session {
+                session.write_off(part);
+            }
+        }
+        rest
+    }
+
+    /// Takes back unspent tokens. Returns those that no loan accounts for.
+    pub(crate) fn put_back(&mut self, tokens: u64) -> u64 {
+        let mut rest = tokens;
+        for loan in self.loans.values_mut() {
+            let part = rest.min(loan.lent_out);
+            loan.lent_out -= part;
+            rest -= part;
+        }
+        rest
+    }
+
+    /// Forgets loans that have lapsed.
+    pub(crate) fn expire(&mut self, now: clock::MonotonicTime) {
+        for loan in self.loans.values_mut() {
+            if loan.lent_out == 0 || now < loan.valid_until() {
+                continue;
+            }
+            if let Some(session) = &mut loan.session {
+                session.write_off(loan.lent_out);
+            }
+            loan.lent_out = 0;
+        }
+    }
+
+    /// Takes in a lender's answer. Returns whether it was new.
+    pub(crate) fn apply(
+        &mut self,
+        now: clock::MonotonicTime,
+        sender: &name::InstanceName,
+        update: &quota::GrantUpdate,
+    ) -> bool {
+        let Some(loan) = self.loans.get_mut(&update.zone) else {
+            return false;
+        };
+        let Some(sent) = loan.sent.filter(|sent| sent.sequence == update.sequence) else {
+            return false;
+        };
+        let known = loan
+            .session
+            .as_ref()
+            .is_some_and(|session| session.owner == *sender && session.number == update.session);
+        if !known {
+            loan.session = Some(session::HolderSession::new(sender.clone(), update.session));
+            loan.lent_out = 0;
+        }
+        let Some(session) = &mut loan.session else {
+            return false;
+        };
+        if !session.apply(update, sent.at) {
+            return false;
+        }
+        loan.answered = true;
+        if loan.allowance(now) < loan.wanted {
+            loan.exhausted_until = now + EXHAUSTED_PAUSE;
+        }
+        true
+    }
+
+    /// Returns whether some lender may still answer with tokens.
+    pub(crate) fn is_undecided(
+        &self,
+        now: clock::MonotonicTime,
+        zones: &collections::BTreeMap<name::ZoneName, u16>,
+        asked_at: clock::MonotonicTime,
+    ) -> bool {
+        zones.keys().any(|zone| {
+            let Some(loan) = self.loans.get(zone) else {
+                return now.since(asked_at) < ANSWER_TIMEOUT;
+            };
+            now >= loan.exhausted_until && now.since(asked_at) < ANSWER_TIMEOUT
+        })
+    }
+
+    /// Builds the reports that are due, with `shortage` tokens wanted besides those held.
+    /// `zones` are the reachable lenders with their weights.
+    pub(crate) fn reports(
+        &mut self,
+        now: clock::MonotonicTime,
+        customer: &name::CustomerName,
+        zones: &collections::BTreeMap<name::ZoneName, u16>,
+        shortage: u64,
+        next_sequence: &mut u64,
+    ) -> Vec<quota::GrantReport> {
+        let weights = zones.values().map(|weight| u64::from(*weight)).sum::<u64>().max(1);
+        let mut reports = Vec::new();
+        for (zone, weight) in zones {
+            let loan = self.loans.entry(zone.clone()).or_default();
+            if !loan.is_due(now, shortage) {
+                continue;
+            }
+            let part = shortage.saturating_mul(u64::from(*weight)).div_ceil(weights);
+            reports.push(loan.report(now, customer, zone, part, next_sequence));
+        }
+        reports
+    }
+}
+
+impl ZoneLoan {
+    fn report(
+        &mut self,
+        now: clock::MonotonicTime,
+        customer: &name::CustomerName,
+        zone: &name::ZoneName,
+        part: u64,
+        next_sequence: &mut u64,
+    ) -> quota::GrantReport {
+        *next_sequence += 1;
+        let unneeded = if part == 0 { self.available(now) } else { 0 };
+        self.wanted = self.allowance(now) - unneeded + part;
+        self.sent = Some(SentReport { sequence: *next_sequence, at: now });
+        self.answered = false;
+        let mut report = quota::GrantReport {
+            customer: customer.clone(),
+            zone: zone.clone(),
+            role: quota::HolderRole::Zone,
+            session: None,
+            sequence: *next_sequence,
+            spent: 0,
+            returned: 0,
+            refunded: 0,
+            refund_age_ms: 0,
+            wanted: self.wanted,
+            asks: Default::default(),
+        };
+        if let Some(session) = &mut self.session {
+            session.give_back(now, unneeded);
+            session.fill(now, &mut report);
+        }
+        report
+    }
+}
--- /dev/null
+++ b/coltsfoot-quota/src/owner_link.rs
@@ -0,0 +1,213 @@
+//! An instance's connection to the owner of one zone bucket.
+
+use std::collections;
+use std::time;
+
+use coltsfoot_types::{name, time as clock};
+use coltsfoot_wire::quota;
+
+use crate::session;
+
+/// Time after which an unanswered report is sent again.
+const ANSWER_TIMEOUT: time::Duration = time::Duration::from_millis(100);
+/// Time after which a session in use is renewed.
+const RENEWAL_INTERVAL: time::Duration = time::Duration::from_millis(500);
+/// Shortest time between reports that only ask for more tokens in advance.
+const REFILL_INTERVAL: time::Duration = time::Duration::from_millis(100);
+/// Reports whose time of sending is remembered.
+const MAX_SENT_REPORTS: usize = 16;
+/// Waiting requests that a report lists.
+const MAX_ASKS: usize = 16;
+/// Time after which an expired session is certainly over at its owner as well.
+const SESSION_RETENTION: time::Duration = time::Duration::from_secs(60);
+
+#[derive(Clone, Copy, Debug)]
+struct SentReport {
+    sequence: u64,
+    at: clock::MonotonicTime,
+}
+
+/// A request that waits for tokens.
+#[derive(Clone, Debug)]
+pub(crate) struct WaitingRequest {
+    pub(crate) ask: quota::TokenAsk,
+    /// Number that rises with each request that has to wait.
+    pub(crate) arrival: u64,
+    pub(crate) deadline: clock::MonotonicTime,
+    pub(crate) give_up: clock::MonotonicTime,
+}
+
+/// What the instance wants of the customer's tokens.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct TokenDemand<'a> {
+    /// Tokens to hold in advance.
+    pub(crate) wanted: u64,
+    /// Requests that wait.
+    pub(crate) waiting: &'a collections::VecDeque<WaitingRequest>,
+}
+
+impl TokenDemand<'_> {
+    fn waiting_tokens(&self) -> u64 {
+        self.waiting.iter().map(|waiting| waiting.ask.tokens).sum()
+    }
+}
+
+/// The holding end of the sessions with one zone.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct OwnerLink {
+    session: Option<session::HolderSession>,
+    sent: collections::VecDeque<SentReport>,
+    unanswered_since: Option<clock::MonotonicTime>,
+    /// Last waiting request that a report listed.
+    asked_through: u64,
+    /// Whether tokens were spent since the last report.
+    has_spent: bool,
+}
+
+impl OwnerLink {
+    pub(crate) fn allowance(&self, now: clock::MonotonicTime) -> u64 {
+        self.session.as_ref().map_or(0, |session| session.allowance(now))
+    }
+
+    pub(crate) fn is_silent(&self, now: clock::MonotonicTime, period: time::Duration) -> bool {
+        self.unanswered_since.is_some_and(|since| now.since(since) >= period)
+    }
+
+    pub(crate) fn has_session(&self) -> bool {
+        self.session.is_some()
+    }
+
+    /// Spends up to `tokens`. Returns those that are still lacking.
+    pub(crate) fn spend(&mut self, now: clock::MonotonicTime, tokens: u64) -> u64 {
+        let Some(session) = &mut self.session else {
+            return tokens;
+        };
+        let part = tokens.min(session.allowance(now));
+        session.spend(now, part);
+        self.has_spent |= part > 0;
+        tokens - part
+    }
+
+    /// Adds a refund to the session. Must be called only while there is one.
+    pub(crate) fn refund(&mut self, admitted: clock::MonotonicTime, tokens: u64) {
+        if let Some(session) = &mut self.session {
+            session.refund(admitted, tokens);
+        }
+    }
+
+    /// Forgets a session that is certainly over. Returns whether nothing is left to do.
+    pub(crate) fn retire(&mut self, now: clock::MonotonicTime) -> bool {
+        let over = self
+            .session
+            .as_ref()
+            .is_some_and(|session| now.since(session.valid_until) > SESSION_RETENTION);
+        if over {
+            self.session = None;
+        }
+        self.session.is_none()
+    }
+
+    /// Takes in an owner's answer. Returns whether it was new.
+    pub(crate) fn apply(
+        &mut self,
+        sender: &name::InstanceName,
+        update: &quota::GrantUpdate,
+    ) -> bool {
+        let Some(sent) = self.sent.iter().find(|sent| sent.sequence == update.sequence) else {
+            return false;
+        };
+        let sent_at = sent.at;
+        let is_last = self.sent.back().is_some_and(|last| last.sequence == update.sequence);
+        let known = self
+            .session
+            .as_ref()
+            .is_some_and(|session| session.owner == *sender && session.number == update.session);
+        if !known {
+            // An answer to an older report may name a session that the owner has closed since.
+            if !is_last {
+                return false;
+            }
+            self.session = Some(session::HolderSession::new(sender.clone(), update.session));
+        }
+        if is_last {
+            self.unanswered_since = None;
+        }
+        self.session.as_mut().is_some_and(|session| session.apply(update, sent_at))
+    }
+
+    /// Returns whether a report is due.
+    pub(crate) fn is_due(&self, now: clock::MonotonicTime, demand: TokenDemand<'_>) -> bool {
+        let idle_for = self.sent.back().map_or(time::Duration::MAX, |last| now.since(last.at));
+        if self.unanswered_since.is_some() && idle_for < ANSWER_TIMEOUT {
+            return false;
+        }
+        let allowance = self.allowance(now);
+        if !demand.waiting.is_empty() {
+            let has_new = demand
+                .waiting
+                .iter()
+                .take(MAX_ASKS)
+                .any(|waiting| waiting.arrival > self.asked_through);
+            return has_new || self.unanswered_since.is_some() || idle_for >= RENEWAL_INTERVAL / 2;
+        }
+        if demand.wanted > 2 * allowance && demand.wanted > 0 {
+            return idle_for >= REFILL_INTERVAL;
+        }
+        let has_refund =
+            self.session.as_ref().is_some_and(|session| session.has_unacknowledged_refund());
+        (allowance > 0 || self.has_spent || has_refund) && idle_for >= RENEWAL_INTERVAL
+    }
+
+    /// Builds a report.
+    pub(crate) fn report(
+        &mut self,
+        now: clock::MonotonicTime,
+        customer: &name::CustomerName,
+        zone: &name::ZoneName,
+        demand: TokenDemand<'_>,
+        next_sequence: &mut u64,
+    ) -> quota::GrantReport {
+        *next_sequence += 1;
+        self.note_sent(now, *next_sequence);
+        self.has_spent = false;
+        let listed = demand.waiting.iter().take(MAX_ASKS);
+        self.asked_through = listed.clone().map(|waiting| waiting.arrival).max().unwrap_or(0);
+        let mut report = quota::GrantReport {
+            customer: customer.clone(),
+            zone: zone.clone(),
+            role: quota::HolderRole::Instance,
+            session: None,
+            sequence: *next_sequence,
+            spent: 0,
+            returned: 0,
+            refunded: 0,
+            refund_age_ms: 0,
+            wanted: demand.wanted,
+            asks: listed.map(|waiting| waiting.remaining(now)).collect(),
+        };
+        if let Some(session) = &mut self.session {
+            let needed = demand.wanted + demand.waiting_tokens();
+            let allowance = session.allowance(now);
+            if allowance > needed + demand.wanted {
+                session.give_back(now, allowance - needed);
+            }
+            session.fill(now, &mut report);
+        }
+        report
+    }
+
+    fn note_sent(&mut self, now: clock::MonotonicTime, sequence: u64) {
+        self.unanswered_since.get_or_insert(now);
+        self.sent.push_back(SentReport { sequence, at: now });
+        if self.sent.len() > MAX_SENT_REPORTS {
+            self.sent.pop_front();
+        }
+    }
+}
+
+impl WaitingRequest {
+    /// Returns the ask with the time that is left.
+    fn remaining(&self, now: clock::MonotonicTime) -> quota::TokenAsk {
+        quota::TokenAsk { wait_ms: self.give_up.since(now).as_millis() as u32, ..self.ask }
+    }
+}
--- /dev/null
+++ b/coltsfoot-quota/src/session.rs
@@ -0,0 +1,230 @@
+//! Both ends of a session in which an owner grants tokens to a holder.
+//!
+//! All counters are cumulative. A session ends at the holder before it ends at the owner, so that
+//! tokens that the owner writes off can no longer be spent.
+
+use std::time;
+
+use coltsfoot_types::{name, time as clock};
+use coltsfoot_wire::quota;
+
+/// Time for which a grant may be spent after the owner's last word.
+pub const GRANT_LIFETIME: time::Duration = time::Duration::from_secs(2);
+/// Allowance for clocks of different speeds over the lifetime of a grant.
+pub const CLOCK_DRIFT_MARGIN: time::Duration = time::Duration::from_millis(200);
+
+/// The owner's end.
+#[derive(Clone, Debug)]
+pub(crate) struct LenderSession {
+    pub(crate) number: u64,
+    /// Number of the last report taken in.
+    pub(crate) sequence: u64,
+    /// Whether a report has named the session.
+    pub(crate) acknowledged: bool,
+    received: clock::MonotonicTime,
+    until: clock::MonotonicTime,
+    lapses: clock::MonotonicTime,
+    updates: u64,
+    granted: u64,
+    spent: u64,
+    returned: u64,
+    refunded: u64,
+    pub(crate) wanted: u64,
+}
+
+/// What changed with a report.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct ReportDelta {
+    pub(crate) spent: u64,
+    pub(crate) returned: u64,
+    pub(crate) refunded: u64,
+}
+
+impl LenderSession {
+    pub(crate) fn new(number: u64, now: clock::MonotonicTime) -> Self {
+        Self {
+            number,
+            sequence: 0,
+            acknowledged: false,
+            received: now,
+            until: now,
+            lapses: now + GRANT_LIFETIME + CLOCK_DRIFT_MARGIN,
+            updates: 0,
+            granted: 0,
+            spent: 0,
+            returned: 0,
+            refunded: 0,
+            wanted: 0,
+        }
+    }
+
+    /// Returns the tokens granted and possibly unspent.
+    pub(crate) fn outstanding(&self) -> u64 {
+        self.granted - self.spent - self.returned
+    }
+
+    pub(crate) fn is_lapsed(&self, now: clock::MonotonicTime) -> bool {
+        now >= self.lapses
+    }
+
+    /// Takes in a report that is newer than all before it.
+    pub(crate) fn apply(
+        &mut self,
+        now: clock::MonotonicTime,
+        report: &quota::GrantReport,
+    ) -> ReportDelta {
+        self.sequence = report.sequence;
+        self.received = now;
+        self.wanted = report.wanted;
+        if report.session != Some(self.number) {
+            return ReportDelta::default();
+        }
+        self.acknowledged = true;
+        let spent = report.spent.saturating_sub(self.spent).min(self.outstanding());
+        self.spent += spent;
+        let returned = report.returned.saturating_sub(self.returned).min(self.outstanding());
+        self.returned += returned;
+        let refunded = report.refunded.saturating_sub(self.refunded);
+        self.refunded += refunded;
+        ReportDelta { spent, returned, refunded }
+    }
+
+    pub(crate) fn grant(&mut self, tokens: u64) {
+        self.granted += tokens;
+    }
+
+    /// Extends the session to `until`, as seen by the owner.
+    pub(crate) fn extend(&mut self, until: clock::MonotonicTime) {
+        self.until = until;
+        self.lapses = self.lapses.max(until + CLOCK_DRIFT_MARGIN);
+    }
+
+    /// Builds the next update, without refusals.
+    pub(crate) fn update(
+        &mut self,
+        customer: &name::CustomerName,
+        zone: &name::ZoneName,
+        role: quota::HolderRole,
+    ) -> quota::GrantUpdate {
+        self.updates += 1;
+        quota::GrantUpdate {
+            customer: customer.clone(),
+            zone: zone.clone(),
+            role,
+            session: self.number,
+            number: self.updates,
+            sequence: self.sequence,
+            granted: self.granted,
+            lifetime: self.until.since(self.received),
+            refusals: Default::default(),
+        }
+    }
+}
+
+/// The holder's end.
+#[derive(Clone, Debug)]
+pub(crate) struct HolderSession {
+    pub(crate) owner: name::InstanceName,
+    pub(crate) number: u64,
+    updates: u64,
+    pub(crate) valid_until: clock::MonotonicTime,
+    granted: u64,
+    spent: u64,
+    returned: u64,
+    refunded: u64,
+    unacknowledged_refund: Option<UnacknowledgedRefund>,
+}
+
+/// Refunds that the owner may not have taken in.
+#[derive(Clone, Copy, Debug)]
+struct UnacknowledgedRefund {
+    oldest_admission: clock::MonotonicTime,
+    /// The first report that carries all of them, once sent.
+    reported_by: Option<u64>,
+}
+
+impl HolderSession {
+    pub(crate) fn new(owner: name::InstanceName, number: u64) -> Self {
+        Self {
+            owner,
+            number,
+            updates: 0,
+            valid_until: clock::MonotonicTime(0),
+            granted: 0,
+            spent: 0,
+            returned: 0,
+            refunded: 0,
+            unacknowledged_refund: None,
+        }
+    }
+
+    /// Returns the tokens that may be spent.
+    pub(crate) fn allowance(&self, now: clock::MonotonicTime) -> u64 {
+        if now >= self.valid_until {
+            return 0;
+        }
+        self.granted - self.spent - self.returned
+    }
+
+    /// Takes in an update of this session, answering a report sent at `sent`. Returns whether it
+    /// was new.
+    pub(crate) fn apply(
+        &mut self,
+        update: &quota::GrantUpdate,
+        sent: clock::MonotonicTime,
+    ) -> bool {
+        if update.number <= self.updates {
+            return false;
+        }
+        self.updates = update.number;
+        self.granted = self.granted.max(update.granted);
+        self.valid_until = sent + update.lifetime;
+        if self.unacknowledged_refund.is_some_and(|refund| {
+            refund.reported_by.is_some_and(|sequence| sequence <= update.sequence)
+        }) {
+            self.unacknowledged_refund = None;
+        }
+        true
+    }
+
+    pub(crate) fn spend(&mut self, now: clock::MonotonicTime, tokens: u64) {
+        assert!(tokens <= self.allowance(now), "more tokens were spent than granted");
+        self.spent += tokens;
+    }
+
+    /// Reports tokens of an expired or ended holding as spent.
+    pub(crate) fn write_off(&mut self, tokens: u64) {
+        self.spent += tokens.min(self.granted - self.spent - self.returned);
+    }
+
+    pub(crate) fn give_back(&mut self, now: clock::MonotonicTime, tokens: u64) {
+        self.returned += tokens.min(self.allowance(now));
+    }
+
+    pub(crate) fn refund(&mut self, admitted: clock::MonotonicTime, tokens: u64) {
+        self.refunded += tokens;
+        let oldest = self.unacknowledged_refund.map_or(admitted, |refund| refund.oldest_admission);
+        let oldest_admission = oldest.min(admitted);
+        self.unacknowledged_refund =
+            Some(UnacknowledgedRefund { oldest_admission, reported_by: None });
+    }
+
+    /// Returns whether the owner may not have taken in all refunds.
+    pub(crate) fn has_unacknowledged_refund(&self) -> bool {
+        self.unacknowledged_refund.is_some()
+    }
+
+    /// Copies the counters into a report.
+    pub(crate) fn fill(&mut self, now: clock::MonotonicTime, report: &mut quota::GrantReport) {
+        report.session = Some(self.number);
+        report.spent = self.spent;
+        report.returned = self.returned;
+        report.refunded = self.refunded;
+        let Some(refund) = &mut self.unacknowledged_refund else {
+            return;
+        };
+        refund.reported_by.get_or_insert(report.sequence);
+        let age = now.since(refund.oldest_admission).as_millis() as u32;
+        report.refund_age_ms = age.saturating_add(1);
+    }
+}
--- /dev/null
+++ b/coltsfoot-quota/src/token_bucket.rs
@@ -0,0 +1,141 @@
+//! A token bucket in exact integer arithmetic, with the history that refunds need.
+
+use std::time;
+
+use coltsfoot_types::time as clock;
+
+use crate::headroom_history;
+
+/// Parts of a token in which levels are kept: a rate in tokens per second accrues one part per
+/// token and microsecond.
+const PARTS_PER_TOKEN: u64 = 1_000_000;
+
+/// Rate and capacity of a bucket.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct BucketLimits {
+    /// Tokens per second.
+    pub rate: u64,
+    /// Largest number of tokens, granted ones included.
+    pub burst: u64,
+}
+
+impl BucketLimits {
+    /// Returns the smaller rate and the smaller burst of both.
+    pub fn min(self, other: Self) -> Self {
+        Self { rate: self.rate.min(other.rate), burst: self.burst.min(other.burst) }
+    }
+
+    /// Returns a part of the limits, in thousandths.
+    pub fn part(self, permille: u16) -> Self {
+        let part =
+            |value: u64| (u128::from(value) * u128::from(permille.min(1_000)) / 1_000) as u64;
+        Self { rate: part(self.rate), burst: part(self.burst) }
+    }
+
+    /// Returns the time in which the rate yields the tokens; the longest time if it never does.
+    pub fn time_for(self, tokens: u64) -> time::Duration {
+        if self.rate == 0 {
+            return if tokens == 0 { time::Duration::ZERO } else { time::Duration::MAX };
+        }
+        let micros =
+            (u128::from(tokens) * u128::from(PARTS_PER_TOKEN)).div_ceil(u128::from(self.rate));
+        time::Duration::from_micros(micros as u64)
+    }
+}
+
+/// A bucket whose granted and possibly unspent tokens count against its capacity.
+#[derive(Clone, Debug)]
+pub struct TokenBucket {
+    limits: BucketLimits,
+    parts: u64,
+    outstanding: u64,
+    updated: clock::MonotonicTime,
+    headrooms: headroom_history::HeadroomHistory,
+}
+
+impl TokenBucket {
+    /// Builds an empty bucket that accrues tokens from `start` on.
+    pub fn new(limits: BucketLimits, start: clock::MonotonicTime) -> Self {
+        let headrooms = headroom_history::HeadroomHistory::new(start);
+        Self { limits, parts: 0, outstanding: 0, updated: start, headrooms }
+    }
+
+    /// Returns the limits.
+    pub fn limits(&self) -> BucketLimits {
+        self.limits
+    }
+
+    /// Returns the tokens that can be taken.
+    pub fn level(&self) -> u64 {
+        self.parts / PARTS_PER_TOKEN
+    }
+
+    /// Returns the tokens that are granted and possibly unspent.
+    pub fn outstanding(&self) -> u64 {
+        self.outstanding
+    }
+
+    /// Accrues tokens up to `now`, and takes over the limits and the tokens outstanding.
+    pub fn refresh(&mut self, now: clock::MonotonicTime, limits: BucketLimits, outstanding: u64) {
+        let elapsed = now.since(self.updated).as_micros() as u64;
+        self.updated = self.updated.max(now);
+        self.limits = limits;
+        self.outstanding = outstanding;
+        let accrued = limits.rate.saturating_mul(elapsed);
+        self.set_parts(self.parts.saturating_add(accrued));
+        self.headrooms.record(now, self.headroom());
+    }
+
+    /// Takes tokens; they become outstanding.
+    pub fn take(&mut self, tokens: u64) {
+        assert!(tokens <= self.level(), "took {tokens} tokens of {}", self.level());
+        self.parts -= tokens * PARTS_PER_TOKEN;
+        self.outstanding += tokens;
+    }
+
+    /// Takes back outstanding tokens that were not spent.
+    pub fn put_back(&mut self, tokens: u64) {
+        assert!(tokens <= self.outstanding, "more tokens came back than were outstanding");
+        self.outstanding -= tokens;
+        self.set_parts(self.parts.saturating_add(tokens.saturating_mul(PARTS_PER_TOKEN)));
+    }
+
+    /// Adds tokens that a predecessor handed over.
+    pub fn add(&mut self, tokens: u64) {
+        self.set_parts(self.parts.saturating_add(tokens.saturating_mul(PARTS_PER_TOKEN)));
+    }
+
+    /// Credits tokens that a request admitted at `admitted` did not use.
+    ///
+    /// The bucket ends as if the request had been charged without them: what would have
+    /// overflowed since then is not credited.
+    pub fn refund(
+        &mut self,
+        now: clock::MonotonicTime,
+        admitted: clock::MonotonicTime,
+        tokens: u64,
+    ) {
+        let credit = tokens.min(self.headrooms.smallest_since(admitted)).min(self.headroom());
+        self.add(credit);
+        self.headrooms.lower_since(admitted, credit);
+        self.headrooms.record(now, self.headroom());
+    }
+
+    /// Returns the tokens in the bucket and outstanding, rounded up.
+    fn position(&self) -> u64 {
+        self.parts.div_ceil(PARTS_PER_TOKEN) + self.outstanding
+    }
+
+    fn headroom(&self) -> u64 {
+        self.limits.burst.saturating_sub(self.position())
+    }
+
+    fn set_parts(&mut self, parts: u64) {
+        let capacity = self.limits.burst.saturating_sub(self.outstanding);
+        self.parts = parts.min(capacity.saturating_mul(PARTS_PER_TOKEN));
+        assert!(
+            self.parts == 0 || self.position() <= self.limits.burst,
+            "a bucket holds more than its burst"
+        );
+    }
+}
--- /dev/null
+++ b/coltsfoot-quota/src/zone_bucket.rs
@@ -0,0 +1,284 @@
+//! The bucket of one customer in one zone, as its owner keeps it.
+
+use std::collections;
+
+use coltsfoot_types::{name, time as clock};
+use coltsfoot_wire::quota;
+
+use crate::ask_list;
+use crate::event;
+use crate::loan_book;
+use crate::promise_ledger;
+use crate::session;
+use crate::token_bucket;
+
+/// A holder of granted tokens.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) struct HolderKey {
+    pub(crate) instance: name::InstanceName,
+    pub(crate) role: quota::HolderRole,
+}
+
+/// The owner's end of a session, with the requests that wait at the holder.
+#[derive(Clone, Debug)]
+pub(crate) struct HolderState {
+    pub(crate) lender: session::LenderSession,
+    pub(crate) asks: ask_list::AskList,
+    /// Whether the holder has to be told something.
+    pub(crate) has_news: bool,
+}
+
+/// Grants of an earlier owner that may still be spent.
+#[derive(Clone, Copy, Debug)]
+struct LegacyGrants {
+    tokens: u64,
+    until: clock::MonotonicTime,
+}
+
+/// A part of the zone's limits that holds from an instant on.
+#[derive(Clone, Copy, Debug)]
+struct PendingShare {
+    permille: u16,
+    from: clock::MonotonicTime,
+}
+
+/// The bucket of one customer in one zone.
+#[derive(Clone, Debug)]
+pub(crate) struct ZoneBucket {
+    pub(crate) term: event::OwnershipTerm,
+    /// Instant from which tokens accrue: what an earlier owner granted has lapsed.
+    starts: clock::MonotonicTime,
+    share_permille: u16,
+    pending_share: Option<PendingShare>,
+    limits: token_bucket::BucketLimits,
+    pub(crate) bucket: token_bucket::TokenBucket,
+    legacy: Option<LegacyGrants>,
+    pub(crate) holders: collections::BTreeMap<HolderKey, HolderState>,
+    pub(crate) loans: loan_book::LoanBook,
+    pub(crate) promises: promise_ledger::PromiseLedger,
+}
+
+impl ZoneBucket {
+    /// Builds the empty bucket of a new owner.
+    pub(crate) fn new(term: event::OwnershipTerm) -> Self {
+        let starts = term.acts_from + session::GRANT_LIFETIME + session::CLOCK_DRIFT_MARGIN;
+        let limits = token_bucket::BucketLimits::default();
+        Self {
+            term,
+            starts,
+            share_permille: term.share_permille,
+            pending_share: None,
+            limits,
+            bucket: token_bucket::TokenBucket::new(limits, starts),
+            legacy: None,
+            holders: collections::BTreeMap::new(),
+            loans: loan_book::LoanBook::default(),
+            promises: promise_ledger::PromiseLedger::default(),
+        }
+    }
+
+    /// Returns whether the owner may grant, its lease aside.
+    pub(crate) fn has_started(&self, now: clock::MonotonicTime) -> bool {
+        now >= self.starts
+    }
+
+    /// Takes over another term of the same owner. A smaller share holds at once, a larger one
+    /// after the grants of the other part of the zone have lapsed.
+    pub(crate) fn change_term(&mut self, term: event::OwnershipTerm) {
+        self.term = term;
+        self.pending_share = None;
+        if term.share_permille <= self.share_permille {
+            self.share_permille = term.share_permille;
+            return;
+        }
+        let from = term.acts_from + session::GRANT_LIFETIME + session::CLOCK_DRIFT_MARGIN;
+        self.pending_share = Some(PendingShare { permille: term.share_permille, from });
+    }
+
+    /// Continues with what the former owner handed over, once for a term and only before the
+    /// owner started by itself.
+    pub(crate) fn take_over(
+        &mut self,
+        now: clock::MonotonicTime,
+        handover: &quota::BucketHandover,
+    ) {
+        if handover.view != self.term.view || self.has_started(now) {
+            return;
+        }
+        self.starts = now;
+        self.bucket = token_bucket::TokenBucket::new(self.limits, now);
+        let until = now + session::GRANT_LIFETIME + session::CLOCK_DRIFT_MARGIN;
+        self.legacy = Some(LegacyGrants { tokens: handover.outstanding, until });
+        self.bucket.refresh(now, self.effective_limits(), self.own_outstanding());
+        self.bucket.add(handover.level);
+    }
+
+    /// Brings everything up to `now`: lapses, limits, accrual.
+    pub(crate) fn refresh(
+        &mut self,
+        now: clock::MonotonicTime,
+        limits: token_bucket::BucketLimits,
+    ) {
+        self.limits = limits;
+        if let Some(pending) = self.pending_share
+            && now >= pending.from
+        {
+            self.share_permille = pending.permille;
+            self.pending_share = None;
+        }
+        if self.legacy.is_some_and(|legacy| now >= legacy.until) {
+            self.legacy = None;
+        }
+        self.expire_holders(now);
+        self.loans.expire(now);
+        self.promises.expire(now);
+        self.bucket.refresh(now, self.effective_limits(), self.own_outstanding());
+    }
+
+    /// Returns the limits that hold for this owner.
+    pub(crate) fn effective_limits(&self) -> token_bucket::BucketLimits {
+        self.limits.part(self.share_permille)
+    }
+
+    /// Returns the tokens that can be granted to instances.
+    pub(crate) fn available(&self, now: clock::MonotonicTime) -> u64 {
+        self.bucket.level() + self.loans.available(now)
+    }
+
+    /// Returns the tokens that accrue until an instant.
+    pub(crate) fn yield_until(
+        &self,
+        now: clock::MonotonicTime,
+        until: clock::MonotonicTime,
+    ) -> u64 {
+        let micros = until.since(now).as_micros();
+        (micros * u128::from(self.bucket.limits().rate) / 1_000_000) as u64
+    }
+
+    /// Returns whether no loans of an earlier term can still be in use.
+    pub(crate) fn can_borrow(&self) -> bool {
+        self.legacy.is_none()
+    }
+
+    /// Returns the tokens that the instances of the zone want to hold.
+    pub(crate) fn local_wanted(&self) -> u64 {
+        self.local_sessions().map(|lender| lender.wanted).sum()
+    }
+
+    /// Returns the tokens that the instances of the zone want to hold and do not.
+    pub(crate) fn local_missing(&self) -> u64 {
+        let missing =
+            |lender: &session::LenderSession| lender.wanted.saturating_sub(lender.outstanding());
+        self.local_sessions().map(missing).sum()
+    }
+
+    fn local_sessions(&self) -> impl Iterator<Item = &session::LenderSession> {
+        let local = self.holders.iter().filter(|(key, _)| key.role == quota::HolderRole::Instance);
+        local.map(|(_, holder)| &holder.lender)
+    }
+
+    /// Grants tokens of the bucket, then borrowed ones, to an instance.
+    pub(crate) fn give(&mut self, now: clock::MonotonicTime, key: &HolderKey, tokens: u64) {
+        let Some(holder) = self.holders.get_mut(key) else {
+            return;
+        };
+        let own = tokens.min(self.bucket.level());
+        self.bucket.take(own);
+        self.loans.take(now, tokens - own);
+        holder.lender.grant(tokens);
+        holder.has_news = true;
+    }
+
+    /// Takes in a report that is newer than the last one of its holder. Returns the holder's key.
+    pub(crate) fn report(
+        &mut self,
+        now: clock::MonotonicTime,
+        sender: name::InstanceName,
+        report: &quota::GrantReport,
+        next_session: &mut u64,
+    ) -> Option<HolderKey> {
+        let key = HolderKey { instance: sender, role: report.role };
+        if self.holders.get(&key).is_some_and(|held| held.lender.sequence >= report.sequence) {
+            return None;
+        }
+        self.ensure_session(now, &key, report, next_session);
+        let holder = self.holders.get_mut(&key)?;
+        let delta = holder.lender.apply(now, report);
+        holder.asks.replace(now, &report.asks);
+        holder.has_news = true;
+        self.loans.spend(delta.spent);
+        let own = self.loans.put_back(delta.returned);
+        self.bucket.put_back(own);
+        self.bucket.refresh(now, self.effective_limits(), self.own_outstanding());
+        if delta.refunded > 0 {
+            let age = std::time::Duration::from_millis(report.refund_age_ms.into());
+            self.bucket.refund(now, now - age, delta.refunded);
+        }
+        Some(key)
+    }
+
+    /// Extends a holder's session and builds what it has to be told.
+    pub(crate) fn update(
+        &mut self,
+        now: clock::MonotonicTime,
+        customer: &name::CustomerName,
+        zone: &name::ZoneName,
+        key: &HolderKey,
+    ) -> Option<quota::GrantUpdate> {
+        let overdrawn = self.own_outstanding() > self.effective_limits().burst;
+        let until = now + session::GRANT_LIFETIME;
+        let until = self.loans.valid_until().map_or(until, |valid| valid.min(until));
+        let holder = self.holders.get_mut(key)?;
+        holder.has_news = false;
+        if !overdrawn {
+            holder.lender.extend(until);
+        }
+        let mut update = holder.lender.update(customer, zone, key.role);
+        update.refusals = holder.asks.refusals(now).collect();
+        Some(update)
+    }
+
+    /// Returns the tokens of this bucket that are granted and possibly unspent.
+    pub(crate) fn own_outstanding(&self) -> u64 {
+        let granted = self.holders.values().map(|holder| holder.lender.outstanding()).sum::<u64>();
+        let borrowed = self.loans.lent_out();
+        assert!(borrowed <= granted, "more borrowed tokens are granted on than granted");
+        granted - borrowed + self.legacy.map_or(0, |legacy| legacy.tokens)
+    }
+
+    /// Opens a session unless the report continues the present one.
+    fn ensure_session(
+        &mut self,
+        now: clock::MonotonicTime,
+        key: &HolderKey,
+        report: &quota::GrantReport,
+        next_session: &mut u64,
+    ) {
+        let present = self.holders.get(key).map(|holder| &holder.lender);
+        if present
+            .is_some_and(|lender| !lender.acknowledged || report.session == Some(lender.number))
+        {
+            return;
+        }
+        // The holder's newest report names another session, so it holds nothing of this one.
+        self.close_session(key);
+        *next_session += 1;
+        let lender = session::LenderSession::new(*next_session, now);
+        let asks = ask_list::AskList::default();
+        self.holders.insert(key.clone(), HolderState { lender, asks, has_news: true });
+    }
+
+    fn close_session(&mut self, key: &HolderKey) {
+        if let Some(holder) = self.holders.remove(key) {
+            self.loans.spend(holder.lender.outstanding());
+        }
+    }
+
+    fn expire_holders(&mut self, now: clock::MonotonicTime) {
+        let lapsed = self.holders.iter().filter(|(_, holder)| holder.lender.is_lapsed(now));
+        let lapsed = lapsed.map(|(key, _)| key.clone()).collect::<Vec<_>>();
+        for key in &lapsed {
+            self.close_session(key);
+        }
+    }
+}
