--- a/coltsfoot-measure/src/cmd/mod.rs
+++ b/coltsfoot-measure/src/cmd/mod.rs
@@ -1,5 +1,8 @@
 //! Subcommands; each prints a table and, as its last line, one line of JSON.
 
+mod placement;
+mod placement_sweep;
+
 use std::path;
 
 use lexopt::ValueExt as _;
@@ -11,7 +14,10 @@
 }
 
 /// All subcommands.
-const COMMANDS: &[MeasureCommand] = &[];
+const COMMANDS: &[MeasureCommand] = &[
+    MeasureCommand { name: "placement", run: placement::run },
+    MeasureCommand { name: "placement-sweep", run: placement_sweep::run },
+];
 
 /// An error that ends a measure.
 #[derive(Debug, thiserror::Error)]
--- a/coltsfoot-placement/src/budget.rs
+++ b/coltsfoot-placement/src/budget.rs
@@ -4,97 +4,13 @@
 //! that can't reach one another never exceed the whole, and lends what it does not need.
 
 use std::collections;
-use std::mem;
+use std::ops;
 use std::time;
 
 use coltsfoot_types::{id, name, time as clock};
 use coltsfoot_wire::placement;
 use smallvec::SmallVec;
 
-use crate::cell::CellActions;
-use crate::event;
-
-/// Leave for loads that a cell has and has not used.
-#[derive(Debug, Default)]
-pub(crate) struct LoadShare {
-    grants: collections::VecDeque<UnusedGrant>,
-    asked_at: clock::MonotonicTime,
-    asked: u32,
-}
-
-#[derive(Debug)]
-struct UnusedGrant {
-    id: placement::LoadGrantId,
-    start_by: clock::MonotonicTime,
-}
-
-impl LoadShare {
-    /// Adds a grant. Its time counts from when the cell asked last.
-    pub(crate) fn add(
-        &mut self,
-        now: clock::MonotonicTime,
-        id: placement::LoadGrantId,
-        start_within: time::Duration,
-    ) {
-        let start_by = (self.asked_at + start_within).min(now + start_within);
-        self.grants.push_back(UnusedGrant { id, start_by });
-        self.asked = self.asked.saturating_sub(1);
-    }
-
-    /// Returns whether a load may start.
-    pub(crate) fn is_available(&self, now: clock::MonotonicTime) -> bool {
-        self.grants.iter().any(|grant| now < grant.start_by)
-    }
-
-    /// Takes leave for one load, and gives expired leave back.
-    pub(crate) fn take(
-        &mut self,
-        now: clock::MonotonicTime,
-        actions: &mut CellActions,
-    ) -> Option<placement::LoadGrantId> {
-        while let Some(grant) = self.grants.pop_front() {
-            if now < grant.start_by {
-                return Some(grant.id);
-            }
-            actions.push(event::CellAction::ReturnLoad { grant: grant.id, used: false });
-        }
-        None
-    }
-
-    /// Returns whether the ledger is to be asked: the number of loads wanted has risen, or the
-    /// last request may be lost.
-    pub(crate) fn is_due(
-        &self,
-        now: clock::MonotonicTime,
-        wanted: u32,
-        interval: time::Duration,
-    ) -> bool {
-        wanted > self.asked || now.since(self.asked_at) >= interval
-    }
-
-    /// Asks the ledger for loads.
-    pub(crate) fn request(
-        &mut self,
-        now: clock::MonotonicTime,
-        wanted: u32,
-        actions: &mut CellActions,
-    ) {
-        self.asked = wanted;
-        self.asked_at = now;
-        actions.push(event::CellAction::RequestLoads { wanted });
-    }
-
-    /// Gives all leave back and wants nothing more.
-    pub(crate) fn give_back(&mut self, actions: &mut CellActions) {
-        if mem::take(&mut self.asked) > 0 {
-            actions.push(event::CellAction::RequestLoads { wanted: 0 });
-        }
-        for grant in self.grants.drain(..) {
-            actions.push(event::CellAction::ReturnLoad { grant: grant.id, used: false });
-        }
-    }
-}
-
 /// Limits of a zone's part of the load budget.
 #[derive(Clone, Debug, bon::Builder)]
 pub struct LedgerSettings {
@@ -162,6 +78,13 @@
         /// Time within which they must be started, from when the loan was asked for.
         start_within: time::Duration,
     },
+    /// Another zone's ledger gives a loan back.
+    LoanReturned {
+        /// Number of loads.
+        loads: u32,
+        /// Whether loads took place.
+        used: bool,
+    },
     /// Time has passed.
     Tick,
 }
@@ -194,6 +117,15 @@
         /// Time within which they must be started.
         start_within: time::Duration,
     },
+    /// Gives loads back to the zone that lent them.
+    ReturnLoan {
+        /// The zone.
+        zone: name::ZoneName,
+        /// Number of loads.
+        loads: u32,
+        /// Whether loads took place.
+        used: bool,
+    },
 }
 
 /// Actions of one event of a ledger.
@@ -204,6 +136,15 @@
 struct OpenLoad {
     /// When it must have ended, whatever the messages about it say.
     ends_by: clock::MonotonicTime,
+    /// The zone that lent it.
+    lender: Option<name::ZoneName>,
+}
+
+/// A loan that is not used yet.
+#[derive(Debug)]
+struct UnusedLoan {
+    lender: name::ZoneName,
+    start_by: clock::MonotonicTime,
 }
 
 /// A zone's part of the load budget, on the instance that owns it.
@@ -215,8 +156,8 @@
     open: collections::BTreeMap<placement::LoadGrantId, OpenLoad>,
     /// Ends of the loads that are lent out.
     lent: collections::VecDeque<clock::MonotonicTime>,
-    /// When loads of other zones that are still unused must have started.
-    borrowed: collections::VecDeque<clock::MonotonicTime>,
+    /// Loads of other zones that are still unused.
+    borrowed: collections::VecDeque<UnusedLoan>,
     /// Loads wanted by each cell, served in turn.
     wanted: collections::BTreeMap<placement::CellId, u32>,
     last_served: Option<placement::CellId>,
@@ -256,16 +197,20 @@
             LedgerEvent::OwnershipGained { fencing } => self.gain(now, fencing),
             LedgerEvent::OwnershipLost => self.lose(),
             LedgerEvent::LoadsWanted { cell, wanted } => self.want(cell, wanted),
-            LedgerEvent::LoadReturned { grant, used } => self.take_back(&grant, used),
+            LedgerEvent::LoadReturned { grant, used } => {
+                self.take_back(&grant, used, &mut actions);
+            }
+            LedgerEvent::LoanReturned { loads, used } => self.take_loan_back(loads, used),
             LedgerEvent::LoanWanted { zone, wanted } => self.lend(now, zone, wanted, &mut actions),
-            LedgerEvent::Lent { loads, start_within, .. } => {
-                self.borrow(now, loads, start_within);
+            LedgerEvent::Lent { zone, loads, start_within } => {
+                self.borrow(now, &zone, loads, start_within);
             }
             LedgerEvent::Tick => {}
         }
         if self.fencing.is_some() {
             self.serve(now, &mut actions);
             self.request_loan(now, &mut actions);
+            self.return_loans(&mut actions);
         }
         actions
     }
@@ -298,7 +243,7 @@
         self.filled_at = now;
         self.open.retain(|_, load| now < load.ends_by);
         self.lent.retain(|ends_by| now < *ends_by);
-        self.borrowed.retain(|start_by| now < *start_by);
+        self.borrowed.retain(|loan| now < loan.start_by);
     }
 
     fn want(&mut self, cell: placement::CellId, wanted: u32) {
@@ -309,17 +254,40 @@
         self.wanted.insert(cell, wanted);
     }
 
-    fn take_back(&mut self, grant: &placement::LoadGrantId, used: bool) {
-        if self.open.remove(grant).is_some() && !used {
-            self.tokens = (self.tokens + 1.0).min(f64::from(self.settings.burst));
+    fn take_back(
+        &mut self,
+        grant: &placement::LoadGrantId,
+        used: bool,
+        actions: &mut LedgerActions,
+    ) {
+        let Some(load) = self.open.remove(grant) else {
+            return;
+        };
+        if let Some(zone) = load.lender {
+            actions.push(LedgerAction::ReturnLoan { zone, loads: 1, used });
+        } else if !used {
+            self.refill(1);
         }
     }
 
+    fn take_loan_back(&mut self, loads: u32, used: bool) {
+        for _ in 0..loads {
+            if self.lent.pop_front().is_some() && !used {
+                self.refill(1);
+            }
+        }
+    }
+
+    fn refill(&mut self, loads: u32) {
+        self.tokens = (self.tokens + f64::from(loads)).min(f64::from(self.settings.burst));
+    }
+
     /// Loads of its own part that may start now. While loads of a former owner may be in flight,
     /// half of the part is kept back for them.
     fn free_loads(&self, now: clock::MonotonicTime) -> u32 {
         let part = self.settings.loads_in_flight;
-        let taken = (self.open.len() + self.lent.len()) as u32;
+        let own = self.open.values().filter(|load| load.lender.is_none()).count();
+        let taken = (own + self.lent.len()) as u32;
         let is_unknown = now < self.unknown_until;
         let part = if is_unknown { part - part / 2 } else { part };
         part.saturating_sub(taken).min(self.tokens as u32)
@@ -327,7 +295,7 @@
 
     fn serve(&mut self, now: clock::MonotonicTime, actions: &mut LedgerActions) {
         while let Some(cell) = self.next_cell() {
-            let Some(start_within) = self.take_leave(now) else {
+            let Some((start_within, lender)) = self.take_leave(now) else {
                 return;
             };
             self.last_served = Some(cell.clone());
@@ -337,7 +305,7 @@
                     self.wanted.remove(&cell);
                 }
             }
-            actions.push(self.grant(now, cell, start_within));
+            actions.push(self.grant(now, cell, start_within, lender));
         }
     }
 
@@ -346,32 +314,36 @@
         now: clock::MonotonicTime,
         cell: placement::CellId,
         start_within: time::Duration,
+        lender: Option<name::ZoneName>,
     ) -> LedgerAction {
         let zone = self.settings.zone.clone();
         let fencing = self.fencing.unwrap_or_default();
         let grant = placement::LoadGrantId { zone, fencing, sequence: self.sequence };
         self.sequence += 1;
         let ends_by = now + start_within + self.settings.load_limit;
-        self.open.insert(grant.clone(), OpenLoad { ends_by });
+        self.open.insert(grant.clone(), OpenLoad { ends_by, lender });
         LedgerAction::Grant { cell, grant, start_within }
     }
 
     /// Takes leave for one load: a borrowed one first, since it expires sooner.
-    fn take_leave(&mut self, now: clock::MonotonicTime) -> Option<time::Duration> {
-        if let Some(start_by) = self.borrowed.pop_front() {
-            return Some(start_by.since(now));
+    fn take_leave(
+        &mut self,
+        now: clock::MonotonicTime,
+    ) -> Option<(time::Duration, Option<name::ZoneName>)> {
+        if let Some(loan) = self.borrowed.pop_front() {
+            return Some((loan.start_by.since(now), Some(loan.lender)));
         }
         if self.free_loads(now) == 0 {
             return None;
         }
         self.tokens -= 1.0;
-        Some(self.settings.start_within)
+        Some((self.settings.start_within, None))
     }
 
     /// The cell after the one served last, among those that want loads.
     fn next_cell(&self) -> Option<placement::CellId> {
         let after = self.last_served.as_ref().and_then(|last| {
-            let range = (std::ops::Bound::Excluded(last), std::ops::Bound::Unbounded);
+            let range = (ops::Bound::Excluded(last), ops::Bound::Unbounded);
             self.wanted.range::<placement::CellId, _>(range).next()
         });
         let next = after.or_else(|| self.wanted.iter().next());
@@ -400,9 +372,16 @@
         actions.push(LedgerAction::Lend { zone, loads, start_within });
     }
 
-    fn borrow(&mut self, now: clock::MonotonicTime, loads: u32, start_within: time::Duration) {
+    fn borrow(
+        &mut self,
+        now: clock::MonotonicTime,
+        lender: &name::ZoneName,
+        loads: u32,
+        start_within: time::Duration,
+    ) {
         let start_by = (self.loan_asked_at + start_within).min(now + start_within);
-        self.borrowed.extend((0..loads).map(|_| start_by));
+        let loans = (0..loads).map(|_| UnusedLoan { lender: lender.clone(), start_by });
+        self.borrowed.extend(loans);
     }
 
     /// Asks one other zone after the other.
@@ -417,4 +396,14 @@
         self.loan_asked_at = now;
         actions.push(LedgerAction::RequestLoan { zone, wanted });
     }
+
+    /// Gives loans back that no cell wants any more.
+    fn return_loans(&mut self, actions: &mut LedgerActions) {
+        if !self.wanted.is_empty() {
+            return;
+        }
+        for loan in self.borrowed.drain(..) {
+            actions.push(LedgerAction::ReturnLoan { zone: loan.lender, loads: 1, used: false });
+        }
+    }
 }
--- a/coltsfoot-placement/src/cell.rs
+++ b/coltsfoot-placement/src/cell.rs
@@ -8,9 +8,9 @@
 use rustc_hash::FxHashMap;
 use smallvec::SmallVec;
 
-use crate::budget;
 use crate::engine;
 use crate::event;
+use crate::load_share;
 use crate::loading;
 use crate::popularity;
 use crate::prefix;
@@ -44,7 +44,7 @@
     pub(crate) replicas: collections::BTreeSet<adapter::AdapterVersion>,
     pub(crate) orders: collections::BTreeMap<event::OrderId, loading::RunningOrder>,
     pub(crate) next_order: u64,
-    pub(crate) budget: budget::LoadShare,
+    pub(crate) budget: load_share::LoadShare,
     pub(crate) takeover: takeover::TakeoverState,
     pub(crate) prefixes: prefix::PrefixIndex,
     pub(crate) counters: CellCounters,
@@ -101,7 +101,7 @@
             replicas: collections::BTreeSet::new(),
             orders: collections::BTreeMap::new(),
             next_order: 0,
-            budget: budget::LoadShare::default(),
+            budget: load_share::LoadShare::default(),
             takeover: takeover::TakeoverState::default(),
             prefixes: prefix::PrefixIndex::default(),
             counters: CellCounters::default(),
--- a/coltsfoot-placement/src/lib.rs
+++ b/coltsfoot-placement/src/lib.rs
@@ -13,6 +13,7 @@
 mod admission;
 mod engine;
 mod eviction;
+mod load_share;
 mod loading;
 mod permits;
 mod popularity;
--- a/coltsfoot-wire/src/placement.rs
+++ b/coltsfoot-wire/src/placement.rs
@@ -117,6 +117,15 @@
         /// Time within which they may be started, measured from when the loan was asked for.
         start_within: time::Duration,
     },
+    /// Load ledger to the one that lent: gives loads back.
+    LoanReturn {
+        /// Zone that borrowed.
+        zone: name::ZoneName,
+        /// Number of loads.
+        loads: u32,
+        /// Whether loads took place.
+        used: bool,
+    },
 }
 
 /// What a permit is wanted for.
