Decide once-only claims, dispatch, quarantine and circuit breaking

Change: claims (fold, owner that batches, claim of one submission), the dispatch of one request with its run state, retry budget, backoff, circuit breaker, slow start, crash suspects and quarantine; wire types; one new refusal reason for a key whose call ended unrun.

--- /dev/null
+++ b/coltsfoot-once/src/append_pacer.rs
@@ -0,0 +1,43 @@
+//! Spacing of appends: at most a fixed number in any second, sent at once while there are few.
+
+use std::collections;
+use std::time;
+
+use coltsfoot_types::time as clock;
+
+/// Length of the window that appends are counted over.
+const WINDOW: time::Duration = time::Duration::from_secs(1);
+
+/// Decides when the next append may be sent.
+#[derive(Clone, Debug)]
+pub struct AppendPacer {
+    limit: usize,
+    sent: collections::VecDeque<clock::MonotonicTime>,
+}
+
+impl AppendPacer {
+    /// Creates a pacer that permits `limit` appends in any second.
+    pub fn new(limit: usize) -> Self {
+        Self { limit: limit.max(1), sent: collections::VecDeque::new() }
+    }
+
+    /// Returns the earliest time of the next append. The first half of a window's appends may go
+    /// at once, the others evenly over the rest of it.
+    pub fn next_at(&self, now: clock::MonotonicTime) -> clock::MonotonicTime {
+        let window_start = now - WINDOW;
+        let recent = self.sent.iter().filter(|sent| **sent > window_start).count();
+        let Some(last) = self.sent.back().filter(|_| recent * 2 >= self.limit) else { return now };
+        let spaced = *last + WINDOW / self.limit as u32;
+        let is_full = self.sent.len() >= self.limit;
+        let free = self.sent.front().filter(|_| is_full).map_or(now, |first| *first + WINDOW);
+        spaced.max(free).max(now)
+    }
+
+    /// Notes an append.
+    pub fn note(&mut self, now: clock::MonotonicTime) {
+        self.sent.push_back(now);
+        while self.sent.len() > self.limit {
+            self.sent.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/coltsfoot-once/src/claim_batcher.rs
@@ -0,0 +1,409 @@
+//! Claim owner of a zone: appends claims and outcomes in batches and reads them back.
+//!
+//! Which instance does it matters only for the number of appends: the log alone decides who wins,
+//! so that two owners at a time are harmless.
+
+use std::collections;
+use std::time;
+
+use coltsfoot_types::{name, time as clock};
+use coltsfoot_wire::once;
+use rand::RngExt as _;
+use smallvec::SmallVec;
+
+use crate::append_pacer;
+use crate::claim_fold;
+use crate::key_window;
+
+/// Settings of a claim owner.
+#[derive(Clone, Debug, bon::Builder)]
+pub struct BatcherSettings {
+    /// Window of keys.
+    #[builder(default)]
+    pub window: key_window::KeyWindow,
+    /// Most appends in any second.
+    #[builder(default = 20)]
+    pub appends_per_second: usize,
+    /// Appends under way at a time.
+    #[builder(default = 4)]
+    pub max_appends_in_flight: usize,
+    /// Entries of one append.
+    #[builder(default = 512)]
+    pub max_batch_entries: usize,
+    /// Longest time that an outcome waits for a claim to go along with.
+    #[builder(default = time::Duration::from_millis(200))]
+    pub outcome_delay: time::Duration,
+    /// Time after which an append or a read without an answer counts as lost.
+    #[builder(default = time::Duration::from_secs(2))]
+    pub call_timeout: time::Duration,
+    /// Wait after a call that failed.
+    #[builder(default = time::Duration::from_millis(200))]
+    pub retry_wait: time::Duration,
+}
+
+/// Number of an append or a read of the log.
+pub type CallNumber = u64;
+
+/// What happens to a claim owner.
+#[derive(Clone, Debug)]
+pub enum BatcherEvent {
+    /// An instance submits a claim.
+    Submit {
+        /// The instance.
+        instance: name::InstanceName,
+        /// The claim.
+        claim: once::ClaimEntry,
+        /// Time that is left for it.
+        time_left: time::Duration,
+    },
+    /// An instance settles a call.
+    Settle {
+        /// The instance.
+        instance: name::InstanceName,
+        /// The outcome.
+        outcome: once::OutcomeEntry,
+    },
+    /// The log took an append.
+    Appended(CallNumber),
+    /// An append was refused or its answer was lost.
+    AppendFailed(CallNumber),
+    /// A page was read.
+    PageRead(CallNumber, claim_fold::ClaimPage),
+    /// A read failed.
+    ReadFailed(CallNumber),
+    /// Time has passed.
+    Tick,
+}
+
+/// What a claim owner orders.
+#[derive(Clone, Debug, PartialEq)]
+pub enum BatcherAction {
+    /// Append a record to the claims stream.
+    Append(CallNumber, once::ClaimBatch),
+    /// Read the claims stream from an offset on.
+    Read(CallNumber, coltsfoot_types::id::LogOffset),
+    /// Send a message to an instance.
+    Send(name::InstanceName, once::ClaimMessage),
+    /// Send [`BatcherEvent::Tick`] no later than then.
+    WakeAt(clock::MonotonicTime),
+}
+
+/// Actions of one event.
+pub type BatcherActions = SmallVec<[BatcherAction; 4]>;
+
+#[derive(Clone, Debug)]
+struct OpenClaim {
+    entry: once::ClaimEntry,
+    instance: name::InstanceName,
+    expires_at: clock::MonotonicTime,
+}
+
+#[derive(Clone, Debug)]
+struct OpenOutcome {
+    entry: once::OutcomeEntry,
+    instance: name::InstanceName,
+    due_at: clock::MonotonicTime,
+}
+
+#[derive(Clone, Debug, Default)]
+struct SentAppend {
+    sent_at: clock::MonotonicTime,
+    claims: Vec<once::ClaimId>,
+    outcomes: Vec<once::ClaimId>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct SentRead {
+    number: CallNumber,
+    sent_at: clock::MonotonicTime,
+}
+
+/// State machine of a claim owner.
+#[derive(Clone, Debug)]
+pub struct ClaimBatcher {
+    settings: BatcherSettings,
+    fold: claim_fold::ClaimFold,
+    pacer: append_pacer::AppendPacer,
+    claims: collections::BTreeMap<once::ClaimId, OpenClaim>,
+    outcomes: collections::BTreeMap<once::ClaimId, OpenOutcome>,
+    queued_claims: collections::VecDeque<once::ClaimId>,
+    queued_outcomes: collections::VecDeque<once::ClaimId>,
+    appends: collections::BTreeMap<CallNumber, SentAppend>,
+    read: Option<SentRead>,
+    unread: bool,
+    next_number: CallNumber,
+    retry_at: clock::MonotonicTime,
+    appends_sent: u64,
+}
+
+impl ClaimBatcher {
+    /// Creates an owner that has read nothing.
+    pub fn new(settings: BatcherSettings) -> Self {
+        Self {
+            fold: claim_fold::ClaimFold::new(settings.window),
+            pacer: append_pacer::AppendPacer::new(settings.appends_per_second),
+            settings,
+            claims: collections::BTreeMap::new(),
+            outcomes: collections::BTreeMap::new(),
+            queued_claims: collections::VecDeque::new(),
+            queued_outcomes: collections::VecDeque::new(),
+            appends: collections::BTreeMap::new(),
+            read: None,
+            unread: true,
+            next_number: 0,
+            retry_at: clock::MonotonicTime::default(),
+            appends_sent: 0,
+        }
+    }
+
+    /// Returns the number of appends that were sent.
+    pub fn appends_sent(&self) -> u64 {
+        self.appends_sent
+    }
+
+    /// Returns the fold.
+    pub fn fold(&self) -> &claim_fold::ClaimFold {
+        &self.fold
+    }
+
+    /// Takes an event.
+    pub fn handle(
+        &mut self,
+        now: clock::MonotonicTime,
+        event: BatcherEvent,
+        rng: &mut impl rand::Rng,
+    ) -> BatcherActions {
+        let mut actions = BatcherActions::new();
+        match event {
+            BatcherEvent::Submit { instance, claim, time_left } => {
+                self.submit(now, instance, claim, time_left, &mut actions);
+            }
+            BatcherEvent::Settle { instance, outcome } => {
+                self.settle(now, instance, outcome, &mut actions);
+            }
+            BatcherEvent::Appended(number) => {
+                self.unread |= self.appends.remove(&number).is_some();
+            }
+            BatcherEvent::AppendFailed(number) => self.fail_append(now, number, rng),
+            BatcherEvent::PageRead(number, page) => self.take_page(number, &page, &mut actions),
+            BatcherEvent::ReadFailed(number) => self.fail_read(now, number, rng),
+            BatcherEvent::Tick => {}
+        }
+        self.expire(now, rng, &mut actions);
+        self.send_calls(now, &mut actions);
+        self.wake(now, &mut actions);
+        actions
+    }
+
+    fn submit(
+        &mut self,
+        now: clock::MonotonicTime,
+        instance: name::InstanceName,
+        entry: once::ClaimEntry,
+        time_left: time::Duration,
+        actions: &mut BatcherActions,
+    ) {
+        if let Some(verdict) = self.fold.verdict(&entry).or_else(|| self.fold.known(&entry)) {
+            // The outcome of another instance's claim may have come since.
+            self.unread |= verdict == once::ClaimVerdict::Claimed;
+            let message = once::ClaimMessage::Verdict { claim: entry.claim, verdict };
+            return actions.push(BatcherAction::Send(instance, message));
+        }
+        if self.claims.contains_key(&entry.claim) {
+            return;
+        }
+        self.queued_claims.push_back(entry.claim);
+        let claim = OpenClaim { instance, expires_at: now + time_left, entry };
+        self.claims.insert(claim.entry.claim, claim);
+    }
+
+    fn settle(
+        &mut self,
+        now: clock::MonotonicTime,
+        instance: name::InstanceName,
+        entry: once::OutcomeEntry,
+        actions: &mut BatcherActions,
+    ) {
+        if self.fold.has_outcome(&entry) {
+            let message = once::ClaimMessage::Settled { claim: entry.claim };
+            return actions.push(BatcherAction::Send(instance, message));
+        }
+        if self.outcomes.contains_key(&entry.claim) {
+            return;
+        }
+        self.queued_outcomes.push_back(entry.claim);
+        let due_at = now + self.settings.outcome_delay;
+        self.outcomes.insert(entry.claim, OpenOutcome { entry, instance, due_at });
+    }
+
+    /// Queues the entries of a lost append again. A second copy in the log is harmless.
+    fn fail_append(
+        &mut self,
+        now: clock::MonotonicTime,
+        number: CallNumber,
+        rng: &mut impl rand::Rng,
+    ) {
+        let Some(append) = self.appends.remove(&number) else { return };
+        let open_claims = append.claims.into_iter().filter(|id| self.claims.contains_key(id));
+        self.queued_claims.extend(open_claims);
+        let open_outcomes = append.outcomes.into_iter().filter(|id| self.outcomes.contains_key(id));
+        self.queued_outcomes.extend(open_outcomes);
+        self.unread = true;
+        self.back_off(now, rng);
+    }
+
+    fn fail_read(
+        &mut self,
+        now: clock::MonotonicTime,
+        number: CallNumber,
+        rng: &mut impl rand::Rng,
+    ) {
+        if self.read.is_some_and(|read| read.number == number) {
+            self.read = None;
+            self.unread = true;
+            self.back_off(now, rng);
+        }
+    }
+
+    fn back_off(&mut self, now: clock::MonotonicTime, rng: &mut impl rand::Rng) {
+        self.retry_at = now + self.settings.retry_wait.mul_f64(rng.random_range(0.5..1.0));
+    }
+
+    fn take_page(
+        &mut self,
+        number: CallNumber,
+        page: &claim_fold::ClaimPage,
+        actions: &mut BatcherActions,
+    ) {
+        if self.read.is_none_or(|read| read.number != number) {
+            return;
+        }
+        self.read = None;
+        self.fold.apply(page);
+        self.unread |= self.fold.next_offset() < page.end_offset;
+        self.send_verdicts(actions);
+        self.send_settled(actions);
+    }
+
+    fn send_verdicts(&mut self, actions: &mut BatcherActions) {
+        let fold = &self.fold;
+        self.claims.retain(|_, claim| {
+            let Some(verdict) = fold.verdict(&claim.entry) else { return true };
+            let message = once::ClaimMessage::Verdict { claim: claim.entry.claim, verdict };
+            actions.push(BatcherAction::Send(claim.instance.clone(), message));
+            false
+        });
+    }
+
+    fn send_settled(&mut self, actions: &mut BatcherActions) {
+        let fold = &self.fold;
+        self.outcomes.retain(|_, outcome| {
+            if !fold.has_outcome(&outcome.entry) {
+                return true;
+            }
+            let message = once::ClaimMessage::Settled { claim: outcome.entry.claim };
+            actions.push(BatcherAction::Send(outcome.instance.clone(), message));
+            false
+        });
+    }
+
+    fn expire(
+        &mut self,
+        now: clock::MonotonicTime,
+        rng: &mut impl rand::Rng,
+        actions: &mut BatcherActions,
+    ) {
+        self.claims.retain(|_, claim| {
+            if now < claim.expires_at {
+                return true;
+            }
+            let verdict = once::ClaimVerdict::Unavailable;
+            let message = once::ClaimMessage::Verdict { claim: claim.entry.claim, verdict };
+            actions.push(BatcherAction::Send(claim.instance.clone(), message));
+            false
+        });
+        let claims = &self.claims;
+        self.queued_claims.retain(|claim| claims.contains_key(claim));
+        let outcomes = &self.outcomes;
+        self.queued_outcomes.retain(|claim| outcomes.contains_key(claim));
+        let timeout = self.settings.call_timeout;
+        let lost = self.appends.iter().find(|(_, append)| now.since(append.sent_at) >= timeout);
+        if let Some(number) = lost.map(|(number, _)| *number) {
+            self.fail_append(now, number, rng);
+        }
+        if let Some(read) = self.read.filter(|read| now.since(read.sent_at) >= timeout) {
+            self.fail_read(now, read.number, rng);
+        }
+    }
+
+    fn send_calls(&mut self, now: clock::MonotonicTime, actions: &mut BatcherActions) {
+        if now < self.retry_at {
+            return;
+        }
+        if self.should_append(now) && now >= self.pacer.next_at(now) {
+            self.send_append(now, actions);
+        }
+        if self.unread && self.read.is_none() {
+            self.unread = false;
+            let number = self.take_number();
+            self.read = Some(SentRead { number, sent_at: now });
+            actions.push(BatcherAction::Read(number, self.fold.next_offset()));
+        }
+    }
+
+    fn should_append(&self, now: clock::MonotonicTime) -> bool {
+        if self.appends.len() >= self.settings.max_appends_in_flight {
+            return false;
+        }
+        !self.queued_claims.is_empty() || self.outcome_due_at().is_some_and(|due_at| due_at <= now)
+    }
+
+    fn outcome_due_at(&self) -> Option<clock::MonotonicTime> {
+        let queued = self.queued_outcomes.iter().filter_map(|claim| self.outcomes.get(claim));
+        queued.map(|outcome| outcome.due_at).min()
+    }
+
+    fn send_append(&mut self, now: clock::MonotonicTime, actions: &mut BatcherActions) {
+        let limit = self.settings.max_batch_entries;
+        let claims = self.queued_claims.len().min(limit);
+        let claims: Vec<_> = self.queued_claims.drain(..claims).collect();
+        let outcomes = self.queued_outcomes.len().min(limit - claims.len());
+        let outcomes: Vec<_> = self.queued_outcomes.drain(..outcomes).collect();
+        let claim_entries = claims.iter().filter_map(|claim| self.claims.get(claim));
+        let claim_entries = claim_entries.map(|claim| once::OnceEntry::Claim(claim.entry.clone()));
+        let outcome_entries = outcomes.iter().filter_map(|claim| self.outcomes.get(claim));
+        let outcome_entries =
+            outcome_entries.map(|outcome| once::OnceEntry::Outcome(outcome.entry.clone()));
+        let batch = once::ClaimBatch { entries: claim_entries.chain(outcome_entries).collect() };
+        let number = self.take_number();
+        self.pacer.note(now);
+        self.appends_sent += 1;
+        self.appends.insert(number, SentAppend { sent_at: now, claims, outcomes });
+        actions.push(BatcherAction::Append(number, batch));
+    }
+
+    fn take_number(&mut self) -> CallNumber {
+        self.next_number += 1;
+        self.next_number
+    }
+
+    /// Asks to be woken at the earliest time at which something is due.
+    fn wake(&self, now: clock::MonotonicTime, actions: &mut BatcherActions) {
+        let timeout = self.settings.call_timeout;
+        let append_at = match self.queued_claims.is_empty() {
+            true => self.outcome_due_at(),
+            false => Some(now),
+        };
+        let has_room = self.appends.len() < self.settings.max_appends_in_flight;
+        let append_at = append_at.filter(|_| has_room);
+        let append_at = append_at.map(|at| at.max(self.pacer.next_at(now)).max(self.retry_at));
+        let read_at = (self.unread && self.read.is_none()).then_some(self.retry_at);
+        let calls = self.appends.values().map(|append| append.sent_at + timeout);
+        let reads = self.read.iter().map(|read| read.sent_at + timeout);
+        let expiries = self.claims.values().map(|claim| claim.expires_at);
+        let due = append_at.into_iter().chain(read_at).chain(calls).chain(reads).chain(expiries);
+        if let Some(at) = due.min() {
+            actions.push(BatcherAction::WakeAt(at));
+        }
+    }
+}
--- /dev/null
+++ b/coltsfoot-once/src/claim_request.rs
@@ -0,0 +1,258 @@
+//! Once-only call at its instance: the claim before the dispatch, the outcome after it.
+
+use std::time;
+
+use coltsfoot_types::{refusal, time as clock};
+use coltsfoot_wire::once;
+use smallvec::SmallVec;
+
+use crate::run_state::{self, RunKnowledge, RunState};
+
+/// Permission to dispatch a claimed call, made once per won claim.
+#[derive(Debug, Eq, PartialEq)]
+pub struct ClaimWin {
+    key: once::IdempotencyKey,
+    claim: once::ClaimId,
+}
+
+impl ClaimWin {
+    /// Returns the entry that records how the call has ended.
+    pub fn outcome(&self, outcome: once::CallOutcome) -> once::OutcomeEntry {
+        once::OutcomeEntry { key: self.key, claim: self.claim, outcome }
+    }
+}
+
+/// What happens to a claim.
+#[derive(Clone, Debug)]
+pub enum ClaimEvent {
+    /// The claim owner says what became of it.
+    Verdict(once::ClaimVerdict),
+    /// Time has passed.
+    Tick,
+}
+
+/// What a claim orders.
+#[derive(Debug, PartialEq)]
+pub enum ClaimAction {
+    /// Send a message to the claim owner of the zone.
+    SendOwner(once::ClaimMessage),
+    /// Send [`ClaimEvent::Tick`] no later than then.
+    WakeAt(clock::MonotonicTime),
+    /// Dispatch the call.
+    Dispatch(ClaimWin),
+    /// Answer the caller as the first submission was answered.
+    Answer(once::RecordedAnswer),
+    /// Refuse the call.
+    Refuse(refusal::RefusalReason, RunState),
+    /// Report the outcome by an [`OutcomeReport`].
+    Settle(once::OutcomeEntry),
+}
+
+/// Actions of one event.
+pub type ClaimActions = SmallVec<[ClaimAction; 2]>;
+
+/// Settings of a claim.
+#[derive(Clone, Copy, Debug)]
+pub struct ClaimSettings {
+    /// Time until a message to the claim owner is sent again.
+    pub resend_after: time::Duration,
+    /// Time before the deadline at which the claim is given up.
+    pub reserve: time::Duration,
+}
+
+impl Default for ClaimSettings {
+    fn default() -> Self {
+        Self {
+            resend_after: time::Duration::from_millis(250),
+            reserve: time::Duration::from_millis(50),
+        }
+    }
+}
+
+/// State machine of the claim of one submission.
+#[derive(Debug)]
+pub struct ClaimRequest {
+    settings: ClaimSettings,
+    entry: once::ClaimEntry,
+    give_up_at: clock::MonotonicTime,
+    resend_at: clock::MonotonicTime,
+    claimed_by_other: bool,
+    is_done: bool,
+}
+
+impl ClaimRequest {
+    /// Starts a claim. `entry.claim` must be unique to this submission.
+    pub fn new(
+        _pending: run_state::PendingRequest,
+        settings: ClaimSettings,
+        entry: once::ClaimEntry,
+        deadline: clock::MonotonicTime,
+    ) -> Self {
+        Self {
+            settings,
+            entry,
+            give_up_at: deadline - settings.reserve,
+            resend_at: clock::MonotonicTime::default(),
+            claimed_by_other: false,
+            is_done: false,
+        }
+    }
+
+    /// Returns the claim.
+    pub fn claim(&self) -> once::ClaimId {
+        self.entry.claim
+    }
+
+    /// Takes an event. The first one is a tick.
+    pub fn handle(&mut self, now: clock::MonotonicTime, event: ClaimEvent) -> ClaimActions {
+        let mut actions = ClaimActions::new();
+        if self.is_done {
+            return actions;
+        }
+        if let ClaimEvent::Verdict(verdict) = event {
+            self.take_verdict(now, verdict, &mut actions);
+        }
+        if !self.is_done {
+            self.proceed(now, &mut actions);
+        }
+        actions
+    }
+
+    fn take_verdict(
+        &mut self,
+        now: clock::MonotonicTime,
+        verdict: once::ClaimVerdict,
+        actions: &mut ClaimActions,
+    ) {
+        match verdict {
+            once::ClaimVerdict::Won if now < self.give_up_at => self.win(actions),
+            once::ClaimVerdict::Won | once::ClaimVerdict::Unavailable => self.abandon(actions),
+            once::ClaimVerdict::Claimed => self.claimed_by_other = true,
+            once::ClaimVerdict::Ended(outcome) => self.repeat(outcome, actions),
+            once::ClaimVerdict::OtherRequest => {
+                let reason = refusal::RefusalReason::IdempotencyKeyReused;
+                self.refuse(reason, RunKnowledge::NotRun, actions);
+            }
+            once::ClaimVerdict::Expired => {
+                let reason = refusal::RefusalReason::InvalidIdempotencyKey;
+                self.refuse(reason, RunKnowledge::MayHaveRun, actions);
+            }
+            once::ClaimVerdict::Forgotten => {
+                let reason = refusal::RefusalReason::PossiblyRan;
+                self.refuse(reason, RunKnowledge::MayHaveRun, actions);
+            }
+        }
+    }
+
+    fn win(&mut self, actions: &mut ClaimActions) {
+        self.is_done = true;
+        let win = ClaimWin { key: self.entry.key, claim: self.entry.claim };
+        actions.push(ClaimAction::Dispatch(win));
+    }
+
+    fn repeat(&mut self, outcome: once::CallOutcome, actions: &mut ClaimActions) {
+        match outcome {
+            once::CallOutcome::Answered(answer) => {
+                self.is_done = true;
+                actions.push(ClaimAction::Answer(answer));
+            }
+            once::CallOutcome::RanWithoutAnswer => {
+                self.refuse(refusal::RefusalReason::PossiblyRan, RunKnowledge::Ran, actions);
+            }
+            once::CallOutcome::MayHaveRun => {
+                self.refuse(refusal::RefusalReason::PossiblyRan, RunKnowledge::MayHaveRun, actions);
+            }
+            once::CallOutcome::NotRun => {
+                let reason = refusal::RefusalReason::IdempotencyKeySpent;
+                self.refuse(reason, RunKnowledge::NotRun, actions);
+            }
+        }
+    }
+
+    fn proceed(&mut self, now: clock::MonotonicTime, actions: &mut ClaimActions) {
+        if now >= self.give_up_at {
+            return self.abandon(actions);
+        }
+        if now >= self.resend_at {
+            self.resend_at = now + self.settings.resend_after;
+            let time_left = self.give_up_at.since(now);
+            let message = once::ClaimMessage::Submit { claim: self.entry.clone(), time_left };
+            actions.push(ClaimAction::SendOwner(message));
+        }
+        actions.push(ClaimAction::WakeAt(self.resend_at.min(self.give_up_at)));
+    }
+
+    /// Gives the claim up. It may still reach the log, or another submission of the key may run,
+    /// so that nothing but "may have run" is true.
+    fn abandon(&mut self, actions: &mut ClaimActions) {
+        let reason = match self.claimed_by_other {
+            true => refusal::RefusalReason::PossiblyRan,
+            false => refusal::RefusalReason::LogUnavailable,
+        };
+        self.refuse(reason, RunKnowledge::MayHaveRun, actions);
+        actions.push(ClaimAction::Settle(once::OutcomeEntry {
+            key: self.entry.key,
+            claim: self.entry.claim,
+            outcome: once::CallOutcome::NotRun,
+        }));
+    }
+
+    fn refuse(
+        &mut self,
+        reason: refusal::RefusalReason,
+        knowledge: RunKnowledge,
+        actions: &mut ClaimActions,
+    ) {
+        self.is_done = true;
+        actions.push(ClaimAction::Refuse(reason, RunState::new(knowledge)));
+    }
+}
+
+/// Reports the outcome of a call until it is on the log, or its key's window has passed.
+#[derive(Clone, Debug)]
+pub struct OutcomeReport {
+    entry: once::OutcomeEntry,
+    resend_after: time::Duration,
+    give_up_at: clock::MonotonicTime,
+    is_settled: bool,
+}
+
+impl OutcomeReport {
+    /// Starts a report that is given up after `lifetime`.
+    pub fn new(
+        now: clock::MonotonicTime,
+        entry: once::OutcomeEntry,
+        settings: ClaimSettings,
+        lifetime: time::Duration,
+    ) -> Self {
+        Self {
+            entry,
+            resend_after: settings.resend_after,
+            give_up_at: now + lifetime,
+            is_settled: false,
+        }
+    }
+
+    /// Returns the claim.
+    pub fn claim(&self) -> once::ClaimId {
+        self.entry.claim
+    }
+
+    /// Notes that the claim owner has settled it.
+    pub fn settle(&mut self) {
+        self.is_settled = true;
+    }
+
+    /// Returns the message to send now and when to call again, none at the end. Call it first when
+    /// it was created.
+    pub fn tick(
+        &mut self,
+        now: clock::MonotonicTime,
+    ) -> Option<(once::ClaimMessage, clock::MonotonicTime)> {
+        if self.is_settled || now >= self.give_up_at {
+            return None;
+        }
+        let message = once::ClaimMessage::Settle { outcome: self.entry.clone() };
+        Some((message, now + self.resend_after))
+    }
+}
--- /dev/null
+++ b/coltsfoot-once/src/crash_suspects.rs
@@ -0,0 +1,102 @@
+//! Requests that run on each upstream, to know who is suspected when it crashes.
+
+use std::collections;
+use std::time;
+
+use coltsfoot_types::{id, name, time as clock};
+use coltsfoot_wire::once;
+use smallvec::SmallVec;
+
+use crate::quarantine;
+
+/// Time for which a request whose connection broke is kept until a crash is confirmed.
+const CONFIRMATION_TIME: time::Duration = time::Duration::from_secs(10);
+
+/// How a request left an upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RunEnd {
+    /// It ran to its end.
+    Completed,
+    /// Its connection broke.
+    ConnectionLost,
+    /// It left for another reason.
+    GivenUp,
+}
+
+/// A request on an upstream.
+#[derive(Clone, Copy, Debug)]
+struct UpstreamRun {
+    attempt: id::AttemptId,
+    digest: once::RequestDigest,
+    is_isolated: bool,
+    lost_at: Option<clock::MonotonicTime>,
+}
+
+/// Requests on all upstreams that one owner gives permits for.
+#[derive(Clone, Debug, Default)]
+pub struct CrashSuspects {
+    runs: collections::BTreeMap<name::UpstreamName, Vec<UpstreamRun>>,
+}
+
+impl CrashSuspects {
+    /// Returns whether a request may join an upstream: suspects are kept apart, so that a crash
+    /// tells which of them is to blame.
+    pub fn may_join(&self, upstream: &name::UpstreamName, is_isolated: bool) -> bool {
+        let mut runs = self.runs.get(upstream).into_iter().flatten();
+        !is_isolated || !runs.any(|run| run.is_isolated && run.lost_at.is_none())
+    }
+
+    /// Notes that a request was sent to an upstream.
+    pub fn begin(
+        &mut self,
+        upstream: &name::UpstreamName,
+        attempt: id::AttemptId,
+        digest: once::RequestDigest,
+        is_isolated: bool,
+    ) {
+        let run = UpstreamRun { attempt, digest, is_isolated, lost_at: None };
+        self.runs.entry(upstream.clone()).or_default().push(run);
+    }
+
+    /// Notes that a request has left an upstream.
+    pub fn end(
+        &mut self,
+        now: clock::MonotonicTime,
+        upstream: &name::UpstreamName,
+        attempt: id::AttemptId,
+        end: RunEnd,
+        table: &mut quarantine::QuarantineTable,
+    ) {
+        let Some(runs) = self.runs.get_mut(upstream) else { return };
+        let Some(place) = runs.iter().position(|run| run.attempt == attempt) else { return };
+        if end == RunEnd::ConnectionLost {
+            runs[place].lost_at = Some(now);
+            return;
+        }
+        let run = runs.remove(place);
+        if end == RunEnd::Completed {
+            table.exonerate(now, &run.digest);
+        }
+    }
+
+    /// Notes that an upstream has crashed and returns the notices for the other instances.
+    pub fn crash(
+        &mut self,
+        now: clock::MonotonicTime,
+        crash: &once::CrashId,
+        table: &mut quarantine::QuarantineTable,
+    ) -> SmallVec<[once::CrashNotice; 4]> {
+        let runs = self.runs.remove(&crash.upstream).unwrap_or_default();
+        let fresh = runs
+            .into_iter()
+            .filter(|run| run.lost_at.is_none_or(|lost_at| now.since(lost_at) < CONFIRMATION_TIME));
+        fresh.filter_map(|run| table.record(now, run.digest, crash.clone())).collect()
+    }
+
+    /// Notes that an upstream runs on: connections that broke before were not lost by a crash.
+    pub fn confirm_alive(&mut self, upstream: &name::UpstreamName) {
+        if let Some(runs) = self.runs.get_mut(upstream) {
+            runs.retain(|run| run.lost_at.is_none());
+        }
+    }
+}
--- /dev/null
+++ b/coltsfoot-once/src/dispatch.rs
@@ -0,0 +1,507 @@
+//! Dispatch of one request: attempts, cut points, retries, streams, and what is known of its run.
+
+use coltsfoot_types::{adapter, id, name, refusal, time as clock};
+use coltsfoot_wire::once;
+use smallvec::SmallVec;
+
+use crate::attempt_count::RetryReason;
+use crate::backoff;
+use crate::claim_request;
+use crate::dispatch_event::{
+    AnswerHead, AnswerIdentity, AttemptEnd, AttemptEvent, CallEnd, DispatchAction, DispatchEvent,
+};
+use crate::retry_budget;
+use crate::run_state::{self, RunKnowledge, RunState};
+use crate::stream_position;
+
+/// Crashes from which a request is quarantined.
+pub const QUARANTINE_CRASHES: u32 = 2;
+
+/// Whether a call may be repeated.
+#[derive(Debug)]
+pub enum CallKind {
+    /// It may.
+    Idempotent(run_state::PendingRequest),
+    /// It may run once only and has been claimed.
+    OnceOnly(claim_request::ClaimWin),
+}
+
+/// Settings of a dispatch.
+#[derive(Clone, Debug, bon::Builder)]
+pub struct DispatchSettings {
+    /// The request.
+    pub request: id::RequestId,
+    /// Adapter version that must have run; none for plain services.
+    pub adapter: Option<adapter::AdapterVersion>,
+    /// Whether the answer is streamed.
+    #[builder(default = false)]
+    pub is_streamed: bool,
+    /// Time by which the request must be answered.
+    pub deadline: clock::MonotonicTime,
+    /// Attempts at most.
+    #[builder(default = 4)]
+    pub max_attempts: u16,
+    /// Resumptions in a row without a new token.
+    #[builder(default = 1)]
+    pub max_idle_resumes: u32,
+    /// Waits between attempts.
+    #[builder(default = DEFAULT_BACKOFF)]
+    pub backoff: backoff::BackoffSettings,
+}
+
+const DEFAULT_BACKOFF: backoff::BackoffSettings = backoff::BackoffSettings {
+    initial: std::time::Duration::from_millis(20),
+    maximum: std::time::Duration::from_secs(1),
+};
+
+/// Actions of one event.
+pub type DispatchActions = SmallVec<[DispatchAction; 4]>;
+
+#[derive(Clone, Debug)]
+struct SentAttempt {
+    id: id::AttemptId,
+    upstream: name::UpstreamName,
+    head: Option<AnswerHead>,
+    idle_resumes: u32,
+}
+
+#[derive(Clone, Debug)]
+enum DispatchState {
+    Created,
+    AwaitingPermit(id::AttemptId),
+    BackingOff(clock::MonotonicTime),
+    Sent(SentAttempt),
+    Ended,
+}
+
+/// State machine of one request.
+#[derive(Debug)]
+pub struct DispatchMachine {
+    settings: DispatchSettings,
+    win: Option<claim_request::ClaimWin>,
+    state: DispatchState,
+    next_number: u16,
+    knowledge: RunKnowledge,
+    position: stream_position::StreamPosition,
+    avoid: SmallVec<[name::UpstreamName; 4]>,
+    is_isolated: bool,
+    caller_waits: bool,
+    sends: u32,
+    lost_connections: u32,
+}
+
+impl DispatchMachine {
+    /// Creates the dispatch of a request; the first event is a tick.
+    pub fn new(kind: CallKind, settings: DispatchSettings) -> Self {
+        let win = match kind {
+            CallKind::Idempotent(_) => None,
+            CallKind::OnceOnly(win) => Some(win),
+        };
+        Self {
+            settings,
+            win,
+            state: DispatchState::Created,
+            next_number: 0,
+            knowledge: RunKnowledge::NotRun,
+            position: stream_position::StreamPosition::default(),
+            avoid: SmallVec::new(),
+            is_isolated: false,
+            caller_waits: true,
+            sends: 0,
+            lost_connections: 0,
+        }
+    }
+
+    /// Returns the attempts that were sent so far.
+    pub fn sends(&self) -> u32 {
+        self.sends
+    }
+
+    /// Returns whether nothing more can happen to the request.
+    pub fn is_ended(&self) -> bool {
+        matches!(self.state, DispatchState::Ended)
+    }
+
+    /// Takes an event.
+    pub fn handle(
+        &mut self,
+        now: clock::MonotonicTime,
+        event: DispatchEvent,
+        budget: &mut retry_budget::RetryBudget,
+        rng: &mut impl rand::Rng,
+    ) -> DispatchActions {
+        let mut actions = DispatchActions::new();
+        match event {
+            DispatchEvent::Permitted { attempt, upstream, is_leaving } => {
+                self.take_permit(attempt, upstream, is_leaving, &mut actions);
+            }
+            DispatchEvent::PermitRefused { attempt, reason, retry_after } => {
+                if self.awaits_permit(attempt) {
+                    self.answer_refusal(reason, retry_after, &mut actions);
+                    self.end_unanswered(&mut actions);
+                }
+            }
+            DispatchEvent::Attempt(attempt, event) => match self.sent(attempt) {
+                Some(sent) => {
+                    let step = self.take_attempt_event(sent, event, &mut actions);
+                    if let Some(failure) = step {
+                        self.fail(now, failure, budget, rng, &mut actions);
+                    }
+                }
+                None => actions.push(DispatchAction::CountStray),
+            },
+            DispatchEvent::Suspected { crashes } => self.take_suspicion(crashes, &mut actions),
+            DispatchEvent::CallerGone => self.lose_caller(&mut actions),
+            DispatchEvent::Tick => {}
+        }
+        self.proceed(now, &mut actions);
+        actions
+    }
+
+    fn awaits_permit(&self, attempt: id::AttemptId) -> bool {
+        matches!(self.state, DispatchState::AwaitingPermit(wanted) if wanted == attempt)
+    }
+
+    fn sent(&self, attempt: id::AttemptId) -> Option<SentAttempt> {
+        match &self.state {
+            DispatchState::Sent(sent) if sent.id == attempt => Some(sent.clone()),
+            _ => None,
+        }
+    }
+
+    fn is_once_only(&self) -> bool {
+        self.win.is_some()
+    }
+
+    fn take_permit(
+        &mut self,
+        attempt: id::AttemptId,
+        upstream: name::UpstreamName,
+        is_leaving: bool,
+        actions: &mut DispatchActions,
+    ) {
+        if !self.awaits_permit(attempt) || is_leaving {
+            let end = AttemptEnd::GivenUp;
+            actions.push(DispatchAction::ReleasePermit(attempt, upstream, end));
+            if is_leaving && self.awaits_permit(attempt) {
+                self.request_permit(actions);
+            }
+            return;
+        }
+        assert!(
+            !self.is_once_only() || self.knowledge == RunKnowledge::NotRun,
+            "a once-only call that may have run must not be sent again"
+        );
+        self.sends += 1;
+        self.position.begin_attempt();
+        actions.push(DispatchAction::Send {
+            attempt,
+            upstream: upstream.clone(),
+            needs_fresh_connection: self.is_once_only(),
+            continue_after: self.position.delivered(),
+        });
+        let sent = SentAttempt { id: attempt, upstream, head: None, idle_resumes: 0 };
+        self.state = DispatchState::Sent(sent);
+    }
+
+    fn request_permit(&mut self, actions: &mut DispatchActions) {
+        let attempt = id::AttemptId { request: self.settings.request, number: self.next_number };
+        self.next_number += 1;
+        self.state = DispatchState::AwaitingPermit(attempt);
+        let avoid = self.avoid.clone();
+        let is_isolated = self.is_isolated;
+        actions.push(DispatchAction::RequestPermit { attempt, avoid, is_isolated });
+    }
+
+    /// Takes an event of the current attempt; returns how it failed, if it did.
+    fn take_attempt_event(
+        &mut self,
+        mut sent: SentAttempt,
+        event: AttemptEvent,
+        actions: &mut DispatchActions,
+    ) -> Option<AttemptFailure> {
+        let failure = |reason, knowledge| Some(AttemptFailure { reason, knowledge });
+        match event {
+            AttemptEvent::ConnectFailed => {
+                failure(RetryReason::ConnectFailed, RunKnowledge::NotRun)
+            }
+            AttemptEvent::SendFailed => failure(RetryReason::SendFailed, RunKnowledge::MayHaveRun),
+            AttemptEvent::NoAnswer => failure(RetryReason::NoAnswer, RunKnowledge::MayHaveRun),
+            AttemptEvent::TimedOut => {
+                failure(RetryReason::TimedOut, knowledge_of(sent.head, RunKnowledge::MayHaveRun))
+            }
+            AttemptEvent::Head(head) => {
+                sent.head = Some(head);
+                self.state = DispatchState::Sent(sent);
+                self.take_head(head)
+            }
+            AttemptEvent::Token { number, identity } => {
+                self.take_token(sent, number, &identity, actions)
+            }
+            AttemptEvent::BodyFailed => self.take_broken_body(sent, actions),
+            AttemptEvent::Ended(identity) => self.take_end(&sent, &identity, actions),
+            AttemptEvent::ResumeFailed => {
+                let knowledge = knowledge_of(sent.head, RunKnowledge::MayHaveRun);
+                failure(RetryReason::BrokenAnswer, knowledge)
+            }
+        }
+    }
+
+    fn take_head(&self, head: AnswerHead) -> Option<AttemptFailure> {
+        if head.is_unrun && head.may_differ_elsewhere() {
+            let reason = RetryReason::RefusedUnrun;
+            return Some(AttemptFailure { reason, knowledge: RunKnowledge::NotRun });
+        }
+        let may_repeat = head.status >= 500 && !self.is_once_only();
+        may_repeat.then_some(AttemptFailure {
+            reason: RetryReason::ServerError,
+            knowledge: RunKnowledge::MayHaveRun,
+        })
+    }
+
+    fn take_token(
+        &mut self,
+        mut sent: SentAttempt,
+        number: u32,
+        identity: &AnswerIdentity,
+        actions: &mut DispatchActions,
+    ) -> Option<AttemptFailure> {
+        if !identity.matches(sent.id, self.settings.adapter.as_ref()) {
+            return Some(AttemptFailure::wrong_answer());
+        }
+        match self.position.take(number) {
+            stream_position::TokenStep::Forward => {
+                sent.idle_resumes = 0;
+                self.state = DispatchState::Sent(sent);
+                if self.caller_waits {
+                    actions.push(DispatchAction::ForwardToken);
+                }
+                None
+            }
+            stream_position::TokenStep::Duplicate => None,
+            stream_position::TokenStep::Gap => self.take_broken_body(sent, actions),
+        }
+    }
+
+    fn take_broken_body(
+        &mut self,
+        mut sent: SentAttempt,
+        actions: &mut DispatchActions,
+    ) -> Option<AttemptFailure> {
+        if self.settings.is_streamed && sent.idle_resumes < self.settings.max_idle_resumes {
+            sent.idle_resumes += 1;
+            actions.push(DispatchAction::Resume {
+                attempt: sent.id,
+                upstream: sent.upstream.clone(),
+                after: self.position.delivered_of_attempt(),
+            });
+            self.state = DispatchState::Sent(sent);
+            return None;
+        }
+        let knowledge = knowledge_of(sent.head, RunKnowledge::MayHaveRun);
+        Some(AttemptFailure { reason: RetryReason::BrokenAnswer, knowledge })
+    }
+
+    fn take_end(
+        &mut self,
+        sent: &SentAttempt,
+        identity: &AnswerIdentity,
+        actions: &mut DispatchActions,
+    ) -> Option<AttemptFailure> {
+        let is_success = sent.head.is_some_and(AnswerHead::is_success);
+        let is_named = !is_success || identity.matches(sent.id, self.settings.adapter.as_ref());
+        if !is_named {
+            return Some(AttemptFailure::wrong_answer());
+        }
+        let end = AttemptEnd::Answered;
+        actions.push(DispatchAction::ReleasePermit(sent.id, sent.upstream.clone(), end));
+        if self.caller_waits {
+            actions.push(match self.settings.is_streamed && is_success {
+                true => DispatchAction::EndStream,
+                false => DispatchAction::PassAnswer,
+            });
+        }
+        if self.is_once_only() {
+            actions.push(DispatchAction::Settle(CallEnd::Answered));
+        }
+        self.state = DispatchState::Ended;
+        None
+    }
+
+    fn fail(
+        &mut self,
+        now: clock::MonotonicTime,
+        failure: AttemptFailure,
+        budget: &mut retry_budget::RetryBudget,
+        rng: &mut impl rand::Rng,
+        actions: &mut DispatchActions,
+    ) {
+        let DispatchState::Sent(sent) = self.state.clone() else { return };
+        self.knowledge = self.knowledge.max(failure.knowledge);
+        let end = match failure.reason {
+            RetryReason::RefusedUnrun => AttemptEnd::Refused,
+            _ => AttemptEnd::Failed,
+        };
+        if failure.knowledge != RunKnowledge::NotRun && !self.is_once_only() {
+            actions.push(DispatchAction::Cancel(sent.id, sent.upstream.clone()));
+        }
+        actions.push(DispatchAction::ReleasePermit(sent.id, sent.upstream.clone(), end));
+        self.avoid.push(sent.upstream);
+        if failure.reason.is_lost_connection() {
+            self.lost_connections += 1;
+            self.is_isolated = true;
+        }
+        let wait = self.settings.backoff.wait(u32::from(sent.id.number), rng);
+        if self.may_retry(now + wait) && budget.withdraw() {
+            actions.push(DispatchAction::CountRetry(failure.reason));
+            self.state = DispatchState::BackingOff(now + wait);
+            return;
+        }
+        self.give_up(failure.refusal(), actions);
+    }
+
+    fn may_retry(&self, at: clock::MonotonicTime) -> bool {
+        let may_repeat = !self.is_once_only() || self.knowledge == RunKnowledge::NotRun;
+        let has_attempts = self.next_number < self.settings.max_attempts
+            && self.lost_connections < QUARANTINE_CRASHES;
+        may_repeat && has_attempts && self.caller_waits && at < self.settings.deadline
+    }
+
+    fn take_suspicion(&mut self, crashes: u32, actions: &mut DispatchActions) {
+        self.is_isolated |= crashes > 0;
+        let is_followed = self.is_once_only() && matches!(self.state, DispatchState::Sent(_));
+        if crashes >= QUARANTINE_CRASHES && !self.is_ended() && !is_followed {
+            self.leave_attempt(AttemptEnd::GivenUp, actions);
+            self.give_up(refusal::RefusalReason::Quarantined, actions);
+        }
+    }
+
+    fn lose_caller(&mut self, actions: &mut DispatchActions) {
+        self.caller_waits = false;
+        if self.is_once_only() || self.is_ended() {
+            return;
+        }
+        self.leave_attempt(AttemptEnd::GivenUp, actions);
+        self.state = DispatchState::Ended;
+    }
+
+    /// Gives up what the request holds: a wish for a permit, or an attempt that was sent.
+    fn leave_attempt(&mut self, end: AttemptEnd, actions: &mut DispatchActions) {
+        match &self.state {
+            DispatchState::AwaitingPermit(attempt) => {
+                actions.push(DispatchAction::CancelPermit(*attempt));
+            }
+            DispatchState::Sent(sent) => {
+                let unanswered = RunKnowledge::MayHaveRun;
+                self.knowledge = self.knowledge.max(knowledge_of(sent.head, unanswered));
+                actions.push(DispatchAction::Cancel(sent.id, sent.upstream.clone()));
+                actions.push(DispatchAction::ReleasePermit(sent.id, sent.upstream.clone(), end));
+            }
+            _ => {}
+        }
+    }
+
+    fn proceed(&mut self, now: clock::MonotonicTime, actions: &mut DispatchActions) {
+        if self.is_ended() {
+            return;
+        }
+        if now >= self.settings.deadline && self.caller_waits {
+            return self.miss_deadline(actions);
+        }
+        match self.state {
+            DispatchState::Created => self.request_permit(actions),
+            DispatchState::BackingOff(until) if now >= until => self.request_permit(actions),
+            DispatchState::BackingOff(until) => actions.push(DispatchAction::WakeAt(until)),
+            _ => {}
+        }
+        if self.caller_waits {
+            actions.push(DispatchAction::WakeAt(self.settings.deadline));
+        }
+    }
+
+    /// Answers the caller at the deadline. A once-only call that was sent is followed to its end,
+    /// so that its outcome can be recorded.
+    fn miss_deadline(&mut self, actions: &mut DispatchActions) {
+        let is_followed = self.is_once_only() && matches!(self.state, DispatchState::Sent(_));
+        let reason = refusal::RefusalReason::DeadlineExceeded;
+        if !is_followed {
+            self.leave_attempt(AttemptEnd::Failed, actions);
+            return self.give_up(reason, actions);
+        }
+        self.knowledge = self.knowledge.max(RunKnowledge::MayHaveRun);
+        self.answer_refusal(reason, None, actions);
+        self.caller_waits = false;
+    }
+
+    fn give_up(&mut self, reason: refusal::RefusalReason, actions: &mut DispatchActions) {
+        self.answer_refusal(reason, None, actions);
+        self.end_unanswered(actions);
+    }
+
+    fn answer_refusal(
+        &self,
+        reason: refusal::RefusalReason,
+        retry_after: Option<std::time::Duration>,
+        actions: &mut DispatchActions,
+    ) {
+        if !self.caller_waits {
+            return;
+        }
+        let run = RunState::new(self.knowledge);
+        actions.push(match self.position.delivered() > 0 {
+            true => DispatchAction::AbortStream(reason, run),
+            false => DispatchAction::Refuse { reason, run, retry_after },
+        });
+    }
+
+    fn end_unanswered(&mut self, actions: &mut DispatchActions) {
+        self.state = DispatchState::Ended;
+        let Some(win) = &self.win else { return };
+        let outcome = match self.knowledge {
+            RunKnowledge::NotRun => once::CallOutcome::NotRun,
+            RunKnowledge::MayHaveRun => once::CallOutcome::MayHaveRun,
+            RunKnowledge::Ran => once::CallOutcome::RanWithoutAnswer,
+        };
+        actions.push(DispatchAction::Settle(CallEnd::Unanswered(win.outcome(outcome))));
+    }
+
+    /// Returns the entry that records an answer of a once-only call, none for other calls.
+    pub fn answered(&self, answer: once::RecordedAnswer) -> Option<once::OutcomeEntry> {
+        let outcome = once::CallOutcome::Answered(answer);
+        self.win.as_ref().map(|win| win.outcome(outcome))
+    }
+
+    /// Returns the entry that records a run whose answer is too large to keep.
+    pub fn ran_without_answer(&self) -> Option<once::OutcomeEntry> {
+        let outcome = once::CallOutcome::RanWithoutAnswer;
+        self.win.as_ref().map(|win| win.outcome(outcome))
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct AttemptFailure {
+    reason: RetryReason,
+    knowledge: RunKnowledge,
+}
+
+impl AttemptFailure {
+    fn wrong_answer() -> Self {
+        Self { reason: RetryReason::WrongAnswer, knowledge: RunKnowledge::MayHaveRun }
+    }
+
+    fn refusal(self) -> refusal::RefusalReason {
+        match self.reason {
+            RetryReason::WrongAnswer => refusal::RefusalReason::WrongAnswer,
+            _ => refusal::RefusalReason::UpstreamFailed,
+        }
+    }
+}
+
+/// Returns what an answer's head tells of the run: a success tells that it ran.
+fn knowledge_of(head: Option<AnswerHead>, otherwise: RunKnowledge) -> RunKnowledge {
+    match head {
+        Some(head) if head.is_unrun => RunKnowledge::NotRun,
+        Some(head) if head.is_success() => RunKnowledge::Ran,
+        _ => otherwise,
+    }
+}
--- a/coltsfoot-once/src/lib.rs
+++ b/coltsfoot-once/src/lib.rs
@@ -1,1 +1,21 @@
-//! Placeholder.
+//! Once-only claims, retries, whole answers, crash quarantine and circuit breaking.
+//!
+//! Every part is a state machine without I/O: it takes the time, an event and, where it needs
+//! randomness, a generator, and returns actions.
+
+pub mod append_pacer;
+pub mod attempt_count;
+pub mod backoff;
+pub mod circuit_breaker;
+pub mod claim_batcher;
+pub mod claim_fold;
+pub mod claim_request;
+pub mod crash_suspects;
+pub mod dispatch;
+pub mod dispatch_event;
+pub mod key_window;
+pub mod quarantine;
+pub mod retry_budget;
+pub mod run_state;
+pub mod slow_start;
+pub mod stream_position;
--- a/coltsfoot-types/src/refusal.rs
+++ b/coltsfoot-types/src/refusal.rs
@@ -50,6 +50,8 @@
     InvalidIdempotencyKey,
     /// The same `Idempotency-Key` was used with another body.
     IdempotencyKeyReused,
+    /// The call with this `Idempotency-Key` has ended without having run.
+    IdempotencyKeySpent,
     /// A call with this `Idempotency-Key` is running or has run without a recorded outcome.
     PossiblyRan,
     /// The platform's log can't be reached, and the call may not be repeated.
@@ -66,7 +68,7 @@
 
 impl RefusalReason {
     /// All reasons, in the order of their codes' documentation.
-    pub const ALL: [Self; 27] = [
+    pub const ALL: [Self; 28] = [
         Self::BadRequest,
         Self::TooLarge,
         Self::SlowSender,
@@ -88,6 +90,7 @@
         Self::MissingIdempotencyKey,
         Self::InvalidIdempotencyKey,
         Self::IdempotencyKeyReused,
+        Self::IdempotencyKeySpent,
         Self::PossiblyRan,
         Self::LogUnavailable,
         Self::NotReady,
@@ -152,6 +155,9 @@
             Self::IdempotencyKeyReused => {
                 ("idempotency_key_reused", 422, "use a new `Idempotency-Key` for another body")
             }
+            Self::IdempotencyKeySpent => {
+                ("idempotency_key_spent", 409, "the call ended unrun; use a new `Idempotency-Key`")
+            }
             Self::PossiblyRan => {
                 ("possibly_ran", 409, "the call may have run; look it up before sending a new one")
             }
