Measure once-only calls over random schedules

Change: coltsfoot-measure once drives the real state machines by an event queue; cases take one mechanism out. Latency of claims is measured without faults, with appends of 20 ms and reads of 10 ms.

--- a/coltsfoot-measure/src/cmd/mod.rs
+++ b/coltsfoot-measure/src/cmd/mod.rs
@@ -1,5 +1,7 @@
 //! Subcommands; each prints a table and, as its last line, one line of JSON.
 
+mod once;
+
 use std::path;
 
 use lexopt::ValueExt as _;
@@ -11,7 +13,7 @@
 }
 
 /// All subcommands.
-const COMMANDS: &[MeasureCommand] = &[];
+const COMMANDS: &[MeasureCommand] = &[MeasureCommand { name: "once", run: once::run }];
 
 /// An error that ends a measure.
 #[derive(Debug, thiserror::Error)]
@@ -22,6 +24,12 @@
     /// No subcommand of that name.
     #[error("no measure is called \"{0}\"; see `coltsfoot-measure --help`")]
     UnknownCommand(String),
+    /// No case of that name.
+    #[error("no case is called \"{0}\"; see the measure's page in docs/design")]
+    UnknownCase(String),
+    /// A result misses what must always hold.
+    #[error("{0}; run the named seed alone to see it")]
+    Violated(String),
     /// A workload file can't be read.
     #[error("could not read {path}: {source}; name a readable JSON file")]
     #[allow(dead_code)]
--- a/coltsfoot-measure/src/main.rs
+++ b/coltsfoot-measure/src/main.rs
@@ -1,6 +1,7 @@
 //! `coltsfoot-measure`: measures the decisions and the path, one subcommand a measure.
 
 mod cmd;
+mod once;
 
 use std::process;
 
--- /dev/null
+++ b/coltsfoot-measure/src/once/mod.rs
@@ -0,0 +1,10 @@
+//! Random schedules of once-only calls, and the latency of their claims.
+
+pub mod caller;
+pub mod instance;
+pub mod latency;
+pub mod log;
+pub mod queue;
+pub mod schedule;
+pub mod upstream;
+pub mod world;
