--- a/coltsfoot-measure/src/main.rs
+++ b/coltsfoot-measure/src/main.rs
@@ -2,6 +2,7 @@
 
 mod cmd;
 mod placement;
+mod once;
 
 use std::process;
 
