Check only what referred to a changed object before

Cause: a trial without the dependents of the resulting state failed no test: an untouched object refers to the same objects before and after.

Change: check_touched takes the dependents of the previous state alone; validate::check_all checks a whole state.

--- a/coltsfoot-catalog/src/validate.rs
+++ b/coltsfoot-catalog/src/validate.rs
@@ -16,20 +16,35 @@
 /// Errors that one validation reports at most.
 const MAX_ERRORS: usize = 32;
 
-/// Checks the objects touched by a change, and those that refer to them before or after it, in the
-/// resulting state.
+/// Checks the objects touched by a change, and those that referred to them before it, in the
+/// resulting state. Objects that refer to them only since the change are touched themselves.
 pub(crate) fn check_touched(
     previous: &state::CatalogState,
     state: &state::CatalogState,
     touched: &collections::BTreeSet<reference::ObjectRef>,
 ) -> Vec<problem::ObjectError> {
-    let mut check = SetCheck { state, errors: Vec::new() };
     let mut affected = touched.clone();
     for object in touched {
         affected.extend(dependents(previous, object));
-        affected.extend(dependents(state, object));
     }
-    for object in &affected {
+    check_objects(state, affected.iter())
+}
+
+/// Checks all objects. The fold keeps them consistent, so that this finds nothing in its states.
+pub fn check_all(state: &state::CatalogState) -> Vec<problem::ObjectError> {
+    let reference = |versioned: state::VersionedObject| {
+        reference::ObjectRef::new(versioned.object.kind(), versioned.object.name())
+    };
+    let objects: Vec<_> = state.objects().map(reference).collect();
+    check_objects(state, objects.iter())
+}
+
+fn check_objects<'a>(
+    state: &state::CatalogState,
+    objects: impl Iterator<Item = &'a reference::ObjectRef>,
+) -> Vec<problem::ObjectError> {
+    let mut check = SetCheck { state, errors: Vec::new() };
+    for object in objects {
         check.object(object);
     }
     check.errors.truncate(MAX_ERRORS);
