--- a/coltsfoot-wire/src/lib.rs
+++ b/coltsfoot-wire/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each concern has a module of its own message types; [`peer::PeerMessage`] joins them.
 
 pub mod codec;
+pub mod config;
 pub mod member;
 pub mod once;
 pub mod peer;
--- a/coltsfoot-wire/src/peer.rs
+++ b/coltsfoot-wire/src/peer.rs
@@ -1,9 +1,9 @@
 //! The union of all messages between instances.
 
-use coltsfoot_types::{id, name};
+use coltsfoot_types::name;
 use serde::{Deserialize, Serialize};
 
-use crate::{member, once, placement, quota};
+use crate::{config, member, once, placement, quota};
 
 /// A message with its sender.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
@@ -25,23 +25,6 @@
     Placement(placement::PlacementMessage),
     /// Claims of once-only calls.
     Claim(once::ClaimMessage),
-    /// Asks for records of the configuration log from an offset on.
-    FetchRecords {
-        /// First offset wanted.
-        from: id::LogOffset,
-    },
-    /// Passes records of the configuration log on.
-    Records {
-        /// Consecutive records as text, with their offsets.
-        records: Vec<PeerRecord>,
-    },
-}
-
-/// A record of the configuration log, passed on.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
-pub struct PeerRecord {
-    /// Its offset.
-    pub offset: id::LogOffset,
-    /// Its text.
-    pub value: String,
+    /// Records and states of the configuration.
+    Config(config::ConfigMessage),
 }
