--- a/coltsfoot-fakes/src/lib.rs
+++ b/coltsfoot-fakes/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod engine;
 mod engine_calls;
 mod engine_state;
+pub mod fleet;
 mod gate;
 mod lag;
 pub mod list;
