Check ownership under random schedules

Cause: the view protocol was untested. Change: check::ScheduleRun drives ZoneMember in virtual time with crashes, freezes, partitions, log outages, cuts and noise; an audit asserts one owner, rising fencing numbers, no order under way.

--- /dev/null
+++ b/coltsfoot-member/src/check/mod.rs
@@ -0,0 +1,11 @@
+//! Randomised schedules of one zone in virtual time, with the invariants of ownership checked.
+//!
+//! Tests and measures drive [`ScheduleRun`]; an embedder can check its own
+//! [`crate::settings::TimingSettings`] with it. A seed reproduces a run.
+
+pub mod audit;
+pub mod fault;
+mod platform;
+pub mod schedule;
+
+pub use schedule::ScheduleRun;
--- a/coltsfoot-member/src/lib.rs
+++ b/coltsfoot-member/src/lib.rs
@@ -15,6 +15,7 @@
 //! The name of an instance must be new at each start of its process. All instances of a zone need
 //! the same [`settings::TimingSettings`] and number of groups.
 
+pub mod check;
 pub mod contact;
 pub mod event;
 pub mod handover;
--- a/coltsfoot-member/src/zone_member/mod.rs
+++ b/coltsfoot-member/src/zone_member/mod.rs
@@ -21,7 +21,7 @@
 /// Membership and ownership as one instance sees them.
 ///
 /// Equal seeds and events give equal actions.
-#[derive(bon::Builder, Clone)]
+#[derive(bon::Builder, Clone, Debug)]
 #[builder(finish_fn(vis = "", name = build_parts))]
 pub struct ZoneMember {
     /// Name of this instance, new at each start.
