--- a/coltsfoot-member/src/check/mod.rs
+++ b/coltsfoot-member/src/check/mod.rs
@@ -5,7 +5,12 @@
 
 pub mod audit;
 pub mod fault;
+mod injection;
+mod instance;
 mod platform;
+mod queue;
 pub mod schedule;
+mod traffic;
+mod transport;
 
 pub use schedule::ScheduleRun;
--- a/coltsfoot-member/tests/schedules.rs
+++ b/coltsfoot-member/tests/schedules.rs
@@ -12,6 +12,11 @@
         .build()
 }
 
+fn start(seed: u64, size: usize) -> check::ScheduleRun {
+    let settings = check::schedule::ScheduleSettings::builder();
+    check::ScheduleRun::new(settings.seed(seed).size(size).timing(short_timing()).build())
+}
+
 #[rstest]
 #[case::two_members(2, 0..120)]
 #[case::three_members(3, 1_000..1_120)]
@@ -19,7 +24,7 @@
 #[case::five_members(5, 3_000..3_080)]
 fn never_two_owners_under_random_faults(#[case] size: usize, #[case] seeds: std::ops::Range<u64>) {
     for seed in seeds {
-        let mut run = check::ScheduleRun::new(seed, size, 3, short_timing());
+        let mut run = start(seed, size);
         run.run_for(time::Duration::from_secs(4));
         run.run_with_faults(time::Duration::from_secs(30));
         assert_eq!(run.violations(), [], "seed {seed}");
@@ -35,19 +40,12 @@
     #[case] seeds: std::ops::Range<u64>,
 ) {
     for seed in seeds {
-        let mut run = check::ScheduleRun::new(seed, size, 3, short_timing());
+        let mut run = start(seed, size);
         run.run_for(time::Duration::from_secs(4));
         run.run_with_faults(time::Duration::from_secs(20));
         run.heal();
         run.run_for(time::Duration::from_secs(60));
         assert_eq!(run.violations(), [], "seed {seed}");
-        if std::env::var("DUMP").is_ok()
-            && run.resources().iter().any(|r| run.acting_owner(r).is_none())
-        {
-            for index in run.running() {
-                eprintln!("{index} {:?} {:?}", run.mode(index), run.member(index));
-            }
-        }
         for resource in run.resources() {
             assert!(run.acting_owner(resource).is_some(), "seed {seed}: {resource} has no owner");
         }
