--- a/coltsfoot-fakes/src/service.rs
+++ b/coltsfoot-fakes/src/service.rs
@@ -86,7 +86,7 @@
 pub struct ServiceAnswer {
     /// Number of the run, over all calls.
     pub run: u64,
-    /// The path that was called.
+    /// The path that was called, with its query.
     pub path: String,
     /// The body that was sent.
     pub echo: String,
@@ -185,6 +185,13 @@
     }
 }
 
+fn with_query(path: String, query: Option<&str>) -> String {
+    match query {
+        Some(query) => format!("{path}?{query}"),
+        None => path,
+    }
+}
+
 async fn answer(state: &ServiceState, mut request: Request) -> http_types::Result<Response> {
     let path = request.url().path().to_owned();
     match (request.method(), path.as_str()) {
@@ -192,7 +199,10 @@
         (Method::Get, "/observations") => {
             control::json_answer(200, &server::lock(&state.core).observations())
         }
-        _ => run(state, request, path).await,
+        _ => {
+            let path = with_query(path, request.url().query());
+            run(state, request, path).await
+        }
     }
 }
 
--- a/coltsfoot-measure/src/main.rs
+++ b/coltsfoot-measure/src/main.rs
@@ -1,8 +1,8 @@
 //! `coltsfoot-measure`: measures the decisions and the path, one subcommand a measure.
 
 mod cmd;
-mod placement;
 mod once;
+mod placement;
 
 use std::process;
 
--- a/coltsfoot-placement/src/report.rs
+++ b/coltsfoot-placement/src/report.rs
@@ -2,7 +2,7 @@
 
 use std::collections;
 
-use coltsfoot_types::{adapter, name, time as clock};
+use coltsfoot_types::{adapter, name, refusal, time as clock};
 
 use crate::cell::{CellActions, EngineCell};
 use crate::engine;
@@ -39,6 +39,21 @@
         };
         state.leaving = true;
         self.readmit_ready(now, engine, |_| true, actions);
+        self.refuse_without_engines(now, actions);
+    }
+
+    /// Refuses all waiting requests once no engine is left that could take them, so that they can
+    /// go to another cell.
+    fn refuse_without_engines(&mut self, now: clock::MonotonicTime, actions: &mut CellActions) {
+        let is_acting = self.fencing(now).is_some();
+        if !is_acting || self.engines.values().any(|engine| !engine.leaving) {
+            return;
+        }
+        let mut waiting: Vec<_> = self.waits.keys().copied().collect();
+        waiting.sort();
+        for request in waiting {
+            self.refuse_request(request, refusal::RefusalReason::NoUpstream, actions);
+        }
     }
 
     /// Forgets an engine with all that ran on it.
--- /dev/null
+++ b/coltsfoot-placement/tests/last_engine.rs
@@ -0,0 +1,22 @@
+//! Requests that wait in a cell without engines are refused at once, so that others can take them.
+
+mod common;
+
+use coltsfoot_placement::event::CellEvent;
+use coltsfoot_types::refusal::RefusalReason;
+use coltsfoot_wire::placement::PermitRefusalReason;
+use rstest::rstest;
+
+#[rstest]
+#[case::gone(CellEvent::EngineGone { engine: "e1".into() })]
+#[case::leaving(CellEvent::EngineLeaving { engine: "e1".into() })]
+fn waiting_requests_are_refused_with_the_last_engine(#[case] loss: CellEvent) {
+    let mut test = common::TestCell::new(2, 2, 8);
+    let attempt = test.want("menus@1");
+    assert_eq!(test.refused(attempt), None);
+    test.send(CellEvent::EngineGone { engine: "e0".into() });
+    assert_eq!(test.refused(attempt), None, "one engine is left");
+    test.send(loss);
+    let refused = PermitRefusalReason::Refused(RefusalReason::NoUpstream);
+    assert_eq!(test.refused(attempt), Some(refused));
+}
--- /dev/null
+++ b/coltsfootd/src/clock.rs
@@ -0,0 +1,56 @@
+//! The daemon's clock. `async-io` has none that tests can pause, so this thin one stands in.
+
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use coltsfoot_types::time as instant;
+
+/// A monotonic clock that a test can replace by one that moves only when told.
+#[derive(Clone, Debug)]
+pub struct RuntimeClock {
+    source: ClockSource,
+}
+
+#[derive(Clone, Debug)]
+enum ClockSource {
+    System(time::Instant),
+    Paused(sync::Arc<atomic::AtomicU64>),
+}
+
+impl RuntimeClock {
+    /// Creates a clock that follows the system's monotonic clock.
+    pub fn system() -> Self {
+        Self { source: ClockSource::System(time::Instant::now()) }
+    }
+
+    /// Creates a clock that stands at zero until it is advanced.
+    pub fn paused() -> Self {
+        Self { source: ClockSource::Paused(sync::Arc::default()) }
+    }
+
+    /// Returns the current instant.
+    pub fn now(&self) -> instant::MonotonicTime {
+        match &self.source {
+            ClockSource::System(origin) => {
+                instant::MonotonicTime(origin.elapsed().as_micros() as u64)
+            }
+            ClockSource::Paused(micros) => {
+                instant::MonotonicTime(micros.load(atomic::Ordering::SeqCst))
+            }
+        }
+    }
+
+    /// Advances a paused clock; has no effect on the system's clock.
+    pub fn advance(&self, duration: time::Duration) {
+        if let ClockSource::Paused(micros) = &self.source {
+            micros.fetch_add(duration.as_micros() as u64, atomic::Ordering::SeqCst);
+        }
+    }
+}
+
+/// Returns the wall-clock time, in milliseconds since the Unix epoch.
+pub fn wall_time() -> instant::WallTime {
+    let elapsed = time::SystemTime::now().duration_since(time::UNIX_EPOCH).unwrap_or_default();
+    instant::WallTime(elapsed.as_millis() as u64)
+}
--- /dev/null
+++ b/coltsfootd/src/cmd.rs
@@ -0,0 +1,96 @@
+//! The command line of the daemon.
+
+use std::path;
+use std::process;
+
+use coltsfootd::{daemon, logs, settings};
+
+const HELP: &str = "\
+Serve callers as one entry instance.
+
+Usage: coltsfootd --settings FILE.json [--check-settings]
+
+Options:
+  --settings FILE     Settings of the instance; see docs/operators/settings.md
+  --check-settings    Check the settings and exit
+  --help              Print this help
+  --version           Print the version
+
+Exit codes: 0 planned stop or sound settings, 1 could not serve, 2 wrong command line or settings
+
+Examples:
+  coltsfootd --settings /etc/coltsfoot/rennes-1.json
+  coltsfootd --settings rennes-1.json --check-settings
+";
+
+/// Exit code of a wrong command line or wrong settings.
+const USAGE_EXIT: u8 = 2;
+/// Exit code of a daemon that could not serve.
+const FAILURE_EXIT: u8 = 1;
+
+/// An error that ends the daemon.
+#[derive(Debug, thiserror::Error)]
+pub enum CommandError {
+    /// The command line can't be understood.
+    #[error("{0}; see `coltsfootd --help`")]
+    Usage(#[from] lexopt::Error),
+    /// No settings were named.
+    #[error("no settings; give `--settings FILE.json`")]
+    NoSettings,
+    /// The settings can't be used.
+    #[error(transparent)]
+    Settings(#[from] settings::SettingsError),
+    /// The daemon could not serve.
+    #[error(transparent)]
+    Daemon(#[from] daemon::DaemonError),
+}
+
+impl CommandError {
+    /// Returns the exit code.
+    pub fn exit_code(&self) -> u8 {
+        match self {
+            Self::Daemon(_) => FAILURE_EXIT,
+            _ => USAGE_EXIT,
+        }
+    }
+}
+
+struct CommandLine {
+    settings: Option<path::PathBuf>,
+    check_only: bool,
+}
+
+/// Parses the command line and runs the daemon until it is told to stop.
+pub fn run() -> Result<process::ExitCode, CommandError> {
+    let Some(line) = parse()? else { return Ok(process::ExitCode::SUCCESS) };
+    let path = line.settings.ok_or(CommandError::NoSettings)?;
+    let settings = settings::DaemonSettings::read(&path)?;
+    if line.check_only {
+        println!("{}: the settings are sound", path.display());
+        return Ok(process::ExitCode::SUCCESS);
+    }
+    logs::start(settings.log_format, settings.log_level);
+    daemon::run_until_signal(settings)?;
+    Ok(process::ExitCode::SUCCESS)
+}
+
+fn parse() -> Result<Option<CommandLine>, lexopt::Error> {
+    let mut line = CommandLine { settings: None, check_only: false };
+    let mut parser = lexopt::Parser::from_env();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            lexopt::Arg::Long("settings") => line.settings = Some(parser.value()?.into()),
+            lexopt::Arg::Long("check-settings") => line.check_only = true,
+            lexopt::Arg::Long("help") => {
+                print!("{HELP}");
+                return Ok(None);
+            }
+            lexopt::Arg::Long("version") => {
+                println!("coltsfootd {}", env!("CARGO_PKG_VERSION"));
+                return Ok(None);
+            }
+            _ => return Err(argument.unexpected()),
+        }
+    }
+    Ok(Some(line))
+}
--- /dev/null
+++ b/coltsfootd/src/control/engines.rs
@@ -0,0 +1,152 @@
+//! Orders to engines and polls of their reports, as tasks of the control thread.
+
+use std::cell;
+use std::net;
+use std::rc;
+use std::sync;
+use std::time;
+
+use coltsfoot_placement::event as cells;
+use coltsfoot_platform::{engine, error};
+use coltsfoot_types::{name, time as instant};
+use coltsfoot_wire::placement;
+use rustc_hash::FxHashMap;
+
+use crate::control::{ControlEvent, EventSender};
+use crate::{event, shared};
+
+/// Time between two polls of an engine.
+const POLL_INTERVAL: time::Duration = time::Duration::from_millis(500);
+
+/// What is known of the polls of an engine.
+struct EnginePoll {
+    next: instant::MonotonicTime,
+    in_flight: bool,
+    /// Number of the last cache event seen.
+    last_event: u64,
+}
+
+/// Sends orders and polls to engines.
+pub struct EngineDesk {
+    shared: sync::Arc<shared::InstanceShared>,
+    executor: rc::Rc<async_executor::LocalExecutor<'static>>,
+    events: EventSender,
+    polls: rc::Rc<cell::RefCell<FxHashMap<name::UpstreamName, EnginePoll>>>,
+}
+
+impl EngineDesk {
+    /// Creates a desk without orders.
+    pub fn new(
+        shared: sync::Arc<shared::InstanceShared>,
+        executor: rc::Rc<async_executor::LocalExecutor<'static>>,
+        events: EventSender,
+    ) -> Self {
+        Self { shared, executor, events, polls: rc::Rc::default() }
+    }
+
+    /// Carries out an order and reports how it ended.
+    pub fn order(
+        &self,
+        cell: placement::CellId,
+        order: cells::EngineOrder,
+        is_load: bool,
+        address: Option<net::SocketAddr>,
+    ) {
+        let shared = sync::Arc::clone(&self.shared);
+        let events = self.events.clone();
+        let ordering = async move {
+            let outcome = match address {
+                Some(address) => carry_out(&shared, &order, is_load, address).await,
+                None => cells::OrderOutcome::Failed,
+            };
+            let order = order.id;
+            events.send(ControlEvent::OrderEnded { cell, order, is_load, outcome });
+        };
+        self.executor.spawn(ordering).detach();
+    }
+
+    /// Polls an engine unless that was done a moment ago.
+    pub fn poll(
+        &self,
+        now: instant::MonotonicTime,
+        engine: &name::UpstreamName,
+        address: net::SocketAddr,
+    ) {
+        let mut polls = self.polls.borrow_mut();
+        let poll = polls.entry(engine.clone()).or_insert(EnginePoll {
+            next: now,
+            in_flight: false,
+            last_event: 0,
+        });
+        if poll.in_flight || now < poll.next {
+            return;
+        }
+        poll.in_flight = true;
+        poll.next = now + POLL_INTERVAL;
+        let client = engine::EngineClient::new(self.shared.upstreams.clone(), address);
+        let after = poll.last_event;
+        let polls = rc::Rc::clone(&self.polls);
+        let events = self.events.clone();
+        let engine = engine.clone();
+        let polling = async move {
+            let last_event = read_engine(&client, &events, &engine, after).await;
+            if let Some(poll) = polls.borrow_mut().get_mut(&engine) {
+                poll.in_flight = false;
+                poll.last_event = last_event;
+            }
+        };
+        self.executor.spawn(polling).detach();
+    }
+}
+
+async fn carry_out(
+    shared: &shared::InstanceShared,
+    order: &cells::EngineOrder,
+    is_load: bool,
+    address: net::SocketAddr,
+) -> cells::OrderOutcome {
+    let client = engine::EngineClient::new(shared.upstreams.clone(), address);
+    let result = match is_load {
+        true => client.load(&order.adapter, order.fencing).await,
+        false => client.unload(&order.adapter, order.fencing).await,
+    };
+    let engine = &order.engine;
+    let adapter = &order.adapter;
+    match result {
+        Ok(()) => cells::OrderOutcome::Done,
+        Err(engine::OrderError::StaleFencing) => {
+            event::emit(event::ORDER_FENCED, format_args!("{engine}: {adapter}"));
+            cells::OrderOutcome::Fenced
+        }
+        Err(error) => {
+            if is_load {
+                shared.metrics.count_load_failure();
+            }
+            event::emit(event::LOAD_FAILED, format_args!("{engine}: {adapter}: {error}"));
+            cells::OrderOutcome::Failed
+        }
+    }
+}
+
+/// Reads report and cache events. Returns the number of the last event seen.
+async fn read_engine(
+    client: &engine::EngineClient,
+    events: &EventSender,
+    engine: &name::UpstreamName,
+    after: u64,
+) -> u64 {
+    match client.report().await {
+        Ok(report) => events.send(ControlEvent::EngineReported(engine.clone(), report)),
+        Err(error::ClientError::Http(error::HttpError::Connect { .. })) => {
+            events.send(ControlEvent::EngineClosed(engine.clone()));
+            return after;
+        }
+        Err(_) => return after,
+    }
+    let Ok(cached) = client.cache_events(after).await else { return after };
+    let last = cached.events.last().map_or(after, |event| event.number);
+    if !cached.events.is_empty() {
+        events.send(ControlEvent::CacheReported(engine.clone(), cached));
+    }
+    last
+}
--- /dev/null
+++ b/coltsfootd/src/control/member.rs
@@ -0,0 +1,195 @@
+//! Hosts the membership of the instance's zone.
+
+use std::collections;
+use std::rc;
+use std::sync;
+
+use async_channel as channel;
+use coltsfoot_member::{ZoneMember, event as member, rendezvous};
+use coltsfoot_platform::log;
+use coltsfoot_types::{id, name, time as instant};
+use coltsfoot_wire::{member as messages, peer};
+
+use crate::control::directory::InstanceDirectory;
+use crate::control::resource::OwnedResource;
+use crate::control::{EventSender, platform};
+use crate::peers::PeerNetwork;
+use crate::{event, shared};
+
+/// An ownership that began or ended.
+pub struct OwnershipNotice {
+    /// The resource.
+    pub resource: OwnedResource,
+    /// The fencing number of its orders while it is owned.
+    pub fencing: Option<id::FencingNumber>,
+}
+
+/// What the host needs to carry out actions.
+pub struct MemberTools {
+    /// Tasks of the control thread.
+    pub executor: rc::Rc<async_executor::LocalExecutor<'static>>,
+    /// Other instances.
+    pub network: PeerNetwork,
+    /// The platform's log.
+    pub log: log::LogClient,
+    /// The control thread's events.
+    pub events: EventSender,
+    /// Wakes the reader of the members stream.
+    pub wakeups: channel::Sender<()>,
+}
+
+/// Membership and ownership of this instance.
+pub struct MemberHost {
+    shared: sync::Arc<shared::InstanceShared>,
+    tools: MemberTools,
+    zone_member: ZoneMember,
+    resources: collections::BTreeMap<name::ResourceName, OwnedResource>,
+}
+
+impl MemberHost {
+    /// Creates the host of an instance that has no view yet.
+    pub fn new(shared: sync::Arc<shared::InstanceShared>, tools: MemberTools) -> Self {
+        let zone_member = ZoneMember::builder()
+            .own_name(shared.settings.instance.clone())
+            .zone(shared.settings.zone.clone())
+            .seed(rand::random())
+            .build();
+        let resources = collections::BTreeMap::new();
+        Self { shared, tools, zone_member, resources }
+    }
+
+    /// Passes an event on and returns the ownerships that it changed.
+    pub fn handle(
+        &mut self,
+        now: instant::MonotonicTime,
+        event: member::MemberEvent,
+    ) -> Vec<OwnershipNotice> {
+        let actions = self.zone_member.handle(now, event);
+        let mut notices = Vec::new();
+        for action in actions {
+            self.carry_out(action, &mut notices);
+        }
+        notices
+    }
+
+    /// Passes the zone's entries of the platform's list on.
+    pub fn take_list(
+        &mut self,
+        now: instant::MonotonicTime,
+        directory: &InstanceDirectory,
+    ) -> Vec<OwnershipNotice> {
+        let entries = directory.entries_of(&self.shared.settings.zone);
+        let listed = entries
+            .map(|entry| member::ListedInstance {
+                name: entry.name.clone(),
+                leaving: entry.leaving,
+            })
+            .collect();
+        self.handle(now, member::MemberEvent::ListRead(listed))
+    }
+
+    /// Passes a message on.
+    pub fn take_message(
+        &mut self,
+        now: instant::MonotonicTime,
+        sender: name::InstanceName,
+        message: messages::MemberMessage,
+    ) -> Vec<OwnershipNotice> {
+        self.handle(now, member::MemberEvent::Message { sender, message })
+    }
+
+    /// Replaces the resources whose ownership is reported. Those that are gone count as lost.
+    pub fn track(&mut self, resources: impl Iterator<Item = OwnedResource>) {
+        let wanted: collections::BTreeMap<_, _> =
+            resources.map(|resource| (resource.name(), resource)).collect();
+        for name in self.resources.keys().filter(|name| !wanted.contains_key(*name)) {
+            self.zone_member.untrack(name);
+        }
+        for name in wanted.keys().filter(|name| !self.resources.contains_key(*name)) {
+            self.zone_member.track(name.clone());
+        }
+        self.resources = wanted;
+    }
+
+    /// Returns the lease on a resource at this moment.
+    pub fn lease(
+        &self,
+        now: instant::MonotonicTime,
+        resource: &OwnedResource,
+    ) -> Option<member::OwnerLease> {
+        self.zone_member.lease(now, &resource.name())
+    }
+
+    /// Returns the owner of a resource of this zone.
+    pub fn owner_of(&self, resource: &OwnedResource) -> Option<name::InstanceName> {
+        self.zone_member.owner_of(&resource.name())
+    }
+
+    /// Guesses the owner of a resource of another zone from the platform's list. An instance that
+    /// isn't the owner refuses.
+    pub fn owner_elsewhere(
+        directory: &InstanceDirectory,
+        zone: &name::ZoneName,
+        resource: &OwnedResource,
+    ) -> Option<name::InstanceName> {
+        let entries = directory.entries_of(zone).filter(|entry| !entry.leaving);
+        let mut members: Vec<_> = entries.map(|entry| entry.name.clone()).collect();
+        members.sort();
+        rendezvous::choose_member(&resource.name(), &members).cloned()
+    }
+
+    /// Returns the members of the view.
+    pub fn members(&self) -> Vec<name::InstanceName> {
+        self.zone_member.view().map(|view| view.members).unwrap_or_default()
+    }
+
+    fn carry_out(&mut self, action: member::MemberAction, notices: &mut Vec<OwnershipNotice>) {
+        match action {
+            member::MemberAction::Send { receiver, message } => {
+                self.tools.network.send(&receiver, peer::PeerMessage::Member(message));
+            }
+            member::MemberAction::AppendView { record_id, text } => self.append(record_id, text),
+            member::MemberAction::ViewChanged(view) => report_view(view),
+            member::MemberAction::OwnershipGained { resource, fencing } => {
+                self.notice(&resource, Some(fencing), notices);
+            }
+            member::MemberAction::OwnershipLost { resource } => {
+                self.notice(&resource, None, notices);
+            }
+            member::MemberAction::Drained { .. } => self.shared.status.set_handed_over(),
+        }
+    }
+
+    fn notice(
+        &self,
+        resource: &name::ResourceName,
+        fencing: Option<id::FencingNumber>,
+        notices: &mut Vec<OwnershipNotice>,
+    ) {
+        if let Some(resource) = self.resources.get(resource) {
+            notices.push(OwnershipNotice { resource: resource.clone(), fencing });
+        }
+    }
+
+    fn append(&self, record_id: uuid::Uuid, text: String) {
+        let log = self.tools.log.clone();
+        let events = self.tools.events.clone();
+        let wakeups = self.tools.wakeups.clone();
+        let appending = async move {
+            platform::append_view(log, events, record_id, text).await;
+            let _ = wakeups.try_send(());
+        };
+        self.tools.executor.spawn(appending).detach();
+    }
+}
+
+fn report_view(view: Option<member::ZoneView>) {
+    match view {
+        Some(view) => {
+            let members: Vec<_> = view.members.iter().map(name::InstanceName::as_str).collect();
+            let members = members.join(", ");
+            event::emit(event::VIEW_CHANGED, format_args!("epoch {}: {members}", view.epoch));
+        }
+        None => event::emit(event::VIEW_CHANGED, format_args!("no view")),
+    }
+}
--- /dev/null
+++ b/coltsfootd/src/control/mod.rs
@@ -0,0 +1,19 @@
+//! The control thread: it owns all decisions, takes events one by one and carries out actions.
+
+mod catalog;
+pub mod client;
+mod contact;
+mod directory;
+mod engines;
+mod event;
+mod member;
+mod placement;
+mod plane;
+mod platform;
+mod quota;
+mod resource;
+mod status;
+
+pub use event::{ControlEvent, EventSender, event_queue};
+pub use plane::ControlPlane;
+pub use status::InstanceReport;
--- /dev/null
+++ b/coltsfootd/src/control/placement.rs
@@ -0,0 +1,668 @@
+//! Hosts the placement's machines: permits for this instance, and the cells and load budget that
+//! it owns.
+
+use std::collections;
+use std::sync;
+
+use coltsfoot_placement::{agent, budget, cell, event as cells, settings as limits};
+use coltsfoot_platform::protocol;
+use coltsfoot_types::{id, name, time as instant};
+use coltsfoot_wire::{member as views, peer, placement};
+use rustc_hash::FxHashMap;
+
+use crate::control::client;
+use crate::control::contact::ContactTable;
+use crate::control::directory::InstanceDirectory;
+use crate::control::engines::EngineDesk;
+use crate::control::member::MemberHost;
+use crate::control::resource::OwnedResource;
+use crate::peers::PeerNetwork;
+use crate::{event, settings, shared};
+
+/// Engines that one cell holds; a zone with more has several cells a base model.
+const ENGINES_PER_CELL: usize = 8;
+
+/// What the host needs of its surroundings.
+pub struct PlacementTools<'a> {
+    /// Membership of the own zone.
+    pub member: &'a MemberHost,
+    /// All instances and upstreams.
+    pub directory: &'a InstanceDirectory,
+    /// Instances that were heard lately.
+    pub contacts: &'a ContactTable,
+    /// Sends messages.
+    pub network: &'a PeerNetwork,
+    /// Carries out orders to engines.
+    pub engines: &'a EngineDesk,
+}
+
+/// Permits, cells and load budget of this instance.
+pub struct PlacementHost {
+    shared: sync::Arc<shared::InstanceShared>,
+    agent: agent::PermitAgent,
+    cells: collections::BTreeMap<placement::CellId, cell::EngineCell>,
+    /// Cell of each engine of the zone.
+    engine_cells: collections::BTreeMap<name::UpstreamName, placement::CellId>,
+    ledger: budget::LoadLedger,
+    routes: Vec<agent::CellRoute>,
+    waiting: FxHashMap<id::AttemptId, client::AnswerSender<client::GrantedPermit>>,
+    generations: collections::BTreeMap<name::UpstreamName, u64>,
+    /// Listed engines whose port is closed.
+    closed: collections::BTreeSet<name::UpstreamName>,
+}
+
+impl PlacementHost {
+    /// Creates the host of an instance that knows no engines.
+    pub fn new(shared: sync::Arc<shared::InstanceShared>) -> Self {
+        let settings = limits::AgentSettings::builder().build();
+        let ledger = budget::LoadLedger::new(ledger_settings(&shared.settings));
+        Self {
+            shared,
+            agent: agent::PermitAgent::new(settings),
+            cells: collections::BTreeMap::new(),
+            engine_cells: collections::BTreeMap::new(),
+            ledger,
+            routes: Vec::new(),
+            waiting: FxHashMap::default(),
+            generations: collections::BTreeMap::new(),
+            closed: collections::BTreeSet::new(),
+        }
+    }
+
+    /// Returns the resources that the zone's cells and load budget are.
+    pub fn resources(&self) -> impl Iterator<Item = OwnedResource> + '_ {
+        let cells = self.cells.keys().map(|cell| OwnedResource::Cell(cell.clone()));
+        cells.chain([OwnedResource::Ledger])
+    }
+
+    /// Returns the cells that this instance owns.
+    pub fn owned_cells(&self, now: instant::MonotonicTime, member: &MemberHost) -> Vec<String> {
+        let is_owned = |cell: &&placement::CellId| {
+            member.lease(now, &OwnedResource::Cell((*cell).clone())).is_some()
+        };
+        self.cells.keys().filter(is_owned).map(|cell| cell.to_string()).collect()
+    }
+
+    /// Takes a new list of instances and upstreams.
+    pub fn take_list(&mut self, now: instant::MonotonicTime, tools: &PlacementTools<'_>) {
+        let assignment = assign_cells(tools.directory);
+        let zone = self.shared.settings.zone.clone();
+        let local: collections::BTreeMap<_, _> =
+            assignment.into_iter().filter(|(_, cell)| cell.zone == zone).collect();
+        for cell in local.values() {
+            self.cells
+                .entry(cell.clone())
+                .or_insert_with(|| cell::EngineCell::new(limits::CellSettings::builder().build()));
+        }
+        self.remove_engines(now, &local, tools);
+        for listing in tools.directory.upstreams() {
+            if let Some(cell) = local.get(&listing.name)
+                && !self.closed.contains(&listing.name)
+            {
+                self.take_engine(now, cell, listing, tools);
+            }
+        }
+        self.engine_cells = local;
+        self.refresh_routes(now, tools);
+    }
+
+    /// Takes a demand of a request of this instance.
+    pub fn want_permit(
+        &mut self,
+        now: instant::MonotonicTime,
+        query: client::PermitQuery,
+        answer: client::AnswerSender<client::GrantedPermit>,
+        tools: &PlacementTools<'_>,
+    ) {
+        self.waiting.insert(query.attempt, answer);
+        let demand = placement::PermitDemand {
+            attempt: query.attempt,
+            customer: query.customer,
+            weight: query.weight,
+            priority: query.priority,
+            adapter: query.adapter,
+            estimated_tokens: query.tokens.min(u64::from(u32::MAX)) as u32,
+            prefix_hash: query.prefix_hash,
+            time_left: query.patience,
+        };
+        let wanted = agent::AgentEvent::Wanted { base_model: query.base_model, demand };
+        self.agent_event(now, wanted, tools);
+    }
+
+    /// Takes the end of a wait.
+    pub fn cancel(
+        &mut self,
+        now: instant::MonotonicTime,
+        attempt: id::AttemptId,
+        tools: &PlacementTools<'_>,
+    ) {
+        let event = match self.waiting.remove(&attempt) {
+            Some(_) => agent::AgentEvent::Cancelled { attempt },
+            None => {
+                let outcome = placement::AttemptOutcome::NotSent;
+                agent::AgentEvent::Ended { release: placement::PermitRelease { attempt, outcome } }
+            }
+        };
+        self.agent_event(now, event, tools);
+    }
+
+    /// Takes the end of a permitted attempt.
+    pub fn release(
+        &mut self,
+        now: instant::MonotonicTime,
+        attempt: id::AttemptId,
+        outcome: placement::AttemptOutcome,
+        tools: &PlacementTools<'_>,
+    ) {
+        let release = placement::PermitRelease { attempt, outcome };
+        self.agent_event(now, agent::AgentEvent::Ended { release }, tools);
+    }
+
+    /// Takes a message of another instance, or of this one.
+    pub fn take_message(
+        &mut self,
+        now: instant::MonotonicTime,
+        sender: name::InstanceName,
+        message: placement::PlacementMessage,
+        tools: &PlacementTools<'_>,
+    ) {
+        use cells::CellEvent;
+        use placement::PlacementMessage;
+        let instance = sender.clone();
+        match message {
+            PlacementMessage::Request { cell, demand } => {
+                let wanted = CellEvent::PermitWanted { instance, demand };
+                self.request(now, &cell, sender, wanted, tools);
+            }
+            PlacementMessage::Cancel { cell, attempt } => {
+                self.cell_event(now, &cell, CellEvent::PermitCancelled { attempt }, tools);
+            }
+            PlacementMessage::Release { cell, release } => {
+                let released = CellEvent::PermitReleased { instance, release };
+                self.cell_event(now, &cell, released, tools);
+            }
+            PlacementMessage::Report { cell, fencing, permits } => {
+                let report = CellEvent::PermitsReported { instance, fencing, permits };
+                self.cell_event(now, &cell, report, tools);
+            }
+            PlacementMessage::LoadGrant { cell, grant, start_within } => {
+                let granted = CellEvent::LoadGranted { grant, start_within };
+                self.cell_event(now, &cell, granted, tools);
+            }
+            PlacementMessage::Grant { .. }
+            | PlacementMessage::Refusal { .. }
+            | PlacementMessage::ReportRequest { .. } => {
+                self.agent_event(now, agent::AgentEvent::Received { message, sender }, tools);
+            }
+            PlacementMessage::LoadRequest { cell, wanted } => {
+                self.ledger_event(now, budget::LedgerEvent::LoadsWanted { cell, wanted }, tools);
+            }
+            PlacementMessage::LoadReturn { grant, used } => {
+                self.ledger_event(now, budget::LedgerEvent::LoadReturned { grant, used }, tools);
+            }
+            PlacementMessage::LoanRequest { zone, wanted } => {
+                self.ledger_event(now, budget::LedgerEvent::LoanWanted { zone, wanted }, tools);
+            }
+            PlacementMessage::LoanReturn { loads, used, .. } => {
+                self.ledger_event(now, budget::LedgerEvent::LoanReturned { loads, used }, tools);
+            }
+            PlacementMessage::Loan { zone, loads, start_within } => {
+                let lent = budget::LedgerEvent::Lent { zone, loads, start_within };
+                self.ledger_event(now, lent, tools);
+            }
+        }
+    }
+
+    /// Takes the begin or end of the ownership of a cell.
+    pub fn take_cell_ownership(
+        &mut self,
+        now: instant::MonotonicTime,
+        cell: &placement::CellId,
+        fencing: Option<id::FencingNumber>,
+        tools: &PlacementTools<'_>,
+    ) {
+        let lease = tools.member.lease(now, &OwnedResource::Cell(cell.clone()));
+        let event = match (fencing, lease) {
+            (Some(_), Some(lease)) => cells::CellEvent::OwnershipGained {
+                lease: cells::CellLease {
+                    fencing: lease.fencing,
+                    acting_from: now,
+                    until: lease.orders_until,
+                    restricted: lease.grade != views::ViewGrade::Full,
+                },
+                reporters: self.reporters(tools),
+                unknown_permits: true,
+            },
+            _ => cells::CellEvent::OwnershipLost,
+        };
+        self.cell_event(now, cell, event, tools);
+        self.refresh_routes(now, tools);
+    }
+
+    /// Takes the begin or end of the ownership of the zone's load budget.
+    pub fn take_ledger_ownership(
+        &mut self,
+        now: instant::MonotonicTime,
+        fencing: Option<id::FencingNumber>,
+        tools: &PlacementTools<'_>,
+    ) {
+        let event = match fencing {
+            Some(fencing) => budget::LedgerEvent::OwnershipGained { fencing },
+            None => budget::LedgerEvent::OwnershipLost,
+        };
+        self.ledger_event(now, event, tools);
+    }
+
+    /// Takes the end of an order.
+    pub fn end_order(
+        &mut self,
+        now: instant::MonotonicTime,
+        cell: &placement::CellId,
+        event: cells::CellEvent,
+        tools: &PlacementTools<'_>,
+    ) {
+        self.cell_event(now, cell, event, tools);
+    }
+
+    /// Takes an engine's report.
+    pub fn take_report(
+        &mut self,
+        now: instant::MonotonicTime,
+        engine: name::UpstreamName,
+        report: protocol::LoadReport,
+        tools: &PlacementTools<'_>,
+    ) {
+        let Some(cell) = self.engine_cells.get(&engine).cloned() else { return };
+        self.reopen_engine(now, &cell, &engine, tools);
+        let former = self.generations.insert(engine.clone(), report.generation);
+        if former.is_some_and(|former| former != report.generation) {
+            event::emit(event::ENGINE_RESTARTED, format_args!("{engine}"));
+        }
+        let report = cells::EngineReport {
+            generation: report.generation,
+            running: report.running,
+            waiting: report.waiting,
+            resident: report.resident,
+        };
+        self.cell_event(now, &cell, cells::CellEvent::EngineReported { engine, report }, tools);
+    }
+
+    /// Takes that an engine's process has ended, with all that ran on it.
+    pub fn take_closed_engine(
+        &mut self,
+        now: instant::MonotonicTime,
+        engine: name::UpstreamName,
+        tools: &PlacementTools<'_>,
+    ) {
+        let Some(cell) = self.engine_cells.get(&engine).cloned() else { return };
+        if self.closed.insert(engine.clone()) {
+            self.cell_event(now, &cell, cells::CellEvent::EngineGone { engine }, tools);
+        }
+    }
+
+    /// Lists an engine again that was closed and answers now.
+    fn reopen_engine(
+        &mut self,
+        now: instant::MonotonicTime,
+        cell: &placement::CellId,
+        engine: &name::UpstreamName,
+        tools: &PlacementTools<'_>,
+    ) {
+        if !self.closed.remove(engine) {
+            return;
+        }
+        let mut listings = tools.directory.upstreams().iter();
+        if let Some(listing) = listings.find(|listing| listing.name == *engine) {
+            self.take_engine(now, cell, listing, tools);
+        }
+    }
+
+    /// Takes an engine's cache events.
+    pub fn take_cache_events(
+        &mut self,
+        now: instant::MonotonicTime,
+        engine: &name::UpstreamName,
+        events: protocol::CacheEvents,
+        tools: &PlacementTools<'_>,
+    ) {
+        let Some(cell) = self.engine_cells.get(engine).cloned() else { return };
+        for cache_event in events.events {
+            let event = cells::CellEvent::PrefixReported {
+                engine: engine.clone(),
+                adapter: cache_event.adapter,
+                prefix_hash: cache_event.prefix_hash,
+                cached: cache_event.cached,
+            };
+            self.cell_event(now, &cell, event, tools);
+        }
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: instant::MonotonicTime, tools: &PlacementTools<'_>) {
+        let cells: Vec<_> = self.cells.keys().cloned().collect();
+        for cell in &cells {
+            if let Some(lease) = tools.member.lease(now, &OwnedResource::Cell(cell.clone())) {
+                let until = lease.orders_until;
+                self.cell_event(now, cell, cells::CellEvent::OwnershipRenewed { until }, tools);
+            }
+            self.cell_event(now, cell, cells::CellEvent::Tick, tools);
+        }
+        self.ledger_event(now, budget::LedgerEvent::Tick, tools);
+        self.agent_event(now, agent::AgentEvent::Tick, tools);
+        self.refresh_routes(now, tools);
+        self.poll_engines(now, tools);
+    }
+
+    /// Asks the engines of owned cells for their reports.
+    fn poll_engines(&self, now: instant::MonotonicTime, tools: &PlacementTools<'_>) {
+        for (engine, cell) in &self.engine_cells {
+            if tools.member.lease(now, &OwnedResource::Cell(cell.clone())).is_some()
+                && let Some(address) = tools.directory.upstream_address(engine)
+            {
+                tools.engines.poll(now, engine, address);
+            }
+        }
+    }
+
+    /// Takes the cells of all zones with their owners as they are known now. Cells of other zones
+    /// whose owner can't be reached are left out.
+    fn refresh_routes(&mut self, now: instant::MonotonicTime, tools: &PlacementTools<'_>) {
+        let own_zone = &self.shared.settings.zone;
+        let cells: collections::BTreeSet<_> = assign_cells(tools.directory).into_values().collect();
+        let routes: Vec<_> = cells
+            .into_iter()
+            .map(|cell| {
+                let is_local = cell.zone == *own_zone;
+                let owner = owner_of_cell(&cell, is_local, tools);
+                agent::CellRoute { cell, owner, is_local }
+            })
+            .filter(|route| route.is_local || is_reachable(now, route, tools))
+            .collect();
+        if routes != self.routes {
+            self.routes = routes.clone();
+            self.agent_event(now, agent::AgentEvent::RoutesChanged { routes }, tools);
+        }
+    }
+
+    fn take_engine(
+        &mut self,
+        now: instant::MonotonicTime,
+        cell: &placement::CellId,
+        listing: &protocol::UpstreamListing,
+        tools: &PlacementTools<'_>,
+    ) {
+        let protocol::UpstreamRole::Engine { slots, batch_size, checks_fencing, .. } = listing.role
+        else {
+            return;
+        };
+        let engine = listing.name.clone();
+        let event = match listing.leaving {
+            true => cells::CellEvent::EngineLeaving { engine },
+            false => cells::CellEvent::EngineListed {
+                engine: cells::EngineListing { name: engine, slots, batch_size, checks_fencing },
+            },
+        };
+        self.cell_event(now, cell, event, tools);
+    }
+
+    fn remove_engines(
+        &mut self,
+        now: instant::MonotonicTime,
+        listed: &collections::BTreeMap<name::UpstreamName, placement::CellId>,
+        tools: &PlacementTools<'_>,
+    ) {
+        let former = std::mem::take(&mut self.engine_cells);
+        for (engine, cell) in former {
+            if listed.get(&engine) != Some(&cell) {
+                let gone = cells::CellEvent::EngineGone { engine };
+                self.cell_event(now, &cell, gone, tools);
+            }
+        }
+    }
+
+    fn reporters(&self, tools: &PlacementTools<'_>) -> Vec<name::InstanceName> {
+        tools.directory.peer_addresses().map(|(name, _)| name).collect()
+    }
+
+    /// Passes a demand on, or refuses it when this instance does not know the cell.
+    fn request(
+        &mut self,
+        now: instant::MonotonicTime,
+        cell: &placement::CellId,
+        sender: name::InstanceName,
+        wanted: cells::CellEvent,
+        tools: &PlacementTools<'_>,
+    ) {
+        if self.cells.contains_key(cell) {
+            return self.cell_event(now, cell, wanted, tools);
+        }
+        let cells::CellEvent::PermitWanted { demand, .. } = wanted else { return };
+        let refusal = placement::PermitRefusal {
+            attempt: demand.attempt,
+            reason: placement::PermitRefusalReason::NotOwner,
+            retry_after: std::time::Duration::ZERO,
+        };
+        let message = placement::PlacementMessage::Refusal { cell: cell.clone(), refusal };
+        tools.network.send(&sender, peer::PeerMessage::Placement(message));
+    }
+
+    fn agent_event(
+        &mut self,
+        now: instant::MonotonicTime,
+        event: agent::AgentEvent,
+        tools: &PlacementTools<'_>,
+    ) {
+        for action in self.agent.handle(now, event) {
+            match action {
+                agent::AgentAction::Send { receiver, message } => {
+                    tools.network.send(&receiver, peer::PeerMessage::Placement(message));
+                }
+                agent::AgentAction::Dispatch { attempt, engine, send_by, .. } => {
+                    self.dispatch(now, attempt, engine, send_by, tools);
+                }
+                agent::AgentAction::Refuse { attempt, reason, retry_after } => {
+                    let retry_after = (!retry_after.is_zero()).then_some(retry_after);
+                    let refusal = client::ControlRefusal { reason, retry_after };
+                    if let Some(answer) = self.waiting.remove(&attempt) {
+                        let _ = answer.try_send(Err(refusal));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Answers the request with its permit. One that nobody waits for any more, or whose engine
+    /// has no address, is given back.
+    fn dispatch(
+        &mut self,
+        now: instant::MonotonicTime,
+        attempt: id::AttemptId,
+        engine: name::UpstreamName,
+        send_by: instant::MonotonicTime,
+        tools: &PlacementTools<'_>,
+    ) {
+        let address = tools.directory.upstream_address(&engine);
+        let answer = self.waiting.remove(&attempt);
+        let sent = address.zip(answer).is_some_and(|(address, answer)| {
+            let permit = client::GrantedPermit { upstream: engine, address, send_by };
+            answer.try_send(Ok(permit)).is_ok()
+        });
+        if !sent {
+            let outcome = placement::AttemptOutcome::NotSent;
+            self.release(now, attempt, outcome, tools);
+        }
+    }
+
+    fn cell_event(
+        &mut self,
+        now: instant::MonotonicTime,
+        cell: &placement::CellId,
+        event: cells::CellEvent,
+        tools: &PlacementTools<'_>,
+    ) {
+        let Some(machine) = self.cells.get_mut(cell) else { return };
+        for action in machine.handle(now, event) {
+            self.carry_out(cell, action, tools);
+        }
+    }
+
+    fn carry_out(
+        &self,
+        cell: &placement::CellId,
+        action: cells::CellAction,
+        tools: &PlacementTools<'_>,
+    ) {
+        use cells::CellAction;
+        use placement::PlacementMessage;
+        let to_instance = |receiver: name::InstanceName, message| {
+            tools.network.send(&receiver, peer::PeerMessage::Placement(message));
+        };
+        let to_ledger = |message| {
+            if let Some(owner) = tools.member.owner_of(&OwnedResource::Ledger) {
+                tools.network.send(&owner, peer::PeerMessage::Placement(message));
+            }
+        };
+        let cell = cell.clone();
+        match action {
+            CellAction::Grant { instance, grant } => {
+                to_instance(instance, PlacementMessage::Grant { cell, grant });
+            }
+            CellAction::Refuse { instance, refusal } => {
+                to_instance(instance, PlacementMessage::Refusal { cell, refusal });
+            }
+            CellAction::RequestReport { instance, fencing } => {
+                to_instance(instance, PlacementMessage::ReportRequest { cell, fencing });
+            }
+            CellAction::RequestLoads { wanted } => {
+                to_ledger(PlacementMessage::LoadRequest { cell, wanted });
+            }
+            CellAction::ReturnLoad { grant, used } => {
+                to_ledger(PlacementMessage::LoadReturn { grant, used });
+            }
+            CellAction::Load { order } => {
+                self.shared.metrics.count_load();
+                self.order(cell, order, true, tools);
+            }
+            CellAction::Unload { order } => self.order(cell, order, false, tools),
+        }
+    }
+
+    fn order(
+        &self,
+        cell: placement::CellId,
+        order: cells::EngineOrder,
+        is_load: bool,
+        tools: &PlacementTools<'_>,
+    ) {
+        let address = tools.directory.upstream_address(&order.engine);
+        tools.engines.order(cell, order, is_load, address);
+    }
+
+    fn ledger_event(
+        &mut self,
+        now: instant::MonotonicTime,
+        event: budget::LedgerEvent,
+        tools: &PlacementTools<'_>,
+    ) {
+        let actions = self.ledger.handle(now, event);
+        for action in actions {
+            let (receiver, message) = match action {
+                budget::LedgerAction::Grant { cell, grant, start_within } => {
+                    let owner = tools.member.owner_of(&OwnedResource::Cell(cell.clone()));
+                    (owner, placement::PlacementMessage::LoadGrant { cell, grant, start_within })
+                }
+                budget::LedgerAction::RequestLoan { zone, wanted } => {
+                    let own_zone = self.shared.settings.zone.clone();
+                    let owner = self.ledger_owner(&zone, tools);
+                    (owner, placement::PlacementMessage::LoanRequest { zone: own_zone, wanted })
+                }
+                budget::LedgerAction::ReturnLoan { zone, loads, used } => {
+                    let own_zone = self.shared.settings.zone.clone();
+                    let owner = self.ledger_owner(&zone, tools);
+                    let message =
+                        placement::PlacementMessage::LoanReturn { zone: own_zone, loads, used };
+                    (owner, message)
+                }
+                budget::LedgerAction::Lend { zone, loads, start_within } => {
+                    let own_zone = self.shared.settings.zone.clone();
+                    let owner = self.ledger_owner(&zone, tools);
+                    let loan =
+                        placement::PlacementMessage::Loan { zone: own_zone, loads, start_within };
+                    (owner, loan)
+                }
+            };
+            if let Some(receiver) = receiver {
+                tools.network.send(&receiver, peer::PeerMessage::Placement(message));
+            }
+        }
+    }
+
+    fn ledger_owner(
+        &self,
+        zone: &name::ZoneName,
+        tools: &PlacementTools<'_>,
+    ) -> Option<name::InstanceName> {
+        MemberHost::owner_elsewhere(tools.directory, zone, &OwnedResource::Ledger)
+    }
+}
+
+/// Returns this zone's part of the fleet's load budget.
+fn ledger_settings(settings: &settings::DaemonSettings) -> budget::LedgerSettings {
+    let mut zones = settings.fleet_zones.clone();
+    zones.sort();
+    zones.dedup();
+    let place = zones.iter().position(|zone| *zone == settings.zone).unwrap_or_default();
+    let count = zones.len() as u32;
+    let extra = u32::from((place as u32) < settings.fleet_loads_in_flight % count);
+    budget::LedgerSettings::builder()
+        .peers(zones.into_iter().filter(|zone| *zone != settings.zone).collect())
+        .zone(settings.zone.clone())
+        .loads_in_flight(settings.fleet_loads_in_flight / count + extra)
+        .loads_per_second(settings.store_loads_per_second / f64::from(count))
+        .build()
+}
+
+fn owner_of_cell(
+    cell: &placement::CellId,
+    is_local: bool,
+    tools: &PlacementTools<'_>,
+) -> agent::CellOwner {
+    let resource = OwnedResource::Cell(cell.clone());
+    let owner = match is_local {
+        true => tools.member.owner_of(&resource),
+        false => MemberHost::owner_elsewhere(tools.directory, &cell.zone, &resource),
+    };
+    owner.map_or(agent::CellOwner::Unknown, agent::CellOwner::Instance)
+}
+
+fn is_reachable(
+    now: instant::MonotonicTime,
+    route: &agent::CellRoute,
+    tools: &PlacementTools<'_>,
+) -> bool {
+    route.owner.instance().is_some_and(|owner| tools.contacts.is_reachable(now, owner))
+}
+
+/// Divides the engines of each zone and base model into cells by the order of their names.
+fn assign_cells(
+    directory: &InstanceDirectory,
+) -> collections::BTreeMap<name::UpstreamName, placement::CellId> {
+    let mut groups: collections::BTreeMap<_, Vec<&name::UpstreamName>> =
+        collections::BTreeMap::new();
+    for listing in directory.upstreams() {
+        if let protocol::UpstreamRole::Engine { base_model, .. } = &listing.role {
+            groups.entry((&listing.zone, base_model)).or_default().push(&listing.name);
+        }
+    }
+    let mut cells = collections::BTreeMap::new();
+    for ((zone, base_model), mut engines) in groups {
+        engines.sort();
+        for (place, engine) in engines.into_iter().enumerate() {
+            let index = (place / ENGINES_PER_CELL) as u16;
+            let base_model = base_model.clone();
+            let cell = placement::CellId { zone: zone.clone(), base_model, index };
+            cells.insert(engine.clone(), cell);
+        }
+    }
+    cells
+}
--- /dev/null
+++ b/coltsfootd/src/control/plane.rs
@@ -0,0 +1,359 @@
+//! The loop of the control thread.
+
+use std::rc;
+use std::sync;
+use std::time;
+
+use async_channel as channel;
+use async_executor::LocalExecutor;
+use async_net::{TcpListener, UdpSocket};
+use coltsfoot_member::event as members;
+use coltsfoot_placement::event as cells;
+use coltsfoot_platform::{http, list, log, protocol};
+use coltsfoot_types::time as instant;
+use coltsfoot_wire::{codec, peer};
+use futures_lite::future;
+
+use crate::control::catalog::CatalogKeeper;
+use crate::control::contact::ContactTable;
+use crate::control::directory::InstanceDirectory;
+use crate::control::engines::EngineDesk;
+use crate::control::member::{MemberHost, MemberTools, OwnershipNotice};
+use crate::control::placement::{PlacementHost, PlacementTools};
+use crate::control::quota::{QuotaHost, QuotaRouting};
+use crate::control::resource::OwnedResource;
+use crate::control::{ControlEvent, EventSender, platform, status};
+use crate::peers::{PeerListener, PeerNetwork};
+use crate::{daemon, event, shared};
+
+/// Time between two ticks.
+const TICK_INTERVAL: time::Duration = time::Duration::from_millis(50);
+/// Ticks between two announcements of the folded offset.
+const ANNOUNCE_TICKS: u64 = 20;
+/// Longest wait for an answer of the platform.
+const PLATFORM_TIMEOUT: time::Duration = time::Duration::from_secs(3);
+
+/// What the control thread starts with.
+pub struct ControlPlane {
+    /// State shared with traffic threads.
+    pub shared: sync::Arc<shared::InstanceShared>,
+    /// Its own events, for tasks that report to it.
+    pub events: EventSender,
+    /// The events.
+    pub queue: channel::Receiver<ControlEvent>,
+    /// Accepts other instances.
+    pub listener: TcpListener,
+    /// Receives heartbeats.
+    pub datagrams: UdpSocket,
+    /// Told when a planned stop is complete.
+    pub drained: channel::Sender<()>,
+}
+
+impl ControlPlane {
+    /// Runs until `stop` is closed.
+    pub fn run(self, stop: channel::Receiver<()>) {
+        let executor = rc::Rc::new(LocalExecutor::new());
+        let stopped = async {
+            let _ = stop.recv().await;
+        };
+        let serving = self.serve(rc::Rc::clone(&executor));
+        async_io::block_on(executor.run(future::or(stopped, serving)));
+    }
+
+    async fn serve(self, executor: rc::Rc<LocalExecutor<'static>>) {
+        let queue = self.queue.clone();
+        let mut state = self.start(&executor);
+        while let Ok(event) = queue.recv().await {
+            state.handle(event);
+        }
+    }
+
+    /// Starts the tasks that feed the control thread.
+    fn start(self, executor: &rc::Rc<LocalExecutor<'static>>) -> ControlState {
+        let Self { shared, events, listener, datagrams, drained, .. } = self;
+        let settings = &shared.settings;
+        let codec = codec::MessageCodec::new(&settings.peer_secret);
+        let limits = http::HttpLimits::builder()
+            .head_timeout(PLATFORM_TIMEOUT)
+            .body_idle_timeout(PLATFORM_TIMEOUT)
+            .build();
+        let pool = http::HttpPool::new(limits);
+        let log = log::LogClient::new(pool.clone(), settings.log_address);
+        let list = list::ListClient::new(pool, settings.list_address);
+        let network = PeerNetwork::new(
+            settings.instance.clone(),
+            codec.clone(),
+            rc::Rc::clone(executor),
+            datagrams.clone(),
+            sync::Arc::clone(&shared),
+            events.clone(),
+        );
+        let (wakeups, wakeup_queue) = channel::bounded(1);
+        let reader = rc::Rc::new(PeerListener { codec, events: events.clone() });
+        let accepting = rc::Rc::clone(&reader).accept(listener, rc::Rc::clone(executor));
+        executor.spawn(accepting).detach();
+        executor.spawn(reader.receive(datagrams)).detach();
+        executor.spawn(platform::poll_list(list, events.clone())).detach();
+        executor.spawn(platform::poll_config(log.clone(), events.clone())).detach();
+        let polling = platform::poll_members(log.clone(), events.clone(), wakeup_queue);
+        executor.spawn(polling).detach();
+        executor.spawn(tick(events.clone())).detach();
+        let tools = MemberTools {
+            executor: rc::Rc::clone(executor),
+            network: network.clone(),
+            log,
+            events: events.clone(),
+            wakeups,
+        };
+        let engines = EngineDesk::new(sync::Arc::clone(&shared), rc::Rc::clone(executor), events);
+        ControlState {
+            catalog: CatalogKeeper::new(sync::Arc::clone(&shared)),
+            member: MemberHost::new(sync::Arc::clone(&shared), tools),
+            quota: QuotaHost::new(sync::Arc::clone(&shared)),
+            placement: PlacementHost::new(sync::Arc::clone(&shared)),
+            directory: InstanceDirectory::default(),
+            contacts: ContactTable::default(),
+            list_reachable: true,
+            executor: rc::Rc::clone(executor),
+            network,
+            engines,
+            drained,
+            ticks: 0,
+            shared,
+        }
+    }
+}
+
+async fn tick(events: EventSender) {
+    loop {
+        async_io::Timer::after(TICK_INTERVAL).await;
+        events.send(ControlEvent::Tick);
+    }
+}
+
+/// Everything that the control thread decides with.
+struct ControlState {
+    shared: sync::Arc<shared::InstanceShared>,
+    executor: rc::Rc<LocalExecutor<'static>>,
+    network: PeerNetwork,
+    engines: EngineDesk,
+    directory: InstanceDirectory,
+    contacts: ContactTable,
+    list_reachable: bool,
+    catalog: CatalogKeeper,
+    member: MemberHost,
+    quota: QuotaHost,
+    placement: PlacementHost,
+    drained: channel::Sender<()>,
+    ticks: u64,
+}
+
+/// Borrows what quota messages are routed by, beside a mutable host.
+macro_rules! quota_routing {
+    ($state:ident) => {
+        &QuotaRouting {
+            member: &$state.member,
+            directory: &$state.directory,
+            network: &$state.network,
+        }
+    };
+}
+
+/// Borrows what placement is carried out with, beside a mutable host.
+macro_rules! placement_tools {
+    ($state:ident) => {
+        &PlacementTools {
+            member: &$state.member,
+            directory: &$state.directory,
+            contacts: &$state.contacts,
+            network: &$state.network,
+            engines: &$state.engines,
+        }
+    };
+}
+
+impl ControlState {
+    fn handle(&mut self, event: ControlEvent) {
+        let now = self.shared.clock.now();
+        match event {
+            ControlEvent::Tick => self.tick(now),
+            ControlEvent::Admit(query, answer) => {
+                self.quota.admit(now, query, answer, quota_routing!(self));
+            }
+            ControlEvent::Refund { request, tokens, .. } => {
+                self.quota.refund(now, request, tokens, quota_routing!(self));
+            }
+            ControlEvent::Permit(query, answer) => {
+                self.placement.want_permit(now, query, answer, placement_tools!(self));
+            }
+            ControlEvent::CancelPermit(attempt) => {
+                self.placement.cancel(now, attempt, placement_tools!(self));
+            }
+            ControlEvent::Release(attempt, outcome) => {
+                self.placement.release(now, attempt, outcome, placement_tools!(self));
+            }
+            ControlEvent::Peer(envelope) => self.take_message(now, *envelope),
+            ControlEvent::MembersRead(records) => {
+                self.member_event(now, members::MemberEvent::LogRead(records));
+            }
+            ControlEvent::MembersUnreachable => {
+                self.member_event(now, members::MemberEvent::LogUnreachable);
+            }
+            ControlEvent::ViewAppended { record_id, outcome } => {
+                self.member_event(now, members::MemberEvent::AppendEnded { record_id, outcome });
+            }
+            ControlEvent::OrderEnded { cell, order, is_load, outcome } => {
+                let event = match is_load {
+                    true => cells::CellEvent::LoadEnded { order, outcome },
+                    false => cells::CellEvent::UnloadEnded { order, outcome },
+                };
+                self.placement.end_order(now, &cell, event, placement_tools!(self));
+            }
+            ControlEvent::EngineReported(engine, report) => {
+                self.placement.take_report(now, engine, report, placement_tools!(self));
+            }
+            ControlEvent::CacheReported(engine, events) => {
+                self.placement.take_cache_events(now, &engine, events, placement_tools!(self));
+            }
+            ControlEvent::EngineClosed(engine) => {
+                self.placement.take_closed_engine(now, engine, placement_tools!(self));
+            }
+            ControlEvent::ConfigRead(page) => self.take_config(now, &page),
+            ControlEvent::LogUnreachable(cause) => self.catalog.note_unreachable(&cause),
+            ControlEvent::ListRead(list) => self.take_list(now, list),
+            ControlEvent::ListUnreachable(cause) => self.note_list_unreachable(&cause),
+            ControlEvent::Status(answer) => {
+                let _ = answer.try_send(self.report(now));
+            }
+            ControlEvent::Drain => self.drain(now),
+        }
+    }
+
+    fn tick(&mut self, now: instant::MonotonicTime) {
+        self.ticks += 1;
+        self.member_event(now, members::MemberEvent::Tick);
+        self.quota.tick(now, quota_routing!(self));
+        self.placement.tick(now, placement_tools!(self));
+        if self.ticks.is_multiple_of(ANNOUNCE_TICKS) {
+            self.contacts.expire(now);
+            self.update_reachability(now);
+            self.quota.announce_offset(quota_routing!(self));
+        }
+    }
+
+    fn member_event(&mut self, now: instant::MonotonicTime, event: members::MemberEvent) {
+        let notices = self.member.handle(now, event);
+        self.take_notices(now, notices);
+    }
+
+    fn take_notices(&mut self, now: instant::MonotonicTime, notices: Vec<OwnershipNotice>) {
+        for OwnershipNotice { resource, fencing } in notices {
+            match resource {
+                OwnedResource::Bucket(customer) => {
+                    self.quota.take_ownership(now, customer, fencing, quota_routing!(self));
+                }
+                OwnedResource::Cell(cell) => {
+                    let tools = placement_tools!(self);
+                    self.placement.take_cell_ownership(now, &cell, fencing, tools);
+                }
+                OwnedResource::Ledger => {
+                    self.placement.take_ledger_ownership(now, fencing, placement_tools!(self));
+                }
+            }
+        }
+    }
+
+    /// Tells the quota which other zones can be reached.
+    fn update_reachability(&mut self, now: instant::MonotonicTime) {
+        let own_zone = &self.shared.settings.zone;
+        let zones = self.directory.zones().into_iter().filter(|zone| zone != own_zone);
+        for zone in zones {
+            let is_heard =
+                |entry: &protocol::EntryListing| self.contacts.is_reachable(now, &entry.name);
+            let reachable = self.directory.entries_of(&zone).any(is_heard);
+            self.quota.set_reachable(now, zone, reachable, quota_routing!(self));
+        }
+    }
+
+    fn take_message(&mut self, now: instant::MonotonicTime, envelope: peer::PeerEnvelope) {
+        let peer::PeerEnvelope { sender, message } = envelope;
+        self.contacts.note(now, &sender);
+        match message {
+            peer::PeerMessage::Member(message) => {
+                let notices = self.member.take_message(now, sender, message);
+                self.take_notices(now, notices);
+            }
+            peer::PeerMessage::Quota(message) => {
+                self.quota.take_message(now, sender, message, quota_routing!(self));
+            }
+            peer::PeerMessage::Placement(message) => {
+                self.placement.take_message(now, sender, message, placement_tools!(self));
+            }
+            _ => {}
+        }
+    }
+
+    fn take_config(&mut self, now: instant::MonotonicTime, page: &protocol::RecordPage) {
+        if !self.catalog.take_page(now, page) {
+            return;
+        }
+        let view = self.catalog.view();
+        self.quota.configure(now, &view, quota_routing!(self));
+        self.track_resources();
+    }
+
+    fn take_list(&mut self, now: instant::MonotonicTime, list: protocol::InstanceList) {
+        if !self.list_reachable {
+            self.list_reachable = true;
+            event::emit(event::LIST_REACHABLE, format_args!("{} entries", list.entries.len()));
+        }
+        self.directory.replace(list);
+        self.network.set_directory(self.directory.peer_addresses());
+        self.shared.services.store(sync::Arc::new(self.directory.services()));
+        let notices = self.member.take_list(now, &self.directory);
+        self.take_notices(now, notices);
+        self.placement.take_list(now, placement_tools!(self));
+        self.track_resources();
+    }
+
+    fn note_list_unreachable(&mut self, cause: &str) {
+        if self.list_reachable {
+            self.list_reachable = false;
+            event::emit(event::LIST_UNREACHABLE, format_args!("{cause}"));
+        }
+    }
+
+    fn track_resources(&mut self) {
+        let resources = self.quota.resources().chain(self.placement.resources());
+        self.member.track(resources);
+    }
+
+    fn report(&self, now: instant::MonotonicTime) -> status::InstanceReport {
+        status::InstanceReport {
+            instance: self.shared.settings.instance.clone(),
+            zone: self.shared.settings.zone.clone(),
+            offset: self.catalog.next_offset(),
+            ready: self.shared.status.is_ready(),
+            draining: self.shared.status.is_draining(),
+            running: self.shared.status.running(),
+            view: self.member.members(),
+            cells: self.placement.owned_cells(now, &self.member),
+        }
+    }
+
+    /// Hands ownership over while running requests end, then reports that the stop is complete.
+    fn drain(&mut self, now: instant::MonotonicTime) {
+        if !self.shared.status.set_draining() {
+            return;
+        }
+        event::emit(event::DRAINING, format_args!("{}", self.shared.settings.instance));
+        self.member_event(now, members::MemberEvent::StartDrain);
+        let shared = sync::Arc::clone(&self.shared);
+        let drained = self.drained.clone();
+        let finishing = async move {
+            daemon::finish_requests(&shared).await;
+            let _ = drained.try_send(());
+        };
+        self.executor.spawn(finishing).detach();
+    }
+}
--- /dev/null
+++ b/coltsfootd/src/control/quota.rs
@@ -0,0 +1,300 @@
+//! Hosts the quota's machines: admission at this instance and the buckets that it owns.
+
+use std::collections;
+use std::sync;
+
+use coltsfoot_catalog::{object, view};
+use coltsfoot_quota::{bucket_owner, event as quota, limit_history, quota_agent, token_bucket};
+use coltsfoot_types::{id, name, time as instant};
+use coltsfoot_wire::{peer, quota as messages};
+use rustc_hash::FxHashMap;
+
+use crate::control::client;
+use crate::control::directory::InstanceDirectory;
+use crate::control::member::MemberHost;
+use crate::control::resource::OwnedResource;
+use crate::peers::PeerNetwork;
+use crate::shared;
+
+/// Where messages about quota may go.
+pub struct QuotaRouting<'a> {
+    /// Membership of the own zone.
+    pub member: &'a MemberHost,
+    /// All instances.
+    pub directory: &'a InstanceDirectory,
+    /// Sends the messages.
+    pub network: &'a PeerNetwork,
+}
+
+/// Admission and zone buckets of this instance.
+pub struct QuotaHost {
+    shared: sync::Arc<shared::InstanceShared>,
+    agent: quota_agent::QuotaAgent,
+    owner: bucket_owner::BucketOwner,
+    waiting: FxHashMap<id::RequestId, client::AnswerSender<()>>,
+    limits: collections::BTreeMap<name::CustomerName, limit_history::CustomerLimits>,
+    owned: collections::BTreeSet<name::CustomerName>,
+    folded: collections::BTreeMap<name::InstanceName, id::LogOffset>,
+}
+
+impl QuotaHost {
+    /// Creates the host of an instance that owns nothing.
+    pub fn new(shared: sync::Arc<shared::InstanceShared>) -> Self {
+        let zone = shared.settings.zone.clone();
+        let agent = quota_agent::QuotaAgent::new(zone.clone(), quota_agent::DEFAULT_MAX_WAIT);
+        let owner = bucket_owner::BucketOwner::new(&shared.settings.instance, zone);
+        Self {
+            shared,
+            agent,
+            owner,
+            waiting: FxHashMap::default(),
+            limits: collections::BTreeMap::new(),
+            owned: collections::BTreeSet::new(),
+            folded: collections::BTreeMap::new(),
+        }
+    }
+
+    /// Takes the customers of a new configuration.
+    pub fn configure(
+        &mut self,
+        now: instant::MonotonicTime,
+        catalog: &view::CatalogView,
+        routing: &QuotaRouting<'_>,
+    ) {
+        let new: collections::BTreeMap<_, _> = catalog
+            .customers()
+            .map(|customer| (customer.name.clone(), customer_limits(customer)))
+            .collect();
+        let old = std::mem::replace(&mut self.limits, new.clone());
+        let removed = old.keys().filter(|name| !new.contains_key(*name));
+        let changed = new.iter().filter(|(name, limits)| old.get(*name) != Some(*limits));
+        let changes = removed
+            .map(|name| (name.clone(), None))
+            .chain(changed.map(|(name, limits)| (name.clone(), Some(limits.clone()))));
+        for (customer, limits) in changes {
+            self.configure_customer(now, catalog.offset(), customer, limits, routing);
+        }
+    }
+
+    /// Returns the resources that buckets of this zone are.
+    pub fn resources(&self) -> impl Iterator<Item = OwnedResource> + '_ {
+        self.limits.keys().map(|customer| OwnedResource::Bucket(customer.clone()))
+    }
+
+    /// Takes a request for admission.
+    pub fn admit(
+        &mut self,
+        now: instant::MonotonicTime,
+        query: client::AdmissionQuery,
+        answer: client::AnswerSender<()>,
+        routing: &QuotaRouting<'_>,
+    ) {
+        self.waiting.insert(query.request, answer);
+        let admission = quota::AdmissionRequest {
+            request: query.request,
+            customer: query.customer,
+            tokens: query.tokens,
+            deadline: now + query.patience,
+            fingerprint: query.fingerprint,
+        };
+        let actions = self.agent.handle(now, quota::AgentEvent::Admit(admission));
+        self.carry_out(actions, routing);
+    }
+
+    /// Takes the end of a request that did not use all its tokens, or no longer waits.
+    pub fn refund(
+        &mut self,
+        now: instant::MonotonicTime,
+        request: id::RequestId,
+        unused: u64,
+        routing: &QuotaRouting<'_>,
+    ) {
+        let event = match self.waiting.remove(&request) {
+            Some(_) => quota::AgentEvent::Cancel { request },
+            None => quota::AgentEvent::Finish { request, unused },
+        };
+        let actions = self.agent.handle(now, event);
+        self.carry_out(actions, routing);
+    }
+
+    /// Takes a message of another instance, or of this one.
+    pub fn take_message(
+        &mut self,
+        now: instant::MonotonicTime,
+        sender: name::InstanceName,
+        message: messages::QuotaMessage,
+        routing: &QuotaRouting<'_>,
+    ) {
+        let actions = match message {
+            messages::QuotaMessage::Report(report) => {
+                self.renew(now, routing);
+                self.owner.handle(now, quota::OwnerEvent::Report { sender, report })
+            }
+            messages::QuotaMessage::Grant(update) => match update.role {
+                messages::HolderRole::Instance => {
+                    self.agent.handle(now, quota::AgentEvent::Grant { sender, update })
+                }
+                messages::HolderRole::Zone => {
+                    self.renew(now, routing);
+                    self.owner.handle(now, quota::OwnerEvent::Grant { sender, update })
+                }
+            },
+            messages::QuotaMessage::Handover(handover) => {
+                self.owner.handle(now, quota::OwnerEvent::Handover(handover))
+            }
+            messages::QuotaMessage::Folded(folded) => {
+                self.folded.insert(sender, folded.offset);
+                return self.settle(now, routing);
+            }
+        };
+        self.carry_out(actions, routing);
+    }
+
+    /// Takes the begin or end of the ownership of a bucket.
+    pub fn take_ownership(
+        &mut self,
+        now: instant::MonotonicTime,
+        customer: name::CustomerName,
+        fencing: Option<id::FencingNumber>,
+        routing: &QuotaRouting<'_>,
+    ) {
+        let event = match fencing {
+            Some(view) => {
+                self.owned.insert(customer.clone());
+                let term = quota::OwnershipTerm { view, acts_from: now, share_permille: 1_000 };
+                quota::OwnerEvent::OwnershipGained { customer, term }
+            }
+            None => {
+                self.owned.remove(&customer);
+                quota::OwnerEvent::OwnershipLost { customer, successor_view: None }
+            }
+        };
+        self.renew(now, routing);
+        let actions = self.owner.handle(now, event);
+        self.carry_out(actions, routing);
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: instant::MonotonicTime, routing: &QuotaRouting<'_>) {
+        self.renew(now, routing);
+        let actions = self.owner.handle(now, quota::OwnerEvent::Tick);
+        self.carry_out(actions, routing);
+        let actions = self.agent.handle(now, quota::AgentEvent::Tick);
+        self.carry_out(actions, routing);
+    }
+
+    /// Takes whether a zone's instances can be reached.
+    pub fn set_reachable(
+        &mut self,
+        now: instant::MonotonicTime,
+        zone: name::ZoneName,
+        reachable: bool,
+        routing: &QuotaRouting<'_>,
+    ) {
+        let event = quota::OwnerEvent::Reachability { zone: zone.clone(), reachable };
+        let actions = self.owner.handle(now, event);
+        self.carry_out(actions, routing);
+        let actions = self.agent.handle(now, quota::AgentEvent::Reachability { zone, reachable });
+        self.carry_out(actions, routing);
+    }
+
+    /// Tells the other instances how far this one has folded the configuration.
+    pub fn announce_offset(&self, routing: &QuotaRouting<'_>) {
+        let offset = self.shared.catalog.load().offset();
+        let own = &self.shared.settings.instance;
+        for (receiver, _) in routing.directory.peer_addresses().filter(|(name, _)| name != own) {
+            let folded = messages::FoldedOffset { offset, seen: id::LogOffset::default() };
+            let message = messages::QuotaMessage::Folded(folded);
+            routing.network.send(&receiver, peer::PeerMessage::Quota(message));
+        }
+    }
+
+    fn settle(&mut self, now: instant::MonotonicTime, routing: &QuotaRouting<'_>) {
+        let own = &self.shared.settings.instance;
+        let own_offset = self.shared.catalog.load().offset();
+        let others = routing.directory.peer_addresses().filter(|(name, _)| name != own);
+        let offsets = others.map(|(name, _)| self.folded.get(&name).copied().unwrap_or_default());
+        let offset = offsets.min().unwrap_or(own_offset).min(own_offset);
+        let actions = self.owner.handle(now, quota::OwnerEvent::Settled { offset });
+        self.carry_out(actions, routing);
+    }
+
+    fn configure_customer(
+        &mut self,
+        now: instant::MonotonicTime,
+        offset: id::LogOffset,
+        customer: name::CustomerName,
+        limits: Option<limit_history::CustomerLimits>,
+        routing: &QuotaRouting<'_>,
+    ) {
+        let event =
+            quota::AgentEvent::Configured { customer: customer.clone(), limits: limits.clone() };
+        let actions = self.agent.handle(now, event);
+        self.carry_out(actions, routing);
+        let event = quota::OwnerEvent::Configured { customer, offset, limits };
+        let actions = self.owner.handle(now, event);
+        self.carry_out(actions, routing);
+    }
+
+    /// Extends the owner's lease to the end that membership gives it at this moment.
+    fn renew(&mut self, now: instant::MonotonicTime, routing: &QuotaRouting<'_>) {
+        let Some(customer) = self.owned.first() else { return };
+        let resource = OwnedResource::Bucket(customer.clone());
+        if let Some(lease) = routing.member.lease(now, &resource) {
+            self.owner.handle(now, quota::OwnerEvent::LeaseRenewed { until: lease.until });
+        }
+    }
+
+    fn carry_out(&mut self, actions: quota::QuotaActions, routing: &QuotaRouting<'_>) {
+        for action in actions {
+            match action {
+                quota::QuotaAction::Admit { request } => self.answer(request, Ok(())),
+                quota::QuotaAction::Refuse { request, reason, retry_after } => {
+                    let retry_after = (!retry_after.is_zero()).then_some(retry_after);
+                    self.answer(request, Err(client::ControlRefusal { reason, retry_after }));
+                }
+                quota::QuotaAction::Send { destination, message } => {
+                    send(routing, &self.shared.settings.zone, destination, message);
+                }
+            }
+        }
+    }
+
+    fn answer(&mut self, request: id::RequestId, result: Result<(), client::ControlRefusal>) {
+        if let Some(answer) = self.waiting.remove(&request) {
+            let _ = answer.try_send(result);
+        }
+    }
+}
+
+fn send(
+    routing: &QuotaRouting<'_>,
+    own_zone: &name::ZoneName,
+    destination: quota::QuotaDestination,
+    message: messages::QuotaMessage,
+) {
+    let receiver = match destination {
+        quota::QuotaDestination::Instance(instance) => Some(instance),
+        quota::QuotaDestination::Owner { customer, zone } => {
+            let resource = OwnedResource::Bucket(customer);
+            if zone == *own_zone {
+                routing.member.owner_of(&resource)
+            } else {
+                MemberHost::owner_elsewhere(routing.directory, &zone, &resource)
+            }
+        }
+    };
+    if let Some(receiver) = receiver {
+        routing.network.send(&receiver, peer::PeerMessage::Quota(message));
+    }
+}
+
+fn customer_limits(customer: &object::CustomerObject) -> limit_history::CustomerLimits {
+    limit_history::CustomerLimits {
+        total: token_bucket::BucketLimits {
+            rate: customer.rate_tokens_per_second,
+            burst: customer.burst_tokens,
+        },
+        zone_permille: customer.zone_permille.clone(),
+    }
+}
--- /dev/null
+++ b/coltsfootd/src/control/resource.rs
@@ -0,0 +1,26 @@
+//! Names of the resources that one instance of a zone owns at a time.
+
+use coltsfoot_types::name;
+use coltsfoot_wire::placement;
+
+/// A resource with an owner.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum OwnedResource {
+    /// An engine cell of the zone.
+    Cell(placement::CellId),
+    /// A customer's bucket in the zone.
+    Bucket(name::CustomerName),
+    /// The zone's part of the load budget.
+    Ledger,
+}
+
+impl OwnedResource {
+    /// Returns the name under which membership knows the resource.
+    pub fn name(&self) -> name::ResourceName {
+        match self {
+            Self::Cell(cell) => format!("cell/{cell}").into(),
+            Self::Bucket(customer) => format!("bucket/{customer}").into(),
+            Self::Ledger => "ledger".into(),
+        }
+    }
+}
--- /dev/null
+++ b/coltsfootd/src/event.rs
@@ -0,0 +1,75 @@
+//! Numbered log events. `docs/EVENTS.md` is the catalogue; a test compares the two.
+
+use std::fmt;
+
+/// A kind of log event.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct EventKind {
+    /// Stable number.
+    pub number: u16,
+    /// Stable name.
+    pub name: &'static str,
+    /// Severity.
+    pub level: log::Level,
+}
+
+macro_rules! event_kinds {
+    ($($(#[$doc:meta])* $constant:ident = $number:literal, $name:literal, $level:ident;)*) => {
+        $(
+            $(#[$doc])*
+            pub const $constant: EventKind =
+                EventKind { number: $number, name: $name, level: log::Level::$level };
+        )*
+
+        /// All kinds, by number.
+        pub const ALL: &[EventKind] = &[$($constant),*];
+    };
+}
+
+event_kinds! {
+    /// The daemon listens.
+    STARTED = 100, "started", Info;
+    /// The daemon begins a planned stop.
+    DRAINING = 101, "draining", Info;
+    /// The daemon ends.
+    STOPPED = 102, "stopped", Info;
+    /// The planned stop took longer than allowed.
+    DRAIN_TIMED_OUT = 103, "drain_timed_out", Warn;
+    /// A change set was accepted.
+    CHANGE_ACCEPTED = 200, "change_accepted", Info;
+    /// A change set was rejected.
+    CHANGE_REJECTED = 201, "change_rejected", Warn;
+    /// The log can't be read.
+    LOG_UNREACHABLE = 202, "log_unreachable", Warn;
+    /// The log can be read again.
+    LOG_REACHABLE = 203, "log_reachable", Info;
+    /// The instance has restored the configuration.
+    RESTORED = 204, "restored", Info;
+    /// The instance list can't be read.
+    LIST_UNREACHABLE = 210, "list_unreachable", Warn;
+    /// The instance list can be read again.
+    LIST_REACHABLE = 211, "list_reachable", Info;
+    /// An instance joined or left the zone's view.
+    VIEW_CHANGED = 300, "view_changed", Info;
+    /// A peer can't be reached.
+    PEER_UNREACHABLE = 301, "peer_unreachable", Warn;
+    /// A peer's message was refused.
+    PEER_MESSAGE_REFUSED = 302, "peer_message_refused", Warn;
+    /// An adapter could not be loaded.
+    LOAD_FAILED = 400, "load_failed", Warn;
+    /// An engine refused an order with an old fencing number.
+    ORDER_FENCED = 401, "order_fenced", Warn;
+    /// An engine restarted.
+    ENGINE_RESTARTED = 402, "engine_restarted", Warn;
+    /// An upstream answered for another adapter, version or request.
+    WRONG_ANSWER = 500, "wrong_answer", Error;
+    /// An attempt at an upstream failed.
+    ATTEMPT_FAILED = 501, "attempt_failed", Warn;
+    /// A request was quarantined.
+    REQUEST_QUARANTINED = 502, "request_quarantined", Warn;
+}
+
+/// Writes an event to the log.
+pub fn emit(kind: EventKind, details: fmt::Arguments<'_>) {
+    log::log!(kind.level, event = kind.number; "{}: {details}", kind.name);
+}
--- /dev/null
+++ b/coltsfootd/src/front/access.rs
@@ -0,0 +1,84 @@
+//! Who calls and what the call may use.
+
+use coltsfoot_catalog::{digest, resolve, view};
+use coltsfoot_types::{name, refusal};
+use http_types::headers;
+
+use crate::{answer, shared};
+
+/// Scheme of the `Authorization` header.
+const BEARER_PREFIX: &str = "Bearer ";
+
+/// A call that may go on.
+pub struct GrantedAccess {
+    /// What the call leads to, with the customer that is charged.
+    pub route: resolve::ResolvedRoute,
+    /// Weight of the charged customer in the fair queue.
+    pub weight: u32,
+    /// Digest of the key that came with the call, to notice its withdrawal.
+    pub key: Option<digest::KeyDigest>,
+}
+
+/// Checks the key and resolves a route or adapter name.
+pub fn authorize(
+    shared: &shared::InstanceShared,
+    request: &http_types::Request,
+    target: &str,
+) -> Result<GrantedAccess, answer::CallerRefusal> {
+    let catalog = shared.catalog.load();
+    let key = bearer_key(request).map(digest::KeyDigest::of);
+    let customer = key.as_ref().map(|digest| customer(&catalog, digest)).transpose()?;
+    let route = catalog.resolve(customer, target).map_err(|error| refuse(error.reason()))?;
+    check_age(shared, &route)?;
+    let weight = catalog.customer(&route.charged).map_or(1, |customer| customer.weight);
+    Ok(GrantedAccess { route, weight, key })
+}
+
+fn customer<'a>(
+    catalog: &'a view::CatalogView,
+    digest: &digest::KeyDigest,
+) -> Result<&'a name::CustomerName, answer::CallerRefusal> {
+    match catalog.customer_for_key(digest) {
+        view::KeyState::Valid(customer, _) => Ok(&customer.name),
+        view::KeyState::Withdrawn | view::KeyState::Unknown => {
+            Err(refuse(refusal::RefusalReason::InvalidKey))
+        }
+    }
+}
+
+/// Returns a digest that is the same when the same caller sends the same body again.
+pub fn fingerprint(key: Option<&digest::KeyDigest>, body: &[u8]) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    if let Some(digest) = key {
+        hasher.update(&digest.0);
+    }
+    hasher.update(body);
+    let hash = hasher.finalize();
+    hash.as_bytes().iter().take(8).fold(0, |value, byte| (value << 8) | u64::from(*byte))
+}
+
+/// Returns whether the key of an open call was withdrawn since.
+pub fn is_withdrawn(shared: &shared::InstanceShared, key: Option<&digest::KeyDigest>) -> bool {
+    key.is_some_and(|digest| shared.catalog.load().is_withdrawn(digest))
+}
+
+fn bearer_key(request: &http_types::Request) -> Option<&str> {
+    let value = request.header(headers::AUTHORIZATION)?.last().as_str();
+    value.strip_prefix(BEARER_PREFIX).map(str::trim)
+}
+
+fn check_age(
+    shared: &shared::InstanceShared,
+    route: &resolve::ResolvedRoute,
+) -> Result<(), answer::CallerRefusal> {
+    let Some(limit) = route.refuse_when_stale else { return Ok(()) };
+    let age = shared.clock.now().since(shared.status.catalog_read_at());
+    if age <= limit {
+        return Ok(());
+    }
+    Err(refuse(refusal::RefusalReason::StaleConfiguration))
+}
+
+fn refuse(reason: refusal::RefusalReason) -> answer::CallerRefusal {
+    answer::CallerRefusal::not_run(reason)
+}
--- /dev/null
+++ b/coltsfootd/src/front/mod.rs
@@ -0,0 +1,80 @@
+//! The callers' HTTP interface.
+
+mod access;
+mod answer_source;
+mod chat;
+mod engine_attempt;
+mod service;
+
+use std::sync;
+
+use coltsfoot_types::refusal;
+use futures_lite::AsyncReadExt as _;
+use http_types::{Method, Response};
+
+use crate::{answer, shared};
+
+/// Path of chat requests.
+const CHAT_PATH: &str = "/v1/chat/completions";
+/// Path below which plain services are called, followed by the route.
+const SERVICES_PATH: &str = "/v1/services/";
+
+/// Answers a request of a caller and counts its refusal.
+pub async fn respond(
+    shared: sync::Arc<shared::InstanceShared>,
+    executor: sync::Arc<async_executor::Executor<'static>>,
+    request: http_types::Request,
+) -> Response {
+    let running = shared::InstanceStatus::enter(&shared);
+    let metrics = sync::Arc::clone(&shared);
+    let path = request.url().path().to_owned();
+    let result = match check_state(&shared) {
+        Err(refusal) => Err(refusal),
+        Ok(()) if path == CHAT_PATH && request.method() == Method::Post => {
+            chat::respond(shared, executor, running, request).await
+        }
+        Ok(()) => match path.strip_prefix(SERVICES_PATH) {
+            Some(rest) => service::respond(shared, running, request, rest).await,
+            None => Err(answer::CallerRefusal::not_run(refusal::RefusalReason::UnknownRoute)),
+        },
+    };
+    result.unwrap_or_else(|refusal| {
+        metrics.metrics.count_refusal(refusal.reason);
+        refusal.to_response()
+    })
+}
+
+/// A draining instance still serves what reaches it: the balancer may lag behind `/readyz`.
+fn check_state(shared: &shared::InstanceShared) -> Result<(), answer::CallerRefusal> {
+    if shared.status.is_ready() {
+        return Ok(());
+    }
+    let refusal = answer::CallerRefusal::not_run(refusal::RefusalReason::NotReady);
+    Err(refusal.with_retry_after(std::time::Duration::from_secs(1)))
+}
+
+/// Reads a request's body whole.
+async fn read_body(
+    request: &mut http_types::Request,
+    max_bytes: usize,
+) -> Result<Vec<u8>, answer::CallerRefusal> {
+    let refuse = answer::CallerRefusal::not_run;
+    let announced = request.len();
+    if announced.is_some_and(|length| length > max_bytes) {
+        return Err(refuse(refusal::RefusalReason::TooLarge));
+    }
+    let body = request.take_body();
+    let mut bytes = Vec::new();
+    let read = body.take(max_bytes as u64 + 1).read_to_end(&mut bytes).await;
+    match read {
+        Err(error) if error.kind() == std::io::ErrorKind::TimedOut => {
+            Err(refuse(refusal::RefusalReason::SlowSender))
+        }
+        Err(_) => Err(refuse(refusal::RefusalReason::BadRequest)),
+        Ok(_) if bytes.len() > max_bytes => Err(refuse(refusal::RefusalReason::TooLarge)),
+        Ok(_) if announced.is_some_and(|length| length != bytes.len()) => {
+            Err(refuse(refusal::RefusalReason::BadRequest))
+        }
+        Ok(_) => Ok(bytes),
+    }
+}
--- /dev/null
+++ b/coltsfootd/src/metrics.rs
@@ -0,0 +1,213 @@
+//! Counters and histograms, kept by `opentelemetry` and served as Prometheus text.
+
+use std::time;
+
+use coltsfoot_types::refusal;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics;
+use opentelemetry::metrics::MeterProvider as _;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::Encoder as _;
+
+/// Upper bounds of the histograms' buckets, in seconds.
+const LATENCY_BOUNDS_S: [f64; 12] =
+    [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0];
+
+/// Why an attempt was repeated.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RetryReason {
+    /// No connection could be made.
+    Connect,
+    /// The connection ended before the answer's head.
+    NoAnswer,
+    /// The answer broke off.
+    BrokenAnswer,
+    /// The upstream took too long.
+    Timeout,
+    /// The upstream answered with an error.
+    UpstreamError,
+    /// The upstream did not have the adapter.
+    NotResident,
+    /// The answer named another adapter, version or request.
+    WrongAnswer,
+    /// The permit expired before the attempt was sent.
+    PermitExpired,
+}
+
+impl RetryReason {
+    /// All reasons.
+    pub const ALL: [Self; 8] = [
+        Self::Connect,
+        Self::NoAnswer,
+        Self::BrokenAnswer,
+        Self::Timeout,
+        Self::UpstreamError,
+        Self::NotResident,
+        Self::WrongAnswer,
+        Self::PermitExpired,
+    ];
+
+    /// Returns the label of the counter.
+    pub fn code(self) -> &'static str {
+        match self {
+            Self::Connect => "connect",
+            Self::NoAnswer => "no_answer",
+            Self::BrokenAnswer => "broken_answer",
+            Self::Timeout => "timeout",
+            Self::UpstreamError => "upstream_error",
+            Self::NotResident => "not_resident",
+            Self::WrongAnswer => "wrong_answer",
+            Self::PermitExpired => "permit_expired",
+        }
+    }
+}
+
+/// All metrics of one instance.
+pub struct MetricSet {
+    registry: prometheus::Registry,
+    _provider: SdkMeterProvider,
+    answers: metrics::Counter<u64>,
+    refusals: metrics::Counter<u64>,
+    retries: metrics::Counter<u64>,
+    loads: metrics::Counter<u64>,
+    load_failures: metrics::Counter<u64>,
+    load_stalls: metrics::Counter<u64>,
+    ended_streams: metrics::Counter<u64>,
+    peer_bytes: metrics::Counter<u64>,
+    output_tokens: metrics::Counter<u64>,
+    permit_wait: metrics::Histogram<f64>,
+    admission_wait: metrics::Histogram<f64>,
+    first_token: metrics::Histogram<f64>,
+}
+
+/// The metrics could not be set up.
+#[derive(Debug, thiserror::Error)]
+#[error("could not set up metrics: {0}; report this as a fault of the daemon")]
+pub struct MetricsError(String);
+
+impl MetricSet {
+    /// Creates the metrics, with a series at zero for each refusal and retry reason.
+    pub fn new() -> Result<Self, MetricsError> {
+        let registry = prometheus::Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .scope_info_enabled(false)
+            .without_target_info()
+            .build()
+            .map_err(|error| MetricsError(error.to_string()))?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("coltsfootd");
+        let counter = |name, text| meter.u64_counter(name).with_description(text).build();
+        let seconds = |name, text| {
+            let bounds = LATENCY_BOUNDS_S.to_vec();
+            meter.f64_histogram(name).with_description(text).with_boundaries(bounds).build()
+        };
+        let metrics = Self {
+            answers: counter("coltsfoot_answers", "Requests answered whole, by route kind"),
+            refusals: counter("coltsfoot_refusals", "Requests refused, by reason"),
+            retries: counter("coltsfoot_retries", "Attempts repeated, by reason"),
+            loads: counter("coltsfoot_loads", "Adapter loads ordered"),
+            load_failures: counter("coltsfoot_load_failures", "Adapter loads that failed"),
+            load_stalls: counter("coltsfoot_load_stalls", "Requests that waited for a load"),
+            ended_streams: counter("coltsfoot_ended_streams", "Streams ended by a key withdrawal"),
+            peer_bytes: counter("coltsfoot_peer_bytes", "Bytes sent to other instances"),
+            output_tokens: counter("coltsfoot_output_tokens", "Tokens passed on to callers"),
+            permit_wait: seconds("coltsfoot_permit_wait_seconds", "Wait for an engine permit"),
+            admission_wait: seconds("coltsfoot_admission_wait_seconds", "Wait for admission"),
+            first_token: seconds("coltsfoot_first_token_seconds", "Time to the first token"),
+            registry,
+            _provider: provider,
+        };
+        metrics.start_series();
+        Ok(metrics)
+    }
+
+    fn start_series(&self) {
+        for reason in refusal::RefusalReason::ALL {
+            self.refusals.add(0, &[KeyValue::new("reason", reason.code())]);
+        }
+        for reason in RetryReason::ALL {
+            self.retries.add(0, &[KeyValue::new("reason", reason.code())]);
+        }
+        for counter in [
+            &self.loads,
+            &self.load_failures,
+            &self.load_stalls,
+            &self.ended_streams,
+            &self.peer_bytes,
+            &self.output_tokens,
+        ] {
+            counter.add(0, &[]);
+        }
+    }
+
+    /// Counts an answer that was given whole.
+    pub fn count_answer(&self, kind: &'static str) {
+        self.answers.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
+    /// Counts a refusal.
+    pub fn count_refusal(&self, reason: refusal::RefusalReason) {
+        self.refusals.add(1, &[KeyValue::new("reason", reason.code())]);
+    }
+
+    /// Counts a repeated attempt.
+    pub fn count_retry(&self, reason: RetryReason) {
+        self.retries.add(1, &[KeyValue::new("reason", reason.code())]);
+    }
+
+    /// Counts a load order.
+    pub fn count_load(&self) {
+        self.loads.add(1, &[]);
+    }
+
+    /// Counts a load that failed.
+    pub fn count_load_failure(&self) {
+        self.load_failures.add(1, &[]);
+    }
+
+    /// Counts a request that waited for a load.
+    pub fn count_load_stall(&self) {
+        self.load_stalls.add(1, &[]);
+    }
+
+    /// Counts a stream that was ended since its key was withdrawn.
+    pub fn count_ended_stream(&self) {
+        self.ended_streams.add(1, &[]);
+    }
+
+    /// Counts bytes sent to other instances.
+    pub fn count_peer_bytes(&self, bytes: usize) {
+        self.peer_bytes.add(bytes as u64, &[]);
+    }
+
+    /// Counts output tokens.
+    pub fn count_output_tokens(&self, tokens: u64) {
+        self.output_tokens.add(tokens, &[]);
+    }
+
+    /// Records the wait for a permit.
+    pub fn record_permit_wait(&self, wait: time::Duration) {
+        self.permit_wait.record(wait.as_secs_f64(), &[]);
+    }
+
+    /// Records the wait for admission.
+    pub fn record_admission_wait(&self, wait: time::Duration) {
+        self.admission_wait.record(wait.as_secs_f64(), &[]);
+    }
+
+    /// Records the time from a request's arrival to its first output token.
+    pub fn record_first_token(&self, wait: time::Duration) {
+        self.first_token.record(wait.as_secs_f64(), &[]);
+    }
+
+    /// Returns all metrics as Prometheus text.
+    pub fn to_text(&self) -> String {
+        let mut text = Vec::new();
+        let families = self.registry.gather();
+        match prometheus::TextEncoder::new().encode(&families, &mut text) {
+            Ok(()) => String::from_utf8_lossy(&text).into_owned(),
+            Err(error) => format!("# could not encode metrics: {error}\n"),
+        }
+    }
+}
--- /dev/null
+++ b/coltsfootd/src/peers.rs
@@ -0,0 +1,252 @@
+//! Messages to and from other instances: TCP for requests and answers, UDP for heartbeats.
+
+use std::cell;
+use std::collections;
+use std::io;
+use std::net;
+use std::rc;
+use std::sync;
+use std::time;
+
+use async_net::{TcpListener, TcpStream, UdpSocket};
+use coltsfoot_types::name;
+use coltsfoot_wire::{codec, peer};
+use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _, FutureExt as _, StreamExt as _};
+
+use crate::{control, event, shared};
+
+/// Longest message, in bytes.
+const MAX_MESSAGE_BYTES: usize = 4 * 1_024 * 1_024;
+/// Messages that wait for one peer's connection.
+const QUEUED_MESSAGES: usize = 1_024;
+/// Time to connect to a peer.
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+/// Time for a peer to take a message.
+const WRITE_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+/// Largest datagram, in bytes.
+const MAX_DATAGRAM_BYTES: usize = 1_400;
+
+/// Where a peer listens.
+type PeerDirectory = collections::HashMap<name::InstanceName, net::SocketAddr>;
+
+/// A connection to a peer: the queue that its task empties.
+struct PeerLink {
+    address: net::SocketAddr,
+    queue: async_channel::Sender<Vec<u8>>,
+}
+
+/// Sends messages to other instances. Lives on the control thread.
+#[derive(Clone)]
+pub struct PeerNetwork {
+    inner: rc::Rc<NetworkState>,
+}
+
+struct NetworkState {
+    own_name: name::InstanceName,
+    codec: codec::MessageCodec,
+    executor: rc::Rc<async_executor::LocalExecutor<'static>>,
+    socket: UdpSocket,
+    shared: sync::Arc<shared::InstanceShared>,
+    events: control::EventSender,
+    directory: cell::RefCell<PeerDirectory>,
+    links: cell::RefCell<collections::HashMap<name::InstanceName, PeerLink>>,
+}
+
+impl PeerNetwork {
+    /// Creates the network over a bound UDP socket.
+    pub fn new(
+        own_name: name::InstanceName,
+        codec: codec::MessageCodec,
+        executor: rc::Rc<async_executor::LocalExecutor<'static>>,
+        socket: UdpSocket,
+        shared: sync::Arc<shared::InstanceShared>,
+        events: control::EventSender,
+    ) -> Self {
+        let state = NetworkState {
+            own_name,
+            codec,
+            executor,
+            socket,
+            shared,
+            events,
+            directory: cell::RefCell::default(),
+            links: cell::RefCell::default(),
+        };
+        Self { inner: rc::Rc::new(state) }
+    }
+
+    /// Replaces the addresses of the peers and closes links to those that are gone.
+    pub fn set_directory(
+        &self,
+        entries: impl Iterator<Item = (name::InstanceName, net::SocketAddr)>,
+    ) {
+        let directory: PeerDirectory = entries.collect();
+        let keep = |name: &name::InstanceName, link: &mut PeerLink| {
+            directory.get(name) == Some(&link.address)
+        };
+        self.inner.links.borrow_mut().retain(keep);
+        self.inner.directory.replace(directory);
+    }
+
+    /// Sends a message; it may be lost. Heartbeats go by UDP, all else by TCP. A message to this
+    /// instance itself goes into the control thread's queue.
+    pub fn send(&self, receiver: &name::InstanceName, message: peer::PeerMessage) {
+        if *receiver == self.inner.own_name {
+            let envelope = peer::PeerEnvelope { sender: receiver.clone(), message };
+            return self.inner.events.send(control::ControlEvent::Peer(Box::new(envelope)));
+        }
+        let Some(address) = self.inner.directory.borrow().get(receiver).copied() else {
+            return;
+        };
+        let by_datagram = matches!(message, peer::PeerMessage::Member(_));
+        let sender = self.inner.own_name.clone();
+        let Ok(bytes) = self.inner.codec.encode(&peer::PeerEnvelope { sender, message }) else {
+            return;
+        };
+        self.inner.shared.metrics.count_peer_bytes(bytes.len());
+        if by_datagram && bytes.len() <= MAX_DATAGRAM_BYTES {
+            self.send_datagram(address, bytes);
+        } else {
+            self.enqueue(receiver, address, bytes);
+        }
+    }
+
+    fn send_datagram(&self, address: net::SocketAddr, bytes: Vec<u8>) {
+        let socket = self.inner.socket.clone();
+        let sending = async move {
+            let _ = socket.send_to(&bytes, address).await;
+        };
+        self.inner.executor.spawn(sending).detach();
+    }
+
+    fn enqueue(&self, receiver: &name::InstanceName, address: net::SocketAddr, bytes: Vec<u8>) {
+        let mut links = self.inner.links.borrow_mut();
+        let link = links.entry(receiver.clone()).or_insert_with(|| {
+            let (queue, waiting) = async_channel::bounded(QUEUED_MESSAGES);
+            let delivering = deliver(receiver.clone(), address, waiting);
+            self.inner.executor.spawn(delivering).detach();
+            PeerLink { address, queue }
+        });
+        let _ = link.queue.try_send(bytes);
+    }
+}
+
+/// Writes queued messages to a peer, connecting anew after failures. A message that could not be
+/// written is dropped, as the protocols between instances allow.
+async fn deliver(
+    receiver: name::InstanceName,
+    address: net::SocketAddr,
+    queue: async_channel::Receiver<Vec<u8>>,
+) {
+    let mut connection: Option<TcpStream> = None;
+    let mut reported = false;
+    while let Ok(bytes) = queue.recv().await {
+        match write_message(&mut connection, address, &bytes).await {
+            Ok(()) => reported = false,
+            Err(error) => {
+                connection = None;
+                if !reported {
+                    event::emit(event::PEER_UNREACHABLE, format_args!("{receiver}: {error}"));
+                    reported = true;
+                }
+            }
+        }
+    }
+}
+
+async fn write_message(
+    connection: &mut Option<TcpStream>,
+    address: net::SocketAddr,
+    bytes: &[u8],
+) -> io::Result<()> {
+    let stream = match connection {
+        Some(stream) => stream,
+        None => {
+            let stream = or_timeout(TcpStream::connect(address), CONNECT_TIMEOUT).await?;
+            stream.set_nodelay(true)?;
+            connection.insert(stream)
+        }
+    };
+    let length = (bytes.len() as u32).to_le_bytes();
+    let mut frame = Vec::with_capacity(length.len() + bytes.len());
+    frame.extend_from_slice(&length);
+    frame.extend_from_slice(bytes);
+    or_timeout(stream.write_all(&frame), WRITE_TIMEOUT).await
+}
+
+async fn or_timeout<T>(
+    operation: impl Future<Output = io::Result<T>>,
+    timeout: time::Duration,
+) -> io::Result<T> {
+    let expiry = async {
+        async_io::Timer::after(timeout).await;
+        Err(io::ErrorKind::TimedOut.into())
+    };
+    operation.or(expiry).await
+}
+
+/// Reads messages of other instances and passes them to the control thread.
+pub struct PeerListener {
+    /// Checks and decodes messages.
+    pub codec: codec::MessageCodec,
+    /// Takes the messages.
+    pub events: control::EventSender,
+}
+
+impl PeerListener {
+    /// Accepts TCP connections for ever.
+    pub async fn accept(
+        self: rc::Rc<Self>,
+        listener: TcpListener,
+        executor: rc::Rc<async_executor::LocalExecutor<'static>>,
+    ) {
+        let mut incoming = listener.incoming();
+        while let Some(accepted) = incoming.next().await {
+            let Ok(stream) = accepted else { continue };
+            let reader = rc::Rc::clone(&self);
+            let reading = async move {
+                let _ = reader.read_messages(stream).await;
+            };
+            executor.spawn(reading).detach();
+        }
+    }
+
+    /// Receives datagrams for ever.
+    pub async fn receive(self: rc::Rc<Self>, socket: UdpSocket) {
+        let mut buffer = vec![0; MAX_DATAGRAM_BYTES + 1];
+        loop {
+            if let Ok((length, _)) = socket.recv_from(&mut buffer).await {
+                self.take(&buffer[..length]);
+            }
+        }
+    }
+
+    async fn read_messages(&self, mut stream: TcpStream) -> io::Result<()> {
+        loop {
+            let mut length = [0; 4];
+            stream.read_exact(&mut length).await?;
+            let length = u32::from_le_bytes(length) as usize;
+            if length > MAX_MESSAGE_BYTES {
+                return Err(io::ErrorKind::InvalidData.into());
+            }
+            let mut bytes = vec![0; length];
+            stream.read_exact(&mut bytes).await?;
+            if !self.take(&bytes) {
+                return Err(io::ErrorKind::InvalidData.into());
+            }
+        }
+    }
+
+    fn take(&self, bytes: &[u8]) -> bool {
+        match self.codec.decode(bytes) {
+            Ok(envelope) => {
+                self.events.send(control::ControlEvent::Peer(Box::new(envelope)));
+                true
+            }
+            Err(error) => {
+                event::emit(event::PEER_MESSAGE_REFUSED, format_args!("{error}"));
+                false
+            }
+        }
+    }
+}
--- /dev/null
+++ b/coltsfootd/src/settings.rs
@@ -0,0 +1,271 @@
+//! Settings of the daemon, read from one JSON file.
+
+use std::fs;
+use std::net;
+use std::path;
+use std::time;
+
+use coltsfoot_types::name;
+use serde::Deserialize;
+use serde_with::{DurationMilliSeconds, serde_as};
+
+/// Shortest accepted `peer_secret`, in bytes.
+const MIN_SECRET_BYTES: usize = 16;
+
+/// Settings of one instance.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DaemonSettings {
+    /// Name of the instance; a restarted one needs a new name.
+    pub instance: name::InstanceName,
+    /// Availability zone that the instance runs in.
+    pub zone: name::ZoneName,
+    /// All availability zones of the fleet, the same on all instances; the load budget is divided
+    /// among them.
+    pub fleet_zones: Vec<name::ZoneName>,
+    /// Address for callers, `IP:PORT`.
+    pub caller_address: net::SocketAddr,
+    /// Address for operators, `IP:PORT`.
+    pub operator_address: net::SocketAddr,
+    /// Address for other instances, `IP:PORT`; the same for TCP and UDP.
+    pub peer_address: net::SocketAddr,
+    /// Secret that all instances share and that authenticates their messages.
+    pub peer_secret: String,
+    /// Address of the platform's log.
+    pub log_address: net::SocketAddr,
+    /// Address of the platform's instance list.
+    pub list_address: net::SocketAddr,
+    /// Threads that carry traffic.
+    #[serde(default = "default_traffic_threads")]
+    pub traffic_threads: usize,
+    /// Bounds on what callers may send.
+    #[serde(default)]
+    pub limits: CallerLimits,
+    /// How logs are written.
+    #[serde(default)]
+    pub log_format: LogFormat,
+    /// Least severe level that is logged.
+    #[serde(default)]
+    pub log_level: LogLevel,
+    /// Load orders in flight over the whole fleet.
+    #[serde(default = "default_fleet_loads")]
+    pub fleet_loads_in_flight: u32,
+    /// Loads per second that the weight store allows.
+    #[serde(default = "default_store_rate")]
+    pub store_loads_per_second: f64,
+    /// Time to wait for running requests on a planned stop.
+    #[serde(default = "default_drain_timeout", rename = "drain_timeout_ms")]
+    #[serde(with = "serde_with::As::<DurationMilliSeconds<u64>>")]
+    pub drain_timeout: time::Duration,
+}
+
+/// Bounds on what callers may send.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct CallerLimits {
+    /// Connections at a time.
+    pub max_connections: usize,
+    /// Size of a request's body, in bytes.
+    pub max_body_bytes: usize,
+    /// Time from a request's first byte to its last.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "request_timeout_ms")]
+    pub request_timeout: time::Duration,
+    /// Time that a connection may stay without a request.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "idle_timeout_ms")]
+    pub idle_timeout: time::Duration,
+    /// Time that a caller may take to read the next part of an answer.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "write_timeout_ms")]
+    pub write_timeout: time::Duration,
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            max_connections: 1_024,
+            max_body_bytes: 256 * 1_024,
+            request_timeout: time::Duration::from_secs(10),
+            idle_timeout: time::Duration::from_secs(60),
+            write_timeout: time::Duration::from_secs(20),
+        }
+    }
+}
+
+/// How logs are written.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogFormat {
+    /// One line of text an event.
+    #[default]
+    Text,
+    /// One JSON object an event.
+    Json,
+}
+
+/// Least severe level that is logged.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogLevel {
+    /// Only errors.
+    Error,
+    /// Errors and warnings.
+    Warn,
+    /// The course of things as well.
+    #[default]
+    Info,
+    /// Details as well.
+    Debug,
+}
+
+/// Settings that can't be used.
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    /// The file can't be read.
+    #[error("could not read {path}: {source}; name a readable JSON file")]
+    Unreadable {
+        /// The file.
+        path: path::PathBuf,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// A key is unknown or missing, or a value has a wrong shape.
+    #[error("setting `{key}`: {problem}; see docs/operators/settings.md")]
+    Malformed {
+        /// Path of the key.
+        key: String,
+        /// What is wrong, with the value.
+        problem: String,
+    },
+    /// A value lies outside its bounds.
+    #[error("setting `{key}` is {value}; {remedy}")]
+    OutOfBounds {
+        /// Path of the key.
+        key: &'static str,
+        /// The value.
+        value: String,
+        /// What to do.
+        remedy: &'static str,
+    },
+}
+
+impl DaemonSettings {
+    /// Reads and checks a settings file.
+    pub fn read(path: &path::Path) -> Result<Self, SettingsError> {
+        let text = fs::read_to_string(path)
+            .map_err(|source| SettingsError::Unreadable { path: path.to_owned(), source })?;
+        Self::parse(&text)
+    }
+
+    /// Parses and checks the text of a settings file.
+    pub fn parse(text: &str) -> Result<Self, SettingsError> {
+        let mut deserializer = serde_json::Deserializer::from_str(text);
+        let settings: Self =
+            serde_path_to_error::deserialize(&mut deserializer).map_err(|error| {
+                SettingsError::Malformed {
+                    key: error.path().to_string(),
+                    problem: error.inner().to_string(),
+                }
+            })?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), SettingsError> {
+        let limits = &self.limits;
+        let checks = [
+            Check {
+                key: "instance",
+                value: self.instance.to_string(),
+                holds: !self.instance.as_str().is_empty(),
+                remedy: "give the instance a name of its own",
+            },
+            Check {
+                key: "zone",
+                value: self.zone.to_string(),
+                holds: !self.zone.as_str().is_empty(),
+                remedy: "name the availability zone",
+            },
+            Check {
+                key: "fleet_zones",
+                value: format!("{:?}", self.fleet_zones),
+                holds: self.fleet_zones.contains(&self.zone),
+                remedy: "list all zones of the fleet, this instance's among them",
+            },
+            Check {
+                key: "peer_secret",
+                value: format!("{} bytes long", self.peer_secret.len()),
+                holds: self.peer_secret.len() >= MIN_SECRET_BYTES,
+                remedy: "use at least 16 bytes, the same on all instances",
+            },
+            Check {
+                key: "traffic_threads",
+                value: self.traffic_threads.to_string(),
+                holds: (1..=64).contains(&self.traffic_threads),
+                remedy: "use 1 to 64",
+            },
+            Check {
+                key: "fleet_loads_in_flight",
+                value: self.fleet_loads_in_flight.to_string(),
+                holds: self.fleet_loads_in_flight > 0,
+                remedy: "use at least 1",
+            },
+            Check {
+                key: "store_loads_per_second",
+                value: self.store_loads_per_second.to_string(),
+                holds: self.store_loads_per_second > 0.0,
+                remedy: "use the weight store's rate, above 0",
+            },
+            Check {
+                key: "limits.max_connections",
+                value: limits.max_connections.to_string(),
+                holds: limits.max_connections > 0,
+                remedy: "use at least 1",
+            },
+            Check {
+                key: "limits.max_body_bytes",
+                value: limits.max_body_bytes.to_string(),
+                holds: (1_024..=16 * 1_024 * 1_024).contains(&limits.max_body_bytes),
+                remedy: "use 1024 to 16777216",
+            },
+            Check {
+                key: "limits.request_timeout_ms",
+                value: limits.request_timeout.as_millis().to_string(),
+                holds: !limits.request_timeout.is_zero(),
+                remedy: "use at least 1",
+            },
+        ];
+        match checks.into_iter().find(|check| !check.holds) {
+            None => Ok(()),
+            Some(Check { key, value, remedy, .. }) => {
+                Err(SettingsError::OutOfBounds { key, value, remedy })
+            }
+        }
+    }
+}
+
+/// A bound on one setting.
+struct Check {
+    key: &'static str,
+    value: String,
+    holds: bool,
+    remedy: &'static str,
+}
+
+fn default_traffic_threads() -> usize {
+    2
+}
+
+fn default_fleet_loads() -> u32 {
+    8
+}
+
+fn default_store_rate() -> f64 {
+    3.0
+}
+
+fn default_drain_timeout() -> time::Duration {
+    time::Duration::from_secs(30)
+}
--- /dev/null
+++ b/coltsfootd/src/shared.rs
@@ -0,0 +1,103 @@
+//! What the threads of one instance share.
+
+use std::sync;
+use std::sync::atomic;
+
+use coltsfoot_catalog::view;
+use coltsfoot_platform::{http, protocol};
+
+use crate::{clock, control, metrics, settings};
+
+/// State that traffic threads read and the control thread replaces.
+pub struct InstanceShared {
+    /// The settings.
+    pub settings: settings::DaemonSettings,
+    /// The clock.
+    pub clock: clock::RuntimeClock,
+    /// The metrics.
+    pub metrics: metrics::MetricSet,
+    /// The configuration as last folded.
+    pub catalog: arc_swap::ArcSwap<view::CatalogView>,
+    /// Plain services as last listed.
+    pub services: arc_swap::ArcSwap<Vec<protocol::UpstreamListing>>,
+    /// Connections to upstreams.
+    pub upstreams: http::HttpPool,
+    /// The control thread.
+    pub control: control::client::ControlClient,
+    /// Whether the instance takes requests.
+    pub status: InstanceStatus,
+}
+
+/// Flags of the instance's life.
+#[derive(Default)]
+pub struct InstanceStatus {
+    ready: atomic::AtomicBool,
+    draining: atomic::AtomicBool,
+    handed_over: atomic::AtomicBool,
+    running: atomic::AtomicUsize,
+    catalog_read_at: atomic::AtomicU64,
+}
+
+impl InstanceStatus {
+    /// Marks the configuration as restored.
+    pub fn set_ready(&self) {
+        self.ready.store(true, atomic::Ordering::Release);
+    }
+
+    /// Returns whether the configuration was restored.
+    pub fn is_ready(&self) -> bool {
+        self.ready.load(atomic::Ordering::Acquire)
+    }
+
+    /// Marks the instance as stopping. Returns whether it was not before.
+    pub fn set_draining(&self) -> bool {
+        !self.draining.swap(true, atomic::Ordering::AcqRel)
+    }
+
+    /// Returns whether the instance is stopping.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(atomic::Ordering::Acquire)
+    }
+
+    /// Marks that a stopping instance owns nothing any more.
+    pub fn set_handed_over(&self) {
+        self.handed_over.store(true, atomic::Ordering::Release);
+    }
+
+    /// Returns whether a stopping instance owns nothing any more.
+    pub fn is_handed_over(&self) -> bool {
+        self.handed_over.load(atomic::Ordering::Acquire)
+    }
+
+    /// Counts a request until the returned value is dropped.
+    pub fn enter(shared: &sync::Arc<InstanceShared>) -> RunningRequest {
+        shared.status.running.fetch_add(1, atomic::Ordering::AcqRel);
+        RunningRequest { shared: sync::Arc::clone(shared) }
+    }
+
+    /// Returns the number of running requests.
+    pub fn running(&self) -> usize {
+        self.running.load(atomic::Ordering::Acquire)
+    }
+
+    /// Records when the configuration was last known to be current.
+    pub fn set_catalog_read_at(&self, now: coltsfoot_types::time::MonotonicTime) {
+        self.catalog_read_at.store(now.0, atomic::Ordering::Release);
+    }
+
+    /// Returns when the configuration was last known to be current.
+    pub fn catalog_read_at(&self) -> coltsfoot_types::time::MonotonicTime {
+        coltsfoot_types::time::MonotonicTime(self.catalog_read_at.load(atomic::Ordering::Acquire))
+    }
+}
+
+/// A request that runs; a planned stop waits for it.
+pub struct RunningRequest {
+    shared: sync::Arc<InstanceShared>,
+}
+
+impl Drop for RunningRequest {
+    fn drop(&mut self) {
+        self.shared.status.running.fetch_sub(1, atomic::Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/coltsfootd/tests/settings.rs
@@ -0,0 +1,64 @@
+//! Settings are checked, and what is wrong is named with key, value and remedy.
+
+use coltsfootd::settings;
+use rstest::rstest;
+use serde_json::json;
+
+fn sound() -> serde_json::Value {
+    json!({
+        "instance": "rennes-1",
+        "zone": "rennes",
+        "fleet_zones": ["brest", "rennes"],
+        "caller_address": "127.0.0.1:0",
+        "operator_address": "127.0.0.1:0",
+        "peer_address": "127.0.0.1:0",
+        "peer_secret": "a secret of some length",
+        "log_address": "127.0.0.1:1",
+        "list_address": "127.0.0.1:2",
+    })
+}
+
+#[test]
+fn sound_settings_are_accepted_with_defaults() {
+    let settings = settings::DaemonSettings::parse(&sound().to_string()).expect("sound");
+    assert_eq!(settings.traffic_threads, 2);
+    assert_eq!(settings.limits.max_body_bytes, 256 * 1_024);
+}
+
+#[rstest]
+#[case::unknown_key("colour", json!("red"), "unknown field `colour`")]
+#[case::bad_address("caller_address", json!("here"), "setting `caller_address`: invalid socket")]
+#[case::wrong_type("traffic_threads", json!("two"), "setting `traffic_threads`: invalid type")]
+#[case::no_threads("traffic_threads", json!(0), "setting `traffic_threads` is 0; use 1 to 64")]
+#[case::short_secret("peer_secret", json!("short"), "setting `peer_secret` is 5 bytes long; use")]
+#[case::empty_name("instance", json!(""), "setting `instance` is ; give the instance a name")]
+#[case::other_zones("fleet_zones", json!(["brest"]), "setting `fleet_zones` is [ZoneName(\"brest\")]")]
+#[case::nested_unknown("limits", json!({"max": 1}), "setting `limits.max`: unknown field `max`")]
+#[case::nested_bound(
+    "limits",
+    json!({"max_connections": 0}),
+    "setting `limits.max_connections` is 0; use at least 1"
+)]
+#[case::store_rate(
+    "store_loads_per_second",
+    json!(0.0),
+    "setting `store_loads_per_second` is 0; use the weight store's rate"
+)]
+fn bad_settings_are_refused(
+    #[case] key: &str,
+    #[case] value: serde_json::Value,
+    #[case] message: &str,
+) {
+    let mut text = sound();
+    text[key] = value;
+    let error = settings::DaemonSettings::parse(&text.to_string()).expect_err("refused");
+    assert!(error.to_string().contains(message), "{error}");
+}
+
+#[test]
+fn a_missing_key_is_named() {
+    let mut text = sound();
+    text.as_object_mut().expect("object").remove("zone");
+    let error = settings::DaemonSettings::parse(&text.to_string()).expect_err("refused");
+    assert!(error.to_string().contains("missing field `zone`"), "{error}");
+}
