Test the decisions on once-only calls, retries and upstreams

Change: tables over claims, over every cut point of a dispatch, over streams, quarantine, breaker and budget.

--- /dev/null
+++ b/coltsfoot-once/tests/claim_fold.rs
@@ -0,0 +1,120 @@
+//! Which claim wins, and what its repeats are told.
+
+mod common;
+
+use coltsfoot_once::claim_fold;
+use coltsfoot_types::id;
+use coltsfoot_wire::once::{self, ClaimVerdict, OnceEntry};
+use rstest::rstest;
+
+use common::{NOW_MS, answer, entry, key};
+
+fn page(start: u64, records: Vec<(u64, Vec<OnceEntry>)>) -> claim_fold::ClaimPage {
+    let end_offset = id::LogOffset(start + records.len() as u64);
+    let offsets = (start..).map(id::LogOffset);
+    let records = offsets.zip(records).map(|(offset, (after_ms, entries))| once::ClaimRecord {
+        offset,
+        timestamp_ms: NOW_MS + after_ms,
+        batch: once::ClaimBatch { entries },
+    });
+    let records: Vec<_> = records.collect();
+    let read_at_ms = records.last().map_or(NOW_MS, |record| record.timestamp_ms);
+    claim_fold::ClaimPage { start_offset: id::LogOffset(start), end_offset, records, read_at_ms }
+}
+
+fn claim(number: u128, body: u8) -> OnceEntry {
+    OnceEntry::Claim(entry(number, body))
+}
+
+fn outcome(number: u128, outcome: once::CallOutcome) -> OnceEntry {
+    let entry = entry(number, 0);
+    OnceEntry::Outcome(once::OutcomeEntry { key: entry.key, claim: entry.claim, outcome })
+}
+
+#[rstest]
+#[case::alone(vec![(0, vec![claim(1, 0)])], 1, ClaimVerdict::Won)]
+#[case::second_offset(vec![(0, vec![claim(1, 0)]), (1, vec![claim(2, 0)])], 2, ClaimVerdict::Claimed)]
+#[case::second_in_batch(vec![(0, vec![claim(1, 0), claim(2, 0)])], 2, ClaimVerdict::Claimed)]
+#[case::appended_twice(vec![(0, vec![claim(1, 0)]), (9, vec![claim(1, 0)])], 1, ClaimVerdict::Won)]
+#[case::other_body(vec![(0, vec![claim(1, 0)]), (1, vec![claim(2, 7)])], 2, ClaimVerdict::OtherRequest)]
+#[case::too_old(vec![(26_000, vec![claim(1, 0)])], 1, ClaimVerdict::Expired)]
+#[case::repeat_after_answer(
+    vec![
+        (0, vec![claim(1, 0)]),
+        (1, vec![outcome(1, once::CallOutcome::Answered(answer()))]),
+        (2, vec![claim(2, 0)]),
+    ],
+    2,
+    ClaimVerdict::Ended(once::CallOutcome::Answered(answer()))
+)]
+#[case::outcome_of_a_loser_is_ignored(
+    vec![(0, vec![claim(1, 0), claim(2, 0), outcome(2, once::CallOutcome::NotRun)])],
+    1,
+    ClaimVerdict::Won
+)]
+#[case::second_outcome_is_ignored(
+    vec![(0, vec![claim(1, 0), outcome(1, once::CallOutcome::MayHaveRun),
+        outcome(1, once::CallOutcome::NotRun), claim(2, 0)])],
+    2,
+    ClaimVerdict::Ended(once::CallOutcome::MayHaveRun)
+)]
+fn lowest_offset_wins(
+    #[case] records: Vec<(u64, Vec<OnceEntry>)>,
+    #[case] number: u128,
+    #[case] expected: ClaimVerdict,
+) {
+    let mut fold = claim_fold::ClaimFold::new(common::window());
+    fold.apply(&page(0, records.clone()));
+    let body = if expected == ClaimVerdict::OtherRequest { 7 } else { 0 };
+    assert_eq!(fold.verdict(&entry(number, body)), Some(expected.clone()));
+    // Pages that overlap change nothing.
+    fold.apply(&page(0, records));
+    assert_eq!(fold.verdict(&entry(number, body)), Some(expected));
+}
+
+#[test]
+fn claim_that_was_not_read_back_has_no_verdict() {
+    let mut fold = claim_fold::ClaimFold::new(common::window());
+    assert_eq!(fold.verdict(&entry(1, 0)), None);
+    fold.apply(&page(0, vec![(0, vec![claim(1, 0)])]));
+    assert_eq!(fold.verdict(&entry(2, 0)), None);
+    assert_eq!(fold.known(&entry(2, 0)), Some(ClaimVerdict::Claimed));
+}
+
+#[rstest]
+#[case::claims_of_the_key_are_all_retained(0, ClaimVerdict::Won)]
+#[case::claims_of_the_key_may_be_forgotten(61_000, ClaimVerdict::Forgotten)]
+fn gap_forbids_claims_of_keys_that_it_may_concern(
+    #[case] read_after_ms: u64,
+    #[case] expected: ClaimVerdict,
+) {
+    let mut fold = claim_fold::ClaimFold::new(common::window());
+    let mut late = page(50, vec![(20_000, vec![claim(1, 0)])]);
+    late.read_at_ms += read_after_ms;
+    fold.apply(&late);
+    assert_eq!(fold.verdict(&entry(1, 0)), Some(expected));
+}
+
+#[test]
+fn keys_are_forgotten_after_their_window() {
+    let mut fold = claim_fold::ClaimFold::new(common::window());
+    fold.apply(&page(0, vec![(0, vec![claim(1, 0)])]));
+    assert_eq!(fold.len(), 1);
+    fold.apply(&page(1, vec![(70_000, Vec::new())]));
+    assert!(fold.is_empty());
+    fold.apply(&page(2, vec![(70_001, vec![claim(2, 0)])]));
+    assert_eq!(fold.verdict(&entry(2, 0)), Some(ClaimVerdict::Expired));
+}
+
+#[rstest]
+#[case::fresh(key(NOW_MS).to_string(), "Ok")]
+#[case::slightly_ahead(key(NOW_MS + 2_000).to_string(), "Ok")]
+#[case::from_future(key(NOW_MS + 10_000).to_string(), "Err(FromFuture)")]
+#[case::old(key(NOW_MS - 30_000).to_string(), "Err(TooOld)")]
+#[case::not_a_uuid("booking-17".to_owned(), "Err(Malformed)")]
+#[case::random_uuid("8f14e45f-ceea-467f-9575-1a2b3c4d5e6f".to_owned(), "Err(Malformed)")]
+#[case::empty(String::new(), "Err(Malformed)")]
+fn keys_are_checked_against_the_window(#[case] text: String, #[case] expected: &str) {
+    let parsed = format!("{:?}", common::window().parse(&text, NOW_MS).map(drop));
+    assert_eq!(parsed.replace("Ok(())", "Ok"), expected);
+}
--- /dev/null
+++ b/coltsfoot-once/tests/dispatch.rs
@@ -0,0 +1,304 @@
+//! Every cut point of a dispatch, for calls that may be repeated and calls that may not.
+
+mod common;
+
+use coltsfoot_once::claim_request::{self, ClaimAction, ClaimEvent};
+use coltsfoot_once::dispatch::{self, DispatchActions};
+use coltsfoot_once::dispatch_event::{
+    AnswerHead, AnswerIdentity, AttemptEvent, CallEnd, DispatchAction, DispatchEvent,
+};
+use coltsfoot_once::{retry_budget, run_state};
+use coltsfoot_types::id;
+use coltsfoot_wire::once;
+use rand::SeedableRng as _;
+use rand::rngs;
+use rstest::rstest;
+
+use common::{at_ms, entry};
+
+const DEADLINE_MS: u64 = 3_000;
+
+struct DispatchTest {
+    machine: dispatch::DispatchMachine,
+    budget: retry_budget::RetryBudget,
+    rng: rngs::SmallRng,
+    ms: u64,
+}
+
+fn win() -> claim_request::ClaimWin {
+    let mut request = claim_request::ClaimRequest::new(
+        run_state::PendingRequest::new(),
+        claim_request::ClaimSettings::default(),
+        entry(1, 0),
+        at_ms(DEADLINE_MS),
+    );
+    let verdict = ClaimEvent::Verdict(once::ClaimVerdict::Won);
+    let action = request.handle(at_ms(0), verdict).into_iter().next();
+    let Some(ClaimAction::Dispatch(win)) = action else { panic!("{action:?}") };
+    win
+}
+
+impl DispatchTest {
+    fn new(once_only: bool, streamed: bool) -> Self {
+        let kind = match once_only {
+            true => dispatch::CallKind::OnceOnly(win()),
+            false => dispatch::CallKind::Idempotent(run_state::PendingRequest::new()),
+        };
+        let settings = dispatch::DispatchSettings::builder()
+            .request(id::RequestId(7))
+            .maybe_adapter(streamed.then(|| "menus@3".parse().unwrap()))
+            .is_streamed(streamed)
+            .deadline(at_ms(DEADLINE_MS))
+            .build();
+        Self {
+            machine: dispatch::DispatchMachine::new(kind, settings),
+            budget: retry_budget::RetryBudget::new(retry_budget::RetrySettings::default()),
+            rng: rngs::SmallRng::seed_from_u64(1),
+            ms: 0,
+        }
+    }
+
+    fn handle(&mut self, event: DispatchEvent) -> DispatchActions {
+        self.machine.handle(at_ms(self.ms), event, &mut self.budget, &mut self.rng)
+    }
+
+    fn permit(&mut self, number: u16) -> DispatchActions {
+        self.handle(DispatchEvent::Tick);
+        let upstream = format!("upstream-{number}").as_str().into();
+        let attempt = attempt(number);
+        self.handle(DispatchEvent::Permitted { attempt, upstream, is_leaving: false })
+    }
+
+    fn attempt(&mut self, number: u16, event: AttemptEvent) -> DispatchActions {
+        self.handle(DispatchEvent::Attempt(attempt(number), event))
+    }
+}
+
+fn attempt(number: u16) -> id::AttemptId {
+    id::AttemptId { request: id::RequestId(7), number }
+}
+
+fn identity(number: u16) -> AnswerIdentity {
+    AnswerIdentity {
+        attempt: Some(attempt(number).to_string()),
+        adapter: Some("menus@3".to_owned()),
+    }
+}
+
+fn head(status: u16, is_unrun: bool) -> AttemptEvent {
+    AttemptEvent::Head(AnswerHead { status, is_unrun })
+}
+
+fn token(number: u32) -> AttemptEvent {
+    AttemptEvent::Token { number, identity: identity(0) }
+}
+
+/// Names the actions that matter to caller, upstream and log.
+fn told(actions: &DispatchActions) -> String {
+    let names = actions.iter().filter_map(|action| match action {
+        DispatchAction::CountRetry(reason) => Some(format!("retry {}", reason.code())),
+        DispatchAction::Refuse { reason, run, .. } => Some(format!("{} {run}", reason.code())),
+        DispatchAction::AbortStream(reason, run) => Some(format!("abort {} {run}", reason.code())),
+        DispatchAction::Settle(CallEnd::Answered) => Some("settle Answered".to_owned()),
+        DispatchAction::Settle(CallEnd::Unanswered(entry)) => {
+            Some(format!("settle {:?}", entry.outcome))
+        }
+        DispatchAction::PassAnswer => Some("pass".to_owned()),
+        DispatchAction::EndStream => Some("end".to_owned()),
+        DispatchAction::ForwardToken => Some("token".to_owned()),
+        DispatchAction::Cancel(..) => Some("cancel".to_owned()),
+        DispatchAction::CountStray => Some("stray".to_owned()),
+        DispatchAction::Resume { after, .. } => Some(format!("resume {after}")),
+        _ => None,
+    });
+    names.collect::<Vec<_>>().join(", ")
+}
+
+#[rstest]
+#[case::before_connect(vec![AttemptEvent::ConnectFailed],
+    "retry connect_failed", "retry connect_failed")]
+#[case::head_being_sent(vec![AttemptEvent::SendFailed],
+    "cancel, retry send_failed", "upstream_failed unknown, settle MayHaveRun")]
+#[case::upstream_closes(vec![AttemptEvent::NoAnswer],
+    "cancel, retry no_answer", "upstream_failed unknown, settle MayHaveRun")]
+#[case::times_out(vec![AttemptEvent::TimedOut],
+    "cancel, retry timed_out", "upstream_failed unknown, settle MayHaveRun")]
+#[case::upstream_did_not_run_it(vec![head(503, true)],
+    "retry refused_unrun", "retry refused_unrun")]
+#[case::server_error(vec![head(500, false), AttemptEvent::Ended(identity(0))],
+    "cancel, retry server_error", "pass, settle Answered")]
+#[case::client_error(vec![head(400, true), AttemptEvent::Ended(identity(0))],
+    "pass", "pass, settle Answered")]
+#[case::body_cut(vec![head(200, false), AttemptEvent::BodyFailed],
+    "cancel, retry broken_answer", "upstream_failed yes, settle RanWithoutAnswer")]
+#[case::body_stalls(vec![head(200, false), AttemptEvent::TimedOut],
+    "cancel, retry timed_out", "upstream_failed yes, settle RanWithoutAnswer")]
+#[case::answers_another_request(vec![head(200, false), AttemptEvent::Ended(identity(9))],
+    "cancel, retry wrong_answer", "wrong_answer unknown, settle MayHaveRun")]
+#[case::whole(vec![head(200, false), AttemptEvent::Ended(identity(0))],
+    "pass", "pass, settle Answered")]
+fn each_cut_point_is_retried_or_told_truly(
+    #[case] events: Vec<AttemptEvent>,
+    #[case] idempotent: &str,
+    #[case] once_only: &str,
+    #[values(false, true)] is_once_only: bool,
+) {
+    let mut test = DispatchTest::new(is_once_only, false);
+    let sent = test.permit(0);
+    let is_fresh = |action: &DispatchAction| match action {
+        DispatchAction::Send { needs_fresh_connection, .. } => *needs_fresh_connection,
+        _ => false,
+    };
+    assert_eq!(sent.iter().any(is_fresh), is_once_only);
+    let all: Vec<_> = events.into_iter().map(|event| told(&test.attempt(0, event))).collect();
+    let seen = all.into_iter().filter(|names| !names.is_empty() && names != "stray");
+    let expected = if is_once_only { once_only } else { idempotent };
+    assert_eq!(seen.collect::<Vec<_>>().join("; "), expected);
+}
+
+#[rstest]
+#[case::nothing_sent(false, None, "deadline_exceeded no, settle NotRun")]
+#[case::sent(true, None, "deadline_exceeded unknown")]
+#[case::answers_late(true, Some("settle Answered"), "deadline_exceeded unknown")]
+fn once_only_call_is_followed_beyond_its_deadline(
+    #[case] is_sent: bool,
+    #[case] late: Option<&str>,
+    #[case] expected: &str,
+) {
+    let mut test = DispatchTest::new(true, false);
+    match is_sent {
+        true => drop(test.permit(0)),
+        false => drop(test.handle(DispatchEvent::Tick)),
+    }
+    test.ms = DEADLINE_MS;
+    assert_eq!(told(&test.handle(DispatchEvent::Tick)), expected);
+    if let Some(late) = late {
+        test.attempt(0, head(200, false));
+        assert_eq!(told(&test.attempt(0, AttemptEvent::Ended(identity(0)))), late);
+    }
+}
+
+#[test]
+fn retries_end_with_the_deadline_the_attempts_and_the_budget() {
+    let mut test = DispatchTest::new(false, false);
+    test.permit(0);
+    test.ms = DEADLINE_MS - 1;
+    let actions = test.attempt(0, AttemptEvent::ConnectFailed);
+    assert_eq!(told(&actions), "upstream_failed no", "a retry would pass the deadline");
+
+    let mut test = DispatchTest::new(false, false);
+    for number in 0..4 {
+        test.ms += 200;
+        test.permit(number);
+        let expected = if number < 3 { "retry connect_failed" } else { "upstream_failed no" };
+        assert_eq!(told(&test.attempt(number, AttemptEvent::ConnectFailed)), expected);
+    }
+
+    let mut test = DispatchTest::new(false, false);
+    while test.budget.withdraw() {}
+    test.permit(0);
+    let actions = test.attempt(0, AttemptEvent::NoAnswer);
+    assert_eq!(told(&actions), "cancel, upstream_failed unknown");
+}
+
+#[test]
+fn permit_of_a_leaving_upstream_is_given_back() {
+    let mut test = DispatchTest::new(false, false);
+    test.handle(DispatchEvent::Tick);
+    let permitted = DispatchEvent::Permitted {
+        attempt: attempt(0),
+        upstream: "leaving".into(),
+        is_leaving: true,
+    };
+    let actions = test.handle(permitted);
+    assert!(matches!(actions[0], DispatchAction::ReleasePermit(..)));
+    assert!(matches!(actions[1], DispatchAction::RequestPermit { .. }));
+    assert!(!actions.iter().any(|action| matches!(action, DispatchAction::Send { .. })));
+}
+
+#[test]
+fn stream_is_resumed_then_continued_elsewhere_with_each_token_once() {
+    let mut test = DispatchTest::new(false, true);
+    test.permit(0);
+    test.attempt(0, head(200, false));
+    let names = [1, 2, 2, 1].map(|number| told(&test.attempt(0, token(number))));
+    assert_eq!(names, ["token", "token", "", ""]);
+    assert_eq!(told(&test.attempt(0, token(5))), "resume 2", "a gap is a broken stream");
+    assert_eq!(told(&test.attempt(0, token(3))), "token");
+    assert_eq!(told(&test.attempt(0, AttemptEvent::BodyFailed)), "resume 3");
+    let failed = told(&test.attempt(0, AttemptEvent::ResumeFailed));
+    assert_eq!(failed, "cancel, retry broken_answer");
+    test.ms += 100;
+    let sent = test.permit(1);
+    let continues =
+        |action: &DispatchAction| matches!(action, DispatchAction::Send { continue_after: 3, .. });
+    assert!(sent.iter().any(continues));
+    assert_eq!(told(&test.attempt(0, token(4))), "stray", "the first attempt is over");
+    test.attempt(1, head(200, false));
+    let first = AttemptEvent::Token { number: 1, identity: identity(1) };
+    assert_eq!(told(&test.attempt(1, first)), "token");
+    assert_eq!(told(&test.attempt(1, AttemptEvent::Ended(identity(1)))), "end");
+}
+
+#[test]
+fn stream_that_can_not_go_on_ends_with_an_error() {
+    let mut test = DispatchTest::new(false, true);
+    while test.budget.withdraw() {}
+    test.permit(0);
+    test.attempt(0, head(200, false));
+    test.attempt(0, token(1));
+    test.attempt(0, AttemptEvent::BodyFailed);
+    let failed = told(&test.attempt(0, AttemptEvent::BodyFailed));
+    assert_eq!(failed, "cancel, abort upstream_failed yes");
+}
+
+#[rstest]
+#[case::other_adapter(Some("menus@4"))]
+#[case::no_adapter(None)]
+fn token_of_another_adapter_is_never_passed_on(#[case] adapter: Option<&str>) {
+    let mut test = DispatchTest::new(false, true);
+    test.permit(0);
+    test.attempt(0, head(200, false));
+    let identity = AnswerIdentity { adapter: adapter.map(str::to_owned), ..identity(0) };
+    let actions = test.attempt(0, AttemptEvent::Token { number: 1, identity });
+    assert_eq!(told(&actions), "cancel, retry wrong_answer");
+}
+
+#[rstest]
+#[case::idempotent(false, "cancel")]
+#[case::once_only(true, "")]
+fn caller_that_goes_away_cancels_only_what_may_be_repeated(
+    #[case] is_once_only: bool,
+    #[case] expected: &str,
+) {
+    let mut test = DispatchTest::new(is_once_only, false);
+    test.permit(0);
+    assert_eq!(told(&test.handle(DispatchEvent::CallerGone)), expected);
+    assert_eq!(test.machine.is_ended(), !is_once_only);
+    if is_once_only {
+        test.attempt(0, head(200, false));
+        let end = test.attempt(0, AttemptEvent::Ended(identity(0)));
+        assert_eq!(told(&end), "settle Answered");
+    }
+}
+
+#[test]
+fn request_that_lost_two_upstreams_is_not_sent_to_a_third() {
+    let mut test = DispatchTest::new(false, false);
+    test.permit(0);
+    test.attempt(0, AttemptEvent::NoAnswer);
+    test.ms += 100;
+    let isolated = test.handle(DispatchEvent::Tick);
+    let is_isolated = |action: &DispatchAction| {
+        matches!(action, DispatchAction::RequestPermit { is_isolated: true, .. })
+    };
+    assert!(isolated.iter().any(is_isolated));
+    test.permit(1);
+    let actions = test.attempt(1, AttemptEvent::NoAnswer);
+    assert_eq!(told(&actions), "cancel, upstream_failed unknown");
+
+    let mut test = DispatchTest::new(false, false);
+    test.permit(0);
+    let actions = test.handle(DispatchEvent::Suspected { crashes: 2 });
+    assert_eq!(told(&actions), "cancel, quarantined unknown");
+}
