--- a/coltsfoot-measure/src/cmd/mod.rs
+++ b/coltsfoot-measure/src/cmd/mod.rs
@@ -1,5 +1,7 @@
 //! Subcommands; each prints a table and, as its last line, one line of JSON.
 
+mod placement;
+mod placement_sweep;
 mod once;
 
 use std::path;
@@ -13,6 +15,10 @@
 }
 
 /// All subcommands.
+const COMMANDS: &[MeasureCommand] = &[
+    MeasureCommand { name: "placement", run: placement::run },
+    MeasureCommand { name: "placement-sweep", run: placement_sweep::run },
+];
 const COMMANDS: &[MeasureCommand] = &[MeasureCommand { name: "once", run: once::run }];
 
 /// An error that ends a measure.
--- a/coltsfoot-placement/src/cell.rs
+++ b/coltsfoot-placement/src/cell.rs
@@ -8,9 +8,9 @@
 use rustc_hash::FxHashMap;
 use smallvec::SmallVec;
 
-use crate::budget;
 use crate::engine;
 use crate::event;
+use crate::load_share;
 use crate::loading;
 use crate::popularity;
 use crate::prefix;
@@ -44,7 +44,7 @@
     pub(crate) replicas: collections::BTreeSet<adapter::AdapterVersion>,
     pub(crate) orders: collections::BTreeMap<event::OrderId, loading::RunningOrder>,
     pub(crate) next_order: u64,
-    pub(crate) budget: budget::LoadShare,
+    pub(crate) budget: load_share::LoadShare,
     pub(crate) takeover: takeover::TakeoverState,
     pub(crate) prefixes: prefix::PrefixIndex,
     pub(crate) counters: CellCounters,
@@ -101,7 +101,7 @@
             replicas: collections::BTreeSet::new(),
             orders: collections::BTreeMap::new(),
             next_order: 0,
-            budget: budget::LoadShare::default(),
+            budget: load_share::LoadShare::default(),
             takeover: takeover::TakeoverState::default(),
             prefixes: prefix::PrefixIndex::default(),
             counters: CellCounters::default(),
@@ -118,6 +118,7 @@
         if self.fencing(now).is_some() {
             self.plan_loads(now, &mut actions);
         }
+        debug_assert!(self.counts_pins_exactly(), "pins differ from the permits that are out");
         actions
     }
 
@@ -158,6 +159,15 @@
             .build()
     }
 
+    /// Returns whether each engine's pins are those of the permits that are out.
+    fn counts_pins_exactly(&self) -> bool {
+        self.engines.iter().all(|(name, engine)| {
+            let permits = self.permits.values().filter(|permit| permit.engine == *name);
+            let pins = engine.pins.values().sum::<u32>();
+            pins == engine.running && pins as usize == permits.count()
+        })
+    }
+
     fn apply(
         &mut self,
         now: clock::MonotonicTime,
@@ -170,7 +180,7 @@
                 self.take_demand(now, instance, demand, actions);
             }
             CellEvent::PermitReleased { release, .. } => self.release(now, &release, actions),
-            CellEvent::PermitCancelled { attempt } => self.cancel(now, attempt, actions),
+            CellEvent::PermitCancelled { attempt } => self.cancel_wait(attempt),
             CellEvent::PermitsReported { instance, fencing, permits } => {
                 self.take_report(now, &instance, fencing, permits);
             }
@@ -181,7 +191,7 @@
             CellEvent::UnloadEnded { order, outcome } => {
                 self.end_unload(now, order, outcome, actions);
             }
-            CellEvent::EngineListed { engine } => self.list_engine(engine),
+            CellEvent::EngineListed { engine } => self.list_engine(now, engine),
             CellEvent::EngineLeaving { engine } => self.retire_engine(now, &engine, actions),
             CellEvent::EngineGone { engine } => self.remove_engine(now, &engine, actions),
             CellEvent::EngineReported { engine, report } => {
