Measure retries while a third of the upstreams fail

Change: coltsfoot-measure retries: 24 upstreams in three zones, 600 requests/s, eight upstreams fail for 30 s in six ways, 20 poison requests are sent up to six times each; the dispatch, breakers, budgets and suspects are the real ones. The list of measures, broken by a merge, is mended.

--- a/coltsfoot-measure/src/cmd/mod.rs
+++ b/coltsfoot-measure/src/cmd/mod.rs
@@ -1,8 +1,9 @@
 //! Subcommands; each prints a table and, as its last line, one line of JSON.
 
+mod once;
 mod placement;
 mod placement_sweep;
-mod once;
+mod retries;
 
 use std::path;
 
@@ -16,10 +17,11 @@
 
 /// All subcommands.
 const COMMANDS: &[MeasureCommand] = &[
+    MeasureCommand { name: "once", run: once::run },
     MeasureCommand { name: "placement", run: placement::run },
     MeasureCommand { name: "placement-sweep", run: placement_sweep::run },
+    MeasureCommand { name: "retries", run: retries::run },
 ];
-const COMMANDS: &[MeasureCommand] = &[MeasureCommand { name: "once", run: once::run }];
 
 /// An error that ends a measure.
 #[derive(Debug, thiserror::Error)]
--- /dev/null
+++ b/coltsfoot-measure/src/retries/mod.rs
@@ -0,0 +1,4 @@
+//! Retries while a third of the upstreams fail, and requests that crash whatever runs them.
+
+pub mod fleet;
+pub mod world;
--- a/coltsfoot-once/src/dispatch.rs
+++ b/coltsfoot-once/src/dispatch.rs
@@ -117,6 +117,14 @@
         self.sends
     }
 
+    /// Returns the attempt that is at an upstream, if any.
+    pub fn current(&self) -> Option<id::AttemptId> {
+        match &self.state {
+            DispatchState::Sent(sent) => Some(sent.id),
+            _ => None,
+        }
+    }
+
     /// Returns whether nothing more can happen to the request.
     pub fn is_ended(&self) -> bool {
         matches!(self.state, DispatchState::Ended)
