--- a/coltsfoot-measure/src/cmd/mod.rs
+++ b/coltsfoot-measure/src/cmd/mod.rs
@@ -3,6 +3,7 @@
 mod once;
 mod placement;
 mod placement_sweep;
+mod retries;
 
 use std::path;
 
@@ -16,9 +17,11 @@
 
 /// All subcommands.
 const COMMANDS: &[MeasureCommand] = &[
+    MeasureCommand { name: "once", run: once::run },
     MeasureCommand { name: "placement", run: placement::run },
     MeasureCommand { name: "placement-sweep", run: placement_sweep::run },
     MeasureCommand { name: "once", run: once::run },
+    MeasureCommand { name: "retries", run: retries::run },
 ];
 
 /// An error that ends a measure.
--- a/coltsfoot-measure/src/main.rs
+++ b/coltsfoot-measure/src/main.rs
@@ -3,6 +3,7 @@
 mod cmd;
 mod once;
 mod placement;
+mod retries;
 
 use std::process;
 
