--- a/coltsfoot-member/src/promise.rs
+++ b/coltsfoot-member/src/promise.rs
@@ -59,13 +59,19 @@
     }
 
     /// Moves on to a view that got its acknowledgements; returns false if a newer one was accepted.
-    pub fn install(&mut self, proposal: &member::ViewProposal) -> bool {
+    ///
+    /// A restricted view may stand beside another one that this instance accepted, so that it is
+    /// followed only if it covers all of them.
+    pub fn install(&mut self, installed: &member::InstalledView) -> bool {
+        let proposal = &installed.proposal;
         let epoch = proposal.view.epoch;
-        if epoch < self.epoch() {
+        let is_accepted = self.promised.as_ref() == Some(&proposal.view);
+        let is_full = installed.grade == member::ViewGrade::Full;
+        if epoch < self.epoch() || !is_full && !is_accepted && !self.is_covered_by(proposal) {
             return false;
         }
         assert!(
-            epoch > self.epoch() || self.promised.as_ref() == Some(&proposal.view),
+            epoch > self.epoch() || is_accepted,
             "two views share the epoch {epoch}; give each instance a name of its own"
         );
         self.promised = Some(proposal.view.clone());
--- a/coltsfoot-member/src/record.rs
+++ b/coltsfoot-member/src/record.rs
@@ -20,6 +20,8 @@
     pub group: member::GroupNumber,
     /// Offset of the group's record that this one follows; a record with another base is void.
     pub base: Option<id::LogOffset>,
+    /// Number of valid records of the group before this one.
+    pub height: u64,
     /// Members, sorted by name.
     pub members: Vec<name::InstanceName>,
 }
@@ -37,36 +39,35 @@
 #[derive(Clone, Debug, Default, Hash)]
 pub struct RecordFold {
     position: Option<id::LogOffset>,
-    last_offsets: collections::BTreeMap<member::GroupNumber, id::LogOffset>,
+    start: Option<id::LogOffset>,
     heads: collections::BTreeMap<member::GroupNumber, HeadRecord>,
 }
 
 impl RecordFold {
     /// Folds a record; offsets that were folded before are skipped.
     ///
-    /// A record is valid if it follows the group's previous record, valid or not. The first record
-    /// that is seen counts as valid, since its predecessor may have been forgotten.
+    /// A record is valid if it follows the group's newest valid record. Where that one was
+    /// forgotten before this fold began, the record with the greatest height counts.
     pub fn fold(&mut self, zone: &name::ZoneName, stream_record: &event::StreamRecord) {
         if self.position.is_some_and(|position| stream_record.offset <= position) {
             return;
         }
         self.position = Some(stream_record.offset);
+        let start = *self.start.get_or_insert(stream_record.offset);
         let Ok(record) = serde_json::from_str::<ViewRecord>(&stream_record.text) else {
             return;
         };
         if record.zone != *zone || record.members.len() > settings::MAX_GROUP_MEMBERS {
             return;
         }
-        let previous = self.last_offsets.insert(record.group, stream_record.offset);
-        if previous.is_some() && previous != record.base {
-            return;
+        let follows = self.heads.get(&record.group).is_none_or(|head| {
+            let is_base_forgotten = record.base.is_some_and(|base| base < start);
+            record.base == Some(head.offset)
+                || is_base_forgotten && record.height > head.record.height
+        });
+        if follows {
+            self.heads.insert(record.group, HeadRecord { offset: stream_record.offset, record });
         }
-        self.heads.insert(record.group, HeadRecord { offset: stream_record.offset, record });
-    }
-
-    /// Returns the base that a new record of the group needs.
-    pub fn base(&self, group: member::GroupNumber) -> Option<id::LogOffset> {
-        self.last_offsets.get(&group).copied()
     }
 
     /// Returns the newest valid record of a group.
--- a/coltsfoot-member/src/settings.rs
+++ b/coltsfoot-member/src/settings.rs
@@ -23,10 +23,10 @@
     #[builder(default = 10)]
     pub clock_drift_permille: u32,
     /// Silence after which other members are asked about an instance.
-    #[builder(default = time::Duration::from_millis(900))]
+    #[builder(default = time::Duration::from_millis(1_250))]
     pub indirect_after: time::Duration,
     /// Silence after which an instance is taken out of the view.
-    #[builder(default = time::Duration::from_millis(1_500))]
+    #[builder(default = time::Duration::from_millis(1_700))]
     pub suspect_after: time::Duration,
     /// Time between the proposals of members that see the same need, by rank.
     #[builder(default = time::Duration::from_millis(200))]
--- a/coltsfoot-member/src/zone_member/change.rs
+++ b/coltsfoot-member/src/zone_member/change.rs
@@ -1,5 +1,7 @@
 //! View changes: answering proposals, collecting answers, installing.
 
+use std::time as std_time;
+
 use coltsfoot_types::{name, time};
 use coltsfoot_wire::member;
 use rand::RngExt as _;
@@ -9,6 +11,8 @@
 
 /// Shortest time in which all reachable instances get the chance to answer, in milliseconds.
 const ANSWER_GRACE_MS: u64 = 250;
+/// Time between two sendings of a proposal to those that have not answered.
+const PROPOSAL_INTERVAL: std_time::Duration = std_time::Duration::from_millis(150);
 /// First and longest time between failed attempts, in milliseconds.
 const BACKOFF_MS: (u64, u64) = (100, 5_000);
 
@@ -110,7 +114,8 @@
         let wait = self.seed.random_range(ceiling / 2..=ceiling);
         self.attempt.stage = ChangeStage::Idle;
         self.attempt.failures += 1;
-        self.attempt.not_before = now + std::time::Duration::from_millis(wait);
+        self.clock.promised_at = time::MonotonicTime(0);
+        self.attempt.not_before = now + std_time::Duration::from_millis(wait);
     }
 
     /// Drives the view change of this instance.
@@ -142,6 +147,7 @@
         };
         round.add_accept(now, self.own_name.clone(), accept);
         self.attempt.stage = ChangeStage::Collecting(round);
+        self.clock.next_proposal = now + PROPOSAL_INTERVAL;
         self.send_proposal(actions);
     }
 
@@ -159,6 +165,13 @@
         }
     }
 
+    fn repeat_proposal(&mut self, now: time::MonotonicTime, actions: &mut ActionList) {
+        if now >= self.clock.next_proposal {
+            self.clock.next_proposal = now + PROPOSAL_INTERVAL;
+            self.send_proposal(actions);
+        }
+    }
+
     fn advance_collection(&mut self, now: time::MonotonicTime, actions: &mut ActionList) {
         let ChangeStage::Collecting(round) = &self.attempt.stage else {
             return;
@@ -187,7 +200,7 @@
                 self.publish_view(now, installed, actions);
             }
             None if timed_out => self.fail_attempt(now),
-            None => {}
+            None => self.repeat_proposal(now, actions),
         }
     }
 
@@ -223,7 +236,7 @@
         if other_group || epoch <= self.installed_epoch() || !self.may_follow(epoch) {
             return;
         }
-        if !self.promise.install(&installed.proposal) {
+        if !self.promise.install(&installed) {
             return;
         }
         self.group = Some(installed.proposal.group);
--- a/coltsfoot-member/src/zone_member/heartbeat.rs
+++ b/coltsfoot-member/src/zone_member/heartbeat.rs
@@ -26,12 +26,13 @@
         self.clock.next_heartbeat = now + self.timing.heartbeat_interval;
         let sequence = self.leases.begin_round(now);
         let peers = self.live_peers(now);
-        let start = sequence as usize * HEARTBEAT_FANOUT;
+        let start = self.clock.heartbeat_turn;
         let count = peers.len().min(HEARTBEAT_FANOUT);
         for step in 0..count {
-            let receiver = peers[(start + step) % peers.len()].clone();
+            let receiver = peers[start.wrapping_add(step) % peers.len()].clone();
             self.send_probe(sequence, receiver, actions);
         }
+        self.clock.heartbeat_turn = start.wrapping_add(count);
         let lost = self.lost_peers(now);
         if !lost.is_empty() {
             let receiver = lost[sequence as usize % lost.len()].clone();
@@ -77,6 +78,7 @@
     ) {
         self.contacts.note_leaving(&sender, probe.leaving);
         self.note_view_sign(now, probe.epoch);
+        self.note_other_half(now, &sender);
         let granted = self.promise.acknowledges(probe.epoch);
         if granted {
             self.leases.grant(now, sender.clone());
@@ -100,6 +102,7 @@
     ) {
         self.contacts.note_leaving(&sender, answer.leaving);
         self.note_view_sign(now, answer.epoch);
+        self.note_other_half(now, &sender);
         if answer.granted {
             self.leases.acknowledge(sender.clone(), answer.sequence);
             self.note_acting(now);
@@ -173,7 +176,7 @@
     }
 
     /// Sends the installed view to a peer that holds an older one.
-    fn update_peer(
+    pub(super) fn update_peer(
         &self,
         peer: name::InstanceName,
         epoch: id::FencingNumber,
@@ -188,6 +191,17 @@
         }
     }
 
+    /// Takes an instance of another half for one that wants to join, so that the halves unite.
+    fn note_other_half(&mut self, now: time::MonotonicTime, sender: &name::InstanceName) {
+        let Some(view) = &self.installed else {
+            return;
+        };
+        let restricted = view.installed.grade != member::ViewGrade::Full;
+        if restricted && !view.view().members.contains(sender) {
+            self.contacts.note_join(sender, now);
+        }
+    }
+
     fn note_view_sign(&mut self, now: time::MonotonicTime, epoch: id::FencingNumber) {
         if epoch != id::FencingNumber(0) {
             self.clock.view_heard_at = Some(now);
--- a/coltsfoot-member/src/zone_member/join.rs
+++ b/coltsfoot-member/src/zone_member/join.rs
@@ -34,12 +34,15 @@
     pub(super) fn handle_join(
         &mut self,
         now: time::MonotonicTime,
-        sender: &name::InstanceName,
+        sender: name::InstanceName,
         group: member::GroupNumber,
+        actions: &mut ActionList,
     ) {
-        if self.group == Some(group) {
-            self.contacts.note_join(sender, now);
+        if self.group != Some(group) {
+            return;
         }
+        self.contacts.note_join(&sender, now);
+        self.update_peer(sender, id::FencingNumber(0), actions);
     }
 
     /// Returns whether this instance should form a view because nobody seems to hold one.
--- a/coltsfoot-member/src/zone_member/mod.rs
+++ b/coltsfoot-member/src/zone_member/mod.rs
@@ -109,8 +109,11 @@
     started_at: Option<time::MonotonicTime>,
     last_contact: time::MonotonicTime,
     next_heartbeat: time::MonotonicTime,
+    /// Place in the list of members that the next heartbeat round starts at.
+    heartbeat_turn: usize,
     next_indirect: time::MonotonicTime,
     next_join: time::MonotonicTime,
+    next_proposal: time::MonotonicTime,
     /// Last sign of an instance that holds a view.
     view_heard_at: Option<time::MonotonicTime>,
     /// Latest end of any lease that this instance has held.
@@ -187,7 +190,7 @@
             member::MemberMessage::IndirectAnswer { target, age_ms } => {
                 self.handle_indirect_answer(now, &target, age_ms);
             }
-            member::MemberMessage::Join { group } => self.handle_join(now, &sender, group),
+            member::MemberMessage::Join { group } => self.handle_join(now, sender, group, actions),
             member::MemberMessage::Propose(proposal) => {
                 self.answer_proposal(now, sender, &proposal, actions);
             }
--- a/coltsfoot-member/src/zone_member/plan.rs
+++ b/coltsfoot-member/src/zone_member/plan.rs
@@ -14,6 +14,8 @@
 const UPGRADE_INTERVAL: std_time::Duration = std_time::Duration::from_secs(5);
 /// Time after which a view of a log outage is written to the log.
 const RELOG_DELAY: std_time::Duration = std_time::Duration::from_secs(2);
+/// Places from which on proposers wait no longer.
+const MAX_STAGGER_PLACES: usize = 8;
 /// Low bits of an epoch that hold the place of a provisional view's proposer.
 const PROPOSER_BITS: u32 = 4;
 /// Largest round of provisional views within one offset.
@@ -48,7 +50,6 @@
     fn awaits_proposer(&self, now: time::MonotonicTime) -> bool {
         self.promise.epoch() > self.installed_epoch()
             && now.since(self.clock.promised_at) < self.timing.proposal_timeout
-            && self.attempt.failures == 0
     }
 
     /// Returns the members that the next view should have.
@@ -109,8 +110,12 @@
 
     /// Returns the time that this instance leaves to those before it.
     fn proposer_delay(&self, desired: &[name::InstanceName]) -> std_time::Duration {
-        let place = desired.iter().position(|peer| *peer == self.own_name);
-        self.timing.proposer_stagger * place.unwrap_or(0) as u32
+        let is_own = |peer: &name::InstanceName| *peer == self.own_name;
+        let place = match self.installed {
+            Some(_) => desired.iter().position(is_own),
+            None => self.listing.names().position(is_own),
+        };
+        self.timing.proposer_stagger * place.unwrap_or(0).min(MAX_STAGGER_PLACES) as u32
     }
 
     /// Returns the views that a proposal has to cover, as far as this instance knows.
@@ -164,11 +169,15 @@
         predecessors: Vec<member::ViewSummary>,
         actions: &mut ActionList,
     ) {
+        let head = self.log.fold.head(group);
+        let base = head.map(|head| head.offset);
+        let height = head.map_or(0, |head| head.record.height + 1);
         let record = record::ViewRecord {
             record_id: self.new_record_id(),
             zone: self.zone.clone(),
             group,
-            base: self.log.fold.base(group),
+            base,
+            height,
             members,
         };
         let text = serde_json::to_string(&record).expect("a record of names is valid JSON");
@@ -211,8 +220,8 @@
             return;
         };
         let group = pending.record.group;
-        let overtaken = self.log.fold.base(group) != pending.record.base;
-        let Some(head) = self.log.fold.head(group).filter(|_| overtaken) else {
+        let head = self.log.fold.head(group);
+        let Some(head) = head.filter(|head| Some(head.offset) != pending.record.base) else {
             return;
         };
         if head.record.record_id != pending.record.record_id {
