Keep the measures' table one row a line

Cause: merging five measures made two tables of one. Change: one sorted table; the placement measure prints the awake adapters.

--- a/coltsfoot-measure/src/cmd/mod.rs
+++ b/coltsfoot-measure/src/cmd/mod.rs
@@ -1,10 +1,10 @@
 //! Subcommands; each prints a table and, as its last line, one line of JSON.
 
+mod member;
 mod once;
 mod placement;
 mod placement_sweep;
 mod retries;
-mod member;
 
 use std::path;
 
@@ -18,13 +18,12 @@
 
 /// All subcommands.
 const COMMANDS: &[MeasureCommand] = &[
+    MeasureCommand { name: "member", run: member::run },
     MeasureCommand { name: "once", run: once::run },
     MeasureCommand { name: "placement", run: placement::run },
     MeasureCommand { name: "placement-sweep", run: placement_sweep::run },
-    MeasureCommand { name: "once", run: once::run },
     MeasureCommand { name: "retries", run: retries::run },
 ];
-const COMMANDS: &[MeasureCommand] = &[MeasureCommand { name: "member", run: member::run }];
 
 /// An error that ends a measure.
 #[derive(Debug, thiserror::Error)]
--- a/coltsfoot-measure/src/cmd/placement.rs
+++ b/coltsfoot-measure/src/cmd/placement.rs
@@ -36,6 +36,7 @@
     limit_loads: u64,
     decision_us: f64,
     decision_p99_us: f64,
+    awake_adapters: usize,
 }
 
 /// Runs the measure.
@@ -93,6 +94,7 @@
         limit_loads: limit.loads,
         decision_us: cost.mean_us,
         decision_p99_us: cost.p99_us,
+        awake_adapters: cost.awake,
     };
     println!("{}", serde_json::to_string(&figures).expect("figures are plain numbers"));
     Ok(())
