Split the large modules of dispatch, claim owner, stand-in engine and measures

Change: events and settings of the claim owner, events of attempts, chat calls of the stand-in engine, and the parts of the schedules have modules of their own; texts of the claims stream's records are encoded in claim_record.

Conclusion: nothing changed but the places.

--- a/coltsfoot-fakes/src/engine_calls.rs
+++ b/coltsfoot-fakes/src/engine_calls.rs
@@ -3,12 +3,12 @@
 use std::sync;
 use std::time;
 
-use coltsfoot_platform::{http, prefix, protocol};
+use coltsfoot_platform::{http, protocol};
 use coltsfoot_types::{adapter, id};
 use http_types::{Method, Request, Response};
 
 use crate::engine_state::{EngineState, OrderOutcome};
-use crate::{answer, batch, control, residency, run, server, stream};
+use crate::{control, engine_chat, residency, server, stream};
 
 /// Interval at which a second order for the same load looks whether the first has ended.
 const JOIN_INTERVAL: time::Duration = time::Duration::from_millis(2);
@@ -35,7 +35,7 @@
         (Method::Get, "/cache_events") => cache_events(&state, &request),
         (Method::Post, "/v1/load_lora_adapter") => order(&state, &mut request, true).await,
         (Method::Post, "/v1/unload_lora_adapter") => order(&state, &mut request, false).await,
-        (Method::Post, "/v1/chat/completions") => chat(&state, &mut request).await,
+        (Method::Post, "/v1/chat/completions") => engine_chat::chat(&state, &mut request).await,
         (method, path) => match path.strip_prefix("/v1/streams/") {
             Some(attempt) if method == Method::Get => resume(&state, &request, attempt),
             Some(attempt) if method == Method::Delete => cancel(&state, attempt),
@@ -192,174 +192,6 @@
     OrderOutcome::Done
 }
 
-async fn chat(
-    state: &sync::Arc<EngineState>,
-    request: &mut Request,
-) -> http_types::Result<Response> {
-    let switches = state.switches();
-    if switches.silent {
-        futures_lite::future::pending::<()>().await;
-    }
-    let header = request.header(protocol::ATTEMPT_HEADER);
-    let attempt = header.map_or_else(String::new, |values| values.last().as_str().to_owned());
-    let chat = match control::read_json::<protocol::ChatRequest>(request).await? {
-        Ok(chat) => chat,
-        Err(answer) => return Ok(answer),
-    };
-    if switches.refuse_chats {
-        return not_run(503, "refused by a switch");
-    }
-    let Ok(adapter) = chat.model.parse::<adapter::AdapterVersion>() else {
-        return not_run(400, "`model` is not an adapter version");
-    };
-    let Some(run) = begin_run(state, &chat, adapter, attempt) else {
-        return not_run(404, "the adapter is not resident");
-    };
-    let faults = stream::StreamFaults {
-        cut_after_tokens: switches.cut_after_tokens,
-        stall_after_tokens: switches.stall_after_tokens,
-    };
-    let mut response = Response::new(200);
-    response.insert_header(protocol::ATTEMPT_HEADER, run.attempt.as_str());
-    if chat.stream {
-        response.set_body(stream::body(run, 0, faults));
-        response.set_content_type(http_types::mime::SSE);
-        return Ok(response);
-    }
-    run.ended.wait().await;
-    if run.is_cut() {
-        return Err(control::close_connection());
-    }
-    response.set_body(serde_json::to_vec(&run.answer())?);
-    response.set_content_type(http_types::mime::JSON);
-    Ok(response)
-}
-
-fn not_run(status: u16, text: &str) -> http_types::Result<Response> {
-    let mut response = control::text_answer(status, text)?;
-    response.insert_header(protocol::NOT_RUN_HEADER, "true");
-    Ok(response)
-}
-
-/// Starts a run whose progress doesn't depend on the caller's connection.
-fn begin_run(
-    state: &sync::Arc<EngineState>,
-    chat: &protocol::ChatRequest,
-    adapter: adapter::AdapterVersion,
-    attempt: String,
-) -> Option<sync::Arc<run::EngineRun>> {
-    let switches = state.switches();
-    let continued = chat.continue_from.as_deref().unwrap_or_default();
-    let continued_tokens = continued.split_whitespace().count();
-    let max_tokens = chat.max_tokens.map(|max_tokens| max_tokens + continued_tokens as u32);
-    let expected = answer::ExpectedAnswer::new(&adapter, &chat.messages, max_tokens);
-    let mut core = server::lock(&state.core);
-    if !core.slots.is_resident(&adapter) {
-        core.observations.not_resident += 1;
-        return None;
-    }
-    let named = switches.wrong_adapter.clone().unwrap_or_else(|| adapter.clone());
-    let run = sync::Arc::new(run::EngineRun::new(
-        switches.wrong_attempt.clone().unwrap_or(attempt),
-        run::RunAdapters { running: adapter, named },
-        expected.tokens.into_iter().skip(continued_tokens).collect(),
-        expected.prompt_tokens + continued_tokens as u32,
-        time::Duration::from_micros(switches.token_us),
-    ));
-    core.add_run(&run);
-    let drive = RunDrive {
-        state: sync::Arc::clone(state),
-        run: sync::Arc::clone(&run),
-        ticket: core.batch.enter(chat.priority.unwrap_or_default(), state.options.batch_size),
-        generation: core.observations.generation,
-        prompt: RunPrompt::new(chat, &switches.crash_prompt),
-    };
-    drop(core);
-    state.executor.spawn(drive.drive()).detach();
-    Some(run)
-}
-
-/// What matters of a prompt while it runs.
-struct RunPrompt {
-    prefix_hash: u64,
-    prefix_tokens: u32,
-    crashes: bool,
-}
-
-impl RunPrompt {
-    fn new(chat: &protocol::ChatRequest, crash_prompt: &Option<String>) -> Self {
-        let first = chat.messages.first().map_or("", |message| message.content.as_str());
-        let crashes = |text: &str| chat.messages.iter().any(|line| line.content.contains(text));
-        Self {
-            prefix_hash: prefix::prefix_hash(first),
-            prefix_tokens: first.split_whitespace().count() as u32,
-            crashes: crash_prompt.as_deref().is_some_and(crashes),
-        }
-    }
-}
-
-/// A run on its way through the batch.
-struct RunDrive {
-    state: sync::Arc<EngineState>,
-    run: sync::Arc<run::EngineRun>,
-    ticket: batch::BatchTicket,
-    generation: u64,
-    prompt: RunPrompt,
-}
-
-impl RunDrive {
-    async fn drive(self) {
-        futures_lite::future::or(self.ticket.gate.wait(), self.run.ended.wait()).await;
-        let started_at = time::Instant::now();
-        if !self.run.is_cut() {
-            let prefill = start_run(&self.state, &self.run, &self.prompt);
-            if self.prompt.crashes {
-                async_io::Timer::after(prefill).await;
-                let outage_ms = self.state.switches().crash_outage_ms;
-                self.state.crash(time::Duration::from_millis(outage_ms));
-                return;
-            }
-            wait_until_end(&self.run).await;
-        }
-        self.finish(started_at.elapsed());
-    }
-
-    fn finish(&self, run_time: time::Duration) {
-        let report_lag_ms = self.state.switches().report_lag_ms;
-        let mut core = server::lock(&self.state.core);
-        if core.observations.generation == self.generation {
-            core.batch.leave(&self.ticket);
-            core.count_end(&self.run, run_time);
-            core.note_change(report_lag_ms);
-        }
-        drop(core);
-        self.run.ended.open();
-    }
-}
-
-fn start_run(state: &EngineState, run: &run::EngineRun, prompt: &RunPrompt) -> time::Duration {
-    let switches = state.switches();
-    let mut core = server::lock(&state.core);
-    core.count_start();
-    core.note_change(switches.report_lag_ms);
-    let capacity = state.options.cached_prefixes;
-    let loss_permille = switches.cache_event_loss_permille;
-    let cached = core.touch_prefix(&run.adapter, prompt.prefix_hash, capacity, loss_permille);
-    let cached_tokens = if cached { prompt.prefix_tokens } else { 0 };
-    let tokens = run.prompt_tokens.saturating_sub(cached_tokens);
-    let prefill = time::Duration::from_micros(switches.prefill_us * u64::from(tokens));
-    run.start(prefill);
-    prefill
-}
-
-async fn wait_until_end(run: &run::EngineRun) {
-    let Some(end_at) = run.end_at().filter(|_| !run.is_cut()) else { return };
-    let timer = async {
-        async_io::Timer::at(end_at).await;
-    };
-    futures_lite::future::or(timer, run.ended.wait()).await;
-}
-
 fn resume(state: &EngineState, request: &Request, attempt: &str) -> http_types::Result<Response> {
     let from = control::query_number(request, "from").unwrap_or_default() as usize;
     let forget_streams = state.switches().forget_streams;
--- a/coltsfoot-fakes/src/lib.rs
+++ b/coltsfoot-fakes/src/lib.rs
@@ -6,6 +6,7 @@
 mod control;
 pub mod engine;
 mod engine_calls;
+mod engine_chat;
 mod engine_state;
 pub mod fleet;
 mod gate;
--- a/coltsfoot-measure/src/cmd/once.rs
+++ b/coltsfoot-measure/src/cmd/once.rs
@@ -6,8 +6,9 @@
 
 use crate::cmd::{MeasureError, MeasureOptions};
 use crate::once::latency::{self, ClaimLoad};
+use crate::once::result::ScheduleResult;
 use crate::once::schedule::OmittedMechanism;
-use crate::once::world::{ScheduleResult, ScheduleWorld};
+use crate::once::world::ScheduleWorld;
 
 /// Schedules of a run.
 const SCHEDULES: u64 = 100_000;
--- a/coltsfoot-measure/src/cmd/retries.rs
+++ b/coltsfoot-measure/src/cmd/retries.rs
@@ -4,7 +4,8 @@
 
 use crate::cmd::{MeasureError, MeasureOptions};
 use crate::retries::fleet::OmittedMechanism;
-use crate::retries::world::{FleetWorld, RetriesResult};
+use crate::retries::result::RetriesResult;
+use crate::retries::world::FleetWorld;
 
 #[derive(Serialize)]
 struct RetriesReport {
--- a/coltsfoot-measure/src/once/instance.rs
+++ b/coltsfoot-measure/src/once/instance.rs
@@ -2,7 +2,9 @@
 
 use std::collections;
 
-use coltsfoot_once::{claim_batcher, claim_request, dispatch, key_window, retry_budget};
+use coltsfoot_once::{
+    batcher_event, claim_batcher, claim_request, dispatch, key_window, retry_budget,
+};
 use coltsfoot_types::{id, name};
 use coltsfoot_wire::once;
 
@@ -36,7 +38,7 @@
     pub fn new(index: usize, incarnation: u64) -> Self {
         let retention = std::time::Duration::from_millis(schedule::RETENTION_MS);
         let window = key_window::KeyWindow::for_retention(retention);
-        let settings = claim_batcher::BatcherSettings::builder().window(window).build();
+        let settings = batcher_event::BatcherSettings::builder().window(window).build();
         Self {
             incarnation,
             name: instance_name(index, incarnation),
--- a/coltsfoot-measure/src/once/latency.rs
+++ b/coltsfoot-measure/src/once/latency.rs
@@ -2,7 +2,7 @@
 
 use std::collections;
 
-use coltsfoot_once::claim_batcher::{BatcherAction, BatcherEvent};
+use coltsfoot_once::batcher_event::{self, BatcherAction, BatcherEvent};
 use coltsfoot_once::claim_request::{ClaimAction, ClaimEvent};
 use coltsfoot_once::{claim_batcher, claim_request, run_state};
 use coltsfoot_types::{id, time as clock};
@@ -76,7 +76,7 @@
 
 /// Runs a load.
 pub fn run(seed: u64, load: ClaimLoad) -> ClaimLatency {
-    let settings = claim_batcher::BatcherSettings::builder().build();
+    let settings = batcher_event::BatcherSettings::builder().build();
     let mut world = LatencyWorld {
         load,
         rng: rngs::SmallRng::seed_from_u64(seed),
--- a/coltsfoot-measure/src/once/world.rs
+++ b/coltsfoot-measure/src/once/world.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use coltsfoot_once::claim_batcher::{self, BatcherAction, BatcherEvent};
+use coltsfoot_once::batcher_event::{BatcherAction, BatcherEvent};
 use coltsfoot_once::claim_request::{self, ClaimAction, ClaimEvent};
 use coltsfoot_once::dispatch_event::{AttemptEvent, CallEnd, DispatchAction, DispatchEvent};
 use coltsfoot_once::run_state::{self, RunKnowledge, RunState};
@@ -13,8 +13,9 @@
 
 use crate::once::caller::{CallerAnswer, CallerCall, MAX_SENDS};
 use crate::once::instance::{self, EntryInstance, InstanceCall};
-use crate::once::log::{LogModel, LogOutage, wall_ms};
+use crate::once::log::{LogModel, wall_ms};
 use crate::once::queue::EventQueue;
+use crate::once::result::ScheduleResult;
 use crate::once::schedule::{CALL_DEADLINE_US, RETENTION_MS, ScheduleSettings};
 use crate::once::upstream::{AttemptPlan, ServiceModel};
 
@@ -25,7 +26,7 @@
 
 /// Input of an instance.
 #[derive(Clone, Debug)]
-enum InstanceInput {
+pub(super) enum InstanceInput {
     Call { caller: usize },
     Message { from: usize, message: once::ClaimMessage },
     Batcher(BatcherEvent),
@@ -35,8 +36,9 @@
     ReportTick(once::ClaimId),
 }
 
+/// An event of a schedule.
 #[derive(Clone, Debug)]
-enum WorldEvent {
+pub(super) enum WorldEvent {
     Input { to: usize, incarnation: u64, input: InstanceInput },
     LogAppend(once::ClaimBatch),
     LogRead { to: usize, incarnation: u64, number: u64, from: id::LogOffset, back_us: u64 },
@@ -47,33 +49,17 @@
     Send(usize),
 }
 
-/// What a schedule showed.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct ScheduleResult {
-    pub calls: u64,
-    pub sends: u64,
-    pub runs: u64,
-    pub answered: u64,
-    pub refused_not_run: u64,
-    pub refused_unknown: u64,
-    pub refused_ran: u64,
-    pub double_runs: u64,
-    pub false_not_run: u64,
-    pub differing_answers: u64,
-    pub false_ran: u64,
-}
-
 /// State of a schedule.
 pub struct ScheduleWorld {
-    settings: ScheduleSettings,
-    rng: rngs::SmallRng,
-    now_us: u64,
+    pub(super) settings: ScheduleSettings,
+    pub(super) rng: rngs::SmallRng,
+    pub(super) now_us: u64,
     queue: EventQueue<WorldEvent>,
-    log: LogModel,
-    service: ServiceModel,
-    instances: Vec<EntryInstance>,
-    callers: Vec<CallerCall>,
-    false_ran: u64,
+    pub(super) log: LogModel,
+    pub(super) service: ServiceModel,
+    pub(super) instances: Vec<EntryInstance>,
+    pub(super) callers: Vec<CallerCall>,
+    pub(super) false_ran: u64,
 }
 
 impl ScheduleWorld {
@@ -109,63 +95,11 @@
         self.result()
     }
 
-    fn plan(&mut self) {
-        for _ in 0..self.settings.keys {
-            self.plan_call();
-        }
-        let duration_us = self.settings.duration_us;
-        let instances = self.settings.instances;
-        for _ in 0..self.settings.kills {
-            let at_us = self.rng.random_range(0..duration_us);
-            let index = self.rng.random_range(0..instances);
-            self.push(at_us, WorldEvent::Kill(index));
-        }
-        for _ in 0..self.settings.freezes {
-            let at_us = self.rng.random_range(0..duration_us);
-            let frozen_us = self.rng.random_range(50_000..20_000_000);
-            let index = self.rng.random_range(0..instances);
-            self.push(at_us, WorldEvent::Freeze(index, frozen_us));
-        }
-        for _ in 0..self.settings.outages {
-            let from_us = self.rng.random_range(0..duration_us);
-            let until_us = from_us + self.rng.random_range(100_000..8_000_000);
-            self.log.outages.push(LogOutage { from_us, until_us });
-        }
-    }
-
-    fn plan_call(&mut self) {
-        let first_us = self.rng.random_range(0..self.settings.duration_us);
-        let created_ms = wall_ms(first_us).wrapping_add_signed(self.rng.random_range(-500..500));
-        let bits = self.rng.random::<u128>() >> 48;
-        let version = 7_u128 << 76;
-        let variant = 2_u128 << 62;
-        let random = bits & !(0xf_u128 << 76) & !(3_u128 << 62);
-        let value = (u128::from(created_ms) << 80) | random | version | variant;
-        let key = once::IdempotencyKey(uuid::Uuid::from_u128(value));
-        let digest = once::RequestDigest([1; 32]);
-        let call = self.add_call(key, digest);
-        self.push(first_us, WorldEvent::Send(call));
-        if self.rng.random_bool(0.3) {
-            let gap_us = self.rng.random_range(0..100_000);
-            self.push(first_us + gap_us, WorldEvent::Send(call));
-        }
-        if self.rng.random_bool(0.2) {
-            let other = self.add_call(key, once::RequestDigest([2; 32]));
-            let gap_us = self.rng.random_range(0..5_000_000);
-            self.push(first_us + gap_us, WorldEvent::Send(other));
-        }
-    }
-
-    fn add_call(&mut self, key: once::IdempotencyKey, digest: once::RequestDigest) -> usize {
-        self.callers.push(CallerCall::new(key, digest));
-        self.callers.len() - 1
-    }
-
-    fn push(&mut self, at_us: u64, event: WorldEvent) {
+    pub(super) fn push(&mut self, at_us: u64, event: WorldEvent) {
         self.queue.push(at_us, event);
     }
 
-    fn push_input(&mut self, at_us: u64, to: usize, input: InstanceInput) {
+    pub(super) fn push_input(&mut self, at_us: u64, to: usize, input: InstanceInput) {
         let incarnation = self.instances[to].incarnation;
         self.push(at_us, WorldEvent::Input { to, incarnation, input });
     }
@@ -377,37 +311,6 @@
         self.push_input(at.0, to, InstanceInput::ReportTick(claim));
     }
 
-    /// Sends a message to the claim owner: mostly the zone's, now and then another instance.
-    fn send_owner(&mut self, from: usize, message: once::ClaimMessage) {
-        if self.settings.omitted.log {
-            return;
-        }
-        let zone = from % 2;
-        let owner = match self.rng.random_bool(0.1) {
-            true => self.rng.random_range(0..self.instances.len()),
-            false => zone.min(self.instances.len() - 1),
-        };
-        self.send_message(from, owner, message);
-    }
-
-    fn send_message(&mut self, from: usize, to: usize, message: once::ClaimMessage) {
-        let copies = match self.rng.random_bool(self.settings.doubled_message) {
-            true => 2,
-            false => 1,
-        };
-        for _ in 0..copies {
-            if self.rng.random_bool(self.settings.lost_message) {
-                continue;
-            }
-            let delay_us = match self.rng.random_bool(0.05) {
-                true => self.rng.random_range(1_000..2_000_000),
-                false => self.rng.random_range(50..2_000),
-            };
-            let input = InstanceInput::Message { from, message: message.clone() };
-            self.push_input(self.now_us + delay_us, to, input);
-        }
-    }
-
     fn take_message(&mut self, to: usize, from: usize, message: once::ClaimMessage) {
         match message {
             once::ClaimMessage::Submit { claim, time_left } => {
@@ -466,77 +369,6 @@
         }
     }
 
-    fn append(&mut self, to: usize, number: claim_batcher::CallNumber, batch: once::ClaimBatch) {
-        let append_us = self.rng.random_range(1..=2 * self.settings.append_us);
-        let answer_us = self.now_us + append_us + self.rng.random_range(0..1_000);
-        let failed = InstanceInput::Batcher(BatcherEvent::AppendFailed(number));
-        let is_lost = self.rng.random_bool(self.settings.lost_append);
-        if self.log.is_out(self.now_us) || is_lost {
-            return self.push_input(answer_us, to, failed);
-        }
-        let late_us = match self.rng.random_bool(self.settings.late_append) {
-            true => self.rng.random_range(0..8_000_000),
-            false => 0,
-        };
-        let claims = batch.entries.clone();
-        self.push(self.now_us + append_us + late_us, WorldEvent::LogAppend(batch));
-        let is_answered = late_us == 0 && !self.rng.random_bool(self.settings.lost_answer);
-        if !is_answered {
-            return self.push_input(answer_us, to, failed);
-        }
-        self.push_input(answer_us, to, InstanceInput::Batcher(BatcherEvent::Appended(number)));
-        if self.settings.omitted.read_back {
-            self.win_without_reading(claims, answer_us);
-        }
-    }
-
-    /// Tells the claimants that they have won, as an owner without read-back would.
-    fn win_without_reading(&mut self, entries: Vec<once::OnceEntry>, at_us: u64) {
-        for entry in entries {
-            let once::OnceEntry::Claim(claim) = entry else { continue };
-            let holder = self
-                .instances
-                .iter()
-                .position(|instance| instance.calls.contains_key(&claim.claim));
-            let Some(holder) = holder else { continue };
-            let verdict = once::ClaimVerdict::Won;
-            let message = once::ClaimMessage::Verdict { claim: claim.claim, verdict };
-            let input = InstanceInput::Message { from: holder, message };
-            self.push_input(at_us, holder, input);
-        }
-    }
-
-    fn plan_read(&mut self, to: usize, number: u64, from: id::LogOffset) {
-        let there_us = self.rng.random_range(1..=self.settings.append_us);
-        let back_us = self.rng.random_range(1..=self.settings.append_us);
-        if self.log.is_out(self.now_us) || self.rng.random_bool(self.settings.lost_append) {
-            let failed = BatcherEvent::ReadFailed(number);
-            let at_us = self.now_us + there_us + back_us;
-            return self.push_input(at_us, to, InstanceInput::Batcher(failed));
-        }
-        let incarnation = self.instances[to].incarnation;
-        let read = WorldEvent::LogRead { to, incarnation, number, from, back_us };
-        self.push(self.now_us + there_us, read);
-    }
-
-    fn read_log(
-        &mut self,
-        to: usize,
-        incarnation: u64,
-        number: u64,
-        from: id::LogOffset,
-        back_us: u64,
-    ) {
-        if self.settings.forgetful {
-            self.log.forget(self.now_us, RETENTION_MS);
-        }
-        let at_us = self.now_us + back_us;
-        let skew_ms = self.rng.random_range(-500..500);
-        let page = self.log.read(from, wall_ms(at_us).wrapping_add_signed(skew_ms));
-        let input = InstanceInput::Batcher(BatcherEvent::PageRead(number, page));
-        self.push(at_us, WorldEvent::Input { to, incarnation, input });
-    }
-
     fn refuse(&mut self, caller: usize, run: RunState, is_out: bool) {
         let mut knowledge = run.knowledge();
         if is_out && self.settings.omitted.unknown_in_outage {
@@ -553,30 +385,4 @@
     fn answer(&mut self, caller: usize, answer: CallerAnswer) {
         self.callers[caller].answers.push(answer);
     }
-
-    fn result(&self) -> ScheduleResult {
-        let mut result = ScheduleResult {
-            double_runs: self.service.double_runs(),
-            false_ran: self.false_ran,
-            ..ScheduleResult::default()
-        };
-        for call in &self.callers {
-            let runs = self.service.runs_of(call.key);
-            let runs = runs.iter().filter(|digest| **digest == call.digest).count() as u64;
-            result.calls += 1;
-            result.sends += u64::from(call.sends);
-            result.runs += runs;
-            result.false_not_run += u64::from(call.was_told_not_run() && runs > 0);
-            result.differing_answers += u64::from(call.has_differing_answers());
-            for answer in &call.answers {
-                match answer {
-                    CallerAnswer::Answered(_) => result.answered += 1,
-                    CallerAnswer::Refused(RunKnowledge::NotRun) => result.refused_not_run += 1,
-                    CallerAnswer::Refused(RunKnowledge::MayHaveRun) => result.refused_unknown += 1,
-                    CallerAnswer::Refused(RunKnowledge::Ran) => result.refused_ran += 1,
-                }
-            }
-        }
-        result
-    }
 }
--- a/coltsfoot-measure/src/retries/world.rs
+++ b/coltsfoot-measure/src/retries/world.rs
@@ -5,9 +5,7 @@
 
 use coltsfoot_once::circuit_breaker::UpstreamOutcome;
 use coltsfoot_once::crash_suspects::RunEnd;
-use coltsfoot_once::dispatch_event::{
-    AnswerHead, AnswerIdentity, AttemptEnd, AttemptEvent, DispatchAction, DispatchEvent,
-};
+use coltsfoot_once::dispatch_event::{AttemptEnd, AttemptEvent, DispatchAction, DispatchEvent};
 use coltsfoot_once::quarantine::QuarantineVerdict;
 use coltsfoot_once::{dispatch, retry_budget, run_state};
 use coltsfoot_types::{id, name, refusal, time as clock};
@@ -15,9 +13,11 @@
 use rand::{RngExt as _, SeedableRng as _, rngs};
 
 use crate::once::queue::EventQueue;
+use crate::retries::answer::answer_events;
 use crate::retries::fleet::{
     FAILING_MODES, OmittedMechanism, UPSTREAMS_PER_ZONE, UpstreamMode, ZONES, ZoneOwner,
 };
+use crate::retries::result::RetriesResult;
 
 /// Entry instances, the same number in each zone.
 const INSTANCES: usize = 9;
@@ -29,7 +29,6 @@
 const DEADLINE_US: u64 = 5_000_000;
 /// Mean time of a request at a healthy upstream.
 const SERVICE_US: f64 = 100_000.0;
-const ATTEMPT_TIMEOUT_US: u64 = 1_000_000;
 const PERMIT_US: u64 = 300;
 const PERMIT_RETRY_US: u64 = 10_000;
 const RESTART_US: u64 = 2_000_000;
@@ -77,23 +76,6 @@
     index: usize,
 }
 
-/// What a run showed.
-#[derive(Clone, Debug, Default)]
-pub struct RetriesResult {
-    pub requests: u64,
-    pub sends: u64,
-    /// Idempotent requests without a poison, and how many of them were answered.
-    pub innocent: u64,
-    pub answered: u64,
-    pub retries: collections::BTreeMap<&'static str, u64>,
-    pub refusals: collections::BTreeMap<&'static str, u64>,
-    /// Sends per second at most, over the requests per second.
-    pub peak_amplification: f64,
-    pub crashes: u64,
-    pub max_crashes_per_poison: u64,
-    pub innocents_quarantined: u64,
-}
-
 /// State of a run.
 pub struct FleetWorld {
     omitted: OmittedMechanism,
@@ -409,22 +391,3 @@
     let reason = refusal::RefusalReason::NoUpstream;
     DispatchEvent::PermitRefused { attempt, reason, retry_after: None }
 }
-
-fn answer_events(mode: UpstreamMode, service_us: u64) -> Vec<(u64, AttemptEvent)> {
-    let head = |status| AttemptEvent::Head(AnswerHead { status, is_unrun: false });
-    let end = || AttemptEvent::Ended(AnswerIdentity::default());
-    match mode {
-        UpstreamMode::Healthy => vec![(service_us, head(200)), (service_us + 100, end())],
-        UpstreamMode::RefusesConnections => vec![(1_000, AttemptEvent::ConnectFailed)],
-        UpstreamMode::ClosesConnections => vec![(30_000, AttemptEvent::NoAnswer)],
-        UpstreamMode::AnswersErrors => vec![(20_000, head(500)), (20_100, end())],
-        UpstreamMode::BreaksAnswers => {
-            vec![(50_000, head(200)), (60_000, AttemptEvent::BodyFailed)]
-        }
-        UpstreamMode::Silent => vec![(ATTEMPT_TIMEOUT_US, AttemptEvent::TimedOut)],
-        UpstreamMode::Crawls => {
-            let crawl_us = 10 * service_us + 1_000_000;
-            vec![(crawl_us, head(200)), (crawl_us + 100, end())]
-        }
-    }
-}
--- /dev/null
+++ b/coltsfoot-once/src/attempt_events.rs
@@ -0,0 +1,157 @@
+//! What the events of an attempt mean: progress, the end of the answer, or a failure.
+
+use coltsfoot_types::refusal;
+
+use crate::attempt_count::RetryReason;
+use crate::dispatch::{DispatchActions, DispatchMachine, DispatchState, SentAttempt};
+use crate::dispatch_event::{
+    AnswerHead, AnswerIdentity, AttemptEnd, AttemptEvent, CallEnd, DispatchAction,
+};
+use crate::run_state::RunKnowledge;
+use crate::stream_position;
+
+/// How an attempt failed.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct AttemptFailure {
+    pub(crate) reason: RetryReason,
+    pub(crate) knowledge: RunKnowledge,
+}
+
+impl DispatchMachine {
+    /// Takes an event of the current attempt; returns how it failed, if it did.
+    pub(crate) fn take_attempt_event(
+        &mut self,
+        mut sent: SentAttempt,
+        event: AttemptEvent,
+        actions: &mut DispatchActions,
+    ) -> Option<AttemptFailure> {
+        let failure = |reason, knowledge| Some(AttemptFailure { reason, knowledge });
+        match event {
+            AttemptEvent::ConnectFailed => {
+                failure(RetryReason::ConnectFailed, RunKnowledge::NotRun)
+            }
+            AttemptEvent::SendFailed => failure(RetryReason::SendFailed, RunKnowledge::MayHaveRun),
+            AttemptEvent::NoAnswer => failure(RetryReason::NoAnswer, RunKnowledge::MayHaveRun),
+            AttemptEvent::TimedOut => {
+                failure(RetryReason::TimedOut, knowledge_of(sent.head, RunKnowledge::MayHaveRun))
+            }
+            AttemptEvent::Head(head) => {
+                sent.head = Some(head);
+                self.state = DispatchState::Sent(sent);
+                self.take_head(head)
+            }
+            AttemptEvent::Token { number, identity } => {
+                self.take_token(sent, number, &identity, actions)
+            }
+            AttemptEvent::BodyFailed => self.take_broken_body(sent, actions),
+            AttemptEvent::Ended(identity) => self.take_end(&sent, &identity, actions),
+            AttemptEvent::ResumeFailed => {
+                let knowledge = knowledge_of(sent.head, RunKnowledge::MayHaveRun);
+                failure(RetryReason::BrokenAnswer, knowledge)
+            }
+        }
+    }
+
+    fn take_head(&self, head: AnswerHead) -> Option<AttemptFailure> {
+        if head.is_unrun && head.may_differ_elsewhere() {
+            let reason = RetryReason::RefusedUnrun;
+            return Some(AttemptFailure { reason, knowledge: RunKnowledge::NotRun });
+        }
+        let may_repeat = head.status >= 500 && !self.is_once_only();
+        may_repeat.then_some(AttemptFailure {
+            reason: RetryReason::ServerError,
+            knowledge: RunKnowledge::MayHaveRun,
+        })
+    }
+
+    fn take_token(
+        &mut self,
+        mut sent: SentAttempt,
+        number: u32,
+        identity: &AnswerIdentity,
+        actions: &mut DispatchActions,
+    ) -> Option<AttemptFailure> {
+        if !identity.matches(sent.id, self.settings.adapter.as_ref()) {
+            return Some(AttemptFailure::wrong_answer());
+        }
+        match self.position.take(number) {
+            stream_position::TokenStep::Forward => {
+                sent.idle_resumes = 0;
+                self.state = DispatchState::Sent(sent);
+                if self.caller_waits {
+                    actions.push(DispatchAction::ForwardToken);
+                }
+                None
+            }
+            stream_position::TokenStep::Duplicate => None,
+            stream_position::TokenStep::Gap => self.take_broken_body(sent, actions),
+        }
+    }
+
+    fn take_broken_body(
+        &mut self,
+        mut sent: SentAttempt,
+        actions: &mut DispatchActions,
+    ) -> Option<AttemptFailure> {
+        if self.settings.is_streamed && sent.idle_resumes < self.settings.max_idle_resumes {
+            sent.idle_resumes += 1;
+            actions.push(DispatchAction::Resume {
+                attempt: sent.id,
+                upstream: sent.upstream.clone(),
+                after: self.position.delivered_of_attempt(),
+            });
+            self.state = DispatchState::Sent(sent);
+            return None;
+        }
+        let knowledge = knowledge_of(sent.head, RunKnowledge::MayHaveRun);
+        Some(AttemptFailure { reason: RetryReason::BrokenAnswer, knowledge })
+    }
+
+    fn take_end(
+        &mut self,
+        sent: &SentAttempt,
+        identity: &AnswerIdentity,
+        actions: &mut DispatchActions,
+    ) -> Option<AttemptFailure> {
+        let is_success = sent.head.is_some_and(AnswerHead::is_success);
+        let is_named = !is_success || identity.matches(sent.id, self.settings.adapter.as_ref());
+        if !is_named {
+            return Some(AttemptFailure::wrong_answer());
+        }
+        let end = AttemptEnd::Answered;
+        actions.push(DispatchAction::ReleasePermit(sent.id, sent.upstream.clone(), end));
+        if self.caller_waits {
+            actions.push(match self.settings.is_streamed && is_success {
+                true => DispatchAction::EndStream,
+                false => DispatchAction::PassAnswer,
+            });
+        }
+        if self.is_once_only() {
+            actions.push(DispatchAction::Settle(CallEnd::Answered));
+        }
+        self.state = DispatchState::Ended;
+        None
+    }
+}
+
+impl AttemptFailure {
+    fn wrong_answer() -> Self {
+        Self { reason: RetryReason::WrongAnswer, knowledge: RunKnowledge::MayHaveRun }
+    }
+
+    pub(crate) fn refusal(self) -> refusal::RefusalReason {
+        match self.reason {
+            RetryReason::WrongAnswer => refusal::RefusalReason::WrongAnswer,
+            _ => refusal::RefusalReason::UpstreamFailed,
+        }
+    }
+}
+
+/// Returns what an answer's head tells of the run: a success tells that it ran.
+pub(crate) fn knowledge_of(head: Option<AnswerHead>, otherwise: RunKnowledge) -> RunKnowledge {
+    match head {
+        Some(head) if head.is_unrun => RunKnowledge::NotRun,
+        Some(head) if head.is_success() => RunKnowledge::Ran,
+        _ => otherwise,
+    }
+}
--- /dev/null
+++ b/coltsfoot-once/src/claim_record.rs
@@ -0,0 +1,38 @@
+//! Text of the claims stream's records.
+
+use coltsfoot_types::id;
+use coltsfoot_wire::once;
+
+use crate::claim_fold;
+
+/// A record of the log as text.
+#[derive(Clone, Debug)]
+pub struct TextRecord {
+    /// Its offset.
+    pub offset: id::LogOffset,
+    /// When the log took it, in milliseconds since the Unix epoch.
+    pub timestamp_ms: u64,
+    /// The text.
+    pub value: String,
+}
+
+/// Encodes a batch as the text of one record.
+pub fn encode(batch: &once::ClaimBatch) -> serde_json::Result<String> {
+    serde_json::to_string(batch)
+}
+
+/// Decodes a page of the claims stream. A record that isn't a batch counts as an empty one, so that
+/// all instances pass it alike.
+pub fn decode_page(
+    start_offset: id::LogOffset,
+    end_offset: id::LogOffset,
+    records: impl IntoIterator<Item = TextRecord>,
+    read_at_ms: u64,
+) -> claim_fold::ClaimPage {
+    let records = records.into_iter().map(|record| once::ClaimRecord {
+        offset: record.offset,
+        timestamp_ms: record.timestamp_ms,
+        batch: serde_json::from_str(&record.value).unwrap_or_default(),
+    });
+    claim_fold::ClaimPage { start_offset, end_offset, records: records.collect(), read_at_ms }
+}
--- a/coltsfoot-once/src/lib.rs
+++ b/coltsfoot-once/src/lib.rs
@@ -5,10 +5,13 @@
 
 pub mod append_pacer;
 pub mod attempt_count;
+mod attempt_events;
 pub mod backoff;
+pub mod batcher_event;
 pub mod circuit_breaker;
 pub mod claim_batcher;
 pub mod claim_fold;
+pub mod claim_record;
 pub mod claim_request;
 pub mod crash_suspects;
 pub mod dispatch;
--- a/coltsfoot-once/tests/claim_fold.rs
+++ b/coltsfoot-once/tests/claim_fold.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use coltsfoot_once::claim_fold;
+use coltsfoot_once::{claim_fold, claim_record};
 use coltsfoot_types::id;
 use coltsfoot_wire::once::{self, ClaimVerdict, OnceEntry};
 use rstest::rstest;
@@ -118,3 +118,19 @@
     let parsed = format!("{:?}", common::window().parse(&text, NOW_MS).map(drop));
     assert_eq!(parsed.replace("Ok(())", "Ok"), expected);
 }
+
+#[test]
+fn records_are_read_as_they_were_written_and_others_are_passed_over() {
+    let entries = vec![claim(1, 0), outcome(1, once::CallOutcome::Answered(answer()))];
+    let batch = once::ClaimBatch { entries };
+    let texts = ["not a batch".to_owned(), claim_record::encode(&batch).unwrap()];
+    let records = texts.into_iter().zip(0..).map(|(value, offset)| claim_record::TextRecord {
+        offset: id::LogOffset(offset),
+        timestamp_ms: NOW_MS,
+        value,
+    });
+    let start = id::LogOffset(0);
+    let page = claim_record::decode_page(start, id::LogOffset(2), records, NOW_MS);
+    let batches: Vec<_> = page.records.into_iter().map(|record| record.batch).collect();
+    assert_eq!(batches, [once::ClaimBatch::default(), batch]);
+}
--- a/coltsfoot-once/tests/claim_owner.rs
+++ b/coltsfoot-once/tests/claim_owner.rs
@@ -4,10 +4,10 @@
 
 use std::time;
 
-use coltsfoot_once::claim_batcher::{self, BatcherAction, BatcherActions, BatcherEvent};
+use coltsfoot_once::batcher_event::{self, BatcherAction, BatcherActions, BatcherEvent};
 use coltsfoot_once::claim_request::{self, ClaimAction, ClaimEvent};
 use coltsfoot_once::run_state::{self, RunKnowledge};
-use coltsfoot_once::{append_pacer, claim_fold};
+use coltsfoot_once::{append_pacer, claim_batcher, claim_fold};
 use coltsfoot_types::{id, refusal};
 use coltsfoot_wire::once::{self, CallOutcome, ClaimVerdict};
 use rand::SeedableRng as _;
@@ -24,7 +24,7 @@
 
 impl OwnerTest {
     fn new() -> Self {
-        let settings = claim_batcher::BatcherSettings::builder().window(common::window()).build();
+        let settings = batcher_event::BatcherSettings::builder().window(common::window()).build();
         Self {
             owner: claim_batcher::ClaimBatcher::new(settings),
             records: Vec::new(),
