--- a/coltsfoot-measure/src/cmd/mod.rs
+++ b/coltsfoot-measure/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 mod placement;
 mod placement_sweep;
 mod retries;
+mod member;
 
 use std::path;
 
@@ -20,8 +21,10 @@
     MeasureCommand { name: "once", run: once::run },
     MeasureCommand { name: "placement", run: placement::run },
     MeasureCommand { name: "placement-sweep", run: placement_sweep::run },
+    MeasureCommand { name: "once", run: once::run },
     MeasureCommand { name: "retries", run: retries::run },
 ];
+const COMMANDS: &[MeasureCommand] = &[MeasureCommand { name: "member", run: member::run }];
 
 /// An error that ends a measure.
 #[derive(Debug, thiserror::Error)]
