--- a/coltsfoot-catalog/src/follower.rs
+++ b/coltsfoot-catalog/src/follower.rs
@@ -51,7 +51,8 @@
 #[derive(Debug)]
 struct PendingWrite {
     writer: schedule::SnapshotWriter,
-    sent_at: MonotonicTime,
+    /// When the values are appended again, unless an answer comes.
+    retry_at: MonotonicTime,
 }
 
 /// Follows the configuration for one instance.
@@ -141,7 +142,7 @@
     /// Returns when the next [`feed::FollowerEvent::Tick`] is due.
     pub fn next_wake(&self) -> MonotonicTime {
         let read_wake = self.pending_read.as_ref().map_or(self.poll_at, deadline_of_read);
-        let write_wake = self.pending_write.as_ref().map(|write| write.sent_at + LOG_TIMEOUT);
+        let write_wake = self.pending_write.as_ref().map(|write| write.retry_at);
         let wake = read_wake.min(self.probe_at);
         write_wake.map_or(wake, |write_wake| wake.min(write_wake))
     }
@@ -180,9 +181,7 @@
         if self.pending_read.as_ref().is_some_and(|read| now >= deadline_of_read(read)) {
             self.on_log_failure(now);
         }
-        if self.pending_write.as_ref().is_some_and(|write| now >= write.sent_at + LOG_TIMEOUT) {
-            self.on_log_appended(now, None, actions);
-        }
+        self.retry_write(now, actions);
         if self.pending_read.is_none() && now >= self.poll_at {
             self.poll(now, actions);
         }
@@ -336,7 +335,20 @@
         actions: &mut feed::FollowerActions,
     ) {
         let Some(mut write) = self.pending_write.take() else { return };
-        let step = write.writer.on_answer(first_offset);
+        let Some(first_offset) = first_offset else {
+            let retry_at = now + self.poll_interval;
+            self.pending_write = Some(PendingWrite { retry_at, ..write });
+            return;
+        };
+        let step = write.writer.on_appended(first_offset);
+        self.write(now, write.writer, step, actions);
+    }
+
+    /// Appends values again whose answer has not come.
+    fn retry_write(&mut self, now: MonotonicTime, actions: &mut feed::FollowerActions) {
+        let is_due = |write: &mut PendingWrite| now >= write.retry_at;
+        let Some(mut write) = self.pending_write.take_if(is_due) else { return };
+        let step = write.writer.next();
         self.write(now, write.writer, step, actions);
     }
 
@@ -362,7 +374,7 @@
     ) {
         match step {
             schedule::WriterStep::Append(stream, values) => {
-                self.pending_write = Some(PendingWrite { writer, sent_at: now });
+                self.pending_write = Some(PendingWrite { writer, retry_at: now + LOG_TIMEOUT });
                 actions.push(feed::FollowerAction::AppendLog { stream, values });
             }
             schedule::WriterStep::Finished => {
--- a/coltsfoot-catalog/src/schedule.rs
+++ b/coltsfoot-catalog/src/schedule.rs
@@ -135,7 +135,7 @@
         }
     }
 
-    /// Returns the next values to append.
+    /// Returns the next values to append, the same ones again where no answer came.
     pub(crate) fn next(&mut self) -> WriterStep {
         if self.attempts == MAX_APPEND_ATTEMPTS {
             return WriterStep::Failed;
@@ -154,9 +154,8 @@
         }
     }
 
-    /// Handles the answer to the last append. Values without an answer are appended again.
-    pub(crate) fn on_answer(&mut self, first_offset: Option<id::LogOffset>) -> WriterStep {
-        let Some(first_offset) = first_offset else { return self.next() };
+    /// Handles the answer to the last append.
+    pub(crate) fn on_appended(&mut self, first_offset: id::LogOffset) -> WriterStep {
         if self.writes_index {
             return WriterStep::Finished;
         }
