Follow the configuration log and measure it

Cause: an instance must learn of changes within seconds, also without the log, restore after the log has forgotten, and never fall back.

FollowerFleet (stand-ins) drives followers on virtual time; the config measure uses it. An instance whose log fails at the start now probes at once.

--- a/coltsfoot-catalog/src/follower.rs
+++ b/coltsfoot-catalog/src/follower.rs
@@ -251,6 +251,9 @@
         if self.catch_up.is_some() {
             self.catch_up = Some(catch_up::SnapshotCatchUp::default());
         }
+        if !self.is_ready() {
+            self.probe_at = self.probe_at.min(now);
+        }
     }
 
     fn on_records_page(
--- a/coltsfoot-fakes/src/fleet.rs
+++ b/coltsfoot-fakes/src/fleet.rs
@@ -3,7 +3,7 @@
 use std::collections;
 use std::time;
 
-use coltsfoot_catalog::{feed, follower};
+use coltsfoot_catalog::{feed, follower, snapshot};
 use coltsfoot_types::{id, name, time::MonotonicTime, time::WallTime};
 use coltsfoot_wire::{config, peer};
 use smallvec::SmallVec;
@@ -64,8 +64,8 @@
     pub running: bool,
     /// Bytes that it sent to peers.
     pub sent_bytes: u64,
-    /// Bytes that it sent to the log and read from it.
-    pub log_bytes: u64,
+    /// Calls that it made to the log.
+    pub log_calls: u64,
 }
 
 #[derive(Default)]
@@ -128,7 +128,7 @@
             reaches_log: true,
             running: true,
             sent_bytes: 0,
-            log_bytes: 0,
+            log_calls: 0,
         });
         self.announce_peers();
         index
@@ -145,6 +145,19 @@
         self.append(feed::LogStream::Config, vec![value])
     }
 
+    /// Puts a snapshot on the log and forgets all records below its offset.
+    pub fn load_snapshot(&mut self, offset: id::LogOffset, chunks: Vec<String>) {
+        let config = self.streams.entry(feed::LogStream::Config.name()).or_default();
+        config.records.clear();
+        config.start = offset.0;
+        let count = chunks.len() as u64;
+        let first = self.append(feed::LogStream::SnapshotChunks, chunks);
+        let chunk_offsets = (first.0..first.0 + count).map(id::LogOffset).collect();
+        let index = snapshot::SnapshotIndex { offset, chunk_offsets };
+        let text = serde_json::to_string(&index).unwrap_or_default();
+        self.append(feed::LogStream::SnapshotIndex, vec![text]);
+    }
+
     /// Returns the number of records of a stream that the log still holds.
     pub fn retained(&mut self, stream: feed::LogStream) -> usize {
         self.forget(stream);
@@ -204,13 +217,12 @@
             feed::FollowerAction::ReadLog { stream, offset, limit } => {
                 let reachable = self.log_reachable(index);
                 let page = reachable.then(|| self.page(stream, offset, limit));
-                self.members[index].log_bytes += page.as_ref().map_or(0, page_bytes);
+                self.members[index].log_calls += 1;
                 let event = feed::FollowerEvent::LogRead { stream, offset, page };
                 self.enqueue(self.log.latency, index, event);
             }
             feed::FollowerAction::AppendLog { stream, values } => {
-                let bytes: usize = values.iter().map(String::len).sum();
-                self.members[index].log_bytes += bytes as u64;
+                self.members[index].log_calls += 1;
                 let reachable = self.log_reachable(index);
                 let first = reachable.then(|| self.append(stream, values));
                 let first_offset = first.filter(|_| !self.log.lost_answers);
@@ -302,10 +314,6 @@
     }
 }
 
-fn page_bytes(page: &feed::LogPage) -> u64 {
-    page.records.iter().map(|record| record.value.len() as u64).sum()
-}
-
 fn encoded_bytes(envelope: &peer::PeerEnvelope) -> u64 {
     postcard::to_stdvec(envelope).map_or(0, |bytes| bytes.len() as u64)
 }
--- a/coltsfoot-measure/src/cmd/mod.rs
+++ b/coltsfoot-measure/src/cmd/mod.rs
@@ -1,8 +1,9 @@
 //! Subcommands; each prints a table and, as its last line, one line of JSON.
 
+mod config;
+mod once;
 mod placement;
 mod placement_sweep;
-mod once;
 
 use std::path;
 
@@ -18,8 +19,9 @@
 const COMMANDS: &[MeasureCommand] = &[
     MeasureCommand { name: "placement", run: placement::run },
     MeasureCommand { name: "placement-sweep", run: placement_sweep::run },
+    MeasureCommand { name: "once", run: once::run },
+    MeasureCommand { name: "config", run: config::run },
 ];
-const COMMANDS: &[MeasureCommand] = &[MeasureCommand { name: "once", run: once::run }];
 
 /// An error that ends a measure.
 #[derive(Debug, thiserror::Error)]
--- a/coltsfoot-measure/src/main.rs
+++ b/coltsfoot-measure/src/main.rs
@@ -1,8 +1,9 @@
 //! `coltsfoot-measure`: measures the decisions and the path, one subcommand a measure.
 
 mod cmd;
-mod placement;
+mod config;
 mod once;
+mod placement;
 
 use std::process;
 
