--- a/coltsfoot-measure/src/cmd/mod.rs
+++ b/coltsfoot-measure/src/cmd/mod.rs
@@ -1,9 +1,11 @@
 //! Subcommands; each prints a table and, as its last line, one line of JSON.
 
 mod config;
+mod member;
 mod once;
 mod placement;
 mod placement_sweep;
+mod retries;
 
 use std::path;
 
@@ -17,10 +19,13 @@
 
 /// All subcommands.
 const COMMANDS: &[MeasureCommand] = &[
+    MeasureCommand { name: "once", run: once::run },
     MeasureCommand { name: "placement", run: placement::run },
     MeasureCommand { name: "placement-sweep", run: placement_sweep::run },
     MeasureCommand { name: "once", run: once::run },
+    MeasureCommand { name: "retries", run: retries::run },
     MeasureCommand { name: "config", run: config::run },
+    MeasureCommand { name: "member", run: member::run },
 ];
 
 /// An error that ends a measure.
--- a/coltsfoot-measure/src/main.rs
+++ b/coltsfoot-measure/src/main.rs
@@ -4,6 +4,7 @@
 mod config;
 mod once;
 mod placement;
+mod retries;
 
 use std::process;
 
