--- a/coltsfoot-measure/src/cmd/mod.rs
+++ b/coltsfoot-measure/src/cmd/mod.rs
@@ -1,5 +1,6 @@
 //! Subcommands; each prints a table and, as its last line, one line of JSON.
 
+mod config;
 mod member;
 mod once;
 mod placement;
@@ -23,6 +24,8 @@
     MeasureCommand { name: "placement", run: placement::run },
     MeasureCommand { name: "placement-sweep", run: placement_sweep::run },
     MeasureCommand { name: "retries", run: retries::run },
+    MeasureCommand { name: "config", run: config::run },
+    MeasureCommand { name: "member", run: member::run },
 ];
 
 /// An error that ends a measure.
