--- a/coltsfoot-member/src/zone_member/change.rs
+++ b/coltsfoot-member/src/zone_member/change.rs
@@ -2,7 +2,7 @@
 
 use std::time as std_time;
 
-use coltsfoot_types::{name, time};
+use coltsfoot_types::{id, name, time};
 use coltsfoot_wire::member;
 use rand::RngExt as _;
 
@@ -33,12 +33,24 @@
             return;
         }
         let answer = match self.accept_proposal(now, proposal) {
-            Ok(accept) => member::MemberMessage::Accept(accept),
+            Ok(accept) => {
+                self.drop_overtaken_round(proposal.view.epoch);
+                member::MemberMessage::Accept(accept)
+            }
             Err(reject) => member::MemberMessage::Reject(reject),
         };
         heartbeat::send(sender, answer, actions);
     }
 
+    /// Ends the collection for a view that this instance itself has left for a newer one.
+    fn drop_overtaken_round(&mut self, epoch: id::FencingNumber) {
+        if let ChangeStage::Collecting(round) = &self.attempt.stage
+            && round.proposal().view.epoch < epoch
+        {
+            self.attempt.stage = ChangeStage::Idle;
+        }
+    }
+
     /// Promises to leave older views. From then on this instance holds no lease of them.
     pub(super) fn accept_proposal(
         &mut self,
@@ -76,7 +88,7 @@
     pub(super) fn handle_bystander(
         &mut self,
         sender: name::InstanceName,
-        epoch: coltsfoot_types::id::FencingNumber,
+        epoch: id::FencingNumber,
     ) {
         if let ChangeStage::Collecting(round) = &mut self.attempt.stage
             && round.proposal().view.epoch == epoch
