--- a/coltsfoot-measure/src/cmd/mod.rs
+++ b/coltsfoot-measure/src/cmd/mod.rs
@@ -1,5 +1,9 @@
 //! Subcommands; each prints a table and, as its last line, one line of JSON.
 
+mod once;
+mod placement;
+mod placement_sweep;
+mod retries;
 mod member;
 
 use std::path;
@@ -13,6 +17,13 @@
 }
 
 /// All subcommands.
+const COMMANDS: &[MeasureCommand] = &[
+    MeasureCommand { name: "once", run: once::run },
+    MeasureCommand { name: "placement", run: placement::run },
+    MeasureCommand { name: "placement-sweep", run: placement_sweep::run },
+    MeasureCommand { name: "once", run: once::run },
+    MeasureCommand { name: "retries", run: retries::run },
+];
 const COMMANDS: &[MeasureCommand] = &[MeasureCommand { name: "member", run: member::run }];
 
 /// An error that ends a measure.
@@ -24,6 +35,12 @@
     /// No subcommand of that name.
     #[error("no measure is called \"{0}\"; see `coltsfoot-measure --help`")]
     UnknownCommand(String),
+    /// No case of that name.
+    #[error("no case is called \"{0}\"; see the measure's page in docs/design")]
+    UnknownCase(String),
+    /// A result misses what must always hold.
+    #[error("{0}; run the named seed alone to see it")]
+    Violated(String),
     /// A workload file can't be read.
     #[error("could not read {path}: {source}; name a readable JSON file")]
     #[allow(dead_code)]
--- a/coltsfoot-placement/src/report.rs
+++ b/coltsfoot-placement/src/report.rs
@@ -2,7 +2,7 @@
 
 use std::collections;
 
-use coltsfoot_types::{adapter, name, time as clock};
+use coltsfoot_types::{adapter, name, refusal, time as clock};
 
 use crate::cell::{CellActions, EngineCell};
 use crate::engine;
@@ -11,16 +11,20 @@
 
 impl EngineCell {
     /// Adds an engine, or takes its changed listing.
-    pub(crate) fn list_engine(&mut self, listing: event::EngineListing) {
-        let limits = Self::queue_limits(&self.settings);
-        let Some(state) = self.engines.get_mut(&listing.name) else {
-            let name = listing.name.clone();
-            let state = engine::EngineState::new(listing, limits);
-            self.engines.insert(name, state);
+    pub(crate) fn list_engine(&mut self, now: clock::MonotonicTime, listing: event::EngineListing) {
+        if let Some(state) = self.engines.get_mut(&listing.name) {
+            state.listing = listing;
+            state.leaving = false;
             return;
-        };
-        state.listing = listing;
-        state.leaving = false;
+        }
+        let limits = Self::queue_limits(&self.settings);
+        let name = listing.name.clone();
+        let mut state = engine::EngineState::new(listing, limits);
+        state.unknown_until = self.takeover.unknown_until();
+        for permit in self.permits.values().filter(|permit| permit.engine == name) {
+            state.pin(now, &permit.adapter);
+        }
+        self.engines.insert(name, state);
     }
 
     /// Gives a leaving engine no new work. What runs on it ends by itself.
@@ -35,6 +39,21 @@
         };
         state.leaving = true;
         self.readmit_ready(now, engine, |_| true, actions);
+        self.refuse_without_engines(now, actions);
+    }
+
+    /// Refuses all waiting requests once no engine is left that could take them, so that they can
+    /// go to another cell.
+    fn refuse_without_engines(&mut self, now: clock::MonotonicTime, actions: &mut CellActions) {
+        let is_acting = self.fencing(now).is_some();
+        if !is_acting || self.engines.values().any(|engine| !engine.leaving) {
+            return;
+        }
+        let mut waiting: Vec<_> = self.waits.keys().copied().collect();
+        waiting.sort();
+        for request in waiting {
+            self.refuse_request(request, refusal::RefusalReason::NoUpstream, actions);
+        }
     }
 
     /// Forgets an engine with all that ran on it.
