Share callers, sample configuration and an embedded deployment

Cause: system tests, demo and the path measure need the same deployment. Change: coltsfoot-system gains an embedded deployment and a sample module. Conclusion: one place for deployments.

--- a/coltsfoot-system/src/lib.rs
+++ b/coltsfoot-system/src/lib.rs
@@ -1,6 +1,8 @@
-//! System tests: the daemon, the operators' tool and the stand-ins as separate processes on
-//! loopback.
+//! Whole deployments for system tests, the demo and measures: as separate processes on loopback or
+//! embedded in one process.
 
 pub mod caller;
 pub mod cluster;
+pub mod embedded;
 pub mod process;
+pub mod sample;
--- a/coltsfoot-system/tests/path.rs
+++ b/coltsfoot-system/tests/path.rs
@@ -3,7 +3,7 @@
 
 use coltsfoot_fakes::{answer, engine};
 use coltsfoot_platform::protocol;
-use coltsfoot_system::{caller, cluster};
+use coltsfoot_system::{caller, cluster, sample};
 use http_types::Method;
 
 fn expected_text(adapter: &str, prompt: &str, max_tokens: u32) -> String {
@@ -17,7 +17,7 @@
     let options = cluster::ClusterOptions::builder().engine_switches(switches).build();
     let cluster = cluster::ProcessCluster::start(options);
     let zones = cluster.options.zones.clone();
-    let (code, output) = cluster.apply(&cluster::sample_objects(&zones, &["korrigan", "magyar"]));
+    let (code, output) = cluster.apply(&sample::sample_objects(&zones, &["korrigan", "magyar"]));
     assert_eq!(code, Some(0), "{output}");
     cluster.wait_for_offset(1);
     cluster
@@ -26,7 +26,7 @@
 #[test]
 fn requests_are_served_through_crashes_of_a_daemon_and_an_engine() {
     let mut cluster = start();
-    let korrigan = caller::HttpCaller::new(Some(&cluster::key_of("korrigan")));
+    let korrigan = caller::HttpCaller::new(Some(&sample::key_of("korrigan")));
     cluster.wait_until_serving(&korrigan, "korrigan-drafting");
     for instance in &cluster.instances {
         check_answers(&korrigan, instance.caller_address);
