--- a/coltsfootd/src/control/placement.rs
+++ b/coltsfootd/src/control/placement.rs
@@ -49,6 +49,7 @@
     generations: collections::BTreeMap<name::UpstreamName, u64>,
     /// Listed engines whose port is closed.
     closed: collections::BTreeSet<name::UpstreamName>,
+    counted_stalls: u64,
 }
 
 impl PlacementHost {
@@ -66,6 +67,7 @@
             waiting: FxHashMap::default(),
             generations: collections::BTreeMap::new(),
             closed: collections::BTreeSet::new(),
+            counted_stalls: 0,
         }
     }
 
@@ -351,6 +353,13 @@
         self.agent_event(now, agent::AgentEvent::Tick, tools);
         self.refresh_routes(now, tools);
         self.poll_engines(now, tools);
+        self.count_stalls();
+    }
+
+    fn count_stalls(&mut self) {
+        let stalls = self.cells.values().map(|cell| cell.counters().load_stalls).sum();
+        self.shared.metrics.count_load_stalls(stalls - self.counted_stalls);
+        self.counted_stalls = stalls;
     }
 
     /// Asks the engines of owned cells for their reports.
--- a/coltsfootd/src/daemon.rs
+++ b/coltsfootd/src/daemon.rs
@@ -135,6 +135,11 @@
         let _ = self.stopped.recv().await;
     }
 
+    /// Returns all metrics as Prometheus text.
+    pub fn metrics_text(&self) -> String {
+        self.shared.metrics.to_text()
+    }
+
     /// Returns whether the instance has restored the configuration.
     pub fn is_ready(&self) -> bool {
         self.shared.status.is_ready()
--- a/coltsfootd/src/metrics.rs
+++ b/coltsfootd/src/metrics.rs
@@ -166,9 +166,9 @@
         self.load_failures.add(1, &[]);
     }
 
-    /// Counts a request that waited for a load.
-    pub fn count_load_stall(&self) {
-        self.load_stalls.add(1, &[]);
+    /// Counts requests that waited for a load.
+    pub fn count_load_stalls(&self, requests: u64) {
+        self.load_stalls.add(requests, &[]);
     }
 
     /// Counts a stream that was ended since its key was withdrawn.
