--- a/coltsfoot-catalog/src/feed.rs
+++ b/coltsfoot-catalog/src/feed.rs
@@ -120,6 +120,27 @@
     /// Replace the view of the traffic threads by that of
     /// [`crate::follower::ConfigFollower::view`], then end the open streams of withdrawn keys.
     Publish,
+    /// Tell operators of a record that was folded.
+    Report(FoldReport),
+}
+
+/// What became of a record of the log.
+#[derive(Clone, Debug, PartialEq)]
+pub enum FoldReport {
+    /// Its set is in force.
+    Accepted {
+        /// Offset of the record.
+        offset: id::LogOffset,
+        /// Number of objects that it touched.
+        objects: usize,
+    },
+    /// It changed nothing.
+    Rejected {
+        /// Offset of the record.
+        offset: id::LogOffset,
+        /// Why, with the remedy.
+        reason: String,
+    },
 }
 
 /// Actions in the order in which they are to be done.
--- a/coltsfoot-catalog/src/follower.rs
+++ b/coltsfoot-catalog/src/follower.rs
@@ -15,8 +15,10 @@
 
 use crate::{catch_up, feed, fold, gossip, schedule, snapshot, view};
 
-/// Records read by one call.
-const PAGE_RECORDS: u32 = 500;
+/// Records read by one call; they are large where operators publish many objects at a time.
+const PAGE_RECORDS: u32 = 32;
+/// Index records read by one call.
+const INDEX_PAGE_RECORDS: u32 = 500;
 /// Time without an answer after which a call to the log counts as failed.
 const LOG_TIMEOUT: time::Duration = time::Duration::from_secs(3);
 /// Time for which a starting instance relies on the log alone.
@@ -199,7 +201,7 @@
                 Some(_) => id::LogOffset(0),
                 None => self.schedule.next_index(),
             };
-            self.read(now, feed::LogStream::SnapshotIndex, offset, PAGE_RECORDS, actions);
+            self.read(now, feed::LogStream::SnapshotIndex, offset, INDEX_PAGE_RECORDS, actions);
         } else {
             self.read_records(now, actions);
         }
@@ -271,7 +273,7 @@
         let records = page.records.into_iter();
         let records = records
             .map(|record| config::ConfigRecord { offset: record.offset, value: record.value });
-        let added = self.apply(records.collect()).added;
+        let added = self.apply(records.collect(), actions).added;
         self.push_records(&added, None, actions);
         if self.fold.next_offset() >= page.end_offset {
             self.confirm(now, Confirmation { at: sent_at, age: time::Duration::ZERO });
@@ -299,7 +301,7 @@
         }
         if next_index < page.end_offset {
             let stream = feed::LogStream::SnapshotIndex;
-            self.read(now, stream, next_index, PAGE_RECORDS, actions);
+            self.read(now, stream, next_index, INDEX_PAGE_RECORDS, actions);
             return;
         }
         self.schedule.note_look(now, next_index);
--- a/coltsfoot-catalog/src/follower/exchange.rs
+++ b/coltsfoot-catalog/src/follower/exchange.rs
@@ -60,20 +60,25 @@
     }
 
     /// Folds records and keeps the new ones for peers.
-    pub(super) fn apply(&mut self, records: Vec<config::ConfigRecord>) -> AppliedRecords {
+    pub(super) fn apply(
+        &mut self,
+        records: Vec<config::ConfigRecord>,
+        actions: &mut feed::FollowerActions,
+    ) -> AppliedRecords {
         let mut applied = AppliedRecords { added: Vec::new(), has_gap: false };
         for record in records {
-            match self.fold.apply(record.offset, &record.value) {
-                fold::FoldOutcome::Skipped => {}
+            let outcome = self.fold.apply(record.offset, &record.value);
+            match outcome {
+                fold::FoldOutcome::Skipped => continue,
                 fold::FoldOutcome::Gap { .. } => {
                     applied.has_gap = true;
                     break;
                 }
-                _ => {
-                    self.cache.push(record.clone());
-                    applied.added.push(record);
-                }
+                _ => {}
             }
+            actions.extend(report(record.offset, outcome).map(feed::FollowerAction::Report));
+            self.cache.push(record.clone());
+            applied.added.push(record);
         }
         applied
     }
@@ -186,7 +191,7 @@
         peer_offset: id::LogOffset,
         actions: &mut feed::FollowerActions,
     ) {
-        let applied = self.apply(records);
+        let applied = self.apply(records, actions);
         self.push_records(&applied.added, Some(&sender), actions);
         let has_moved = applied.has_gap || !applied.added.is_empty();
         if has_moved && peer_offset > self.fold.next_offset() {
@@ -221,6 +226,18 @@
     }
 }
 
+fn report(offset: id::LogOffset, outcome: fold::FoldOutcome) -> Option<feed::FoldReport> {
+    match outcome {
+        fold::FoldOutcome::Accepted { touched } => {
+            Some(feed::FoldReport::Accepted { offset, objects: touched.len() })
+        }
+        fold::FoldOutcome::Rejected(reason) => {
+            Some(feed::FoldReport::Rejected { offset, reason: reason.to_string() })
+        }
+        _ => None,
+    }
+}
+
 fn send(to: name::InstanceName, message: ConfigMessage, actions: &mut feed::FollowerActions) {
     actions.push(feed::FollowerAction::Send { to, message });
 }
--- a/coltsfoot-fakes/src/fleet.rs
+++ b/coltsfoot-fakes/src/fleet.rs
@@ -235,6 +235,7 @@
                 let publication = ViewPublication { instance: index, offset, at: self.now };
                 self.publications.push(publication);
             }
+            feed::FollowerAction::Report(_) => {}
         }
     }
 
--- a/coltsfoot-system/src/cluster.rs
+++ b/coltsfoot-system/src/cluster.rs
@@ -216,9 +216,15 @@
 
     /// Starts a daemon in a zone and lists it. Returns its place in `instances`.
     pub fn start_instance(&mut self, zone: &str) -> usize {
+        self.start_instance_with(zone, &serde_json::json!({}))
+    }
+
+    /// Starts a daemon with settings that differ from those of the others.
+    pub fn start_instance_with(&mut self, zone: &str, differing: &serde_json::Value) -> usize {
         let name = self.next_name("entry", zone);
         let path = self.directory.join(format!("{name}.json"));
-        let settings = self.instance_settings(&name, zone);
+        let mut settings = self.instance_settings(&name, zone);
+        replace_members(&mut settings, differing);
         fs::write(&path, settings.to_string()).expect("the settings are written");
         let arguments = arguments(&["--settings", &path.to_string_lossy()]);
         let mut program = RunningProgram::start("coltsfootd", &arguments);
@@ -254,11 +260,7 @@
             "store_loads_per_second": 50.0,
             "log_level": "error",
         });
-        if let Some(further) = self.options.settings.as_object() {
-            for (key, value) in further {
-                settings[key] = value.clone();
-            }
-        }
+        replace_members(&mut settings, &self.options.settings);
         settings
     }
 
@@ -437,6 +439,12 @@
     format!("key-{customer}")
 }
 
+fn replace_members(settings: &mut serde_json::Value, differing: &serde_json::Value) {
+    for (key, value) in differing.as_object().into_iter().flatten() {
+        settings[key] = value.clone();
+    }
+}
+
 fn arguments(texts: &[&str]) -> Vec<String> {
     texts.iter().map(|text| (*text).to_owned()).collect()
 }
--- a/coltsfoot-system/src/lib.rs
+++ b/coltsfoot-system/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod caller;
 pub mod cluster;
 pub mod process;
+pub mod relay;
--- a/coltsfootd/src/control/catalog.rs
+++ b/coltsfootd/src/control/catalog.rs
@@ -1,93 +1,159 @@
-//! Folds the configuration stream and publishes the result to the traffic threads.
+//! Hosts the follower of the configuration and publishes its views to the traffic threads.
 
+use std::rc;
 use std::sync;
 
-use coltsfoot_catalog::{fold, view};
-use coltsfoot_platform::protocol;
-use coltsfoot_types::{id, time as instant};
+use coltsfoot_catalog::{feed, follower, view};
+use coltsfoot_platform::log;
+use coltsfoot_types::{id, name, time as instant};
+use coltsfoot_wire::{config, peer};
 
+use crate::control::directory::InstanceDirectory;
+use crate::control::{EventSender, platform};
+use crate::peers::PeerNetwork;
 use crate::{event, shared};
 
+/// What the host needs to carry out actions.
+pub struct ConfigTools {
+    /// Tasks of the control thread.
+    pub executor: rc::Rc<async_executor::LocalExecutor<'static>>,
+    /// Other instances.
+    pub network: PeerNetwork,
+    /// The platform's log.
+    pub log: log::LogClient,
+    /// The control thread's events.
+    pub events: EventSender,
+}
+
 /// The configuration as the control thread knows it.
-pub struct CatalogKeeper {
+pub struct ConfigHost {
     shared: sync::Arc<shared::InstanceShared>,
-    fold: fold::CatalogFold,
+    tools: ConfigTools,
+    follower: follower::ConfigFollower,
     reachable: bool,
 }
 
-impl CatalogKeeper {
-    /// Creates a keeper that has read nothing.
-    pub fn new(shared: sync::Arc<shared::InstanceShared>) -> Self {
-        Self { shared, fold: fold::CatalogFold::new(), reachable: true }
+impl ConfigHost {
+    /// Creates a host that has read nothing.
+    pub fn new(shared: sync::Arc<shared::InstanceShared>, tools: ConfigTools) -> Self {
+        let follower = follower::ConfigFollower::builder()
+            .instance(shared.settings.instance.clone())
+            .zone(shared.settings.zone.clone())
+            .log_retention(shared.settings.log_retention)
+            .seed(rand::random())
+            .now(shared.clock.now())
+            .build();
+        Self { shared, tools, follower, reachable: true }
     }
 
     /// Returns the offset of the next record.
     pub fn next_offset(&self) -> id::LogOffset {
-        self.fold.next_offset()
+        self.follower.fold().next_offset()
     }
 
-    /// Folds a page of records. Returns whether the configuration changed.
-    pub fn take_page(&mut self, now: instant::MonotonicTime, page: &protocol::RecordPage) -> bool {
-        if !self.reachable {
-            self.reachable = true;
-            event::emit(event::LOG_REACHABLE, format_args!("offset {}", page.end_offset));
-        }
+    /// Returns the configuration as published.
+    pub fn view(&self) -> view::CatalogView {
+        self.follower.view()
+    }
+
+    /// Lets time pass. Returns whether the configuration changed.
+    pub fn tick(&mut self, now: instant::MonotonicTime) -> bool {
+        now >= self.follower.next_wake() && self.handle(now, feed::FollowerEvent::Tick)
+    }
+
+    /// Takes the end of a read of the log. Returns whether the configuration changed.
+    pub fn take_read(&mut self, now: instant::MonotonicTime, read: platform::ConfigRead) -> bool {
+        self.note_reachable(read.page.as_ref().err());
+        let page = read.page.ok();
+        let platform::ConfigRead { stream, offset, .. } = read;
+        self.handle(now, feed::FollowerEvent::LogRead { stream, offset, page })
+    }
+
+    /// Takes the end of an append of a snapshot. Returns whether the configuration changed.
+    pub fn take_append(
+        &mut self,
+        now: instant::MonotonicTime,
+        first_offset: Option<id::LogOffset>,
+    ) -> bool {
+        self.handle(now, feed::FollowerEvent::LogAppended { first_offset })
+    }
+
+    /// Takes the other instances as listed. Returns whether the configuration changed.
+    pub fn take_list(&mut self, now: instant::MonotonicTime, list: &InstanceDirectory) -> bool {
+        self.handle(now, feed::FollowerEvent::Peers(list.config_peers()))
+    }
+
+    /// Takes a message of another instance. Returns whether the configuration changed.
+    pub fn take_message(
+        &mut self,
+        now: instant::MonotonicTime,
+        sender: name::InstanceName,
+        message: config::ConfigMessage,
+    ) -> bool {
+        self.handle(now, feed::FollowerEvent::Message { sender, message })
+    }
+
+    fn handle(&mut self, now: instant::MonotonicTime, event: feed::FollowerEvent) -> bool {
         let mut changed = false;
-        for record in &page.records {
-            changed |= self.take_record(record.offset, &record.value);
-        }
-        if changed {
-            self.publish();
+        for action in self.follower.handle(now, event) {
+            changed |= action == feed::FollowerAction::Publish;
+            self.carry_out(action);
         }
-        if self.fold.next_offset() >= page.end_offset {
-            self.shared.status.set_catalog_read_at(now);
+        if let Some(staleness) = self.follower.staleness(now) {
+            self.shared.status.set_catalog_age(now, staleness);
             self.mark_restored();
         }
         changed
     }
 
-    /// Notes that the log can't be read.
-    pub fn note_unreachable(&mut self, cause: &str) {
-        if self.reachable {
-            self.reachable = false;
-            event::emit(event::LOG_UNREACHABLE, format_args!("{cause}"));
-        }
-    }
-
-    /// Returns the configuration as published.
-    pub fn view(&self) -> view::CatalogView {
-        self.fold.view()
-    }
-
-    fn take_record(&mut self, offset: id::LogOffset, value: &str) -> bool {
-        match self.fold.apply(offset, value) {
-            fold::FoldOutcome::Accepted { touched } => {
-                let count = touched.len();
-                event::emit(
-                    event::CHANGE_ACCEPTED,
-                    format_args!("offset {offset}: {count} objects"),
-                );
-                true
+    fn carry_out(&self, action: feed::FollowerAction) {
+        let tools = &self.tools;
+        match action {
+            feed::FollowerAction::ReadLog { stream, offset, limit } => {
+                let (log, events) = (tools.log.clone(), tools.events.clone());
+                let read = platform::read_config(log, events, stream, offset, limit);
+                tools.executor.spawn(read).detach();
+            }
+            feed::FollowerAction::AppendLog { stream, values } => {
+                let (log, events) = (tools.log.clone(), tools.events.clone());
+                tools
+                    .executor
+                    .spawn(platform::append_snapshot(log, events, stream, values))
+                    .detach();
+            }
+            feed::FollowerAction::Send { to, message } => {
+                tools.network.send(&to, peer::PeerMessage::Config(message));
+            }
+            feed::FollowerAction::Publish => {
+                self.shared.catalog.store(sync::Arc::new(self.follower.view()));
             }
-            fold::FoldOutcome::Rejected(reason) => {
+            feed::FollowerAction::Report(feed::FoldReport::Accepted { offset, objects }) => {
+                let details = format_args!("offset {offset}: {objects} objects");
+                event::emit(event::CHANGE_ACCEPTED, details);
+            }
+            feed::FollowerAction::Report(feed::FoldReport::Rejected { offset, reason }) => {
                 event::emit(event::CHANGE_REJECTED, format_args!("offset {offset}: {reason}"));
-                false
             }
-            fold::FoldOutcome::Duplicate { .. }
-            | fold::FoldOutcome::Skipped
-            | fold::FoldOutcome::Gap { .. } => false,
         }
     }
 
-    fn publish(&self) {
-        self.shared.catalog.store(sync::Arc::new(self.fold.view()));
+    fn note_reachable(&mut self, error: Option<&String>) {
+        match error {
+            Some(error) if self.reachable => {
+                event::emit(event::LOG_UNREACHABLE, format_args!("{error}"));
+            }
+            None if !self.reachable => {
+                event::emit(event::LOG_REACHABLE, format_args!("offset {}", self.next_offset()));
+            }
+            _ => {}
+        }
+        self.reachable = error.is_none();
     }
 
     fn mark_restored(&self) {
         if !self.shared.status.is_ready() {
             self.shared.status.set_ready();
-            let offset = self.fold.next_offset();
-            event::emit(event::RESTORED, format_args!("offset {offset}"));
+            event::emit(event::RESTORED, format_args!("offset {}", self.next_offset()));
         }
     }
 }
--- a/coltsfootd/src/control/directory.rs
+++ b/coltsfootd/src/control/directory.rs
@@ -2,6 +2,7 @@
 
 use std::net;
 
+use coltsfoot_catalog::feed;
 use coltsfoot_platform::protocol;
 use coltsfoot_types::name;
 
@@ -33,6 +34,15 @@
         self.list.entries.iter().map(|entry| (entry.name.clone(), entry.peer_address))
     }
 
+    /// Returns the instances that the configuration may be exchanged with.
+    pub fn config_peers(&self) -> Vec<feed::ConfigPeer> {
+        let peer = |entry: &protocol::EntryListing| feed::ConfigPeer {
+            instance: entry.name.clone(),
+            zone: entry.zone.clone(),
+        };
+        self.list.entries.iter().map(peer).collect()
+    }
+
     /// Returns all upstreams.
     pub fn upstreams(&self) -> &[protocol::UpstreamListing] {
         &self.list.upstreams
--- a/coltsfootd/src/control/event.rs
+++ b/coltsfootd/src/control/event.rs
@@ -7,7 +7,7 @@
 use coltsfoot_types::{id, name};
 use coltsfoot_wire::{peer, placement};
 
-use crate::control::{client, status};
+use crate::control::{client, platform, status};
 
 /// Something that the control thread acts on.
 pub enum ControlEvent {
@@ -60,10 +60,13 @@
     CacheReported(name::UpstreamName, protocol::CacheEvents),
     /// An engine's port is closed: its process has ended.
     EngineClosed(name::UpstreamName),
-    /// Records of the configuration stream were read.
-    ConfigRead(protocol::RecordPage),
-    /// The log can't be read.
-    LogUnreachable(String),
+    /// A read for the configuration has ended.
+    ConfigRead(platform::ConfigRead),
+    /// An append of a part of a snapshot has ended.
+    SnapshotAppended {
+        /// Offset of the first value, nothing if it is not known to be appended.
+        first_offset: Option<id::LogOffset>,
+    },
     /// The instance list was read.
     ListRead(protocol::InstanceList),
     /// The instance list can't be read.
--- a/coltsfootd/src/control/plane.rs
+++ b/coltsfootd/src/control/plane.rs
@@ -14,7 +14,7 @@
 use coltsfoot_wire::{codec, peer};
 use futures_lite::future;
 
-use crate::control::catalog::CatalogKeeper;
+use crate::control::catalog::{ConfigHost, ConfigTools};
 use crate::control::contact::ContactTable;
 use crate::control::directory::InstanceDirectory;
 use crate::control::engines::EngineDesk;
@@ -94,10 +94,15 @@
         executor.spawn(accepting).detach();
         executor.spawn(reader.receive(datagrams)).detach();
         executor.spawn(platform::poll_list(list, events.clone())).detach();
-        executor.spawn(platform::poll_config(log.clone(), events.clone())).detach();
         let polling = platform::poll_members(log.clone(), events.clone(), wakeup_queue);
         executor.spawn(polling).detach();
         executor.spawn(tick(events.clone())).detach();
+        let config_tools = ConfigTools {
+            executor: rc::Rc::clone(executor),
+            network: network.clone(),
+            log: log.clone(),
+            events: events.clone(),
+        };
         let tools = MemberTools {
             executor: rc::Rc::clone(executor),
             network: network.clone(),
@@ -107,7 +112,7 @@
         };
         let engines = EngineDesk::new(sync::Arc::clone(&shared), rc::Rc::clone(executor), events);
         ControlState {
-            catalog: CatalogKeeper::new(sync::Arc::clone(&shared)),
+            catalog: ConfigHost::new(sync::Arc::clone(&shared), config_tools),
             member: MemberHost::new(sync::Arc::clone(&shared), tools),
             quota: QuotaHost::new(sync::Arc::clone(&shared)),
             placement: PlacementHost::new(sync::Arc::clone(&shared)),
@@ -140,7 +145,7 @@
     directory: InstanceDirectory,
     contacts: ContactTable,
     list_reachable: bool,
-    catalog: CatalogKeeper,
+    catalog: ConfigHost,
     member: MemberHost,
     quota: QuotaHost,
     placement: PlacementHost,
@@ -218,8 +223,14 @@
             ControlEvent::EngineClosed(engine) => {
                 self.placement.take_closed_engine(now, engine, placement_tools!(self));
             }
-            ControlEvent::ConfigRead(page) => self.take_config(now, &page),
-            ControlEvent::LogUnreachable(cause) => self.catalog.note_unreachable(&cause),
+            ControlEvent::ConfigRead(read) => {
+                let changed = self.catalog.take_read(now, read);
+                self.configure(now, changed);
+            }
+            ControlEvent::SnapshotAppended { first_offset } => {
+                let changed = self.catalog.take_append(now, first_offset);
+                self.configure(now, changed);
+            }
             ControlEvent::ListRead(list) => self.take_list(now, list),
             ControlEvent::ListUnreachable(cause) => self.note_list_unreachable(&cause),
             ControlEvent::Status(answer) => {
@@ -231,6 +242,8 @@
 
     fn tick(&mut self, now: instant::MonotonicTime) {
         self.ticks += 1;
+        let changed = self.catalog.tick(now);
+        self.configure(now, changed);
         self.member_event(now, members::MemberEvent::Tick);
         self.quota.tick(now, quota_routing!(self));
         self.placement.tick(now, placement_tools!(self));
@@ -289,12 +302,17 @@
             peer::PeerMessage::Placement(message) => {
                 self.placement.take_message(now, sender, message, placement_tools!(self));
             }
-            _ => {}
+            peer::PeerMessage::Config(message) => {
+                let changed = self.catalog.take_message(now, sender, message);
+                self.configure(now, changed);
+            }
+            peer::PeerMessage::Claim(_) => {}
         }
     }
 
-    fn take_config(&mut self, now: instant::MonotonicTime, page: &protocol::RecordPage) {
-        if !self.catalog.take_page(now, page) {
+    /// Passes a changed configuration on to the hosts that keep parts of it.
+    fn configure(&mut self, now: instant::MonotonicTime, changed: bool) {
+        if !changed {
             return;
         }
         let view = self.catalog.view();
@@ -310,6 +328,8 @@
         self.directory.replace(list);
         self.network.set_directory(self.directory.peer_addresses());
         self.shared.services.store(sync::Arc::new(self.directory.services()));
+        let changed = self.catalog.take_list(now, &self.directory);
+        self.configure(now, changed);
         let notices = self.member.take_list(now, &self.directory);
         self.take_notices(now, notices);
         self.placement.take_list(now, placement_tools!(self));
--- a/coltsfootd/src/control/platform.rs
+++ b/coltsfootd/src/control/platform.rs
@@ -3,22 +3,19 @@
 use std::time;
 
 use async_channel as channel;
+use coltsfoot_catalog::feed;
 use coltsfoot_member::event as member;
-use coltsfoot_platform::{error, list, log};
-use coltsfoot_types::id;
+use coltsfoot_platform::{error, list, log, protocol};
+use coltsfoot_types::{id, time as instant};
 use futures_lite::future;
 
+use crate::clock;
 use crate::control::{ControlEvent, EventSender};
 
 /// Time between reads of the instance list.
 const LIST_INTERVAL: time::Duration = time::Duration::from_millis(500);
-/// Time between reads of the configuration stream.
-const CONFIG_INTERVAL: time::Duration = time::Duration::from_secs(1);
 /// Records read at a time.
 const PAGE_RECORDS: u32 = 500;
-/// Stream that holds change sets.
-pub const CONFIG_STREAM: &str = "config";
-
 /// Stream that holds views of the zones.
 pub const MEMBERS_STREAM: &str = "members";
 /// Time between reads of the members stream.
@@ -35,25 +32,52 @@
     }
 }
 
-/// Reads the configuration stream for ever, from its start.
-pub async fn poll_config(client: log::LogClient, events: EventSender) {
-    let mut next = id::LogOffset::default();
-    loop {
-        let at_end = match client.read(CONFIG_STREAM, next, PAGE_RECORDS).await {
-            Ok(page) => {
-                next = page.records.last().map_or(next, |record| record.offset.next());
-                let at_end = next >= page.end_offset;
-                events.send(ControlEvent::ConfigRead(page));
-                at_end
-            }
-            Err(error) => {
-                events.send(ControlEvent::LogUnreachable(error.to_string()));
-                true
-            }
-        };
-        if at_end {
-            async_io::Timer::after(CONFIG_INTERVAL).await;
-        }
+/// The end of a read for the follower of the configuration.
+pub struct ConfigRead {
+    /// The stream read.
+    pub stream: feed::LogStream,
+    /// First offset wanted.
+    pub offset: id::LogOffset,
+    /// The page, or why it could not be read.
+    pub page: Result<feed::LogPage, String>,
+}
+
+/// Reads a page for the follower of the configuration.
+pub async fn read_config(
+    client: log::LogClient,
+    events: EventSender,
+    stream: feed::LogStream,
+    offset: id::LogOffset,
+    limit: u32,
+) {
+    let read = client.read(stream.name(), offset, limit).await;
+    let page = read.map(log_page).map_err(|error| error.to_string());
+    events.send(ControlEvent::ConfigRead(ConfigRead { stream, offset, page }));
+}
+
+/// Appends a part of a snapshot.
+pub async fn append_snapshot(
+    client: log::LogClient,
+    events: EventSender,
+    stream: feed::LogStream,
+    values: Vec<String>,
+) {
+    let answer = client.append(stream.name(), &values).await;
+    let first_offset = answer.ok().map(|answer| answer.first_offset);
+    events.send(ControlEvent::SnapshotAppended { first_offset });
+}
+
+fn log_page(page: protocol::RecordPage) -> feed::LogPage {
+    let record = |record: protocol::LogRecord| feed::PageRecord {
+        offset: record.offset,
+        appended_at: instant::WallTime(record.timestamp_ms),
+        value: record.value,
+    };
+    feed::LogPage {
+        start_offset: page.start_offset,
+        end_offset: page.end_offset,
+        records: page.records.into_iter().map(record).collect(),
+        read_at: clock::wall_time(),
     }
 }
 
--- a/coltsfootd/src/front/access.rs
+++ b/coltsfootd/src/front/access.rs
@@ -72,7 +72,7 @@
     route: &resolve::ResolvedRoute,
 ) -> Result<(), answer::CallerRefusal> {
     let Some(limit) = route.refuse_when_stale else { return Ok(()) };
-    let age = shared.clock.now().since(shared.status.catalog_read_at());
+    let age = shared.status.catalog_age(shared.clock.now());
     if age <= limit {
         return Ok(());
     }
--- a/coltsfootd/src/shared.rs
+++ b/coltsfootd/src/shared.rs
@@ -2,9 +2,11 @@
 
 use std::sync;
 use std::sync::atomic;
+use std::time;
 
 use coltsfoot_catalog::view;
 use coltsfoot_platform::{http, protocol};
+use coltsfoot_types::time as instant;
 
 use crate::{clock, control, metrics, settings};
 
@@ -35,7 +37,9 @@
     draining: atomic::AtomicBool,
     handed_over: atomic::AtomicBool,
     running: atomic::AtomicUsize,
-    catalog_read_at: atomic::AtomicU64,
+    /// When the configuration was known to be current, in microseconds on the clock of the process;
+    /// before its start if negative.
+    catalog_current_at: atomic::AtomicI64,
 }
 
 impl InstanceStatus {
@@ -80,14 +84,17 @@
         self.running.load(atomic::Ordering::Acquire)
     }
 
-    /// Records when the configuration was last known to be current.
-    pub fn set_catalog_read_at(&self, now: coltsfoot_types::time::MonotonicTime) {
-        self.catalog_read_at.store(now.0, atomic::Ordering::Release);
+    /// Records how old the configuration is: the time since it was known to be current.
+    pub fn set_catalog_age(&self, now: instant::MonotonicTime, age: time::Duration) {
+        let current_at = now.0 as i64 - age.as_micros() as i64;
+        self.catalog_current_at.store(current_at, atomic::Ordering::Release);
     }
 
-    /// Returns when the configuration was last known to be current.
-    pub fn catalog_read_at(&self) -> coltsfoot_types::time::MonotonicTime {
-        coltsfoot_types::time::MonotonicTime(self.catalog_read_at.load(atomic::Ordering::Acquire))
+    /// Returns the time since the configuration was known to be current.
+    pub fn catalog_age(&self, now: instant::MonotonicTime) -> time::Duration {
+        let current_at = self.catalog_current_at.load(atomic::Ordering::Acquire);
+        let age = (now.0 as i64).saturating_sub(current_at);
+        time::Duration::from_micros(age.max(0) as u64)
     }
 }
 
