--- a/coltsfoot-system/tests/config.rs
+++ b/coltsfoot-system/tests/config.rs
@@ -2,7 +2,7 @@
 //! and killed daemons, a log that is out and one that has forgotten.
 
 use coltsfoot_fakes::engine;
-use coltsfoot_system::{caller, cluster, relay};
+use coltsfoot_system::{caller, cluster, relay, sample};
 use http_types::Method;
 use serde_json::json;
 
@@ -16,7 +16,7 @@
         .settings(settings)
         .build();
     let cluster = cluster::ProcessCluster::start(options);
-    let objects = cluster::sample_objects(&ZONES, &["korrigan", "magyar"]);
+    let objects = sample::sample_objects(&ZONES, &["korrigan", "magyar"]);
     let (code, output) = cluster.apply(&objects);
     assert_eq!(code, Some(0), "{output}");
     cluster
@@ -29,7 +29,7 @@
 }
 
 fn publish_customer(cluster: &cluster::ProcessCluster, name: &str) {
-    let (code, output) = cluster.apply(&cluster::customer_objects(&ZONES, name));
+    let (code, output) = cluster.apply(&sample::customer_objects(&ZONES, name));
     assert_eq!(code, Some(0), "{output}");
 }
 
@@ -47,7 +47,7 @@
     let relay = relay::CutRelay::start(cluster.log.address).expect("the relay starts");
     let cut_off = cluster.start_instance_with("nantes", &json!({"log_address": relay.address}));
     cluster.wait_for_offset(1);
-    let korrigan = caller::HttpCaller::new(Some(&cluster::key_of("korrigan")));
+    let korrigan = caller::HttpCaller::new(Some(&sample::key_of("korrigan")));
     cluster.wait_until_serving(&korrigan, "korrigan-drafting");
     relay.cut();
 
@@ -64,8 +64,8 @@
     assert_eq!(answer.error_code.as_deref(), Some("invalid_key"));
     assert!(!answer.done);
     assert!(chunks < 500, "{chunks} chunks came");
-    assert_eq!(code_for_key(&cluster, cut_off, &cluster::key_of("korrigan")), "invalid_key");
-    assert_eq!(code_for_key(&cluster, cut_off, &cluster::key_of("magyar")), "unknown_route");
+    assert_eq!(code_for_key(&cluster, cut_off, &sample::key_of("korrigan")), "invalid_key");
+    assert_eq!(code_for_key(&cluster, cut_off, &sample::key_of("magyar")), "unknown_route");
 }
 
 #[test]
@@ -107,7 +107,7 @@
     cluster.log.switch(&json!({"retained_records": 1}));
     let new = cluster.start_instance("rennes");
     cluster::wait_until("the new instance restores", || is_ready_at(&cluster, new, 2));
-    assert_eq!(code_for_key(&cluster, new, &cluster::key_of("korrigan")), "unknown_route");
+    assert_eq!(code_for_key(&cluster, new, &sample::key_of("korrigan")), "unknown_route");
     let (code, output) = cluster.control(&["get", "customer", "korrigan"]);
     assert_eq!(code, Some(0), "{output}");
 }
