--- a/coltsfoot-system/src/lib.rs
+++ b/coltsfoot-system/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod cluster;
 pub mod embedded;
 pub mod process;
+pub mod relay;
 pub mod sample;
