--- a/coltsfoot-measure/src/cmd/member.rs
+++ b/coltsfoot-measure/src/cmd/member.rs
@@ -116,8 +116,8 @@
 
 fn run_schedule(seed: u64) -> u64 {
     let timing = settings::TimingSettings::builder()
-        .removal_time(time::Duration::from_secs(8))
-        .isolation_limit(time::Duration::from_secs(5))
+        .removal_time(time::Duration::from_secs(4))
+        .isolation_limit(time::Duration::from_millis(2_500))
         .build();
     let settings = check::schedule::ScheduleSettings::builder()
         .seed(seed)
@@ -126,7 +126,7 @@
         .build();
     let mut run = check::ScheduleRun::new(settings);
     run.run_for(time::Duration::from_secs(3));
-    run.run_with_faults(time::Duration::from_secs(20));
+    run.run_with_faults(time::Duration::from_secs(12));
     if let Some(violation) = run.violations().first() {
         println!("seed {seed}: {violation}");
     }
--- a/coltsfoot-measure/src/cmd/mod.rs
+++ b/coltsfoot-measure/src/cmd/mod.rs
@@ -18,13 +18,12 @@
 
 /// All subcommands.
 const COMMANDS: &[MeasureCommand] = &[
+    MeasureCommand { name: "member", run: member::run },
     MeasureCommand { name: "once", run: once::run },
     MeasureCommand { name: "placement", run: placement::run },
     MeasureCommand { name: "placement-sweep", run: placement_sweep::run },
-    MeasureCommand { name: "once", run: once::run },
     MeasureCommand { name: "retries", run: retries::run },
 ];
-const COMMANDS: &[MeasureCommand] = &[MeasureCommand { name: "member", run: member::run }];
 
 /// An error that ends a measure.
 #[derive(Debug, thiserror::Error)]
--- a/coltsfoot-member/src/check/queue.rs
+++ b/coltsfoot-member/src/check/queue.rs
@@ -9,6 +9,7 @@
 /// Something that is to happen.
 #[derive(Clone, Debug)]
 pub(super) enum ScheduledStep {
+    Check,
     Tick(usize),
     PollLog(usize),
     PollList(usize),
--- a/coltsfoot-member/src/check/schedule.rs
+++ b/coltsfoot-member/src/check/schedule.rs
@@ -10,6 +10,8 @@
 
 /// Time between two ticks of an instance.
 const TICK_INTERVAL: std_time::Duration = std_time::Duration::from_millis(100);
+/// Time between two looks at all leases.
+const CHECK_INTERVAL: std_time::Duration = std_time::Duration::from_millis(20);
 /// Time between two readings of log and list.
 const POLL_INTERVAL: std_time::Duration = std_time::Duration::from_millis(1_000);
 /// Zone of all schedules.
@@ -70,6 +72,7 @@
             violations: Vec::new(),
             settings,
         };
+        run.schedule(CHECK_INTERVAL, queue::ScheduledStep::Check);
         for _ in 0..run.settings.size {
             run.start_instance(std_time::Duration::ZERO);
         }
@@ -145,7 +148,7 @@
     pub fn run_with_faults(&mut self, duration: std_time::Duration) {
         let end = self.now + duration;
         while self.now < end {
-            let pause = std_time::Duration::from_millis(self.random.random_range(50..3_000));
+            let pause = std_time::Duration::from_millis(self.random.random_range(50..1_500));
             self.run_for(pause);
             let fault = fault::ScheduleFault::draw(&mut self.random);
             self.inject(&fault);
@@ -199,6 +202,9 @@
                 if self.instances[index].frozen_until.is_none() {
                     self.deliver(index, event::MemberEvent::Tick);
                 }
+            }
+            queue::ScheduledStep::Check => {
+                self.schedule(CHECK_INTERVAL, queue::ScheduledStep::Check);
                 self.check_ownership();
             }
             queue::ScheduledStep::PollLog(index) => {
