--- a/coltsfoot-measure/src/cmd/mod.rs
+++ b/coltsfoot-measure/src/cmd/mod.rs
@@ -1,5 +1,6 @@
 //! Subcommands; each prints a table and, as its last line, one line of JSON.
 
+mod config;
 mod member;
 mod once;
 mod placement;
@@ -18,6 +19,7 @@
 
 /// All subcommands.
 const COMMANDS: &[MeasureCommand] = &[
+    MeasureCommand { name: "config", run: config::run },
     MeasureCommand { name: "member", run: member::run },
     MeasureCommand { name: "once", run: once::run },
     MeasureCommand { name: "placement", run: placement::run },
