Give the quota its share in restricted views and report contact with peers

Cause: the daemon gave a restricted owner the whole bucket, and isolation was judged by member messages and readings alone. Change: the owner's share follows the grade of its lease; any message of another instance is contact.

--- a/coltsfoot-member/tests/exploration.rs
+++ b/coltsfoot-member/tests/exploration.rs
@@ -50,8 +50,7 @@
 
 fn initial_state(size: usize) -> ModelState {
     let members: Vec<_> = (0..size).map(member_name).collect();
-    let view =
-        member::ViewSummary { epoch: epoch(0), roster: members.clone(), members };
+    let view = member::ViewSummary { epoch: epoch(0), roster: members.clone(), members };
     let proposal =
         member::ViewProposal { group: member::GroupNumber(0), view, predecessors: Vec::new() };
     let installed = member::InstalledView {
--- a/coltsfootd/src/control/plane.rs
+++ b/coltsfootd/src/control/plane.rs
@@ -278,6 +278,9 @@
     fn take_message(&mut self, now: instant::MonotonicTime, envelope: peer::PeerEnvelope) {
         let peer::PeerEnvelope { sender, message } = envelope;
         self.contacts.note(now, &sender);
+        if !matches!(message, peer::PeerMessage::Member(_)) {
+            self.member_event(now, members::MemberEvent::PeerContact);
+        }
         match message {
             peer::PeerMessage::Member(message) => {
                 let notices = self.member.take_message(now, sender, message);
--- a/coltsfootd/src/control/quota.rs
+++ b/coltsfootd/src/control/quota.rs
@@ -6,7 +6,7 @@
 use coltsfoot_catalog::{object, view};
 use coltsfoot_quota::{bucket_owner, event as quota, limit_history, quota_agent, token_bucket};
 use coltsfoot_types::{id, name, time as instant};
-use coltsfoot_wire::{peer, quota as messages};
+use coltsfoot_wire::{member as members, peer, quota as messages};
 use rustc_hash::FxHashMap;
 
 use crate::control::client;
@@ -161,7 +161,10 @@
         let event = match fencing {
             Some(view) => {
                 self.owned.insert(customer.clone());
-                let term = quota::OwnershipTerm { view, acts_from: now, share_permille: 1_000 };
+                let bucket = OwnedResource::Bucket(customer.clone());
+                let grade = routing.member.lease(now, &bucket).map(|lease| lease.grade);
+                let share_permille = grade.map_or(0, share_of);
+                let term = quota::OwnershipTerm { view, acts_from: now, share_permille };
                 quota::OwnerEvent::OwnershipGained { customer, term }
             }
             None => {
@@ -298,3 +301,13 @@
         zone_permille: customer.zone_permille.clone(),
     }
 }
+
+/// Returns the part of a bucket that the owners of a view may give out, in thousandths.
+fn share_of(grade: members::ViewGrade) -> u16 {
+    match grade {
+        members::ViewGrade::Full => 1_000,
+        members::ViewGrade::Restricted { kept, of } => {
+            u16::from(kept) * 1_000 / u16::from(of.max(1))
+        }
+    }
+}
