--- a/coltsfoot-measure/src/cmd/mod.rs
+++ b/coltsfoot-measure/src/cmd/mod.rs
@@ -1,5 +1,7 @@
 //! Subcommands; each prints a table and, as its last line, one line of JSON.
 
+mod quota;
+
 use std::path;
 
 use lexopt::ValueExt as _;
@@ -11,7 +13,7 @@
 }
 
 /// All subcommands.
-const COMMANDS: &[MeasureCommand] = &[];
+const COMMANDS: &[MeasureCommand] = &[MeasureCommand { name: "quota", run: quota::run }];
 
 /// An error that ends a measure.
 #[derive(Debug, thiserror::Error)]
--- a/coltsfoot-quota/src/agent_account.rs
+++ b/coltsfoot-quota/src/agent_account.rs
@@ -10,9 +10,12 @@
 use crate::event;
 use crate::limit_history;
 use crate::owner_link;
+use crate::refund_book;
 
 /// Time for whose demand tokens are held in advance.
 const DEMAND_HORIZON: time::Duration = time::Duration::from_secs(1);
+/// Requests per second from which on tokens are held in advance.
+const MIN_REQUESTS_IN_ADVANCE: f64 = 2.0;
 /// Requests of a customer that wait at an instance.
 const MAX_WAITING_REQUESTS: usize = 256;
 /// When a caller should come back if no owner could be asked.
@@ -20,13 +23,6 @@
 /// Silence of the own zone's owner after which another zone's owner is asked as well.
 const OWNER_SILENCE: time::Duration = time::Duration::from_millis(300);
 
-/// Refunds that no report carries yet.
-#[derive(Clone, Copy, Debug)]
-struct UnreportedRefund {
-    tokens: u64,
-    oldest_admission: clock::MonotonicTime,
-}
-
 /// Why a request that waits is refused.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RefusedRequest {
@@ -52,7 +48,7 @@
     waiting: collections::VecDeque<owner_link::WaitingRequest>,
     links: collections::BTreeMap<name::ZoneName, owner_link::OwnerLink>,
     demand: demand_meter::DemandMeter,
-    refund: Option<UnreportedRefund>,
+    refunds: refund_book::RefundBook,
     arrivals: u64,
 }
 
@@ -138,12 +134,7 @@
 
     /// Adds what a request did not use.
     pub(crate) fn refund(&mut self, admitted: clock::MonotonicTime, tokens: u64) {
-        let refund =
-            self.refund.unwrap_or(UnreportedRefund { tokens: 0, oldest_admission: admitted });
-        self.refund = Some(UnreportedRefund {
-            tokens: refund.tokens + tokens,
-            oldest_admission: refund.oldest_admission.min(admitted),
-        });
+        self.refunds.add(admitted, tokens);
     }
 
     /// Takes in an owner's answer. Returns the requests that it refuses.
@@ -180,38 +171,49 @@
         unreachable: &collections::BTreeSet<name::ZoneName>,
         next_sequence: &mut u64,
     ) -> Vec<quota::GrantReport> {
-        let wanted = (self.demand.rate(now) * DEMAND_HORIZON.as_secs_f64()) as u64;
-        let burst = self.limits.as_ref().map_or(0, |limits| limits.total.burst);
         let fallback = self.fallback(now, own_zone, unreachable);
         self.links.entry(own_zone.clone()).or_default();
         if let Some(fallback) = &fallback {
             self.links.entry(fallback.clone()).or_default();
         }
+        let wanted = self.wanted(now);
         let nobody = collections::VecDeque::new();
         let mut reports = Vec::new();
         for (zone, link) in &mut self.links {
-            let is_asked = zone == own_zone || fallback.as_ref() == Some(zone);
-            let wanted = if zone == own_zone { wanted.min(burst) } else { 0 };
-            let waiting = if is_asked { &self.waiting } else { &nobody };
-            let demand = owner_link::TokenDemand { wanted, waiting };
-            let carries_refund = zone == own_zone && self.refund.is_some();
-            if carries_refund && link.has_session() {
-                let refund = self.refund.take();
-                refund
-                    .iter()
-                    .for_each(|refund| link.refund(refund.oldest_admission, refund.tokens));
+            let is_own = zone == own_zone;
+            let is_asked = is_own || fallback.as_ref() == Some(zone);
+            let demand = owner_link::TokenDemand {
+                wanted: if is_own { wanted } else { 0 },
+                waiting: if is_asked { &self.waiting } else { &nobody },
+                has_refund: is_own && self.refunds.has_unreported(),
+            };
+            if !link.is_due(now, demand) {
+                continue;
             }
-            if link.is_due(now, demand) {
-                reports.push(link.report(now, customer, zone, demand, next_sequence));
+            let mut report = link.report(now, customer, zone, demand, next_sequence);
+            if is_own {
+                self.refunds.settle(|sequence| link.has_answered(sequence));
+                self.refunds.fill(now, &mut report);
             }
+            reports.push(report);
         }
         reports
     }
 
+    /// Returns the tokens to hold in advance; none if requests are so few that each may ask.
+    fn wanted(&self, now: clock::MonotonicTime) -> u64 {
+        if self.demand.requests(now) < MIN_REQUESTS_IN_ADVANCE {
+            return 0;
+        }
+        let burst = self.limits.as_ref().map_or(0, |limits| limits.total.burst);
+        let wanted = self.demand.rate(now) * DEMAND_HORIZON.as_secs_f64();
+        (wanted as u64).min(burst)
+    }
+
     /// Forgets what is certainly over. Returns whether nothing is left to do.
     pub(crate) fn retire(&mut self, now: clock::MonotonicTime) -> bool {
         self.links.retain(|_, link| !link.retire(now) || link.is_silent(now, time::Duration::ZERO));
-        self.links.is_empty() && self.waiting.is_empty() && self.demand.rate(now) < 1.0
+        self.links.is_empty() && self.waiting.is_empty() && !self.refunds.has_unreported()
     }
 
     /// Returns the zone whose owner is asked while the own zone's owner is silent.
--- a/coltsfoot-quota/src/ask_service.rs
+++ b/coltsfoot-quota/src/ask_service.rs
@@ -45,7 +45,7 @@
             continue;
         }
         let undecided = bucket.loans.is_undecided(now, lenders, ask.first_seen);
-        if ask.is_due || undecided || can_wait(now, bucket, &ask, waiting) {
+        if ask.is_due || undecided || can_wait(now, bucket, lenders, &ask, waiting) {
             waiting += ask.lacking;
             continue;
         }
@@ -82,29 +82,33 @@
     bucket: &zone_bucket::ZoneBucket,
     ask: &LackingAsk,
 ) -> bool {
-    let available = bucket.available(now);
     if ask.is_due {
-        return ask.lacking <= available;
+        return ask.lacking <= bucket.available(now);
     }
-    let slack = bucket.promises.slack(available, now, |until| bucket.yield_until(now, until));
-    ask.lacking <= slack.min(available)
+    let level = bucket.bucket.level();
+    let slack = bucket.promises.slack(level, now, |until| bucket.yield_until(now, until));
+    ask.lacking <= slack.min(level) + bucket.loans.available(now)
 }
 
-/// Returns whether the bucket's own rate yields the tokens within the request's wait, after those
-/// of the requests ahead and of the promises.
+/// Returns whether the bucket's rate, and what other zones can spare of theirs, yield the tokens
+/// within the request's wait, after those of the requests ahead and of the promises.
 fn can_wait(
     now: clock::MonotonicTime,
     bucket: &zone_bucket::ZoneBucket,
+    lenders: &collections::BTreeMap<name::ZoneName, u16>,
     ask: &LackingAsk,
     ahead: u64,
 ) -> bool {
-    if ask.lacking > bucket.effective_limits().burst + bucket.loans.available(now) {
+    let borrowed = bucket.loans.available(now);
+    if ask.lacking > bucket.effective_limits().burst + borrowed {
         return false;
     }
-    let available = bucket.available(now);
-    let slack =
-        bucket.promises.slack(available, ask.give_up, |until| bucket.yield_until(now, until));
-    ahead.saturating_add(ask.lacking) <= slack
+    let slack = bucket
+        .promises
+        .slack(bucket.bucket.level(), ask.give_up, |until| bucket.yield_until(now, until));
+    let wait = ask.give_up.since(now).as_micros();
+    let spare = u128::from(bucket.loans.spare_rate(lenders)) * wait / 1_000_000;
+    ahead.saturating_add(ask.lacking) <= slack.saturating_add(spare as u64 + borrowed)
 }
 
 /// Refuses a request and sets the tokens aside for the instant at which its caller is told to
@@ -118,7 +122,7 @@
     let limits = bucket.effective_limits();
     let until = ask.promised.unwrap_or_else(|| {
         let needed = bucket.promises.tokens() + ahead + ask.ask.tokens;
-        now + limits.time_for(needed.saturating_sub(bucket.available(now)))
+        now + limits.time_for(needed.saturating_sub(bucket.bucket.level()))
     });
     let can_keep = ask.promised.is_none() && ask.ask.tokens <= limits.burst && limits.rate > 0;
     if can_keep {
--- a/coltsfoot-quota/src/bucket_owner.rs
+++ b/coltsfoot-quota/src/bucket_owner.rs
@@ -11,6 +11,7 @@
 use crate::ask_service;
 use crate::event;
 use crate::limit_history;
+use crate::loan_book;
 use crate::zone_bucket;
 
 /// Part of the local demand that is kept back from other zones.
@@ -310,7 +311,10 @@
             let share = u128::from(level) * u128::from(wanted) / u128::from(local.max(1));
             share as u64
         }
-        quota::HolderRole::Zone => level.saturating_sub(local * LENDING_RESERVE_FACTOR),
+        quota::HolderRole::Zone => {
+            let idle = level.saturating_sub(local * LENDING_RESERVE_FACTOR);
+            idle.max(level.min(holder.lender.urgent))
+        }
     };
     let tokens = missing.min(limit).min(level);
     if tokens > 0 {
@@ -320,10 +324,17 @@
 
 /// Returns the tokens to borrow: what waiting requests lack, and what the instances want to hold
 /// beyond what is there.
-fn shortage(now: clock::MonotonicTime, bucket: &zone_bucket::ZoneBucket, lacking: u64) -> u64 {
+fn shortage(
+    now: clock::MonotonicTime,
+    bucket: &zone_bucket::ZoneBucket,
+    lacking: u64,
+) -> loan_book::TokenShortage {
     if !bucket.can_borrow() {
-        return 0;
+        return loan_book::TokenShortage::default();
+    }
+    let available = bucket.available(now);
+    loan_book::TokenShortage {
+        tokens: (lacking + bucket.local_missing()).saturating_sub(available),
+        urgent: lacking.saturating_sub(available),
     }
-    let wanted = lacking + bucket.local_missing();
-    wanted.saturating_sub(bucket.available(now))
 }
--- a/coltsfoot-quota/src/lib.rs
+++ b/coltsfoot-quota/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod promise_ledger;
 pub mod queue_entry;
 pub mod quota_agent;
+mod refund_book;
 mod session;
 pub mod token_bucket;
 mod zone_bucket;
--- a/coltsfoot-quota/src/loan_book.rs
+++ b/coltsfoot-quota/src/loan_book.rs
@@ -20,6 +20,15 @@
 /// Time for which a lender that had too little is not asked again.
 const EXHAUSTED_PAUSE: time::Duration = time::Duration::from_millis(250);
 
+/// Tokens that a bucket lacks.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct TokenShortage {
+    /// All of them.
+    pub(crate) tokens: u64,
+    /// Those that requests wait for.
+    pub(crate) urgent: u64,
+}
+
 /// The borrowing end of the sessions with one zone.
 #[derive(Clone, Debug, Default)]
 struct ZoneLoan {
@@ -30,6 +39,8 @@
     wanted: u64,
     sent: Option<SentReport>,
     answered: bool,
+    /// Tokens per second that the lender could spare when it answered last.
+    spare_rate: u64,
     exhausted_until: clock::MonotonicTime,
 }
 
@@ -84,6 +95,11 @@
         usable.map(|loan| loan.available(now)).sum()
     }
 
+    /// Returns the tokens per second that reachable lenders could spare.
+    pub(crate) fn spare_rate(&self, zones: &collections::BTreeMap<name::ZoneName, u16>) -> u64 {
+        zones.keys().filter_map(|zone| self.loans.get(zone)).map(|loan| loan.spare_rate).sum()
+    }
+
     /// Returns the borrowed tokens that are granted on and possibly unspent.
     pub(crate) fn lent_out(&self) -> u64 {
         self.loans.values().map(|loan| loan.lent_out).sum()
@@ -172,6 +188,7 @@
             return false;
         }
         loan.answered = true;
+        loan.spare_rate = update.spare_rate;
         if loan.allowance(now) < loan.wanted {
             loan.exhausted_until = now + EXHAUSTED_PAUSE;
         }
@@ -193,25 +210,26 @@
         })
     }
 
-    /// Builds the reports that are due, with `shortage` tokens wanted besides those held.
+    /// Builds the reports that are due, with a shortage besides the tokens held.
     /// `zones` are the reachable lenders with their weights.
     pub(crate) fn reports(
         &mut self,
         now: clock::MonotonicTime,
         customer: &name::CustomerName,
         zones: &collections::BTreeMap<name::ZoneName, u16>,
-        shortage: u64,
+        shortage: TokenShortage,
         next_sequence: &mut u64,
     ) -> Vec<quota::GrantReport> {
         let weights = zones.values().map(|weight| u64::from(*weight)).sum::<u64>().max(1);
         let mut reports = Vec::new();
         for (zone, weight) in zones {
             let loan = self.loans.entry(zone.clone()).or_default();
-            if !loan.is_due(now, shortage) {
+            if !loan.is_due(now, shortage.tokens) {
                 continue;
             }
-            let part = shortage.saturating_mul(u64::from(*weight)).div_ceil(weights);
-            reports.push(loan.report(now, customer, zone, part, next_sequence));
+            let part = shortage.tokens.saturating_mul(u64::from(*weight)).div_ceil(weights);
+            let urgent = part.min(shortage.urgent);
+            reports.push(loan.report(now, customer, zone, part, urgent, next_sequence));
         }
         reports
     }
@@ -224,6 +242,7 @@
         customer: &name::CustomerName,
         zone: &name::ZoneName,
         part: u64,
+        urgent: u64,
         next_sequence: &mut u64,
     ) -> quota::GrantReport {
         *next_sequence += 1;
@@ -242,11 +261,13 @@
             refunded: 0,
             refund_age_ms: 0,
             wanted: self.wanted,
+            urgent,
+            expects_answer: true,
             asks: Default::default(),
         };
         if let Some(session) = &mut self.session {
             session.give_back(now, unneeded);
-            session.fill(now, &mut report);
+            session.fill(&mut report);
         }
         report
     }
--- a/coltsfoot-quota/src/owner_link.rs
+++ b/coltsfoot-quota/src/owner_link.rs
@@ -13,7 +13,7 @@
 /// Time after which a session in use is renewed.
 const RENEWAL_INTERVAL: time::Duration = time::Duration::from_millis(500);
 /// Shortest time between reports that only ask for more tokens in advance.
-const REFILL_INTERVAL: time::Duration = time::Duration::from_millis(100);
+const REFILL_INTERVAL: time::Duration = time::Duration::from_millis(250);
 /// Reports whose time of sending is remembered.
 const MAX_SENT_REPORTS: usize = 16;
 /// Waiting requests that a report lists.
@@ -44,6 +44,8 @@
     pub(crate) wanted: u64,
     /// Requests that wait.
     pub(crate) waiting: &'a collections::VecDeque<WaitingRequest>,
+    /// Whether there are refunds that no report carried.
+    pub(crate) has_refund: bool,
 }
 
 impl TokenDemand<'_> {
@@ -60,8 +62,8 @@
     unanswered_since: Option<clock::MonotonicTime>,
     /// Last waiting request that a report listed.
     asked_through: u64,
-    /// Whether tokens were spent since the last report.
-    has_spent: bool,
+    /// Last report that the owner answered.
+    answered: u64,
 }
 
 impl OwnerLink {
@@ -73,10 +75,6 @@
         self.unanswered_since.is_some_and(|since| now.since(since) >= period)
     }
 
-    pub(crate) fn has_session(&self) -> bool {
-        self.session.is_some()
-    }
-
     /// Spends up to `tokens`. Returns those that are still lacking.
     pub(crate) fn spend(&mut self, now: clock::MonotonicTime, tokens: u64) -> u64 {
         let Some(session) = &mut self.session else {
@@ -84,17 +82,9 @@
         };
         let part = tokens.min(session.allowance(now));
         session.spend(now, part);
-        self.has_spent |= part > 0;
         tokens - part
     }
 
-    /// Adds a refund to the session. Must be called only while there is one.
-    pub(crate) fn refund(&mut self, admitted: clock::MonotonicTime, tokens: u64) {
-        if let Some(session) = &mut self.session {
-            session.refund(admitted, tokens);
-        }
-    }
-
     /// Forgets a session that is certainly over. Returns whether nothing is left to do.
     pub(crate) fn retire(&mut self, now: clock::MonotonicTime) -> bool {
         let over = self
@@ -132,6 +122,7 @@
         if is_last {
             self.unanswered_since = None;
         }
+        self.answered = self.answered.max(update.sequence);
         self.session.as_mut().is_some_and(|session| session.apply(update, sent_at))
     }
 
@@ -153,9 +144,7 @@
         if demand.wanted > 2 * allowance && demand.wanted > 0 {
             return idle_for >= REFILL_INTERVAL;
         }
-        let has_refund =
-            self.session.as_ref().is_some_and(|session| session.has_unacknowledged_refund());
-        (allowance > 0 || self.has_spent || has_refund) && idle_for >= RENEWAL_INTERVAL
+        (allowance > 0 || demand.has_refund) && idle_for >= RENEWAL_INTERVAL
     }
 
     /// Builds a report.
@@ -168,8 +157,6 @@
         next_sequence: &mut u64,
     ) -> quota::GrantReport {
         *next_sequence += 1;
-        self.note_sent(now, *next_sequence);
-        self.has_spent = false;
         let listed = demand.waiting.iter().take(MAX_ASKS);
         self.asked_through = listed.clone().map(|waiting| waiting.arrival).max().unwrap_or(0);
         let mut report = quota::GrantReport {
@@ -183,6 +170,8 @@
             refunded: 0,
             refund_age_ms: 0,
             wanted: demand.wanted,
+            urgent: 0,
+            expects_answer: true,
             asks: listed.map(|waiting| waiting.remaining(now)).collect(),
         };
         if let Some(session) = &mut self.session {
@@ -191,14 +180,24 @@
             if allowance > needed + demand.wanted {
                 session.give_back(now, allowance - needed);
             }
-            session.fill(now, &mut report);
+            session.fill(&mut report);
         }
+        let holds = self.allowance(now) > 0;
+        report.expects_answer = holds || demand.wanted > 0 || !demand.waiting.is_empty();
+        self.note_sent(now, &report);
         report
     }
 
-    fn note_sent(&mut self, now: clock::MonotonicTime, sequence: u64) {
-        self.unanswered_since.get_or_insert(now);
-        self.sent.push_back(SentReport { sequence, at: now });
+    /// Returns whether the owner has answered a report.
+    pub(crate) fn has_answered(&self, sequence: u64) -> bool {
+        self.answered >= sequence
+    }
+
+    fn note_sent(&mut self, now: clock::MonotonicTime, report: &quota::GrantReport) {
+        if report.expects_answer {
+            self.unanswered_since.get_or_insert(now);
+        }
+        self.sent.push_back(SentReport { sequence: report.sequence, at: now });
         if self.sent.len() > MAX_SENT_REPORTS {
             self.sent.pop_front();
         }
--- a/coltsfoot-quota/src/session.rs
+++ b/coltsfoot-quota/src/session.rs
@@ -28,8 +28,8 @@
     granted: u64,
     spent: u64,
     returned: u64,
-    refunded: u64,
     pub(crate) wanted: u64,
+    pub(crate) urgent: u64,
 }
 
 /// What changed with a report.
@@ -37,7 +37,6 @@
 pub(crate) struct ReportDelta {
     pub(crate) spent: u64,
     pub(crate) returned: u64,
-    pub(crate) refunded: u64,
 }
 
 impl LenderSession {
@@ -53,8 +52,8 @@
             granted: 0,
             spent: 0,
             returned: 0,
-            refunded: 0,
             wanted: 0,
+            urgent: 0,
         }
     }
 
@@ -76,6 +75,7 @@
         self.sequence = report.sequence;
         self.received = now;
         self.wanted = report.wanted;
+        self.urgent = report.urgent;
         if report.session != Some(self.number) {
             return ReportDelta::default();
         }
@@ -84,9 +84,7 @@
         self.spent += spent;
         let returned = report.returned.saturating_sub(self.returned).min(self.outstanding());
         self.returned += returned;
-        let refunded = report.refunded.saturating_sub(self.refunded);
-        self.refunded += refunded;
-        ReportDelta { spent, returned, refunded }
+        ReportDelta { spent, returned }
     }
 
     pub(crate) fn grant(&mut self, tokens: u64) {
@@ -116,6 +114,7 @@
             sequence: self.sequence,
             granted: self.granted,
             lifetime: self.until.since(self.received),
+            spare_rate: 0,
             refusals: Default::default(),
         }
     }
@@ -131,16 +130,6 @@
     granted: u64,
     spent: u64,
     returned: u64,
-    refunded: u64,
-    unacknowledged_refund: Option<UnacknowledgedRefund>,
-}
-
-/// Refunds that the owner may not have taken in.
-#[derive(Clone, Copy, Debug)]
-struct UnacknowledgedRefund {
-    oldest_admission: clock::MonotonicTime,
-    /// The first report that carries all of them, once sent.
-    reported_by: Option<u64>,
 }
 
 impl HolderSession {
@@ -153,8 +142,6 @@
             granted: 0,
             spent: 0,
             returned: 0,
-            refunded: 0,
-            unacknowledged_refund: None,
         }
     }
 
@@ -179,11 +166,6 @@
         self.updates = update.number;
         self.granted = self.granted.max(update.granted);
         self.valid_until = sent + update.lifetime;
-        if self.unacknowledged_refund.is_some_and(|refund| {
-            refund.reported_by.is_some_and(|sequence| sequence <= update.sequence)
-        }) {
-            self.unacknowledged_refund = None;
-        }
         true
     }
 
@@ -201,30 +183,10 @@
         self.returned += tokens.min(self.allowance(now));
     }
 
-    pub(crate) fn refund(&mut self, admitted: clock::MonotonicTime, tokens: u64) {
-        self.refunded += tokens;
-        let oldest = self.unacknowledged_refund.map_or(admitted, |refund| refund.oldest_admission);
-        let oldest_admission = oldest.min(admitted);
-        self.unacknowledged_refund =
-            Some(UnacknowledgedRefund { oldest_admission, reported_by: None });
-    }
-
-    /// Returns whether the owner may not have taken in all refunds.
-    pub(crate) fn has_unacknowledged_refund(&self) -> bool {
-        self.unacknowledged_refund.is_some()
-    }
-
     /// Copies the counters into a report.
-    pub(crate) fn fill(&mut self, now: clock::MonotonicTime, report: &mut quota::GrantReport) {
+    pub(crate) fn fill(&self, report: &mut quota::GrantReport) {
         report.session = Some(self.number);
         report.spent = self.spent;
         report.returned = self.returned;
-        report.refunded = self.refunded;
-        let Some(refund) = &mut self.unacknowledged_refund else {
-            return;
-        };
-        refund.reported_by.get_or_insert(report.sequence);
-        let age = now.since(refund.oldest_admission).as_millis() as u32;
-        report.refund_age_ms = age.saturating_add(1);
     }
 }
--- a/coltsfoot-quota/src/zone_bucket.rs
+++ b/coltsfoot-quota/src/zone_bucket.rs
@@ -56,6 +56,8 @@
     pub(crate) holders: collections::BTreeMap<HolderKey, HolderState>,
     pub(crate) loans: loan_book::LoanBook,
     pub(crate) promises: promise_ledger::PromiseLedger,
+    /// Refunds of each instance that have been credited.
+    refunds: collections::BTreeMap<name::InstanceName, u64>,
 }
 
 impl ZoneBucket {
@@ -74,6 +76,7 @@
             holders: collections::BTreeMap::new(),
             loans: loan_book::LoanBook::default(),
             promises: promise_ledger::PromiseLedger::default(),
+            refunds: collections::BTreeMap::new(),
         }
     }
 
@@ -172,19 +175,30 @@
         self.local_sessions().map(missing).sum()
     }
 
+    /// Returns the tokens per second that accrue beyond the zone's demand.
+    fn spare_rate(&self) -> u64 {
+        if !self.promises.is_empty() {
+            return 0;
+        }
+        self.bucket.limits().rate.saturating_sub(self.local_wanted())
+    }
+
     fn local_sessions(&self) -> impl Iterator<Item = &session::LenderSession> {
         let local = self.holders.iter().filter(|(key, _)| key.role == quota::HolderRole::Instance);
         local.map(|(_, holder)| &holder.lender)
     }
 
-    /// Grants tokens of the bucket, then borrowed ones, to an instance.
+    /// Grants tokens: to an instance borrowed ones first, since they expire, then own ones.
     pub(crate) fn give(&mut self, now: clock::MonotonicTime, key: &HolderKey, tokens: u64) {
         let Some(holder) = self.holders.get_mut(key) else {
             return;
         };
-        let own = tokens.min(self.bucket.level());
-        self.bucket.take(own);
-        self.loans.take(now, tokens - own);
+        let borrowed = match key.role {
+            quota::HolderRole::Instance => tokens.min(self.loans.available(now)),
+            quota::HolderRole::Zone => 0,
+        };
+        self.loans.take(now, borrowed);
+        self.bucket.take(tokens - borrowed);
         holder.lender.grant(tokens);
         holder.has_news = true;
     }
@@ -205,16 +219,33 @@
         let holder = self.holders.get_mut(&key)?;
         let delta = holder.lender.apply(now, report);
         holder.asks.replace(now, &report.asks);
-        holder.has_news = true;
+        holder.has_news |= report.expects_answer;
         self.loans.spend(delta.spent);
         let own = self.loans.put_back(delta.returned);
         self.bucket.put_back(own);
         self.bucket.refresh(now, self.effective_limits(), self.own_outstanding());
-        if delta.refunded > 0 {
+        self.take_refund(now, &key, report);
+        Some(key)
+    }
+
+    /// Credits what requests of an instance did not use. An owner credits only what was added
+    /// after it first heard of the instance, so that nothing is credited twice.
+    fn take_refund(
+        &mut self,
+        now: clock::MonotonicTime,
+        key: &HolderKey,
+        report: &quota::GrantReport,
+    ) {
+        if key.role != quota::HolderRole::Instance {
+            return;
+        }
+        let seen = self.refunds.entry(key.instance.clone()).or_insert(report.refunded);
+        let refunded = report.refunded.saturating_sub(*seen);
+        *seen += refunded;
+        if refunded > 0 {
             let age = std::time::Duration::from_millis(report.refund_age_ms.into());
-            self.bucket.refund(now, now - age, delta.refunded);
+            self.bucket.refund(now, now - age, refunded);
         }
-        Some(key)
     }
 
     /// Extends a holder's session and builds what it has to be told.
@@ -228,12 +259,14 @@
         let overdrawn = self.own_outstanding() > self.effective_limits().burst;
         let until = now + session::GRANT_LIFETIME;
         let until = self.loans.valid_until().map_or(until, |valid| valid.min(until));
+        let spare_rate = self.spare_rate();
         let holder = self.holders.get_mut(key)?;
         holder.has_news = false;
         if !overdrawn {
             holder.lender.extend(until);
         }
         let mut update = holder.lender.update(customer, zone, key.role);
+        update.spare_rate = spare_rate;
         update.refusals = holder.asks.refusals(now).collect();
         Some(update)
     }
--- a/coltsfoot-wire/src/quota.rs
+++ b/coltsfoot-wire/src/quota.rs
@@ -48,12 +48,17 @@
     pub spent: u64,
     /// Tokens returned unspent in this session so far.
     pub returned: u64,
-    /// Tokens that finished requests did not use, given back in this session so far.
+    /// Tokens that finished requests did not use, since the holder started; not bound to the
+    /// session.
     pub refunded: u64,
-    /// Milliseconds since the oldest admission whose refund has not been acknowledged.
+    /// Milliseconds since the oldest admission whose refund no answered report carried.
     pub refund_age_ms: u32,
     /// Tokens that the holder wants to hold for its demand.
     pub wanted: u64,
+    /// Part of them that requests wait for at this moment; only zones say so.
+    pub urgent: u64,
+    /// Whether the holder waits for an answer.
+    pub expects_answer: bool,
     /// Requests that wait for tokens, in order.
     pub asks: SmallVec<[TokenAsk; 1]>,
 }
@@ -90,6 +95,8 @@
     pub granted: u64,
     /// Time until unspent tokens expire, measured from when the numbered report was sent.
     pub lifetime: time::Duration,
+    /// Tokens per second that the bucket accrues beyond its own zone's demand.
+    pub spare_rate: u64,
     /// Requests that will not get tokens within their wait.
     pub refusals: SmallVec<[AskRefusal; 1]>,
 }
