--- a/coltsfoot-quota/src/agent_account.rs
+++ b/coltsfoot-quota/src/agent_account.rs
@@ -14,6 +14,8 @@
 
 /// Time for whose demand tokens are held in advance.
 const DEMAND_HORIZON: time::Duration = time::Duration::from_secs(1);
+/// Time constant of the demand's estimate.
+const DEMAND_DECAY_TIME: time::Duration = time::Duration::from_secs(1);
 /// Requests per second from which on tokens are held in advance.
 const MIN_REQUESTS_IN_ADVANCE: f64 = 2.0;
 /// Requests of a customer that wait at an instance.
@@ -42,7 +44,7 @@
 }
 
 /// State of one customer at an instance.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct AgentAccount {
     pub(crate) limits: Option<limit_history::CustomerLimits>,
     waiting: collections::VecDeque<owner_link::WaitingRequest>,
@@ -52,6 +54,19 @@
     arrivals: u64,
 }
 
+impl Default for AgentAccount {
+    fn default() -> Self {
+        Self {
+            limits: None,
+            waiting: collections::VecDeque::new(),
+            links: collections::BTreeMap::new(),
+            demand: demand_meter::DemandMeter::new(DEMAND_DECAY_TIME),
+            refunds: refund_book::RefundBook::default(),
+            arrivals: 0,
+        }
+    }
+}
+
 impl AgentAccount {
     /// Queues a request, or says why it can't be served.
     pub(crate) fn enqueue(
--- a/coltsfoot-quota/src/bucket_owner.rs
+++ b/coltsfoot-quota/src/bucket_owner.rs
@@ -16,6 +16,8 @@
 
 /// Part of the local demand that is kept back from other zones.
 const LENDING_RESERVE_FACTOR: u64 = 2;
+/// Part of the burst below which no surplus is lent, in thousandths.
+const KEPT_FILL_PERMILLE: u16 = 800;
 
 /// Owns the zone buckets of customers that ownership assigns to this instance.
 #[derive(Clone, Debug)]
@@ -245,7 +247,6 @@
         let served = ask_service::serve(now, bucket, &lenders);
         if let Some(reporter) = reporter
             && served.lacking == 0
-            && bucket.promises.is_empty()
         {
             grant_demand(now, bucket, reporter);
         }
@@ -293,37 +294,55 @@
 }
 
 /// Grants the reporting holder its part of what it wants to hold: an instance in proportion to
-/// its demand, another zone out of what is idle here.
+/// its demand, another zone out of what is idle or would overflow here.
 fn grant_demand(
     now: clock::MonotonicTime,
     bucket: &mut zone_bucket::ZoneBucket,
     key: &zone_bucket::HolderKey,
 ) {
+    let tokens = match key.role {
+        quota::HolderRole::Instance => instance_part(bucket, key),
+        quota::HolderRole::Zone => zone_part(now, bucket, key),
+    };
+    if tokens > 0 {
+        bucket.give(now, key, tokens);
+    }
+}
+
+fn instance_part(bucket: &zone_bucket::ZoneBucket, key: &zone_bucket::HolderKey) -> u64 {
+    if !bucket.promises.is_empty() {
+        return 0;
+    }
     let Some(holder) = bucket.holders.get(key) else {
-        return;
+        return 0;
     };
     let wanted = holder.lender.wanted;
-    let missing = wanted.saturating_sub(holder.lender.outstanding());
-    let local = bucket.local_wanted();
     let level = bucket.bucket.level();
-    let limit = match key.role {
-        quota::HolderRole::Instance => {
-            let share = u128::from(level) * u128::from(wanted) / u128::from(local.max(1));
-            share as u64
-        }
-        quota::HolderRole::Zone => {
-            let idle = level.saturating_sub(local * LENDING_RESERVE_FACTOR);
-            idle.max(level.min(holder.lender.urgent))
-        }
+    let total = u128::from(bucket.local_wanted().max(1));
+    let share = u128::from(level) * u128::from(wanted) / total;
+    wanted.saturating_sub(holder.lender.outstanding()).min(share as u64)
+}
+
+fn zone_part(
+    now: clock::MonotonicTime,
+    bucket: &zone_bucket::ZoneBucket,
+    key: &zone_bucket::HolderKey,
+) -> u64 {
+    let Some(holder) = bucket.holders.get(key) else {
+        return 0;
     };
-    let tokens = missing.min(limit).min(level);
-    if tokens > 0 {
-        bucket.give(now, key, tokens);
-    }
+    let level = bucket.bucket.level();
+    let slack = bucket.promises.slack(level, now, |until| bucket.yield_until(now, until));
+    let reserve = bucket.local_wanted() * LENDING_RESERVE_FACTOR;
+    let kept = bucket.effective_limits().part(KEPT_FILL_PERMILLE).burst;
+    let held = holder.lender.outstanding();
+    let wanted = holder.lender.wanted.saturating_sub(held).min(level.saturating_sub(reserve));
+    let surplus = holder.lender.surplus.saturating_sub(held).min(level.saturating_sub(kept));
+    wanted.max(surplus).max(holder.lender.urgent).min(level).min(slack)
 }
 
-/// Returns the tokens to borrow: what waiting requests lack, and what the instances want to hold
-/// beyond what is there.
+/// Returns the tokens to borrow: what waiting requests lack, what the instances want to hold
+/// beyond what is there, and a second's demand if that exceeds the bucket's rate.
 fn shortage(
     now: clock::MonotonicTime,
     bucket: &zone_bucket::ZoneBucket,
@@ -333,8 +352,11 @@
         return loan_book::TokenShortage::default();
     }
     let available = bucket.available(now);
+    let demand = bucket.local_demand(now);
+    let is_hot = demand > bucket.effective_limits().rate;
     loan_book::TokenShortage {
         tokens: (lacking + bucket.local_missing()).saturating_sub(available),
         urgent: lacking.saturating_sub(available),
+        surplus: if is_hot { demand.saturating_sub(bucket.loans.available(now)) } else { 0 },
     }
 }
--- a/coltsfoot-quota/src/demand_meter.rs
+++ b/coltsfoot-quota/src/demand_meter.rs
@@ -4,22 +4,26 @@
 
 use coltsfoot_types::time as clock;
 
-/// Time constant of the decay.
-const DECAY_TIME: time::Duration = time::Duration::from_secs(1);
-
 /// Tokens per second that were lately asked for.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct DemandMeter {
     rate: f64,
     requests: f64,
     updated: clock::MonotonicTime,
+    /// Time constant of the decay.
+    decay_time: time::Duration,
 }
 
 impl DemandMeter {
+    /// Builds a meter that forgets with a time constant.
+    pub(crate) fn new(decay_time: time::Duration) -> Self {
+        Self { rate: 0.0, requests: 0.0, updated: clock::MonotonicTime(0), decay_time }
+    }
+
     /// Adds tokens asked for.
     pub(crate) fn add(&mut self, now: clock::MonotonicTime, tokens: u64) {
-        self.requests = self.requests(now) + 1.0 / DECAY_TIME.as_secs_f64();
-        self.rate = self.rate(now) + tokens as f64 / DECAY_TIME.as_secs_f64();
+        self.requests = self.requests(now) + 1.0 / self.decay_time.as_secs_f64();
+        self.rate = self.rate(now) + tokens as f64 / self.decay_time.as_secs_f64();
         self.updated = now;
     }
 
@@ -35,6 +39,6 @@
 
     fn decay(&self, now: clock::MonotonicTime) -> f64 {
         let elapsed = now.since(self.updated).as_secs_f64();
-        (-elapsed / DECAY_TIME.as_secs_f64()).exp()
+        (-elapsed / self.decay_time.as_secs_f64()).exp()
     }
 }
--- a/coltsfoot-quota/src/loan_book.rs
+++ b/coltsfoot-quota/src/loan_book.rs
@@ -27,6 +27,8 @@
     pub(crate) tokens: u64,
     /// Those that requests wait for.
     pub(crate) urgent: u64,
+    /// Tokens to take where they would overflow.
+    pub(crate) surplus: u64,
 }
 
 /// The borrowing end of the sessions with one zone.
@@ -71,14 +73,14 @@
         self.sent.is_some_and(|sent| now.since(sent.at) < period)
     }
 
-    fn is_due(&self, now: clock::MonotonicTime, shortage: u64) -> bool {
+    fn is_due(&self, now: clock::MonotonicTime, shortage: u64, wants_surplus: bool) -> bool {
         if !self.answered && self.sent_within(now, ANSWER_TIMEOUT) {
             return false;
         }
         if shortage > 0 && now >= self.exhausted_until {
             return true;
         }
-        self.allowance(now) > 0 && !self.sent_within(now, RENEWAL_INTERVAL)
+        (self.allowance(now) > 0 || wants_surplus) && !self.sent_within(now, RENEWAL_INTERVAL)
     }
 }
 
@@ -224,12 +226,16 @@
         let mut reports = Vec::new();
         for (zone, weight) in zones {
             let loan = self.loans.entry(zone.clone()).or_default();
-            if !loan.is_due(now, shortage.tokens) {
+            if !loan.is_due(now, shortage.tokens, shortage.surplus > 0) {
                 continue;
             }
-            let part = shortage.tokens.saturating_mul(u64::from(*weight)).div_ceil(weights);
-            let urgent = part.min(shortage.urgent);
-            reports.push(loan.report(now, customer, zone, part, urgent, next_sequence));
+            let part = |tokens: u64| tokens.saturating_mul(u64::from(*weight)).div_ceil(weights);
+            let part = TokenShortage {
+                tokens: part(shortage.tokens),
+                urgent: part(shortage.urgent),
+                surplus: part(shortage.surplus),
+            };
+            reports.push(loan.report(now, customer, zone, part, next_sequence));
         }
         reports
     }
@@ -241,13 +247,13 @@
         now: clock::MonotonicTime,
         customer: &name::CustomerName,
         zone: &name::ZoneName,
-        part: u64,
-        urgent: u64,
+        part: TokenShortage,
         next_sequence: &mut u64,
     ) -> quota::GrantReport {
         *next_sequence += 1;
-        let unneeded = if part == 0 { self.available(now) } else { 0 };
-        self.wanted = self.allowance(now) - unneeded + part;
+        let unneeded = if part.tokens == 0 && part.surplus == 0 { self.available(now) } else { 0 };
+        let kept = self.allowance(now) - unneeded;
+        self.wanted = kept + part.tokens;
         self.sent = Some(SentReport { sequence: *next_sequence, at: now });
         self.answered = false;
         let mut report = quota::GrantReport {
@@ -261,7 +267,8 @@
             refunded: 0,
             refund_age_ms: 0,
             wanted: self.wanted,
-            urgent,
+            urgent: part.urgent,
+            surplus: kept + part.surplus,
             expects_answer: true,
             asks: Default::default(),
         };
--- a/coltsfoot-quota/src/owner_link.rs
+++ b/coltsfoot-quota/src/owner_link.rs
@@ -64,6 +64,9 @@
     asked_through: u64,
     /// Last report that the owner answered.
     answered: u64,
+    /// Whether the owner wants to hear of spending at once.
+    is_nearly_full: bool,
+    has_spent: bool,
 }
 
 impl OwnerLink {
@@ -82,6 +85,7 @@
         };
         let part = tokens.min(session.allowance(now));
         session.spend(now, part);
+        self.has_spent |= part > 0;
         tokens - part
     }
 
@@ -123,6 +127,7 @@
             self.unanswered_since = None;
         }
         self.answered = self.answered.max(update.sequence);
+        self.is_nearly_full = update.is_nearly_full;
         self.session.as_mut().is_some_and(|session| session.apply(update, sent_at))
     }
 
@@ -144,6 +149,9 @@
         if demand.wanted > 2 * allowance && demand.wanted > 0 {
             return idle_for >= REFILL_INTERVAL;
         }
+        if self.is_nearly_full && self.has_spent {
+            return idle_for >= REFILL_INTERVAL;
+        }
         (allowance > 0 || demand.has_refund) && idle_for >= RENEWAL_INTERVAL
     }
 
@@ -171,6 +179,7 @@
             refund_age_ms: 0,
             wanted: demand.wanted,
             urgent: 0,
+            surplus: 0,
             expects_answer: true,
             asks: listed.map(|waiting| waiting.remaining(now)).collect(),
         };
@@ -182,6 +191,7 @@
             }
             session.fill(&mut report);
         }
+        self.has_spent = false;
         let holds = self.allowance(now) > 0;
         report.expects_answer = holds || demand.wanted > 0 || !demand.waiting.is_empty();
         self.note_sent(now, &report);
--- a/coltsfoot-quota/src/session.rs
+++ b/coltsfoot-quota/src/session.rs
@@ -30,6 +30,7 @@
     returned: u64,
     pub(crate) wanted: u64,
     pub(crate) urgent: u64,
+    pub(crate) surplus: u64,
 }
 
 /// What changed with a report.
@@ -54,6 +55,7 @@
             returned: 0,
             wanted: 0,
             urgent: 0,
+            surplus: 0,
         }
     }
 
@@ -76,6 +78,7 @@
         self.received = now;
         self.wanted = report.wanted;
         self.urgent = report.urgent;
+        self.surplus = report.surplus;
         if report.session != Some(self.number) {
             return ReportDelta::default();
         }
@@ -115,6 +118,7 @@
             granted: self.granted,
             lifetime: self.until.since(self.received),
             spare_rate: 0,
+            is_nearly_full: false,
             refusals: Default::default(),
         }
     }
--- a/coltsfoot-quota/src/zone_bucket.rs
+++ b/coltsfoot-quota/src/zone_bucket.rs
@@ -1,17 +1,24 @@
 //! The bucket of one customer in one zone, as its owner keeps it.
 
 use std::collections;
+use std::time;
 
 use coltsfoot_types::{name, time as clock};
 use coltsfoot_wire::quota;
 
 use crate::ask_list;
+use crate::demand_meter;
 use crate::event;
 use crate::loan_book;
 use crate::promise_ledger;
 use crate::session;
 use crate::token_bucket;
 
+/// Time constant of the estimate of a zone's spending.
+const SPENDING_DECAY_TIME: time::Duration = time::Duration::from_secs(4);
+/// Fill from which holders report their spending at once, in thousandths of the burst.
+const NEARLY_FULL_PERMILLE: u16 = 700;
+
 /// A holder of granted tokens.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) struct HolderKey {
@@ -58,6 +65,7 @@
     pub(crate) promises: promise_ledger::PromiseLedger,
     /// Refunds of each instance that have been credited.
     refunds: collections::BTreeMap<name::InstanceName, u64>,
+    spending: demand_meter::DemandMeter,
 }
 
 impl ZoneBucket {
@@ -77,6 +85,7 @@
             loans: loan_book::LoanBook::default(),
             promises: promise_ledger::PromiseLedger::default(),
             refunds: collections::BTreeMap::new(),
+            spending: demand_meter::DemandMeter::new(SPENDING_DECAY_TIME),
         }
     }
 
@@ -163,6 +172,11 @@
         self.legacy.is_none()
     }
 
+    /// Returns the tokens per second that the zone's instances have lately spent.
+    pub(crate) fn local_demand(&self, now: clock::MonotonicTime) -> u64 {
+        self.spending.rate(now) as u64
+    }
+
     /// Returns the tokens that the instances of the zone want to hold.
     pub(crate) fn local_wanted(&self) -> u64 {
         self.local_sessions().map(|lender| lender.wanted).sum()
@@ -175,12 +189,17 @@
         self.local_sessions().map(missing).sum()
     }
 
+    fn is_nearly_full(&self) -> bool {
+        let position = self.bucket.level() + self.bucket.outstanding();
+        position > self.effective_limits().part(NEARLY_FULL_PERMILLE).burst
+    }
+
     /// Returns the tokens per second that accrue beyond the zone's demand.
-    fn spare_rate(&self) -> u64 {
+    fn spare_rate(&self, now: clock::MonotonicTime) -> u64 {
         if !self.promises.is_empty() {
             return 0;
         }
-        self.bucket.limits().rate.saturating_sub(self.local_wanted())
+        self.bucket.limits().rate.saturating_sub(self.local_demand(now))
     }
 
     fn local_sessions(&self) -> impl Iterator<Item = &session::LenderSession> {
@@ -220,7 +239,7 @@
         let delta = holder.lender.apply(now, report);
         holder.asks.replace(now, &report.asks);
         holder.has_news |= report.expects_answer;
-        self.loans.spend(delta.spent);
+        self.note_spending(now, report.role, delta.spent);
         let own = self.loans.put_back(delta.returned);
         self.bucket.put_back(own);
         self.bucket.refresh(now, self.effective_limits(), self.own_outstanding());
@@ -228,6 +247,13 @@
         Some(key)
     }
 
+    fn note_spending(&mut self, now: clock::MonotonicTime, role: quota::HolderRole, tokens: u64) {
+        self.loans.spend(tokens);
+        if role == quota::HolderRole::Instance && tokens > 0 {
+            self.spending.add(now, tokens);
+        }
+    }
+
     /// Credits what requests of an instance did not use. An owner credits only what was added
     /// after it first heard of the instance, so that nothing is credited twice.
     fn take_refund(
@@ -243,7 +269,7 @@
         let refunded = report.refunded.saturating_sub(*seen);
         *seen += refunded;
         if refunded > 0 {
-            let age = std::time::Duration::from_millis(report.refund_age_ms.into());
+            let age = time::Duration::from_millis(report.refund_age_ms.into());
             self.bucket.refund(now, now - age, refunded);
         }
     }
@@ -259,7 +285,8 @@
         let overdrawn = self.own_outstanding() > self.effective_limits().burst;
         let until = now + session::GRANT_LIFETIME;
         let until = self.loans.valid_until().map_or(until, |valid| valid.min(until));
-        let spare_rate = self.spare_rate();
+        let spare_rate = self.spare_rate(now);
+        let is_nearly_full = self.is_nearly_full();
         let holder = self.holders.get_mut(key)?;
         holder.has_news = false;
         if !overdrawn {
@@ -267,6 +294,7 @@
         }
         let mut update = holder.lender.update(customer, zone, key.role);
         update.spare_rate = spare_rate;
+        update.is_nearly_full = is_nearly_full;
         update.refusals = holder.asks.refusals(now).collect();
         Some(update)
     }
--- a/coltsfoot-wire/src/quota.rs
+++ b/coltsfoot-wire/src/quota.rs
@@ -57,6 +57,8 @@
     pub wanted: u64,
     /// Part of them that requests wait for at this moment; only zones say so.
     pub urgent: u64,
+    /// Tokens that a zone takes if they would overflow at the owner.
+    pub surplus: u64,
     /// Whether the holder waits for an answer.
     pub expects_answer: bool,
     /// Requests that wait for tokens, in order.
@@ -97,6 +99,8 @@
     pub lifetime: time::Duration,
     /// Tokens per second that the bucket accrues beyond its own zone's demand.
     pub spare_rate: u64,
+    /// Whether the bucket is so full that spending should be reported at once.
+    pub is_nearly_full: bool,
     /// Requests that will not get tokens within their wait.
     pub refusals: SmallVec<[AskRefusal; 1]>,
 }
