Keep granted tokens for the request they were granted for

Cause: an instance spent tokens that were granted for a returning caller on an older waiting request, so the caller was refused again. Change: updates name the served requests where several wait; the instance serves them first; a bucket keeps up to 4,096 promises. Conclusion: a Retry-After that names a promise holds.

--- a/coltsfoot-quota/src/agent_account.rs
+++ b/coltsfoot-quota/src/agent_account.rs
@@ -164,6 +164,9 @@
         if !link.apply(sender, update) {
             return Vec::new();
         }
+        for request in update.served.iter().rev() {
+            self.move_to_front(*request);
+        }
         let mut refused = Vec::new();
         for refusal in &update.refusals {
             if self.cancel(refusal.request) {
@@ -177,6 +180,12 @@
         refused
     }
 
+    fn move_to_front(&mut self, request: id::RequestId) {
+        let found = self.waiting.iter().position(|waiting| waiting.ask.request == request);
+        let waiting = found.and_then(|index| self.waiting.remove(index));
+        waiting.into_iter().for_each(|waiting| self.waiting.push_front(waiting));
+    }
+
     /// Builds the reports that are due.
     pub(crate) fn reports(
         &mut self,
--- a/coltsfoot-quota/src/ask_list.rs
+++ b/coltsfoot-quota/src/ask_list.rs
@@ -5,14 +5,25 @@
 use coltsfoot_types::{id, time as clock};
 use coltsfoot_wire::quota;
 
+/// What was decided on a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum AskDecision {
+    Undecided,
+    /// Tokens were granted for it.
+    Served,
+    /// The caller was told to come back at an instant.
+    Refused {
+        until: clock::MonotonicTime,
+    },
+}
+
 /// A request that waits for tokens.
 #[derive(Clone, Debug)]
 pub(crate) struct WaitingAsk {
     pub(crate) ask: quota::TokenAsk,
     pub(crate) first_seen: clock::MonotonicTime,
     pub(crate) give_up: clock::MonotonicTime,
-    /// Instant at which the caller was told to come back.
-    pub(crate) refused_until: Option<clock::MonotonicTime>,
+    decision: AskDecision,
 }
 
 /// The waiting requests of a holder, as in its last report.
@@ -25,25 +36,24 @@
     /// Takes over the list of a report; what was decided on a request stays decided.
     pub(crate) fn replace(&mut self, now: clock::MonotonicTime, asks: &[quota::TokenAsk]) {
         let known = std::mem::take(&mut self.asks);
-        self.asks = asks
-            .iter()
-            .map(|ask| {
-                let found = known.iter().find(|waiting| waiting.ask.request == ask.request);
-                found.cloned().unwrap_or_else(|| WaitingAsk {
-                    ask: *ask,
-                    first_seen: now,
-                    give_up: now + time::Duration::from_millis(ask.wait_ms.into()),
-                    refused_until: None,
-                })
+        let carry_over = |ask: &quota::TokenAsk| {
+            let found = known.iter().find(|waiting| waiting.ask.request == ask.request);
+            found.cloned().unwrap_or_else(|| WaitingAsk {
+                ask: *ask,
+                first_seen: now,
+                give_up: now + time::Duration::from_millis(ask.wait_ms.into()),
+                decision: AskDecision::Undecided,
             })
-            .collect();
+        };
+        self.asks = asks.iter().map(carry_over).collect();
     }
 
     /// Returns the waiting requests that `allowance` does not cover, with the tokens that each
-    /// lacks.
+    /// lacks. The holder spends on served requests first.
     pub(crate) fn uncovered(&self, allowance: u64) -> impl Iterator<Item = (&WaitingAsk, u64)> {
         let mut allowance = allowance;
-        let waiting = self.asks.iter().filter(|waiting| waiting.refused_until.is_none());
+        let with = |decision| self.asks.iter().filter(move |waiting| waiting.decision == decision);
+        let waiting = with(AskDecision::Served).chain(with(AskDecision::Undecided));
         waiting.filter_map(move |waiting| {
             let covered = allowance.min(waiting.ask.tokens);
             allowance -= covered;
@@ -52,12 +62,24 @@
         })
     }
 
+    /// Marks a request as served.
+    pub(crate) fn serve(&mut self, request: id::RequestId) {
+        self.decide(request, AskDecision::Served);
+    }
+
     /// Marks a request as refused.
     pub(crate) fn refuse(&mut self, request: id::RequestId, until: clock::MonotonicTime) {
-        let found = self.asks.iter_mut().find(|waiting| waiting.ask.request == request);
-        if let Some(waiting) = found {
-            waiting.refused_until = Some(until);
-        }
+        self.decide(request, AskDecision::Refused { until });
+    }
+
+    /// Returns the served requests, where more than one waits.
+    pub(crate) fn served(&self) -> impl Iterator<Item = id::RequestId> {
+        let several = self.asks.len() > 1;
+        let served = self
+            .asks
+            .iter()
+            .filter(move |waiting| several && waiting.decision == AskDecision::Served);
+        served.map(|waiting| waiting.ask.request)
     }
 
     /// Returns the refused requests, with the time after which each should come back.
@@ -66,8 +88,17 @@
         now: clock::MonotonicTime,
     ) -> impl Iterator<Item = quota::AskRefusal> {
         self.asks.iter().filter_map(move |waiting| {
-            let until = waiting.refused_until?;
+            let AskDecision::Refused { until } = waiting.decision else {
+                return None;
+            };
             Some(quota::AskRefusal { request: waiting.ask.request, retry_after: until.since(now) })
         })
     }
+
+    fn decide(&mut self, request: id::RequestId, decision: AskDecision) {
+        let found = self.asks.iter_mut().find(|waiting| waiting.ask.request == request);
+        if let Some(waiting) = found {
+            waiting.decision = decision;
+        }
+    }
 }
--- a/coltsfoot-quota/src/ask_service.rs
+++ b/coltsfoot-quota/src/ask_service.rs
@@ -42,6 +42,9 @@
         if waiting == 0 && is_affordable(now, bucket, &ask) {
             bucket.give(now, &ask.key, ask.lacking);
             bucket.promises.claim(ask.ask.fingerprint, ask.ask.tokens);
+            if let Some(holder) = bucket.holders.get_mut(&ask.key) {
+                holder.asks.serve(ask.ask.request);
+            }
             continue;
         }
         let undecided = bucket.loans.is_undecided(now, lenders, ask.first_seen);
--- a/coltsfoot-quota/src/promise_ledger.rs
+++ b/coltsfoot-quota/src/promise_ledger.rs
@@ -6,7 +6,7 @@
 use coltsfoot_types::time as clock;
 
 /// Promises that one bucket keeps.
-const MAX_PROMISES: usize = 512;
+const MAX_PROMISES: usize = 4_096;
 /// Time after its due instant for which a promise is kept: callers round up to whole seconds.
 const PROMISE_GRACE: time::Duration = time::Duration::from_secs(2);
 
--- a/coltsfoot-quota/src/session.rs
+++ b/coltsfoot-quota/src/session.rs
@@ -119,6 +119,7 @@
             lifetime: self.until.since(self.received),
             spare_rate: 0,
             is_nearly_full: false,
+            served: Default::default(),
             refusals: Default::default(),
         }
     }
--- a/coltsfoot-quota/src/zone_bucket.rs
+++ b/coltsfoot-quota/src/zone_bucket.rs
@@ -295,6 +295,7 @@
         let mut update = holder.lender.update(customer, zone, key.role);
         update.spare_rate = spare_rate;
         update.is_nearly_full = is_nearly_full;
+        update.served = holder.asks.served().collect();
         update.refusals = holder.asks.refusals(now).collect();
         Some(update)
     }
--- a/coltsfoot-wire/src/quota.rs
+++ b/coltsfoot-wire/src/quota.rs
@@ -101,6 +101,8 @@
     pub spare_rate: u64,
     /// Whether the bucket is so full that spending should be reported at once.
     pub is_nearly_full: bool,
+    /// Requests that the granted tokens are for, where several wait.
+    pub served: SmallVec<[id::RequestId; 1]>,
     /// Requests that will not get tokens within their wait.
     pub refusals: SmallVec<[AskRefusal; 1]>,
 }
