--- a/coltsfoot-measure/src/main.rs
+++ b/coltsfoot-measure/src/main.rs
@@ -7,6 +7,10 @@
 // The tests of `coltsfoot-quota` use the rest.
 #[allow(dead_code)]
 mod virtual_fleet;
+mod config;
+mod once;
+mod placement;
+mod retries;
 
 use std::process;
 
