Measure fairness under a flood

Cause: no figure showed whether a flood slows the other customers. Change: coltsfoot-measure -- fairness, full engines, one customer at once and at five times its demand, the fair queue against arrival order.

--- a/coltsfoot-measure/src/cmd/mod.rs
+++ b/coltsfoot-measure/src/cmd/mod.rs
@@ -1,15 +1,13 @@
 //! Subcommands; each prints a table and, as its last line, one line of JSON.
 
-<<<<<<< HEAD
-mod quota;
-=======
 mod config;
+mod fairness;
 mod member;
 mod once;
 mod placement;
 mod placement_sweep;
+mod quota;
 mod retries;
->>>>>>> main
 
 use std::path;
 
@@ -22,11 +20,9 @@
 }
 
 /// All subcommands.
-<<<<<<< HEAD
-const COMMANDS: &[MeasureCommand] = &[MeasureCommand { name: "quota", run: quota::run }];
-=======
 const COMMANDS: &[MeasureCommand] = &[
-    MeasureCommand { name: "member", run: member::run },
+    MeasureCommand { name: "quota", run: quota::run },
+    MeasureCommand { name: "fairness", run: fairness::run },
     MeasureCommand { name: "once", run: once::run },
     MeasureCommand { name: "placement", run: placement::run },
     MeasureCommand { name: "placement-sweep", run: placement_sweep::run },
@@ -34,7 +30,6 @@
     MeasureCommand { name: "config", run: config::run },
     MeasureCommand { name: "member", run: member::run },
 ];
->>>>>>> main
 
 /// An error that ends a measure.
 #[derive(Debug, thiserror::Error)]
--- a/coltsfoot-measure/src/main.rs
+++ b/coltsfoot-measure/src/main.rs
@@ -5,12 +5,12 @@
 mod quota_run;
 mod quota_workload;
 // The tests of `coltsfoot-quota` use the rest.
-#[allow(dead_code)]
-mod virtual_fleet;
 mod config;
 mod once;
 mod placement;
 mod retries;
+#[allow(dead_code)]
+mod virtual_fleet;
 
 use std::process;
 
