--- a/coltsfoot-measure/src/cmd/mod.rs
+++ b/coltsfoot-measure/src/cmd/mod.rs
@@ -1,10 +1,12 @@
 //! Subcommands; each prints a table and, as its last line, one line of JSON.
 
 mod config;
+mod fairness;
 mod member;
 mod once;
 mod placement;
 mod placement_sweep;
+mod quota;
 mod retries;
 
 use std::path;
@@ -20,10 +22,12 @@
 /// All subcommands.
 const COMMANDS: &[MeasureCommand] = &[
     MeasureCommand { name: "config", run: config::run },
+    MeasureCommand { name: "fairness", run: fairness::run },
     MeasureCommand { name: "member", run: member::run },
     MeasureCommand { name: "once", run: once::run },
     MeasureCommand { name: "placement", run: placement::run },
     MeasureCommand { name: "placement-sweep", run: placement_sweep::run },
+    MeasureCommand { name: "quota", run: quota::run },
     MeasureCommand { name: "retries", run: retries::run },
 ];
 
--- a/coltsfoot-quota/src/zone_bucket.rs
+++ b/coltsfoot-quota/src/zone_bucket.rs
@@ -1,17 +1,24 @@
 //! The bucket of one customer in one zone, as its owner keeps it.
 
 use std::collections;
+use std::time;
 
 use coltsfoot_types::{name, time as clock};
 use coltsfoot_wire::quota;
 
 use crate::ask_list;
+use crate::demand_meter;
 use crate::event;
 use crate::loan_book;
 use crate::promise_ledger;
 use crate::session;
 use crate::token_bucket;
 
+/// Time constant of the estimate of a zone's spending.
+const SPENDING_DECAY_TIME: time::Duration = time::Duration::from_secs(4);
+/// Fill from which holders report their spending at once, in thousandths of the burst.
+const NEARLY_FULL_PERMILLE: u16 = 700;
+
 /// A holder of granted tokens.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) struct HolderKey {
@@ -56,6 +63,9 @@
     pub(crate) holders: collections::BTreeMap<HolderKey, HolderState>,
     pub(crate) loans: loan_book::LoanBook,
     pub(crate) promises: promise_ledger::PromiseLedger,
+    /// Refunds of each instance that have been credited.
+    refunds: collections::BTreeMap<name::InstanceName, u64>,
+    spending: demand_meter::DemandMeter,
 }
 
 impl ZoneBucket {
@@ -74,6 +84,8 @@
             holders: collections::BTreeMap::new(),
             loans: loan_book::LoanBook::default(),
             promises: promise_ledger::PromiseLedger::default(),
+            refunds: collections::BTreeMap::new(),
+            spending: demand_meter::DemandMeter::new(SPENDING_DECAY_TIME),
         }
     }
 
@@ -160,6 +172,11 @@
         self.legacy.is_none()
     }
 
+    /// Returns the tokens per second that the zone's instances have lately spent.
+    pub(crate) fn local_demand(&self, now: clock::MonotonicTime) -> u64 {
+        self.spending.rate(now) as u64
+    }
+
     /// Returns the tokens that the instances of the zone want to hold.
     pub(crate) fn local_wanted(&self) -> u64 {
         self.local_sessions().map(|lender| lender.wanted).sum()
@@ -172,19 +189,35 @@
         self.local_sessions().map(missing).sum()
     }
 
+    fn is_nearly_full(&self) -> bool {
+        let position = self.bucket.level() + self.bucket.outstanding();
+        position > self.effective_limits().part(NEARLY_FULL_PERMILLE).burst
+    }
+
+    /// Returns the tokens per second that accrue beyond the zone's demand.
+    fn spare_rate(&self, now: clock::MonotonicTime) -> u64 {
+        if !self.promises.is_empty() {
+            return 0;
+        }
+        self.bucket.limits().rate.saturating_sub(self.local_demand(now))
+    }
+
     fn local_sessions(&self) -> impl Iterator<Item = &session::LenderSession> {
         let local = self.holders.iter().filter(|(key, _)| key.role == quota::HolderRole::Instance);
         local.map(|(_, holder)| &holder.lender)
     }
 
-    /// Grants tokens of the bucket, then borrowed ones, to an instance.
+    /// Grants tokens: to an instance borrowed ones first, since they expire, then own ones.
     pub(crate) fn give(&mut self, now: clock::MonotonicTime, key: &HolderKey, tokens: u64) {
         let Some(holder) = self.holders.get_mut(key) else {
             return;
         };
-        let own = tokens.min(self.bucket.level());
-        self.bucket.take(own);
-        self.loans.take(now, tokens - own);
+        let borrowed = match key.role {
+            quota::HolderRole::Instance => tokens.min(self.loans.available(now)),
+            quota::HolderRole::Zone => 0,
+        };
+        self.loans.take(now, borrowed);
+        self.bucket.take(tokens - borrowed);
         holder.lender.grant(tokens);
         holder.has_news = true;
     }
@@ -205,18 +238,42 @@
         let holder = self.holders.get_mut(&key)?;
         let delta = holder.lender.apply(now, report);
         holder.asks.replace(now, &report.asks);
-        holder.has_news = true;
-        self.loans.spend(delta.spent);
+        holder.has_news |= report.expects_answer;
+        self.note_spending(now, report.role, delta.spent);
         let own = self.loans.put_back(delta.returned);
         self.bucket.put_back(own);
         self.bucket.refresh(now, self.effective_limits(), self.own_outstanding());
-        if delta.refunded > 0 {
-            let age = std::time::Duration::from_millis(report.refund_age_ms.into());
-            self.bucket.refund(now, now - age, delta.refunded);
-        }
+        self.take_refund(now, &key, report);
         Some(key)
     }
 
+    fn note_spending(&mut self, now: clock::MonotonicTime, role: quota::HolderRole, tokens: u64) {
+        self.loans.spend(tokens);
+        if role == quota::HolderRole::Instance && tokens > 0 {
+            self.spending.add(now, tokens);
+        }
+    }
+
+    /// Credits what requests of an instance did not use. An owner credits only what was added
+    /// after it first heard of the instance, so that nothing is credited twice.
+    fn take_refund(
+        &mut self,
+        now: clock::MonotonicTime,
+        key: &HolderKey,
+        report: &quota::GrantReport,
+    ) {
+        if key.role != quota::HolderRole::Instance {
+            return;
+        }
+        let seen = self.refunds.entry(key.instance.clone()).or_insert(report.refunded);
+        let refunded = report.refunded.saturating_sub(*seen);
+        *seen += refunded;
+        if refunded > 0 {
+            let age = time::Duration::from_millis(report.refund_age_ms.into());
+            self.bucket.refund(now, now - age, refunded);
+        }
+    }
+
     /// Extends a holder's session and builds what it has to be told.
     pub(crate) fn update(
         &mut self,
@@ -228,12 +285,17 @@
         let overdrawn = self.own_outstanding() > self.effective_limits().burst;
         let until = now + session::GRANT_LIFETIME;
         let until = self.loans.valid_until().map_or(until, |valid| valid.min(until));
+        let spare_rate = self.spare_rate(now);
+        let is_nearly_full = self.is_nearly_full();
         let holder = self.holders.get_mut(key)?;
         holder.has_news = false;
         if !overdrawn {
             holder.lender.extend(until);
         }
         let mut update = holder.lender.update(customer, zone, key.role);
+        update.spare_rate = spare_rate;
+        update.is_nearly_full = is_nearly_full;
+        update.served = holder.asks.served().collect();
         update.refusals = holder.asks.refusals(now).collect();
         Some(update)
     }
