Measure placement against lone instances and a clairvoyant limit

Cause: the policies were unmeasured.

Loads go to the fullest batch among the engines whose victims are about equally unpopular. Residencies carry their popularity, so that a victim scan needs no look-ups.

--- a/coltsfoot-measure/src/cmd/placement.rs
+++ b/coltsfoot-measure/src/cmd/placement.rs
@@ -34,8 +34,12 @@
     loads: u64,
     baseline_loads: u64,
     limit_loads: u64,
+    /// Stalls of a pool that evicts by the counts of all requests so far.
+    counts_stalls_per_request: f64,
     decision_us: f64,
     decision_p99_us: f64,
+    tick_us: f64,
+    awake_adapters: usize,
 }
 
 /// Runs the measure.
@@ -43,27 +47,19 @@
     let workload = workload::PlacementWorkload::read(options.workload.as_deref())?;
     let case = trace::TraceCase::parse(options.case.as_deref())?;
     let trace = trace::RequestTrace::draw(&workload, case, options.seed);
-    let (ours, counters) = fleet::run(&workload, &trace, &fleet::FleetPolicy::default());
+    let (ours, _) = fleet::run(&workload, &trace, &fleet::FleetPolicy::default());
     let baseline = baseline::run(&workload, &trace);
     let limit = limit::run(&workload, &trace, limit::LimitKnowledge::Clairvoyant);
     let online = limit::run(&workload, &trace, limit::LimitKnowledge::Popularity);
+    let counts = limit::run(&workload, &trace, limit::LimitKnowledge::Counts);
     let sum = |tally: &tally::RunTally| tally.summarise(&workload, &trace);
     print_table(&[
         ("system", &ours, sum(&ours)),
         ("baseline", &baseline, sum(&baseline)),
         ("limit", &limit, sum(&limit)),
         ("online bound", &online, sum(&online)),
+        ("counts", &counts, sum(&counts)),
     ]);
-    for c in &counters {
-        println!("{c:?}");
-    }
-    let mut st: Vec<_> =
-        ours.fates.iter().filter(|f| f.stalled).map(|f| f.stall_us / 1000).collect();
-    st.sort();
-    for q in [10, 25, 50, 75, 90, 95, 99] {
-        print!("p{q}={} ", st[st.len() * q / 100]);
-    }
-    println!();
     let cost = clock_cost::run(options.seed);
     let figures = PlacementFigures {
         workload: workload.name.clone(),
@@ -91,8 +87,11 @@
         loads: ours.loads,
         baseline_loads: baseline.loads,
         limit_loads: limit.loads,
+        counts_stalls_per_request: sum(&counts).stalls,
         decision_us: cost.mean_us,
         decision_p99_us: cost.p99_us,
+        tick_us: cost.tick_us,
+        awake_adapters: cost.awake,
     };
     println!("{}", serde_json::to_string(&figures).expect("figures are plain numbers"));
     Ok(())
--- a/coltsfoot-measure/src/cmd/placement_sweep.rs
+++ b/coltsfoot-measure/src/cmd/placement_sweep.rs
@@ -87,11 +87,27 @@
     let mut variants = vec![
         variant("default", |_| {}),
         PolicyVariant { name: "zones apart", policy: apart },
-        variant("emptiest batch", |cell| cell.pack_batches = false),
+        variant("emptiest batch", |cell| {
+            cell.packing.is_on = false;
+            cell.packing.score_factor = 1.0;
+            cell.packing.score_margin = 0.0;
+        }),
+        variant("least popular only", |cell| {
+            cell.packing.score_factor = 1.0;
+            cell.packing.score_margin = 0.0;
+        }),
+        variant("packing 1.5 + 1", |cell| {
+            cell.packing.score_factor = 1.5;
+            cell.packing.score_margin = 1.0;
+        }),
+        variant("packing 4 + 2", |cell| {
+            cell.packing.score_factor = 4.0;
+            cell.packing.score_margin = 2.0;
+        }),
         variant("no prefix affinity", |cell| cell.prefix_affinity = false),
         variant("no replicas", |cell| cell.replica_fill_percent = 1000),
         variant("replicas at 50%", |cell| cell.replica_fill_percent = 50),
-        variant("replicas at 90%", |cell| cell.replica_fill_percent = 90),
+        variant("replicas at 75%", |cell| cell.replica_fill_percent = 75),
     ];
     let names = [(60, "half-life 60 s"), (300, "half-life 300 s"), (1200, "half-life 1200 s")];
     let names = names.into_iter().chain([(3600, "half-life 3600 s"), (14400, "half-life 4 h")]);
--- a/coltsfoot-measure/src/placement/clock_cost.rs
+++ b/coltsfoot-measure/src/placement/clock_cost.rs
@@ -23,16 +23,20 @@
 const REQUESTS: usize = 100_000;
 /// Requests that run or wait at a time.
 const CONCURRENT: usize = 200;
+/// Requests between two ticks.
+const REQUESTS_PER_TICK: usize = 4;
 /// Time between two requests, in microseconds.
 const INTERVAL_US: u64 = 14_000;
 
 /// Processor time and memory of a cell.
 #[derive(Clone, Copy, Debug)]
 pub struct DecisionCost {
-    /// Mean time of an event, in microseconds.
+    /// Mean time of an event other than a tick, in microseconds.
     pub mean_us: f64,
-    /// Time that 99 in 100 events meet, in microseconds.
+    /// Time that 99 in 100 of these events meet, in microseconds.
     pub p99_us: f64,
+    /// Mean time of a tick, in microseconds.
+    pub tick_us: f64,
     /// Adapters that the cell keeps counts of at the end.
     pub awake: usize,
 }
@@ -44,6 +48,7 @@
     let mut now = clock::MonotonicTime(0);
     set_up(&mut cell, now);
     let mut histogram = hdrhistogram::Histogram::<u64>::new(3).expect("three digits are valid");
+    let mut ticks = histogram.clone();
     let mut running = std::collections::VecDeque::new();
     let mut sequence = 0;
     for number in 0..REQUESTS {
@@ -53,20 +58,26 @@
         let rank = (1.0 - uniform).powf(-4.0).min(ADAPTERS as f64) as usize;
         let attempt = id::AttemptId { request: id::RequestId(number as u128), number: 0 };
         running.push_back(attempt);
-        let mut events = vec![wanted(attempt, rank), CellEvent::Tick];
+        let mut events = vec![wanted(attempt, rank)];
+        if number % REQUESTS_PER_TICK == 0 {
+            events.push(CellEvent::Tick);
+        }
         if running.len() > CONCURRENT {
             let attempt = running.pop_front().expect("it is not empty");
             events.push(released(attempt));
         }
         while let Some(event) = events.pop() {
+            let is_tick = matches!(event, CellEvent::Tick);
             let start = time::Instant::now();
             let actions = cell.handle(now, event);
+            let histogram = if is_tick { &mut ticks } else { &mut histogram };
             histogram.record(start.elapsed().as_nanos() as u64).expect("the histogram grows");
             events.extend(actions.into_iter().flat_map(|action| answers(action, &mut sequence)));
         }
     }
     DecisionCost {
         mean_us: histogram.mean() / 1e3,
+        tick_us: ticks.mean() / 1e3,
         p99_us: histogram.value_at_quantile(0.99) as f64 / 1e3,
         awake: cell.sizes().awake_adapters,
     }
--- a/coltsfoot-measure/src/placement/limit.rs
+++ b/coltsfoot-measure/src/placement/limit.rs
@@ -17,6 +17,8 @@
     /// The exact popularity at each moment, but no single request: evicts the least popular. No
     /// eviction that doesn't know the future does better while requests are independent.
     Popularity,
+    /// The requests so far: evicts what was asked for least often.
+    Counts,
 }
 
 #[derive(Debug)]
@@ -71,7 +73,10 @@
         waiting: collections::BTreeMap::new(),
         unplaced: collections::VecDeque::new(),
         uses,
-        popularity: trace.popularity.clone(),
+        popularity: match knowledge {
+            LimitKnowledge::Counts => vec![0.0; workload.adapters],
+            LimitKnowledge::Clairvoyant | LimitKnowledge::Popularity => trace.popularity.clone(),
+        },
         next_swap: 0,
         store: store_model::StoreModel::new(workload, trace.slow),
         tally: tally::RunTally::new(trace.requests.len()),
@@ -95,7 +100,7 @@
         match event {
             LimitEvent::Arrival(request) => {
                 self.uses[self.trace.requests[request].adapter].pop();
-                self.swap_popularity(now);
+                self.learn(now, request);
                 self.take(now, request);
             }
             LimitEvent::Store { version } => {
@@ -112,7 +117,11 @@
         }
     }
 
-    fn swap_popularity(&mut self, now: u64) {
+    fn learn(&mut self, now: u64, request: usize) {
+        if self.knowledge == LimitKnowledge::Counts {
+            self.popularity[self.trace.requests[request].adapter] += 1.0;
+            return;
+        }
         while let Some(swap) = self.trace.swaps.get(self.next_swap).filter(|swap| swap.at <= now) {
             self.popularity.swap(swap.left, swap.right);
             self.next_swap += 1;
@@ -157,7 +166,7 @@
             LimitKnowledge::Clairvoyant => {
                 idle.max_by_key(|adapter| self.uses[**adapter].last().copied().unwrap_or(u64::MAX))
             }
-            LimitKnowledge::Popularity => idle
+            LimitKnowledge::Popularity | LimitKnowledge::Counts => idle
                 .min_by(|left, right| self.popularity[**left].total_cmp(&self.popularity[**right])),
         };
         let Some(victim) = victim.copied() else {
--- a/coltsfoot-placement/src/admission.rs
+++ b/coltsfoot-placement/src/admission.rs
@@ -41,7 +41,7 @@
             actions.push(cell::refuse(&wait, reason, time::Duration::from_secs(1)));
             return;
         }
-        self.popularity.count(now, &wait.demand.adapter);
+        self.count_request(now, &wait.demand.adapter);
         self.admit(now, wait, actions);
         let is_stalled = self
             .waits
@@ -50,6 +50,16 @@
         self.counters.load_stalls += u64::from(is_stalled);
     }
 
+    fn count_request(&mut self, now: clock::MonotonicTime, adapter: &adapter::AdapterVersion) {
+        self.popularity.count(now, adapter);
+        let count = self.popularity.count_of(adapter);
+        for engine in self.engines.values_mut() {
+            if let Some(residency) = engine.resident.get_mut(adapter) {
+                residency.count = count;
+            }
+        }
+    }
+
     /// Gives a permit, or finds the request a place to wait.
     pub(crate) fn admit(
         &mut self,
@@ -95,7 +105,7 @@
                     self.settings.prefix_affinity
                         && self.prefixes.contains(engine.name(), adapter, hash)
                 });
-            let load = match (has_room, self.settings.pack_batches) {
+            let load = match (has_room, self.settings.packing.is_on) {
                 (true, true) => engine.listing.batch_size.saturating_sub(engine.running) as usize,
                 (true, false) => engine.running as usize,
                 (false, _) => engine.ready.len(),
--- a/coltsfoot-placement/src/cell.rs
+++ b/coltsfoot-placement/src/cell.rs
@@ -10,6 +10,7 @@
 
 use crate::engine;
 use crate::event;
+use crate::eviction;
 use crate::load_share;
 use crate::loading;
 use crate::popularity;
@@ -35,6 +36,8 @@
     pub(crate) deadlines: collections::BTreeSet<(clock::MonotonicTime, id::RequestId)>,
     pub(crate) permits: FxHashMap<id::AttemptId, engine::OutstandingPermit>,
     pub(crate) popularity: popularity::PopularityTable,
+    /// Adapters with several replicas, and their number at the last tick.
+    pub(crate) copies: FxHashMap<adapter::AdapterVersion, u32>,
     pub(crate) demands: FxHashMap<adapter::AdapterVersion, loading::LoadDemand>,
     /// One entry for each demand that has no load on its way.
     pub(crate) load_queue: fair_queue::FairQueue<adapter::AdapterVersion>,
@@ -94,6 +97,7 @@
             deadlines: collections::BTreeSet::new(),
             permits: FxHashMap::default(),
             popularity: popularity::PopularityTable::new(settings.popularity_half_life),
+            copies: FxHashMap::default(),
             demands: FxHashMap::default(),
             load_queue: fair_queue::FairQueue::new(limits),
             retries: collections::BTreeSet::new(),
@@ -118,7 +122,6 @@
         if self.fencing(now).is_some() {
             self.plan_loads(now, &mut actions);
         }
-        debug_assert!(self.counts_pins_exactly(), "pins differ from the permits that are out");
         actions
     }
 
@@ -161,10 +164,13 @@
 
     /// Returns whether each engine's pins are those of the permits that are out.
     fn counts_pins_exactly(&self) -> bool {
+        let mut permits = FxHashMap::<&name::UpstreamName, u32>::default();
+        for permit in self.permits.values() {
+            *permits.entry(&permit.engine).or_default() += 1;
+        }
         self.engines.iter().all(|(name, engine)| {
-            let permits = self.permits.values().filter(|permit| permit.engine == *name);
             let pins = engine.pins.values().sum::<u32>();
-            pins == engine.running && pins as usize == permits.count()
+            pins == engine.running && pins == permits.get(name).copied().unwrap_or(0)
         })
     }
 
@@ -216,12 +222,14 @@
         if self.fencing(now).is_none() {
             return;
         }
+        assert!(self.counts_pins_exactly(), "pins differ from the permits that are out");
         self.expire_waits(now, actions);
         self.expire_permits(now, actions);
         self.repeat_report_requests(now, actions);
         self.compare_engines(now);
         self.failed_loads.retain(|_, until| now < *until);
         self.popularity.sweep(now);
+        self.copies = eviction::count_copies(now, &self.engines);
         self.serve_all(now, actions);
     }
 }
--- a/coltsfoot-placement/src/engine.rs
+++ b/coltsfoot-placement/src/engine.rs
@@ -7,6 +7,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::event;
+use crate::popularity;
 use crate::service_time;
 
 /// A resident adapter.
@@ -16,6 +17,8 @@
     pub(crate) used_at: clock::MonotonicTime,
     /// When the residency became known.
     pub(crate) since: clock::MonotonicTime,
+    /// Copy of the adapter's popularity.
+    pub(crate) count: popularity::DecayedCount,
 }
 
 /// State of an engine.
@@ -138,8 +141,9 @@
         &mut self,
         now: clock::MonotonicTime,
         adapter: adapter::AdapterVersion,
+        count: popularity::DecayedCount,
     ) {
-        self.resident.insert(adapter, Residency { used_at: now, since: now });
+        self.resident.insert(adapter, Residency { used_at: now, since: now, count });
         let taken = self.resident.len() + self.loading.len() + self.unloading.len();
         assert!(taken <= self.listing.slots as usize, "more adapters than slots");
     }
--- a/coltsfoot-placement/src/eviction.rs
+++ b/coltsfoot-placement/src/eviction.rs
@@ -2,25 +2,29 @@
 
 use std::cmp;
 use std::collections;
+use std::time;
 
 use coltsfoot_types::{adapter, name, time as clock};
+use rustc_hash::FxHashMap;
+use smallvec::SmallVec;
 
 use crate::engine;
-use crate::popularity;
+use crate::settings;
 
 /// Time for which a newly loaded adapter is evicted after all others, so that the requests that
 /// waited for it can be sent.
-const SETTLING_SECONDS: f64 = 1.0;
+const SETTLING_TIME: time::Duration = time::Duration::from_secs(1);
 
 /// What the choice of a place depends on.
 pub(crate) struct PlaceChooser<'a> {
     pub(crate) now: clock::MonotonicTime,
     pub(crate) engines: &'a collections::BTreeMap<name::UpstreamName, engine::EngineState>,
-    pub(crate) popularity: &'a popularity::PopularityTable,
+    pub(crate) half_life: time::Duration,
+    /// Adapters with several replicas.
+    pub(crate) copies: &'a FxHashMap<adapter::AdapterVersion, u32>,
     /// Whether engines that don't check fencing numbers get loads into free slots only.
     pub(crate) restricted: bool,
-    /// Whether fuller batches are chosen before emptier ones.
-    pub(crate) pack_batches: bool,
+    pub(crate) packing: settings::BatchPacking,
 }
 
 /// A place for an adapter.
@@ -74,7 +78,14 @@
             return Some(LoadPlace { engine: engine.name().clone(), victim: None });
         }
         let victims = candidates.filter_map(|engine| Some((engine, self.find_victim(engine)?)));
-        let (engine, victim) = victims.min_by(|left, right| left.1.compare(&right.1))?;
+        let victims: SmallVec<[_; 16]> = victims.collect();
+        let least = victims.iter().map(|(_, victim)| victim.score).min_by(f64::total_cmp)?;
+        let bound = least * self.packing.score_factor + self.packing.score_margin;
+        let missed_little = victims.into_iter().filter(|(_, victim)| victim.score <= bound);
+        let (engine, victim) = missed_little.min_by(|left, right| {
+            let by_fill = self.fill_rank(left.0).cmp(&self.fill_rank(right.0));
+            by_fill.then_with(|| left.1.compare(&right.1))
+        })?;
         Some(LoadPlace { engine: engine.name().clone(), victim: Some(victim) })
     }
 
@@ -88,39 +99,75 @@
     }
 
     fn fill_rank(&self, engine: &engine::EngineState) -> u32 {
-        if self.pack_batches {
+        if self.packing.is_on {
             return engine.room();
         }
         engine.running
     }
 
+    /// Returns whether some engine has a slot for the adapter that is free or can be freed.
+    pub(crate) fn has_place(&self, adapter: &adapter::AdapterVersion) -> bool {
+        let mut candidates = self.engines.values().filter(|engine| self.can_load(engine, adapter));
+        candidates.any(|engine| engine.has_free_slot() || self.evictable(engine).next().is_some())
+    }
+
+    fn evictable<'b>(
+        &'b self,
+        engine: &'b engine::EngineState,
+    ) -> impl Iterator<Item = (&'b adapter::AdapterVersion, &'b engine::Residency)> {
+        let is_allowed = !self.restricted || engine.listing.checks_fencing;
+        let resident = engine.resident.iter().filter(move |_| is_allowed);
+        resident.filter(|(adapter, _)| engine.is_evictable(self.now, adapter))
+    }
+
+    /// Finds the adapter of an engine that will be missed least. Whether one may be evicted is
+    /// looked up only if it would be the least so far.
     fn find_victim(&self, engine: &engine::EngineState) -> Option<Victim> {
         if self.restricted && !engine.listing.checks_fencing {
             return None;
         }
-        let evictable =
-            engine.resident.iter().filter(|(adapter, _)| engine.is_evictable(self.now, adapter));
-        let victims = evictable.map(|(adapter, residency)| Victim {
-            adapter: adapter.clone(),
-            score: self.score(engine, adapter, residency),
-            used_at: residency.used_at,
-        });
-        victims.min_by(Victim::compare)
+        let mut least: Option<(f64, clock::MonotonicTime, &adapter::AdapterVersion)> = None;
+        for (adapter, residency) in &engine.resident {
+            let score = self.score(adapter, residency);
+            let used_at = residency.used_at;
+            let is_less = least.is_none_or(|least| {
+                let order = score.total_cmp(&least.0);
+                order.then_with(|| (used_at, adapter).cmp(&(least.1, least.2))).is_lt()
+            });
+            if is_less && engine.is_evictable(self.now, adapter) {
+                least = Some((score, used_at, adapter));
+            }
+        }
+        let (score, used_at, adapter) = least?;
+        Some(Victim { adapter: adapter.clone(), score, used_at })
     }
 
     /// Estimates how often the adapter would be missed: its popularity, divided among its
     /// replicas, since a further one only spares a wait for a batch.
-    fn score(
-        &self,
-        engine: &engine::EngineState,
-        adapter: &adapter::AdapterVersion,
-        residency: &engine::Residency,
-    ) -> f64 {
-        if self.now.since(residency.since).as_secs_f64() < SETTLING_SECONDS {
+    fn score(&self, adapter: &adapter::AdapterVersion, residency: &engine::Residency) -> f64 {
+        if self.now.since(residency.since) < SETTLING_TIME {
             return f64::MAX;
         }
-        let others = self.engines.values().filter(|other| other.name() != engine.name());
-        let copies = others.filter(|other| other.is_usable(self.now) && other.holds(adapter));
-        self.popularity.get(self.now, adapter) / (1 + copies.count()).pow(2) as f64
+        let popularity = residency.count.value(self.now, self.half_life);
+        if self.copies.is_empty() {
+            return popularity;
+        }
+        let copies = self.copies.get(adapter).copied().unwrap_or(1);
+        popularity / f64::from(copies.pow(2))
+    }
+}
+
+/// Counts the replicas of the adapters that have several.
+pub(crate) fn count_copies(
+    now: clock::MonotonicTime,
+    engines: &collections::BTreeMap<name::UpstreamName, engine::EngineState>,
+) -> FxHashMap<adapter::AdapterVersion, u32> {
+    let mut copies = FxHashMap::<&adapter::AdapterVersion, u32>::default();
+    for engine in engines.values().filter(|engine| engine.is_usable(now)) {
+        for adapter in engine.resident.keys() {
+            *copies.entry(adapter).or_default() += 1;
+        }
     }
+    let several = copies.into_iter().filter(|(_, copies)| *copies > 1);
+    several.map(|(adapter, copies)| (adapter.clone(), copies)).collect()
 }
--- a/coltsfoot-placement/src/loading.rs
+++ b/coltsfoot-placement/src/loading.rs
@@ -159,11 +159,12 @@
         let chooser = eviction::PlaceChooser {
             now,
             engines: &self.engines,
-            popularity: &self.popularity,
+            half_life: self.settings.popularity_half_life,
+            copies: &self.copies,
             restricted: self.lease.is_some_and(|lease| lease.restricted),
-            pack_batches: self.settings.pack_batches,
+            packing: self.settings.packing,
         };
-        chooser.choose(&entry.item, None).is_some()
+        chooser.has_place(&entry.item)
     }
 
     fn queue_due_retries(&mut self, now: clock::MonotonicTime) {
@@ -182,9 +183,10 @@
         let chooser = eviction::PlaceChooser {
             now,
             engines: &self.engines,
-            popularity: &self.popularity,
+            half_life: self.settings.popularity_half_life,
+            copies: &self.copies,
             restricted: self.lease.is_some_and(|lease| lease.restricted),
-            pack_batches: self.settings.pack_batches,
+            packing: self.settings.packing,
         };
         let demands = &self.demands;
         let mut choice = None;
@@ -223,9 +225,10 @@
         let chooser = eviction::PlaceChooser {
             now,
             engines: &self.engines,
-            popularity: &self.popularity,
+            half_life: self.settings.popularity_half_life,
+            copies: &self.copies,
             restricted: self.lease.is_some_and(|lease| lease.restricted),
-            pack_batches: self.settings.pack_batches,
+            packing: self.settings.packing,
         };
         let Some(place) = chooser.choose(&adapter, None) else {
             return;
@@ -338,7 +341,8 @@
             state.unloading.remove(&order.adapter);
             let is_stray = state.strays.remove(&order.adapter);
             if !is_done && is_current && !is_stray {
-                state.add_resident(now, order.adapter.clone());
+                let count = self.popularity.count_of(&order.adapter);
+                state.add_resident(now, order.adapter.clone(), count);
             }
         }
         self.check_fenced(outcome);
@@ -374,7 +378,8 @@
         if let Some(state) = self.engines.get_mut(&order.engine) {
             state.loading.remove(&order.adapter);
             if is_done {
-                state.add_resident(now, order.adapter.clone());
+                let count = self.popularity.count_of(&order.adapter);
+                state.add_resident(now, order.adapter.clone(), count);
             }
         }
         if is_done {
--- a/coltsfoot-placement/src/popularity.rs
+++ b/coltsfoot-placement/src/popularity.rs
@@ -1,5 +1,6 @@
 //! Popularity of adapter versions: request counts that decay exponentially.
 
+use std::collections;
 use std::time;
 
 use coltsfoot_types::{adapter, time as clock};
@@ -7,18 +8,18 @@
 
 /// Decayed count under which an adapter is forgotten.
 const FORGOTTEN_COUNT: f64 = 0.05;
-/// Entries per half-life table that one sweep step looks at.
-const SWEEP_STEP: usize = 256;
+/// Adapters that one sweep step looks at.
+const SWEEP_STEP: usize = 64;
 
 /// A count that halves with each half-life.
-#[derive(Clone, Copy, Debug)]
-struct DecayedCount {
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct DecayedCount {
     value: f64,
     at: clock::MonotonicTime,
 }
 
 impl DecayedCount {
-    fn value(self, now: clock::MonotonicTime, half_life: time::Duration) -> f64 {
+    pub(crate) fn value(self, now: clock::MonotonicTime, half_life: time::Duration) -> f64 {
         let age = now.since(self.at).as_secs_f64();
         self.value * (-age / half_life.as_secs_f64()).exp2()
     }
@@ -29,13 +30,13 @@
 pub(crate) struct PopularityTable {
     half_life: time::Duration,
     counts: FxHashMap<adapter::AdapterVersion, DecayedCount>,
-    /// Adapters left to look at in the running sweep.
-    sweep: Vec<adapter::AdapterVersion>,
+    /// All counted adapters, the one to look at next first.
+    sweep: collections::VecDeque<adapter::AdapterVersion>,
 }
 
 impl PopularityTable {
     pub(crate) fn new(half_life: time::Duration) -> Self {
-        Self { half_life, counts: FxHashMap::default(), sweep: Vec::new() }
+        Self { half_life, counts: FxHashMap::default(), sweep: collections::VecDeque::new() }
     }
 
     /// Counts a request.
@@ -45,6 +46,12 @@
             return;
         }
         self.counts.insert(adapter.clone(), DecayedCount { value: 1.0, at: now });
+        self.sweep.push_back(adapter.clone());
+    }
+
+    /// Returns the count as it was when it last changed.
+    pub(crate) fn count_of(&self, adapter: &adapter::AdapterVersion) -> DecayedCount {
+        self.counts.get(adapter).copied().unwrap_or_default()
     }
 
     /// Returns the decayed number of requests.
@@ -59,17 +66,19 @@
 
     /// Forgets some of the adapters that have fallen idle, in bounded time.
     pub(crate) fn sweep(&mut self, now: clock::MonotonicTime) {
-        if self.sweep.is_empty() {
-            self.sweep.extend(self.counts.keys().cloned());
-        }
-        let keep = self.sweep.len().saturating_sub(SWEEP_STEP);
-        for adapter in self.sweep.split_off(keep) {
+        for _ in 0..SWEEP_STEP.min(self.sweep.len()) {
+            let Some(adapter) = self.sweep.pop_front() else {
+                break;
+            };
             if self.get(now, &adapter) < FORGOTTEN_COUNT {
                 self.counts.remove(&adapter);
+            } else {
+                self.sweep.push_back(adapter);
             }
         }
         if self.counts.len() * 4 < self.counts.capacity() {
-            self.counts.shrink_to_fit();
+            self.counts.shrink_to(self.counts.len() * 2);
+            self.sweep.shrink_to(self.sweep.len() * 2);
         }
     }
 }
--- a/coltsfoot-placement/src/report.rs
+++ b/coltsfoot-placement/src/report.rs
@@ -138,7 +138,8 @@
                 continue;
             }
             if state.has_free_slot() {
-                state.add_resident(now, adapter.clone());
+                let count = self.popularity.count_of(&adapter);
+                state.add_resident(now, adapter.clone(), count);
                 self.readmit_waiters(now, &adapter, actions);
                 continue;
             }
--- a/coltsfoot-placement/src/settings.rs
+++ b/coltsfoot-placement/src/settings.rs
@@ -27,23 +27,41 @@
     #[builder(default = time::Duration::from_secs(5))]
     pub failed_load_hold: time::Duration,
     /// Half-life of the popularity of an adapter.
-    #[builder(default = time::Duration::from_secs(300))]
+    #[builder(default = time::Duration::from_secs(3600))]
     pub popularity_half_life: time::Duration,
     /// Interval between repeated requests for load grants and reports.
     #[builder(default = time::Duration::from_millis(200))]
     pub repeat_interval: time::Duration,
     /// Part of an engine's batch, in percent, from which an adapter on no emptier engine gets a
     /// further replica.
-    #[builder(default = 75)]
+    #[builder(default = 90)]
     pub replica_fill_percent: u32,
-    /// Whether new work goes to the fullest batch that has room rather than to the emptiest.
-    #[builder(default = true)]
-    pub pack_batches: bool,
+    /// How batches are filled.
+    #[builder(default)]
+    pub packing: BatchPacking,
     /// Whether an engine that caches the prompt's prefix is preferred among equals.
     #[builder(default = true)]
     pub prefix_affinity: bool,
 }
 
+/// How batches are filled.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BatchPacking {
+    /// Whether new work goes to the fullest batch that has room rather than to the emptiest.
+    pub is_on: bool,
+    /// A load goes to the fullest batch among the engines whose best victim is popular by at most
+    /// this factor more than the least popular one, plus [`Self::score_margin`].
+    pub score_factor: f64,
+    /// Requests per half-life.
+    pub score_margin: f64,
+}
+
+impl Default for BatchPacking {
+    fn default() -> Self {
+        Self { is_on: true, score_factor: 1.2, score_margin: 0.5 }
+    }
+}
+
 impl Default for CellSettings {
     fn default() -> Self {
         Self::builder().build()
