Merge the measures' modules in order

Cause: two packages' modules met in one list. Change: sorted list; the fleet's unused parts stay allowed for the quota tests.

--- a/coltsfoot-measure/src/main.rs
+++ b/coltsfoot-measure/src/main.rs
@@ -1,14 +1,14 @@
 //! `coltsfoot-measure`: measures the decisions and the path, one subcommand a measure.
 
 mod cmd;
-mod quota_reference;
-mod quota_run;
-mod quota_workload;
-// The tests of `coltsfoot-quota` use the rest.
 mod config;
 mod once;
 mod placement;
+mod quota_reference;
+mod quota_run;
+mod quota_workload;
 mod retries;
+// The tests of `coltsfoot-quota` use the rest.
 #[allow(dead_code)]
 mod virtual_fleet;
 
