--- a/coltsfoot-system/src/cluster.rs
+++ b/coltsfoot-system/src/cluster.rs
@@ -341,6 +341,13 @@
     }
 }
 
+/// Replaces members of a settings object by further ones.
+pub(crate) fn merge_settings(settings: &mut serde_json::Value, further: &serde_json::Value) {
+    for (key, value) in further.as_object().into_iter().flatten() {
+        settings[key] = value.clone();
+    }
+}
+
 /// Returns the status of an instance, if it answers.
 pub fn status(address: net::SocketAddr) -> Option<serde_json::Value> {
     let caller = HttpCaller::new(None);
--- a/coltsfoot-system/src/embedded.rs
+++ b/coltsfoot-system/src/embedded.rs
@@ -43,6 +43,9 @@
     /// Traffic threads of each daemon.
     #[builder(default = 2)]
     pub traffic_threads: usize,
+    /// Further settings of the daemons.
+    #[builder(default = serde_json::json!({}))]
+    pub settings: serde_json::Value,
     /// Port of the first daemon for callers, 0 for one that the system gives.
     #[builder(default = 0)]
     pub caller_port: u16,
@@ -169,7 +172,7 @@
 
     fn start_daemon(&mut self, zone: &'static str, port: u16) -> Result<(), daemon::DaemonError> {
         let instance: name::InstanceName = format!("entry-{zone}").into();
-        let text = serde_json::json!({
+        let mut text = serde_json::json!({
             "instance": instance,
             "zone": zone,
             "fleet_zones": self.options.zones,
@@ -182,6 +185,7 @@
             "store_loads_per_second": self.options.store_switches.loads_per_second,
             "traffic_threads": self.options.traffic_threads,
         });
+        cluster::merge_settings(&mut text, &self.options.settings);
         let settings = settings::DaemonSettings::parse(&text.to_string())
             .expect("the embedded settings are sound");
         let daemon = daemon::RunningDaemon::start(settings)?;
--- a/coltsfootd/src/caller_stream.rs
+++ b/coltsfootd/src/caller_stream.rs
@@ -84,6 +84,12 @@
         *self.bounds.broken.lock().unwrap_or_else(sync::PoisonError::into_inner)
     }
 
+    /// Returns whether the current request has filled the space of a head.
+    pub fn has_long_head(&self) -> bool {
+        let left = self.bounds.bytes_left.load(atomic::Ordering::Relaxed);
+        self.bounds.max_bytes - left >= MAX_HEAD_BYTES
+    }
+
     /// Returns whether bytes of the current request have arrived.
     pub fn has_started(&self) -> bool {
         self.bounds.started.load(atomic::Ordering::Relaxed)
--- a/coltsfootd/src/server.rs
+++ b/coltsfootd/src/server.rs
@@ -119,7 +119,7 @@
             }
             Err(_) if !bounded.has_started() => return,
             Err(_) => {
-                let reason = head_refusal(bounded.broken_bound());
+                let reason = head_refusal(&bounded);
                 (service.count_refusal)(reason);
                 return refuse(stream, reason).await;
             }
@@ -127,10 +127,11 @@
     }
 }
 
-fn head_refusal(broken: Option<caller_stream::BrokenBound>) -> refusal::RefusalReason {
-    match broken {
+fn head_refusal(bounded: &caller_stream::CallerStream) -> refusal::RefusalReason {
+    match bounded.broken_bound() {
         Some(caller_stream::BrokenBound::Size) => refusal::RefusalReason::TooLarge,
         Some(caller_stream::BrokenBound::Time) => refusal::RefusalReason::SlowSender,
+        None if bounded.has_long_head() => refusal::RefusalReason::TooLarge,
         None => refusal::RefusalReason::BadRequest,
     }
 }
