Claim once-only calls of plain services on the log

Cause: the daemon sent calls of routes that may not be repeated like any other, up to three times.

Change: the control thread hosts claims and the zone's batches; the owner of the resource "claims" batches, an instance appends by itself when the owner is silent. Calls of plain services, repeatable or not, are driven by the dispatch state machine with a retry budget and circuit breakers; a once-only call goes on when its caller is gone, and its outcome is recorded. New setting log_retention_ms. A claim without a verdict is given up after 5 s. A refusal after failed attempts says upstream_failed, also when no upstream is left.

--- a/coltsfoot-measure/src/cmd/mod.rs
+++ b/coltsfoot-measure/src/cmd/mod.rs
@@ -1,10 +1,10 @@
 //! Subcommands; each prints a table and, as its last line, one line of JSON.
 
+mod member;
 mod once;
 mod placement;
 mod placement_sweep;
 mod retries;
-mod member;
 
 use std::path;
 
--- a/coltsfoot-measure/src/once/latency.rs
+++ b/coltsfoot-measure/src/once/latency.rs
@@ -130,6 +130,7 @@
             claim,
         };
         let request = claim_request::ClaimRequest::new(
+            clock::MonotonicTime(self.now_us),
             run_state::PendingRequest::new(),
             claim_request::ClaimSettings::default(),
             entry,
--- a/coltsfoot-measure/src/once/world.rs
+++ b/coltsfoot-measure/src/once/world.rs
@@ -187,6 +187,7 @@
         let entry = once::ClaimEntry { key: call.key, digest: call.digest, claim };
         let deadline_us = self.now_us + CALL_DEADLINE_US;
         let request = claim_request::ClaimRequest::new(
+            self.now(),
             run_state::PendingRequest::new(),
             claim_request::ClaimSettings::default(),
             entry.clone(),
--- a/coltsfoot-once/src/claim_request.rs
+++ b/coltsfoot-once/src/claim_request.rs
@@ -58,6 +58,8 @@
     pub resend_after: time::Duration,
     /// Time before the deadline at which the claim is given up.
     pub reserve: time::Duration,
+    /// Longest wait for the first verdict, when the log can't be reached.
+    pub max_log_wait: time::Duration,
 }
 
 impl Default for ClaimSettings {
@@ -65,6 +67,7 @@
         Self {
             resend_after: time::Duration::from_millis(250),
             reserve: time::Duration::from_millis(50),
+            max_log_wait: time::Duration::from_secs(5),
         }
     }
 }
@@ -74,6 +77,7 @@
 pub struct ClaimRequest {
     settings: ClaimSettings,
     entry: once::ClaimEntry,
+    deadline: clock::MonotonicTime,
     give_up_at: clock::MonotonicTime,
     resend_at: clock::MonotonicTime,
     claimed_by_other: bool,
@@ -83,6 +87,7 @@
 impl ClaimRequest {
     /// Starts a claim. `entry.claim` must be unique to this submission.
     pub fn new(
+        now: clock::MonotonicTime,
         _pending: run_state::PendingRequest,
         settings: ClaimSettings,
         entry: once::ClaimEntry,
@@ -91,8 +96,9 @@
         Self {
             settings,
             entry,
-            give_up_at: deadline - settings.reserve,
-            resend_at: clock::MonotonicTime::default(),
+            deadline,
+            give_up_at: (now + settings.max_log_wait).min(deadline - settings.reserve),
+            resend_at: now,
             claimed_by_other: false,
             is_done: false,
         }
@@ -103,6 +109,11 @@
         self.entry.claim
     }
 
+    /// Returns whether the claim has been decided.
+    pub fn is_done(&self) -> bool {
+        self.is_done
+    }
+
     /// Takes an event. The first one is a tick.
     pub fn handle(&mut self, now: clock::MonotonicTime, event: ClaimEvent) -> ClaimActions {
         let mut actions = ClaimActions::new();
@@ -127,7 +138,10 @@
         match verdict {
             once::ClaimVerdict::Won if now < self.give_up_at => self.win(actions),
             once::ClaimVerdict::Won | once::ClaimVerdict::Unavailable => self.abandon(actions),
-            once::ClaimVerdict::Claimed => self.claimed_by_other = true,
+            once::ClaimVerdict::Claimed => {
+                self.claimed_by_other = true;
+                self.give_up_at = self.deadline - self.settings.reserve;
+            }
             once::ClaimVerdict::Ended(outcome) => self.repeat(outcome, actions),
             once::ClaimVerdict::OtherRequest => {
                 let reason = refusal::RefusalReason::IdempotencyKeyReused;
--- a/coltsfoot-once/src/dispatch.rs
+++ b/coltsfoot-once/src/dispatch.rs
@@ -146,6 +146,7 @@
             }
             DispatchEvent::PermitRefused { attempt, reason, retry_after } => {
                 if self.awaits_permit(attempt) {
+                    let reason = self.after_attempts(reason);
                     self.answer_refusal(reason, retry_after, &mut actions);
                     self.end_unanswered(&mut actions);
                 }
@@ -167,6 +168,16 @@
         actions
     }
 
+    /// Returns the reason to tell when no upstream is left after attempts that failed.
+    fn after_attempts(&self, reason: refusal::RefusalReason) -> refusal::RefusalReason {
+        match reason {
+            refusal::RefusalReason::NoUpstream if self.sends > 0 => {
+                refusal::RefusalReason::UpstreamFailed
+            }
+            reason => reason,
+        }
+    }
+
     fn awaits_permit(&self, attempt: id::AttemptId) -> bool {
         matches!(self.state, DispatchState::AwaitingPermit(wanted) if wanted == attempt)
     }
--- a/coltsfoot-once/tests/claim_owner.rs
+++ b/coltsfoot-once/tests/claim_owner.rs
@@ -159,6 +159,7 @@
 
 fn start_claim() -> claim_request::ClaimRequest {
     let mut request = claim_request::ClaimRequest::new(
+        at_ms(0),
         run_state::PendingRequest::new(),
         claim_request::ClaimSettings::default(),
         entry(1, 0),
@@ -207,6 +208,18 @@
     assert!(spent, "the key is ended, so that its repeat is told \"not run\"");
 }
 
+#[test]
+fn claim_is_given_up_early_when_the_log_is_silent() {
+    let pending = run_state::PendingRequest::new();
+    let settings = claim_request::ClaimSettings::default();
+    let deadline = at_ms(60_000);
+    let mut request =
+        claim_request::ClaimRequest::new(at_ms(0), pending, settings, entry(1, 0), deadline);
+    assert_eq!(told(&request.handle(at_ms(4_999), ClaimEvent::Tick)), "SendOwner");
+    let actions = request.handle(at_ms(5_000), ClaimEvent::Tick);
+    assert_eq!(told(&actions), "log_unavailable unknown");
+}
+
 #[test]
 fn repeat_waits_for_the_outcome_of_the_first() {
     let mut request = start_claim();
--- a/coltsfoot-once/tests/dispatch.rs
+++ b/coltsfoot-once/tests/dispatch.rs
@@ -8,7 +8,7 @@
     AnswerHead, AnswerIdentity, AttemptEvent, CallEnd, DispatchAction, DispatchEvent,
 };
 use coltsfoot_once::{retry_budget, run_state};
-use coltsfoot_types::id;
+use coltsfoot_types::{id, refusal};
 use coltsfoot_wire::once;
 use rand::SeedableRng as _;
 use rand::rngs;
@@ -27,6 +27,7 @@
 
 fn win() -> claim_request::ClaimWin {
     let mut request = claim_request::ClaimRequest::new(
+        at_ms(0),
         run_state::PendingRequest::new(),
         claim_request::ClaimSettings::default(),
         entry(1, 0),
@@ -201,6 +202,26 @@
     assert_eq!(told(&actions), "cancel, upstream_failed unknown");
 }
 
+#[rstest]
+#[case::before_any_attempt(0, "no_upstream no, settle NotRun")]
+#[case::after_an_attempt(1, "upstream_failed no, settle NotRun")]
+fn no_upstream_left_is_told_by_what_went_before(#[case] attempts: u16, #[case] expected: &str) {
+    let mut test = DispatchTest::new(true, false);
+    test.handle(DispatchEvent::Tick);
+    for number in 0..attempts {
+        test.permit(number);
+        test.attempt(number, AttemptEvent::ConnectFailed);
+        test.ms += 200;
+        test.handle(DispatchEvent::Tick);
+    }
+    let refused = DispatchEvent::PermitRefused {
+        attempt: attempt(attempts),
+        reason: refusal::RefusalReason::NoUpstream,
+        retry_after: None,
+    };
+    assert_eq!(told(&test.handle(refused)), expected);
+}
+
 #[test]
 fn permit_of_a_leaving_upstream_is_given_back() {
     let mut test = DispatchTest::new(false, false);
--- a/coltsfootd/src/answer.rs
+++ b/coltsfootd/src/answer.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use coltsfoot_once::run_state;
 use coltsfoot_types::refusal;
 use http_types::{StatusCode, headers};
 use serde::Serialize;
@@ -18,6 +19,16 @@
     Yes,
 }
 
+impl From<run_state::RunState> for RanAnswer {
+    fn from(run: run_state::RunState) -> Self {
+        match run.knowledge() {
+            run_state::RunKnowledge::NotRun => Self::No,
+            run_state::RunKnowledge::MayHaveRun => Self::Unknown,
+            run_state::RunKnowledge::Ran => Self::Yes,
+        }
+    }
+}
+
 /// A request that isn't answered by an upstream.
 #[derive(Clone, Copy, Debug)]
 pub struct CallerRefusal {
--- /dev/null
+++ b/coltsfootd/src/control/claims.rs
@@ -0,0 +1,248 @@
+//! Hosts the claims of once-only calls: those of this instance, and the zone's batches.
+
+use std::collections;
+use std::rc;
+use std::sync;
+use std::time;
+
+use async_channel as channel;
+use coltsfoot_once::batcher_event::{BatcherAction, BatcherEvent, BatcherSettings};
+use coltsfoot_once::claim_request::{
+    ClaimAction, ClaimEvent, ClaimRequest, ClaimSettings, OutcomeReport,
+};
+use coltsfoot_once::{claim_batcher, key_window, run_state};
+use coltsfoot_platform::log;
+use coltsfoot_types::{name, time as instant};
+use coltsfoot_wire::{once, peer};
+use rand::{SeedableRng as _, rngs};
+
+use crate::control::client::{ClaimDecision, ClaimQuery};
+use crate::control::member::MemberHost;
+use crate::control::resource::OwnedResource;
+use crate::control::{EventSender, platform};
+use crate::peers::PeerNetwork;
+use crate::shared;
+
+/// Messages to the claim owner after which the instance appends by itself.
+const MAX_OWNER_MESSAGES: u32 = 2;
+
+/// What claims are carried out with.
+pub struct ClaimTools<'a> {
+    /// Membership of the own zone.
+    pub member: &'a MemberHost,
+    /// Other instances.
+    pub network: &'a PeerNetwork,
+}
+
+struct OpenClaim {
+    request: ClaimRequest,
+    answer: channel::Sender<ClaimDecision>,
+    messages: u32,
+}
+
+struct OpenReport {
+    report: OutcomeReport,
+    next_at: instant::MonotonicTime,
+    messages: u32,
+    /// Closed when the outcome is on the log.
+    _settled: Option<channel::Sender<()>>,
+}
+
+/// Claims of this instance and the batches of the zone.
+pub struct ClaimHost {
+    shared: sync::Arc<shared::InstanceShared>,
+    executor: rc::Rc<async_executor::LocalExecutor<'static>>,
+    log: log::LogClient,
+    events: EventSender,
+    batcher: claim_batcher::ClaimBatcher,
+    claims: collections::BTreeMap<once::ClaimId, OpenClaim>,
+    reports: collections::BTreeMap<once::ClaimId, OpenReport>,
+    settings: ClaimSettings,
+    report_lifetime: time::Duration,
+    rng: rngs::SmallRng,
+}
+
+impl ClaimHost {
+    /// Creates the host of an instance that has read nothing.
+    pub fn new(
+        shared: sync::Arc<shared::InstanceShared>,
+        executor: rc::Rc<async_executor::LocalExecutor<'static>>,
+        log: log::LogClient,
+        events: EventSender,
+    ) -> Self {
+        let window = key_window::KeyWindow::for_retention(shared.settings.log_retention);
+        let settings = BatcherSettings::builder().window(window).build();
+        Self {
+            shared,
+            executor,
+            log,
+            events,
+            batcher: claim_batcher::ClaimBatcher::new(settings),
+            claims: collections::BTreeMap::new(),
+            reports: collections::BTreeMap::new(),
+            settings: ClaimSettings::default(),
+            report_lifetime: window.max_age,
+            rng: rngs::SmallRng::seed_from_u64(rand::random()),
+        }
+    }
+
+    /// Starts a claim.
+    pub fn claim(
+        &mut self,
+        now: instant::MonotonicTime,
+        query: ClaimQuery,
+        answer: channel::Sender<ClaimDecision>,
+        tools: &ClaimTools<'_>,
+    ) {
+        let claim = query.entry.claim;
+        let pending = run_state::PendingRequest::new();
+        let request = ClaimRequest::new(now, pending, self.settings, query.entry, query.deadline);
+        self.claims.insert(claim, OpenClaim { request, answer, messages: 0 });
+        self.drive_claim(now, claim, ClaimEvent::Tick, tools);
+    }
+
+    /// Reports the outcome of a call; `settled` is closed when it is on the log.
+    pub fn settle(
+        &mut self,
+        now: instant::MonotonicTime,
+        entry: once::OutcomeEntry,
+        settled: Option<channel::Sender<()>>,
+        tools: &ClaimTools<'_>,
+    ) {
+        let claim = entry.claim;
+        let report = OutcomeReport::new(now, entry, self.settings, self.report_lifetime);
+        let report = OpenReport { report, next_at: now, messages: 0, _settled: settled };
+        self.reports.insert(claim, report);
+        self.send_reports(now, tools);
+    }
+
+    /// Takes a message of another instance, or of this one.
+    pub fn take_message(
+        &mut self,
+        now: instant::MonotonicTime,
+        sender: name::InstanceName,
+        message: once::ClaimMessage,
+        tools: &ClaimTools<'_>,
+    ) {
+        match message {
+            once::ClaimMessage::Submit { claim, time_left } => {
+                let event = BatcherEvent::Submit { instance: sender, claim, time_left };
+                self.drive_batcher(now, event, tools);
+            }
+            once::ClaimMessage::Settle { outcome } => {
+                let event = BatcherEvent::Settle { instance: sender, outcome };
+                self.drive_batcher(now, event, tools);
+            }
+            once::ClaimMessage::Verdict { claim, verdict } => {
+                self.drive_claim(now, claim, ClaimEvent::Verdict(verdict), tools);
+            }
+            once::ClaimMessage::Settled { claim } => {
+                self.reports.remove(&claim);
+            }
+            once::ClaimMessage::Crash(_) => {}
+        }
+    }
+
+    /// Takes the end of an append or a read of the claims stream.
+    pub fn drive_batcher(
+        &mut self,
+        now: instant::MonotonicTime,
+        event: BatcherEvent,
+        tools: &ClaimTools<'_>,
+    ) {
+        for action in self.batcher.handle(now, event, &mut self.rng) {
+            match action {
+                BatcherAction::Append(number, batch) => {
+                    let log = self.log.clone();
+                    let events = self.events.clone();
+                    let appending = platform::append_claims(log, events, number, batch);
+                    self.executor.spawn(appending).detach();
+                }
+                BatcherAction::Read(number, from) => {
+                    let log = self.log.clone();
+                    let events = self.events.clone();
+                    let reading = platform::read_claims(log, events, number, from);
+                    self.executor.spawn(reading).detach();
+                }
+                BatcherAction::Send(receiver, message) => {
+                    tools.network.send(&receiver, peer::PeerMessage::Claim(message));
+                }
+                // The control thread's ticks come often enough.
+                BatcherAction::WakeAt(_) => {}
+            }
+        }
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: instant::MonotonicTime, tools: &ClaimTools<'_>) {
+        let open: Vec<_> = self.claims.keys().copied().collect();
+        for claim in open {
+            self.drive_claim(now, claim, ClaimEvent::Tick, tools);
+        }
+        self.send_reports(now, tools);
+        self.drive_batcher(now, BatcherEvent::Tick, tools);
+    }
+
+    fn drive_claim(
+        &mut self,
+        now: instant::MonotonicTime,
+        claim: once::ClaimId,
+        event: ClaimEvent,
+        tools: &ClaimTools<'_>,
+    ) {
+        let Some(open) = self.claims.get_mut(&claim) else { return };
+        let mut ended = None;
+        for action in open.request.handle(now, event) {
+            let decision = match action {
+                ClaimAction::SendOwner(message) => {
+                    open.messages += 1;
+                    let own_name = &self.shared.settings.instance;
+                    let owner = claim_owner(own_name, tools, open.messages);
+                    tools.network.send(&owner, peer::PeerMessage::Claim(message));
+                    continue;
+                }
+                ClaimAction::Settle(entry) => {
+                    ended = Some(entry);
+                    continue;
+                }
+                ClaimAction::WakeAt(_) => continue,
+                ClaimAction::Dispatch(win) => ClaimDecision::Dispatch(win),
+                ClaimAction::Answer(answer) => ClaimDecision::Answer(answer),
+                ClaimAction::Refuse(reason, run) => ClaimDecision::Refuse(reason, run),
+            };
+            // The call's task waits for the decision; a win that nobody takes is never dispatched.
+            let _ = open.answer.try_send(decision);
+        }
+        if self.claims.get(&claim).is_some_and(|open| open.request.is_done()) {
+            self.claims.remove(&claim);
+        }
+        if let Some(entry) = ended {
+            self.settle(now, entry, None, tools);
+        }
+    }
+
+    fn send_reports(&mut self, now: instant::MonotonicTime, tools: &ClaimTools<'_>) {
+        let own_name = &self.shared.settings.instance;
+        self.reports.retain(|_, open| {
+            if now < open.next_at {
+                return true;
+            }
+            let Some((message, next_at)) = open.report.tick(now) else { return false };
+            open.next_at = next_at;
+            open.messages += 1;
+            let owner = claim_owner(own_name, tools, open.messages);
+            tools.network.send(&owner, peer::PeerMessage::Claim(message));
+            true
+        });
+    }
+}
+
+/// Returns who appends: the zone's owner, or this instance when there is none or it is silent.
+fn claim_owner(
+    own_name: &name::InstanceName,
+    tools: &ClaimTools<'_>,
+    messages: u32,
+) -> name::InstanceName {
+    let owner = tools.member.owner_of(&OwnedResource::Claims);
+    owner.filter(|_| messages <= MAX_OWNER_MESSAGES).unwrap_or_else(|| own_name.clone())
+}
--- a/coltsfootd/src/control/client.rs
+++ b/coltsfootd/src/control/client.rs
@@ -3,8 +3,9 @@
 use std::net;
 use std::time;
 
+use coltsfoot_once::{claim_request, run_state};
 use coltsfoot_types::{adapter, id, name, refusal, time as instant};
-use coltsfoot_wire::placement;
+use coltsfoot_wire::{once, placement};
 
 use crate::control::{ControlEvent, EventSender};
 
@@ -46,6 +47,26 @@
     pub patience: time::Duration,
 }
 
+/// Asks for the claim of a once-only call.
+#[derive(Clone, Debug)]
+pub struct ClaimQuery {
+    /// The claim.
+    pub entry: once::ClaimEntry,
+    /// When the call must be answered.
+    pub deadline: instant::MonotonicTime,
+}
+
+/// What became of a claim.
+#[derive(Debug)]
+pub enum ClaimDecision {
+    /// The call may be dispatched.
+    Dispatch(claim_request::ClaimWin),
+    /// The call has run; its caller gets the same answer.
+    Answer(once::RecordedAnswer),
+    /// The call is refused.
+    Refuse(refusal::RefusalReason, run_state::RunState),
+}
+
 /// Why the control thread refused.
 #[derive(Clone, Copy, Debug)]
 pub struct ControlRefusal {
@@ -109,6 +130,21 @@
         }
     }
 
+    /// Waits for the claim of a once-only call; none if the control thread has ended. The claim goes
+    /// on if the future is dropped.
+    pub async fn claim(&self, query: ClaimQuery) -> Option<ClaimDecision> {
+        let (sender, receiver) = async_channel::bounded(1);
+        self.events.send(ControlEvent::Claim(query, sender));
+        receiver.recv().await.ok()
+    }
+
+    /// Reports how a once-only call has ended and waits until that is on the log.
+    pub async fn settle(&self, outcome: once::OutcomeEntry) {
+        let (sender, receiver) = async_channel::bounded(1);
+        self.events.send(ControlEvent::Settle(outcome, sender));
+        let _ = receiver.recv().await;
+    }
+
     /// Waits for a permit. Dropping the future cancels the wait.
     pub async fn permit(&self, query: PermitQuery) -> Result<PermitGuard, ControlRefusal> {
         let (sender, receiver) = async_channel::bounded(1);
--- a/coltsfootd/src/control/event.rs
+++ b/coltsfootd/src/control/event.rs
@@ -2,10 +2,11 @@
 
 use async_channel as channel;
 use coltsfoot_member::event as member;
+use coltsfoot_once::batcher_event;
 use coltsfoot_placement::event as cell;
 use coltsfoot_platform::protocol;
 use coltsfoot_types::{id, name};
-use coltsfoot_wire::{peer, placement};
+use coltsfoot_wire::{once, peer, placement};
 
 use crate::control::{client, status};
 
@@ -60,6 +61,12 @@
     CacheReported(name::UpstreamName, protocol::CacheEvents),
     /// An engine's port is closed: its process has ended.
     EngineClosed(name::UpstreamName),
+    /// A once-only call asks for its claim.
+    Claim(client::ClaimQuery, channel::Sender<client::ClaimDecision>),
+    /// A once-only call has ended; the sender is closed when that is on the log.
+    Settle(once::OutcomeEntry, channel::Sender<()>),
+    /// A call of the claims stream has ended.
+    ClaimsCalled(batcher_event::BatcherEvent),
     /// Records of the configuration stream were read.
     ConfigRead(protocol::RecordPage),
     /// The log can't be read.
--- a/coltsfootd/src/control/mod.rs
+++ b/coltsfootd/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control thread: it owns all decisions, takes events one by one and carries out actions.
 
 mod catalog;
+mod claims;
 pub mod client;
 mod contact;
 mod directory;
--- a/coltsfootd/src/control/plane.rs
+++ b/coltsfootd/src/control/plane.rs
@@ -15,6 +15,7 @@
 use futures_lite::future;
 
 use crate::control::catalog::CatalogKeeper;
+use crate::control::claims::{ClaimHost, ClaimTools};
 use crate::control::contact::ContactTable;
 use crate::control::directory::InstanceDirectory;
 use crate::control::engines::EngineDesk;
@@ -101,13 +102,16 @@
         let tools = MemberTools {
             executor: rc::Rc::clone(executor),
             network: network.clone(),
-            log,
+            log: log.clone(),
             events: events.clone(),
             wakeups,
         };
+        let claim_shared = sync::Arc::clone(&shared);
+        let claims = ClaimHost::new(claim_shared, rc::Rc::clone(executor), log, events.clone());
         let engines = EngineDesk::new(sync::Arc::clone(&shared), rc::Rc::clone(executor), events);
         ControlState {
             catalog: CatalogKeeper::new(sync::Arc::clone(&shared)),
+            claims,
             member: MemberHost::new(sync::Arc::clone(&shared), tools),
             quota: QuotaHost::new(sync::Arc::clone(&shared)),
             placement: PlacementHost::new(sync::Arc::clone(&shared)),
@@ -141,6 +145,7 @@
     contacts: ContactTable,
     list_reachable: bool,
     catalog: CatalogKeeper,
+    claims: ClaimHost,
     member: MemberHost,
     quota: QuotaHost,
     placement: PlacementHost,
@@ -159,6 +164,13 @@
     };
 }
 
+/// Borrows what claims are carried out with, beside a mutable host.
+macro_rules! claim_tools {
+    ($state:ident) => {
+        &ClaimTools { member: &$state.member, network: &$state.network }
+    };
+}
+
 /// Borrows what placement is carried out with, beside a mutable host.
 macro_rules! placement_tools {
     ($state:ident) => {
@@ -192,6 +204,15 @@
             ControlEvent::Release(attempt, outcome) => {
                 self.placement.release(now, attempt, outcome, placement_tools!(self));
             }
+            ControlEvent::Claim(query, answer) => {
+                self.claims.claim(now, query, answer, claim_tools!(self));
+            }
+            ControlEvent::Settle(entry, settled) => {
+                self.claims.settle(now, entry, Some(settled), claim_tools!(self));
+            }
+            ControlEvent::ClaimsCalled(event) => {
+                self.claims.drive_batcher(now, event, claim_tools!(self));
+            }
             ControlEvent::Peer(envelope) => self.take_message(now, *envelope),
             ControlEvent::MembersRead(records) => {
                 self.member_event(now, members::MemberEvent::LogRead(records));
@@ -234,6 +255,7 @@
         self.member_event(now, members::MemberEvent::Tick);
         self.quota.tick(now, quota_routing!(self));
         self.placement.tick(now, placement_tools!(self));
+        self.claims.tick(now, claim_tools!(self));
         if self.ticks.is_multiple_of(ANNOUNCE_TICKS) {
             self.contacts.expire(now);
             self.update_reachability(now);
@@ -259,6 +281,8 @@
                 OwnedResource::Ledger => {
                     self.placement.take_ledger_ownership(now, fencing, placement_tools!(self));
                 }
+                // Ownership only tells where claims are batched; the log decides who wins.
+                OwnedResource::Claims => {}
             }
         }
     }
@@ -289,6 +313,9 @@
             peer::PeerMessage::Placement(message) => {
                 self.placement.take_message(now, sender, message, placement_tools!(self));
             }
+            peer::PeerMessage::Claim(message) => {
+                self.claims.take_message(now, sender, message, claim_tools!(self));
+            }
             _ => {}
         }
     }
@@ -325,7 +352,7 @@
 
     fn track_resources(&mut self) {
         let resources = self.quota.resources().chain(self.placement.resources());
-        self.member.track(resources);
+        self.member.track(resources.chain([OwnedResource::Claims]));
     }
 
     fn report(&self, now: instant::MonotonicTime) -> status::InstanceReport {
--- a/coltsfootd/src/control/platform.rs
+++ b/coltsfootd/src/control/platform.rs
@@ -4,10 +4,13 @@
 
 use async_channel as channel;
 use coltsfoot_member::event as member;
+use coltsfoot_once::{batcher_event, claim_record};
 use coltsfoot_platform::{error, list, log};
 use coltsfoot_types::id;
+use coltsfoot_wire::once;
 use futures_lite::future;
 
+use crate::clock;
 use crate::control::{ControlEvent, EventSender};
 
 /// Time between reads of the instance list.
@@ -19,6 +22,8 @@
 /// Stream that holds change sets.
 pub const CONFIG_STREAM: &str = "config";
 
+/// Stream that holds claims and outcomes of once-only calls.
+const CLAIMS_STREAM: &str = "claims";
 /// Stream that holds views of the zones.
 pub const MEMBERS_STREAM: &str = "members";
 /// Time between reads of the members stream.
@@ -98,6 +103,47 @@
     }
 }
 
+/// Appends a batch to the claims stream and reports how that ended.
+pub async fn append_claims(
+    client: log::LogClient,
+    events: EventSender,
+    number: batcher_event::CallNumber,
+    batch: once::ClaimBatch,
+) {
+    let appended = match claim_record::encode(&batch) {
+        Ok(text) => client.append(CLAIMS_STREAM, &[text]).await.is_ok(),
+        Err(_) => false,
+    };
+    events.send(ControlEvent::ClaimsCalled(match appended {
+        true => batcher_event::BatcherEvent::Appended(number),
+        false => batcher_event::BatcherEvent::AppendFailed(number),
+    }));
+}
+
+/// Reads a page of the claims stream and reports it.
+pub async fn read_claims(
+    client: log::LogClient,
+    events: EventSender,
+    number: batcher_event::CallNumber,
+    from: id::LogOffset,
+) {
+    let event = match client.read(CLAIMS_STREAM, from, PAGE_RECORDS).await {
+        Ok(page) => {
+            let records = page.records.into_iter().map(|record| claim_record::TextRecord {
+                offset: record.offset,
+                timestamp_ms: record.timestamp_ms,
+                value: record.value,
+            });
+            let read_at = clock::wall_time().0;
+            let page =
+                claim_record::decode_page(page.start_offset, page.end_offset, records, read_at);
+            batcher_event::BatcherEvent::PageRead(number, page)
+        }
+        Err(_) => batcher_event::BatcherEvent::ReadFailed(number),
+    };
+    events.send(ControlEvent::ClaimsCalled(event));
+}
+
 /// Appends a view to the members stream and reports how that ended.
 pub async fn append_view(
     client: log::LogClient,
--- a/coltsfootd/src/control/resource.rs
+++ b/coltsfootd/src/control/resource.rs
@@ -12,6 +12,8 @@
     Bucket(name::CustomerName),
     /// The zone's part of the load budget.
     Ledger,
+    /// The batches of the zone's once-only claims.
+    Claims,
 }
 
 impl OwnedResource {
@@ -21,6 +23,7 @@
             Self::Cell(cell) => format!("cell/{cell}").into(),
             Self::Bucket(customer) => format!("bucket/{customer}").into(),
             Self::Ledger => "ledger".into(),
+            Self::Claims => "claims".into(),
         }
     }
 }
--- a/coltsfootd/src/daemon.rs
+++ b/coltsfootd/src/daemon.rs
@@ -8,6 +8,7 @@
 
 use async_channel as channel;
 use async_net::{TcpListener, UdpSocket};
+use coltsfoot_once::retry_budget;
 use coltsfoot_platform::http;
 
 use crate::{clock, control, event, front, metrics, operator, server, settings, shared};
@@ -74,6 +75,10 @@
             metrics: metrics::MetricSet::new()?,
             catalog: arc_swap::ArcSwap::default(),
             services: arc_swap::ArcSwap::default(),
+            retries: sync::Mutex::new(retry_budget::RetryBudget::new(
+                retry_budget::RetrySettings::default(),
+            )),
+            breakers: front::ServiceBreakers::default(),
             upstreams: http::HttpPool::new(http::HttpLimits::default()),
             control: control::client::ControlClient::new(events.clone()),
             status: shared::InstanceStatus::default(),
--- a/coltsfootd/src/front/mod.rs
+++ b/coltsfootd/src/front/mod.rs
@@ -5,6 +5,10 @@
 mod chat;
 mod engine_attempt;
 mod service;
+mod service_breakers;
+mod service_dispatch;
+
+pub use service_breakers::ServiceBreakers;
 
 use std::sync;
 
@@ -34,7 +38,7 @@
             chat::respond(shared, executor, running, request).await
         }
         Ok(()) => match path.strip_prefix(SERVICES_PATH) {
-            Some(rest) => service::respond(shared, running, request, rest).await,
+            Some(rest) => service::respond(shared, executor, running, request, rest).await,
             None => Err(answer::CallerRefusal::not_run(refusal::RefusalReason::UnknownRoute)),
         },
     };
--- a/coltsfootd/src/front/service.rs
+++ b/coltsfootd/src/front/service.rs
@@ -1,45 +1,31 @@
 //! Calls of plain services.
 
 use std::sync;
-use std::sync::atomic;
 use std::time;
 
-use coltsfoot_catalog::resolve;
-use coltsfoot_platform::{error, http, protocol};
-use coltsfoot_types::{id, name, refusal, time as instant};
-use http_types::Response;
+use coltsfoot_catalog::{digest, resolve};
+use coltsfoot_once::{dispatch, key_window, run_state};
+use coltsfoot_types::{id, refusal};
+use coltsfoot_wire::once;
 
 use crate::control::client;
+use crate::front::service_dispatch::{self, CallResult, ServiceCall};
 use crate::front::{access, read_body};
-use crate::{answer, event, metrics, shared};
+use crate::{answer, clock, shared};
 
 /// Tokens that a call of a plain service is charged.
 const CALL_TOKENS: u64 = 1;
-/// Attempts of one idempotent call.
-const MAX_ATTEMPTS: usize = 3;
-/// Largest answer of a service, in bytes.
-const MAX_ANSWER_BYTES: usize = 4 * 1_024 * 1_024;
-
-/// Spreads calls over the upstreams of a service.
-static NEXT_UPSTREAM: atomic::AtomicUsize = atomic::AtomicUsize::new(0);
-
-/// A call as sent to a service.
-struct ServiceCall {
-    method: http_types::Method,
-    path: String,
-    content_type: Option<String>,
-    body: Vec<u8>,
-    request: id::RequestId,
-    deadline: instant::MonotonicTime,
-}
+/// Wait that is asked of a caller while the log can't be reached.
+const LOG_RETRY_AFTER: time::Duration = time::Duration::from_secs(2);
 
 /// Answers a call of a plain service at `ROUTE/PATH`.
 pub async fn respond(
     shared: sync::Arc<shared::InstanceShared>,
+    executor: sync::Arc<async_executor::Executor<'static>>,
     running: shared::RunningRequest,
     mut request: http_types::Request,
     rest: &str,
-) -> Result<Response, answer::CallerRefusal> {
+) -> CallResult {
     let arrived = shared.clock.now();
     let refuse = answer::CallerRefusal::not_run;
     let (route, path) = rest.split_once('/').unwrap_or((rest, ""));
@@ -48,14 +34,37 @@
     let resolve::ResolvedTarget::Service { service } = &granted.route.target else {
         return Err(refuse(refusal::RefusalReason::UnknownRoute));
     };
+    let key = match granted.route.idempotent {
+        true => None,
+        false => Some(idempotency_key(&shared, &request)?),
+    };
     let call = ServiceCall {
+        service: service.clone(),
         method: request.method(),
         path: with_query(path, request.url().query()),
         content_type: request.content_type().map(|mime| mime.to_string()),
         body,
         request: id::RequestId(uuid::Uuid::now_v7().as_u128()),
         deadline: arrived + granted.route.deadline,
+        key,
+    };
+    admit(&shared, &granted, &call).await?;
+    let response = match key {
+        Some(key) => {
+            let entry = claim_entry(key, route, granted.key.as_ref(), &call);
+            run_once(&shared, &executor, running, call, entry).await?
+        }
+        None => run_idempotent(&shared, &executor, running, call).await?,
     };
+    shared.metrics.count_answer("service");
+    Ok(response)
+}
+
+async fn admit(
+    shared: &shared::InstanceShared,
+    granted: &access::GrantedAccess,
+    call: &ServiceCall,
+) -> Result<(), answer::CallerRefusal> {
     let query = client::AdmissionQuery {
         request: call.request,
         customer: granted.route.charged.clone(),
@@ -64,14 +73,11 @@
         fingerprint: access::fingerprint(granted.key.as_ref(), &call.body),
     };
     let mut charge = shared.control.admit(query).await.map_err(|refusal| {
-        let refused = refuse(refusal.reason);
+        let refused = answer::CallerRefusal::not_run(refusal.reason);
         refusal.retry_after.map_or(refused, |delay| refused.with_retry_after(delay))
     })?;
     charge.keep_all();
-    let response = run_idempotent(&shared, service, &call).await?;
-    shared.metrics.count_answer("service");
-    drop(running);
-    Ok(response)
+    Ok(())
 }
 
 fn with_query(path: &str, query: Option<&str>) -> String {
@@ -81,90 +87,107 @@
     }
 }
 
-async fn run_idempotent(
+/// Reads the key of a call that runs once only. A key outside of its window may have been used.
+fn idempotency_key(
     shared: &shared::InstanceShared,
-    service: &name::ServiceName,
-    call: &ServiceCall,
-) -> Result<Response, answer::CallerRefusal> {
-    let mut maybe_ran = false;
-    let mut tried: Vec<name::UpstreamName> = Vec::new();
-    while tried.len() < MAX_ATTEMPTS {
-        let Some(upstream) = choose_upstream(shared, service, &tried) else { break };
-        tried.push(upstream.name.clone());
-        match send(shared, &upstream, call, http::ConnectionReuse::Allow).await {
-            Ok(response) => return Ok(response),
-            Err(error) => {
-                maybe_ran |= !error.nothing_sent();
-                note_failure(shared, call, &error);
+    request: &http_types::Request,
+) -> Result<once::IdempotencyKey, answer::CallerRefusal> {
+    let refuse = answer::CallerRefusal::not_run;
+    let header = request.header(service_dispatch::IDEMPOTENCY_HEADER);
+    let text = header.ok_or(refuse(refusal::RefusalReason::MissingIdempotencyKey))?;
+    let window = key_window::KeyWindow::for_retention(shared.settings.log_retention);
+    window.parse(text.last().as_str(), clock::wall_time().0).map_err(|error| {
+        let refusal = refuse(refusal::RefusalReason::InvalidIdempotencyKey);
+        let ran = match error {
+            key_window::KeyError::Malformed => answer::RanAnswer::No,
+            key_window::KeyError::TooOld | key_window::KeyError::FromFuture => {
+                answer::RanAnswer::Unknown
             }
-        }
-    }
-    let ran = if maybe_ran { answer::RanAnswer::Unknown } else { answer::RanAnswer::No };
-    let reason = match tried.is_empty() {
-        true => refusal::RefusalReason::NoUpstream,
-        false => refusal::RefusalReason::UpstreamFailed,
-    };
-    let retry_after = Some(time::Duration::from_secs(1));
-    Err(answer::CallerRefusal { reason, ran, retry_after })
+        };
+        answer::CallerRefusal { ran, ..refusal }
+    })
 }
 
-/// Prefers upstreams of the own zone that aren't leaving, in turn.
-fn choose_upstream(
-    shared: &shared::InstanceShared,
-    service: &name::ServiceName,
-    tried: &[name::UpstreamName],
-) -> Option<protocol::UpstreamListing> {
-    let listings = shared.services.load();
-    let usable = |listing: &&protocol::UpstreamListing| {
-        let role = protocol::UpstreamRole::Service { service: service.clone() };
-        listing.role == role && !listing.leaving && !tried.contains(&listing.name)
-    };
-    let in_zone = |listing: &&protocol::UpstreamListing| listing.zone == shared.settings.zone;
-    let mut candidates: Vec<_> = listings.iter().filter(usable).filter(in_zone).collect();
-    if candidates.is_empty() {
-        candidates = listings.iter().filter(usable).collect();
+/// Builds the claim of a submission. The digest covers who calls what, so that a key of one caller
+/// never yields the answer of another.
+fn claim_entry(
+    key: once::IdempotencyKey,
+    route: &str,
+    caller: Option<&digest::KeyDigest>,
+    call: &ServiceCall,
+) -> once::ClaimEntry {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(caller.map_or(&[], |digest| digest.0.as_slice()));
+    for part in [route, call.method.as_ref(), &call.path] {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part.as_bytes());
     }
-    if candidates.is_empty() {
-        return None;
+    hasher.update(&call.body);
+    once::ClaimEntry {
+        key,
+        digest: once::RequestDigest(*hasher.finalize().as_bytes()),
+        claim: once::ClaimId(uuid::Uuid::now_v7()),
     }
-    let turn = NEXT_UPSTREAM.fetch_add(1, atomic::Ordering::Relaxed);
-    Some(candidates[turn % candidates.len()].clone())
 }
 
-async fn send(
-    shared: &shared::InstanceShared,
-    upstream: &protocol::UpstreamListing,
-    call: &ServiceCall,
-    reuse: http::ConnectionReuse,
-) -> Result<Response, error::HttpError> {
-    let url = http::url(upstream.address, &call.path)?;
-    let mut request = http_types::Request::new(call.method, url);
-    request.set_body(call.body.as_slice());
-    if let Some(content_type) = &call.content_type {
-        request.insert_header(http_types::headers::CONTENT_TYPE, content_type.as_str());
-    }
-    request.insert_header(protocol::ATTEMPT_HEADER, call.request.to_string());
-    let left = call.deadline.since(shared.clock.now());
-    let pool = shared.upstreams.with_head_timeout(left);
-    let exchange = pool.send(upstream.address, request, reuse).await?;
-    let status = exchange.response.status();
-    let content_type = exchange.response.content_type();
-    let body = exchange.read_body(MAX_ANSWER_BYTES).await?;
-    let mut response = Response::new(status);
-    response.set_body(body);
-    if let Some(content_type) = content_type {
-        response.set_content_type(content_type);
-    }
-    Ok(response)
+/// Runs a call that may be repeated; it ends when its caller goes away.
+async fn run_idempotent(
+    shared: &sync::Arc<shared::InstanceShared>,
+    executor: &sync::Arc<async_executor::Executor<'static>>,
+    running: shared::RunningRequest,
+    call: ServiceCall,
+) -> CallResult {
+    let (caller, answer) = async_channel::bounded(1);
+    let kind = dispatch::CallKind::Idempotent(run_state::PendingRequest::new());
+    let shared = sync::Arc::clone(shared);
+    let task = executor.spawn(async move {
+        service_dispatch::run(shared, call, kind, caller).await;
+        drop(running);
+    });
+    let received = answer.recv().await;
+    drop(task);
+    received.unwrap_or(Err(internal_error()))
 }
 
-fn note_failure(shared: &shared::InstanceShared, call: &ServiceCall, error: &error::HttpError) {
-    let reason = match error {
-        error if error.nothing_sent() => metrics::RetryReason::Connect,
-        error::HttpError::Timeout { .. } => metrics::RetryReason::Timeout,
-        error::HttpError::BrokenBody { .. } => metrics::RetryReason::BrokenAnswer,
-        _ => metrics::RetryReason::NoAnswer,
+/// Claims a call and runs it, to the end even if its caller goes away.
+async fn run_once(
+    shared: &sync::Arc<shared::InstanceShared>,
+    executor: &sync::Arc<async_executor::Executor<'static>>,
+    running: shared::RunningRequest,
+    call: ServiceCall,
+    entry: once::ClaimEntry,
+) -> CallResult {
+    let (caller, answer) = async_channel::bounded(1);
+    let shared = sync::Arc::clone(shared);
+    let running_call = async move {
+        let query = client::ClaimQuery { entry, deadline: call.deadline };
+        match shared.control.claim(query).await {
+            Some(client::ClaimDecision::Dispatch(win)) => {
+                let kind = dispatch::CallKind::OnceOnly(win);
+                service_dispatch::run(shared, call, kind, caller).await;
+            }
+            Some(client::ClaimDecision::Answer(recorded)) => {
+                let _ = caller.try_send(Ok(service_dispatch::to_response(&recorded)));
+            }
+            Some(client::ClaimDecision::Refuse(reason, run)) => {
+                let _ = caller.try_send(Err(refuse_claim(reason, run)));
+            }
+            None => {}
+        }
+        drop(running);
     };
-    shared.metrics.count_retry(reason);
-    event::emit(event::ATTEMPT_FAILED, format_args!("request {}: {error}", call.request));
+    executor.spawn(running_call).detach();
+    answer.recv().await.unwrap_or(Err(internal_error()))
+}
+
+fn refuse_claim(reason: refusal::RefusalReason, run: run_state::RunState) -> answer::CallerRefusal {
+    let is_out = reason == refusal::RefusalReason::LogUnavailable;
+    let retry_after = is_out.then_some(LOG_RETRY_AFTER);
+    answer::CallerRefusal { reason, ran: run.into(), retry_after }
+}
+
+/// The instance is being stopped under the call.
+fn internal_error() -> answer::CallerRefusal {
+    let reason = refusal::RefusalReason::Internal;
+    answer::CallerRefusal { reason, ran: answer::RanAnswer::Unknown, retry_after: None }
 }
--- /dev/null
+++ b/coltsfootd/src/front/service_breakers.rs
@@ -0,0 +1,95 @@
+//! Choice of a plain service's upstream, by circuit breakers of this instance.
+
+use std::collections;
+use std::sync;
+
+use coltsfoot_once::circuit_breaker::{self, BreakerPermit};
+use coltsfoot_platform::protocol;
+use coltsfoot_types::{name, time as instant};
+
+/// Breakers of all plain services.
+#[derive(Default)]
+pub struct ServiceBreakers {
+    inner: sync::Mutex<BreakerState>,
+}
+
+#[derive(Default)]
+struct BreakerState {
+    breakers: collections::BTreeMap<name::UpstreamName, circuit_breaker::CircuitBreaker>,
+    turn: usize,
+}
+
+/// What a call asks of its upstream.
+pub struct UpstreamDemand<'a> {
+    /// The service.
+    pub service: &'a name::ServiceName,
+    /// Zone that is preferred.
+    pub zone: &'a name::ZoneName,
+    /// Upstreams that have failed the call.
+    pub avoid: &'a [name::UpstreamName],
+    /// Whether the call may be the trial of an upstream that failed.
+    pub may_try: bool,
+}
+
+impl ServiceBreakers {
+    /// Chooses an upstream: not leaving, not failing, of the own zone if there is one, in turn.
+    /// If all are failing the call goes to one of them all the same.
+    pub fn choose(
+        &self,
+        now: instant::MonotonicTime,
+        listings: &[protocol::UpstreamListing],
+        demand: &UpstreamDemand<'_>,
+    ) -> Option<protocol::UpstreamListing> {
+        let mut state = self.inner.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        let role = protocol::UpstreamRole::Service { service: demand.service.clone() };
+        let usable = |listing: &&protocol::UpstreamListing| {
+            listing.role == role && !listing.leaving && !demand.avoid.contains(&listing.name)
+        };
+        let ranked = listings.iter().filter(usable).map(|listing| {
+            let permit = state.permit(now, &listing.name);
+            (rank(permit, demand.may_try, listing.zone == *demand.zone), listing)
+        });
+        let ranked: Vec<_> = ranked.collect();
+        let best = ranked.iter().map(|(rank, _)| *rank).min()?;
+        let best: Vec<_> = ranked.into_iter().filter(|(rank, _)| *rank == best).collect();
+        state.turn = state.turn.wrapping_add(1);
+        let (_, chosen) = best[state.turn % best.len()];
+        if let Some(breaker) = state.breakers.get_mut(&chosen.name) {
+            breaker.begin_trial(now);
+        }
+        Some(chosen.clone())
+    }
+
+    /// Notes how a call ended at an upstream.
+    pub fn record(
+        &self,
+        now: instant::MonotonicTime,
+        upstream: &name::UpstreamName,
+        outcome: circuit_breaker::UpstreamOutcome,
+    ) {
+        let mut state = self.inner.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        let breaker = state.breakers.entry(upstream.clone()).or_insert_with(|| {
+            let settings = circuit_breaker::BreakerSettings::builder().build();
+            circuit_breaker::CircuitBreaker::new(settings)
+        });
+        breaker.record(now, outcome);
+    }
+}
+
+impl BreakerState {
+    fn permit(&self, now: instant::MonotonicTime, upstream: &name::UpstreamName) -> BreakerPermit {
+        let breaker = self.breakers.get(upstream);
+        breaker.map_or(BreakerPermit::Closed, |breaker| breaker.permit(now))
+    }
+}
+
+/// Orders upstreams; the lowest goes first.
+fn rank(permit: BreakerPermit, may_try: bool, is_near: bool) -> u8 {
+    let by_permit = match permit {
+        BreakerPermit::Trial if may_try && is_near => 0,
+        BreakerPermit::Closed => 1,
+        BreakerPermit::Trial => 2,
+        BreakerPermit::Open => 3,
+    };
+    2 * by_permit + u8::from(!is_near)
+}
--- a/coltsfootd/src/metrics.rs
+++ b/coltsfootd/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use coltsfoot_once::attempt_count;
 use coltsfoot_types::refusal;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics;
@@ -32,11 +33,29 @@
     WrongAnswer,
     /// The permit expired before the attempt was sent.
     PermitExpired,
+    /// The upstream refused the request without running it.
+    RefusedUnrun,
+}
+
+impl From<attempt_count::RetryReason> for RetryReason {
+    fn from(reason: attempt_count::RetryReason) -> Self {
+        match reason {
+            attempt_count::RetryReason::ConnectFailed => Self::Connect,
+            attempt_count::RetryReason::SendFailed | attempt_count::RetryReason::NoAnswer => {
+                Self::NoAnswer
+            }
+            attempt_count::RetryReason::TimedOut => Self::Timeout,
+            attempt_count::RetryReason::RefusedUnrun => Self::RefusedUnrun,
+            attempt_count::RetryReason::ServerError => Self::UpstreamError,
+            attempt_count::RetryReason::BrokenAnswer => Self::BrokenAnswer,
+            attempt_count::RetryReason::WrongAnswer => Self::WrongAnswer,
+        }
+    }
 }
 
 impl RetryReason {
     /// All reasons.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 9] = [
         Self::Connect,
         Self::NoAnswer,
         Self::BrokenAnswer,
@@ -45,6 +64,7 @@
         Self::NotResident,
         Self::WrongAnswer,
         Self::PermitExpired,
+        Self::RefusedUnrun,
     ];
 
     /// Returns the label of the counter.
@@ -58,6 +78,7 @@
             Self::NotResident => "not_resident",
             Self::WrongAnswer => "wrong_answer",
             Self::PermitExpired => "permit_expired",
+            Self::RefusedUnrun => "refused_unrun",
         }
     }
 }
--- a/coltsfootd/src/settings.rs
+++ b/coltsfootd/src/settings.rs
@@ -12,6 +12,9 @@
 /// Shortest accepted `peer_secret`, in bytes.
 const MIN_SECRET_BYTES: usize = 16;
 
+/// Shortest accepted `log_retention_ms`.
+const MIN_LOG_RETENTION: time::Duration = time::Duration::from_secs(60);
+
 /// Settings of one instance.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -53,6 +56,11 @@
     /// Loads per second that the weight store allows.
     #[serde(default = "default_store_rate")]
     pub store_loads_per_second: f64,
+    /// Time for which the platform's log keeps records at least. Idempotency keys can be used for a
+    /// little less than half of it.
+    #[serde(default = "default_log_retention", rename = "log_retention_ms")]
+    #[serde(with = "serde_with::As::<DurationMilliSeconds<u64>>")]
+    pub log_retention: time::Duration,
     /// Time to wait for running requests on a planned stop.
     #[serde(default = "default_drain_timeout", rename = "drain_timeout_ms")]
     #[serde(with = "serde_with::As::<DurationMilliSeconds<u64>>")]
@@ -218,6 +226,12 @@
                 holds: self.store_loads_per_second > 0.0,
                 remedy: "use the weight store's rate, above 0",
             },
+            Check {
+                key: "log_retention_ms",
+                value: self.log_retention.as_millis().to_string(),
+                holds: self.log_retention >= MIN_LOG_RETENTION,
+                remedy: "use at least 60000, and no more than the log really keeps",
+            },
             Check {
                 key: "limits.max_connections",
                 value: limits.max_connections.to_string(),
@@ -266,6 +280,10 @@
     3.0
 }
 
+fn default_log_retention() -> time::Duration {
+    time::Duration::from_secs(30 * 60)
+}
+
 fn default_drain_timeout() -> time::Duration {
     time::Duration::from_secs(30)
 }
--- a/coltsfootd/src/shared.rs
+++ b/coltsfootd/src/shared.rs
@@ -4,9 +4,10 @@
 use std::sync::atomic;
 
 use coltsfoot_catalog::view;
+use coltsfoot_once::retry_budget;
 use coltsfoot_platform::{http, protocol};
 
-use crate::{clock, control, metrics, settings};
+use crate::{clock, control, front, metrics, settings};
 
 /// State that traffic threads read and the control thread replaces.
 pub struct InstanceShared {
@@ -20,6 +21,10 @@
     pub catalog: arc_swap::ArcSwap<view::CatalogView>,
     /// Plain services as last listed.
     pub services: arc_swap::ArcSwap<Vec<protocol::UpstreamListing>>,
+    /// Retries that the instance's traffic has earned.
+    pub retries: sync::Mutex<retry_budget::RetryBudget>,
+    /// Circuit breakers of the plain services.
+    pub breakers: front::ServiceBreakers,
     /// Connections to upstreams.
     pub upstreams: http::HttpPool,
     /// The control thread.
