--- a/coltsfoot-measure/src/main.rs
+++ b/coltsfoot-measure/src/main.rs
@@ -3,6 +3,7 @@
 mod cmd;
 mod config;
 mod once;
+mod path;
 mod placement;
 mod quota_reference;
 mod quota_run;
--- /dev/null
+++ b/coltsfoot-measure/src/path/mod.rs
@@ -0,0 +1,3 @@
+//! Load for the measure of the whole path.
+
+pub mod load;
--- a/coltsfootd/src/control/plane.rs
+++ b/coltsfootd/src/control/plane.rs
@@ -15,6 +15,7 @@
 use futures_lite::future;
 
 use crate::control::catalog::{ConfigHost, ConfigTools};
+use crate::control::claims::{ClaimHost, ClaimTools};
 use crate::control::contact::ContactTable;
 use crate::control::directory::InstanceDirectory;
 use crate::control::engines::EngineDesk;
@@ -106,13 +107,16 @@
         let tools = MemberTools {
             executor: rc::Rc::clone(executor),
             network: network.clone(),
-            log,
+            log: log.clone(),
             events: events.clone(),
             wakeups,
         };
+        let claim_shared = sync::Arc::clone(&shared);
+        let claims = ClaimHost::new(claim_shared, rc::Rc::clone(executor), log, events.clone());
         let engines = EngineDesk::new(sync::Arc::clone(&shared), rc::Rc::clone(executor), events);
         ControlState {
             catalog: ConfigHost::new(sync::Arc::clone(&shared), config_tools),
+            claims,
             member: MemberHost::new(sync::Arc::clone(&shared), tools),
             quota: QuotaHost::new(sync::Arc::clone(&shared)),
             placement: PlacementHost::new(sync::Arc::clone(&shared)),
@@ -146,6 +150,7 @@
     contacts: ContactTable,
     list_reachable: bool,
     catalog: ConfigHost,
+    claims: ClaimHost,
     member: MemberHost,
     quota: QuotaHost,
     placement: PlacementHost,
@@ -164,6 +169,13 @@
     };
 }
 
+/// Borrows what claims are carried out with, beside a mutable host.
+macro_rules! claim_tools {
+    ($state:ident) => {
+        &ClaimTools { member: &$state.member, network: &$state.network }
+    };
+}
+
 /// Borrows what placement is carried out with, beside a mutable host.
 macro_rules! placement_tools {
     ($state:ident) => {
@@ -197,6 +209,15 @@
             ControlEvent::Release(attempt, outcome) => {
                 self.placement.release(now, attempt, outcome, placement_tools!(self));
             }
+            ControlEvent::Claim(query, answer) => {
+                self.claims.claim(now, query, answer, claim_tools!(self));
+            }
+            ControlEvent::Settle(entry, settled) => {
+                self.claims.settle(now, entry, Some(settled), claim_tools!(self));
+            }
+            ControlEvent::ClaimsCalled(event) => {
+                self.claims.drive_batcher(now, event, claim_tools!(self));
+            }
             ControlEvent::Peer(envelope) => self.take_message(now, *envelope),
             ControlEvent::MembersRead(records) => {
                 self.member_event(now, members::MemberEvent::LogRead(records));
@@ -247,6 +268,7 @@
         self.member_event(now, members::MemberEvent::Tick);
         self.quota.tick(now, quota_routing!(self));
         self.placement.tick(now, placement_tools!(self));
+        self.claims.tick(now, claim_tools!(self));
         if self.ticks.is_multiple_of(ANNOUNCE_TICKS) {
             self.contacts.expire(now);
             self.update_reachability(now);
@@ -272,6 +294,8 @@
                 OwnedResource::Ledger => {
                     self.placement.take_ledger_ownership(now, fencing, placement_tools!(self));
                 }
+                // Ownership only tells where claims are batched; the log decides who wins.
+                OwnedResource::Claims => {}
             }
         }
     }
@@ -309,7 +333,9 @@
                 let changed = self.catalog.take_message(now, sender, message);
                 self.configure(now, changed);
             }
-            peer::PeerMessage::Claim(_) => {}
+            peer::PeerMessage::Claim(message) => {
+                self.claims.take_message(now, sender, message, claim_tools!(self));
+            }
         }
     }
 
@@ -348,7 +374,7 @@
 
     fn track_resources(&mut self) {
         let resources = self.quota.resources().chain(self.placement.resources());
-        self.member.track(resources);
+        self.member.track(resources.chain([OwnedResource::Claims]));
     }
 
     fn report(&self, now: instant::MonotonicTime) -> status::InstanceReport {
