--- a/coltsfoot-measure/src/cmd/fairness.rs
+++ b/coltsfoot-measure/src/cmd/fairness.rs
@@ -14,7 +14,7 @@
 /// Requests that the engines run at a time.
 const SLOTS: usize = 9 * 8;
 /// Length of a run.
-const RUN: time::Duration = time::Duration::from_secs(300);
+const RUN: time::Duration = time::Duration::from_secs(3_600);
 /// Time between output tokens.
 const TOKEN_TIME: time::Duration = time::Duration::from_millis(31);
 /// Time that a caller waits for its turn at most.
--- a/coltsfoot-quota/src/fair_queue.rs
+++ b/coltsfoot-quota/src/fair_queue.rs
@@ -136,7 +136,7 @@
         let customer = entry.customer.clone();
         let cost = virtual_cost(entry.tokens, entry.weight);
         let backlog = self.backlogs.get_mut(&customer)?;
-        let floor = self.virtual_time.saturating_sub(lag_bound(&self.limits, backlog.weight));
+        let floor = lag_floor(&self.limits, self.virtual_time, backlog.weight);
         let start = backlog.start.max(floor);
         backlog.start = start + cost;
         self.virtual_time = self.virtual_time.max(start);
@@ -161,7 +161,7 @@
     /// Iterates over the entries in the order in which they would be popped if all were eligible.
     pub fn iter(&self) -> fair_order::FairOrder<'_, T> {
         fair_order::FairOrder::new(self.backlogs.values().map(|backlog| {
-            let floor = self.virtual_time.saturating_sub(lag_bound(&self.limits, backlog.weight));
+            let floor = lag_floor(&self.limits, self.virtual_time, backlog.weight);
             fair_order::OrderCursor::new(backlog, backlog.start.max(floor))
         }))
     }
@@ -277,15 +277,15 @@
 
     fn insert(&mut self, entry: queue_entry::QueueEntry<T>, rank: EntryRank) {
         let customer = entry.customer.clone();
-        let virtual_time = self.virtual_time;
+        let floor = lag_floor(&self.limits, self.virtual_time, entry.weight);
         let backlog = self.backlogs.entry(customer.clone()).or_insert_with(|| CustomerBacklog {
             entries: collections::BTreeMap::new(),
             tokens: 0,
             weight: entry.weight.max(1),
-            start: virtual_time,
+            start: floor,
         });
         if backlog.entries.is_empty() {
-            backlog.start = backlog.start.max(virtual_time);
+            backlog.start = backlog.start.max(floor);
         }
         backlog.weight = entry.weight.max(1);
         backlog.tokens += entry.tokens;
@@ -311,7 +311,8 @@
         else {
             return;
         };
-        if occupied.get().entries.is_empty() && occupied.get().start <= self.virtual_time {
+        let floor = lag_floor(&self.limits, self.virtual_time, occupied.get().weight);
+        if occupied.get().entries.is_empty() && occupied.get().start <= floor {
             occupied.remove();
         }
     }
@@ -323,12 +324,13 @@
         eligible: &mut impl FnMut(&queue_entry::QueueEntry<T>) -> bool,
     ) -> Option<id::RequestId> {
         let virtual_time = self.virtual_time;
-        self.backlogs
-            .retain(|_, backlog| !backlog.entries.is_empty() || backlog.start > virtual_time);
-        let mut order = self.backlogs.values().collect::<SmallVec<[_; 16]>>();
-        order.sort_by_key(|backlog| {
-            backlog.start.max(virtual_time.saturating_sub(lag_bound(&self.limits, backlog.weight)))
+        let limits = &self.limits;
+        let floor = |weight| lag_floor(limits, virtual_time, weight);
+        self.backlogs.retain(|_, backlog| {
+            !backlog.entries.is_empty() || backlog.start > floor(backlog.weight)
         });
+        let mut order = self.backlogs.values().collect::<SmallVec<[_; 16]>>();
+        order.sort_by_key(|backlog| backlog.start.max(floor(backlog.weight)));
         let entries = order.into_iter().flat_map(|backlog| backlog.entries.values());
         let mut startable = entries.filter(|entry| entry.latest_start() >= now);
         startable.find(|entry| eligible(entry)).map(|entry| entry.request)
@@ -350,8 +352,9 @@
     u128::from(tokens) * VIRTUAL_TOKEN / u128::from(weight.max(1))
 }
 
-fn lag_bound(limits: &queue_entry::QueueLimits, weight: u32) -> u128 {
-    virtual_cost(limits.max_lag_tokens, weight)
+/// Returns the earliest virtual time at which a customer that used less than its share starts.
+fn lag_floor(limits: &queue_entry::QueueLimits, virtual_time: u128, weight: u32) -> u128 {
+    virtual_time.saturating_sub(virtual_cost(limits.max_lag_tokens, weight))
 }
 
 fn deadline_reason(
--- a/coltsfoot-quota/src/queue_entry.rs
+++ b/coltsfoot-quota/src/queue_entry.rs
@@ -59,8 +59,9 @@
     /// Waiting time that weighs as much as one step of priority.
     #[builder(default = time::Duration::from_secs(2))]
     pub aging_step: time::Duration,
-    /// Unused share, in tokens at weight 1, that a customer may catch up on after its entries
-    /// could not be served.
-    #[builder(default = 4096)]
+    /// Unused share, in tokens at weight 1, that a customer may catch up on after it waited for
+    /// nothing or its entries could not be served. It bounds how long a customer's burst delays
+    /// the others.
+    #[builder(default = 2048)]
     pub max_lag_tokens: u64,
 }
