--- a/coltsfoot-measure/src/quota_reference.rs
+++ b/coltsfoot-measure/src/quota_reference.rs
@@ -38,7 +38,11 @@
             return false;
         }
         self.bucket.take(tokens);
-        self.refunds.push(ScheduledRefund { at: ends, admitted: now, tokens: unused });
+        self.refunds.push(ScheduledRefund {
+            at: ends,
+            admitted: now + time::Duration::from_micros(1),
+            tokens: unused,
+        });
         true
     }
 }
--- a/coltsfoot-quota/src/headroom_history.rs
+++ b/coltsfoot-quota/src/headroom_history.rs
@@ -1,63 +1,80 @@
-//! Smallest headroom of a bucket over the last minute, in slots of a second.
+//! Smallest headroom of a bucket since any instant of the last minute.
 
 use std::collections;
 use std::time;
 
 use coltsfoot_types::time as clock;
 
-/// Length of a slot.
-const SLOT: time::Duration = time::Duration::from_secs(1);
-/// Number of slots kept.
-const MAX_SLOTS: usize = 64;
+/// Time for which values are kept.
+const RETENTION: time::Duration = time::Duration::from_secs(64);
+/// Values kept at most; beyond it the oldest ones are joined.
+const MAX_RECORDS: usize = 256;
 
-#[derive(Clone, Debug)]
-struct HeadroomSlot {
-    start: clock::MonotonicTime,
+#[derive(Clone, Copy, Debug)]
+struct HeadroomRecord {
+    at: clock::MonotonicTime,
     headroom: u64,
 }
 
-/// Smallest values recorded since an instant of the last minute.
+/// The suffix minima of recorded values: both instants and values rise from front to back.
 #[derive(Clone, Debug)]
 pub struct HeadroomHistory {
     start: clock::MonotonicTime,
-    slots: collections::VecDeque<HeadroomSlot>,
+    records: collections::VecDeque<HeadroomRecord>,
 }
 
 impl HeadroomHistory {
     /// Builds a history that knows nothing from before `start`.
     pub fn new(start: clock::MonotonicTime) -> Self {
-        Self { start, slots: collections::VecDeque::new() }
+        Self { start, records: collections::VecDeque::new() }
     }
 
     /// Records a value. Instants must not fall.
     pub fn record(&mut self, now: clock::MonotonicTime, headroom: u64) {
-        if let Some(last) = self.slots.back_mut()
-            && now.since(last.start) < SLOT
-        {
-            last.headroom = last.headroom.min(headroom);
-            return;
+        while self.records.back().is_some_and(|last| last.headroom >= headroom) {
+            self.records.pop_back();
+        }
+        self.records.push_back(HeadroomRecord { at: now, headroom });
+        if self.records.len() > MAX_RECORDS {
+            self.join_oldest();
         }
-        self.slots.push_back(HeadroomSlot { start: now, headroom });
-        if self.slots.len() > MAX_SLOTS {
-            self.slots.pop_front();
-            self.start = self.slots.front().map_or(now, |slot| slot.start);
+        self.start = self.start.max(now - RETENTION);
+        while self.records.front().is_some_and(|first| first.at < self.start) {
+            self.records.pop_front();
         }
     }
 
-    /// Returns the smallest value since `instant`, zero if that lies before the history.
+    /// Returns the smallest value recorded at `instant` or later, zero if that lies before the
+    /// history.
     pub fn smallest_since(&self, instant: clock::MonotonicTime) -> u64 {
         if instant < self.start {
             return 0;
         }
-        let last = self.slots.iter().rposition(|slot| slot.start <= instant).unwrap_or(0);
-        self.slots.range(last..).map(|slot| slot.headroom).min().unwrap_or(0)
+        let first = self.first_since(instant);
+        self.records.get(first).or(self.records.back()).map_or(0, |record| record.headroom)
     }
 
     /// Lowers the values since `instant`, because a correction of the past used headroom.
     pub fn lower_since(&mut self, instant: clock::MonotonicTime, amount: u64) {
-        let last = self.slots.iter().rposition(|slot| slot.start <= instant).unwrap_or(0);
-        for slot in self.slots.range_mut(last..) {
-            slot.headroom = slot.headroom.saturating_sub(amount);
+        let first = self.first_since(instant);
+        let mut lowered = self.records.split_off(first);
+        for record in &mut lowered {
+            record.headroom = record.headroom.saturating_sub(amount);
+        }
+        for record in lowered {
+            self.record(record.at, record.headroom);
+        }
+    }
+
+    fn first_since(&self, instant: clock::MonotonicTime) -> usize {
+        self.records.partition_point(|record| record.at < instant)
+    }
+
+    /// Joins the two oldest records into one that is no larger than either.
+    fn join_oldest(&mut self) {
+        let oldest = self.records.pop_front();
+        if let (Some(oldest), Some(second)) = (oldest, self.records.front_mut()) {
+            second.headroom = second.headroom.min(oldest.headroom);
         }
     }
 }
