--- a/coltsfoot-placement/src/engine.rs
+++ b/coltsfoot-placement/src/engine.rs
@@ -32,6 +32,8 @@
     pub(crate) loading: collections::BTreeSet<adapter::AdapterVersion>,
     /// Adapters being unloaded; each takes a slot until the order has ended.
     pub(crate) unloading: collections::BTreeSet<adapter::AdapterVersion>,
+    /// Adapters that will be loaded once the unload before them has ended.
+    pub(crate) reserved: collections::BTreeSet<adapter::AdapterVersion>,
     /// Adapters without a slot that are being unloaded.
     pub(crate) strays: collections::BTreeSet<adapter::AdapterVersion>,
     /// Permits out for each adapter, whether or not it is resident.
@@ -62,6 +64,7 @@
             resident: FxHashMap::default(),
             loading: collections::BTreeSet::new(),
             unloading: collections::BTreeSet::new(),
+            reserved: collections::BTreeSet::new(),
             strays: collections::BTreeSet::new(),
             pins: FxHashMap::default(),
             running: 0,
@@ -95,6 +98,15 @@
         self.service.usable_batch(self.listing.batch_size).saturating_sub(self.running)
     }
 
+    /// Returns whether the adapter is resident, on its way in or on its way out.
+    pub(crate) fn knows(&self, adapter: &adapter::AdapterVersion) -> bool {
+        self.holds(adapter)
+            || self.loading.contains(adapter)
+            || self.unloading.contains(adapter)
+            || self.reserved.contains(adapter)
+            || self.strays.contains(adapter)
+    }
+
     /// Returns whether a slot is free.
     pub(crate) fn has_free_slot(&self) -> bool {
         let taken = self.resident.len() + self.loading.len() + self.unloading.len();
--- a/coltsfoot-placement/src/eviction.rs
+++ b/coltsfoot-placement/src/eviction.rs
@@ -90,12 +90,7 @@
     }
 
     fn can_load(&self, engine: &engine::EngineState, adapter: &adapter::AdapterVersion) -> bool {
-        engine.is_usable(self.now)
-            && engine.generation.is_some()
-            && !engine.holds(adapter)
-            && !engine.loading.contains(adapter)
-            && !engine.unloading.contains(adapter)
-            && !engine.strays.contains(adapter)
+        engine.is_usable(self.now) && engine.generation.is_some() && !engine.knows(adapter)
     }
 
     fn fill_rank(&self, engine: &engine::EngineState) -> u32 {
--- a/coltsfoot-placement/src/loading.rs
+++ b/coltsfoot-placement/src/loading.rs
@@ -281,6 +281,7 @@
         assert!(state.is_evictable(now, &victim.adapter), "a pinned adapter is never evicted");
         state.resident.remove(&victim.adapter);
         state.unloading.insert(victim.adapter.clone());
+        state.reserved.insert(adapter.clone());
         self.counters.evictions += 1;
         let step = OrderStep::Evict { successor: adapter, grant };
         self.send_order(now, place.engine, victim.adapter, step, actions);
@@ -338,8 +339,12 @@
         let is_current = self.settle_order(now, &order);
         let is_done = outcome == event::OrderOutcome::Done;
         if let Some(state) = self.engines.get_mut(&order.engine) {
-            state.unloading.remove(&order.adapter);
-            let is_stray = state.strays.remove(&order.adapter);
+            let is_stray = matches!(order.step, OrderStep::Clear);
+            let leaving = if is_stray { &mut state.strays } else { &mut state.unloading };
+            leaving.remove(&order.adapter);
+            if let OrderStep::Evict { successor, .. } = &order.step {
+                state.reserved.remove(successor);
+            }
             if !is_done && is_current && !is_stray {
                 let count = self.popularity.count_of(&order.adapter);
                 state.add_resident(now, order.adapter.clone(), count);
--- a/coltsfoot-placement/src/report.rs
+++ b/coltsfoot-placement/src/report.rs
@@ -85,6 +85,7 @@
         if former.is_some_and(|former| former != report.generation) {
             state.forget_residency();
             self.prefixes.forget_engine(engine);
+            self.readmit_ready(now, engine, |_| true, actions);
         }
         if report.running == 0 && report.waiting == 0 {
             self.end_unknown_permits(now, engine);
@@ -144,11 +145,7 @@
             let Some(state) = self.engines.get_mut(engine) else {
                 return;
             };
-            let is_known = state.holds(&adapter)
-                || state.settled.contains_key(&adapter)
-                || state.loading.contains(&adapter)
-                || state.unloading.contains(&adapter)
-                || state.strays.contains(&adapter);
+            let is_known = state.knows(&adapter) || state.settled.contains_key(&adapter);
             if is_known {
                 continue;
             }
--- a/coltsfoot-placement/tests/pins.rs
+++ b/coltsfoot-placement/tests/pins.rs
@@ -223,3 +223,16 @@
     test.settle();
     assert!(test.granted(attempt).is_some());
 }
+
+#[test]
+fn requests_that_wait_for_a_batch_get_no_permit_on_an_engine_that_restarted_cold() {
+    let mut test = common::TestCell::new(1, 2, 1);
+    let running = test.want("menus@1");
+    test.settle();
+    let waiting = test.want("menus@1");
+    test.report("e0", 2, 0, &[]);
+    test.release(running, AttemptOutcome::EngineFailed);
+    assert!(test.granted(waiting).is_none());
+    test.settle();
+    assert!(test.granted(waiting).is_some());
+}
