--- a/coltsfoot-measure/src/cmd/mod.rs
+++ b/coltsfoot-measure/src/cmd/mod.rs
@@ -4,11 +4,11 @@
 mod fairness;
 mod member;
 mod once;
-mod path;
 mod placement;
 mod placement_sweep;
 mod quota;
 mod retries;
+mod whole_path;
 
 use std::path;
 
@@ -26,7 +26,7 @@
     MeasureCommand { name: "fairness", run: fairness::run },
     MeasureCommand { name: "member", run: member::run },
     MeasureCommand { name: "once", run: once::run },
-    MeasureCommand { name: "path", run: path::run },
+    MeasureCommand { name: "path", run: whole_path::run },
     MeasureCommand { name: "placement", run: placement::run },
     MeasureCommand { name: "placement-sweep", run: placement_sweep::run },
     MeasureCommand { name: "quota", run: quota::run },
--- a/coltsfoot-measure/src/cmd/path.rs
+++ b/coltsfoot-measure/src/cmd/whole_path.rs
@@ -9,7 +9,7 @@
 use hdrhistogram::Histogram;
 
 use crate::cmd::{MeasureError, MeasureOptions};
-use crate::path::load;
+use crate::path_load;
 
 /// Requests a second of the paced part.
 const PACED_REQUESTS_PER_SECOND: u64 = 200;
@@ -43,13 +43,13 @@
     let deployment = start();
     let through = deployment.daemons[0].caller_address;
     let engine = deployment.engines[0].address();
-    let direct = load::paced(engine, None, PACED_REQUESTS_PER_SECOND, PACED_LENGTH);
+    let direct = path_load::paced(engine, None, PACED_REQUESTS_PER_SECOND, PACED_LENGTH);
     let key = sample::key_of("korrigan");
-    let added = load::paced(through, Some(&key), PACED_REQUESTS_PER_SECOND, PACED_LENGTH);
-    let full = load::saturating(through, &key, FULL_CONCURRENCY, FULL_LENGTH);
-    let before_mib = load::resident_mib();
+    let added = path_load::paced(through, Some(&key), PACED_REQUESTS_PER_SECOND, PACED_LENGTH);
+    let full = path_load::saturating(through, &key, FULL_CONCURRENCY, FULL_LENGTH);
+    let before_mib = path_load::resident_mib();
     publish_adapters(&deployment);
-    let rss_mib = load::resident_mib() - before_mib;
+    let rss_mib = path_load::resident_mib() - before_mib;
     let quantile_ms = |histogram: &Histogram<u64>, quantile: f64| {
         histogram.value_at_quantile(quantile) as f64 / 1e3
     };
--- a/coltsfoot-measure/src/main.rs
+++ b/coltsfoot-measure/src/main.rs
@@ -3,7 +3,7 @@
 mod cmd;
 mod config;
 mod once;
-mod path;
+mod path_load;
 mod placement;
 mod quota_reference;
 mod quota_run;
--- a/coltsfoot-measure/src/path/mod.rs
+++ /dev/null
@@ -1,3 +0,0 @@
-//! Load for the measure of the whole path.
-
-pub mod load;
--- a/coltsfoot-system/tests/once.rs
+++ b/coltsfoot-system/tests/once.rs
@@ -4,7 +4,7 @@
 use std::net;
 use std::thread;
 
-use coltsfoot_system::{caller, cluster};
+use coltsfoot_system::{caller, cluster, sample};
 use http_types::Method;
 use serde_json::json;
 
@@ -20,10 +20,10 @@
         let options = cluster::ClusterOptions::builder().engines_per_zone(0).build();
         let cluster = cluster::ProcessCluster::start(options);
         let zones = cluster.options.zones.clone();
-        let (code, output) = cluster.apply(&cluster::sample_objects(&zones, &["korrigan"]));
+        let (code, output) = cluster.apply(&sample::sample_objects(&zones, &["korrigan"]));
         assert_eq!(code, Some(0), "{output}");
         cluster.wait_for_offset(1);
-        let caller = caller::HttpCaller::new(Some(&cluster::key_of("korrigan")));
+        let caller = caller::HttpCaller::new(Some(&sample::key_of("korrigan")));
         let test = Self { cluster, caller };
         for place in 0..test.cluster.instances.len() {
             cluster::wait_until("the instance books", || {
