--- a/coltsfootd/tests/settings.rs
+++ b/coltsfootd/tests/settings.rs
@@ -1,5 +1,8 @@
 //! Settings are checked, and what is wrong is named with key, value and remedy.
 
+use std::fs;
+use std::path;
+
 use coltsfootd::settings;
 use rstest::rstest;
 use serde_json::json;
@@ -62,3 +65,33 @@
     let error = settings::DaemonSettings::parse(&text.to_string()).expect_err("refused");
     assert!(error.to_string().contains("missing field `zone`"), "{error}");
 }
+
+#[test]
+fn the_page_lists_every_setting_and_no_other() {
+    let page = path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../docs/operators/settings.md");
+    let page = fs::read_to_string(page).expect("the page is readable");
+    let mut documented: Vec<_> = page
+        .lines()
+        .filter_map(|line| line.strip_prefix("| `")?.split_once('`'))
+        .map(|(key, _)| key.to_owned())
+        .collect();
+    documented.sort();
+    let mut known = known_keys("", sound());
+    known.extend(known_keys("limits.", json!({ "limits": {} })));
+    known.retain(|key| key != "limits");
+    known.sort();
+    assert_eq!(documented, known);
+}
+
+/// Asks the code for its keys: the refusal of an unknown one names those that are expected.
+fn known_keys(prefix: &str, mut text: serde_json::Value) -> Vec<String> {
+    match prefix {
+        "" => text["?"] = json!(0),
+        _ => text["limits"]["?"] = json!(0),
+    }
+    let error = settings::DaemonSettings::parse(&text.to_string()).expect_err("refused");
+    let message = error.to_string();
+    let (_, expected) = message.split_once("expected one of ").expect("the keys are named");
+    let (expected, _) = expected.split_once(" at line").expect("the place follows");
+    expected.split(", ").map(|key| format!("{prefix}{}", key.trim_matches('`'))).collect()
+}
