Measure changes over 390 instances

Change: the config measure publishes changes on a fleet of 390 instances in seven zones as well, one zone without the log, and adds the interval of the streams' checks to withdrawn_stream_end_s.

--- a/coltsfoot-measure/src/cmd/config.rs
+++ b/coltsfoot-measure/src/cmd/config.rs
@@ -3,12 +3,19 @@
 use serde::Serialize;
 
 use crate::cmd::{MeasureError, MeasureOptions};
-use crate::config::{fleet_trial, size_trial};
+use crate::config::fleet_trial::{self, FleetShape};
+use crate::config::size_trial;
 
 /// Adapters of the large configuration.
 const ADAPTERS: u32 = 130_000;
-/// Fleets that publish changes, each with a seed of its own.
-const CHANGE_FLEETS: u64 = 20;
+/// Small fleets that publish changes, each with a seed of its own.
+const SMALL_FLEETS: u64 = 20;
+/// Nine instances in three zones, one without the log.
+const SMALL_FLEET: FleetShape =
+    FleetShape { members: 9, zones: 3, is_cut_off: |index| index == 4, changes: 100 };
+/// 390 instances in seven zones, one zone without the log.
+const LARGE_FLEET: FleetShape =
+    FleetShape { members: 390, zones: 7, is_cut_off: |index| index % 7 == 3, changes: 50 };
 /// Sizes of the fleets whose idle traffic is measured.
 const IDLE_FLEETS: [usize; 3] = [9, 56, 390];
 
@@ -20,6 +27,8 @@
     in_force_max_s: f64,
     changes: u64,
     withdrawn_stream_end_s: f64,
+    in_force_390_p99_s: f64,
+    in_force_390_max_s: f64,
     restore_s: f64,
     restore_from_peer_s: f64,
     rss_mib: f64,
@@ -35,7 +44,8 @@
         return Err(MeasureError::UnknownCase(case.clone()));
     }
     let size = size_trial::run(ADAPTERS)?;
-    let change = fleet_trial::run_changes(options.seed, CHANGE_FLEETS)?;
+    let change = fleet_trial::run_changes(options.seed, SMALL_FLEETS, &SMALL_FLEET)?;
+    let large = fleet_trial::run_changes(options.seed, 1, &LARGE_FLEET)?;
     let idle = IDLE_FLEETS.map(|members| fleet_trial::run_idle(options.seed, members));
     let report = ConfigReport {
         seed: options.seed,
@@ -44,6 +54,8 @@
         in_force_max_s: change.quantile(1.0),
         changes: change.changes,
         withdrawn_stream_end_s: change.withdrawn_stream_end_s,
+        in_force_390_p99_s: large.quantile(0.99),
+        in_force_390_max_s: large.quantile(1.0),
         restore_s: size.restore_s,
         restore_from_peer_s: size.restore_from_peer_s,
         rss_mib: size.rss_mib,
@@ -67,6 +79,11 @@
         "  last stream of a withdrawn key ended after {:>8.3} s",
         report.withdrawn_stream_end_s
     );
+    println!("390 instances in 7 zones, one zone without the log, {} changes", LARGE_FLEET.changes);
+    println!(
+        "  in force p99 / max            {:>8.3} {:>8.3} s",
+        report.in_force_390_p99_s, report.in_force_390_max_s
+    );
     println!("{ADAPTERS} adapters");
     println!(
         "  restore from log / from peer  {:>8.3} {:>8.3} s",
--- a/coltsfoot-measure/src/config/fleet_trial.rs
+++ b/coltsfoot-measure/src/config/fleet_trial.rs
@@ -14,8 +14,6 @@
 
 /// Zones of the fleets.
 const ZONES: [&str; 7] = ["z1", "z2", "z3", "z4", "z5", "z6", "z7"];
-/// Changes that a fleet publishes.
-const CHANGES_PER_FLEET: u32 = 100;
 /// Adapters of the small configuration.
 const ADAPTERS: u32 = 200;
 /// Longest wait between two changes, in milliseconds.
@@ -26,18 +24,31 @@
 const IDLE_DURATION: time::Duration = time::Duration::from_secs(120);
 /// Messages lost between instances, in thousandths.
 const LOST_PERMILLE: u32 = 10;
-/// Instance without the log in the fleets that publish changes.
-const CUT_OFF: usize = 4;
+/// Time between two checks of an open stream's key in the daemon.
+const STREAM_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(500);
 /// Share of changes that withdraw a key: one in this many.
 const WITHDRAWAL_EVERY: u32 = 5;
 
+/// A fleet that publishes changes.
+pub struct FleetShape {
+    /// Instances.
+    pub members: usize,
+    /// Zones, over which the instances are spread evenly.
+    pub zones: usize,
+    /// Whether an instance does not reach the log.
+    pub is_cut_off: fn(usize) -> bool,
+    /// Changes that the fleet publishes.
+    pub changes: u32,
+}
+
 /// When changes were in force.
 pub struct ChangeTrial {
     /// Microseconds from the append to the instance's new view, one value for each instance.
     latencies: Histogram<u64>,
     /// Changes published.
     pub changes: u64,
-    /// Longest time from the append of a withdrawal to the last instance that ends the streams.
+    /// Longest time from the append of a withdrawal until the last instance has ended the streams:
+    /// until its view changed, and the interval of the streams' checks.
     pub withdrawn_stream_end_s: f64,
 }
 
@@ -56,12 +67,16 @@
     pub log_calls_per_second: f64,
 }
 
-/// Publishes changes on fleets of nine instances in three zones, one without the log.
-pub fn run_changes(seed: u64, fleets: u64) -> Result<ChangeTrial, MeasureError> {
+/// Publishes changes on fleets of a certain shape.
+pub fn run_changes(
+    seed: u64,
+    fleets: u64,
+    shape: &FleetShape,
+) -> Result<ChangeTrial, MeasureError> {
     let latencies = Histogram::new(3).map_err(|error| MeasureError::Violated(error.to_string()))?;
     let mut trial = ChangeTrial { latencies, changes: 0, withdrawn_stream_end_s: 0.0 };
     for number in 0..fleets {
-        run_fleet(seed.wrapping_mul(1_000).wrapping_add(number), &mut trial)?;
+        run_fleet(seed.wrapping_mul(1_000).wrapping_add(number), shape, &mut trial)?;
     }
     Ok(trial)
 }
@@ -85,16 +100,17 @@
     IdleTrial { peer_bytes_per_second: rate(0), log_calls_per_second: rate(1) }
 }
 
-fn run_fleet(seed: u64, trial: &mut ChangeTrial) -> Result<(), MeasureError> {
+fn run_fleet(seed: u64, shape: &FleetShape, trial: &mut ChangeTrial) -> Result<(), MeasureError> {
     let mut rng = rngs::SmallRng::seed_from_u64(seed);
-    let mut fleet = start_fleet(seed, 9, 3);
-    fleet.members[CUT_OFF].reaches_log = false;
-    let keys = CHANGES_PER_FLEET;
-    change_text::for_each_setup_record(ADAPTERS, keys, ADAPTERS, |record| {
+    let mut fleet = start_fleet(seed, shape.members, shape.zones);
+    for (index, member) in fleet.members.iter_mut().enumerate() {
+        member.reaches_log = !(shape.is_cut_off)(index);
+    }
+    change_text::for_each_setup_record(ADAPTERS, shape.changes, ADAPTERS, |record| {
         fleet.publish(record);
     })?;
     fleet.run_for(time::Duration::from_secs(5));
-    for number in 0..CHANGES_PER_FLEET {
+    for number in 0..shape.changes {
         fleet.run_for(time::Duration::from_millis(rng.random_range(0..MAX_PAUSE_MS)));
         let withdraws = number % WITHDRAWAL_EVERY == 0;
         let latencies = publish_one(seed, &mut fleet, number, withdraws)?;
@@ -103,9 +119,9 @@
             let recorded = trial.latencies.record(latency.as_micros() as u64);
             recorded.map_err(|error| MeasureError::Violated(error.to_string()))?;
         }
-        let last = latencies.into_iter().max().unwrap_or_default().as_secs_f64();
+        let last = latencies.into_iter().max().unwrap_or_default() + STREAM_CHECK_INTERVAL;
         if withdraws {
-            trial.withdrawn_stream_end_s = trial.withdrawn_stream_end_s.max(last);
+            trial.withdrawn_stream_end_s = trial.withdrawn_stream_end_s.max(last.as_secs_f64());
         }
     }
     Ok(())
