--- a/coltsfootd/src/control/member.rs
+++ b/coltsfootd/src/control/member.rs
@@ -143,6 +143,15 @@
         self.zone_member.view().map(|view| view.members).unwrap_or_default()
     }
 
+    /// Returns how far the instance may act as owner, for operators.
+    pub fn mode_text(&self, now: instant::MonotonicTime) -> String {
+        match self.zone_member.mode(now) {
+            member::MemberMode::Inactive => "inactive".to_owned(),
+            member::MemberMode::Full => "full".to_owned(),
+            member::MemberMode::Restricted { kept, of } => format!("restricted {kept}/{of}"),
+        }
+    }
+
     fn carry_out(&mut self, action: member::MemberAction, notices: &mut Vec<OwnershipNotice>) {
         match action {
             member::MemberAction::Send { receiver, message } => {
--- a/coltsfootd/src/control/plane.rs
+++ b/coltsfootd/src/control/plane.rs
@@ -340,6 +340,7 @@
             draining: self.shared.status.is_draining(),
             running: self.shared.status.running(),
             view: self.member.members(),
+            ownership: self.member.mode_text(now),
             cells: self.placement.owned_cells(now, &self.member),
         }
     }
--- a/coltsfootd/src/control/status.rs
+++ b/coltsfootd/src/control/status.rs
@@ -20,6 +20,8 @@
     pub running: usize,
     /// Instances of the zone that it counts on.
     pub view: Vec<name::InstanceName>,
+    /// How far it may act as owner: `inactive`, `full`, or `restricted K/N`.
+    pub ownership: String,
     /// Engine cells that it owns.
     pub cells: Vec<String>,
 }
