Make the doubled handover's test sharp

Cause: the former numbers let the burst hide a handover that was taken twice. Change: a smaller handover, so that a second one would show. Measured: fails when a started owner takes a handover; 49 tests pass.

--- a/coltsfoot-quota/tests/quota_faults.rs
+++ b/coltsfoot-quota/tests/quota_faults.rs
@@ -187,7 +187,7 @@
 }
 
 #[rstest]
-#[case::own_term(VIEW, 300, 700)]
+#[case::own_term(VIEW, 200, 100)]
 #[case::other_term(id::FencingNumber(6), 0, 0)]
 fn a_handover_counts_once_and_for_its_term(
     #[case] view: id::FencingNumber,
@@ -199,8 +199,8 @@
         customer: CUSTOMER.into(),
         zone: ZONE.into(),
         view,
-        level: 900,
-        outstanding: 700,
+        level: 200,
+        outstanding: 100,
     };
     owner.handle(at(100), event::OwnerEvent::Handover(handover.clone()));
     let taken = status(&mut owner, 100);
