Add the tests that mechanisms were missed by

Cause: trials that took one mechanism out at a time showed two that no test missed: the check of the lease at each use, and the return of loans; the restart test leant on the report lag alone.

--- a/coltsfoot-placement/tests/pins.rs
+++ b/coltsfoot-placement/tests/pins.rs
@@ -236,3 +236,30 @@
     test.settle();
     assert!(test.granted(waiting).is_some());
 }
+
+#[test]
+fn a_cold_restart_forgets_even_what_reports_do_not_show_yet() {
+    let mut test = common::TestCell::new(1, 2, 8);
+    test.warm("menus@1");
+    test.report("e0", 2, 0, &[]);
+    assert!(!test.holds("e0", "menus@1"));
+}
+
+#[test]
+fn nothing_that_waits_is_ordered_or_permitted_after_a_pause_past_the_lease() {
+    let mut test = common::TestCell::new(1, 3, 1);
+    test.auto_budget = false;
+    test.gain_lease(&[], false, 1, false);
+    test.report("e0", 1, 0, &["menus@1"]);
+    let running = test.want("menus@1");
+    let waiting_for_batch = test.want("menus@1");
+    let waiting_for_load = test.want("rosters@1");
+    test.now = test.now + time::Duration::from_secs(5);
+    test.give_loads(1);
+    test.answer(running);
+    test.send(CellEvent::Tick);
+    assert!(test.loads.is_empty() && test.unloads.is_empty());
+    assert!(test.granted(waiting_for_batch).is_none());
+    test.send(CellEvent::OwnershipLost);
+    assert!(test.refused(waiting_for_batch).is_some() && test.refused(waiting_for_load).is_some());
+}
