--- a/coltsfootd/src/control/event.rs
+++ b/coltsfootd/src/control/event.rs
@@ -2,12 +2,13 @@
 
 use async_channel as channel;
 use coltsfoot_member::event as member;
+use coltsfoot_once::batcher_event;
 use coltsfoot_placement::event as cell;
 use coltsfoot_platform::protocol;
 use coltsfoot_types::{id, name};
-use coltsfoot_wire::{peer, placement};
+use coltsfoot_wire::{once, peer, placement};
 
-use crate::control::{client, status};
+use crate::control::{client, platform, status};
 
 /// Something that the control thread acts on.
 pub enum ControlEvent {
@@ -60,10 +61,19 @@
     CacheReported(name::UpstreamName, protocol::CacheEvents),
     /// An engine's port is closed: its process has ended.
     EngineClosed(name::UpstreamName),
-    /// Records of the configuration stream were read.
-    ConfigRead(protocol::RecordPage),
-    /// The log can't be read.
-    LogUnreachable(String),
+    /// A read for the configuration has ended.
+    ConfigRead(platform::ConfigRead),
+    /// An append of a part of a snapshot has ended.
+    SnapshotAppended {
+        /// Offset of the first value, nothing if it is not known to be appended.
+        first_offset: Option<id::LogOffset>,
+    },
+    /// A once-only call asks for its claim.
+    Claim(client::ClaimQuery, channel::Sender<client::ClaimDecision>),
+    /// A once-only call has ended; the sender is closed when that is on the log.
+    Settle(once::OutcomeEntry, channel::Sender<()>),
+    /// A call of the claims stream has ended.
+    ClaimsCalled(batcher_event::BatcherEvent),
     /// The instance list was read.
     ListRead(protocol::InstanceList),
     /// The instance list can't be read.
