Probe only instances in use, and announce folded offsets until known

Cause: each instance sent its folded offset to all others each second; at 390 daemons that alone is 390 messages a second against a budget of 5 KB/s. Change: offsets are sent until the receiver is known to have them; instances that were sent something lately are probed after 0.8 s of silence; tags of peer messages are 16 bytes. Conclusion: constant cost per instance in use.

--- a/coltsfoot-wire/src/codec.rs
+++ b/coltsfoot-wire/src/codec.rs
@@ -2,8 +2,8 @@
 
 use crate::peer;
 
-/// Length of the authentication tag, in bytes.
-const TAG_BYTES: usize = 32;
+/// Length of the authentication tag, in bytes: the first half of a keyed BLAKE3 hash.
+const TAG_BYTES: usize = 16;
 /// Context of the key derivation, unique to this use.
 const KEY_CONTEXT: &str = "coltsfoot-wire 2026-12 peer messages";
 
@@ -36,8 +36,8 @@
     /// Encodes a message.
     pub fn encode(&self, envelope: &peer::PeerEnvelope) -> Result<Vec<u8>, CodecError> {
         let mut bytes = postcard::to_stdvec(envelope)?;
-        let tag = blake3::keyed_hash(&self.key, &bytes);
-        bytes.extend_from_slice(tag.as_bytes());
+        let tag = self.tag(&bytes);
+        bytes.extend_from_slice(&tag);
         Ok(bytes)
     }
 
@@ -45,10 +45,20 @@
     pub fn decode(&self, bytes: &[u8]) -> Result<peer::PeerEnvelope, CodecError> {
         let split = bytes.len().checked_sub(TAG_BYTES).ok_or(CodecError::TooShort(bytes.len()))?;
         let (content, tag) = bytes.split_at(split);
-        let tag = <[u8; TAG_BYTES]>::try_from(tag).map_err(|_| CodecError::TooShort(split))?;
-        if blake3::keyed_hash(&self.key, content) != blake3::Hash::from_bytes(tag) {
+        // A hash compares in constant time.
+        let mut padded = [0; 32];
+        padded[..TAG_BYTES].copy_from_slice(tag);
+        let mut expected = [0; 32];
+        expected[..TAG_BYTES].copy_from_slice(&self.tag(content));
+        if blake3::Hash::from_bytes(padded) != blake3::Hash::from_bytes(expected) {
             return Err(CodecError::WrongTag);
         }
         Ok(postcard::from_bytes(content)?)
     }
+    fn tag(&self, content: &[u8]) -> [u8; TAG_BYTES] {
+        let hash = blake3::keyed_hash(&self.key, content);
+        let mut tag = [0; TAG_BYTES];
+        tag.copy_from_slice(&hash.as_bytes()[..TAG_BYTES]);
+        tag
+    }
 }
--- a/coltsfoot-wire/src/lib.rs
+++ b/coltsfoot-wire/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod codec;
 pub mod config;
+pub mod contact;
 pub mod member;
 pub mod once;
 pub mod peer;
--- a/coltsfoot-wire/src/peer.rs
+++ b/coltsfoot-wire/src/peer.rs
@@ -3,7 +3,7 @@
 use coltsfoot_types::name;
 use serde::{Deserialize, Serialize};
 
-use crate::{config, member, once, placement, quota};
+use crate::{config, contact, member, once, placement, quota};
 
 /// A message with its sender.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
@@ -25,6 +25,8 @@
     Placement(placement::PlacementMessage),
     /// Claims of once-only calls.
     Claim(once::ClaimMessage),
+    /// Signs of life between instances that have to do with each other.
+    Contact(contact::ContactMessage),
     /// Records and states of the configuration.
     Config(config::ConfigMessage),
 }
--- a/coltsfoot-wire/src/quota.rs
+++ b/coltsfoot-wire/src/quota.rs
@@ -132,7 +132,7 @@
 }
 
 /// How far an instance has folded the configuration log.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
 pub struct FoldedOffset {
     /// Offset up to which the sender has folded.
     pub offset: id::LogOffset,
--- a/coltsfootd/src/control/contact.rs
+++ b/coltsfootd/src/control/contact.rs
@@ -1,38 +1,70 @@
-//! Which other instances can be reached, judged by the messages that came from them.
+//! Which other instances can be reached.
+//!
+//! Only instances that this one has lately sent something to are probed, so that the cost does not
+//! grow with the fleet.
 
 use std::time;
 
 use coltsfoot_types::{name, time as instant};
 use rustc_hash::FxHashMap;
 
-/// Silence after which an instance counts as unreachable. Every instance announces itself each
-/// second.
+/// Silence after which an instance that is in use is probed.
+const PROBE_AFTER: time::Duration = time::Duration::from_millis(800);
+/// Silence after which an instance that is in use counts as unreachable.
 const SILENCE_LIMIT: time::Duration = time::Duration::from_millis(2_500);
+/// Time after its last use for which an instance is probed.
+const USE_LIMIT: time::Duration = time::Duration::from_secs(30);
 
-/// When each other instance was last heard.
+/// What is known of an instance.
+struct InstanceContact {
+    /// When it was first used after a time without use; silence counts from then on.
+    in_use_since: instant::MonotonicTime,
+    last_use: instant::MonotonicTime,
+    heard: Option<instant::MonotonicTime>,
+}
+
+impl InstanceContact {
+    fn silence(&self, now: instant::MonotonicTime) -> time::Duration {
+        let since = self.heard.map_or(self.in_use_since, |heard| heard.max(self.in_use_since));
+        now.since(since)
+    }
+}
+
+/// When other instances were used and heard.
 #[derive(Default)]
 pub struct ContactTable {
-    heard: FxHashMap<name::InstanceName, instant::MonotonicTime>,
+    contacts: FxHashMap<name::InstanceName, InstanceContact>,
 }
 
 impl ContactTable {
     /// Notes a message of an instance.
-    pub fn note(&mut self, now: instant::MonotonicTime, instance: &name::InstanceName) {
-        match self.heard.get_mut(instance) {
-            Some(heard) => *heard = now,
+    pub fn note_heard(&mut self, now: instant::MonotonicTime, instance: &name::InstanceName) {
+        if let Some(contact) = self.contacts.get_mut(instance) {
+            contact.heard = Some(now);
+        }
+    }
+
+    /// Notes that something was sent to an instance.
+    pub fn note_used(&mut self, now: instant::MonotonicTime, instance: &name::InstanceName) {
+        match self.contacts.get_mut(instance) {
+            Some(contact) => contact.last_use = now,
             None => {
-                self.heard.insert(instance.clone(), now);
+                let contact = InstanceContact { in_use_since: now, last_use: now, heard: None };
+                self.contacts.insert(instance.clone(), contact);
             }
         }
     }
 
-    /// Returns whether an instance was heard a short time ago.
+    /// Returns whether an instance can be reached, as far as is known. One that was not used lately
+    /// counts as reachable until it is used and stays silent.
     pub fn is_reachable(&self, now: instant::MonotonicTime, instance: &name::InstanceName) -> bool {
-        self.heard.get(instance).is_some_and(|heard| now.since(*heard) < SILENCE_LIMIT)
+        self.contacts.get(instance).is_none_or(|contact| contact.silence(now) < SILENCE_LIMIT)
     }
 
-    /// Forgets instances that have been silent for long.
-    pub fn expire(&mut self, now: instant::MonotonicTime) {
-        self.heard.retain(|_, heard| now.since(*heard) < SILENCE_LIMIT * 10);
+    /// Returns the instances to probe now, and forgets those that are no longer in use.
+    pub fn due_probes(&mut self, now: instant::MonotonicTime) -> Vec<name::InstanceName> {
+        self.contacts.retain(|_, contact| now.since(contact.last_use) < USE_LIMIT);
+        let due = self.contacts.iter().filter(|(_, contact)| contact.silence(now) >= PROBE_AFTER);
+        due.map(|(instance, _)| instance.clone()).collect()
     }
 }
--- a/coltsfootd/src/control/plane.rs
+++ b/coltsfootd/src/control/plane.rs
@@ -11,7 +11,7 @@
 use coltsfoot_placement::event as cells;
 use coltsfoot_platform::{http, list, log, protocol};
 use coltsfoot_types::time as instant;
-use coltsfoot_wire::{codec, peer};
+use coltsfoot_wire::{codec, contact, peer};
 use futures_lite::future;
 
 use crate::control::catalog::{ConfigHost, ConfigTools};
@@ -263,6 +263,9 @@
 
     fn tick(&mut self, now: instant::MonotonicTime) {
         self.ticks += 1;
+        for instance in self.network.take_used() {
+            self.contacts.note_used(now, &instance);
+        }
         let changed = self.catalog.tick(now);
         self.configure(now, changed);
         self.member_event(now, members::MemberEvent::Tick);
@@ -270,7 +273,7 @@
         self.placement.tick(now, placement_tools!(self));
         self.claims.tick(now, claim_tools!(self));
         if self.ticks.is_multiple_of(ANNOUNCE_TICKS) {
-            self.contacts.expire(now);
+            self.probe_contacts(now);
             self.update_reachability(now);
             self.quota.announce_offset(quota_routing!(self));
         }
@@ -300,6 +303,14 @@
         }
     }
 
+    /// Asks instances that are in use and silent for a sign of life.
+    fn probe_contacts(&mut self, now: instant::MonotonicTime) {
+        for instance in self.contacts.due_probes(now) {
+            let probe = contact::ContactMessage::Probe;
+            self.network.send(&instance, peer::PeerMessage::Contact(probe));
+        }
+    }
+
     /// Tells the quota which other zones can be reached.
     fn update_reachability(&mut self, now: instant::MonotonicTime) {
         let own_zone = &self.shared.settings.zone;
@@ -314,7 +325,7 @@
 
     fn take_message(&mut self, now: instant::MonotonicTime, envelope: peer::PeerEnvelope) {
         let peer::PeerEnvelope { sender, message } = envelope;
-        self.contacts.note(now, &sender);
+        self.contacts.note_heard(now, &sender);
         if !matches!(message, peer::PeerMessage::Member(_)) {
             self.member_event(now, members::MemberEvent::PeerContact);
         }
@@ -323,6 +334,11 @@
                 let notices = self.member.take_message(now, sender, message);
                 self.take_notices(now, notices);
             }
+            peer::PeerMessage::Contact(contact::ContactMessage::Answer) => {}
+            peer::PeerMessage::Contact(contact::ContactMessage::Probe) => {
+                let answer = contact::ContactMessage::Answer;
+                self.network.send(&sender, peer::PeerMessage::Contact(answer));
+            }
             peer::PeerMessage::Quota(message) => {
                 self.quota.take_message(now, sender, message, quota_routing!(self));
             }
--- a/coltsfootd/src/control/quota.rs
+++ b/coltsfootd/src/control/quota.rs
@@ -34,7 +34,7 @@
     waiting: FxHashMap<id::RequestId, client::AnswerSender<()>>,
     limits: collections::BTreeMap<name::CustomerName, limit_history::CustomerLimits>,
     owned: collections::BTreeSet<name::CustomerName>,
-    folded: collections::BTreeMap<name::InstanceName, id::LogOffset>,
+    folded: collections::BTreeMap<name::InstanceName, messages::FoldedOffset>,
 }
 
 impl QuotaHost {
@@ -74,6 +74,7 @@
         for (customer, limits) in changes {
             self.configure_customer(now, catalog.offset(), customer, limits, routing);
         }
+        self.settle(now, routing);
     }
 
     /// Returns the resources that buckets of this zone are.
@@ -143,8 +144,7 @@
                 self.owner.handle(now, quota::OwnerEvent::Handover(handover))
             }
             messages::QuotaMessage::Folded(folded) => {
-                self.folded.insert(sender, folded.offset);
-                return self.settle(now, routing);
+                return self.take_folded(now, sender, folded, routing);
             }
         };
         self.carry_out(actions, routing);
@@ -201,22 +201,51 @@
         self.carry_out(actions, routing);
     }
 
-    /// Tells the other instances how far this one has folded the configuration.
+    /// Tells the instances that don't know it yet how far this one has folded the configuration.
     pub fn announce_offset(&self, routing: &QuotaRouting<'_>) {
         let offset = self.shared.catalog.load().offset();
         let own = &self.shared.settings.instance;
         for (receiver, _) in routing.directory.peer_addresses().filter(|(name, _)| name != own) {
-            let folded = messages::FoldedOffset { offset, seen: id::LogOffset::default() };
-            let message = messages::QuotaMessage::Folded(folded);
-            routing.network.send(&receiver, peer::PeerMessage::Quota(message));
+            let known = self.folded.get(&receiver).is_some_and(|folded| folded.seen >= offset);
+            if !known {
+                self.send_folded(&receiver, routing);
+            }
         }
     }
 
+    /// Takes how far another instance has folded; answers if either side learns something by it.
+    fn take_folded(
+        &mut self,
+        now: instant::MonotonicTime,
+        sender: name::InstanceName,
+        folded: messages::FoldedOffset,
+        routing: &QuotaRouting<'_>,
+    ) {
+        let own_offset = self.shared.catalog.load().offset();
+        let known = self.folded.entry(sender.clone()).or_default();
+        let is_news = known.offset < folded.offset;
+        known.offset = known.offset.max(folded.offset);
+        known.seen = known.seen.max(folded.seen);
+        if is_news || folded.seen < own_offset {
+            self.send_folded(&sender, routing);
+        }
+        self.settle(now, routing);
+    }
+
+    fn send_folded(&self, receiver: &name::InstanceName, routing: &QuotaRouting<'_>) {
+        let offset = self.shared.catalog.load().offset();
+        let seen = self.folded.get(receiver).map(|folded| folded.offset).unwrap_or_default();
+        let message = messages::QuotaMessage::Folded(messages::FoldedOffset { offset, seen });
+        routing.network.send(receiver, peer::PeerMessage::Quota(message));
+    }
+
     fn settle(&mut self, now: instant::MonotonicTime, routing: &QuotaRouting<'_>) {
         let own = &self.shared.settings.instance;
         let own_offset = self.shared.catalog.load().offset();
         let others = routing.directory.peer_addresses().filter(|(name, _)| name != own);
-        let offsets = others.map(|(name, _)| self.folded.get(&name).copied().unwrap_or_default());
+        let offsets = others.map(|(name, _)| {
+            self.folded.get(&name).map(|folded| folded.offset).unwrap_or_default()
+        });
         let offset = offsets.min().unwrap_or(own_offset).min(own_offset);
         let actions = self.owner.handle(now, quota::OwnerEvent::Settled { offset });
         self.carry_out(actions, routing);
--- a/coltsfootd/src/peers.rs
+++ b/coltsfootd/src/peers.rs
@@ -50,6 +50,8 @@
     events: control::EventSender,
     directory: cell::RefCell<PeerDirectory>,
     links: cell::RefCell<collections::HashMap<name::InstanceName, PeerLink>>,
+    /// Receivers of messages since the control thread asked last.
+    used: cell::RefCell<Vec<name::InstanceName>>,
 }
 
 impl PeerNetwork {
@@ -71,6 +73,7 @@
             events,
             directory: cell::RefCell::default(),
             links: cell::RefCell::default(),
+            used: cell::RefCell::default(),
         };
         Self { inner: rc::Rc::new(state) }
     }
@@ -98,7 +101,11 @@
         let Some(address) = self.inner.directory.borrow().get(receiver).copied() else {
             return;
         };
-        let by_datagram = matches!(message, peer::PeerMessage::Member(_));
+        let by_datagram =
+            matches!(message, peer::PeerMessage::Member(_) | peer::PeerMessage::Contact(_));
+        if !by_datagram {
+            self.inner.used.borrow_mut().push(receiver.clone());
+        }
         let sender = self.inner.own_name.clone();
         let Ok(bytes) = self.inner.codec.encode(&peer::PeerEnvelope { sender, message }) else {
             return;
@@ -111,6 +118,14 @@
         }
     }
 
+    /// Returns the receivers of messages since the last call; heartbeats and probes don't count.
+    pub fn take_used(&self) -> Vec<name::InstanceName> {
+        let mut used = self.inner.used.take();
+        used.sort();
+        used.dedup();
+        used
+    }
+
     fn send_datagram(&self, address: net::SocketAddr, bytes: Vec<u8>) {
         let socket = self.inner.socket.clone();
         let sending = async move {
