--- a/coltsfoot-catalog/src/follower.rs
+++ b/coltsfoot-catalog/src/follower.rs
@@ -15,8 +15,10 @@
 
 use crate::{catch_up, feed, fold, gossip, schedule, snapshot, view};
 
-/// Records read by one call.
-const PAGE_RECORDS: u32 = 500;
+/// Records read by one call; they are large where operators publish many objects at a time.
+const PAGE_RECORDS: u32 = 32;
+/// Index records read by one call.
+const INDEX_PAGE_RECORDS: u32 = 500;
 /// Time without an answer after which a call to the log counts as failed.
 const LOG_TIMEOUT: time::Duration = time::Duration::from_secs(3);
 /// Time for which a starting instance relies on the log alone.
@@ -51,7 +53,8 @@
 #[derive(Debug)]
 struct PendingWrite {
     writer: schedule::SnapshotWriter,
-    sent_at: MonotonicTime,
+    /// When the values are appended again, unless an answer comes.
+    retry_at: MonotonicTime,
 }
 
 /// Follows the configuration for one instance.
@@ -141,7 +144,7 @@
     /// Returns when the next [`feed::FollowerEvent::Tick`] is due.
     pub fn next_wake(&self) -> MonotonicTime {
         let read_wake = self.pending_read.as_ref().map_or(self.poll_at, deadline_of_read);
-        let write_wake = self.pending_write.as_ref().map(|write| write.sent_at + LOG_TIMEOUT);
+        let write_wake = self.pending_write.as_ref().map(|write| write.retry_at);
         let wake = read_wake.min(self.probe_at);
         write_wake.map_or(wake, |write_wake| wake.min(write_wake))
     }
@@ -180,9 +183,7 @@
         if self.pending_read.as_ref().is_some_and(|read| now >= deadline_of_read(read)) {
             self.on_log_failure(now);
         }
-        if self.pending_write.as_ref().is_some_and(|write| now >= write.sent_at + LOG_TIMEOUT) {
-            self.on_log_appended(now, None, actions);
-        }
+        self.retry_write(now, actions);
         if self.pending_read.is_none() && now >= self.poll_at {
             self.poll(now, actions);
         }
@@ -200,7 +201,7 @@
                 Some(_) => id::LogOffset(0),
                 None => self.schedule.next_index(),
             };
-            self.read(now, feed::LogStream::SnapshotIndex, offset, PAGE_RECORDS, actions);
+            self.read(now, feed::LogStream::SnapshotIndex, offset, INDEX_PAGE_RECORDS, actions);
         } else {
             self.read_records(now, actions);
         }
@@ -252,6 +253,9 @@
         if self.catch_up.is_some() {
             self.catch_up = Some(catch_up::SnapshotCatchUp::default());
         }
+        if !self.is_ready() {
+            self.probe_at = self.probe_at.min(now);
+        }
     }
 
     fn on_records_page(
@@ -269,7 +273,7 @@
         let records = page.records.into_iter();
         let records = records
             .map(|record| config::ConfigRecord { offset: record.offset, value: record.value });
-        let added = self.apply(records.collect()).added;
+        let added = self.apply(records.collect(), actions).added;
         self.push_records(&added, None, actions);
         if self.fold.next_offset() >= page.end_offset {
             self.confirm(now, Confirmation { at: sent_at, age: time::Duration::ZERO });
@@ -297,7 +301,7 @@
         }
         if next_index < page.end_offset {
             let stream = feed::LogStream::SnapshotIndex;
-            self.read(now, stream, next_index, PAGE_RECORDS, actions);
+            self.read(now, stream, next_index, INDEX_PAGE_RECORDS, actions);
             return;
         }
         self.schedule.note_look(now, next_index);
@@ -336,7 +340,20 @@
         actions: &mut feed::FollowerActions,
     ) {
         let Some(mut write) = self.pending_write.take() else { return };
-        let step = write.writer.on_answer(first_offset);
+        let Some(first_offset) = first_offset else {
+            let retry_at = now + self.poll_interval;
+            self.pending_write = Some(PendingWrite { retry_at, ..write });
+            return;
+        };
+        let step = write.writer.on_appended(first_offset);
+        self.write(now, write.writer, step, actions);
+    }
+
+    /// Appends values again whose answer has not come.
+    fn retry_write(&mut self, now: MonotonicTime, actions: &mut feed::FollowerActions) {
+        let is_due = |write: &mut PendingWrite| now >= write.retry_at;
+        let Some(mut write) = self.pending_write.take_if(is_due) else { return };
+        let step = write.writer.next();
         self.write(now, write.writer, step, actions);
     }
 
@@ -362,7 +379,7 @@
     ) {
         match step {
             schedule::WriterStep::Append(stream, values) => {
-                self.pending_write = Some(PendingWrite { writer, sent_at: now });
+                self.pending_write = Some(PendingWrite { writer, retry_at: now + LOG_TIMEOUT });
                 actions.push(feed::FollowerAction::AppendLog { stream, values });
             }
             schedule::WriterStep::Finished => {
--- a/coltsfoot-measure/src/main.rs
+++ b/coltsfoot-measure/src/main.rs
@@ -1,9 +1,16 @@
 //! `coltsfoot-measure`: measures the decisions and the path, one subcommand a measure.
 
 mod cmd;
+mod config;
 mod once;
 mod placement;
+mod quota_reference;
+mod quota_run;
+mod quota_workload;
 mod retries;
+// The tests of `coltsfoot-quota` use the rest.
+#[allow(dead_code)]
+mod virtual_fleet;
 
 use std::process;
 
--- a/coltsfootd/src/front/service_dispatch.rs
+++ b/coltsfootd/src/front/service_dispatch.rs
@@ -25,7 +25,7 @@
 /// Largest answer of a service, in bytes.
 const MAX_ANSWER_BYTES: usize = 4 * 1_024 * 1_024;
 /// Largest answer that is kept for repeats, in bytes.
-const MAX_RECORDED_BYTES: usize = 16 * 1_024;
+const MAX_RECORDED_BYTES: usize = 4 * 1_024;
 /// Time beyond its deadline for which a once-only call is followed to learn its outcome.
 const FOLLOW_TIME: time::Duration = time::Duration::from_secs(30);
 /// Wait that is asked of a caller when the upstreams failed.
