--- a/coltsfootd/src/control/event.rs
+++ b/coltsfootd/src/control/event.rs
@@ -61,12 +61,6 @@
     CacheReported(name::UpstreamName, protocol::CacheEvents),
     /// An engine's port is closed: its process has ended.
     EngineClosed(name::UpstreamName),
-    /// A once-only call asks for its claim.
-    Claim(client::ClaimQuery, channel::Sender<client::ClaimDecision>),
-    /// A once-only call has ended; the sender is closed when that is on the log.
-    Settle(once::OutcomeEntry, channel::Sender<()>),
-    /// A call of the claims stream has ended.
-    ClaimsCalled(batcher_event::BatcherEvent),
     /// A read for the configuration has ended.
     ConfigRead(platform::ConfigRead),
     /// An append of a part of a snapshot has ended.
@@ -74,6 +68,12 @@
         /// Offset of the first value, nothing if it is not known to be appended.
         first_offset: Option<id::LogOffset>,
     },
+    /// A once-only call asks for its claim.
+    Claim(client::ClaimQuery, channel::Sender<client::ClaimDecision>),
+    /// A once-only call has ended; the sender is closed when that is on the log.
+    Settle(once::OutcomeEntry, channel::Sender<()>),
+    /// A call of the claims stream has ended.
+    ClaimsCalled(batcher_event::BatcherEvent),
     /// The instance list was read.
     ListRead(protocol::InstanceList),
     /// The instance list can't be read.
