--- a/coltsfoot-once/src/key_window.rs
+++ b/coltsfoot-once/src/key_window.rs
@@ -37,6 +37,8 @@
     }
 }
 
+/// Longest age of a key, whatever the retention; it bounds the keys that are remembered.
+const MAX_AGE: time::Duration = time::Duration::from_secs(15 * 60);
 /// Longest time that a key may lie ahead, whatever the retention.
 const MAX_AHEAD: time::Duration = time::Duration::from_secs(10);
 
@@ -44,7 +46,8 @@
     /// Derives the window from the retention of the log.
     pub fn for_retention(retention: time::Duration) -> Self {
         let max_ahead = (retention / 20).min(MAX_AHEAD);
-        Self { max_age: retention / 2 - 2 * max_ahead, max_ahead, retention }
+        let max_age = (retention / 2 - 2 * max_ahead).min(MAX_AGE);
+        Self { max_age, max_ahead, retention }
     }
 
     /// Parses a key and checks it against the time, in milliseconds since the Unix epoch.
