--- a/coltsfoot-measure/src/cmd/config.rs
+++ b/coltsfoot-measure/src/cmd/config.rs
@@ -33,6 +33,7 @@
     restore_from_peer_s: f64,
     rss_mib: f64,
     snapshot_mib: f64,
+    encode_ms: f64,
     change_us: f64,
     idle_bytes_per_second: Vec<f64>,
     log_calls_per_second: Vec<f64>,
@@ -60,6 +61,7 @@
         restore_from_peer_s: size.restore_from_peer_s,
         rss_mib: size.rss_mib,
         snapshot_mib: size.snapshot_mib,
+        encode_ms: size.encode_ms,
         change_us: size.change_us,
         idle_bytes_per_second: idle.iter().map(|idle| idle.peer_bytes_per_second).collect(),
         log_calls_per_second: idle.iter().map(|idle| idle.log_calls_per_second).collect(),
@@ -91,6 +93,7 @@
     );
     println!("  resident memory               {:>8.1} MiB", report.rss_mib);
     println!("  snapshot                      {:>8.1} MiB", report.snapshot_mib);
+    println!("  encoding of a snapshot        {:>8.1} ms", report.encode_ms);
     println!("  fold of one change            {:>8.1} us", report.change_us);
     println!("idle, per second and instance    bytes to peers  log calls");
     let bytes = report.idle_bytes_per_second.iter().zip(&report.log_calls_per_second);
--- a/coltsfoot-measure/src/config/size_trial.rs
+++ b/coltsfoot-measure/src/config/size_trial.rs
@@ -28,6 +28,8 @@
     pub rss_mib: f64,
     /// Size of the snapshot as text on the log.
     pub snapshot_mib: f64,
+    /// Time that the encoding of a snapshot takes.
+    pub encode_ms: f64,
     /// Processor time of the fold of one change.
     pub change_us: f64,
     /// Time from the start of an instance until it is ready, by snapshot and tail.
@@ -48,14 +50,17 @@
         return Err(MeasureError::Violated(format!("{rejected} sets of the setup were rejected")));
     }
     let rss_mib = resident_mib()?;
+    let start = time::Instant::now();
     let encoded =
         snapshot::encode(&fold).map_err(|error| MeasureError::Violated(error.to_string()))?;
+    let encode_ms = start.elapsed().as_secs_f64() * 1e3;
     let texts: Vec<_> = encoded.chunks.iter().map(|chunk| snapshot::chunk_text(chunk)).collect();
     let bytes: usize = texts.iter().map(String::len).sum();
     drop(fold);
     Ok(SizeTrial {
         rss_mib,
         snapshot_mib: bytes as f64 / 1024.0 / 1024.0,
+        encode_ms,
         change_us,
         restore_s: restore(texts.clone(), encoded.offset, false)?,
         restore_from_peer_s: restore(texts, encoded.offset, true)?,
