--- a/coltsfoot-measure/src/main.rs
+++ b/coltsfoot-measure/src/main.rs
@@ -3,8 +3,15 @@
 mod cmd;
 mod config;
 mod once;
+mod path_load;
 mod placement;
+mod quota_reference;
+mod quota_run;
+mod quota_workload;
 mod retries;
+// The tests of `coltsfoot-quota` use the rest.
+#[allow(dead_code)]
+mod virtual_fleet;
 
 use std::process;
 
--- a/coltsfoot-placement/src/engine.rs
+++ b/coltsfoot-placement/src/engine.rs
@@ -7,6 +7,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::event;
+use crate::popularity;
 use crate::service_time;
 
 /// A resident adapter.
@@ -16,6 +17,8 @@
     pub(crate) used_at: clock::MonotonicTime,
     /// When the residency became known.
     pub(crate) since: clock::MonotonicTime,
+    /// Copy of the adapter's popularity.
+    pub(crate) count: popularity::DecayedCount,
 }
 
 /// State of an engine.
@@ -29,6 +32,8 @@
     pub(crate) loading: collections::BTreeSet<adapter::AdapterVersion>,
     /// Adapters being unloaded; each takes a slot until the order has ended.
     pub(crate) unloading: collections::BTreeSet<adapter::AdapterVersion>,
+    /// Adapters that will be loaded once the unload before them has ended.
+    pub(crate) reserved: collections::BTreeSet<adapter::AdapterVersion>,
     /// Adapters without a slot that are being unloaded.
     pub(crate) strays: collections::BTreeSet<adapter::AdapterVersion>,
     /// Permits out for each adapter, whether or not it is resident.
@@ -59,6 +64,7 @@
             resident: FxHashMap::default(),
             loading: collections::BTreeSet::new(),
             unloading: collections::BTreeSet::new(),
+            reserved: collections::BTreeSet::new(),
             strays: collections::BTreeSet::new(),
             pins: FxHashMap::default(),
             running: 0,
@@ -92,6 +98,15 @@
         self.service.usable_batch(self.listing.batch_size).saturating_sub(self.running)
     }
 
+    /// Returns whether the adapter is resident, on its way in or on its way out.
+    pub(crate) fn knows(&self, adapter: &adapter::AdapterVersion) -> bool {
+        self.holds(adapter)
+            || self.loading.contains(adapter)
+            || self.unloading.contains(adapter)
+            || self.reserved.contains(adapter)
+            || self.strays.contains(adapter)
+    }
+
     /// Returns whether a slot is free.
     pub(crate) fn has_free_slot(&self) -> bool {
         let taken = self.resident.len() + self.loading.len() + self.unloading.len();
@@ -138,8 +153,9 @@
         &mut self,
         now: clock::MonotonicTime,
         adapter: adapter::AdapterVersion,
+        count: popularity::DecayedCount,
     ) {
-        self.resident.insert(adapter, Residency { used_at: now, since: now });
+        self.resident.insert(adapter, Residency { used_at: now, since: now, count });
         let taken = self.resident.len() + self.loading.len() + self.unloading.len();
         assert!(taken <= self.listing.slots as usize, "more adapters than slots");
     }
--- a/coltsfootd/src/settings.rs
+++ b/coltsfootd/src/settings.rs
@@ -12,7 +12,7 @@
 /// Shortest accepted `peer_secret`, in bytes.
 const MIN_SECRET_BYTES: usize = 16;
 
-/// Shortest accepted retention of the log.
+/// Shortest accepted `log_retention_ms`.
 const MIN_LOG_RETENTION: time::Duration = time::Duration::from_secs(10);
 
 /// Settings of one instance.
@@ -56,8 +56,9 @@
     /// Loads per second that the weight store allows.
     #[serde(default = "default_store_rate")]
     pub store_loads_per_second: f64,
-    /// Time for which the platform's log keeps records. Snapshots of the configuration are written
-    /// before a quarter of it has passed.
+    /// Time for which the platform's log keeps records at least. Snapshots of the configuration are
+    /// written before a quarter of it has passed; idempotency keys can be used for a little less
+    /// than half of it.
     #[serde(default = "default_log_retention", rename = "log_retention_ms")]
     #[serde(with = "serde_with::As::<DurationMilliSeconds<u64>>")]
     pub log_retention: time::Duration,
@@ -230,7 +231,7 @@
                 key: "log_retention_ms",
                 value: self.log_retention.as_millis().to_string(),
                 holds: self.log_retention >= MIN_LOG_RETENTION,
-                remedy: "use the retention of the platform's log, at least 10000",
+                remedy: "use at least 10000, and no more than the log really keeps",
             },
             Check {
                 key: "limits.max_connections",
@@ -281,7 +282,7 @@
 }
 
 fn default_log_retention() -> time::Duration {
-    time::Duration::from_secs(24 * 3_600)
+    time::Duration::from_secs(30 * 60)
 }
 
 fn default_drain_timeout() -> time::Duration {
