Hand buckets over on planned changes of ownership

Cause: a planned stop lost the bucket's level, and its successor waited for the old grants to lapse. Change: the daemon names the successor's view when it loses a bucket; a handover that comes before the ownership waits for it, one for a term that ended here is dropped. Measured: cargo test -p coltsfoot-quota, 51 passed; the case of an ended term fails without its check.

--- a/coltsfoot-quota/src/bucket_owner.rs
+++ b/coltsfoot-quota/src/bucket_owner.rs
@@ -27,6 +27,10 @@
     limits: collections::BTreeMap<name::CustomerName, limit_history::LimitHistory>,
     buckets: collections::BTreeMap<name::CustomerName, zone_bucket::ZoneBucket>,
     unreachable: collections::BTreeSet<name::ZoneName>,
+    /// Handovers that came before the ownership.
+    early_handovers: collections::BTreeMap<name::CustomerName, quota::BucketHandover>,
+    /// Views of the last terms that ended; a handover for one of them comes too late.
+    ended_terms: collections::BTreeMap<name::CustomerName, id::FencingNumber>,
     next_session: u64,
     next_sequence: u64,
 }
@@ -44,6 +48,8 @@
             limits: collections::BTreeMap::new(),
             buckets: collections::BTreeMap::new(),
             unreachable: collections::BTreeSet::new(),
+            early_handovers: collections::BTreeMap::new(),
+            ended_terms: collections::BTreeMap::new(),
             next_session: prefix << 32,
             next_sequence: 0,
         }
@@ -68,7 +74,9 @@
     ) -> event::QuotaActions {
         let mut actions = event::QuotaActions::new();
         match event {
-            event::OwnerEvent::OwnershipGained { customer, term } => self.gain(customer, term),
+            event::OwnerEvent::OwnershipGained { customer, term } => {
+                self.gain(now, customer, term, &mut actions);
+            }
             event::OwnerEvent::OwnershipLost { customer, successor_view } => {
                 actions.extend(self.lose(now, customer, successor_view));
             }
@@ -81,7 +89,7 @@
             event::OwnerEvent::Grant { sender, update } => {
                 self.grant(now, &sender, &update, &mut actions);
             }
-            event::OwnerEvent::Handover(handover) => self.take_over(now, &handover, &mut actions),
+            event::OwnerEvent::Handover(handover) => self.take_over(now, handover, &mut actions),
             event::OwnerEvent::Configured { customer, offset, limits } => {
                 self.limits.entry(customer).or_default().push(offset, limits);
             }
@@ -94,8 +102,14 @@
         actions
     }
 
-    fn gain(&mut self, customer: name::CustomerName, term: event::OwnershipTerm) {
-        match self.buckets.entry(customer) {
+    fn gain(
+        &mut self,
+        now: clock::MonotonicTime,
+        customer: name::CustomerName,
+        term: event::OwnershipTerm,
+        actions: &mut event::QuotaActions,
+    ) {
+        match self.buckets.entry(customer.clone()) {
             collections::btree_map::Entry::Occupied(mut occupied) => {
                 occupied.get_mut().change_term(term);
             }
@@ -103,6 +117,9 @@
                 vacant.insert(zone_bucket::ZoneBucket::new(term));
             }
         }
+        if let Some(handover) = self.early_handovers.remove(&customer) {
+            self.take_over(now, handover, actions);
+        }
     }
 
     /// Drops a bucket. Hands it over if the lease still holds.
@@ -114,6 +131,7 @@
     ) -> Option<event::QuotaAction> {
         self.refresh(now, &customer);
         let bucket = self.buckets.remove(&customer)?;
+        self.ended_terms.insert(customer.clone(), bucket.term.view);
         let view = successor_view?;
         if now >= self.lease_until || !bucket.has_started(now) {
             return None;
@@ -190,17 +208,24 @@
     fn take_over(
         &mut self,
         now: clock::MonotonicTime,
-        handover: &quota::BucketHandover,
+        handover: quota::BucketHandover,
         actions: &mut event::QuotaActions,
     ) {
-        if handover.zone != self.zone {
+        let customer = handover.customer.clone();
+        let is_late = self.ended_terms.get(&customer).is_some_and(|ended| *ended >= handover.view);
+        if handover.zone != self.zone || is_late {
             return;
         }
-        self.refresh(now, &handover.customer);
-        if let Some(bucket) = self.buckets.get_mut(&handover.customer) {
-            bucket.take_over(now, handover);
+        self.refresh(now, &customer);
+        match self.buckets.get_mut(&customer) {
+            Some(bucket) if bucket.term.view >= handover.view => {
+                bucket.take_over(now, &handover);
+                self.advance(now, &customer, actions);
+            }
+            _ => {
+                self.early_handovers.insert(customer, handover);
+            }
         }
-        self.advance(now, &handover.customer, actions);
     }
 
     fn may_act(&self, now: clock::MonotonicTime, customer: &name::CustomerName) -> bool {
--- a/coltsfoot-quota/tests/quota_faults.rs
+++ b/coltsfoot-quota/tests/quota_faults.rs
@@ -211,6 +211,34 @@
     assert_eq!(status(&mut owner, 110), before, "a doubled handover changes nothing");
 }
 
+#[rstest]
+#[case::before_the_ownership(false, 300)]
+#[case::for_a_term_that_ended(true, 0)]
+fn a_handover_waits_for_its_term_but_not_for_a_second_one(
+    #[case] had_the_term: bool,
+    #[case] level: u64,
+) {
+    let mut owner = bucket_owner::BucketOwner::new(&"owner-1".into(), ZONE.into());
+    owner.handle(at(0), configured(1, 1_000, 2_000));
+    owner.handle(at(0), lease(1_000_000));
+    if had_the_term {
+        owner.handle(at(0), gained(0, 1_000));
+        let lost =
+            event::OwnerEvent::OwnershipLost { customer: CUSTOMER.into(), successor_view: None };
+        owner.handle(at(10), lost);
+    }
+    let handover = quota::BucketHandover {
+        customer: CUSTOMER.into(),
+        zone: ZONE.into(),
+        view: VIEW,
+        level: 300,
+        outstanding: 0,
+    };
+    owner.handle(at(20), event::OwnerEvent::Handover(handover));
+    owner.handle(at(30), gained(30, 1_000));
+    assert_eq!(status(&mut owner, 30).level, level);
+}
+
 #[test]
 fn a_refund_is_credited_once_and_only_if_heard_from_before() {
     let mut owner = owner();
--- a/coltsfootd/src/control/member.rs
+++ b/coltsfootd/src/control/member.rs
@@ -138,6 +138,11 @@
         rendezvous::choose_member(&resource.name(), &members).cloned()
     }
 
+    /// Returns the view in force.
+    pub fn view(&self) -> Option<member::ZoneView> {
+        self.zone_member.view()
+    }
+
     /// Returns the members of the view.
     pub fn members(&self) -> Vec<name::InstanceName> {
         self.zone_member.view().map(|view| view.members).unwrap_or_default()
--- a/coltsfootd/src/control/quota.rs
+++ b/coltsfootd/src/control/quota.rs
@@ -169,7 +169,8 @@
             }
             None => {
                 self.owned.remove(&customer);
-                quota::OwnerEvent::OwnershipLost { customer, successor_view: None }
+                let successor_view = self.successor_view(&customer, routing);
+                quota::OwnerEvent::OwnershipLost { customer, successor_view }
             }
         };
         self.renew(now, routing);
@@ -248,6 +249,17 @@
         }
     }
 
+    /// Returns the number of the view that gave a lost bucket to another instance.
+    fn successor_view(
+        &self,
+        customer: &name::CustomerName,
+        routing: &QuotaRouting<'_>,
+    ) -> Option<id::FencingNumber> {
+        let owner = routing.member.owner_of(&OwnedResource::Bucket(customer.clone()))?;
+        let view = routing.member.view()?;
+        (owner != self.shared.settings.instance).then_some(view.epoch)
+    }
+
     fn carry_out(&mut self, actions: quota::QuotaActions, routing: &QuotaRouting<'_>) {
         for action in actions {
             match action {
