Tell cells of silent instances, and ask a new owner again soon

Cause: the daemon never told a cell that an instance had died, so pins of dead instances lasted for the request limit and an idle report could not clear them after a takeover; the ledger counted loads for 10 s that may take 60; a request that reached a new owner too early waited 1 s.

Change: silence of an instance is passed to the cells, only reachable instances are awaited at a takeover, the ledger's load limit is that of the orders, and a request refused for ownership is sent again after 100 ms. Long files are divided: orders, replication, the agent's events.

Conclusion: a takeover with a dead instance ends with the first idle report of each engine.

--- a/coltsfoot-measure/src/cmd/placement_sweep.rs
+++ b/coltsfoot-measure/src/cmd/placement_sweep.rs
@@ -32,16 +32,17 @@
 }
 
 fn sweep_policies(workload: &workload::PlacementWorkload, case: trace::TraceCase, seed: u64) {
-    println!("policy               stalls  stall s  first p95 s  occupancy  loads");
+    println!("policy               stalls  stall s  first mean s  first p95 s  occupancy  loads");
     let trace = trace::RequestTrace::draw(workload, case, seed);
     for variant in policies() {
         let (tally, _) = fleet::run(workload, &trace, &variant.policy);
         let sum = tally.summarise(workload, &trace);
         println!(
-            "{:<20} {:>6.4} {:>8.3} {:>12.3} {:>10.3} {:>6}",
+            "{:<20} {:>6.4} {:>8.3} {:>13.4} {:>12.3} {:>10.3} {:>6}",
             variant.name,
             sum.stalls,
             sum.stall_seconds,
+            sum.first_token_mean,
             sum.first_token_p95,
             tally.batch_occupancy,
             tally.loads,
--- a/coltsfoot-measure/src/placement/tally.rs
+++ b/coltsfoot-measure/src/placement/tally.rs
@@ -45,6 +45,8 @@
     pub stall_seconds: f64,
     /// Time to the first token that 95 in 100 requests meet, in seconds.
     pub first_token_p95: f64,
+    /// Mean time to the first token of the answered requests, in seconds.
+    pub first_token_mean: f64,
     /// Answered requests, as a part of all.
     pub answered: f64,
 }
@@ -109,11 +111,15 @@
             .iter()
             .map(|(fate, drawn)| fate.first_token_us.map_or(u64::MAX, |at| at - drawn.arrival_us))
             .collect();
+        let answered_us: Vec<_> = first.iter().filter(|us| **us != u64::MAX).collect();
+        let mean =
+            answered_us.iter().copied().sum::<u64>() as f64 / answered_us.len().max(1) as f64;
         first.sort_unstable();
         let p95 = first.get(first.len() * 95 / 100).copied().unwrap_or(0);
         RunSummary {
             stalls: stalls as f64 / count,
             stall_seconds: stall_us as f64 / 1e6 / count,
+            first_token_mean: mean / 1e6,
             first_token_p95: p95 as f64 / 1e6,
             answered: answered as f64 / count,
         }
--- a/coltsfoot-placement/src/agent.rs
+++ b/coltsfoot-placement/src/agent.rs
@@ -3,119 +3,15 @@
 use std::collections;
 use std::time;
 
-use coltsfoot_types::{adapter, id, name, refusal, time as clock};
+use coltsfoot_types::{id, name, refusal, time as clock};
 use coltsfoot_wire::placement;
 use rustc_hash::FxHashMap;
 use smallvec::SmallVec;
 
+pub use crate::agent_event::{AgentAction, AgentActions, AgentEvent, CellOwner, CellRoute};
 use crate::residency_cache;
 use crate::settings;
 
-/// A cell as seen by an instance.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct CellRoute {
-    /// The cell.
-    pub cell: placement::CellId,
-    /// Who owns it.
-    pub owner: CellOwner,
-    /// Whether the cell belongs to the zone of this instance.
-    pub is_local: bool,
-}
-
-/// Who owns a cell, as far as an instance knows.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum CellOwner {
-    /// An instance.
-    Instance(name::InstanceName),
-    /// Nobody: the lease of the owner with this fencing number has certainly lapsed.
-    Lapsed(id::FencingNumber),
-    /// Not known; the former owner's lease may still run.
-    Unknown,
-}
-
-impl CellOwner {
-    /// Returns the owning instance.
-    pub fn instance(&self) -> Option<&name::InstanceName> {
-        match self {
-            Self::Instance(instance) => Some(instance),
-            Self::Lapsed(_) | Self::Unknown => None,
-        }
-    }
-}
-
-/// What happens to an agent.
-#[derive(Clone, Debug)]
-pub enum AgentEvent {
-    /// A request needs a permit. Its adapter version is settled.
-    Wanted {
-        /// Base model of the adapter.
-        base_model: name::ModelName,
-        /// What is to run.
-        demand: placement::PermitDemand,
-    },
-    /// The attempt has ended at the engine.
-    Ended {
-        /// The release to pass on.
-        release: placement::PermitRelease,
-    },
-    /// The caller has gone before the attempt was sent.
-    Cancelled {
-        /// The attempt.
-        attempt: id::AttemptId,
-    },
-    /// The reachable cells and their owners have changed; cells that can't be reached are absent.
-    RoutesChanged {
-        /// All reachable cells.
-        routes: Vec<CellRoute>,
-    },
-    /// A message from the owner of a cell.
-    Received {
-        /// The message.
-        message: placement::PlacementMessage,
-        /// Who sent it.
-        sender: name::InstanceName,
-    },
-    /// Time has passed. Sent every 50 ms or so.
-    Tick,
-}
-
-/// What an agent orders.
-#[derive(Clone, Debug, PartialEq)]
-pub enum AgentAction {
-    /// Sends a message to an instance, which may be this one.
-    Send {
-        /// The receiver.
-        receiver: name::InstanceName,
-        /// The message.
-        message: placement::PlacementMessage,
-    },
-    /// Sends the attempt to an engine.
-    Dispatch {
-        /// The attempt.
-        attempt: id::AttemptId,
-        /// The engine.
-        engine: name::UpstreamName,
-        /// The adapter version.
-        adapter: adapter::AdapterVersion,
-        /// Fencing number of the permit, for engines that check it.
-        fencing: id::FencingNumber,
-        /// When it must have been sent, else [`AgentEvent::Ended`] says that it was not.
-        send_by: clock::MonotonicTime,
-    },
-    /// Refuses the request as not run.
-    Refuse {
-        /// The attempt.
-        attempt: id::AttemptId,
-        /// Why.
-        reason: refusal::RefusalReason,
-        /// Time after which the caller may ask again.
-        retry_after: time::Duration,
-    },
-}
-
-/// Actions of one event.
-pub type AgentActions = SmallVec<[AgentAction; 4]>;
-
 /// A request that waits for the answer of an owner.
 #[derive(Debug)]
 struct PendingRequest {
@@ -125,6 +21,8 @@
     /// Cell that was asked, if one could be.
     asked: Option<placement::CellId>,
     asked_at: clock::MonotonicTime,
+    /// Whether the instance that was asked does not own the cell.
+    is_misrouted: bool,
     /// Cells that refused, so that another one is asked next.
     refused_by: SmallVec<[placement::CellId; 2]>,
 }
@@ -205,6 +103,7 @@
             demand,
             asked: None,
             asked_at: now,
+            is_misrouted: false,
             refused_by: SmallVec::new(),
         };
         self.pending.insert(attempt, request);
@@ -222,6 +121,7 @@
             return;
         };
         request.asked_at = now;
+        request.is_misrouted = false;
         let route = crate::routing::choose_cell(
             &self.routes,
             &request.base_model,
@@ -376,7 +276,8 @@
             return;
         }
         let placement::PermitRefusalReason::Refused(reason) = refusal.reason else {
-            // The routes lag behind the ownership: asks again at the next tick that is due.
+            // The routes lag behind the ownership: asks again a little later.
+            request.is_misrouted = true;
             return;
         };
         request.refused_by.push(cell.clone());
@@ -496,8 +397,11 @@
             .as_ref()
             .and_then(|cell| self.routes.get(cell))
             .is_some_and(|route| route.owner.instance().is_some());
-        let interval =
-            if has_owner { self.settings.repeat_interval } else { self.settings.no_owner_interval };
+        let interval = if has_owner && !request.is_misrouted {
+            self.settings.repeat_interval
+        } else {
+            self.settings.no_owner_interval
+        };
         now.since(request.asked_at) >= interval
     }
 }
--- a/coltsfoot-placement/src/cell.rs
+++ b/coltsfoot-placement/src/cell.rs
@@ -9,6 +9,7 @@
 use smallvec::SmallVec;
 
 use crate::engine;
+use crate::engine_orders;
 use crate::event;
 use crate::eviction;
 use crate::load_share;
@@ -45,7 +46,7 @@
     /// Adapters whose loads failed lately, and until when requests for them are refused.
     pub(crate) failed_loads: collections::BTreeMap<adapter::AdapterVersion, clock::MonotonicTime>,
     pub(crate) replicas: collections::BTreeSet<adapter::AdapterVersion>,
-    pub(crate) orders: collections::BTreeMap<event::OrderId, loading::RunningOrder>,
+    pub(crate) orders: collections::BTreeMap<event::OrderId, engine_orders::RunningOrder>,
     pub(crate) next_order: u64,
     pub(crate) budget: load_share::LoadShare,
     pub(crate) takeover: takeover::TakeoverState,
--- /dev/null
+++ b/coltsfoot-placement/src/engine_orders.rs
@@ -0,0 +1,201 @@
+//! Orders to engines and their ends.
+
+use coltsfoot_types::{adapter, name, time as clock};
+use coltsfoot_wire::placement;
+
+use crate::cell::{CellActions, EngineCell};
+use crate::event;
+use crate::eviction;
+
+/// An order that an engine has not answered yet.
+#[derive(Clone, Debug)]
+pub(crate) struct RunningOrder {
+    pub(crate) engine: name::UpstreamName,
+    pub(crate) adapter: adapter::AdapterVersion,
+    pub(crate) step: OrderStep,
+    /// Generation of the engine when the order was sent.
+    pub(crate) generation: Option<u64>,
+}
+
+/// What an order does.
+#[derive(Clone, Debug)]
+pub(crate) enum OrderStep {
+    /// Loads the adapter.
+    Load {
+        /// Leave of the load ledger.
+        grant: placement::LoadGrantId,
+    },
+    /// Unloads the adapter to make room for another.
+    Evict {
+        /// The adapter to load then.
+        successor: adapter::AdapterVersion,
+        /// Leave of the load ledger.
+        grant: placement::LoadGrantId,
+    },
+    /// Unloads an adapter that the cell has no slot for.
+    Clear,
+}
+
+impl EngineCell {
+    /// Sends the first order of a load; returns false if the budget ran out meanwhile.
+    pub(crate) fn order_load(
+        &mut self,
+        now: clock::MonotonicTime,
+        adapter: adapter::AdapterVersion,
+        place: eviction::LoadPlace,
+        actions: &mut CellActions,
+    ) -> bool {
+        let Some(grant) = self.budget.take(now, actions) else {
+            return false;
+        };
+        let Some(victim) = place.victim else {
+            self.send_load(now, place.engine, adapter, grant, actions);
+            return true;
+        };
+        let Some(state) = self.engines.get_mut(&place.engine) else {
+            return false;
+        };
+        assert!(state.is_evictable(now, &victim.adapter), "a pinned adapter is never evicted");
+        state.resident.remove(&victim.adapter);
+        state.unloading.insert(victim.adapter.clone());
+        state.reserved.insert(adapter.clone());
+        self.counters.evictions += 1;
+        let step = OrderStep::Evict { successor: adapter, grant };
+        self.send_order(now, place.engine, victim.adapter, step, actions);
+        true
+    }
+
+    fn send_load(
+        &mut self,
+        now: clock::MonotonicTime,
+        engine: name::UpstreamName,
+        adapter: adapter::AdapterVersion,
+        grant: placement::LoadGrantId,
+        actions: &mut CellActions,
+    ) {
+        if let Some(state) = self.engines.get_mut(&engine) {
+            state.loading.insert(adapter.clone());
+        }
+        self.send_order(now, engine, adapter, OrderStep::Load { grant }, actions);
+    }
+
+    pub(crate) fn send_order(
+        &mut self,
+        now: clock::MonotonicTime,
+        engine: name::UpstreamName,
+        adapter: adapter::AdapterVersion,
+        step: OrderStep,
+        actions: &mut CellActions,
+    ) {
+        let Some(fencing) = self.fencing(now) else {
+            return;
+        };
+        let id = event::OrderId(self.next_order);
+        self.next_order += 1;
+        let order =
+            event::EngineOrder { id, engine: engine.clone(), adapter: adapter.clone(), fencing };
+        actions.push(match &step {
+            OrderStep::Load { .. } => event::CellAction::Load { order },
+            OrderStep::Evict { .. } | OrderStep::Clear => event::CellAction::Unload { order },
+        });
+        let generation = self.engines.get(&engine).and_then(|state| state.generation);
+        self.orders.insert(id, RunningOrder { engine, adapter, step, generation });
+    }
+
+    /// Takes the end of an unload, and loads the adapter that it made room for.
+    pub(crate) fn end_unload(
+        &mut self,
+        now: clock::MonotonicTime,
+        id: event::OrderId,
+        outcome: event::OrderOutcome,
+        actions: &mut CellActions,
+    ) {
+        let Some(order) = self.orders.remove(&id) else {
+            return;
+        };
+        let is_current = self.settle_order(now, &order);
+        let is_done = outcome == event::OrderOutcome::Done;
+        if let Some(state) = self.engines.get_mut(&order.engine) {
+            let is_stray = matches!(order.step, OrderStep::Clear);
+            let leaving = if is_stray { &mut state.strays } else { &mut state.unloading };
+            leaving.remove(&order.adapter);
+            if let OrderStep::Evict { successor, .. } = &order.step {
+                state.reserved.remove(successor);
+            }
+            if !is_done && is_current && !is_stray {
+                let count = self.popularity.count_of(&order.adapter);
+                state.add_resident(now, order.adapter.clone(), count);
+            }
+        }
+        self.check_fenced(outcome);
+        let OrderStep::Evict { successor, grant } = order.step else {
+            return;
+        };
+        let is_usable = self.engines.get(&order.engine).is_some_and(|state| state.is_usable(now));
+        if is_done && is_current && is_usable && self.fencing(now).is_some() {
+            self.send_load(now, order.engine, successor, grant, actions);
+            return;
+        }
+        actions.push(event::CellAction::ReturnLoad { grant, used: false });
+        self.retry_load(now, &successor, order.engine, actions);
+    }
+
+    /// Takes the end of a load: gives permits to all that waited for it, or tries again.
+    pub(crate) fn end_load(
+        &mut self,
+        now: clock::MonotonicTime,
+        id: event::OrderId,
+        outcome: event::OrderOutcome,
+        actions: &mut CellActions,
+    ) {
+        let Some(order) = self.orders.remove(&id) else {
+            return;
+        };
+        let is_current = self.settle_order(now, &order);
+        if let OrderStep::Load { grant } = order.step {
+            actions.push(event::CellAction::ReturnLoad { grant, used: true });
+        }
+        self.check_fenced(outcome);
+        let is_done = outcome == event::OrderOutcome::Done && is_current;
+        if let Some(state) = self.engines.get_mut(&order.engine) {
+            state.loading.remove(&order.adapter);
+            if is_done {
+                let count = self.popularity.count_of(&order.adapter);
+                state.add_resident(now, order.adapter.clone(), count);
+            }
+        }
+        if is_done {
+            self.failed_loads.remove(&order.adapter);
+            self.readmit_waiters(now, &order.adapter, actions);
+            return;
+        }
+        self.counters.failed_loads += 1;
+        self.retry_load(now, &order.adapter, order.engine, actions);
+    }
+
+    /// Notes when the order ended; returns whether the engine is still the run that it was for.
+    fn settle_order(&mut self, now: clock::MonotonicTime, order: &RunningOrder) -> bool {
+        let Some(state) = self.engines.get_mut(&order.engine) else {
+            return false;
+        };
+        state.settled.insert(order.adapter.clone(), now);
+        state.generation == order.generation
+    }
+
+    fn check_fenced(&mut self, outcome: event::OrderOutcome) {
+        if outcome == event::OrderOutcome::Fenced {
+            self.lease = None;
+        }
+    }
+}
+
+impl RunningOrder {
+    /// Returns whether the adapter will be loaded by this order or by the one that follows it.
+    pub(crate) fn loads(&self, adapter: &adapter::AdapterVersion) -> bool {
+        match &self.step {
+            OrderStep::Load { .. } => self.adapter == *adapter,
+            OrderStep::Evict { successor, .. } => successor == adapter,
+            OrderStep::Clear => false,
+        }
+    }
+}
--- a/coltsfoot-placement/src/lib.rs
+++ b/coltsfoot-placement/src/lib.rs
@@ -11,13 +11,16 @@
 pub mod settings;
 
 mod admission;
+mod agent_event;
 mod engine;
+mod engine_orders;
 mod eviction;
 mod load_share;
 mod loading;
 mod permits;
 mod popularity;
 mod prefix;
+mod replication;
 mod report;
 mod residency_cache;
 mod routing;
--- /dev/null
+++ b/coltsfoot-placement/src/replication.rs
@@ -0,0 +1,59 @@
+//! Further replicas of hot adapters, ahead of the queue.
+
+use coltsfoot_types::{adapter, time as clock};
+
+use crate::cell::{CellActions, EngineCell};
+use crate::engine;
+use crate::eviction;
+
+impl EngineCell {
+    /// Orders one further replica of a hot adapter, if no request waits for a load and the evicted
+    /// adapter is less popular than the replica's part.
+    pub(crate) fn plan_replica(&mut self, now: clock::MonotonicTime, actions: &mut CellActions) {
+        if !self.load_queue.is_empty() || !self.budget.is_available(now) {
+            return;
+        }
+        let Some(adapter) = self.replicas.pop_first() else {
+            return;
+        };
+        if !self.needs_replica(now, &adapter) {
+            return;
+        }
+        let chooser = eviction::PlaceChooser {
+            now,
+            engines: &self.engines,
+            half_life: self.settings.popularity_half_life,
+            copies: &self.copies,
+            restricted: self.lease.is_some_and(|lease| lease.restricted),
+            packing: self.settings.packing,
+        };
+        let Some(place) = chooser.choose(&adapter, None) else {
+            return;
+        };
+        let copies = self.engines.values().filter(|engine| engine.holds(&adapter)).count();
+        let gain = self.popularity.get(now, &adapter) / (1 + copies).pow(2) as f64;
+        if place.victim.as_ref().is_some_and(|victim| victim.score >= gain) {
+            return;
+        }
+        self.counters.replica_loads += 1;
+        self.order_load(now, adapter, place, actions);
+    }
+
+    /// Returns whether all engines that hold the adapter are nearly full or can't be used, and no
+    /// replica is on its way.
+    pub(crate) fn needs_replica(
+        &self,
+        now: clock::MonotonicTime,
+        adapter: &adapter::AdapterVersion,
+    ) -> bool {
+        let percent = self.settings.replica_fill_percent;
+        let is_full = |engine: &engine::EngineState| {
+            !engine.is_usable(now)
+                || engine.service.is_slow()
+                || engine.running * 100 >= engine.listing.batch_size * percent
+        };
+        let is_coming = self.orders.values().any(|order| order.loads(adapter));
+        let mut holders = self.engines.values().filter(|engine| engine.holds(adapter));
+        !is_coming && holders.all(is_full)
+    }
+}
--- a/coltsfoot-placement/src/report.rs
+++ b/coltsfoot-placement/src/report.rs
@@ -6,8 +6,8 @@
 
 use crate::cell::{CellActions, EngineCell};
 use crate::engine;
+use crate::engine_orders;
 use crate::event;
-use crate::loading;
 
 impl EngineCell {
     /// Adds an engine, or takes its changed listing.
@@ -159,7 +159,13 @@
                 if let Some(state) = self.engines.get_mut(engine) {
                     state.strays.insert(adapter.clone());
                 }
-                self.send_order(now, engine.clone(), adapter, loading::OrderStep::Clear, actions);
+                self.send_order(
+                    now,
+                    engine.clone(),
+                    adapter,
+                    engine_orders::OrderStep::Clear,
+                    actions,
+                );
             }
         }
     }
--- a/coltsfoot-placement/tests/agent.rs
+++ b/coltsfoot-placement/tests/agent.rs
@@ -238,3 +238,16 @@
     test.send(AgentEvent::RoutesChanged { routes: lapsed() });
     assert!(!is_dispatched(&test.want("menus@1").1), "the new owner may evict now");
 }
+
+#[test]
+fn an_instance_that_does_not_own_the_cell_yet_is_asked_again_soon() {
+    let mut test = TestAgent::new(vec![owned("a")]);
+    let (attempt, _) = test.want("menus@1");
+    let reason = placement::PermitRefusalReason::NotOwner;
+    let refusal = placement::PermitRefusal { attempt, reason, retry_after: time::Duration::ZERO };
+    let message = PlacementMessage::Refusal { cell: cell("a"), refusal };
+    let refused = test.send(AgentEvent::Received { message, sender: "owner-a".into() });
+    assert!(refused.is_empty(), "neither refused nor asked again at once");
+    test.now = test.now + time::Duration::from_millis(150);
+    assert!(asked(&test.send(AgentEvent::Tick)).is_some());
+}
--- a/coltsfoot-platform/src/engine.rs
+++ b/coltsfoot-platform/src/engine.rs
@@ -12,7 +12,7 @@
 use crate::protocol;
 
 /// Longest time that an engine takes to answer an order.
-const ORDER_TIMEOUT: time::Duration = time::Duration::from_secs(60);
+pub const ORDER_TIMEOUT: time::Duration = time::Duration::from_secs(60);
 /// Status by which an engine refuses an order with an old fencing number.
 const STALE_FENCING_STATUS: u16 = 409;
 /// Status by which an engine says that a load failed or that it has no free slot.
--- a/coltsfootd/src/control/placement.rs
+++ b/coltsfootd/src/control/placement.rs
@@ -5,7 +5,7 @@
 use std::sync;
 
 use coltsfoot_placement::{agent, budget, cell, event as cells, settings as limits};
-use coltsfoot_platform::protocol;
+use coltsfoot_platform::{engine, protocol};
 use coltsfoot_types::{id, name, time as instant};
 use coltsfoot_wire::{member as views, peer, placement};
 use rustc_hash::FxHashMap;
@@ -47,6 +47,8 @@
     routes: Vec<agent::CellRoute>,
     waiting: FxHashMap<id::AttemptId, client::AnswerSender<client::GrantedPermit>>,
     generations: collections::BTreeMap<name::UpstreamName, u64>,
+    /// Other instances that were heard lately.
+    reachable: collections::BTreeSet<name::InstanceName>,
     /// Listed engines whose port is closed.
     closed: collections::BTreeSet<name::UpstreamName>,
     counted_stalls: u64,
@@ -66,6 +68,7 @@
             routes: Vec::new(),
             waiting: FxHashMap::default(),
             generations: collections::BTreeMap::new(),
+            reachable: collections::BTreeSet::new(),
             closed: collections::BTreeSet::new(),
             counted_stalls: 0,
         }
@@ -232,7 +235,7 @@
                     until: lease.orders_until,
                     restricted: lease.grade != views::ViewGrade::Full,
                 },
-                reporters: self.reporters(tools),
+                reporters: self.reporters(now, tools),
                 unknown_permits: true,
             },
             _ => cells::CellEvent::OwnershipLost,
@@ -341,6 +344,7 @@
 
     /// Lets time pass.
     pub fn tick(&mut self, now: instant::MonotonicTime, tools: &PlacementTools<'_>) {
+        self.notice_silence(now, tools);
         let cells: Vec<_> = self.cells.keys().cloned().collect();
         for cell in &cells {
             if let Some(lease) = tools.member.lease(now, &OwnedResource::Cell(cell.clone())) {
@@ -429,8 +433,32 @@
         }
     }
 
-    fn reporters(&self, tools: &PlacementTools<'_>) -> Vec<name::InstanceName> {
-        tools.directory.peer_addresses().map(|(name, _)| name).collect()
+    /// Returns the instances that can report the permits that they hold: this one and those that
+    /// are reachable. Permits of the others count as unknown.
+    fn reporters(
+        &self,
+        now: instant::MonotonicTime,
+        tools: &PlacementTools<'_>,
+    ) -> Vec<name::InstanceName> {
+        let own = &self.shared.settings.instance;
+        let listed = tools.directory.peer_addresses().map(|(name, _)| name);
+        listed.filter(|name| name == own || tools.contacts.is_reachable(now, name)).collect()
+    }
+
+    /// Tells the cells of instances that have fallen silent. Their permits stay pinned until an
+    /// engine reports itself idle or the request limit has passed.
+    fn notice_silence(&mut self, now: instant::MonotonicTime, tools: &PlacementTools<'_>) {
+        let listed = tools.directory.peer_addresses().map(|(name, _)| name);
+        let reachable = listed.filter(|name| tools.contacts.is_reachable(now, name)).collect();
+        let former = std::mem::replace(&mut self.reachable, reachable);
+        let silent: Vec<_> = former.difference(&self.reachable).cloned().collect();
+        let cells: Vec<_> = self.cells.keys().cloned().collect();
+        for instance in silent {
+            for cell in &cells {
+                let dead = cells::CellEvent::InstanceDead { instance: instance.clone() };
+                self.cell_event(now, cell, dead, tools);
+            }
+        }
     }
 
     /// Passes a demand on, or refuses it when this instance does not know the cell.
@@ -627,6 +655,7 @@
         .peers(zones.into_iter().filter(|zone| *zone != settings.zone).collect())
         .zone(settings.zone.clone())
         .loads_in_flight(settings.fleet_loads_in_flight / count + extra)
+        .load_limit(engine::ORDER_TIMEOUT)
         .loads_per_second(settings.store_loads_per_second / f64::from(count))
         .build()
 }
