Divide the agent and the ledger by concern

Change: the events and settings of the ledger, the events of the agent and the pending request have files of their own; the paths of the public API stay.

--- a/coltsfoot-placement/src/agent.rs
+++ b/coltsfoot-placement/src/agent.rs
@@ -9,24 +9,10 @@
 use smallvec::SmallVec;
 
 pub use crate::agent_event::{AgentAction, AgentActions, AgentEvent, CellOwner, CellRoute};
+use crate::pending_request;
 use crate::residency_cache;
 use crate::settings;
 
-/// A request that waits for the answer of an owner.
-#[derive(Debug)]
-struct PendingRequest {
-    base_model: name::ModelName,
-    demand: placement::PermitDemand,
-    deadline: clock::MonotonicTime,
-    /// Cell that was asked, if one could be.
-    asked: Option<placement::CellId>,
-    asked_at: clock::MonotonicTime,
-    /// Whether the instance that was asked does not own the cell.
-    is_misrouted: bool,
-    /// Cells that refused, so that another one is asked next.
-    refused_by: SmallVec<[placement::CellId; 2]>,
-}
-
 /// A permit that the instance holds.
 #[derive(Debug)]
 struct HeldGrant {
@@ -39,7 +25,7 @@
 pub struct PermitAgent {
     settings: settings::AgentSettings,
     routes: collections::BTreeMap<placement::CellId, CellRoute>,
-    pending: collections::BTreeMap<id::AttemptId, PendingRequest>,
+    pending: collections::BTreeMap<id::AttemptId, pending_request::PendingRequest>,
     held: FxHashMap<id::AttemptId, HeldGrant>,
     confirmed: residency_cache::ResidencyCache,
     /// Highest fencing number of an owner that was told the held permits.
@@ -97,7 +83,7 @@
         actions: &mut AgentActions,
     ) {
         let attempt = demand.attempt;
-        let request = PendingRequest {
+        let request = pending_request::PendingRequest {
             base_model,
             deadline: now + demand.time_left,
             demand,
@@ -391,17 +377,12 @@
         self.confirmed.expire(now);
     }
 
-    fn is_due(&self, now: clock::MonotonicTime, request: &PendingRequest) -> bool {
+    fn is_due(&self, now: clock::MonotonicTime, request: &pending_request::PendingRequest) -> bool {
         let has_owner = request
             .asked
             .as_ref()
             .and_then(|cell| self.routes.get(cell))
             .is_some_and(|route| route.owner.instance().is_some());
-        let interval = if has_owner && !request.is_misrouted {
-            self.settings.repeat_interval
-        } else {
-            self.settings.no_owner_interval
-        };
-        now.since(request.asked_at) >= interval
+        request.is_due(now, has_owner, &self.settings)
     }
 }
