--- a/coltsfoot-placement/src/agent.rs
+++ b/coltsfoot-placement/src/agent.rs
@@ -3,132 +3,16 @@
 use std::collections;
 use std::time;
 
-use coltsfoot_types::{adapter, id, name, refusal, time as clock};
+use coltsfoot_types::{id, name, refusal, time as clock};
 use coltsfoot_wire::placement;
 use rustc_hash::FxHashMap;
 use smallvec::SmallVec;
 
+pub use crate::agent_event::{AgentAction, AgentActions, AgentEvent, CellOwner, CellRoute};
+use crate::pending_request;
 use crate::residency_cache;
 use crate::settings;
 
-/// A cell as seen by an instance.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct CellRoute {
-    /// The cell.
-    pub cell: placement::CellId,
-    /// Who owns it.
-    pub owner: CellOwner,
-    /// Whether the cell belongs to the zone of this instance.
-    pub is_local: bool,
-}
-
-/// Who owns a cell, as far as an instance knows.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum CellOwner {
-    /// An instance.
-    Instance(name::InstanceName),
-    /// Nobody: the lease of the owner with this fencing number has certainly lapsed.
-    Lapsed(id::FencingNumber),
-    /// Not known; the former owner's lease may still run.
-    Unknown,
-}
-
-impl CellOwner {
-    /// Returns the owning instance.
-    pub fn instance(&self) -> Option<&name::InstanceName> {
-        match self {
-            Self::Instance(instance) => Some(instance),
-            Self::Lapsed(_) | Self::Unknown => None,
-        }
-    }
-}
-
-/// What happens to an agent.
-#[derive(Clone, Debug)]
-pub enum AgentEvent {
-    /// A request needs a permit. Its adapter version is settled.
-    Wanted {
-        /// Base model of the adapter.
-        base_model: name::ModelName,
-        /// What is to run.
-        demand: placement::PermitDemand,
-    },
-    /// The attempt has ended at the engine.
-    Ended {
-        /// The release to pass on.
-        release: placement::PermitRelease,
-    },
-    /// The caller has gone before the attempt was sent.
-    Cancelled {
-        /// The attempt.
-        attempt: id::AttemptId,
-    },
-    /// The reachable cells and their owners have changed; cells that can't be reached are absent.
-    RoutesChanged {
-        /// All reachable cells.
-        routes: Vec<CellRoute>,
-    },
-    /// A message from the owner of a cell.
-    Received {
-        /// The message.
-        message: placement::PlacementMessage,
-        /// Who sent it.
-        sender: name::InstanceName,
-    },
-    /// Time has passed. Sent every 50 ms or so.
-    Tick,
-}
-
-/// What an agent orders.
-#[derive(Clone, Debug, PartialEq)]
-pub enum AgentAction {
-    /// Sends a message to an instance, which may be this one.
-    Send {
-        /// The receiver.
-        receiver: name::InstanceName,
-        /// The message.
-        message: placement::PlacementMessage,
-    },
-    /// Sends the attempt to an engine.
-    Dispatch {
-        /// The attempt.
-        attempt: id::AttemptId,
-        /// The engine.
-        engine: name::UpstreamName,
-        /// The adapter version.
-        adapter: adapter::AdapterVersion,
-        /// Fencing number of the permit, for engines that check it.
-        fencing: id::FencingNumber,
-        /// When it must have been sent, else [`AgentEvent::Ended`] says that it was not.
-        send_by: clock::MonotonicTime,
-    },
-    /// Refuses the request as not run.
-    Refuse {
-        /// The attempt.
-        attempt: id::AttemptId,
-        /// Why.
-        reason: refusal::RefusalReason,
-        /// Time after which the caller may ask again.
-        retry_after: time::Duration,
-    },
-}
-
-/// Actions of one event.
-pub type AgentActions = SmallVec<[AgentAction; 4]>;
-
-/// A request that waits for the answer of an owner.
-#[derive(Debug)]
-struct PendingRequest {
-    base_model: name::ModelName,
-    demand: placement::PermitDemand,
-    deadline: clock::MonotonicTime,
-    /// Cell that was asked, if one could be.
-    asked: Option<placement::CellId>,
-    asked_at: clock::MonotonicTime,
-    /// Cells that refused, so that another one is asked next.
-    refused_by: SmallVec<[placement::CellId; 2]>,
-}
-
 /// A permit that the instance holds.
 #[derive(Debug)]
 struct HeldGrant {
@@ -141,7 +25,7 @@
 pub struct PermitAgent {
     settings: settings::AgentSettings,
     routes: collections::BTreeMap<placement::CellId, CellRoute>,
-    pending: collections::BTreeMap<id::AttemptId, PendingRequest>,
+    pending: collections::BTreeMap<id::AttemptId, pending_request::PendingRequest>,
     held: FxHashMap<id::AttemptId, HeldGrant>,
     confirmed: residency_cache::ResidencyCache,
     /// Highest fencing number of an owner that was told the held permits.
@@ -199,12 +83,13 @@
         actions: &mut AgentActions,
     ) {
         let attempt = demand.attempt;
-        let request = PendingRequest {
+        let request = pending_request::PendingRequest {
             base_model,
             deadline: now + demand.time_left,
             demand,
             asked: None,
             asked_at: now,
+            is_misrouted: false,
             refused_by: SmallVec::new(),
         };
         self.pending.insert(attempt, request);
@@ -222,6 +107,7 @@
             return;
         };
         request.asked_at = now;
+        request.is_misrouted = false;
         let route = crate::routing::choose_cell(
             &self.routes,
             &request.base_model,
@@ -376,7 +262,8 @@
             return;
         }
         let placement::PermitRefusalReason::Refused(reason) = refusal.reason else {
-            // The routes lag behind the ownership: asks again at the next tick that is due.
+            // The routes lag behind the ownership: asks again a little later.
+            request.is_misrouted = true;
             return;
         };
         request.refused_by.push(cell.clone());
@@ -490,14 +377,12 @@
         self.confirmed.expire(now);
     }
 
-    fn is_due(&self, now: clock::MonotonicTime, request: &PendingRequest) -> bool {
+    fn is_due(&self, now: clock::MonotonicTime, request: &pending_request::PendingRequest) -> bool {
         let has_owner = request
             .asked
             .as_ref()
             .and_then(|cell| self.routes.get(cell))
             .is_some_and(|route| route.owner.instance().is_some());
-        let interval =
-            if has_owner { self.settings.repeat_interval } else { self.settings.no_owner_interval };
-        now.since(request.asked_at) >= interval
+        request.is_due(now, has_owner, &self.settings)
     }
 }
