Read the list conditionally, and measure what control costs

Change: conditional reads by ETag; cells and members are worked out once a list; routes are refreshed each 0.2 s; orders and reports go through the control thread's own connections, whose bytes are counted; coltsfoot-measure control.

--- a/coltsfoot-fakes/src/list.rs
+++ b/coltsfoot-fakes/src/list.rs
@@ -1,6 +1,7 @@
 //! Stand-in of the platform's list of instances.
 
 use std::collections;
+use std::hash::Hasher as _;
 use std::io;
 use std::net;
 use std::sync;
@@ -8,7 +9,7 @@
 
 use coltsfoot_platform::protocol;
 use coltsfoot_types::name;
-use http_types::{Method, Request, Response};
+use http_types::{Method, Request, Response, headers};
 use serde::{Deserialize, Serialize};
 
 use crate::{SharedExecutor, control, lag, server};
@@ -163,7 +164,7 @@
         (Method::Get, "/observations") => {
             return control::json_answer(200, &server::lock(&state.core).observations);
         }
-        (Method::Get, "/instances") => return read(state),
+        (Method::Get, "/instances") => return read(state, &request),
         _ => {}
     }
     if let Some(name) = path.strip_prefix("/instances/entries/") {
@@ -175,7 +176,7 @@
     control::text_answer(404, "no such call")
 }
 
-fn read(state: &ListState) -> http_types::Result<Response> {
+fn read(state: &ListState, request: &Request) -> http_types::Result<Response> {
     let switches = server::lock(&state.switches).clone();
     if switches.outage {
         return control::text_answer(503, "outage");
@@ -184,7 +185,20 @@
     core.observations.reads += 1;
     let lag = time::Duration::from_millis(switches.lag_ms);
     let list = core.seen.get(time::Instant::now(), lag);
-    control::json_answer(200, &list)
+    let tag = format!("\"{:016x}\"", list_hash(&list)?);
+    let known = request.header(headers::IF_NONE_MATCH).map(|values| values.last().as_str());
+    let mut answer = match known == Some(tag.as_str()) {
+        true => control::text_answer(304, "")?,
+        false => control::json_answer(200, &list)?,
+    };
+    answer.insert_header(headers::ETAG, tag);
+    Ok(answer)
+}
+
+fn list_hash(list: &protocol::InstanceList) -> http_types::Result<u64> {
+    let mut hasher = rustc_hash::FxHasher::default();
+    hasher.write(&serde_json::to_vec(list)?);
+    Ok(hasher.finish())
 }
 
 async fn change_entry(
--- a/coltsfoot-measure/src/cmd/mod.rs
+++ b/coltsfoot-measure/src/cmd/mod.rs
@@ -1,6 +1,7 @@
 //! Subcommands; each prints a table and, as its last line, one line of JSON.
 
 mod config;
+mod control;
 mod fairness;
 mod member;
 mod once;
@@ -24,6 +25,7 @@
 const COMMANDS: &[MeasureCommand] = &[
     MeasureCommand { name: "config", run: config::run },
     MeasureCommand { name: "fairness", run: fairness::run },
+    MeasureCommand { name: "control", run: control::run },
     MeasureCommand { name: "member", run: member::run },
     MeasureCommand { name: "once", run: once::run },
     MeasureCommand { name: "path", run: whole_path::run },
--- a/coltsfoot-measure/src/main.rs
+++ b/coltsfoot-measure/src/main.rs
@@ -2,6 +2,7 @@
 
 mod cmd;
 mod config;
+mod control_cost;
 mod once;
 mod path_load;
 mod placement;
--- a/coltsfoot-platform/src/http.rs
+++ b/coltsfoot-platform/src/http.rs
@@ -5,6 +5,7 @@
 use std::io;
 use std::net;
 use std::sync;
+use std::sync::atomic;
 use std::time;
 
 use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _, FutureExt as _};
@@ -64,18 +65,25 @@
 pub struct HttpPool {
     limits: HttpLimits,
     idle: sync::Arc<sync::Mutex<IdleConnections>>,
+    carried_bytes: sync::Arc<atomic::AtomicU64>,
 }
 
 impl HttpPool {
     /// Creates a pool without connections.
     pub fn new(limits: HttpLimits) -> Self {
-        Self { limits, idle: sync::Arc::default() }
+        Self { limits, idle: sync::Arc::default(), carried_bytes: sync::Arc::default() }
     }
 
     /// Returns the same pool with another limit on the wait for an answer's head.
     pub fn with_head_timeout(&self, timeout: time::Duration) -> Self {
         let limits = HttpLimits { head_timeout: timeout, ..self.limits.clone() };
-        Self { limits, idle: sync::Arc::clone(&self.idle) }
+        let carried_bytes = sync::Arc::clone(&self.carried_bytes);
+        Self { limits, idle: sync::Arc::clone(&self.idle), carried_bytes }
+    }
+
+    /// Returns the bytes of all requests and of all bodies of answers so far.
+    pub fn carried_bytes(&self) -> u64 {
+        self.carried_bytes.load(atomic::Ordering::Relaxed)
     }
 
     /// Sends a request and waits for the head of the answer.
@@ -90,6 +98,7 @@
             Some(stream) => stream,
             None => self.connect(address).await?,
         };
+        self.carried_bytes.fetch_add(bytes.len() as u64, atomic::Ordering::Relaxed);
         let send = stream.write_all(&bytes);
         let timeout = self.limits.send_timeout;
         let sent = within(timeout, send).await;
@@ -101,7 +110,9 @@
             .ok_or(HttpError::Timeout { address, phase: HttpPhase::Head })?
             .map_err(|error| HttpError::NoAnswer { address, detail: error.to_string() })?;
         let lease = may_keep(&response).then(|| ConnectionLease { pool: self.clone(), stream });
-        Ok(HttpExchange { response, address, limits: self.limits.clone(), lease })
+        let carried_bytes = sync::Arc::clone(&self.carried_bytes);
+        let limits = self.limits.clone();
+        Ok(HttpExchange { response, address, limits, lease, carried_bytes })
     }
 
     async fn connect(&self, address: net::SocketAddr) -> Result<async_net::TcpStream, HttpError> {
@@ -161,9 +172,15 @@
     address: net::SocketAddr,
     limits: HttpLimits,
     lease: Option<ConnectionLease>,
+    carried_bytes: sync::Arc<atomic::AtomicU64>,
 }
 
 impl HttpExchange {
+    /// Returns the address of the peer.
+    pub fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+
     /// Returns the HTTP status.
     pub fn status(&self) -> u16 {
         self.response.status().into()
@@ -197,6 +214,7 @@
             address: self.address,
             idle_timeout: self.limits.body_idle_timeout,
             lease: self.lease,
+            carried_bytes: self.carried_bytes,
         }
     }
 }
@@ -208,6 +226,7 @@
     address: net::SocketAddr,
     idle_timeout: time::Duration,
     lease: Option<ConnectionLease>,
+    carried_bytes: sync::Arc<atomic::AtomicU64>,
 }
 
 impl BodyReader {
@@ -228,6 +247,7 @@
             self.finish()?;
             return Ok(None);
         }
+        self.carried_bytes.fetch_add(length as u64, atomic::Ordering::Relaxed);
         self.missing_bytes = self.missing_bytes.map(|missing| missing.saturating_sub(length));
         chunk.truncate(length);
         Ok(Some(chunk))
--- a/coltsfoot-platform/src/json.rs
+++ b/coltsfoot-platform/src/json.rs
@@ -42,7 +42,13 @@
     request: http_types::Request,
 ) -> Result<Vec<u8>, error::ClientError> {
     let exchange = pool.send(address, request, http::ConnectionReuse::Allow).await?;
+    read_success(exchange).await
+}
+
+/// Reads the whole answer, which must have a status of success.
+async fn read_success(exchange: http::HttpExchange) -> Result<Vec<u8>, error::ClientError> {
     let status = exchange.status();
+    let address = exchange.address();
     let body = exchange.read_body(MAX_ANSWER_BYTES).await?;
     if (200..300).contains(&status) {
         return Ok(body);
@@ -51,13 +57,22 @@
     Err(error::ClientError::Status { address, status, body })
 }
 
+/// Decodes the JSON of an answer, which must have a status of success.
+pub(crate) async fn decode<A: de::DeserializeOwned>(
+    exchange: http::HttpExchange,
+) -> Result<A, error::ClientError> {
+    let address = exchange.address();
+    let body = read_success(exchange).await?;
+    serde_json::from_slice(&body)
+        .map_err(|source| error::ClientError::Malformed { address, source })
+}
+
 /// Sends a request and decodes the JSON of the answer.
 pub(crate) async fn fetch<A: de::DeserializeOwned>(
     pool: &http::HttpPool,
     address: net::SocketAddr,
     request: http_types::Request,
 ) -> Result<A, error::ClientError> {
-    let body = call(pool, address, request).await?;
-    serde_json::from_slice(&body)
-        .map_err(|source| error::ClientError::Malformed { address, source })
+    let exchange = pool.send(address, request, http::ConnectionReuse::Allow).await?;
+    decode(exchange).await
 }
--- a/coltsfoot-platform/src/list.rs
+++ b/coltsfoot-platform/src/list.rs
@@ -3,13 +3,32 @@
 use std::net;
 
 use coltsfoot_types::name;
-use http_types::Method;
+use http_types::{Method, headers};
 
 use crate::error;
 use crate::http;
 use crate::json;
 use crate::protocol;
 
+/// Status of an answer whose content has not changed.
+const NOT_MODIFIED_STATUS: u16 = 304;
+/// Largest body of an answer without a list, in bytes.
+const MAX_LIST_BYTES: usize = 1_024;
+
+/// Result of a conditional read.
+#[derive(Clone, Debug)]
+pub enum ListRead {
+    /// The list is the one that the tag was given for.
+    Unchanged,
+    /// The list has changed.
+    Changed {
+        /// The list.
+        list: protocol::InstanceList,
+        /// Tag to name in the next read, if the platform gave one.
+        tag: Option<String>,
+    },
+}
+
 /// Client of the instance list at one address.
 #[derive(Clone)]
 pub struct ListClient {
@@ -29,6 +48,22 @@
         json::fetch(&self.pool, self.address, request).await
     }
 
+    /// Fetches the list if it has changed since it had `tag`.
+    pub async fn fetch_changed(&self, tag: Option<&str>) -> Result<ListRead, error::ClientError> {
+        let mut request = json::request(self.address, Method::Get, "/instances")?;
+        if let Some(tag) = tag {
+            request.insert_header(headers::IF_NONE_MATCH, tag);
+        }
+        let exchange = self.pool.send(self.address, request, http::ConnectionReuse::Allow).await?;
+        if exchange.status() == NOT_MODIFIED_STATUS {
+            exchange.read_body(MAX_LIST_BYTES).await?;
+            return Ok(ListRead::Unchanged);
+        }
+        let tag = exchange.header("etag").map(str::to_owned);
+        let list = json::decode(exchange).await?;
+        Ok(ListRead::Changed { list, tag })
+    }
+
     /// Registers or updates an entry instance, as the platform does when it starts or stops one.
     pub async fn put_entry(
         &self,
--- a/coltsfoot-system/src/embedded.rs
+++ b/coltsfoot-system/src/embedded.rs
@@ -25,6 +25,9 @@
     /// Zones; each has one daemon.
     #[builder(default = vec!["rennes", "brest", "nantes"])]
     pub zones: Vec<&'static str>,
+    /// Daemons of each zone.
+    #[builder(default = 1)]
+    pub daemons_per_zone: usize,
     /// Engines of each zone.
     #[builder(default = 2)]
     pub engines_per_zone: usize,
@@ -91,8 +94,11 @@
         };
         for (place, zone) in cluster.options.zones.clone().into_iter().enumerate() {
             cluster.start_upstreams(zone)?;
-            let port = if place == 0 { cluster.options.caller_port } else { 0 };
-            cluster.start_daemon(zone, port)?;
+            for number in 0..cluster.options.daemons_per_zone {
+                let is_first = place == 0 && number == 0;
+                let port = if is_first { cluster.options.caller_port } else { 0 };
+                cluster.start_daemon(zone, number, port)?;
+            }
         }
         Ok(cluster)
     }
@@ -170,8 +176,13 @@
         Ok(())
     }
 
-    fn start_daemon(&mut self, zone: &'static str, port: u16) -> Result<(), daemon::DaemonError> {
-        let instance: name::InstanceName = format!("entry-{zone}").into();
+    fn start_daemon(
+        &mut self,
+        zone: &'static str,
+        number: usize,
+        port: u16,
+    ) -> Result<(), daemon::DaemonError> {
+        let instance: name::InstanceName = format!("entry-{zone}-{number}").into();
         let mut text = serde_json::json!({
             "instance": instance,
             "zone": zone,
--- a/coltsfootd/src/control/directory.rs
+++ b/coltsfootd/src/control/directory.rs
@@ -1,22 +1,62 @@
 //! The instances and upstreams as last listed by the platform.
 
+use std::collections;
 use std::net;
 
 use coltsfoot_catalog::feed;
 use coltsfoot_platform::protocol;
 use coltsfoot_types::name;
+use coltsfoot_wire::placement;
+
+/// Engines that one cell holds; a zone with more has several cells a base model.
+const ENGINES_PER_CELL: usize = 8;
 
 /// The platform's list, with the lookups that the control thread needs. The list lags: it is a hint
 /// where to send, never proof of life.
 #[derive(Default)]
 pub struct InstanceDirectory {
     list: protocol::InstanceList,
+    /// Names of the entry instances that aren't leaving, sorted, by zone.
+    members: collections::BTreeMap<name::ZoneName, Vec<name::InstanceName>>,
+    cells: EngineCells,
+    /// All cells, sorted.
+    cell_ids: Vec<placement::CellId>,
 }
 
+/// The cell of each engine.
+pub type EngineCells = collections::BTreeMap<name::UpstreamName, placement::CellId>;
+
 impl InstanceDirectory {
     /// Replaces the list.
     pub fn replace(&mut self, list: protocol::InstanceList) {
         self.list = list;
+        self.members.clear();
+        for entry in self.list.entries.iter().filter(|entry| !entry.leaving) {
+            self.members.entry(entry.zone.clone()).or_default().push(entry.name.clone());
+        }
+        for members in self.members.values_mut() {
+            members.sort();
+        }
+        self.cells = assign_cells(&self.list.upstreams);
+        self.cell_ids = self.cells.values().cloned().collect();
+        self.cell_ids.sort();
+        self.cell_ids.dedup();
+    }
+
+    /// Returns the entry instances of a zone that aren't leaving, sorted.
+    pub fn members_of(&self, zone: &name::ZoneName) -> &[name::InstanceName] {
+        self.members.get(zone).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns the engines of a zone with their cells.
+    pub fn cells_of(&self, zone: &name::ZoneName) -> EngineCells {
+        let in_zone = self.cells.iter().filter(|(_, cell)| cell.zone == *zone);
+        in_zone.map(|(engine, cell)| (engine.clone(), cell.clone())).collect()
+    }
+
+    /// Returns all cells, sorted.
+    pub fn cell_ids(&self) -> &[placement::CellId] {
+        &self.cell_ids
     }
 
     /// Returns the entry instances of a zone.
@@ -70,3 +110,25 @@
         zones
     }
 }
+
+/// Divides the engines of each zone and base model into cells by the order of their names.
+fn assign_cells(upstreams: &[protocol::UpstreamListing]) -> EngineCells {
+    let mut groups: collections::BTreeMap<_, Vec<&name::UpstreamName>> =
+        collections::BTreeMap::new();
+    for listing in upstreams {
+        if let protocol::UpstreamRole::Engine { base_model, .. } = &listing.role {
+            groups.entry((&listing.zone, base_model)).or_default().push(&listing.name);
+        }
+    }
+    let mut cells = EngineCells::new();
+    for ((zone, base_model), mut engines) in groups {
+        engines.sort();
+        for (place, engine) in engines.into_iter().enumerate() {
+            let index = (place / ENGINES_PER_CELL) as u16;
+            let base_model = base_model.clone();
+            let cell = placement::CellId { zone: zone.clone(), base_model, index };
+            cells.insert(engine.clone(), cell);
+        }
+    }
+    cells
+}
--- a/coltsfootd/src/control/engines.rs
+++ b/coltsfootd/src/control/engines.rs
@@ -7,7 +7,7 @@
 use std::time;
 
 use coltsfoot_placement::event as cells;
-use coltsfoot_platform::{engine, error};
+use coltsfoot_platform::{engine, error, http};
 use coltsfoot_types::{name, time as instant};
 use coltsfoot_wire::placement;
 use rustc_hash::FxHashMap;
@@ -29,6 +29,7 @@
 /// Sends orders and polls to engines.
 pub struct EngineDesk {
     shared: sync::Arc<shared::InstanceShared>,
+    pool: http::HttpPool,
     executor: rc::Rc<async_executor::LocalExecutor<'static>>,
     events: EventSender,
     polls: rc::Rc<cell::RefCell<FxHashMap<name::UpstreamName, EnginePoll>>>,
@@ -38,10 +39,11 @@
     /// Creates a desk without orders.
     pub fn new(
         shared: sync::Arc<shared::InstanceShared>,
+        pool: http::HttpPool,
         executor: rc::Rc<async_executor::LocalExecutor<'static>>,
         events: EventSender,
     ) -> Self {
-        Self { shared, executor, events, polls: rc::Rc::default() }
+        Self { shared, pool, executor, events, polls: rc::Rc::default() }
     }
 
     /// Carries out an order and reports how it ended.
@@ -54,9 +56,11 @@
     ) {
         let shared = sync::Arc::clone(&self.shared);
         let events = self.events.clone();
+        let pool = self.pool.clone();
+        let client = address.map(|address| engine::EngineClient::new(pool, address));
         let ordering = async move {
-            let outcome = match address {
-                Some(address) => carry_out(&shared, &order, is_load, address).await,
+            let outcome = match client {
+                Some(client) => carry_out(&shared, &order, is_load, &client).await,
                 None => cells::OrderOutcome::Failed,
             };
             let order = order.id;
@@ -83,7 +87,7 @@
         }
         poll.in_flight = true;
         poll.next = now + POLL_INTERVAL;
-        let client = engine::EngineClient::new(self.shared.upstreams.clone(), address);
+        let client = engine::EngineClient::new(self.pool.clone(), address);
         let after = poll.last_event;
         let polls = rc::Rc::clone(&self.polls);
         let events = self.events.clone();
@@ -103,9 +107,8 @@
     shared: &shared::InstanceShared,
     order: &cells::EngineOrder,
     is_load: bool,
-    address: net::SocketAddr,
+    client: &engine::EngineClient,
 ) -> cells::OrderOutcome {
-    let client = engine::EngineClient::new(shared.upstreams.clone(), address);
     let result = match is_load {
         true => client.load(&order.adapter, order.fencing).await,
         false => client.unload(&order.adapter, order.fencing).await,
--- a/coltsfootd/src/control/event.rs
+++ b/coltsfootd/src/control/event.rs
@@ -74,6 +74,8 @@
     Settle(once::OutcomeEntry, channel::Sender<()>),
     /// A call of the claims stream has ended.
     ClaimsCalled(batcher_event::BatcherEvent),
+    /// The instance list was read and has not changed.
+    ListUnchanged,
     /// The instance list was read.
     ListRead(protocol::InstanceList),
     /// The instance list can't be read.
--- a/coltsfootd/src/control/member.rs
+++ b/coltsfootd/src/control/member.rs
@@ -132,10 +132,7 @@
         zone: &name::ZoneName,
         resource: &OwnedResource,
     ) -> Option<name::InstanceName> {
-        let entries = directory.entries_of(zone).filter(|entry| !entry.leaving);
-        let mut members: Vec<_> = entries.map(|entry| entry.name.clone()).collect();
-        members.sort();
-        rendezvous::choose_member(&resource.name(), &members).cloned()
+        rendezvous::choose_member(&resource.name(), directory.members_of(zone)).cloned()
     }
 
     /// Returns the view in force.
--- a/coltsfootd/src/control/placement.rs
+++ b/coltsfootd/src/control/placement.rs
@@ -3,6 +3,7 @@
 
 use std::collections;
 use std::sync;
+use std::time;
 
 use coltsfoot_placement::{agent, budget, cell, event as cells, settings as limits};
 use coltsfoot_platform::{engine, protocol};
@@ -19,8 +20,8 @@
 use crate::peers::PeerNetwork;
 use crate::{event, settings, shared};
 
-/// Engines that one cell holds; a zone with more has several cells a base model.
-const ENGINES_PER_CELL: usize = 8;
+/// Time between two looks at the owners of cells; changes of the own zone are seen at once.
+const ROUTE_REFRESH_INTERVAL: time::Duration = time::Duration::from_millis(200);
 
 /// What the host needs of its surroundings.
 pub struct PlacementTools<'a> {
@@ -52,6 +53,7 @@
     /// Listed engines whose port is closed.
     closed: collections::BTreeSet<name::UpstreamName>,
     counted_stalls: u64,
+    next_refresh: instant::MonotonicTime,
 }
 
 impl PlacementHost {
@@ -71,6 +73,7 @@
             reachable: collections::BTreeSet::new(),
             closed: collections::BTreeSet::new(),
             counted_stalls: 0,
+            next_refresh: instant::MonotonicTime::default(),
         }
     }
 
@@ -90,10 +93,7 @@
 
     /// Takes a new list of instances and upstreams.
     pub fn take_list(&mut self, now: instant::MonotonicTime, tools: &PlacementTools<'_>) {
-        let assignment = assign_cells(tools.directory);
-        let zone = self.shared.settings.zone.clone();
-        let local: collections::BTreeMap<_, _> =
-            assignment.into_iter().filter(|(_, cell)| cell.zone == zone).collect();
+        let local = tools.directory.cells_of(&self.shared.settings.zone);
         for cell in local.values() {
             self.cells
                 .entry(cell.clone())
@@ -355,7 +355,9 @@
         }
         self.ledger_event(now, budget::LedgerEvent::Tick, tools);
         self.agent_event(now, agent::AgentEvent::Tick, tools);
-        self.refresh_routes(now, tools);
+        if now >= self.next_refresh {
+            self.refresh_routes(now, tools);
+        }
         self.poll_engines(now, tools);
         self.count_stalls();
     }
@@ -380,10 +382,10 @@
     /// Takes the cells of all zones with their owners as they are known now. Cells of other zones
     /// whose owner can't be reached are left out.
     fn refresh_routes(&mut self, now: instant::MonotonicTime, tools: &PlacementTools<'_>) {
+        self.next_refresh = now + ROUTE_REFRESH_INTERVAL;
         let own_zone = &self.shared.settings.zone;
-        let cells: collections::BTreeSet<_> = assign_cells(tools.directory).into_values().collect();
+        let cells = tools.directory.cell_ids().iter().cloned();
         let routes: Vec<_> = cells
-            .into_iter()
             .map(|cell| {
                 let is_local = cell.zone == *own_zone;
                 let owner = owner_of_cell(&cell, is_local, tools);
@@ -477,7 +479,7 @@
         let refusal = placement::PermitRefusal {
             attempt: demand.attempt,
             reason: placement::PermitRefusalReason::NotOwner,
-            retry_after: std::time::Duration::ZERO,
+            retry_after: time::Duration::ZERO,
         };
         let message = placement::PlacementMessage::Refusal { cell: cell.clone(), refusal };
         tools.network.send(&sender, peer::PeerMessage::Placement(message));
@@ -680,27 +682,3 @@
 ) -> bool {
     route.owner.instance().is_some_and(|owner| tools.contacts.is_reachable(now, owner))
 }
-
-/// Divides the engines of each zone and base model into cells by the order of their names.
-fn assign_cells(
-    directory: &InstanceDirectory,
-) -> collections::BTreeMap<name::UpstreamName, placement::CellId> {
-    let mut groups: collections::BTreeMap<_, Vec<&name::UpstreamName>> =
-        collections::BTreeMap::new();
-    for listing in directory.upstreams() {
-        if let protocol::UpstreamRole::Engine { base_model, .. } = &listing.role {
-            groups.entry((&listing.zone, base_model)).or_default().push(&listing.name);
-        }
-    }
-    let mut cells = collections::BTreeMap::new();
-    for ((zone, base_model), mut engines) in groups {
-        engines.sort();
-        for (place, engine) in engines.into_iter().enumerate() {
-            let index = (place / ENGINES_PER_CELL) as u16;
-            let base_model = base_model.clone();
-            let cell = placement::CellId { zone: zone.clone(), base_model, index };
-            cells.insert(engine.clone(), cell);
-        }
-    }
-    cells
-}
--- a/coltsfootd/src/control/plane.rs
+++ b/coltsfootd/src/control/plane.rs
@@ -80,7 +80,7 @@
             .build();
         let pool = http::HttpPool::new(limits);
         let log = log::LogClient::new(pool.clone(), settings.log_address);
-        let list = list::ListClient::new(pool, settings.list_address);
+        let list = list::ListClient::new(pool.clone(), settings.list_address);
         let network = PeerNetwork::new(
             settings.instance.clone(),
             codec.clone(),
@@ -113,7 +113,12 @@
         };
         let claim_shared = sync::Arc::clone(&shared);
         let claims = ClaimHost::new(claim_shared, rc::Rc::clone(executor), log, events.clone());
-        let engines = EngineDesk::new(sync::Arc::clone(&shared), rc::Rc::clone(executor), events);
+        let engines = EngineDesk::new(
+            sync::Arc::clone(&shared),
+            pool.clone(),
+            rc::Rc::clone(executor),
+            events,
+        );
         ControlState {
             catalog: ConfigHost::new(sync::Arc::clone(&shared), config_tools),
             claims,
@@ -127,6 +132,8 @@
             network,
             engines,
             drained,
+            pool,
+            counted_bytes: 0,
             ticks: 0,
             shared,
         }
@@ -155,6 +162,9 @@
     quota: QuotaHost,
     placement: PlacementHost,
     drained: channel::Sender<()>,
+    /// Connections to the platform, and to engines for orders and reports.
+    pool: http::HttpPool,
+    counted_bytes: u64,
     ticks: u64,
 }
 
@@ -252,6 +262,7 @@
                 let changed = self.catalog.take_append(now, first_offset);
                 self.configure(now, changed);
             }
+            ControlEvent::ListUnchanged => self.note_list_reachable(now),
             ControlEvent::ListRead(list) => self.take_list(now, list),
             ControlEvent::ListUnreachable(cause) => self.note_list_unreachable(&cause),
             ControlEvent::Status(answer) => {
@@ -274,6 +285,7 @@
         self.claims.tick(now, claim_tools!(self));
         if self.ticks.is_multiple_of(ANNOUNCE_TICKS) {
             self.probe_contacts(now);
+            self.count_platform_bytes();
             self.update_reachability(now);
             self.quota.announce_offset(quota_routing!(self));
         }
@@ -303,6 +315,12 @@
         }
     }
 
+    fn count_platform_bytes(&mut self) {
+        let carried = self.pool.carried_bytes();
+        self.shared.metrics.count_platform_bytes(carried - self.counted_bytes);
+        self.counted_bytes = carried;
+    }
+
     /// Asks instances that are in use and silent for a sign of life.
     fn probe_contacts(&mut self, now: instant::MonotonicTime) {
         for instance in self.contacts.due_probes(now) {
@@ -366,19 +384,23 @@
     }
 
     fn take_list(&mut self, now: instant::MonotonicTime, list: protocol::InstanceList) {
-        if !self.list_reachable {
-            self.list_reachable = true;
-            event::emit(event::LIST_REACHABLE, format_args!("{} entries", list.entries.len()));
-        }
         self.directory.replace(list);
         self.network.set_directory(self.directory.peer_addresses());
         self.shared.services.store(sync::Arc::new(self.directory.services()));
         let changed = self.catalog.take_list(now, &self.directory);
         self.configure(now, changed);
-        let notices = self.member.take_list(now, &self.directory);
-        self.take_notices(now, notices);
         self.placement.take_list(now, placement_tools!(self));
         self.track_resources();
+        self.note_list_reachable(now);
+    }
+
+    fn note_list_reachable(&mut self, now: instant::MonotonicTime) {
+        if !self.list_reachable {
+            self.list_reachable = true;
+            event::emit(event::LIST_REACHABLE, format_args!("the list can be read"));
+        }
+        let notices = self.member.take_list(now, &self.directory);
+        self.take_notices(now, notices);
     }
 
     fn note_list_unreachable(&mut self, cause: &str) {
--- a/coltsfootd/src/control/platform.rs
+++ b/coltsfootd/src/control/platform.rs
@@ -27,9 +27,14 @@
 
 /// Reads the instance list for ever.
 pub async fn poll_list(client: list::ListClient, events: EventSender) {
+    let mut known = None;
     loop {
-        events.send(match client.fetch().await {
-            Ok(list) => ControlEvent::ListRead(list),
+        events.send(match client.fetch_changed(known.as_deref()).await {
+            Ok(list::ListRead::Unchanged) => ControlEvent::ListUnchanged,
+            Ok(list::ListRead::Changed { list, tag }) => {
+                known = tag;
+                ControlEvent::ListRead(list)
+            }
             Err(error) => ControlEvent::ListUnreachable(error.to_string()),
         });
         async_io::Timer::after(LIST_INTERVAL).await;
--- a/coltsfootd/src/metrics.rs
+++ b/coltsfootd/src/metrics.rs
@@ -95,6 +95,7 @@
     load_stalls: metrics::Counter<u64>,
     ended_streams: metrics::Counter<u64>,
     peer_bytes: metrics::Counter<u64>,
+    platform_bytes: metrics::Counter<u64>,
     output_tokens: metrics::Counter<u64>,
     permit_wait: metrics::Histogram<f64>,
     admission_wait: metrics::Histogram<f64>,
@@ -132,6 +133,10 @@
             load_stalls: counter("coltsfoot_load_stalls", "Requests that waited for a load"),
             ended_streams: counter("coltsfoot_ended_streams", "Streams ended by a key withdrawal"),
             peer_bytes: counter("coltsfoot_peer_bytes", "Bytes sent to other instances"),
+            platform_bytes: counter(
+                "coltsfoot_platform_bytes",
+                "Bytes to and from the platform and for engine orders and reports",
+            ),
             output_tokens: counter("coltsfoot_output_tokens", "Tokens passed on to callers"),
             permit_wait: seconds("coltsfoot_permit_wait_seconds", "Wait for an engine permit"),
             admission_wait: seconds("coltsfoot_admission_wait_seconds", "Wait for admission"),
@@ -156,6 +161,7 @@
             &self.load_stalls,
             &self.ended_streams,
             &self.peer_bytes,
+            &self.platform_bytes,
             &self.output_tokens,
         ] {
             counter.add(0, &[]);
@@ -202,6 +208,11 @@
         self.peer_bytes.add(bytes as u64, &[]);
     }
 
+    /// Counts bytes exchanged with the platform, and with engines for orders and reports.
+    pub fn count_platform_bytes(&self, bytes: u64) {
+        self.platform_bytes.add(bytes, &[]);
+    }
+
     /// Counts output tokens.
     pub fn count_output_tokens(&self, tokens: u64) {
         self.output_tokens.add(tokens, &[]);
