--- a/coltsfoot-measure/src/cmd/quota.rs
+++ b/coltsfoot-measure/src/cmd/quota.rs
@@ -14,6 +14,8 @@
 const RUN_END: time::Duration = time::Duration::from_secs(262);
 /// Part of the rate that requests are charged with.
 const STEADY_LOAD: f64 = 0.85;
+/// Part of the rate that requests are charged with when they barely fit after refunds.
+const HIGH_LOAD: f64 = 1.1;
 /// Load of the customer that is asked for too much.
 const OVERLOAD: f64 = 3.0;
 
@@ -21,8 +23,11 @@
 #[derive(serde::Serialize)]
 struct QuotaFigures {
     overshoot_tokens: u64,
+    gossip_overshoot_tokens: u64,
     wrongful_refusals: f64,
     baseline_wrongful_refusals: f64,
+    wrongful_refusals_high_load: f64,
+    baseline_wrongful_refusals_high_load: f64,
     wrongful_refusals_failover: f64,
     wrongful_refusals_cut: f64,
     limit_wrongful_refusals_cut: f64,
@@ -59,11 +64,15 @@
                 if customer == 2 { OVERLOAD } else { STEADY_LOAD }
             },
         );
-    let runs = [steady, failover, cut, overload];
+    let high = execute("high load", options.seed, &[], |_| HIGH_LOAD);
+    let runs = [steady, failover, cut, overload, high];
     let figures = QuotaFigures {
         overshoot_tokens: runs.iter().map(|run| run.overshoot_tokens).max().unwrap_or(0),
+        gossip_overshoot_tokens: overload.gossip_overshoot_tokens,
         wrongful_refusals: steady.share(steady.wrongful),
         baseline_wrongful_refusals: steady.share(steady.baseline_wrongful),
+        wrongful_refusals_high_load: high.share(high.wrongful),
+        baseline_wrongful_refusals_high_load: high.share(high.baseline_wrongful),
         wrongful_refusals_failover: failover.share(failover.wrongful),
         wrongful_refusals_cut: cut.share(cut.wrongful),
         limit_wrongful_refusals_cut: cut.share(cut.limit_wrongful),
--- a/coltsfoot-measure/src/quota_reference.rs
+++ b/coltsfoot-measure/src/quota_reference.rs
@@ -47,7 +47,7 @@
     }
 }
 
-/// A bucket without communication. Its level may fall below zero by what accrues within the
+/// A bucket that is checked without communication. Its level may fall below zero by what accrues within the
 /// time that a request may wait.
 #[derive(Clone, Debug)]
 pub struct ReferenceBucket {
@@ -109,6 +109,12 @@
         true
     }
 
+    /// Charges tokens that another copy of the bucket admitted; the level may fall below zero.
+    pub fn charge(&mut self, now: clock::MonotonicTime, tokens: u64) {
+        self.advance(now);
+        self.level -= tokens as f64;
+    }
+
     fn advance(&mut self, now: clock::MonotonicTime) {
         let elapsed = now.since(self.at).as_secs_f64();
         self.at = self.at.max(now);
--- a/coltsfoot-measure/src/quota_run.rs
+++ b/coltsfoot-measure/src/quota_run.rs
@@ -13,6 +13,8 @@
 
 /// Time that a caller waits for admission at most.
 const PATIENCE: time::Duration = time::Duration::from_secs(5);
+/// Interval of the gossip that the quota is compared with.
+const GOSSIP_INTERVAL: time::Duration = time::Duration::from_millis(500);
 /// Step in which requests are fed in.
 const STEP: time::Duration = time::Duration::from_millis(5);
 
@@ -55,6 +57,8 @@
     pub baseline_wrongful: u64,
     /// Of these, refused by ideal buckets of the two sides of a cut.
     pub limit_wrongful: u64,
+    /// Largest excess of instances that count each other's admissions by gossip, every half second.
+    pub gossip_overshoot_tokens: u64,
     /// Requests whose instance stopped before it decided.
     pub lost: u64,
     /// Largest excess over burst + rate × time, of any customer.
@@ -140,6 +144,7 @@
         };
         run.compute_inside();
         run.compute_baseline();
+        run.compute_gossip();
         run.compute_limit(faults);
         run
     }
@@ -339,6 +344,38 @@
         }
     }
 
+    /// Lets every instance admit on its own copy of the whole bucket, and tells the other copies
+    /// of its admissions at each round of gossip.
+    fn compute_gossip(&mut self) {
+        let instances = quota_workload::ZONES.len() * quota_workload::INSTANCES_PER_ZONE;
+        for customer in 0..quota_workload::customer_count() {
+            let total = quota_workload::customer_total(customer);
+            let start = clock::MonotonicTime(0);
+            let copy = quota_reference::ReferenceBucket::new(total, time::Duration::ZERO);
+            let mut copies = vec![copy; instances];
+            let mut meter = excess_meter::ExcessMeter::new(total);
+            let mut untold = Vec::<(usize, u64)>::new();
+            let mut round = start;
+            for (index, wanted) in self.requests.iter().enumerate() {
+                if wanted.customer != customer {
+                    continue;
+                }
+                if wanted.at >= round {
+                    round = wanted.at + GOSSIP_INTERVAL;
+                    tell(wanted.at, &mut copies, &mut untold);
+                }
+                let used = wanted.tokens - wanted.unused;
+                let instance = wanted.zone * quota_workload::INSTANCES_PER_ZONE + wanted.instance;
+                if copies[instance].admit(wanted.at, used, 0, wanted.at) {
+                    meter.admit(wanted.at, id::RequestId(index as u128), used);
+                    untold.push((instance, used));
+                }
+            }
+            let excess = self.result.gossip_overshoot_tokens.max(meter.max_excess());
+            self.result.gossip_overshoot_tokens = excess;
+        }
+    }
+
     /// Refusals that no system could avoid while the first zone is cut off: each side has an
     /// ideal bucket of its floors, and its requests may wait.
     fn compute_limit(&mut self, faults: &[TimedFault]) {
@@ -392,6 +429,21 @@
     bucket.admit(wanted.at, wanted.tokens, wanted.unused, wanted.at + wanted.duration)
 }
 
+/// Charges all other copies with the admissions that they have not heard of.
+fn tell(
+    now: clock::MonotonicTime,
+    copies: &mut [quota_reference::ReferenceBucket],
+    untold: &mut Vec<(usize, u64)>,
+) {
+    for (instance, tokens) in untold.drain(..) {
+        for (other, copy) in copies.iter_mut().enumerate() {
+            if other != instance {
+                copy.charge(now, tokens);
+            }
+        }
+    }
+}
+
 /// Divides the joint level as well as could be: the smaller side gets its whole burst first.
 fn divide(
     at: clock::MonotonicTime,
--- a/coltsfoot-quota/src/ask_service.rs
+++ b/coltsfoot-quota/src/ask_service.rs
@@ -123,13 +123,14 @@
     ahead: u64,
 ) {
     let limits = bucket.effective_limits();
-    let until = ask.promised.unwrap_or_else(|| {
+    let mut until = ask.promised.unwrap_or_else(|| {
         let needed = bucket.promises.tokens() + ahead + ask.ask.tokens;
         now + limits.time_for(needed.saturating_sub(bucket.bucket.level()))
     });
     let can_keep = ask.promised.is_none() && ask.ask.tokens <= limits.burst && limits.rate > 0;
     if can_keep {
-        bucket.promises.promise(ask.ask.fingerprint, ask.ask.tokens, until);
+        let due = bucket.promises.promise(ask.ask.fingerprint, ask.ask.tokens, until);
+        until = due.unwrap_or(until);
     }
     let Some(holder) = bucket.holders.get_mut(&ask.key) else {
         return;
--- a/coltsfoot-quota/src/promise_ledger.rs
+++ b/coltsfoot-quota/src/promise_ledger.rs
@@ -43,14 +43,20 @@
         found.map(|promise| promise.due)
     }
 
-    /// Adds a promise that falls due after all others. Returns whether there was room for it.
-    pub fn promise(&mut self, fingerprint: u64, tokens: u64, due: clock::MonotonicTime) -> bool {
+    /// Adds a promise that falls due after all others, and returns the instant at which it does;
+    /// nothing if there was no room for it.
+    pub fn promise(
+        &mut self,
+        fingerprint: u64,
+        tokens: u64,
+        due: clock::MonotonicTime,
+    ) -> Option<clock::MonotonicTime> {
         if self.promises.len() >= MAX_PROMISES {
-            return false;
+            return None;
         }
         let due = self.promises.back().map_or(due, |last| last.due.max(due));
         self.promises.push_back(TokenPromise { fingerprint, tokens, due });
-        true
+        Some(due)
     }
 
     /// Removes a promise whose caller came back.
--- a/coltsfoot-quota/tests/quota_faults.rs
+++ b/coltsfoot-quota/tests/quota_faults.rs
@@ -433,6 +433,7 @@
     let yield_until = |until: clock::MonotonicTime| until.since(at(0)).as_millis() as u64;
     ledger.promise(1, 300, at(200));
     ledger.promise(2, 300, at(500));
+    assert_eq!(ledger.clone().promise(3, 1, at(300)), Some(at(500)), "told when it falls due");
     assert_eq!(ledger.slack(100, at(0), yield_until), 0, "600 are due at 500 ms, as many as come");
     assert_eq!(ledger.slack(150, at(0), yield_until), 50);
     assert_eq!(ledger.slack(100, at(1_000), yield_until), 500);
