--- a/coltsfoot-measure/src/cmd/config.rs
+++ b/coltsfoot-measure/src/cmd/config.rs
@@ -3,12 +3,19 @@
 use serde::Serialize;
 
 use crate::cmd::{MeasureError, MeasureOptions};
-use crate::config::{fleet_trial, size_trial};
+use crate::config::fleet_trial::{self, FleetShape};
+use crate::config::size_trial;
 
 /// Adapters of the large configuration.
 const ADAPTERS: u32 = 130_000;
-/// Fleets that publish changes, each with a seed of its own.
-const CHANGE_FLEETS: u64 = 20;
+/// Small fleets that publish changes, each with a seed of its own.
+const SMALL_FLEETS: u64 = 20;
+/// Nine instances in three zones, one without the log.
+const SMALL_FLEET: FleetShape =
+    FleetShape { members: 9, zones: 3, is_cut_off: |index| index == 4, changes: 100 };
+/// 390 instances in seven zones, one zone without the log.
+const LARGE_FLEET: FleetShape =
+    FleetShape { members: 390, zones: 7, is_cut_off: |index| index % 7 == 3, changes: 50 };
 /// Sizes of the fleets whose idle traffic is measured.
 const IDLE_FLEETS: [usize; 3] = [9, 56, 390];
 
@@ -20,10 +27,13 @@
     in_force_max_s: f64,
     changes: u64,
     withdrawn_stream_end_s: f64,
+    in_force_390_p99_s: f64,
+    in_force_390_max_s: f64,
     restore_s: f64,
     restore_from_peer_s: f64,
     rss_mib: f64,
     snapshot_mib: f64,
+    encode_ms: f64,
     change_us: f64,
     idle_bytes_per_second: Vec<f64>,
     log_calls_per_second: Vec<f64>,
@@ -35,7 +45,8 @@
         return Err(MeasureError::UnknownCase(case.clone()));
     }
     let size = size_trial::run(ADAPTERS)?;
-    let change = fleet_trial::run_changes(options.seed, CHANGE_FLEETS)?;
+    let change = fleet_trial::run_changes(options.seed, SMALL_FLEETS, &SMALL_FLEET)?;
+    let large = fleet_trial::run_changes(options.seed, 1, &LARGE_FLEET)?;
     let idle = IDLE_FLEETS.map(|members| fleet_trial::run_idle(options.seed, members));
     let report = ConfigReport {
         seed: options.seed,
@@ -44,10 +55,13 @@
         in_force_max_s: change.quantile(1.0),
         changes: change.changes,
         withdrawn_stream_end_s: change.withdrawn_stream_end_s,
+        in_force_390_p99_s: large.quantile(0.99),
+        in_force_390_max_s: large.quantile(1.0),
         restore_s: size.restore_s,
         restore_from_peer_s: size.restore_from_peer_s,
         rss_mib: size.rss_mib,
         snapshot_mib: size.snapshot_mib,
+        encode_ms: size.encode_ms,
         change_us: size.change_us,
         idle_bytes_per_second: idle.iter().map(|idle| idle.peer_bytes_per_second).collect(),
         log_calls_per_second: idle.iter().map(|idle| idle.log_calls_per_second).collect(),
@@ -67,6 +81,11 @@
         "  last stream of a withdrawn key ended after {:>8.3} s",
         report.withdrawn_stream_end_s
     );
+    println!("390 instances in 7 zones, one zone without the log, {} changes", LARGE_FLEET.changes);
+    println!(
+        "  in force p99 / max            {:>8.3} {:>8.3} s",
+        report.in_force_390_p99_s, report.in_force_390_max_s
+    );
     println!("{ADAPTERS} adapters");
     println!(
         "  restore from log / from peer  {:>8.3} {:>8.3} s",
@@ -74,6 +93,7 @@
     );
     println!("  resident memory               {:>8.1} MiB", report.rss_mib);
     println!("  snapshot                      {:>8.1} MiB", report.snapshot_mib);
+    println!("  encoding of a snapshot        {:>8.1} ms", report.encode_ms);
     println!("  fold of one change            {:>8.1} us", report.change_us);
     println!("idle, per second and instance    bytes to peers  log calls");
     let bytes = report.idle_bytes_per_second.iter().zip(&report.log_calls_per_second);
--- a/coltsfoot-once/src/claim_fold.rs
+++ b/coltsfoot-once/src/claim_fold.rs
@@ -188,7 +188,8 @@
     /// Forgets keys whose window has passed: no record to come can claim them.
     fn forget_old(&mut self) {
         let now_ms = self.last_timestamp_ms;
-        let keep_ms = 2 * self.window.max_age.as_millis() as u64;
+        let keep_for = self.window.max_age + 4 * self.window.max_ahead;
+        let keep_ms = keep_for.as_millis() as u64;
         self.keys.retain(|key, _| key_window::created_ms(*key) + keep_ms > now_ms);
         self.expired.retain(|_, timestamp_ms| *timestamp_ms + keep_ms > now_ms);
     }
--- a/coltsfoot-placement/src/lib.rs
+++ b/coltsfoot-placement/src/lib.rs
@@ -11,13 +11,18 @@
 pub mod settings;
 
 mod admission;
+mod agent_event;
 mod engine;
+mod engine_orders;
 mod eviction;
+mod ledger_event;
 mod load_share;
 mod loading;
+mod pending_request;
 mod permits;
 mod popularity;
 mod prefix;
+mod replication;
 mod report;
 mod residency_cache;
 mod routing;
--- a/coltsfootd/src/control/plane.rs
+++ b/coltsfootd/src/control/plane.rs
@@ -11,10 +11,11 @@
 use coltsfoot_placement::event as cells;
 use coltsfoot_platform::{http, list, log, protocol};
 use coltsfoot_types::time as instant;
-use coltsfoot_wire::{codec, peer};
+use coltsfoot_wire::{codec, contact, peer};
 use futures_lite::future;
 
 use crate::control::catalog::{ConfigHost, ConfigTools};
+use crate::control::claims::{ClaimHost, ClaimTools};
 use crate::control::contact::ContactTable;
 use crate::control::directory::InstanceDirectory;
 use crate::control::engines::EngineDesk;
@@ -106,13 +107,16 @@
         let tools = MemberTools {
             executor: rc::Rc::clone(executor),
             network: network.clone(),
-            log,
+            log: log.clone(),
             events: events.clone(),
             wakeups,
         };
+        let claim_shared = sync::Arc::clone(&shared);
+        let claims = ClaimHost::new(claim_shared, rc::Rc::clone(executor), log, events.clone());
         let engines = EngineDesk::new(sync::Arc::clone(&shared), rc::Rc::clone(executor), events);
         ControlState {
             catalog: ConfigHost::new(sync::Arc::clone(&shared), config_tools),
+            claims,
             member: MemberHost::new(sync::Arc::clone(&shared), tools),
             quota: QuotaHost::new(sync::Arc::clone(&shared)),
             placement: PlacementHost::new(sync::Arc::clone(&shared)),
@@ -146,6 +150,7 @@
     contacts: ContactTable,
     list_reachable: bool,
     catalog: ConfigHost,
+    claims: ClaimHost,
     member: MemberHost,
     quota: QuotaHost,
     placement: PlacementHost,
@@ -164,6 +169,13 @@
     };
 }
 
+/// Borrows what claims are carried out with, beside a mutable host.
+macro_rules! claim_tools {
+    ($state:ident) => {
+        &ClaimTools { member: &$state.member, network: &$state.network }
+    };
+}
+
 /// Borrows what placement is carried out with, beside a mutable host.
 macro_rules! placement_tools {
     ($state:ident) => {
@@ -197,6 +209,15 @@
             ControlEvent::Release(attempt, outcome) => {
                 self.placement.release(now, attempt, outcome, placement_tools!(self));
             }
+            ControlEvent::Claim(query, answer) => {
+                self.claims.claim(now, query, answer, claim_tools!(self));
+            }
+            ControlEvent::Settle(entry, settled) => {
+                self.claims.settle(now, entry, Some(settled), claim_tools!(self));
+            }
+            ControlEvent::ClaimsCalled(event) => {
+                self.claims.drive_batcher(now, event, claim_tools!(self));
+            }
             ControlEvent::Peer(envelope) => self.take_message(now, *envelope),
             ControlEvent::MembersRead(records) => {
                 self.member_event(now, members::MemberEvent::LogRead(records));
@@ -242,13 +263,17 @@
 
     fn tick(&mut self, now: instant::MonotonicTime) {
         self.ticks += 1;
+        for instance in self.network.take_used() {
+            self.contacts.note_used(now, &instance);
+        }
         let changed = self.catalog.tick(now);
         self.configure(now, changed);
         self.member_event(now, members::MemberEvent::Tick);
         self.quota.tick(now, quota_routing!(self));
         self.placement.tick(now, placement_tools!(self));
+        self.claims.tick(now, claim_tools!(self));
         if self.ticks.is_multiple_of(ANNOUNCE_TICKS) {
-            self.contacts.expire(now);
+            self.probe_contacts(now);
             self.update_reachability(now);
             self.quota.announce_offset(quota_routing!(self));
         }
@@ -272,10 +297,20 @@
                 OwnedResource::Ledger => {
                     self.placement.take_ledger_ownership(now, fencing, placement_tools!(self));
                 }
+                // Ownership only tells where claims are batched; the log decides who wins.
+                OwnedResource::Claims => {}
             }
         }
     }
 
+    /// Asks instances that are in use and silent for a sign of life.
+    fn probe_contacts(&mut self, now: instant::MonotonicTime) {
+        for instance in self.contacts.due_probes(now) {
+            let probe = contact::ContactMessage::Probe;
+            self.network.send(&instance, peer::PeerMessage::Contact(probe));
+        }
+    }
+
     /// Tells the quota which other zones can be reached.
     fn update_reachability(&mut self, now: instant::MonotonicTime) {
         let own_zone = &self.shared.settings.zone;
@@ -290,7 +325,7 @@
 
     fn take_message(&mut self, now: instant::MonotonicTime, envelope: peer::PeerEnvelope) {
         let peer::PeerEnvelope { sender, message } = envelope;
-        self.contacts.note(now, &sender);
+        self.contacts.note_heard(now, &sender);
         if !matches!(message, peer::PeerMessage::Member(_)) {
             self.member_event(now, members::MemberEvent::PeerContact);
         }
@@ -299,6 +334,11 @@
                 let notices = self.member.take_message(now, sender, message);
                 self.take_notices(now, notices);
             }
+            peer::PeerMessage::Contact(contact::ContactMessage::Answer) => {}
+            peer::PeerMessage::Contact(contact::ContactMessage::Probe) => {
+                let answer = contact::ContactMessage::Answer;
+                self.network.send(&sender, peer::PeerMessage::Contact(answer));
+            }
             peer::PeerMessage::Quota(message) => {
                 self.quota.take_message(now, sender, message, quota_routing!(self));
             }
@@ -309,7 +349,9 @@
                 let changed = self.catalog.take_message(now, sender, message);
                 self.configure(now, changed);
             }
-            peer::PeerMessage::Claim(_) => {}
+            peer::PeerMessage::Claim(message) => {
+                self.claims.take_message(now, sender, message, claim_tools!(self));
+            }
         }
     }
 
@@ -348,7 +390,7 @@
 
     fn track_resources(&mut self) {
         let resources = self.quota.resources().chain(self.placement.resources());
-        self.member.track(resources);
+        self.member.track(resources.chain([OwnedResource::Claims]));
     }
 
     fn report(&self, now: instant::MonotonicTime) -> status::InstanceReport {
@@ -360,6 +402,7 @@
             draining: self.shared.status.is_draining(),
             running: self.shared.status.running(),
             view: self.member.members(),
+            ownership: self.member.mode_text(now),
             cells: self.placement.owned_cells(now, &self.member),
         }
     }
