Cut the platform off while an owner dies in the system test

Cause: the system test had no outage. Change: log and list refuse all calls while the owner is killed, so that the others form a provisional view. Conclusion: freeze, thaw, outage, crash, replacement and drain hold on real daemons.

--- a/coltsfoot-system/tests/ownership.rs
+++ b/coltsfoot-system/tests/ownership.rs
@@ -1,5 +1,5 @@
-//! Ownership while real daemons are frozen, killed and drained and requests run, on an engine that
-//! ignores fencing numbers.
+//! Ownership while real daemons are frozen, cut off from the platform, killed and drained and
+//! requests run, on an engine that ignores fencing numbers.
 
 use std::net;
 use std::sync;
@@ -95,7 +95,7 @@
 }
 
 #[test]
-fn one_owner_acts_through_a_freeze_a_crash_and_a_drain() {
+fn one_owner_acts_through_a_freeze_an_outage_a_crash_and_a_drain() {
     let mut cluster = start();
     let operators: Vec<_> =
         cluster.instances.iter().map(|instance| instance.listing.operator_address).collect();
@@ -124,9 +124,11 @@
     });
     wait_for_answers("after the thaw", &outcome);
 
+    set_platform_outage(&cluster, true);
     cluster.instances[owner].program.kill();
     find_owner(&cluster, &others);
-    wait_for_answers("after the crash", &outcome);
+    wait_for_answers("after a crash in an outage", &outcome);
+    set_platform_outage(&cluster, false);
     let killed = cluster.instances[owner].listing.name.clone();
     cluster.unlist_instance(&killed);
 
@@ -145,6 +147,13 @@
     check_engine(&cluster);
 }
 
+/// Cuts all daemons off from log and list, or ends that.
+fn set_platform_outage(cluster: &cluster::ProcessCluster, outage: bool) {
+    let switches = serde_json::json!({ "outage": outage });
+    cluster.log.switch(&switches);
+    cluster.list.switch(&switches);
+}
+
 /// Returns a customer whose adapter is resident.
 fn find_served(address: net::SocketAddr) -> &'static str {
     let mut served = None;
