Drive chat by the dispatch machine and quarantine what crashes engines

Cause: the chat path had retries of its own, without a budget, and sent a request that crashes engines to one after another.

Change: AnswerSource carries out the dispatch machine's actions; refusals tell the machine's run state. A broken connection is followed by a look at the engine's port; crashes are recorded by the request's digest and sent to all instances. Suspects are not yet kept apart on engines, which needs the cell.

--- a/coltsfoot-wire/src/once.rs
+++ b/coltsfoot-wire/src/once.rs
@@ -157,7 +157,7 @@
 pub struct CrashId {
     /// The upstream.
     pub upstream: name::UpstreamName,
-    /// Number of its run that ended by the crash.
+    /// Number that tells the crashes of the upstream apart.
     pub generation: u64,
 }
 
--- a/coltsfootd/src/control/claims.rs
+++ b/coltsfootd/src/control/claims.rs
@@ -139,7 +139,9 @@
             once::ClaimMessage::Settled { claim } => {
                 self.reports.remove(&claim);
             }
-            once::ClaimMessage::Crash(_) => {}
+            once::ClaimMessage::Crash(notice) => {
+                self.shared.lock_quarantine().merge(now, &notice);
+            }
         }
     }
 
--- a/coltsfootd/src/control/client.rs
+++ b/coltsfootd/src/control/client.rs
@@ -130,6 +130,11 @@
         }
     }
 
+    /// Tells the other instances of a crash.
+    pub fn announce_crash(&self, notice: once::CrashNotice) {
+        self.events.send(ControlEvent::CrashSeen(notice));
+    }
+
     /// Waits for the claim of a once-only call; none if the control thread has ended. The claim goes
     /// on if the future is dropped.
     pub async fn claim(&self, query: ClaimQuery) -> Option<ClaimDecision> {
--- a/coltsfootd/src/control/event.rs
+++ b/coltsfootd/src/control/event.rs
@@ -68,6 +68,8 @@
         /// Offset of the first value, nothing if it is not known to be appended.
         first_offset: Option<id::LogOffset>,
     },
+    /// A request is suspected of a crash.
+    CrashSeen(once::CrashNotice),
     /// A once-only call asks for its claim.
     Claim(client::ClaimQuery, channel::Sender<client::ClaimDecision>),
     /// A once-only call has ended; the sender is closed when that is on the log.
--- a/coltsfootd/src/control/plane.rs
+++ b/coltsfootd/src/control/plane.rs
@@ -11,7 +11,7 @@
 use coltsfoot_placement::event as cells;
 use coltsfoot_platform::{http, list, log, protocol};
 use coltsfoot_types::time as instant;
-use coltsfoot_wire::{codec, peer};
+use coltsfoot_wire::{codec, once, peer};
 use futures_lite::future;
 
 use crate::control::catalog::{ConfigHost, ConfigTools};
@@ -209,6 +209,7 @@
             ControlEvent::Release(attempt, outcome) => {
                 self.placement.release(now, attempt, outcome, placement_tools!(self));
             }
+            ControlEvent::CrashSeen(notice) => self.announce_crash(&notice),
             ControlEvent::Claim(query, answer) => {
                 self.claims.claim(now, query, answer, claim_tools!(self));
             }
@@ -365,6 +366,15 @@
         self.track_resources();
     }
 
+    /// Tells all instances that can be reached of a suspected request.
+    fn announce_crash(&self, notice: &once::CrashNotice) {
+        let own_name = &self.shared.settings.instance;
+        for (receiver, _) in self.directory.peer_addresses().filter(|(name, _)| name != own_name) {
+            let message = once::ClaimMessage::Crash(notice.clone());
+            self.network.send(&receiver, peer::PeerMessage::Claim(message));
+        }
+    }
+
     fn note_list_unreachable(&mut self, cause: &str) {
         if self.list_reachable {
             self.list_reachable = false;
--- a/coltsfootd/src/daemon.rs
+++ b/coltsfootd/src/daemon.rs
@@ -8,7 +8,7 @@
 
 use async_channel as channel;
 use async_net::{TcpListener, UdpSocket};
-use coltsfoot_once::retry_budget;
+use coltsfoot_once::{quarantine, retry_budget};
 use coltsfoot_platform::http;
 
 use crate::{clock, control, event, front, metrics, operator, server, settings, shared};
@@ -78,6 +78,9 @@
             retries: sync::Mutex::new(retry_budget::RetryBudget::new(
                 retry_budget::RetrySettings::default(),
             )),
+            quarantine: sync::Mutex::new(quarantine::QuarantineTable::new(
+                quarantine::QuarantineSettings::default(),
+            )),
             breakers: front::ServiceBreakers::default(),
             upstreams: http::HttpPool::new(http::HttpLimits::default()),
             control: control::client::ControlClient::new(events.clone()),
--- a/coltsfootd/src/front/answer_source.rs
+++ b/coltsfootd/src/front/answer_source.rs
@@ -1,21 +1,30 @@
 //! The parts of one answer, over as many attempts as it takes.
 
+use std::collections;
 use std::sync;
 use std::time;
 
-use coltsfoot_platform::protocol;
-use coltsfoot_types::{adapter, id, name, refusal, time as instant};
+use coltsfoot_once::dispatch::{CallKind, DispatchMachine, DispatchSettings};
+use coltsfoot_once::dispatch_event::{
+    AnswerHead, AnswerIdentity, AttemptEnd, AttemptEvent, DispatchAction, DispatchEvent,
+};
+use coltsfoot_once::{backoff, run_state};
+use coltsfoot_platform::{error, protocol};
+use coltsfoot_types::{adapter, id, name, time as instant};
+use coltsfoot_wire::once;
 
 use crate::control::client;
+use crate::front::crash_watch;
 use crate::front::engine_attempt::{AnswerPart, AttemptError, EngineAttempt};
 use crate::{answer, event, metrics, shared};
 
 /// Attempts of one request at engines.
 const MAX_ATTEMPTS: u16 = 6;
-/// Pause before the second attempt; it doubles with each further one.
-const FIRST_BACKOFF: time::Duration = time::Duration::from_millis(50);
-/// Resumptions of one attempt at the same engine.
-const MAX_RESUMPTIONS: u32 = 2;
+/// Waits between attempts.
+const ATTEMPT_BACKOFF: backoff::BackoffSettings = backoff::BackoffSettings {
+    initial: time::Duration::from_millis(50),
+    maximum: time::Duration::from_secs(1),
+};
 
 /// A chat request after admission.
 #[derive(Clone)]
@@ -47,15 +56,24 @@
     shared: sync::Arc<shared::InstanceShared>,
     executor: sync::Arc<async_executor::Executor<'static>>,
     admitted: AdmittedChat,
+    digest: once::RequestDigest,
+    machine: DispatchMachine,
+    actions: collections::VecDeque<DispatchAction>,
     attempt: Option<EngineAttempt>,
-    attempts: u16,
-    resumptions: u32,
-    maybe_ran: bool,
+    wake_at: instant::MonotonicTime,
+    /// The part that the machine decides about.
+    part: Option<AnswerPart>,
     /// Text passed on so far; another engine goes on after it.
     text: String,
     tokens: u32,
 }
 
+/// What a wait for the next event ended with.
+enum SourceEvent {
+    Dispatch(DispatchEvent),
+    Failed(id::AttemptId, AttemptError),
+}
+
 impl AnswerSource {
     /// Creates the source of an answer that has not begun.
     pub fn new(
@@ -63,17 +81,33 @@
         executor: sync::Arc<async_executor::Executor<'static>>,
         admitted: AdmittedChat,
     ) -> Self {
-        Self {
-            shared,
-            executor,
-            admitted,
+        let settings = DispatchSettings::builder()
+            .request(admitted.request)
+            .adapter(admitted.adapter.clone())
+            .is_streamed(true)
+            .deadline(admitted.deadline)
+            .max_attempts(MAX_ATTEMPTS)
+            .backoff(ATTEMPT_BACKOFF)
+            .build();
+        let kind = CallKind::Idempotent(run_state::PendingRequest::new());
+        let digest = crash_watch::digest_of(&admitted.chat);
+        let mut source = Self {
+            machine: DispatchMachine::new(kind, settings),
+            actions: collections::VecDeque::new(),
             attempt: None,
-            attempts: 0,
-            resumptions: 0,
-            maybe_ran: false,
+            wake_at: admitted.deadline,
+            part: None,
             text: String::new(),
             tokens: 0,
-        }
+            shared,
+            executor,
+            admitted,
+            digest,
+        };
+        source.shared.lock_retries().deposit();
+        source.note_suspicion();
+        source.handle(DispatchEvent::Tick);
+        source
     }
 
     /// Returns the output tokens passed on so far.
@@ -83,107 +117,189 @@
 
     /// Returns the next part. After a refusal or the end nothing more comes.
     pub async fn next_part(&mut self) -> Result<AnswerPart, answer::CallerRefusal> {
-        let left = self.time_left();
-        let expiry = async {
-            async_io::Timer::after(left).await;
-            None
-        };
-        let attempts = async { Some(self.try_attempts().await) };
-        match futures_lite::future::or(attempts, expiry).await {
-            Some(result) => result,
-            None => Err(self.refuse(refusal::RefusalReason::DeadlineExceeded)),
+        loop {
+            let Some(action) = self.actions.pop_front() else {
+                self.advance().await;
+                continue;
+            };
+            if let Some(result) = self.carry_out(action).await {
+                return result;
+            }
         }
     }
 
-    async fn try_attempts(&mut self) -> Result<AnswerPart, answer::CallerRefusal> {
-        loop {
-            let result = match self.attempt.take() {
-                Some(attempt) => self.read(attempt).await,
-                None => self.start().await,
-            };
-            match result {
-                Ok(Some(part)) => return Ok(part),
-                Ok(None) => {}
-                Err(refusal) => return Err(refusal),
+    fn handle(&mut self, event: DispatchEvent) {
+        let now = self.shared.clock.now();
+        let mut retries = self.shared.lock_retries();
+        let actions = self.machine.handle(now, event, &mut retries, &mut rand::rng());
+        drop(retries);
+        self.actions.extend(actions);
+    }
+
+    /// Waits for the attempt or the next wake-up and passes it to the machine.
+    async fn advance(&mut self) {
+        if self.machine.is_ended() {
+            // The caller has its refusal or its end; nobody waits for more.
+            return futures_lite::future::pending().await;
+        }
+        let pause = self.wake_at.since(self.shared.clock.now());
+        self.wake_at = self.admitted.deadline;
+        let wake = async {
+            async_io::Timer::after(pause).await;
+            SourceEvent::Dispatch(DispatchEvent::Tick)
+        };
+        let event = match (&mut self.attempt, self.machine.current()) {
+            (Some(attempt), Some(id)) => {
+                let reading = async {
+                    match attempt.next_part().await {
+                        Ok(part) => {
+                            let event = part_event(&part, attempt.tokens(), id, &self.admitted);
+                            self.part = Some(part);
+                            SourceEvent::Dispatch(DispatchEvent::Attempt(id, event))
+                        }
+                        Err(error) => SourceEvent::Failed(id, error),
+                    }
+                };
+                futures_lite::future::or(reading, wake).await
             }
+            _ => wake.await,
+        };
+        match event {
+            SourceEvent::Dispatch(event) => self.handle(event),
+            SourceEvent::Failed(id, error) => self.fail(id, error).await,
         }
     }
 
-    async fn read(
+    async fn carry_out(
         &mut self,
-        mut attempt: EngineAttempt,
-    ) -> Result<Option<AnswerPart>, answer::CallerRefusal> {
-        match attempt.next_part().await {
-            Ok(AnswerPart::Text(text)) => {
-                self.text.push_str(&text);
-                self.tokens += 1;
-                self.attempt = Some(attempt);
-                Ok(Some(AnswerPart::Text(text)))
+        action: DispatchAction,
+    ) -> Option<Result<AnswerPart, answer::CallerRefusal>> {
+        match action {
+            DispatchAction::RequestPermit { attempt, .. } => self.request_permit(attempt).await,
+            DispatchAction::Send { attempt, .. } => self.send(attempt).await,
+            DispatchAction::Resume { attempt, .. } => self.resume(attempt).await,
+            DispatchAction::ReleasePermit(_, _, AttemptEnd::Answered) => {
+                self.shared.lock_quarantine().exonerate(self.shared.clock.now(), &self.digest);
+                if let Some(attempt) = self.attempt.take() {
+                    attempt.complete().await;
+                }
             }
-            Ok(end @ AnswerPart::End { .. }) => {
-                attempt.complete().await;
-                Ok(Some(end))
+            DispatchAction::ReleasePermit(..) => self.attempt = None,
+            DispatchAction::ForwardToken => return self.forward_token().map(Ok),
+            DispatchAction::EndStream => return self.part.take().map(Ok),
+            DispatchAction::Refuse { reason, run, retry_after } => {
+                return Some(Err(answer::CallerRefusal { reason, ran: run.into(), retry_after }));
             }
-            Err(error) => {
-                self.note_failure(&error);
-                self.recover(attempt, error).await?;
-                Ok(None)
+            DispatchAction::AbortStream(reason, run) => {
+                let ran = run.into();
+                return Some(Err(answer::CallerRefusal { reason, ran, retry_after: None }));
             }
+            DispatchAction::CountRetry(reason) => self.shared.metrics.count_retry(reason.into()),
+            DispatchAction::WakeAt(at) => self.wake_at = self.wake_at.min(at),
+            // Dropping an attempt cancels it at its engine.
+            _ => {}
         }
+        None
     }
 
-    /// Resumes a broken stream at the same engine; otherwise the next attempt goes on elsewhere.
-    async fn recover(
-        &mut self,
-        mut attempt: EngineAttempt,
-        error: AttemptError,
-    ) -> Result<(), answer::CallerRefusal> {
-        let resumable = matches!(error, AttemptError::Http(_));
-        if resumable && self.resumptions < MAX_RESUMPTIONS {
-            self.resumptions += 1;
-            if attempt.resume().await.is_ok() {
-                self.attempt = Some(attempt);
-            }
+    fn forward_token(&mut self) -> Option<AnswerPart> {
+        let part = self.part.take()?;
+        if let AnswerPart::Text(text) = &part {
+            self.text.push_str(text);
+            self.tokens += 1;
         }
-        Ok(())
+        Some(part)
     }
 
-    async fn start(&mut self) -> Result<Option<AnswerPart>, answer::CallerRefusal> {
-        if self.attempts >= MAX_ATTEMPTS {
-            return Err(self.refuse(refusal::RefusalReason::UpstreamFailed));
+    async fn request_permit(&mut self, attempt: id::AttemptId) {
+        self.note_suspicion();
+        if self.machine.is_ended() {
+            return;
         }
-        let number = self.attempts;
-        self.attempts += 1;
-        async_io::Timer::after(backoff(number)).await;
-        let attempt = id::AttemptId { request: self.admitted.request, number };
-        let permit = self.wait_for_permit(attempt).await?;
-        let adapter = self.admitted.adapter.clone();
-        let mut attempt =
-            EngineAttempt::new(&self.shared, &self.executor, attempt, adapter, permit);
+        let query = self.permit_query(attempt);
+        let asked = self.shared.clock.now();
+        let permit = async { Some(self.shared.control.permit(query).await) };
+        let event = match futures_lite::future::or(permit, self.expiry()).await {
+            None => DispatchEvent::Tick,
+            Some(Err(refusal)) => DispatchEvent::PermitRefused {
+                attempt,
+                reason: refusal.reason,
+                retry_after: refusal.retry_after,
+            },
+            Some(Ok(permit)) => {
+                self.shared.metrics.record_permit_wait(self.shared.clock.now().since(asked));
+                let upstream = permit.permit.upstream.clone();
+                let adapter = self.admitted.adapter.clone();
+                let (shared, executor) = (&self.shared, &self.executor);
+                self.attempt = Some(EngineAttempt::new(shared, executor, attempt, adapter, permit));
+                DispatchEvent::Permitted { attempt, upstream, is_leaving: false }
+            }
+        };
+        self.handle(event);
+    }
+
+    async fn send(&mut self, id: id::AttemptId) {
+        let chat = self.chat_from_here();
+        let left = self.time_left();
+        let expiry = self.expiry();
+        let Some(attempt) = self.attempt.as_mut() else { return };
         if self.shared.clock.now() >= attempt.send_by() {
             self.shared.metrics.count_retry(metrics::RetryReason::PermitExpired);
-            return Ok(None);
+            return self.handle(DispatchEvent::Attempt(id, AttemptEvent::ConnectFailed));
         }
-        let chat = self.chat_from_here();
-        match attempt.send(&chat, self.time_left()).await {
-            Ok(()) => {
-                self.maybe_ran = true;
-                self.attempt = Some(attempt);
+        let sending = async { Some(attempt.send(&chat, left).await) };
+        match futures_lite::future::or(sending, expiry).await {
+            None => self.handle(DispatchEvent::Tick),
+            Some(Ok(())) => {
+                let head = AnswerHead { status: 200, is_unrun: false };
+                self.handle(DispatchEvent::Attempt(id, AttemptEvent::Head(head)));
             }
-            Err(error) => {
-                self.maybe_ran |= !error.shows_not_run();
+            Some(Err(error)) => self.fail(id, error).await,
+        }
+    }
+
+    async fn resume(&mut self, id: id::AttemptId) {
+        let expiry = self.expiry();
+        let Some(attempt) = self.attempt.as_mut() else { return };
+        let resuming = async { Some(attempt.resume().await) };
+        match futures_lite::future::or(resuming, expiry).await {
+            None => self.handle(DispatchEvent::Tick),
+            Some(Ok(())) => {}
+            Some(Err(error)) => {
                 self.note_failure(&error);
+                self.handle(DispatchEvent::Attempt(id, AttemptEvent::ResumeFailed));
             }
         }
-        Ok(None)
     }
 
-    async fn wait_for_permit(
-        &mut self,
-        attempt: id::AttemptId,
-    ) -> Result<client::PermitGuard, answer::CallerRefusal> {
+    /// Passes a failure on, after looking whether it was a crash of the engine.
+    async fn fail(&mut self, id: id::AttemptId, error: AttemptError) {
+        self.note_failure(&error);
+        if is_lost_connection(&error)
+            && let Some(attempt) = &self.attempt
+        {
+            let upstream = attempt.upstream();
+            let watch = crash_watch::CrashWatch { shared: &self.shared, digest: self.digest };
+            watch.confirm(id, upstream, attempt.client()).await;
+        }
+        self.handle(DispatchEvent::Attempt(id, failure_event(&error)));
+        if !self.machine.is_ended() {
+            self.note_suspicion();
+        }
+    }
+
+    /// Tells the machine how many crashes the request is suspected of.
+    fn note_suspicion(&mut self) {
+        let now = self.shared.clock.now();
+        let crashes = self.shared.lock_quarantine().crashes(now, &self.digest);
+        if crashes > 0 {
+            self.handle(DispatchEvent::Suspected { crashes });
+        }
+    }
+
+    fn permit_query(&self, attempt: id::AttemptId) -> client::PermitQuery {
         let admitted = &self.admitted;
-        let query = client::PermitQuery {
+        client::PermitQuery {
             attempt,
             customer: admitted.customer.clone(),
             weight: admitted.weight,
@@ -193,14 +309,7 @@
             tokens: admitted.tokens,
             prefix_hash: admitted.prefix_hash,
             patience: self.time_left(),
-        };
-        let asked = self.shared.clock.now();
-        let permit = self.shared.control.permit(query).await.map_err(|refusal| {
-            let refused = self.refuse(refusal.reason);
-            refusal.retry_after.map_or(refused, |delay| refused.with_retry_after(delay))
-        })?;
-        self.shared.metrics.record_permit_wait(self.shared.clock.now().since(asked));
-        Ok(permit)
+        }
     }
 
     fn chat_from_here(&self) -> protocol::ChatRequest {
@@ -213,7 +322,6 @@
     }
 
     fn note_failure(&self, error: &AttemptError) {
-        self.shared.metrics.count_retry(error.retry_reason());
         let kind = match error {
             AttemptError::WrongAnswer(_) => event::WRONG_ANSWER,
             _ => event::ATTEMPT_FAILED,
@@ -221,25 +329,58 @@
         event::emit(kind, format_args!("request {}: {error}", self.admitted.request));
     }
 
-    fn refuse(&self, reason: refusal::RefusalReason) -> answer::CallerRefusal {
-        let ran = match self.maybe_ran {
-            true => answer::RanAnswer::Unknown,
-            false => answer::RanAnswer::No,
-        };
-        answer::CallerRefusal { reason, ran, retry_after: None }
-    }
-
     fn time_left(&self) -> time::Duration {
         self.admitted.deadline.since(self.shared.clock.now())
     }
+
+    /// Returns a future that ends with nothing at the deadline.
+    fn expiry<T>(&self) -> impl Future<Output = Option<T>> + use<T> {
+        let timer = async_io::Timer::after(self.time_left());
+        async {
+            timer.await;
+            None
+        }
+    }
 }
 
-/// Returns the pause before an attempt, with jitter so that requests which failed together do not
-/// come back together.
-fn backoff(attempt: u16) -> time::Duration {
-    if attempt == 0 {
-        return time::Duration::ZERO;
+/// Returns the event of a part. The attempt has checked whose answer it is.
+fn part_event(
+    part: &AnswerPart,
+    number: u32,
+    attempt: id::AttemptId,
+    admitted: &AdmittedChat,
+) -> AttemptEvent {
+    let identity = AnswerIdentity {
+        attempt: Some(attempt.to_string()),
+        adapter: Some(admitted.adapter.to_string()),
+    };
+    match part {
+        AnswerPart::Text(_) => AttemptEvent::Token { number, identity },
+        AnswerPart::End { .. } => AttemptEvent::Ended(identity),
+    }
+}
+
+fn is_lost_connection(error: &AttemptError) -> bool {
+    match error {
+        AttemptError::Http(error::HttpError::Timeout { .. }) => false,
+        AttemptError::Http(error) => !error.nothing_sent(),
+        _ => false,
+    }
+}
+
+fn failure_event(error: &AttemptError) -> AttemptEvent {
+    match error {
+        AttemptError::Http(error) if error.nothing_sent() => AttemptEvent::ConnectFailed,
+        AttemptError::Http(error::HttpError::Timeout { .. }) => AttemptEvent::TimedOut,
+        AttemptError::Http(error::HttpError::Send { .. }) => AttemptEvent::SendFailed,
+        AttemptError::Http(error::HttpError::NoAnswer { .. }) => AttemptEvent::NoAnswer,
+        AttemptError::Http(_) | AttemptError::Malformed => AttemptEvent::BodyFailed,
+        AttemptError::NotResident => AttemptEvent::Head(AnswerHead { status: 404, is_unrun: true }),
+        AttemptError::Status(status) => {
+            // A request that this instance built is not the caller's fault.
+            let status = (*status).max(500);
+            AttemptEvent::Head(AnswerHead { status, is_unrun: false })
+        }
+        AttemptError::WrongAnswer(_) => AttemptEvent::Ended(AnswerIdentity::default()),
     }
-    let longest = FIRST_BACKOFF * (1 << (attempt - 1));
-    longest.mul_f64(rand::random_range(0.5..1.0))
 }
--- /dev/null
+++ b/coltsfootd/src/front/crash_watch.rs
@@ -0,0 +1,89 @@
+//! Finds out whether a broken connection was a crash of the engine, and tells the other instances.
+
+use std::hash;
+use std::hash::Hasher as _;
+use std::time;
+
+use coltsfoot_platform::{engine, error, protocol};
+use coltsfoot_types::{id, name};
+use coltsfoot_wire::once;
+use futures_lite::FutureExt as _;
+
+use crate::{event, shared};
+
+/// Waits before each look at an engine whose connection broke.
+const PROBE_WAITS: [time::Duration; 3] =
+    [time::Duration::ZERO, time::Duration::from_millis(20), time::Duration::from_millis(50)];
+/// Longest wait for an engine's answer to a look.
+const PROBE_TIMEOUT: time::Duration = time::Duration::from_millis(250);
+
+/// Watches the engines that run one request.
+pub struct CrashWatch<'a> {
+    /// The instance.
+    pub shared: &'a shared::InstanceShared,
+    /// Digest of the request.
+    pub digest: once::RequestDigest,
+}
+
+impl CrashWatch<'_> {
+    /// Records a crash if the engine's port is closed.
+    pub async fn confirm(
+        &self,
+        attempt: id::AttemptId,
+        upstream: name::UpstreamName,
+        client: engine::EngineClient,
+    ) {
+        if !has_closed_its_port(&client).await {
+            return;
+        }
+        let now = self.shared.clock.now();
+        let crash = once::CrashId { upstream, generation: crash_number(attempt) };
+        let notice = self.shared.lock_quarantine().record(now, self.digest, crash);
+        let Some(notice) = notice else { return };
+        if notice.crashes.len() > 1 {
+            let count = notice.crashes.len();
+            let request = attempt.request;
+            event::emit(
+                event::REQUEST_QUARANTINED,
+                format_args!("request {request} crashed {count} upstreams"),
+            );
+        }
+        self.shared.control.announce_crash(notice);
+    }
+}
+
+/// Returns the digest of what an engine runs, whoever sends it.
+pub fn digest_of(chat: &protocol::ChatRequest) -> once::RequestDigest {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(chat.model.as_bytes());
+    for message in &chat.messages {
+        for text in [&message.role, &message.content] {
+            hasher.update(&(text.len() as u64).to_le_bytes());
+            hasher.update(text.as_bytes());
+        }
+    }
+    once::RequestDigest(*hasher.finalize().as_bytes())
+}
+
+async fn has_closed_its_port(client: &engine::EngineClient) -> bool {
+    for wait in PROBE_WAITS {
+        async_io::Timer::after(wait).await;
+        let timeout = async {
+            async_io::Timer::after(PROBE_TIMEOUT).await;
+            None
+        };
+        let report = async { Some(client.report().await) };
+        let reported = report.or(timeout).await;
+        if let Some(Err(error::ClientError::Http(error::HttpError::Connect { .. }))) = reported {
+            return true;
+        }
+    }
+    false
+}
+
+/// Number that tells the crashes of one upstream apart: an attempt meets one at most.
+fn crash_number(attempt: id::AttemptId) -> u64 {
+    let mut hasher = rustc_hash::FxHasher::default();
+    hash::Hash::hash(&attempt, &mut hasher);
+    hasher.finish()
+}
--- a/coltsfootd/src/front/engine_attempt.rs
+++ b/coltsfootd/src/front/engine_attempt.rs
@@ -4,11 +4,11 @@
 use std::time;
 
 use coltsfoot_platform::{engine, error, http, protocol, sse};
-use coltsfoot_types::{adapter, id, time as instant};
+use coltsfoot_types::{adapter, id, name, time as instant};
 use coltsfoot_wire::placement;
 
 use crate::control::client;
-use crate::{metrics, shared};
+use crate::shared;
 
 /// Longest server-sent event of an engine, in bytes.
 const MAX_EVENT_BYTES: usize = 64 * 1_024;
@@ -52,28 +52,6 @@
 }
 
 impl AttemptError {
-    /// Returns the label under which a repetition is counted.
-    pub fn retry_reason(&self) -> metrics::RetryReason {
-        match self {
-            Self::Http(error) if error.nothing_sent() => metrics::RetryReason::Connect,
-            Self::Http(error::HttpError::Timeout { .. }) => metrics::RetryReason::Timeout,
-            Self::Http(error::HttpError::BrokenBody { .. }) => metrics::RetryReason::BrokenAnswer,
-            Self::Http(_) => metrics::RetryReason::NoAnswer,
-            Self::Status(_) | Self::Malformed => metrics::RetryReason::UpstreamError,
-            Self::NotResident => metrics::RetryReason::NotResident,
-            Self::WrongAnswer(_) => metrics::RetryReason::WrongAnswer,
-        }
-    }
-
-    /// Returns whether the engine can't have begun to run the request.
-    pub fn shows_not_run(&self) -> bool {
-        match self {
-            Self::Http(error) => error.nothing_sent(),
-            Self::NotResident => true,
-            _ => false,
-        }
-    }
-
     /// Returns how the permit's use ended, as far as the error tells.
     fn permit_outcome(&self) -> placement::AttemptOutcome {
         match self {
@@ -93,6 +71,7 @@
     executor: sync::Arc<async_executor::Executor<'static>>,
     attempt: id::AttemptId,
     adapter: adapter::AdapterVersion,
+    upstream: name::UpstreamName,
     client: engine::EngineClient,
     permit: Option<client::PermitGuard>,
     events: Option<sse::EventReader>,
@@ -113,6 +92,7 @@
     ) -> Self {
         let address = permit.permit.address;
         Self {
+            upstream: permit.permit.upstream.clone(),
             shared: sync::Arc::clone(shared),
             executor: sync::Arc::clone(executor),
             attempt,
@@ -128,6 +108,21 @@
         }
     }
 
+    /// Returns the engine.
+    pub fn upstream(&self) -> name::UpstreamName {
+        self.upstream.clone()
+    }
+
+    /// Returns the client of the engine.
+    pub fn client(&self) -> engine::EngineClient {
+        self.client.clone()
+    }
+
+    /// Returns the output tokens of the attempt so far.
+    pub fn tokens(&self) -> u32 {
+        self.tokens
+    }
+
     /// Returns when the attempt must have been sent.
     pub fn send_by(&self) -> instant::MonotonicTime {
         self.permit.as_ref().map_or(self.sent_at, |permit| permit.permit.send_by)
--- a/coltsfootd/src/front/mod.rs
+++ b/coltsfootd/src/front/mod.rs
@@ -3,6 +3,7 @@
 mod access;
 mod answer_source;
 mod chat;
+mod crash_watch;
 mod engine_attempt;
 mod service;
 mod service_breakers;
--- a/coltsfootd/src/front/service_dispatch.rs
+++ b/coltsfootd/src/front/service_dispatch.rs
@@ -89,7 +89,7 @@
         wake_at: call.deadline,
         outcome: None,
     };
-    lock(&shared.retries).deposit();
+    shared.lock_retries().deposit();
     driver.handle(DispatchEvent::Tick);
     while !driver.machine.is_ended() {
         driver.wait().await;
@@ -134,7 +134,7 @@
 
     fn handle(&mut self, event: DispatchEvent) {
         let now = self.shared.clock.now();
-        let mut retries = lock(&self.shared.retries);
+        let mut retries = self.shared.lock_retries();
         let actions = self.machine.handle(now, event, &mut retries, &mut rand::rng());
         drop(retries);
         for action in actions {
@@ -317,7 +317,3 @@
     }
     response
 }
-
-fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
-}
--- a/coltsfootd/src/shared.rs
+++ b/coltsfootd/src/shared.rs
@@ -5,7 +5,7 @@
 use std::time;
 
 use coltsfoot_catalog::view;
-use coltsfoot_once::retry_budget;
+use coltsfoot_once::{quarantine, retry_budget};
 use coltsfoot_platform::{http, protocol};
 use coltsfoot_types::time as instant;
 
@@ -25,6 +25,8 @@
     pub services: arc_swap::ArcSwap<Vec<protocol::UpstreamListing>>,
     /// Retries that the instance's traffic has earned.
     pub retries: sync::Mutex<retry_budget::RetryBudget>,
+    /// Requests suspected of crashing upstreams.
+    pub quarantine: sync::Mutex<quarantine::QuarantineTable>,
     /// Circuit breakers of the plain services.
     pub breakers: front::ServiceBreakers,
     /// Connections to upstreams.
@@ -35,6 +37,18 @@
     pub status: InstanceStatus,
 }
 
+impl InstanceShared {
+    /// Locks the retry budget.
+    pub fn lock_retries(&self) -> sync::MutexGuard<'_, retry_budget::RetryBudget> {
+        self.retries.lock().unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    /// Locks the quarantine.
+    pub fn lock_quarantine(&self) -> sync::MutexGuard<'_, quarantine::QuarantineTable> {
+        self.quarantine.lock().unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
 /// Flags of the instance's life.
 #[derive(Default)]
 pub struct InstanceStatus {
