Leave prefix affinity out of the choice of an engine

Cause: the tie-breaker by cached prompt prefixes was to be kept only if it pays.

Change: the prefix index, the cache event and the polls of cache events are gone; a request carries no prefix hash to the owner. The engines' cache model stays in the measure.

An adapter mostly has one holder in the fleet, since its requests go to one cell, so that there is seldom a tie to break.

--- a/coltsfoot-measure/src/cmd/placement_sweep.rs
+++ b/coltsfoot-measure/src/cmd/placement_sweep.rs
@@ -105,7 +105,6 @@
             cell.packing.score_factor = 4.0;
             cell.packing.score_margin = 2.0;
         }),
-        variant("no prefix affinity", |cell| cell.prefix_affinity = false),
         variant("no replicas", |cell| cell.replica_fill_percent = 1000),
         variant("replicas at 50%", |cell| cell.replica_fill_percent = 50),
         variant("replicas at 75%", |cell| cell.replica_fill_percent = 75),
--- a/coltsfoot-measure/src/placement/clock_cost.rs
+++ b/coltsfoot-measure/src/placement/clock_cost.rs
@@ -119,7 +119,6 @@
             version: 1,
         },
         estimated_tokens: 800,
-        prefix_hash: Some(adapter as u64),
         time_left: time::Duration::from_secs(30),
     };
     CellEvent::PermitWanted { instance: "instance".into(), demand }
--- a/coltsfoot-measure/src/placement/fleet.rs
+++ b/coltsfoot-measure/src/placement/fleet.rs
@@ -246,7 +246,6 @@
             priority: 0,
             adapter: self.adapters[drawn.adapter].clone(),
             estimated_tokens: self.workload.prompt_tokens + drawn.output_tokens,
-            prefix_hash: Some(drawn.prefix),
             time_left: time::Duration::from_secs(TIME_LEFT_S),
         };
         let event = AgentEvent::Wanted { base_model: BASE_MODEL.into(), demand };
@@ -476,15 +475,6 @@
         let outcome =
             placement::AttemptOutcome::Answered { output_tokens: drawn.output_tokens, duration };
         self.end_attempt(now, engine, running.agent, running.attempt, outcome);
-        let zone = engine / self.workload.engines_per_zone;
-        let event = CellEvent::PrefixReported {
-            engine: engine_name(engine),
-            adapter: self.adapters[drawn.adapter].clone(),
-            prefix_hash: drawn.prefix,
-            cached: true,
-        };
-        let at = now + self.workload.report_lag_ms * 1000;
-        self.queue.push(at, FleetEvent::ToCell { zone, event: Box::new(event) });
     }
 
     fn restart(&mut self, now: u64) {
--- a/coltsfoot-placement/src/admission.rs
+++ b/coltsfoot-placement/src/admission.rs
@@ -72,7 +72,7 @@
             return;
         }
         let adapter = wait.demand.adapter.clone();
-        let engine = self.choose_holder(now, &adapter, wait.demand.prefix_hash);
+        let engine = self.choose_holder(now, &adapter);
         let Some(engine) = engine else {
             self.wait_for_load(now, wait, actions);
             return;
@@ -87,30 +87,24 @@
     }
 
     /// Chooses among the engines that hold the adapter: one with room in its batch before one
-    /// without, one at normal speed before a slow one, one that caches the prefix, then the one
+    /// without, one at normal speed before a slow one, then the one
     /// with the fullest batch that has room or the shortest queue.
     fn choose_holder(
         &self,
         now: clock::MonotonicTime,
         adapter: &adapter::AdapterVersion,
-        prefix_hash: Option<u64>,
     ) -> Option<name::UpstreamName> {
         let holders = self.engines.values().filter(|engine| {
             engine.holds(adapter) && engine.is_usable(now) && !self.should_avoid(now, engine)
         });
         let best = holders.min_by_key(|engine| {
             let has_room = engine.room() > 0 && engine.ready.is_empty();
-            let caches = has_room
-                && prefix_hash.is_some_and(|hash| {
-                    self.settings.prefix_affinity
-                        && self.prefixes.contains(engine.name(), adapter, hash)
-                });
             let load = match (has_room, self.settings.packing.is_on) {
                 (true, true) => engine.listing.batch_size.saturating_sub(engine.running) as usize,
                 (true, false) => engine.running as usize,
                 (false, _) => engine.ready.len(),
             };
-            (!has_room, engine.is_slow(), !caches, load)
+            (!has_room, engine.is_slow(), load)
         })?;
         Some(best.name().clone())
     }
--- a/coltsfoot-placement/src/cell.rs
+++ b/coltsfoot-placement/src/cell.rs
@@ -15,7 +15,6 @@
 use crate::load_share;
 use crate::loading;
 use crate::popularity;
-use crate::prefix;
 use crate::settings;
 use crate::takeover;
 
@@ -50,7 +49,6 @@
     pub(crate) next_order: u64,
     pub(crate) budget: load_share::LoadShare,
     pub(crate) takeover: takeover::TakeoverState,
-    pub(crate) prefixes: prefix::PrefixIndex,
     pub(crate) counters: CellCounters,
 }
 
@@ -82,8 +80,6 @@
     pub waiting: usize,
     /// Permits out.
     pub permits: usize,
-    /// Prompt prefixes that are known to be cached.
-    pub prefixes: usize,
 }
 
 impl EngineCell {
@@ -108,7 +104,6 @@
             next_order: 0,
             budget: load_share::LoadShare::default(),
             takeover: takeover::TakeoverState::default(),
-            prefixes: prefix::PrefixIndex::default(),
             counters: CellCounters::default(),
             settings,
         }
@@ -137,7 +132,6 @@
             awake_adapters: self.popularity.len(),
             waiting: self.waits.len(),
             permits: self.permits.len(),
-            prefixes: self.prefixes.len(),
         }
     }
 
@@ -204,9 +198,6 @@
             CellEvent::EngineReported { engine, report } => {
                 self.reconcile(now, &engine, report, actions);
             }
-            CellEvent::PrefixReported { engine, adapter, prefix_hash, cached } => {
-                self.prefixes.record(engine, adapter, prefix_hash, cached);
-            }
             CellEvent::OwnershipGained { lease, reporters, unknown_permits } => {
                 self.gain(now, lease, reporters, unknown_permits, actions);
             }
--- a/coltsfoot-placement/src/event.rs
+++ b/coltsfoot-placement/src/event.rs
@@ -77,17 +77,6 @@
         /// The report.
         report: EngineReport,
     },
-    /// An engine has cached or dropped a prompt prefix.
-    PrefixReported {
-        /// The engine.
-        engine: name::UpstreamName,
-        /// Adapter version that the prefix belongs to.
-        adapter: adapter::AdapterVersion,
-        /// Hash of the prefix.
-        prefix_hash: u64,
-        /// Whether it was cached rather than dropped.
-        cached: bool,
-    },
     /// This instance owns the cell.
     OwnershipGained {
         /// The lease.
--- a/coltsfoot-placement/src/lib.rs
+++ b/coltsfoot-placement/src/lib.rs
@@ -21,7 +21,6 @@
 mod pending_request;
 mod permits;
 mod popularity;
-mod prefix;
 mod replication;
 mod report;
 mod residency_cache;
--- a/coltsfoot-placement/src/report.rs
+++ b/coltsfoot-placement/src/report.rs
@@ -66,7 +66,6 @@
         self.retire_engine(now, engine, actions);
         self.engines.remove(engine);
         self.permits.retain(|_, permit| permit.engine != *engine);
-        self.prefixes.forget_engine(engine);
     }
 
     /// Compares an engine's report with what is known. Orders of the last moments go before the
@@ -84,7 +83,6 @@
         let former = state.generation.replace(report.generation);
         if former.is_some_and(|former| former != report.generation) {
             state.forget_residency();
-            self.prefixes.forget_engine(engine);
             self.readmit_ready(now, engine, |_| true, actions);
         }
         if report.running == 0 && report.waiting == 0 {
--- a/coltsfoot-placement/src/settings.rs
+++ b/coltsfoot-placement/src/settings.rs
@@ -39,9 +39,6 @@
     /// How batches are filled.
     #[builder(default)]
     pub packing: BatchPacking,
-    /// Whether an engine that caches the prompt's prefix is preferred among equals.
-    #[builder(default = true)]
-    pub prefix_affinity: bool,
 }
 
 /// How batches are filled.
--- a/coltsfoot-placement/tests/common/mod.rs
+++ b/coltsfoot-placement/tests/common/mod.rs
@@ -163,7 +163,6 @@
             priority: 0,
             adapter: adapter.parse().unwrap(),
             estimated_tokens: 100,
-            prefix_hash: None,
             time_left: time::Duration::from_secs(30),
         }
     }
--- a/coltsfoot-wire/src/placement.rs
+++ b/coltsfoot-wire/src/placement.rs
@@ -143,8 +143,6 @@
     pub adapter: adapter::AdapterVersion,
     /// Prompt and largest output, in tokens.
     pub estimated_tokens: u32,
-    /// Hash of the prompt's prefix.
-    pub prefix_hash: Option<u64>,
     /// Time left until the answer is due.
     pub time_left: time::Duration,
 }
--- a/coltsfootd/src/control/client.rs
+++ b/coltsfootd/src/control/client.rs
@@ -41,8 +41,6 @@
     pub base_model: name::ModelName,
     /// Tokens of the prompt and the largest output.
     pub tokens: u64,
-    /// Hash of the prompt's first message, to find engines that cached it.
-    pub prefix_hash: Option<u64>,
     /// Time that the request may wait.
     pub patience: time::Duration,
 }
--- a/coltsfootd/src/control/engines.rs
+++ b/coltsfootd/src/control/engines.rs
@@ -22,8 +22,6 @@
 struct EnginePoll {
     next: instant::MonotonicTime,
     in_flight: bool,
-    /// Number of the last cache event seen.
-    last_event: u64,
 }
 
 /// Sends orders and polls to engines.
@@ -73,26 +71,21 @@
         address: net::SocketAddr,
     ) {
         let mut polls = self.polls.borrow_mut();
-        let poll = polls.entry(engine.clone()).or_insert(EnginePoll {
-            next: now,
-            in_flight: false,
-            last_event: 0,
-        });
+        let poll =
+            polls.entry(engine.clone()).or_insert(EnginePoll { next: now, in_flight: false });
         if poll.in_flight || now < poll.next {
             return;
         }
         poll.in_flight = true;
         poll.next = now + POLL_INTERVAL;
         let client = engine::EngineClient::new(self.shared.upstreams.clone(), address);
-        let after = poll.last_event;
         let polls = rc::Rc::clone(&self.polls);
         let events = self.events.clone();
         let engine = engine.clone();
         let polling = async move {
-            let last_event = read_engine(&client, &events, &engine, after).await;
+            read_engine(&client, &events, &engine).await;
             if let Some(poll) = polls.borrow_mut().get_mut(&engine) {
                 poll.in_flight = false;
-                poll.last_event = last_event;
             }
         };
         self.executor.spawn(polling).detach();
@@ -128,25 +121,17 @@
     }
 }
 
-/// Reads report and cache events. Returns the number of the last event seen.
+/// Reads an engine's report.
 async fn read_engine(
     client: &engine::EngineClient,
     events: &EventSender,
     engine: &name::UpstreamName,
-    after: u64,
-) -> u64 {
+) {
     match client.report().await {
         Ok(report) => events.send(ControlEvent::EngineReported(engine.clone(), report)),
         Err(error::ClientError::Http(error::HttpError::Connect { .. })) => {
             events.send(ControlEvent::EngineClosed(engine.clone()));
-            return after;
         }
-        Err(_) => return after,
+        Err(_) => {}
     }
-    let Ok(cached) = client.cache_events(after).await else { return after };
-    let last = cached.events.last().map_or(after, |event| event.number);
-    if !cached.events.is_empty() {
-        events.send(ControlEvent::CacheReported(engine.clone(), cached));
-    }
-    last
 }
--- a/coltsfootd/src/control/event.rs
+++ b/coltsfootd/src/control/event.rs
@@ -57,8 +57,6 @@
     },
     /// An engine reported its state.
     EngineReported(name::UpstreamName, protocol::LoadReport),
-    /// An engine reported cache events.
-    CacheReported(name::UpstreamName, protocol::CacheEvents),
     /// An engine's port is closed: its process has ended.
     EngineClosed(name::UpstreamName),
     /// A read for the configuration has ended.
--- a/coltsfootd/src/control/placement.rs
+++ b/coltsfootd/src/control/placement.rs
@@ -127,7 +127,6 @@
             priority: query.priority,
             adapter: query.adapter,
             estimated_tokens: query.tokens.min(u64::from(u32::MAX)) as u32,
-            prefix_hash: query.prefix_hash,
             time_left: query.patience,
         };
         let wanted = agent::AgentEvent::Wanted { base_model: query.base_model, demand };
@@ -322,26 +321,6 @@
         }
     }
 
-    /// Takes an engine's cache events.
-    pub fn take_cache_events(
-        &mut self,
-        now: instant::MonotonicTime,
-        engine: &name::UpstreamName,
-        events: protocol::CacheEvents,
-        tools: &PlacementTools<'_>,
-    ) {
-        let Some(cell) = self.engine_cells.get(engine).cloned() else { return };
-        for cache_event in events.events {
-            let event = cells::CellEvent::PrefixReported {
-                engine: engine.clone(),
-                adapter: cache_event.adapter,
-                prefix_hash: cache_event.prefix_hash,
-                cached: cache_event.cached,
-            };
-            self.cell_event(now, &cell, event, tools);
-        }
-    }
-
     /// Lets time pass.
     pub fn tick(&mut self, now: instant::MonotonicTime, tools: &PlacementTools<'_>) {
         self.notice_silence(now, tools);
--- a/coltsfootd/src/control/plane.rs
+++ b/coltsfootd/src/control/plane.rs
@@ -238,9 +238,6 @@
             ControlEvent::EngineReported(engine, report) => {
                 self.placement.take_report(now, engine, report, placement_tools!(self));
             }
-            ControlEvent::CacheReported(engine, events) => {
-                self.placement.take_cache_events(now, &engine, events, placement_tools!(self));
-            }
             ControlEvent::EngineClosed(engine) => {
                 self.placement.take_closed_engine(now, engine, placement_tools!(self));
             }
--- a/coltsfootd/src/front/answer_source.rs
+++ b/coltsfootd/src/front/answer_source.rs
@@ -34,8 +34,6 @@
     pub base_model: name::ModelName,
     /// Tokens of the prompt and the largest output.
     pub tokens: u64,
-    /// Hash of the prompt's first message.
-    pub prefix_hash: Option<u64>,
     /// When the answer must be complete.
     pub deadline: instant::MonotonicTime,
     /// The request as sent to engines.
@@ -191,7 +189,6 @@
             adapter: admitted.adapter.clone(),
             base_model: admitted.base_model.clone(),
             tokens: admitted.tokens,
-            prefix_hash: admitted.prefix_hash,
             patience: self.time_left(),
         };
         let asked = self.shared.clock.now();
--- a/coltsfootd/src/front/chat.rs
+++ b/coltsfootd/src/front/chat.rs
@@ -5,7 +5,7 @@
 
 use async_channel as channel;
 use coltsfoot_catalog::{digest, resolve};
-use coltsfoot_platform::{prefix, protocol};
+use coltsfoot_platform::protocol;
 use coltsfoot_types::{adapter, id, refusal, time as instant};
 use futures_util::TryStreamExt as _;
 use http_types::{Response, StatusCode, headers};
@@ -102,7 +102,6 @@
         adapter: adapter.clone(),
         base_model,
         tokens,
-        prefix_hash: chat.messages.first().map(|first| prefix::prefix_hash(&first.content)),
         deadline: arrived + route.deadline,
         chat: engine_request(chat, &adapter, max_tokens, route.priority),
     };
