Test status on real daemons and the exit codes' help

Cause: status was only tested against canned answers, and nothing held the documented exit codes.

Conclusion: the tool reads what the daemon answers.

--- a/coltsfoot-system/tests/config.rs
+++ b/coltsfoot-system/tests/config.rs
@@ -52,6 +52,12 @@
     cluster.wait_for_offset(1);
     let korrigan = caller::HttpCaller::new(Some(&sample::key_of("korrigan")));
     cluster.wait_until_serving(&korrigan, "korrigan-drafting");
+    let (code, output) = cluster.control(&["status", "--json"]);
+    assert_eq!(code, Some(0), "{output}");
+    let rows: serde_json::Value = serde_json::from_str(&output).expect("rows");
+    let states = rows.as_array().expect("a list").iter().map(|row| &row["status"]);
+    assert!(states.clone().all(|state| state["ready"] == json!(true)), "{rows}");
+    assert_eq!(states.count(), cluster.instances.len());
     relay.cut();
 
     let address = cluster.instances[cut_off].caller_address;
--- a/coltsfootctl/tests/inspect.rs
+++ b/coltsfootctl/tests/inspect.rs
@@ -128,3 +128,18 @@
         assert!(run.output.contains(&format!("Examples:\n  coltsfootctl {command}")), "{run:?}");
     }
 }
+
+#[test]
+fn help_documents_the_exit_codes() {
+    let run = bench("exit-codes").run(&["--help"]);
+    let codes = run.output.split("Exit codes:\n").nth(1).unwrap_or_default();
+    let codes: Vec<_> = codes.lines().map(str::trim).collect();
+    insta::assert_snapshot!(codes.join("\n"), @r"
+    0  done
+    1  the change set is inconsistent or was rejected
+    2  the command line, the settings or a file can't be used
+    3  the platform or an instance can't be reached, or the outcome is unknown
+    4  the object or instance does not exist
+    5  diff: there are differences
+    ");
+}
