--- a/coltsfoot-measure/src/main.rs
+++ b/coltsfoot-measure/src/main.rs
@@ -5,6 +5,7 @@
 mod once;
 mod path_load;
 mod placement;
+mod quota_comparison;
 mod quota_reference;
 mod quota_run;
 mod quota_workload;
--- a/coltsfoot-measure/src/quota_run.rs
+++ b/coltsfoot-measure/src/quota_run.rs
@@ -3,18 +3,16 @@
 use std::collections;
 use std::time;
 
-use coltsfoot_quota::{event, excess_meter, quota_agent, token_bucket};
+use coltsfoot_quota::{event, excess_meter};
 use coltsfoot_types::{id, refusal, time as clock};
 use rand::{RngExt as _, SeedableRng as _, rngs};
 
-use crate::quota_reference;
+use crate::quota_comparison;
 use crate::quota_workload;
 use crate::virtual_fleet;
 
 /// Time that a caller waits for admission at most.
 const PATIENCE: time::Duration = time::Duration::from_secs(5);
-/// Interval of the gossip that the quota is compared with.
-const GOSSIP_INTERVAL: time::Duration = time::Duration::from_millis(500);
 /// Step in which requests are fed in.
 const STEP: time::Duration = time::Duration::from_millis(5);
 
@@ -142,10 +140,11 @@
             crashed: None,
             rng: rngs::StdRng::seed_from_u64(seed ^ 0x5eed),
         };
-        run.compute_inside();
-        run.compute_baseline();
-        run.compute_gossip();
-        run.compute_limit(faults);
+        run.inside = quota_comparison::ideal(requests);
+        run.result.inside_rate = run.inside.iter().filter(|inside| **inside).count() as u64;
+        run.result.baseline_wrongful = quota_comparison::static_split(requests, &run.inside);
+        run.result.gossip_overshoot_tokens = quota_comparison::gossip(requests);
+        run.result.limit_wrongful = quota_comparison::cut_limit(requests, &run.inside, faults);
         run
     }
 
@@ -314,159 +313,4 @@
         self.result.wait_p99 = self.waits.get(p99).copied().unwrap_or_default();
         self.result
     }
-
-    fn compute_inside(&mut self) {
-        let totals = (0..quota_workload::customer_count()).map(quota_workload::customer_total);
-        let mut buckets = totals.map(quota_reference::IdealBucket::new).collect::<Vec<_>>();
-        for wanted in self.requests {
-            let ends = wanted.at + wanted.duration;
-            let bucket = &mut buckets[wanted.customer];
-            let inside = bucket.admit(wanted.at, wanted.tokens, wanted.unused, ends);
-            self.inside.push(inside);
-        }
-        self.result.inside_rate = self.inside.iter().filter(|inside| **inside).count() as u64;
-    }
-
-    fn compute_baseline(&mut self) {
-        let instances = quota_workload::ZONES.len() * quota_workload::INSTANCES_PER_ZONE;
-        let split = |total: token_bucket::BucketLimits| token_bucket::BucketLimits {
-            rate: total.rate / instances as u64,
-            burst: total.burst / instances as u64,
-        };
-        let mut buckets = Vec::new();
-        for _ in 0..instances {
-            buckets.push(Self::buckets(split, quota_agent::DEFAULT_MAX_WAIT));
-        }
-        for (wanted, inside) in self.requests.iter().zip(&self.inside) {
-            let instance = wanted.zone * quota_workload::INSTANCES_PER_ZONE + wanted.instance;
-            let admitted = admit(&mut buckets[instance][wanted.customer], wanted);
-            self.result.baseline_wrongful += u64::from(*inside && !admitted);
-        }
-    }
-
-    /// Lets every instance admit on its own copy of the whole bucket, and tells the other copies
-    /// of its admissions at each round of gossip.
-    fn compute_gossip(&mut self) {
-        let instances = quota_workload::ZONES.len() * quota_workload::INSTANCES_PER_ZONE;
-        for customer in 0..quota_workload::customer_count() {
-            let total = quota_workload::customer_total(customer);
-            let start = clock::MonotonicTime(0);
-            let copy = quota_reference::ReferenceBucket::new(total, time::Duration::ZERO);
-            let mut copies = vec![copy; instances];
-            let mut meter = excess_meter::ExcessMeter::new(total);
-            let mut untold = Vec::<(usize, u64)>::new();
-            let mut round = start;
-            for (index, wanted) in self.requests.iter().enumerate() {
-                if wanted.customer != customer {
-                    continue;
-                }
-                if wanted.at >= round {
-                    round = wanted.at + GOSSIP_INTERVAL;
-                    tell(wanted.at, &mut copies, &mut untold);
-                }
-                let used = wanted.tokens - wanted.unused;
-                let instance = wanted.zone * quota_workload::INSTANCES_PER_ZONE + wanted.instance;
-                if copies[instance].admit(wanted.at, used, 0, wanted.at) {
-                    meter.admit(wanted.at, id::RequestId(index as u128), used);
-                    untold.push((instance, used));
-                }
-            }
-            let excess = self.result.gossip_overshoot_tokens.max(meter.max_excess());
-            self.result.gossip_overshoot_tokens = excess;
-        }
-    }
-
-    /// Refusals that no system could avoid while the first zone is cut off: each side has an
-    /// ideal bucket of its floors, and its requests may wait.
-    fn compute_limit(&mut self, faults: &[TimedFault]) {
-        let at = |wanted: fn(&FleetFault) -> bool| {
-            let found = faults.iter().find(|timed| wanted(&timed.fault));
-            found.map(|timed| clock::MonotonicTime(0) + timed.at)
-        };
-        let Some(cut) = at(|fault| matches!(fault, FleetFault::Cut)) else {
-            return;
-        };
-        let Some(heal) = at(|fault| matches!(fault, FleetFault::Heal)) else {
-            return;
-        };
-        let max_wait = quota_agent::DEFAULT_MAX_WAIT;
-        let mut joint = Self::buckets(|total| total, max_wait);
-        let mut sides = [
-            Self::buckets(|total| total.part(334), max_wait),
-            Self::buckets(|total| total.part(666), max_wait),
-        ];
-        let mut is_divided = false;
-        for (wanted, inside) in self.requests.iter().zip(&self.inside) {
-            let during = wanted.at >= cut && wanted.at < heal;
-            if during && !is_divided {
-                divide(cut, &mut joint, &mut sides);
-            }
-            is_divided |= during;
-            if is_divided && wanted.at >= heal {
-                rejoin(heal, &mut joint, &mut sides);
-                is_divided = false;
-            }
-            let side = usize::from(wanted.zone != 0);
-            let buckets = if during { &mut sides[side] } else { &mut joint };
-            let admitted = admit(&mut buckets[wanted.customer], wanted);
-            self.result.limit_wrongful += u64::from(*inside && !admitted);
-        }
-    }
-
-    fn buckets(
-        part: impl Fn(token_bucket::BucketLimits) -> token_bucket::BucketLimits,
-        max_wait: time::Duration,
-    ) -> Vec<quota_reference::ReferenceBucket> {
-        let totals = (0..quota_workload::customer_count()).map(quota_workload::customer_total);
-        totals.map(|total| quota_reference::ReferenceBucket::new(part(total), max_wait)).collect()
-    }
-}
-
-fn admit(
-    bucket: &mut quota_reference::ReferenceBucket,
-    wanted: &quota_workload::WorkloadRequest,
-) -> bool {
-    bucket.admit(wanted.at, wanted.tokens, wanted.unused, wanted.at + wanted.duration)
-}
-
-/// Charges all other copies with the admissions that they have not heard of.
-fn tell(
-    now: clock::MonotonicTime,
-    copies: &mut [quota_reference::ReferenceBucket],
-    untold: &mut Vec<(usize, u64)>,
-) {
-    for (instance, tokens) in untold.drain(..) {
-        for (other, copy) in copies.iter_mut().enumerate() {
-            if other != instance {
-                copy.charge(now, tokens);
-            }
-        }
-    }
-}
-
-/// Divides the joint level as well as could be: the smaller side gets its whole burst first.
-fn divide(
-    at: clock::MonotonicTime,
-    joint: &mut [quota_reference::ReferenceBucket],
-    sides: &mut [Vec<quota_reference::ReferenceBucket>; 2],
-) {
-    for (customer, bucket) in joint.iter_mut().enumerate() {
-        let total = quota_workload::customer_total(customer);
-        let (cut, rest) = (total.part(334), total.part(666));
-        let level = bucket.level(at);
-        let first = level.min(cut.burst as f64);
-        sides[0][customer].reset(at, cut, first);
-        sides[1][customer].reset(at, rest, level - first);
-    }
-}
-
-fn rejoin(
-    at: clock::MonotonicTime,
-    joint: &mut [quota_reference::ReferenceBucket],
-    sides: &mut [Vec<quota_reference::ReferenceBucket>; 2],
-) {
-    for (customer, bucket) in joint.iter_mut().enumerate() {
-        let level = sides[0][customer].level(at) + sides[1][customer].level(at);
-        bucket.reset(at, quota_workload::customer_total(customer), level);
-    }
 }
