--- a/coltsfootd/src/control/client.rs
+++ b/coltsfootd/src/control/client.rs
@@ -41,8 +41,6 @@
     pub base_model: name::ModelName,
     /// Tokens of the prompt and the largest output.
     pub tokens: u64,
-    /// Hash of the prompt's first message, to find engines that cached it.
-    pub prefix_hash: Option<u64>,
     /// Time that the request may wait.
     pub patience: time::Duration,
 }
@@ -130,6 +128,11 @@
         }
     }
 
+    /// Tells the other instances of a crash.
+    pub fn announce_crash(&self, notice: once::CrashNotice) {
+        self.events.send(ControlEvent::CrashSeen(notice));
+    }
+
     /// Waits for the claim of a once-only call; none if the control thread has ended. The claim goes
     /// on if the future is dropped.
     pub async fn claim(&self, query: ClaimQuery) -> Option<ClaimDecision> {
--- a/coltsfootd/src/control/engines.rs
+++ b/coltsfootd/src/control/engines.rs
@@ -7,7 +7,7 @@
 use std::time;
 
 use coltsfoot_placement::event as cells;
-use coltsfoot_platform::{engine, error};
+use coltsfoot_platform::{engine, error, http};
 use coltsfoot_types::{name, time as instant};
 use coltsfoot_wire::placement;
 use rustc_hash::FxHashMap;
@@ -22,13 +22,12 @@
 struct EnginePoll {
     next: instant::MonotonicTime,
     in_flight: bool,
-    /// Number of the last cache event seen.
-    last_event: u64,
 }
 
 /// Sends orders and polls to engines.
 pub struct EngineDesk {
     shared: sync::Arc<shared::InstanceShared>,
+    pool: http::HttpPool,
     executor: rc::Rc<async_executor::LocalExecutor<'static>>,
     events: EventSender,
     polls: rc::Rc<cell::RefCell<FxHashMap<name::UpstreamName, EnginePoll>>>,
@@ -38,10 +37,11 @@
     /// Creates a desk without orders.
     pub fn new(
         shared: sync::Arc<shared::InstanceShared>,
+        pool: http::HttpPool,
         executor: rc::Rc<async_executor::LocalExecutor<'static>>,
         events: EventSender,
     ) -> Self {
-        Self { shared, executor, events, polls: rc::Rc::default() }
+        Self { shared, pool, executor, events, polls: rc::Rc::default() }
     }
 
     /// Carries out an order and reports how it ended.
@@ -54,9 +54,11 @@
     ) {
         let shared = sync::Arc::clone(&self.shared);
         let events = self.events.clone();
+        let pool = self.pool.clone();
+        let client = address.map(|address| engine::EngineClient::new(pool, address));
         let ordering = async move {
-            let outcome = match address {
-                Some(address) => carry_out(&shared, &order, is_load, address).await,
+            let outcome = match client {
+                Some(client) => carry_out(&shared, &order, is_load, &client).await,
                 None => cells::OrderOutcome::Failed,
             };
             let order = order.id;
@@ -73,26 +75,21 @@
         address: net::SocketAddr,
     ) {
         let mut polls = self.polls.borrow_mut();
-        let poll = polls.entry(engine.clone()).or_insert(EnginePoll {
-            next: now,
-            in_flight: false,
-            last_event: 0,
-        });
+        let poll =
+            polls.entry(engine.clone()).or_insert(EnginePoll { next: now, in_flight: false });
         if poll.in_flight || now < poll.next {
             return;
         }
         poll.in_flight = true;
         poll.next = now + POLL_INTERVAL;
-        let client = engine::EngineClient::new(self.shared.upstreams.clone(), address);
-        let after = poll.last_event;
+        let client = engine::EngineClient::new(self.pool.clone(), address);
         let polls = rc::Rc::clone(&self.polls);
         let events = self.events.clone();
         let engine = engine.clone();
         let polling = async move {
-            let last_event = read_engine(&client, &events, &engine, after).await;
+            read_engine(&client, &events, &engine).await;
             if let Some(poll) = polls.borrow_mut().get_mut(&engine) {
                 poll.in_flight = false;
-                poll.last_event = last_event;
             }
         };
         self.executor.spawn(polling).detach();
@@ -103,9 +100,8 @@
     shared: &shared::InstanceShared,
     order: &cells::EngineOrder,
     is_load: bool,
-    address: net::SocketAddr,
+    client: &engine::EngineClient,
 ) -> cells::OrderOutcome {
-    let client = engine::EngineClient::new(shared.upstreams.clone(), address);
     let result = match is_load {
         true => client.load(&order.adapter, order.fencing).await,
         false => client.unload(&order.adapter, order.fencing).await,
@@ -128,25 +124,17 @@
     }
 }
 
-/// Reads report and cache events. Returns the number of the last event seen.
+/// Reads an engine's report.
 async fn read_engine(
     client: &engine::EngineClient,
     events: &EventSender,
     engine: &name::UpstreamName,
-    after: u64,
-) -> u64 {
+) {
     match client.report().await {
         Ok(report) => events.send(ControlEvent::EngineReported(engine.clone(), report)),
         Err(error::ClientError::Http(error::HttpError::Connect { .. })) => {
             events.send(ControlEvent::EngineClosed(engine.clone()));
-            return after;
         }
-        Err(_) => return after,
-    }
-    let Ok(cached) = client.cache_events(after).await else { return after };
-    let last = cached.events.last().map_or(after, |event| event.number);
-    if !cached.events.is_empty() {
-        events.send(ControlEvent::CacheReported(engine.clone(), cached));
+        Err(_) => {}
     }
-    last
 }
--- a/coltsfootd/src/control/event.rs
+++ b/coltsfootd/src/control/event.rs
@@ -57,8 +57,6 @@
     },
     /// An engine reported its state.
     EngineReported(name::UpstreamName, protocol::LoadReport),
-    /// An engine reported cache events.
-    CacheReported(name::UpstreamName, protocol::CacheEvents),
     /// An engine's port is closed: its process has ended.
     EngineClosed(name::UpstreamName),
     /// A read for the configuration has ended.
@@ -68,12 +66,16 @@
         /// Offset of the first value, nothing if it is not known to be appended.
         first_offset: Option<id::LogOffset>,
     },
+    /// A request is suspected of a crash.
+    CrashSeen(once::CrashNotice),
     /// A once-only call asks for its claim.
     Claim(client::ClaimQuery, channel::Sender<client::ClaimDecision>),
     /// A once-only call has ended; the sender is closed when that is on the log.
     Settle(once::OutcomeEntry, channel::Sender<()>),
     /// A call of the claims stream has ended.
     ClaimsCalled(batcher_event::BatcherEvent),
+    /// The instance list was read and has not changed.
+    ListUnchanged,
     /// The instance list was read.
     ListRead(protocol::InstanceList),
     /// The instance list can't be read.
