--- a/coltsfoot-measure/src/main.rs
+++ b/coltsfoot-measure/src/main.rs
@@ -6,6 +6,7 @@
 mod once;
 mod path_load;
 mod placement;
+mod quota_comparison;
 mod quota_reference;
 mod quota_run;
 mod quota_workload;
