--- a/coltsfootd/src/control/plane.rs
+++ b/coltsfootd/src/control/plane.rs
@@ -11,7 +11,7 @@
 use coltsfoot_placement::event as cells;
 use coltsfoot_platform::{http, list, log, protocol};
 use coltsfoot_types::time as instant;
-use coltsfoot_wire::{codec, peer};
+use coltsfoot_wire::{codec, contact, peer};
 use futures_lite::future;
 
 use crate::control::catalog::{ConfigHost, ConfigTools};
@@ -80,7 +80,7 @@
             .build();
         let pool = http::HttpPool::new(limits);
         let log = log::LogClient::new(pool.clone(), settings.log_address);
-        let list = list::ListClient::new(pool, settings.list_address);
+        let list = list::ListClient::new(pool.clone(), settings.list_address);
         let network = PeerNetwork::new(
             settings.instance.clone(),
             codec.clone(),
@@ -113,7 +113,12 @@
         };
         let claim_shared = sync::Arc::clone(&shared);
         let claims = ClaimHost::new(claim_shared, rc::Rc::clone(executor), log, events.clone());
-        let engines = EngineDesk::new(sync::Arc::clone(&shared), rc::Rc::clone(executor), events);
+        let engines = EngineDesk::new(
+            sync::Arc::clone(&shared),
+            pool.clone(),
+            rc::Rc::clone(executor),
+            events,
+        );
         ControlState {
             catalog: ConfigHost::new(sync::Arc::clone(&shared), config_tools),
             claims,
@@ -127,6 +132,8 @@
             network,
             engines,
             drained,
+            pool,
+            counted_bytes: 0,
             ticks: 0,
             shared,
         }
@@ -155,6 +162,9 @@
     quota: QuotaHost,
     placement: PlacementHost,
     drained: channel::Sender<()>,
+    /// Connections to the platform, and to engines for orders and reports.
+    pool: http::HttpPool,
+    counted_bytes: u64,
     ticks: u64,
 }
 
@@ -249,6 +259,7 @@
                 let changed = self.catalog.take_append(now, first_offset);
                 self.configure(now, changed);
             }
+            ControlEvent::ListUnchanged => self.note_list_reachable(now),
             ControlEvent::ListRead(list) => self.take_list(now, list),
             ControlEvent::ListUnreachable(cause) => self.note_list_unreachable(&cause),
             ControlEvent::Status(answer) => {
@@ -260,6 +271,9 @@
 
     fn tick(&mut self, now: instant::MonotonicTime) {
         self.ticks += 1;
+        for instance in self.network.take_used() {
+            self.contacts.note_used(now, &instance);
+        }
         let changed = self.catalog.tick(now);
         self.configure(now, changed);
         self.member_event(now, members::MemberEvent::Tick);
@@ -267,7 +281,8 @@
         self.placement.tick(now, placement_tools!(self));
         self.claims.tick(now, claim_tools!(self));
         if self.ticks.is_multiple_of(ANNOUNCE_TICKS) {
-            self.contacts.expire(now);
+            self.probe_contacts(now);
+            self.count_platform_bytes();
             self.update_reachability(now);
             self.quota.announce_offset(quota_routing!(self));
         }
@@ -297,6 +312,20 @@
         }
     }
 
+    fn count_platform_bytes(&mut self) {
+        let carried = self.pool.carried_bytes();
+        self.shared.metrics.count_platform_bytes(carried - self.counted_bytes);
+        self.counted_bytes = carried;
+    }
+
+    /// Asks instances that are in use and silent for a sign of life.
+    fn probe_contacts(&mut self, now: instant::MonotonicTime) {
+        for instance in self.contacts.due_probes(now) {
+            let probe = contact::ContactMessage::Probe;
+            self.network.send(&instance, peer::PeerMessage::Contact(probe));
+        }
+    }
+
     /// Tells the quota which other zones can be reached.
     fn update_reachability(&mut self, now: instant::MonotonicTime) {
         let own_zone = &self.shared.settings.zone;
@@ -311,7 +340,7 @@
 
     fn take_message(&mut self, now: instant::MonotonicTime, envelope: peer::PeerEnvelope) {
         let peer::PeerEnvelope { sender, message } = envelope;
-        self.contacts.note(now, &sender);
+        self.contacts.note_heard(now, &sender);
         if !matches!(message, peer::PeerMessage::Member(_)) {
             self.member_event(now, members::MemberEvent::PeerContact);
         }
@@ -320,6 +349,11 @@
                 let notices = self.member.take_message(now, sender, message);
                 self.take_notices(now, notices);
             }
+            peer::PeerMessage::Contact(contact::ContactMessage::Answer) => {}
+            peer::PeerMessage::Contact(contact::ContactMessage::Probe) => {
+                let answer = contact::ContactMessage::Answer;
+                self.network.send(&sender, peer::PeerMessage::Contact(answer));
+            }
             peer::PeerMessage::Quota(message) => {
                 self.quota.take_message(now, sender, message, quota_routing!(self));
             }
@@ -347,19 +381,23 @@
     }
 
     fn take_list(&mut self, now: instant::MonotonicTime, list: protocol::InstanceList) {
-        if !self.list_reachable {
-            self.list_reachable = true;
-            event::emit(event::LIST_REACHABLE, format_args!("{} entries", list.entries.len()));
-        }
         self.directory.replace(list);
         self.network.set_directory(self.directory.peer_addresses());
         self.shared.services.store(sync::Arc::new(self.directory.services()));
         let changed = self.catalog.take_list(now, &self.directory);
         self.configure(now, changed);
-        let notices = self.member.take_list(now, &self.directory);
-        self.take_notices(now, notices);
         self.placement.take_list(now, placement_tools!(self));
         self.track_resources();
+        self.note_list_reachable(now);
+    }
+
+    fn note_list_reachable(&mut self, now: instant::MonotonicTime) {
+        if !self.list_reachable {
+            self.list_reachable = true;
+            event::emit(event::LIST_REACHABLE, format_args!("the list can be read"));
+        }
+        let notices = self.member.take_list(now, &self.directory);
+        self.take_notices(now, notices);
     }
 
     fn note_list_unreachable(&mut self, cause: &str) {
