Evict soon after a takeover, also on busy engines

Cause: a new cell owner evicted nothing on an engine that was never idle until the former owner's permits must have ended, 62 s. Ruled out: waiting only for known instances' reports, since a dead instance's permits stay unknown. Change: engines report the adapters at work, as vLLM's metrics do; a settled report frees all others. An adapter in constant use gets no permits while a load has no place, until a report shows it idle. The number of member groups is a setting.

--- a/coltsfoot-fakes/src/engine_chat.rs
+++ b/coltsfoot-fakes/src/engine_chat.rs
@@ -93,6 +93,7 @@
         generation: core.observations.generation,
         prompt: RunPrompt::new(chat, &switches.crash_prompt),
     };
+    core.note_change(switches.report_lag_ms);
     drop(core);
     state.executor.spawn(drive.drive()).detach();
     Some(run)
--- a/coltsfoot-fakes/src/engine_state.rs
+++ b/coltsfoot-fakes/src/engine_state.rs
@@ -31,6 +31,8 @@
     pub(crate) observations: engine::EngineObservations,
     pub(crate) reports: lag::LaggedValue<protocol::LoadReport>,
     pub(crate) runs: collections::BTreeMap<String, sync::Arc<run::EngineRun>>,
+    /// Requests that run or wait, for each adapter.
+    active: collections::BTreeMap<adapter::AdapterVersion, u32>,
     kept: collections::VecDeque<sync::Arc<run::EngineRun>>,
     pub(crate) batch: batch::BatchQueue,
     busy_since: Option<time::Instant>,
@@ -56,6 +58,7 @@
             observations: engine::EngineObservations { generation, ..Default::default() },
             reports: lag::LaggedValue::new(report),
             runs: collections::BTreeMap::new(),
+            active: collections::BTreeMap::new(),
             kept: collections::VecDeque::new(),
             batch: batch::BatchQueue::default(),
             busy_since: None,
@@ -69,6 +72,7 @@
             running: self.batch.running,
             waiting: self.batch.waiting(),
             resident: self.slots.resident(),
+            active: Some(self.active.keys().cloned().collect()),
         }
     }
 
@@ -95,6 +99,7 @@
 
     pub(crate) fn add_run(&mut self, run: &sync::Arc<run::EngineRun>) {
         self.observations.chats += 1;
+        *self.active.entry(run.adapter.clone()).or_default() += 1;
         self.runs.insert(run.attempt.clone(), sync::Arc::clone(run));
         self.kept.push_back(sync::Arc::clone(run));
         if self.kept.len() > MAX_KEPT_RUNS {
@@ -114,6 +119,12 @@
 
     pub(crate) fn count_end(&mut self, run: &run::EngineRun, run_time: time::Duration) {
         self.observations.run_time_us += run_time.as_micros() as u64;
+        if let Some(requests) = self.active.get_mut(&run.adapter) {
+            *requests -= 1;
+            if *requests == 0 {
+                self.active.remove(&run.adapter);
+            }
+        }
         if self.batch.running == 0
             && let Some(since) = self.busy_since.take()
         {
--- a/coltsfoot-measure/src/placement/fleet.rs
+++ b/coltsfoot-measure/src/placement/fleet.rs
@@ -501,6 +501,7 @@
                 running: state.model.running() as u32,
                 waiting: 0,
                 resident: resident.map(|adapter| self.adapters[*adapter].clone()).collect(),
+                active: None,
             };
             let event = CellEvent::EngineReported { engine: engine_name(engine), report };
             let zone = engine / self.workload.engines_per_zone;
--- a/coltsfoot-placement/src/admission.rs
+++ b/coltsfoot-placement/src/admission.rs
@@ -95,7 +95,7 @@
         adapter: &adapter::AdapterVersion,
     ) -> Option<name::UpstreamName> {
         let holders = self.engines.values().filter(|engine| {
-            engine.holds(adapter) && engine.is_usable(now) && !self.should_avoid(now, engine)
+            engine.serves(adapter) && engine.is_usable(now) && !self.should_avoid(now, engine)
         });
         let best = holders.min_by_key(|engine| {
             let has_room = engine.room() > 0 && engine.ready.is_empty();
--- a/coltsfoot-placement/src/engine.rs
+++ b/coltsfoot-placement/src/engine.rs
@@ -46,6 +46,10 @@
     pub(crate) queued: FxHashMap<adapter::AdapterVersion, u32>,
     /// Until then permits that this owner doesn't know may be out.
     pub(crate) unknown_until: Option<clock::MonotonicTime>,
+    /// Adapters that such permits can be for, once a report has told; all of them before.
+    pub(crate) unknown_adapters: Option<collections::BTreeSet<adapter::AdapterVersion>>,
+    /// Adapter that gets no permits, so that reports can show whether unknown ones are out.
+    pub(crate) quiesced: Option<adapter::AdapterVersion>,
     /// Until then the engine is not used, since it failed.
     pub(crate) suspended_until: clock::MonotonicTime,
     /// Failures since the last answer.
@@ -71,6 +75,8 @@
             ready: fair_queue::FairQueue::new(limits),
             queued: FxHashMap::default(),
             unknown_until: None,
+            unknown_adapters: None,
+            quiesced: None,
             suspended_until: clock::MonotonicTime::default(),
             failures: 0,
             settled: FxHashMap::default(),
@@ -92,6 +98,11 @@
         self.resident.contains_key(adapter)
     }
 
+    /// Returns whether permits are given for the adapter.
+    pub(crate) fn serves(&self, adapter: &adapter::AdapterVersion) -> bool {
+        self.holds(adapter) && self.quiesced.as_ref() != Some(adapter)
+    }
+
     /// Returns the number of requests that can be added to the batch. A slow engine is given a
     /// part of its batch.
     pub(crate) fn room(&self) -> u32 {
@@ -125,7 +136,17 @@
         adapter: &adapter::AdapterVersion,
     ) -> bool {
         let is_used = self.pins.contains_key(adapter) || self.queued.contains_key(adapter);
-        !is_used && self.unknown_until.is_none_or(|until| now >= until)
+        !is_used && !self.may_run_unknown(now, adapter)
+    }
+
+    /// Returns whether a permit that this owner doesn't know may be out for the adapter.
+    pub(crate) fn may_run_unknown(
+        &self,
+        now: clock::MonotonicTime,
+        adapter: &adapter::AdapterVersion,
+    ) -> bool {
+        self.unknown_until.is_some_and(|until| now < until)
+            && self.unknown_adapters.as_ref().is_none_or(|unknown| unknown.contains(adapter))
     }
 
     pub(crate) fn pin(&mut self, now: clock::MonotonicTime, adapter: &adapter::AdapterVersion) {
--- a/coltsfoot-placement/src/event.rs
+++ b/coltsfoot-placement/src/event.rs
@@ -142,6 +142,8 @@
     pub waiting: u32,
     /// Resident adapter versions.
     pub resident: Vec<adapter::AdapterVersion>,
+    /// Adapter versions of requests that run or wait, if the engine reports them.
+    pub active: Option<Vec<adapter::AdapterVersion>>,
 }
 
 /// Identifier of an order to an engine, unique for the cell's machine.
--- a/coltsfoot-placement/src/loading.rs
+++ b/coltsfoot-placement/src/loading.rs
@@ -49,7 +49,7 @@
         demand.waiters.push(wait.attempt.request);
         let is_first = demand.waiters.len() == 1 && !demand.ordered;
         self.insert_wait(wait);
-        if is_first {
+        if is_first && !self.is_quiesced(&adapter) {
             self.queue_load(&adapter);
         }
     }
@@ -105,12 +105,16 @@
 
     /// Orders the loads that the budget and the engines allow, and asks for more budget.
     pub(crate) fn plan_loads(&mut self, now: clock::MonotonicTime, actions: &mut CellActions) {
+        self.end_quiescence(now, actions);
         self.queue_due_retries(now);
         let mut is_blocked = false;
         while !is_blocked && !self.load_queue.is_empty() && self.budget.is_available(now) {
             is_blocked = !self.order_first_load(now, actions);
         }
         self.plan_replica(now, actions);
+        if !self.load_queue.is_empty() && !self.has_place(now) {
+            self.quiesce_for_load(now, actions);
+        }
         let wanted = self.load_queue.len() + usize::from(!self.replicas.is_empty());
         let wanted = if is_blocked { 0 } else { wanted as u32 };
         let interval = self.settings.repeat_interval;
--- a/coltsfoot-placement/src/permits.rs
+++ b/coltsfoot-placement/src/permits.rs
@@ -1,6 +1,8 @@
 //! Permits that are out: their end, and the ends that nobody reports.
 
-use coltsfoot_types::{id, name, time as clock};
+use std::collections;
+
+use coltsfoot_types::{adapter, id, name, time as clock};
 use coltsfoot_wire::placement;
 use rustc_hash::FxHashMap;
 
@@ -165,17 +167,21 @@
         self.takeover.forget_reporter(instance);
     }
 
-    /// Ends the orphaned pins of an engine whose report, taken after all of them were sent, shows
-    /// it idle.
+    /// Ends the orphaned pins of adapters that an engine's report, taken after all of them were
+    /// sent, does not show at work.
     pub(crate) fn end_orphaned_permits(
         &mut self,
         now: clock::MonotonicTime,
         engine: &name::UpstreamName,
+        active: &collections::BTreeSet<adapter::AdapterVersion>,
         actions: &mut CellActions,
     ) {
         let settled = self.settings.send_within + self.settings.report_lag;
         let orphans = self.permits.iter().filter(|(_, permit)| {
-            permit.orphaned && permit.engine == *engine && permit.granted_at + settled <= now
+            permit.orphaned
+                && permit.engine == *engine
+                && permit.granted_at + settled <= now
+                && !active.contains(&permit.adapter)
         });
         let mut orphans: Vec<_> = orphans.map(|(attempt, _)| *attempt).collect();
         orphans.sort_unstable();
--- a/coltsfoot-placement/src/report.rs
+++ b/coltsfoot-placement/src/report.rs
@@ -85,9 +85,9 @@
             state.forget_residency();
             self.readmit_ready(now, engine, |_| true, actions);
         }
-        if report.running == 0 && report.waiting == 0 {
-            self.end_unknown_permits(now, engine);
-            self.end_orphaned_permits(now, engine, actions);
+        if let Some(active) = active_adapters(&report) {
+            self.end_unknown_permits(now, engine, &active);
+            self.end_orphaned_permits(now, engine, &active, actions);
         }
         let reported: collections::BTreeSet<_> = report.resident.into_iter().collect();
         self.drop_missing(now, engine, &reported, actions);
@@ -168,3 +168,13 @@
         }
     }
 }
+
+/// Returns the adapters of requests that run or wait, if the report tells: an idle engine has none.
+fn active_adapters(
+    report: &event::EngineReport,
+) -> Option<collections::BTreeSet<adapter::AdapterVersion>> {
+    if report.running == 0 && report.waiting == 0 {
+        return Some(collections::BTreeSet::new());
+    }
+    report.active.as_ref().map(|active| active.iter().cloned().collect())
+}
--- a/coltsfoot-placement/src/takeover.rs
+++ b/coltsfoot-placement/src/takeover.rs
@@ -2,7 +2,7 @@
 
 use std::collections;
 
-use coltsfoot_types::{id, name, time as clock};
+use coltsfoot_types::{adapter, id, name, time as clock};
 use coltsfoot_wire::placement;
 
 use crate::cell::{self, CellActions, EngineCell};
@@ -180,11 +180,12 @@
         }
     }
 
-    /// Learns from an idle report that no permit of the former owner runs on the engine.
+    /// Learns from a report which adapters the unknown permits of the former owner can be for.
     pub(crate) fn end_unknown_permits(
         &mut self,
         now: clock::MonotonicTime,
         engine: &name::UpstreamName,
+        active: &collections::BTreeSet<adapter::AdapterVersion>,
     ) {
         let Some(lease) = self.lease else {
             return;
@@ -193,8 +194,78 @@
         if settled > now || !self.takeover.awaited.is_empty() {
             return;
         }
-        if let Some(state) = self.engines.get_mut(engine) {
-            state.unknown_until = None;
+        let Some(state) = self.engines.get_mut(engine) else {
+            return;
+        };
+        match &mut state.unknown_adapters {
+            Some(unknown) => unknown.retain(|adapter| active.contains(adapter)),
+            None => state.unknown_adapters = Some(active.clone()),
+        }
+    }
+
+    /// Returns whether permits for an adapter are withheld.
+    pub(crate) fn is_quiesced(&self, adapter: &adapter::AdapterVersion) -> bool {
+        self.engines.values().any(|engine| engine.quiesced.as_ref() == Some(adapter))
+    }
+
+    /// Withholds permits for the adapter that was used least recently on an engine where a load
+    /// has no place. While an adapter is in constant use, reports can't show that no unknown permit
+    /// of the former owner runs.
+    pub(crate) fn quiesce_for_load(
+        &mut self,
+        now: clock::MonotonicTime,
+        actions: &mut CellActions,
+    ) {
+        let Some(wanted) = self.load_queue.iter().next().map(|entry| entry.item.clone()) else {
+            return;
+        };
+        if self.engines.values().any(|engine| engine.quiesced.is_some()) {
+            return;
+        }
+        let usable = self.engines.values().filter(|engine| {
+            engine.is_usable(now) && !engine.knows(&wanted) && engine.unknown_adapters.is_some()
+        });
+        let candidates = usable.flat_map(|engine| {
+            let resident = engine.resident.iter();
+            resident.map(move |(adapter, residency)| (residency.used_at, adapter, engine))
+        });
+        let unknown =
+            candidates.filter(|(_, adapter, engine)| engine.may_run_unknown(now, adapter));
+        let least = unknown.min_by_key(|(used_at, adapter, _)| (*used_at, *adapter));
+        let Some((_, adapter, engine)) = least else {
+            return;
+        };
+        let (adapter, engine) = (adapter.clone(), engine.name().clone());
+        if let Some(state) = self.engines.get_mut(&engine) {
+            state.quiesced = Some(adapter.clone());
+        }
+        self.readmit_ready(now, &engine, |moved| *moved == adapter, actions);
+    }
+
+    /// Gives permits again for an adapter that is gone, or that no load has to make place for.
+    pub(crate) fn end_quiescence(&mut self, now: clock::MonotonicTime, actions: &mut CellActions) {
+        let is_needed = !self.load_queue.is_empty();
+        let mut released = Vec::new();
+        for state in self.engines.values_mut() {
+            let is_over = |adapter: &adapter::AdapterVersion| {
+                !is_needed || !state.resident.contains_key(adapter)
+            };
+            if state.quiesced.as_ref().is_some_and(is_over) {
+                released.extend(state.quiesced.take());
+            }
+        }
+        for adapter in released {
+            let waits = self.waits.values();
+            let mut requests: Vec<_> = waits
+                .filter(|wait| wait.demand.adapter == adapter)
+                .map(|wait| wait.attempt.request)
+                .collect();
+            requests.sort_unstable();
+            for request in requests {
+                if let Some(wait) = self.drop_wait(request) {
+                    self.admit(now, wait, actions);
+                }
+            }
         }
     }
 }
--- a/coltsfoot-placement/tests/common/mod.rs
+++ b/coltsfoot-placement/tests/common/mod.rs
@@ -134,7 +134,8 @@
 
     pub fn report(&mut self, engine: &str, generation: u64, running: u32, resident: &[&str]) {
         let resident = resident.iter().map(|text| text.parse().unwrap()).collect();
-        let report = event::EngineReport { generation, running, waiting: 0, resident };
+        let active = None;
+        let report = event::EngineReport { generation, running, waiting: 0, resident, active };
         self.send(CellEvent::EngineReported { engine: engine.into(), report });
     }
 
--- a/coltsfoot-platform/src/protocol.rs
+++ b/coltsfoot-platform/src/protocol.rs
@@ -139,6 +139,9 @@
     pub waiting: u32,
     /// Resident adapter versions.
     pub resident: Vec<adapter::AdapterVersion>,
+    /// Adapter versions of requests that run or wait, if the engine reports them.
+    #[serde(default)]
+    pub active: Option<Vec<adapter::AdapterVersion>>,
 }
 
 /// Answer of `GET /cache_events?after=N`. Events come late and with gaps.
--- a/coltsfoot-system/tests/ownership.rs
+++ b/coltsfoot-system/tests/ownership.rs
@@ -19,7 +19,8 @@
 #[derive(Default)]
 struct TrafficOutcome {
     stopped: atomic::AtomicBool,
-    answered: atomic::AtomicU64,
+    /// Answers to each customer.
+    answered: [atomic::AtomicU64; 2],
     wrong: sync::Mutex<Vec<String>>,
 }
 
@@ -47,7 +48,8 @@
     cluster
 }
 
-fn send_requests(outcome: &TrafficOutcome, address: net::SocketAddr, customer: &str) {
+fn send_requests(outcome: &TrafficOutcome, address: net::SocketAddr, place: usize) {
+    let customer = CUSTOMERS[place];
     let caller = caller::HttpCaller::new(Some(&sample::key_of(customer)));
     let model = format!("{customer}-drafting");
     let expected = expected_text(customer, TOKENS);
@@ -55,7 +57,7 @@
         let answer = async_io::block_on(caller.chat(address, &model, PROMPT, TOKENS));
         match answer {
             Ok(answer) if answer.status == 200 && answer.text() == expected => {
-                outcome.answered.fetch_add(1, atomic::Ordering::Relaxed);
+                outcome.answered[place].fetch_add(1, atomic::Ordering::Relaxed);
             }
             Ok(answer) if answer.json()["error"]["ran"] == "no" => {}
             Ok(answer) => outcome.wrong.lock().expect("no panic").push(answer.body),
@@ -74,12 +76,14 @@
     status["view"].as_array().map_or(0, Vec::len)
 }
 
-/// Waits until further requests were answered. A new owner evicts nothing until the permits of the
-/// former one must have ended, so that on one slot only one customer may be served for a while.
+/// Waits until further requests of each customer were answered. On one slot that takes evictions.
 fn wait_for_answers(step: &str, outcome: &TrafficOutcome) {
-    let before = outcome.answered.load(atomic::Ordering::Relaxed);
-    cluster::wait_until(&format!("requests are answered {step}"), || {
-        outcome.answered.load(atomic::Ordering::Relaxed) >= before + 4
+    let answered =
+        || outcome.answered.each_ref().map(|count| count.load(atomic::Ordering::Relaxed));
+    let before = answered();
+    cluster::wait_until(&format!("both customers are answered {step}"), || {
+        let mut pairs = answered().into_iter().zip(before);
+        pairs.all(|(now, before)| now >= before + 2)
     });
 }
 
@@ -106,11 +110,10 @@
     let others: Vec<_> = (0..3).filter(|place| *place != owner).collect();
     let front = cluster.instances[others[0]].caller_address;
     let outcome = sync::Arc::new(TrafficOutcome::default());
-    let threads: Vec<_> = CUSTOMERS
-        .iter()
-        .map(|customer| {
+    let threads: Vec<_> = (0..CUSTOMERS.len())
+        .map(|place| {
             let outcome = sync::Arc::clone(&outcome);
-            thread::spawn(move || send_requests(&outcome, front, customer))
+            thread::spawn(move || send_requests(&outcome, front, place))
         })
         .collect();
     wait_for_answers("at the start", &outcome);
--- a/coltsfootd/src/control/member.rs
+++ b/coltsfootd/src/control/member.rs
@@ -52,6 +52,7 @@
         let zone_member = ZoneMember::builder()
             .own_name(shared.settings.instance.clone())
             .zone(shared.settings.zone.clone())
+            .group_count(shared.settings.member_groups)
             .seed(rand::random())
             .build();
         let resources = collections::BTreeMap::new();
--- a/coltsfootd/src/control/placement.rs
+++ b/coltsfootd/src/control/placement.rs
@@ -287,6 +287,7 @@
             running: report.running,
             waiting: report.waiting,
             resident: report.resident,
+            active: report.active,
         };
         self.cell_event(now, &cell, cells::CellEvent::EngineReported { engine, report }, tools);
     }
--- a/coltsfootd/src/settings.rs
+++ b/coltsfootd/src/settings.rs
@@ -38,6 +38,10 @@
     pub log_address: net::SocketAddr,
     /// Address of the platform's instance list.
     pub list_address: net::SocketAddr,
+    /// Groups that the zone's instances are divided into, the same on all of them; about one for
+    /// nine instances.
+    #[serde(default = "default_member_groups")]
+    pub member_groups: u8,
     /// Threads that carry traffic.
     #[serde(default = "default_traffic_threads")]
     pub traffic_threads: usize,
@@ -209,6 +213,12 @@
                 holds: self.peer_secret.len() >= MIN_SECRET_BYTES,
                 remedy: "use at least 16 bytes, the same on all instances",
             },
+            Check {
+                key: "member_groups",
+                value: self.member_groups.to_string(),
+                holds: self.member_groups > 0,
+                remedy: "use at least 1",
+            },
             Check {
                 key: "traffic_threads",
                 value: self.traffic_threads.to_string(),
@@ -269,6 +279,10 @@
     remedy: &'static str,
 }
 
+fn default_member_groups() -> u8 {
+    1
+}
+
 fn default_traffic_threads() -> usize {
     2
 }
