--- a/coltsfootd/src/control/placement.rs
+++ b/coltsfootd/src/control/placement/mod.rs
@@ -1,12 +1,15 @@
 //! Hosts the placement's machines: permits for this instance, and the cells and load budget that
 //! it owns.
 
+mod cells;
+mod engines;
+mod ledger;
+
 use std::collections;
 use std::sync;
 use std::time;
 
-use coltsfoot_placement::{agent, budget, cell, event as cells, settings as limits};
-use coltsfoot_platform::{engine, protocol};
+use coltsfoot_placement::{agent, budget, cell, event as cell_events, settings as limits};
 use coltsfoot_types::{id, name, time as instant};
 use coltsfoot_wire::{member as views, peer, placement};
 use rustc_hash::FxHashMap;
@@ -18,7 +21,7 @@
 use crate::control::member::MemberHost;
 use crate::control::resource::OwnedResource;
 use crate::peers::PeerNetwork;
-use crate::{event, settings, shared};
+use crate::shared;
 
 /// Time between two looks at the owners of cells; changes of the own zone are seen at once.
 const ROUTE_REFRESH_INTERVAL: time::Duration = time::Duration::from_millis(200);
@@ -60,7 +63,7 @@
     /// Creates the host of an instance that knows no engines.
     pub fn new(shared: sync::Arc<shared::InstanceShared>) -> Self {
         let settings = limits::AgentSettings::builder().build();
-        let ledger = budget::LoadLedger::new(ledger_settings(&shared.settings));
+        let ledger = budget::LoadLedger::new(ledger::ledger_settings(&shared.settings));
         Self {
             shared,
             agent: agent::PermitAgent::new(settings),
@@ -170,7 +173,7 @@
         message: placement::PlacementMessage,
         tools: &PlacementTools<'_>,
     ) {
-        use cells::CellEvent;
+        use cell_events::CellEvent;
         use placement::PlacementMessage;
         let instance = sender.clone();
         match message {
@@ -227,8 +230,8 @@
     ) {
         let lease = tools.member.lease(now, &OwnedResource::Cell(cell.clone()));
         let event = match (fencing, lease) {
-            (Some(_), Some(lease)) => cells::CellEvent::OwnershipGained {
-                lease: cells::CellLease {
+            (Some(_), Some(lease)) => cell_events::CellEvent::OwnershipGained {
+                lease: cell_events::CellLease {
                     fencing: lease.fencing,
                     acting_from: now,
                     until: lease.orders_until,
@@ -237,91 +240,12 @@
                 reporters: self.reporters(now, tools),
                 unknown_permits: true,
             },
-            _ => cells::CellEvent::OwnershipLost,
+            _ => cell_events::CellEvent::OwnershipLost,
         };
         self.cell_event(now, cell, event, tools);
         self.refresh_routes(now, tools);
     }
 
-    /// Takes the begin or end of the ownership of the zone's load budget.
-    pub fn take_ledger_ownership(
-        &mut self,
-        now: instant::MonotonicTime,
-        fencing: Option<id::FencingNumber>,
-        tools: &PlacementTools<'_>,
-    ) {
-        let event = match fencing {
-            Some(fencing) => budget::LedgerEvent::OwnershipGained { fencing },
-            None => budget::LedgerEvent::OwnershipLost,
-        };
-        self.ledger_event(now, event, tools);
-    }
-
-    /// Takes the end of an order.
-    pub fn end_order(
-        &mut self,
-        now: instant::MonotonicTime,
-        cell: &placement::CellId,
-        event: cells::CellEvent,
-        tools: &PlacementTools<'_>,
-    ) {
-        self.cell_event(now, cell, event, tools);
-    }
-
-    /// Takes an engine's report.
-    pub fn take_report(
-        &mut self,
-        now: instant::MonotonicTime,
-        engine: name::UpstreamName,
-        report: protocol::LoadReport,
-        tools: &PlacementTools<'_>,
-    ) {
-        let Some(cell) = self.engine_cells.get(&engine).cloned() else { return };
-        self.reopen_engine(now, &cell, &engine, tools);
-        let former = self.generations.insert(engine.clone(), report.generation);
-        if former.is_some_and(|former| former != report.generation) {
-            event::emit(event::ENGINE_RESTARTED, format_args!("{engine}"));
-        }
-        let report = cells::EngineReport {
-            generation: report.generation,
-            running: report.running,
-            waiting: report.waiting,
-            resident: report.resident,
-            active: report.active,
-        };
-        self.cell_event(now, &cell, cells::CellEvent::EngineReported { engine, report }, tools);
-    }
-
-    /// Takes that an engine's process has ended, with all that ran on it.
-    pub fn take_closed_engine(
-        &mut self,
-        now: instant::MonotonicTime,
-        engine: name::UpstreamName,
-        tools: &PlacementTools<'_>,
-    ) {
-        let Some(cell) = self.engine_cells.get(&engine).cloned() else { return };
-        if self.closed.insert(engine.clone()) {
-            self.cell_event(now, &cell, cells::CellEvent::EngineGone { engine }, tools);
-        }
-    }
-
-    /// Lists an engine again that was closed and answers now.
-    fn reopen_engine(
-        &mut self,
-        now: instant::MonotonicTime,
-        cell: &placement::CellId,
-        engine: &name::UpstreamName,
-        tools: &PlacementTools<'_>,
-    ) {
-        if !self.closed.remove(engine) {
-            return;
-        }
-        let mut listings = tools.directory.upstreams().iter();
-        if let Some(listing) = listings.find(|listing| listing.name == *engine) {
-            self.take_engine(now, cell, listing, tools);
-        }
-    }
-
     /// Lets time pass.
     pub fn tick(&mut self, now: instant::MonotonicTime, tools: &PlacementTools<'_>) {
         self.notice_silence(now, tools);
@@ -329,9 +253,14 @@
         for cell in &cells {
             if let Some(lease) = tools.member.lease(now, &OwnedResource::Cell(cell.clone())) {
                 let until = lease.orders_until;
-                self.cell_event(now, cell, cells::CellEvent::OwnershipRenewed { until }, tools);
+                self.cell_event(
+                    now,
+                    cell,
+                    cell_events::CellEvent::OwnershipRenewed { until },
+                    tools,
+                );
             }
-            self.cell_event(now, cell, cells::CellEvent::Tick, tools);
+            self.cell_event(now, cell, cell_events::CellEvent::Tick, tools);
         }
         self.ledger_event(now, budget::LedgerEvent::Tick, tools);
         self.agent_event(now, agent::AgentEvent::Tick, tools);
@@ -348,17 +277,6 @@
         self.counted_stalls = stalls;
     }
 
-    /// Asks the engines of owned cells for their reports.
-    fn poll_engines(&self, now: instant::MonotonicTime, tools: &PlacementTools<'_>) {
-        for (engine, cell) in &self.engine_cells {
-            if tools.member.lease(now, &OwnedResource::Cell(cell.clone())).is_some()
-                && let Some(address) = tools.directory.upstream_address(engine)
-            {
-                tools.engines.poll(now, engine, address);
-            }
-        }
-    }
-
     /// Takes the cells of all zones with their owners as they are known now. Cells of other zones
     /// whose owner can't be reached are left out.
     fn refresh_routes(&mut self, now: instant::MonotonicTime, tools: &PlacementTools<'_>) {
@@ -379,42 +297,6 @@
         }
     }
 
-    fn take_engine(
-        &mut self,
-        now: instant::MonotonicTime,
-        cell: &placement::CellId,
-        listing: &protocol::UpstreamListing,
-        tools: &PlacementTools<'_>,
-    ) {
-        let protocol::UpstreamRole::Engine { slots, batch_size, checks_fencing, .. } = listing.role
-        else {
-            return;
-        };
-        let engine = listing.name.clone();
-        let event = match listing.leaving {
-            true => cells::CellEvent::EngineLeaving { engine },
-            false => cells::CellEvent::EngineListed {
-                engine: cells::EngineListing { name: engine, slots, batch_size, checks_fencing },
-            },
-        };
-        self.cell_event(now, cell, event, tools);
-    }
-
-    fn remove_engines(
-        &mut self,
-        now: instant::MonotonicTime,
-        listed: &collections::BTreeMap<name::UpstreamName, placement::CellId>,
-        tools: &PlacementTools<'_>,
-    ) {
-        let former = std::mem::take(&mut self.engine_cells);
-        for (engine, cell) in former {
-            if listed.get(&engine) != Some(&cell) {
-                let gone = cells::CellEvent::EngineGone { engine };
-                self.cell_event(now, &cell, gone, tools);
-            }
-        }
-    }
-
     /// Returns the instances that can report the permits that they hold: this one and those that
     /// are reachable. Permits of the others count as unknown.
     fn reporters(
@@ -437,34 +319,12 @@
         let cells: Vec<_> = self.cells.keys().cloned().collect();
         for instance in silent {
             for cell in &cells {
-                let dead = cells::CellEvent::InstanceDead { instance: instance.clone() };
+                let dead = cell_events::CellEvent::InstanceDead { instance: instance.clone() };
                 self.cell_event(now, cell, dead, tools);
             }
         }
     }
 
-    /// Passes a demand on, or refuses it when this instance does not know the cell.
-    fn request(
-        &mut self,
-        now: instant::MonotonicTime,
-        cell: &placement::CellId,
-        sender: name::InstanceName,
-        wanted: cells::CellEvent,
-        tools: &PlacementTools<'_>,
-    ) {
-        if self.cells.contains_key(cell) {
-            return self.cell_event(now, cell, wanted, tools);
-        }
-        let cells::CellEvent::PermitWanted { demand, .. } = wanted else { return };
-        let refusal = placement::PermitRefusal {
-            attempt: demand.attempt,
-            reason: placement::PermitRefusalReason::NotOwner,
-            retry_after: time::Duration::ZERO,
-        };
-        let message = placement::PlacementMessage::Refusal { cell: cell.clone(), refusal };
-        tools.network.send(&sender, peer::PeerMessage::Placement(message));
-    }
-
     fn agent_event(
         &mut self,
         now: instant::MonotonicTime,
@@ -511,135 +371,6 @@
             self.release(now, attempt, outcome, tools);
         }
     }
-
-    fn cell_event(
-        &mut self,
-        now: instant::MonotonicTime,
-        cell: &placement::CellId,
-        event: cells::CellEvent,
-        tools: &PlacementTools<'_>,
-    ) {
-        let Some(machine) = self.cells.get_mut(cell) else { return };
-        for action in machine.handle(now, event) {
-            self.carry_out(cell, action, tools);
-        }
-    }
-
-    fn carry_out(
-        &self,
-        cell: &placement::CellId,
-        action: cells::CellAction,
-        tools: &PlacementTools<'_>,
-    ) {
-        use cells::CellAction;
-        use placement::PlacementMessage;
-        let to_instance = |receiver: name::InstanceName, message| {
-            tools.network.send(&receiver, peer::PeerMessage::Placement(message));
-        };
-        let to_ledger = |message| {
-            if let Some(owner) = tools.member.owner_of(&OwnedResource::Ledger) {
-                tools.network.send(&owner, peer::PeerMessage::Placement(message));
-            }
-        };
-        let cell = cell.clone();
-        match action {
-            CellAction::Grant { instance, grant } => {
-                to_instance(instance, PlacementMessage::Grant { cell, grant });
-            }
-            CellAction::Refuse { instance, refusal } => {
-                to_instance(instance, PlacementMessage::Refusal { cell, refusal });
-            }
-            CellAction::RequestReport { instance, fencing } => {
-                to_instance(instance, PlacementMessage::ReportRequest { cell, fencing });
-            }
-            CellAction::RequestLoads { wanted } => {
-                to_ledger(PlacementMessage::LoadRequest { cell, wanted });
-            }
-            CellAction::ReturnLoad { grant, used } => {
-                to_ledger(PlacementMessage::LoadReturn { grant, used });
-            }
-            CellAction::Load { order } => {
-                self.shared.metrics.count_load();
-                self.order(cell, order, true, tools);
-            }
-            CellAction::Unload { order } => self.order(cell, order, false, tools),
-        }
-    }
-
-    fn order(
-        &self,
-        cell: placement::CellId,
-        order: cells::EngineOrder,
-        is_load: bool,
-        tools: &PlacementTools<'_>,
-    ) {
-        let address = tools.directory.upstream_address(&order.engine);
-        tools.engines.order(cell, order, is_load, address);
-    }
-
-    fn ledger_event(
-        &mut self,
-        now: instant::MonotonicTime,
-        event: budget::LedgerEvent,
-        tools: &PlacementTools<'_>,
-    ) {
-        let actions = self.ledger.handle(now, event);
-        for action in actions {
-            let (receiver, message) = match action {
-                budget::LedgerAction::Grant { cell, grant, start_within } => {
-                    let owner = tools.member.owner_of(&OwnedResource::Cell(cell.clone()));
-                    (owner, placement::PlacementMessage::LoadGrant { cell, grant, start_within })
-                }
-                budget::LedgerAction::RequestLoan { zone, wanted } => {
-                    let own_zone = self.shared.settings.zone.clone();
-                    let owner = self.ledger_owner(&zone, tools);
-                    (owner, placement::PlacementMessage::LoanRequest { zone: own_zone, wanted })
-                }
-                budget::LedgerAction::ReturnLoan { zone, loads, used } => {
-                    let own_zone = self.shared.settings.zone.clone();
-                    let owner = self.ledger_owner(&zone, tools);
-                    let message =
-                        placement::PlacementMessage::LoanReturn { zone: own_zone, loads, used };
-                    (owner, message)
-                }
-                budget::LedgerAction::Lend { zone, loads, start_within } => {
-                    let own_zone = self.shared.settings.zone.clone();
-                    let owner = self.ledger_owner(&zone, tools);
-                    let loan =
-                        placement::PlacementMessage::Loan { zone: own_zone, loads, start_within };
-                    (owner, loan)
-                }
-            };
-            if let Some(receiver) = receiver {
-                tools.network.send(&receiver, peer::PeerMessage::Placement(message));
-            }
-        }
-    }
-
-    fn ledger_owner(
-        &self,
-        zone: &name::ZoneName,
-        tools: &PlacementTools<'_>,
-    ) -> Option<name::InstanceName> {
-        MemberHost::owner_elsewhere(tools.directory, zone, &OwnedResource::Ledger)
-    }
-}
-
-/// Returns this zone's part of the fleet's load budget.
-fn ledger_settings(settings: &settings::DaemonSettings) -> budget::LedgerSettings {
-    let mut zones = settings.fleet_zones.clone();
-    zones.sort();
-    zones.dedup();
-    let place = zones.iter().position(|zone| *zone == settings.zone).unwrap_or_default();
-    let count = zones.len() as u32;
-    let extra = u32::from((place as u32) < settings.fleet_loads_in_flight % count);
-    budget::LedgerSettings::builder()
-        .peers(zones.into_iter().filter(|zone| *zone != settings.zone).collect())
-        .zone(settings.zone.clone())
-        .loads_in_flight(settings.fleet_loads_in_flight / count + extra)
-        .load_limit(engine::ORDER_TIMEOUT)
-        .loads_per_second(settings.store_loads_per_second / f64::from(count))
-        .build()
 }
 
 fn owner_of_cell(
