Probe only owners that are dealt with

Cause: at 24 idle daemons probes were 615 of 759 bytes a second and daemon, and grew with the fleet: messages of the configuration counted as use. Ruled out: quota, placement and claims, which sent nothing (control measure by kind). Change: only dealings with owners count as use; the control measure prints bytes by kind.

--- a/coltsfoot-measure/src/cmd/control.rs
+++ b/coltsfoot-measure/src/cmd/control.rs
@@ -94,6 +94,7 @@
     deployment.wait_until_serving(&korrigan, "korrigan-drafts@1");
     std::thread::sleep(SETTLE_TIME);
     let before = control_cost::read(&deployment);
+    let kinds_before = control_cost::bytes_by_kind(&deployment);
     let addresses = deployment.caller_addresses();
     let senders: Vec<_> = addresses
         .into_iter()
@@ -121,6 +122,12 @@
         cost.peer_bytes,
         cost.platform_bytes
     );
+    let per = deployment.daemons.len() as f64 * READING_LENGTH.as_secs_f64();
+    let kinds = control_cost::bytes_by_kind(&deployment).into_iter().zip(kinds_before);
+    let kinds: Vec<_> = kinds
+        .map(|((kind, after), (_, before))| format!("{kind} {:.0}", (after - before) / per))
+        .collect();
+    println!("         by kind: {}", kinds.join(", "));
     for daemon in deployment.daemons {
         daemon.stop();
     }
--- a/coltsfoot-measure/src/control_cost.rs
+++ b/coltsfoot-measure/src/control_cost.rs
@@ -57,6 +57,16 @@
     }
 }
 
+/// Returns the bytes that all daemons together have sent to other instances, by kind of message.
+pub fn bytes_by_kind(deployment: &embedded::EmbeddedCluster) -> Vec<(&'static str, f64)> {
+    let texts: Vec<_> = deployment.daemons.iter().map(|daemon| daemon.metrics_text()).collect();
+    let total = |kind: &str| -> f64 {
+        let name = format!("coltsfoot_peer_bytes_total{{kind=\"{kind}\"}} ");
+        texts.iter().map(|text| counter(text, &name)).sum()
+    };
+    peer::PeerMessage::KINDS.into_iter().map(|kind| (kind, total(kind))).collect()
+}
+
 /// Returns the slope of the straight line that fits the points best by least squares.
 pub fn slope(points: &[(f64, f64)]) -> f64 {
     let count = points.len() as f64;
--- a/coltsfootd/src/peers.rs
+++ b/coltsfootd/src/peers.rs
@@ -10,7 +10,7 @@
 
 use async_net::{TcpListener, TcpStream, UdpSocket};
 use coltsfoot_types::name;
-use coltsfoot_wire::{codec, peer};
+use coltsfoot_wire::{codec, peer, quota};
 use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _, FutureExt as _, StreamExt as _};
 
 use crate::{control, event, shared};
@@ -50,7 +50,7 @@
     events: control::EventSender,
     directory: cell::RefCell<PeerDirectory>,
     links: cell::RefCell<collections::HashMap<name::InstanceName, PeerLink>>,
-    /// Receivers of messages since the control thread asked last.
+    /// Receivers of dealings with owners since the control thread asked last.
     used: cell::RefCell<Vec<name::InstanceName>>,
 }
 
@@ -103,7 +103,7 @@
         };
         let by_datagram =
             matches!(message, peer::PeerMessage::Member(_) | peer::PeerMessage::Contact(_));
-        if !by_datagram {
+        if awaits_owner(&message) {
             self.inner.used.borrow_mut().push(receiver.clone());
         }
         let sender = self.inner.own_name.clone();
@@ -119,7 +119,7 @@
         }
     }
 
-    /// Returns the receivers of messages since the last call; heartbeats and probes don't count.
+    /// Returns the receivers of dealings with owners since the last call.
     pub fn take_used(&self) -> Vec<name::InstanceName> {
         let mut used = self.inner.used.take();
         used.sort();
@@ -147,6 +147,18 @@
     }
 }
 
+/// Returns whether a message is part of dealings with an owner, whose silence matters.
+fn awaits_owner(message: &peer::PeerMessage) -> bool {
+    match message {
+        peer::PeerMessage::Quota(quota::QuotaMessage::Folded(_)) => false,
+        peer::PeerMessage::Quota(_) | peer::PeerMessage::Placement(_) => true,
+        peer::PeerMessage::Claim(_) => true,
+        peer::PeerMessage::Member(_)
+        | peer::PeerMessage::Contact(_)
+        | peer::PeerMessage::Config(_) => false,
+    }
+}
+
 /// Writes queued messages to a peer, connecting anew after failures. A message that could not be
 /// written is dropped, as the protocols between instances allow.
 async fn deliver(
