--- a/coltsfoot-fakes/src/log.rs
+++ b/coltsfoot-fakes/src/log.rs
@@ -174,12 +174,12 @@
                 rng: rngs::SmallRng::seed_from_u64(options.seed),
             }),
         });
-        let shared = sync::Arc::clone(&state);
-        let handler: server::RequestHandler = sync::Arc::new(move |request| {
-            let state = sync::Arc::clone(&shared);
-            Box::pin(async move { answer(&state, request).await })
-        });
-        let server = server::HttpServer::start(executor, options.listen, handler)?;
+        let server = server::HttpServer::start_with(
+            executor,
+            options.listen,
+            &state,
+            |state, request| async move { answer(&state, request).await },
+        )?;
         Ok(Self { state, server })
     }
 
--- a/coltsfoot-fakes/src/server.rs
+++ b/coltsfoot-fakes/src/server.rs
@@ -63,6 +63,24 @@
         Ok(Self { shared, pauses, accept_task: sync::Mutex::new(Some(task)) })
     }
 
+    /// Starts a server whose answers need shared state.
+    pub(crate) fn start_with<S, A, F>(
+        executor: &SharedExecutor,
+        listen: net::SocketAddr,
+        state: &sync::Arc<S>,
+        answer: A,
+    ) -> io::Result<Self>
+    where
+        S: Send + Sync + 'static,
+        A: Fn(sync::Arc<S>, http_types::Request) -> F + Send + Sync + 'static,
+        F: future::Future<Output = http_types::Result<http_types::Response>> + Send + 'static,
+    {
+        let state = sync::Arc::clone(state);
+        let handler: RequestHandler =
+            sync::Arc::new(move |request| Box::pin(answer(sync::Arc::clone(&state), request)));
+        Self::start(executor, listen, handler)
+    }
+
     pub(crate) fn address(&self) -> net::SocketAddr {
         self.shared.address
     }
--- a/coltsfootd/src/control/mod.rs
+++ b/coltsfootd/src/control/mod.rs
@@ -13,6 +13,7 @@
 mod platform;
 mod quota;
 mod resource;
+mod state;
 mod status;
 
 pub use event::{ControlEvent, EventSender, event_queue};
