Let another zone's owner grant, but not refuse

Cause: an agent asks another zone's owner after 0.3 s of silence of its own one; that owner's refusal ended the wait although the own owner may have promised the tokens. Found while looking for the red quota test, in which callers that came back 31 ms after their promise fell due were refused. Ruled out there: callers that come too late. Change: refusals of another zone's owner count for nothing; its grants do. Measured: coltsfoot-quota fallback: the refusal test fails before, passes after; all other quota tests pass. Conclusion: one way to a broken promise is closed; the red entry stays until the cause is shown.

--- a/coltsfoot-quota/src/agent_account.rs
+++ b/coltsfoot-quota/src/agent_account.rs
@@ -152,11 +152,13 @@
         self.refunds.add(admitted, tokens);
     }
 
-    /// Takes in an owner's answer. Returns the requests that it refuses.
+    /// Takes in an owner's answer. Returns the requests that it refuses. A refusal of another
+    /// zone's owner counts for nothing: the own zone's may have promised the tokens.
     pub(crate) fn apply(
         &mut self,
         sender: &name::InstanceName,
         update: &quota::GrantUpdate,
+        own_zone: &name::ZoneName,
     ) -> Vec<RefusedRequest> {
         let Some(link) = self.links.get_mut(&update.zone) else {
             return Vec::new();
@@ -168,6 +170,9 @@
             self.move_to_front(*request);
         }
         let mut refused = Vec::new();
+        if update.zone != *own_zone {
+            return refused;
+        }
         for refusal in &update.refusals {
             if self.cancel(refusal.request) {
                 refused.push(RefusedRequest {
--- a/coltsfoot-quota/src/quota_agent.rs
+++ b/coltsfoot-quota/src/quota_agent.rs
@@ -132,7 +132,7 @@
         let Some(account) = self.accounts.get_mut(&update.customer) else {
             return;
         };
-        actions.extend(account.apply(sender, update).into_iter().map(Into::into));
+        actions.extend(account.apply(sender, update, &self.zone).into_iter().map(Into::into));
         self.advance(now, &update.customer, actions);
     }
 
