Look for a place to quiesce only after a takeover, and build the chooser once

Cause: on a read-through: the search for a place ran on each event of a cell with waiting loads, though it matters only while unknown permits may be out; three places built the same chooser; a refund carried a customer that nobody read. Change: a cheap check first; place_chooser; the field is gone.

--- a/coltsfoot-placement/src/engine.rs
+++ b/coltsfoot-placement/src/engine.rs
@@ -139,13 +139,18 @@
         !is_used && !self.may_run_unknown(now, adapter)
     }
 
+    /// Returns whether permits that this owner doesn't know may be out.
+    pub(crate) fn has_unknown(&self, now: clock::MonotonicTime) -> bool {
+        self.unknown_until.is_some_and(|until| now < until)
+    }
+
     /// Returns whether a permit that this owner doesn't know may be out for the adapter.
     pub(crate) fn may_run_unknown(
         &self,
         now: clock::MonotonicTime,
         adapter: &adapter::AdapterVersion,
     ) -> bool {
-        self.unknown_until.is_some_and(|until| now < until)
+        self.has_unknown(now)
             && self.unknown_adapters.as_ref().is_none_or(|unknown| unknown.contains(adapter))
     }
 
--- a/coltsfoot-placement/src/loading.rs
+++ b/coltsfoot-placement/src/loading.rs
@@ -112,7 +112,8 @@
             is_blocked = !self.order_first_load(now, actions);
         }
         self.plan_replica(now, actions);
-        if !self.load_queue.is_empty() && !self.has_place(now) {
+        let may_run_unknown = self.engines.values().any(|engine| engine.has_unknown(now));
+        if may_run_unknown && !self.load_queue.is_empty() && !self.has_place(now) {
             self.quiesce_for_load(now, actions);
         }
         let wanted = self.load_queue.len() + usize::from(!self.replicas.is_empty());
@@ -130,15 +131,18 @@
         let Some(entry) = self.load_queue.iter().next() else {
             return true;
         };
-        let chooser = eviction::PlaceChooser {
+        self.place_chooser(now).has_place(&entry.item)
+    }
+
+    pub(crate) fn place_chooser(&self, now: clock::MonotonicTime) -> eviction::PlaceChooser<'_> {
+        eviction::PlaceChooser {
             now,
             engines: &self.engines,
             half_life: self.settings.popularity_half_life,
             copies: &self.copies,
             restricted: self.lease.is_some_and(|lease| lease.restricted),
             packing: self.settings.packing,
-        };
-        chooser.has_place(&entry.item)
+        }
     }
 
     fn queue_due_retries(&mut self, now: clock::MonotonicTime) {
--- a/coltsfoot-placement/src/replication.rs
+++ b/coltsfoot-placement/src/replication.rs
@@ -4,7 +4,6 @@
 
 use crate::cell::{CellActions, EngineCell};
 use crate::engine;
-use crate::eviction;
 
 impl EngineCell {
     /// Orders one further replica of a hot adapter, if no request waits for a load and the evicted
@@ -19,15 +18,7 @@
         if !self.needs_replica(now, &adapter) {
             return;
         }
-        let chooser = eviction::PlaceChooser {
-            now,
-            engines: &self.engines,
-            half_life: self.settings.popularity_half_life,
-            copies: &self.copies,
-            restricted: self.lease.is_some_and(|lease| lease.restricted),
-            packing: self.settings.packing,
-        };
-        let Some(place) = chooser.choose(&adapter, None) else {
+        let Some(place) = self.place_chooser(now).choose(&adapter, None) else {
             return;
         };
         let copies = self.engines.values().filter(|engine| engine.holds(&adapter)).count();
--- a/coltsfootd/src/control/client.rs
+++ b/coltsfootd/src/control/client.rs
@@ -112,7 +112,6 @@
         let mut charge = ChargeGuard {
             events: self.events.clone(),
             request: query.request,
-            customer: query.customer.clone(),
             charged: query.tokens,
             used: 0,
         };
@@ -195,7 +194,6 @@
 pub struct ChargeGuard {
     events: EventSender,
     request: id::RequestId,
-    customer: name::CustomerName,
     charged: u64,
     used: u64,
 }
@@ -217,7 +215,6 @@
         if self.used < self.charged {
             self.events.send(ControlEvent::Refund {
                 request: self.request,
-                customer: self.customer.clone(),
                 tokens: self.charged - self.used,
             });
         }
--- a/coltsfootd/src/control/event.rs
+++ b/coltsfootd/src/control/event.rs
@@ -20,8 +20,6 @@
     Refund {
         /// The request.
         request: id::RequestId,
-        /// The customer that was charged.
-        customer: name::CustomerName,
         /// Tokens to give back.
         tokens: u64,
     },
--- a/coltsfootd/src/control/state.rs
+++ b/coltsfootd/src/control/state.rs
@@ -88,7 +88,7 @@
             ControlEvent::Admit(query, answer) => {
                 self.quota.admit(now, query, answer, quota_routing!(self));
             }
-            ControlEvent::Refund { request, tokens, .. } => {
+            ControlEvent::Refund { request, tokens } => {
                 self.quota.refund(now, request, tokens, quota_routing!(self));
             }
             ControlEvent::Permit(query, answer) => {
