--- /dev/null
+++ b/coltsfoot-gateway/src/engine_choice.rs
@@ -0,0 +1,151 @@
+//! Chooses the upstream of a request by the expected time to its first event.
+
+use std::sync;
+
+use coltsfoot_types::time as clock;
+
+use crate::{demand, fleet_view, rendezvous, rules};
+
+/// Prompt tokens that an engine reads in a millisecond, beside its running requests.
+pub const READ_TOKENS_PER_MS: f64 = 33.0;
+/// Expected time from the end of the prompt to the first event, in milliseconds.
+pub const FIRST_EVENT_MS: f64 = 40.0;
+/// Expected time to load an adapter, in milliseconds.
+const LOAD_MS: f64 = 180.0;
+/// Cost of a further copy of an adapter, by its place in the adapter's order of engines, in
+/// milliseconds: what others lose by the adapter that makes way.
+const COPY_MS: [f64; 4] = [0.0, 80.0, 160.0, 240.0];
+/// Cost of a request that fails and is sent again, in milliseconds.
+const FAILURE_MS: f64 = 1500.0;
+/// Cost of another availability zone, in milliseconds.
+const ZONE_MS: f64 = 4.0;
+/// Cost of each request beyond the places of an upstream, in milliseconds.
+const QUEUED_MS: f64 = 40.0;
+/// Cost of an upstream to which connections failed a moment ago, in milliseconds.
+const AVOIDED_MS: f64 = 5_000.0;
+/// Share of the shared tokens that the preferred holder of a subject is expected to have kept.
+const AFFINITY_SHARE: f64 = 0.7;
+/// Expected time of a plain request, in milliseconds.
+const PLAIN_WORK_MS: f64 = 60.0;
+
+/// Where a request goes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ChosenUpstream {
+    /// The upstream.
+    pub id: sync::Arc<str>,
+    /// Expected time to the first event, in milliseconds.
+    pub expected_ms: f64,
+    /// Whether the adapter must be loaded first.
+    pub needs_load: bool,
+}
+
+/// What is being placed.
+#[derive(Clone, Copy, Debug)]
+pub struct PlacedRequest<'a> {
+    /// The service.
+    pub service: &'a rules::ServiceRule,
+    /// What it asks of an engine; `None` for a plain service.
+    pub demand: Option<&'a demand::PromptDemand>,
+    /// Availability zone of this instance.
+    pub zone: &'a str,
+    /// Upstreams to avoid.
+    pub tried: &'a [sync::Arc<str>],
+}
+
+/// Chooses the upstream with the least expected time; `None` if there is none to use.
+pub fn choose(
+    now: clock::MonotonicTime,
+    view: &fleet_view::FleetView,
+    request: &PlacedRequest<'_>,
+) -> Option<ChosenUpstream> {
+    let ready = view.ready_upstreams(&request.service.name);
+    let candidates: Vec<&fleet_view::UpstreamSlot> =
+        ready.filter(|slot| !request.tried.contains(&slot.entry.id)).collect();
+    match request.demand {
+        Some(demand) => choose_engine(now, view, request, demand, &candidates),
+        None => choose_plain(now, request, &candidates),
+    }
+}
+
+fn common_cost(
+    now: clock::MonotonicTime,
+    request: &PlacedRequest<'_>,
+    slot: &fleet_view::UpstreamSlot,
+) -> f64 {
+    let zone = if &*slot.entry.zone == request.zone { 0.0 } else { ZONE_MS };
+    let avoided = if slot.is_avoided(now) { AVOIDED_MS } else { 0.0 };
+    zone + avoided + slot.failure_rate(now) * FAILURE_MS
+}
+
+fn choose_plain(
+    now: clock::MonotonicTime,
+    request: &PlacedRequest<'_>,
+    candidates: &[&fleet_view::UpstreamSlot],
+) -> Option<ChosenUpstream> {
+    let costs = candidates.iter().map(|slot| {
+        let work = slot.work(now);
+        let slots = slot.entry.slots.max(1);
+        let rounds = f64::from(work.running) / f64::from(slots);
+        (rounds * PLAIN_WORK_MS + common_cost(now, request, slot), slot)
+    });
+    let (cost, slot) = costs.min_by(|(one, _), (other, _)| one.total_cmp(other))?;
+    let id = sync::Arc::clone(&slot.entry.id);
+    Some(ChosenUpstream { id, expected_ms: cost + PLAIN_WORK_MS, needs_load: false })
+}
+
+fn choose_engine(
+    now: clock::MonotonicTime,
+    view: &fleet_view::FleetView,
+    request: &PlacedRequest<'_>,
+    demand: &demand::PromptDemand,
+    candidates: &[&fleet_view::UpstreamSlot],
+) -> Option<ChosenUpstream> {
+    let key = demand.adapter.as_ref().map(demand::AdapterName::key);
+    let home = demand.weights_key();
+    let mut ranked: Vec<&fleet_view::UpstreamSlot> =
+        candidates.iter().copied().filter(|slot| slot.residency.has_model).collect();
+    ranked.sort_by_key(|slot| std::cmp::Reverse(rendezvous::weight(home, u64::from(slot.number))));
+    let holds = |slot: &fleet_view::UpstreamSlot| key.is_none_or(|key| view.holds(now, slot, key));
+    let preferred = preferred_holder(demand, &ranked, &holds);
+    let costs = ranked.iter().enumerate().filter_map(|(rank, slot)| {
+        let is_held = holds(slot);
+        let load = match is_held {
+            true => 0.0,
+            false if slot.residency.takes_orders => LOAD_MS + COPY_MS.get(rank)?,
+            false => return None,
+        };
+        let wait = engine_wait(now, slot, demand, preferred == Some(slot.number));
+        Some((wait + load + common_cost(now, request, slot), slot, !is_held))
+    });
+    let best = costs.min_by(|(one, ..), (other, ..)| one.total_cmp(other));
+    let (expected_ms, slot, needs_load) = best?;
+    Some(ChosenUpstream { id: sync::Arc::clone(&slot.entry.id), expected_ms, needs_load })
+}
+
+/// Returns the holder that requests of one subject go to, so that its prompt is kept there.
+fn preferred_holder(
+    demand: &demand::PromptDemand,
+    ranked: &[&fleet_view::UpstreamSlot],
+    holds: &impl Fn(&fleet_view::UpstreamSlot) -> bool,
+) -> Option<u32> {
+    let subject = demand.subject() ^ demand.weights_key();
+    let holders = ranked.iter().filter(|slot| holds(slot)).map(|slot| slot.number);
+    holders.max_by_key(|number| rendezvous::weight(subject, u64::from(*number)))
+}
+
+/// Returns the expected time to the first event at an engine that has the adapter, in milliseconds.
+fn engine_wait(
+    now: clock::MonotonicTime,
+    slot: &fleet_view::UpstreamSlot,
+    demand: &demand::PromptDemand,
+    is_preferred: bool,
+) -> f64 {
+    let work = slot.work(now);
+    let mut kept = f64::from(slot.kept_tokens(demand));
+    if is_preferred {
+        kept = kept.max(f64::from(demand.shared_tokens()) * AFFINITY_SHARE);
+    }
+    let unread = work.unread_tokens as f64 + (f64::from(demand.prompt_tokens) - kept).max(0.0);
+    let beyond = f64::from(work.running.saturating_sub(slot.entry.slots));
+    (unread / READ_TOKENS_PER_MS + FIRST_EVENT_MS) * slot.slowness + beyond * QUEUED_MS
+}
--- /dev/null
+++ b/coltsfoot-gateway/src/engine_desk.rs
@@ -0,0 +1,458 @@
+//! Orders to one engine by its owner: which adapters it holds, which are asked for, which make way.
+
+use std::collections;
+use std::time;
+
+use coltsfoot_types::time as clock;
+use rustc_hash::FxHashMap;
+use smallvec::SmallVec;
+
+use crate::{demand, upstream};
+
+/// Time that an adapter takes from the weight store while few are on their way.
+pub const COLD_LOAD: time::Duration = time::Duration::from_millis(250);
+/// Time that an adapter takes that the engine held recently.
+pub const WARM_LOAD: time::Duration = time::Duration::from_millis(25);
+/// Adapters that an engine can load as fast as [`WARM_LOAD`], held most recently.
+const WARM_ADAPTERS: usize = 48;
+/// Adapters that may be on their way to an engine at once.
+const MAX_LOADING: usize = 4;
+/// Age that a report may have when it arrives.
+const REPORT_LAG: time::Duration = time::Duration::from_millis(400);
+/// Time between reports of an engine.
+const REPORT_INTERVAL: time::Duration = time::Duration::from_millis(2000);
+/// Time that a question waits for a place before its asker is sent elsewhere.
+const MAX_QUESTION_WAIT: time::Duration = time::Duration::from_millis(300);
+/// Allowance between the expected end of a load and the first request.
+const LOAD_MARGIN: time::Duration = time::Duration::from_millis(8);
+
+/// An order.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum EngineOrder {
+    /// Load the base model.
+    LoadModel(std::sync::Arc<str>),
+    /// Load an adapter, or replace it by a newer version.
+    LoadAdapter {
+        /// The adapter.
+        name: demand::AdapterName,
+        /// The version; the newest where none was named.
+        version: Option<u64>,
+    },
+    /// Unload an adapter.
+    UnloadAdapter(demand::AdapterName),
+}
+
+/// An engine's answer to an order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OrderAnswer {
+    /// It is carried out.
+    Accepted,
+    /// It holds already.
+    Holds,
+    /// Another order is under way, or the number of orders differs from what was expected.
+    Conflict,
+    /// It was refused for another reason.
+    Refused,
+    /// No answer came; the order may be carried out later.
+    Unknown,
+}
+
+/// What to do next for an engine.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum DeskStep {
+    /// Give an order that names the number of orders before it.
+    Order {
+        /// The order.
+        order: EngineOrder,
+        /// Orders accepted before it.
+        expected_count: u64,
+    },
+    /// Fetch a report.
+    Report,
+    /// Wait until then, or for a question.
+    Wait(clock::MonotonicTime),
+}
+
+/// An adapter at the engine.
+#[derive(Clone, Debug)]
+struct PlacedAdapter {
+    name: demand::AdapterName,
+    version: u64,
+    ready_at: clock::MonotonicTime,
+    last_used: clock::MonotonicTime,
+}
+
+/// A question for an adapter, by one or more askers.
+#[derive(Clone, Debug)]
+struct OpenQuestion<A> {
+    name: demand::AdapterName,
+    version: Option<u64>,
+    asked: clock::MonotonicTime,
+    askers: SmallVec<[A; 2]>,
+}
+
+/// An answered question.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct DeskReply<A> {
+    /// Who asked.
+    pub asker: A,
+    /// Whether the adapter is ready; the engine has no place for it otherwise.
+    pub is_ready: bool,
+}
+
+/// The owner's desk for one engine.
+#[derive(Clone, Debug)]
+pub struct EngineDesk<A> {
+    capacity: usize,
+    model: std::sync::Arc<str>,
+    has_model: bool,
+    model_ready_at: Option<clock::MonotonicTime>,
+    order_count: Option<u64>,
+    placed: FxHashMap<demand::AdapterKey, PlacedAdapter>,
+    warm: collections::VecDeque<demand::AdapterKey>,
+    questions: collections::VecDeque<OpenQuestion<A>>,
+    unanswered: Option<EngineOrder>,
+    last_order: Option<EngineOrder>,
+    next_report: clock::MonotonicTime,
+    replies: Vec<DeskReply<A>>,
+    has_changed: bool,
+}
+
+impl<A: Clone + PartialEq> EngineDesk<A> {
+    /// Creates a desk that knows nothing of its engine yet.
+    pub fn new(model: std::sync::Arc<str>, capacity: usize) -> Self {
+        Self {
+            capacity,
+            model,
+            has_model: false,
+            model_ready_at: None,
+            order_count: None,
+            placed: FxHashMap::default(),
+            warm: collections::VecDeque::new(),
+            questions: collections::VecDeque::new(),
+            unanswered: None,
+            last_order: None,
+            next_report: clock::MonotonicTime::default(),
+            replies: Vec::new(),
+            has_changed: true,
+        }
+    }
+
+    /// Returns whether the engine holds its model.
+    pub fn has_model(&self, now: clock::MonotonicTime) -> bool {
+        self.has_model || self.model_ready_at.is_some_and(|ready| now >= ready)
+    }
+
+    /// Returns the adapters that are ready, with their versions.
+    pub fn ready(
+        &self,
+        now: clock::MonotonicTime,
+    ) -> impl Iterator<Item = (demand::AdapterKey, u64)> {
+        let ready = self.placed.iter().filter(move |(_, placed)| now >= placed.ready_at);
+        ready.map(|(key, placed)| (*key, placed.version))
+    }
+
+    /// Returns whether what others know of the engine is outdated, and resets the mark.
+    pub fn take_changed(&mut self) -> bool {
+        std::mem::take(&mut self.has_changed)
+    }
+
+    /// Takes a question for an adapter.
+    pub fn ask(
+        &mut self,
+        now: clock::MonotonicTime,
+        name: &demand::AdapterName,
+        version: Option<u64>,
+        asker: A,
+    ) {
+        let key = name.key();
+        if let Some(placed) = self.placed.get_mut(&key)
+            && placed.version >= version.unwrap_or(0)
+            && now >= placed.ready_at
+        {
+            placed.last_used = now;
+            self.replies.push(DeskReply { asker, is_ready: true });
+            return;
+        }
+        let known = self.questions.iter_mut().find(|question| question.name == *name);
+        match known {
+            Some(question) => {
+                question.version = question.version.max(version);
+                if !question.askers.contains(&asker) {
+                    question.askers.push(asker);
+                }
+            }
+            None => self.questions.push_back(OpenQuestion {
+                name: name.clone(),
+                version,
+                asked: now,
+                askers: SmallVec::from_iter([asker]),
+            }),
+        }
+    }
+
+    /// Notes that a request used an adapter.
+    pub fn touch(&mut self, now: clock::MonotonicTime, key: demand::AdapterKey) {
+        if let Some(placed) = self.placed.get_mut(&key) {
+            placed.last_used = now;
+        }
+    }
+
+    /// Returns the replies that are due.
+    pub fn take_replies(&mut self, now: clock::MonotonicTime) -> Vec<DeskReply<A>> {
+        let placed = &self.placed;
+        let replies = &mut self.replies;
+        let mut came_ready = false;
+        self.questions.retain(|question| {
+            let at = placed.get(&question.name.key());
+            let fitting = at.filter(|at| at.version >= question.version.unwrap_or(0));
+            let is_ready = fitting.is_some_and(|at| now >= at.ready_at);
+            let is_late = fitting.is_none() && now.since(question.asked) >= MAX_QUESTION_WAIT;
+            if is_ready || is_late {
+                let askers = question.askers.iter().cloned();
+                replies.extend(askers.map(|asker| DeskReply { asker, is_ready }));
+            }
+            came_ready |= is_ready;
+            !is_ready && !is_late
+        });
+        self.has_changed |= came_ready;
+        std::mem::take(&mut self.replies)
+    }
+
+    /// Returns what to do next. `in_use` tells whether requests run on an adapter at the engine;
+    /// `newest` the version that an adapter should have.
+    pub fn next_step(
+        &mut self,
+        now: clock::MonotonicTime,
+        may_order: bool,
+        in_use: impl Fn(demand::AdapterKey) -> bool,
+        newest: impl Fn(demand::AdapterKey) -> Option<u64>,
+    ) -> DeskStep {
+        let Some(expected_count) = self.order_count.filter(|_| now < self.next_report) else {
+            return match now >= self.next_report {
+                true => DeskStep::Report,
+                false => DeskStep::Wait(self.next_report),
+            };
+        };
+        if may_order && let Some(order) = self.next_order(now, in_use, newest) {
+            return DeskStep::Order { order, expected_count };
+        }
+        DeskStep::Wait(self.next_due(now))
+    }
+
+    fn next_due(&self, now: clock::MonotonicTime) -> clock::MonotonicTime {
+        let coming =
+            self.placed.values().map(|placed| placed.ready_at).filter(|ready| *ready > now);
+        let late = self.questions.front().map(|question| question.asked + MAX_QUESTION_WAIT);
+        let due = coming.chain(late).chain([self.next_report]).chain(self.model_ready_at);
+        due.filter(|due| *due > now).min().unwrap_or(self.next_report)
+    }
+
+    fn next_order(
+        &self,
+        now: clock::MonotonicTime,
+        in_use: impl Fn(demand::AdapterKey) -> bool,
+        newest: impl Fn(demand::AdapterKey) -> Option<u64>,
+    ) -> Option<EngineOrder> {
+        if let Some(order) = &self.unanswered {
+            return Some(order.clone());
+        }
+        if !self.has_model(now) {
+            let is_coming = self.model_ready_at.is_some();
+            return (!is_coming)
+                .then(|| EngineOrder::LoadModel(std::sync::Arc::clone(&self.model)));
+        }
+        let loading = self.placed.values().filter(|placed| placed.ready_at > now).count();
+        if loading >= MAX_LOADING {
+            return None;
+        }
+        self.order_for_question(&in_use).or_else(|| self.order_for_version(now, &newest))
+    }
+
+    fn order_for_question(
+        &self,
+        in_use: &impl Fn(demand::AdapterKey) -> bool,
+    ) -> Option<EngineOrder> {
+        for question in &self.questions {
+            let held = self.placed.get(&question.name.key());
+            if held.is_some_and(|held| held.version >= question.version.unwrap_or(0)) {
+                continue;
+            }
+            if held.is_some() || self.placed.len() < self.capacity {
+                let (name, version) = (question.name.clone(), question.version);
+                return Some(EngineOrder::LoadAdapter { name, version });
+            }
+            if let Some(victim) = self.victim(in_use) {
+                return Some(EngineOrder::UnloadAdapter(victim));
+            }
+        }
+        None
+    }
+
+    /// Returns the adapter that was not used for the longest time, of those without requests.
+    fn victim(&self, in_use: &impl Fn(demand::AdapterKey) -> bool) -> Option<demand::AdapterName> {
+        let idle = self.placed.iter().filter(|(key, placed)| {
+            let is_asked = self.questions.iter().any(|question| question.name == placed.name);
+            !is_asked && !in_use(**key)
+        });
+        idle.min_by_key(|(_, placed)| placed.last_used).map(|(_, placed)| placed.name.clone())
+    }
+
+    fn order_for_version(
+        &self,
+        now: clock::MonotonicTime,
+        newest: &impl Fn(demand::AdapterKey) -> Option<u64>,
+    ) -> Option<EngineOrder> {
+        self.placed.iter().find_map(|(key, placed)| {
+            let version = newest(*key).filter(|newest| *newest > placed.version)?;
+            (now >= placed.ready_at).then(|| {
+                let name = placed.name.clone();
+                EngineOrder::LoadAdapter { name, version: Some(version) }
+            })
+        })
+    }
+
+    /// Takes the answer to an order.
+    pub fn order_ended(
+        &mut self,
+        now: clock::MonotonicTime,
+        order: &EngineOrder,
+        answer: OrderAnswer,
+        newest: impl Fn(demand::AdapterKey) -> Option<u64>,
+    ) {
+        self.has_changed = true;
+        match answer {
+            OrderAnswer::Accepted | OrderAnswer::Holds => {
+                self.unanswered = None;
+                self.order_count = self.order_count.map(|count| count + 1);
+                if answer == OrderAnswer::Holds && !matches!(order, EngineOrder::UnloadAdapter(_)) {
+                    self.resync(now);
+                }
+                self.apply(now, order, newest);
+            }
+            OrderAnswer::Unknown => self.unanswered = Some(order.clone()),
+            OrderAnswer::Conflict | OrderAnswer::Refused => {
+                self.unanswered = None;
+                self.resync(now);
+            }
+        }
+        self.last_order = Some(order.clone());
+    }
+
+    /// Forgets the number of orders until a report that can't be older than now has come.
+    fn resync(&mut self, now: clock::MonotonicTime) {
+        self.order_count = None;
+        self.next_report = now + REPORT_LAG;
+    }
+
+    fn apply(
+        &mut self,
+        now: clock::MonotonicTime,
+        order: &EngineOrder,
+        newest: impl Fn(demand::AdapterKey) -> Option<u64>,
+    ) {
+        match order {
+            EngineOrder::LoadModel(_) => {
+                self.model_ready_at = Some(now + MODEL_LOAD);
+                self.next_report = self.next_report.min(now + MODEL_LOAD);
+            }
+            EngineOrder::LoadAdapter { name, version } => {
+                let key = name.key();
+                let is_warm = self.warm.contains(&key);
+                let duration = if is_warm { WARM_LOAD } else { COLD_LOAD };
+                let version = version.or_else(|| newest(key)).unwrap_or(1);
+                let ready_at = now + duration + LOAD_MARGIN;
+                let placed =
+                    PlacedAdapter { name: name.clone(), version, ready_at, last_used: now };
+                self.placed.insert(key, placed);
+                self.remember_warm(key);
+            }
+            EngineOrder::UnloadAdapter(name) => {
+                self.placed.remove(&name.key());
+            }
+        }
+    }
+
+    fn remember_warm(&mut self, key: demand::AdapterKey) {
+        self.warm.retain(|warm| *warm != key);
+        self.warm.push_back(key);
+        if self.warm.len() > WARM_ADAPTERS {
+            self.warm.pop_front();
+        }
+    }
+
+    /// Takes a report; `None` if none came.
+    pub fn report_ended(
+        &mut self,
+        now: clock::MonotonicTime,
+        report: Option<&upstream::EngineReport>,
+    ) {
+        let Some(report) = report else {
+            self.next_report = now + REPORT_LAG;
+            return;
+        };
+        self.next_report = now + REPORT_INTERVAL;
+        if self.order_count.is_some_and(|count| report.order_count < count) {
+            // The report is older than the last orders.
+            return;
+        }
+        let is_same = self.order_count == Some(report.order_count);
+        self.order_count = Some(report.order_count);
+        self.has_model = report.models.contains(&self.model);
+        if self.has_model || !report.is_busy {
+            self.model_ready_at = None;
+        }
+        if is_same {
+            self.defer_pending(now, report);
+        } else {
+            self.take_residents(now, report);
+        }
+    }
+
+    /// Delays adapters that are still on their way.
+    fn defer_pending(&mut self, now: clock::MonotonicTime, report: &upstream::EngineReport) {
+        for held in &report.adapters {
+            if let Some(placed) = self.placed.get_mut(&held.name.key())
+                && now >= placed.ready_at
+            {
+                placed.version = held.version.max(placed.version);
+            }
+        }
+    }
+
+    fn take_residents(&mut self, now: clock::MonotonicTime, report: &upstream::EngineReport) {
+        self.has_changed = true;
+        let before = std::mem::take(&mut self.placed);
+        let ready = report.adapters.iter().map(|held| (held, now));
+        let pending = report.pending.iter().map(|held| (held, now + COLD_LOAD));
+        for (held, ready_at) in pending.chain(ready) {
+            let key = held.name.key();
+            let last_used = before.get(&key).map_or(now, |placed| placed.last_used);
+            let name = held.name.clone();
+            let placed = PlacedAdapter { name, version: held.version, ready_at, last_used };
+            self.placed.insert(key, placed);
+            self.remember_warm(key);
+        }
+    }
+
+    /// Starts over after the engine has restarted.
+    pub fn engine_restarted(&mut self, now: clock::MonotonicTime) {
+        self.order_count = None;
+        self.unanswered = None;
+        self.has_model = false;
+        self.model_ready_at = None;
+        self.placed.clear();
+        self.next_report = now;
+        self.has_changed = true;
+    }
+
+    /// Notes that a request found an adapter missing that should have been there.
+    pub fn found_missing(&mut self, now: clock::MonotonicTime, key: demand::AdapterKey) {
+        if self.placed.get(&key).is_some_and(|placed| now > placed.ready_at + REPORT_LAG) {
+            self.resync(now);
+        }
+    }
+}
+
+/// Longest time that a base model takes to load while few loads run.
+const MODEL_LOAD: time::Duration = time::Duration::from_millis(1000);
--- /dev/null
+++ b/coltsfoot-gateway/src/fleet_view.rs
@@ -0,0 +1,466 @@
+//! What an instance knows of the upstreams and of the work of all instances there.
+
+use std::sync;
+use std::time;
+
+use coltsfoot_types::time as clock;
+use coltsfoot_wire::fleet;
+use rustc_hash::FxHashMap;
+
+use crate::{demand, rendezvous, upstream};
+
+/// Age above which the work told by an instance no longer counts.
+const BEAT_LIFETIME: time::Duration = time::Duration::from_millis(1500);
+/// Time without beats after which an instance is forgotten.
+pub const PEER_LIFETIME: time::Duration = time::Duration::from_secs(12);
+/// Time for which a failed connection keeps work away.
+const CONNECT_PENALTY: time::Duration = time::Duration::from_millis(1500);
+/// Weight of the newest outcome in the failure rate.
+const FAILURE_WEIGHT: f64 = 0.2;
+/// Time after which half of a failure rate is forgiven.
+const FAILURE_HALF_LIFE: time::Duration = time::Duration::from_secs(3);
+/// Weight of the newest sample in the slowness of an engine.
+const SLOWNESS_WEIGHT: f64 = 0.25;
+/// Time for which an engine with an older adapter version still gets requests, while its owner
+/// replaces it.
+const VERSION_GRACE: time::Duration = time::Duration::from_millis(2500);
+/// Prompt parts remembered for an engine.
+const MAX_KEPT_PARTS: usize = 512;
+
+/// Work under way at an upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct WorkLoad {
+    /// Requests sent and not ended.
+    pub running: u32,
+    /// Prompt tokens still to be read.
+    pub unread_tokens: u64,
+}
+
+/// What an engine is known to hold.
+#[derive(Clone, Debug, Default)]
+pub struct Residency {
+    /// Fencing number of the owner that told.
+    pub fence: u64,
+    /// The owner's incarnation; `None` if this instance, or if nobody told yet.
+    pub owner: Option<u64>,
+    /// Whether the owner gives orders.
+    pub takes_orders: bool,
+    /// Whether the base model is there.
+    pub has_model: bool,
+    /// When the owner told last.
+    pub heard: Option<clock::MonotonicTime>,
+    /// Adapters that are ready, with versions.
+    pub adapters: FxHashMap<demand::AdapterKey, u64>,
+}
+
+/// One upstream.
+#[derive(Clone, Debug)]
+pub struct UpstreamSlot {
+    /// Its entry.
+    pub entry: upstream::UpstreamEntry,
+    /// Its number in messages.
+    pub number: u32,
+    /// What it holds.
+    pub residency: Residency,
+    /// Work of this instance.
+    pub local: WorkLoad,
+    /// Time that it takes, as a multiple of what is expected.
+    pub slowness: f64,
+    remote: FxHashMap<u64, (WorkLoad, clock::MonotonicTime)>,
+    avoid_until: clock::MonotonicTime,
+    failure_rate: f64,
+    failure_updated: clock::MonotonicTime,
+    adapters_in_use: FxHashMap<demand::AdapterKey, u32>,
+    adapters_touched: FxHashMap<demand::AdapterKey, ()>,
+    remote_uses: FxHashMap<demand::AdapterKey, clock::MonotonicTime>,
+    kept_parts: FxHashMap<(u64, u64), clock::MonotonicTime>,
+}
+
+impl UpstreamSlot {
+    fn new(entry: upstream::UpstreamEntry) -> Self {
+        let mut residency = Residency { has_model: !entry.models.is_empty(), ..Default::default() };
+        residency.adapters =
+            entry.adapters.iter().map(|held| (held.name.key(), held.version)).collect();
+        Self {
+            number: upstream_number(&entry),
+            residency,
+            local: WorkLoad::default(),
+            slowness: 1.0,
+            remote: FxHashMap::default(),
+            avoid_until: clock::MonotonicTime::default(),
+            failure_rate: 0.0,
+            failure_updated: clock::MonotonicTime::default(),
+            adapters_in_use: FxHashMap::default(),
+            adapters_touched: FxHashMap::default(),
+            remote_uses: FxHashMap::default(),
+            kept_parts: FxHashMap::default(),
+            entry,
+        }
+    }
+
+    /// Returns the work of all instances.
+    pub fn work(&self, now: clock::MonotonicTime) -> WorkLoad {
+        let recent = self.remote.values().filter(|(_, heard)| now.since(*heard) < BEAT_LIFETIME);
+        recent.fold(self.local, |sum, (work, _)| WorkLoad {
+            running: sum.running + work.running,
+            unread_tokens: sum.unread_tokens + work.unread_tokens,
+        })
+    }
+
+    /// Returns the share of recent requests that failed.
+    pub fn failure_rate(&self, now: clock::MonotonicTime) -> f64 {
+        let age = now.since(self.failure_updated).as_secs_f64();
+        self.failure_rate * 0.5_f64.powf(age / FAILURE_HALF_LIFE.as_secs_f64())
+    }
+
+    /// Returns whether connections to it failed a moment ago.
+    pub fn is_avoided(&self, now: clock::MonotonicTime) -> bool {
+        now < self.avoid_until
+    }
+
+    /// Returns whether requests of this or another instance run on an adapter.
+    pub fn is_in_use(&self, now: clock::MonotonicTime, key: demand::AdapterKey) -> bool {
+        let remote = self.remote_uses.get(&key);
+        self.adapters_in_use.contains_key(&key)
+            || remote.is_some_and(|heard| now.since(*heard) < BEAT_LIFETIME)
+    }
+
+    /// Returns the tokens at the beginning of a prompt that the engine has probably kept.
+    pub fn kept_tokens(&self, demand: &demand::PromptDemand) -> u32 {
+        let weights = demand.weights_key();
+        let shared = demand.parts.len().saturating_sub(1);
+        let parts = demand.parts[..shared].iter();
+        let kept = parts.take_while(|part| self.kept_parts.contains_key(&(weights, part.id)));
+        kept.map(|part| part.tokens).sum()
+    }
+
+    fn keep_parts(&mut self, now: clock::MonotonicTime, demand: &demand::PromptDemand) {
+        let weights = demand.weights_key();
+        for part in &demand.parts {
+            self.kept_parts.insert((weights, part.id), now);
+        }
+        if self.kept_parts.len() > MAX_KEPT_PARTS {
+            let mut times: Vec<_> = self.kept_parts.values().copied().collect();
+            times.sort_unstable();
+            let oldest = times[times.len() / 2];
+            self.kept_parts.retain(|_, used| *used > oldest);
+        }
+    }
+}
+
+/// Returns the number of an incarnation in messages.
+fn upstream_number(entry: &upstream::UpstreamEntry) -> u32 {
+    rendezvous::hash_of(&(&*entry.id, entry.born_ms)) as u32
+}
+
+/// The newest version that was named for an adapter.
+#[derive(Clone, Debug)]
+pub struct NamedVersion {
+    /// The adapter.
+    pub name: demand::AdapterName,
+    /// The version.
+    pub version: u64,
+    /// When this instance learned of it.
+    pub learned: clock::MonotonicTime,
+}
+
+/// Another instance.
+#[derive(Clone, Debug)]
+pub struct PeerSlot {
+    /// Where it receives messages.
+    pub address: std::net::SocketAddr,
+    /// When it was heard last.
+    pub heard: clock::MonotonicTime,
+    /// Sequence number of its last beat.
+    pub sequence: u64,
+    /// Version of its configuration.
+    pub rules_version: u64,
+    /// Whether it is about to stop.
+    pub is_leaving: bool,
+    /// Demand of customers there, by number.
+    pub demands: FxHashMap<u32, f64>,
+}
+
+/// Upstreams, instances and adapter versions.
+#[derive(Clone, Debug, Default)]
+pub struct FleetView {
+    upstreams: FxHashMap<sync::Arc<str>, UpstreamSlot>,
+    peers: FxHashMap<u64, PeerSlot>,
+    versions: FxHashMap<demand::AdapterKey, NamedVersion>,
+}
+
+/// Returns the number of a customer in messages.
+pub fn customer_number(name: &str) -> u32 {
+    rendezvous::hash_of(&name) as u32
+}
+
+impl FleetView {
+    /// Takes an entry. Returns whether it is of an incarnation that was not known.
+    pub fn put_upstream(&mut self, entry: upstream::UpstreamEntry) -> bool {
+        match self.upstreams.get_mut(&entry.id) {
+            Some(slot) if slot.entry.is_same_incarnation(&entry) => {
+                slot.entry = entry;
+                false
+            }
+            _ => {
+                self.upstreams.insert(sync::Arc::clone(&entry.id), UpstreamSlot::new(entry));
+                true
+            }
+        }
+    }
+
+    /// Forgets an upstream.
+    pub fn remove_upstream(&mut self, id: &str) -> Option<upstream::UpstreamEntry> {
+        self.upstreams.remove(id).map(|slot| slot.entry)
+    }
+
+    /// Returns an upstream.
+    pub fn upstream(&self, id: &str) -> Option<&UpstreamSlot> {
+        self.upstreams.get(id)
+    }
+
+    /// Returns an upstream for changes.
+    pub fn upstream_mut(&mut self, id: &str) -> Option<&mut UpstreamSlot> {
+        self.upstreams.get_mut(id)
+    }
+
+    /// Returns all upstreams.
+    pub fn upstreams(&self) -> impl Iterator<Item = &UpstreamSlot> {
+        self.upstreams.values()
+    }
+
+    /// Returns the upstreams of a service that take work.
+    pub fn ready_upstreams<'a>(
+        &'a self,
+        service: &'a str,
+    ) -> impl Iterator<Item = &'a UpstreamSlot> {
+        self.upstreams.values().filter(move |slot| {
+            &*slot.entry.service == service && slot.entry.state == upstream::UpstreamState::Ready
+        })
+    }
+
+    /// Notes a named version. Returns whether it is news.
+    pub fn name_version(
+        &mut self,
+        now: clock::MonotonicTime,
+        name: demand::AdapterName,
+        version: u64,
+    ) -> bool {
+        let key = name.key();
+        if self.versions.get(&key).is_some_and(|known| known.version >= version) {
+            return false;
+        }
+        self.versions.insert(key, NamedVersion { name, version, learned: now });
+        true
+    }
+
+    /// Returns the newest named version of an adapter.
+    pub fn newest_version(&self, key: demand::AdapterKey) -> Option<u64> {
+        self.versions.get(&key).map(|named| named.version)
+    }
+
+    /// Returns whether an engine holds an adapter in a version that requests may run on.
+    pub fn holds(
+        &self,
+        now: clock::MonotonicTime,
+        slot: &UpstreamSlot,
+        key: demand::AdapterKey,
+    ) -> bool {
+        let Some(held) = slot.residency.adapters.get(&key) else { return false };
+        let Some(named) = self.versions.get(&key) else { return true };
+        *held >= named.version || now.since(named.learned) < VERSION_GRACE
+    }
+
+    /// Notes a request that is sent to an upstream; returns the tokens that it has to read.
+    pub fn request_sent(
+        &mut self,
+        now: clock::MonotonicTime,
+        id: &str,
+        demand: Option<&demand::PromptDemand>,
+    ) -> u64 {
+        let Some(slot) = self.upstreams.get_mut(id) else { return 0 };
+        slot.local.running += 1;
+        let Some(demand) = demand else { return 0 };
+        let unread = demand.prompt_tokens.saturating_sub(slot.kept_tokens(demand));
+        slot.local.unread_tokens += u64::from(unread);
+        slot.keep_parts(now, demand);
+        if let Some(adapter) = &demand.adapter {
+            let key = adapter.key();
+            *slot.adapters_in_use.entry(key).or_default() += 1;
+            slot.adapters_touched.insert(key, ());
+        }
+        u64::from(unread)
+    }
+
+    /// Notes that a request's prompt was read, or that the request ended before.
+    pub fn prompt_read(&mut self, id: &str, unread: u64) {
+        if let Some(slot) = self.upstreams.get_mut(id) {
+            slot.local.unread_tokens = slot.local.unread_tokens.saturating_sub(unread);
+        }
+    }
+
+    /// Notes the end of a request.
+    pub fn request_ended(&mut self, id: &str, adapter: Option<demand::AdapterKey>) {
+        let Some(slot) = self.upstreams.get_mut(id) else { return };
+        slot.local.running = slot.local.running.saturating_sub(1);
+        let Some(key) = adapter else { return };
+        if let Some(count) = slot.adapters_in_use.get_mut(&key) {
+            *count -= 1;
+            if *count == 0 {
+                slot.adapters_in_use.remove(&key);
+            }
+        }
+    }
+
+    /// Notes whether an upstream served a request.
+    pub fn request_judged(&mut self, now: clock::MonotonicTime, id: &str, has_failed: bool) {
+        let Some(slot) = self.upstreams.get_mut(id) else { return };
+        let newest = if has_failed { 1.0 } else { 0.0 };
+        let rate = slot.failure_rate(now);
+        slot.failure_rate = rate + (newest - rate) * FAILURE_WEIGHT;
+        slot.failure_updated = now;
+    }
+
+    /// Notes that no connection to an upstream could be made.
+    pub fn connect_failed(&mut self, now: clock::MonotonicTime, id: &str) {
+        if let Some(slot) = self.upstreams.get_mut(id) {
+            slot.avoid_until = now + CONNECT_PENALTY;
+        }
+        self.request_judged(now, id, true);
+    }
+
+    /// Notes how long a first event took, as a multiple of what was expected.
+    pub fn first_event_timed(&mut self, id: &str, ratio: f64) {
+        if let Some(slot) = self.upstreams.get_mut(id) {
+            let ratio = ratio.clamp(0.5, 10.0);
+            slot.slowness += (ratio - slot.slowness) * SLOWNESS_WEIGHT;
+        }
+    }
+
+    /// Notes that a request did not find an adapter at an engine.
+    pub fn adapter_missing(&mut self, id: &str, key: demand::AdapterKey) {
+        if let Some(slot) = self.upstreams.get_mut(id) {
+            slot.residency.adapters.remove(&key);
+        }
+    }
+
+    /// Takes the beat of another instance. Returns whether the instance was not known.
+    pub fn take_beat(&mut self, now: clock::MonotonicTime, beat: &fleet::FleetBeat) -> bool {
+        let is_new = !self.peers.contains_key(&beat.sender);
+        let peer = self.peers.entry(beat.sender).or_insert_with(|| PeerSlot {
+            address: beat.address,
+            heard: now,
+            sequence: 0,
+            rules_version: 0,
+            is_leaving: false,
+            demands: FxHashMap::default(),
+        });
+        if !is_new && beat.sequence <= peer.sequence {
+            return false;
+        }
+        peer.heard = now;
+        peer.sequence = beat.sequence;
+        peer.rules_version = beat.rules_version;
+        peer.is_leaving = beat.is_leaving;
+        let demands = beat.demands.iter();
+        peer.demands =
+            demands.map(|demand| (demand.customer, f64::from(demand.tokens_per_s))).collect();
+        self.take_work(now, beat);
+        is_new
+    }
+
+    fn take_work(&mut self, now: clock::MonotonicTime, beat: &fleet::FleetBeat) {
+        for slot in self.upstreams.values_mut() {
+            slot.remote.remove(&beat.sender);
+            if let Some(work) = beat.work.iter().find(|work| work.upstream == slot.number) {
+                let running = u32::from(work.running);
+                let load = WorkLoad { running, unread_tokens: u64::from(work.unread_tokens) };
+                slot.remote.insert(beat.sender, (load, now));
+            }
+            for used in beat.uses.iter().filter(|used| used.upstream == slot.number) {
+                slot.remote_uses.insert(demand::AdapterKey(used.adapter), now);
+            }
+            let number = slot.number;
+            let engines = beat.engines.iter().flatten();
+            for engine in engines.filter(|engine| engine.upstream == number) {
+                take_residency(now, slot, Some(beat.sender), engine);
+            }
+        }
+    }
+
+    /// Takes what this instance knows of an engine as its owner.
+    pub fn take_own_engine(&mut self, now: clock::MonotonicTime, engine: &fleet::OwnedEngine) {
+        let slot = self.upstreams.values_mut().find(|slot| slot.number == engine.upstream);
+        if let Some(slot) = slot {
+            take_residency(now, slot, None, engine);
+        }
+    }
+
+    /// Forgets instances that were not heard from for long, and old uses.
+    pub fn expire(&mut self, now: clock::MonotonicTime) {
+        self.peers.retain(|_, peer| now.since(peer.heard) < PEER_LIFETIME);
+        for slot in self.upstreams.values_mut() {
+            slot.remote_uses.retain(|_, heard| now.since(*heard) < BEAT_LIFETIME);
+        }
+    }
+
+    /// Returns the other instances.
+    pub fn peers(&self) -> impl Iterator<Item = (u64, &PeerSlot)> {
+        self.peers.iter().map(|(id, peer)| (*id, peer))
+    }
+
+    /// Returns another instance.
+    pub fn peer(&self, id: u64) -> Option<&PeerSlot> {
+        self.peers.get(&id)
+    }
+
+    /// Returns the work of this instance, for a beat.
+    pub fn local_work(&self) -> Vec<fleet::UpstreamWork> {
+        let busy = self.upstreams.values().filter(|slot| slot.local.running > 0);
+        busy.map(|slot| fleet::UpstreamWork {
+            upstream: slot.number,
+            running: u16::try_from(slot.local.running).unwrap_or(u16::MAX),
+            unread_tokens: u32::try_from(slot.local.unread_tokens).unwrap_or(u32::MAX),
+        })
+        .collect()
+    }
+
+    /// Returns the adapters that this instance uses or used since the last call.
+    pub fn take_uses(&mut self) -> Vec<fleet::AdapterUse> {
+        let mut uses = Vec::new();
+        for slot in self.upstreams.values_mut() {
+            let touched = std::mem::take(&mut slot.adapters_touched);
+            let keys = slot.adapters_in_use.keys().chain(touched.keys());
+            let mut keys: Vec<demand::AdapterKey> = keys.copied().collect();
+            keys.sort_unstable();
+            keys.dedup();
+            uses.extend(keys.into_iter().map(|key| fleet::AdapterUse {
+                upstream: slot.number,
+                adapter: key.0,
+                running: slot.adapters_in_use.get(&key).map_or(0, |count| *count as u16),
+            }));
+        }
+        uses
+    }
+}
+
+fn take_residency(
+    now: clock::MonotonicTime,
+    slot: &mut UpstreamSlot,
+    owner: Option<u64>,
+    engine: &fleet::OwnedEngine,
+) {
+    let known = &slot.residency;
+    if known.heard.is_some() && engine.fence < known.fence {
+        return;
+    }
+    let adapters = engine.adapters.iter();
+    slot.residency = Residency {
+        fence: engine.fence,
+        owner,
+        takes_orders: engine.takes_orders,
+        has_model: engine.has_model,
+        heard: Some(now),
+        adapters: adapters.map(|held| (demand::AdapterKey(held.adapter), held.version)).collect(),
+    };
+}
--- /dev/null
+++ b/coltsfoot-gateway/src/lib.rs
@@ -0,0 +1,16 @@
+//! Decisions of an instance that forwards whole HTTP requests: which route and customer, which
+//! upstream, whether to repeat, who orders adapters onto engines, and how much each customer may
+//! use. No sockets, threads or wall clocks; time is an argument.
+
+pub mod attempt_plan;
+pub mod demand;
+pub mod engine_choice;
+pub mod engine_desk;
+pub mod event_stream;
+pub mod fleet_view;
+pub mod order_lease;
+pub mod quota_share;
+pub mod rendezvous;
+pub mod route_table;
+pub mod rules;
+pub mod upstream;
--- /dev/null
+++ b/coltsfoot-http/src/pool.rs
@@ -0,0 +1,76 @@
+//! Kept connections to upstreams.
+
+use std::collections;
+use std::net;
+use std::sync;
+use std::time;
+
+use futures_lite::future;
+
+use crate::message;
+
+/// Kept connections per address.
+const MAX_IDLE_PER_ADDRESS: usize = 32;
+
+/// A connection that may serve another exchange.
+#[derive(Debug)]
+struct IdleConnection {
+    stream: message::MessageStream,
+    idle_since: time::Instant,
+    expires: time::Instant,
+}
+
+/// Kept connections by address; the one used last is taken first.
+#[derive(Debug, Default)]
+pub struct ConnectionPool {
+    idle: sync::Mutex<collections::HashMap<net::SocketAddr, Vec<IdleConnection>>>,
+}
+
+impl ConnectionPool {
+    /// Takes a kept connection that has been idle for no longer than `max_idle` and on which
+    /// nothing arrived meanwhile.
+    pub async fn take(
+        &self,
+        address: net::SocketAddr,
+        max_idle: time::Duration,
+    ) -> Option<message::MessageStream> {
+        loop {
+            let mut connection = self.pop(address)?;
+            let now = time::Instant::now();
+            let is_fresh = now < connection.expires
+                && now.duration_since(connection.idle_since) <= max_idle
+                && !connection.stream.has_buffered();
+            if is_fresh && future::poll_once(connection.stream.fill()).await.is_none() {
+                return Some(connection.stream);
+            }
+        }
+    }
+
+    fn pop(&self, address: net::SocketAddr) -> Option<IdleConnection> {
+        let mut idle = self.idle.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        idle.get_mut(&address)?.pop()
+    }
+
+    /// Keeps a connection for so long.
+    pub fn put(
+        &self,
+        address: net::SocketAddr,
+        stream: message::MessageStream,
+        lifetime: time::Duration,
+    ) {
+        let now = time::Instant::now();
+        let connection = IdleConnection { stream, idle_since: now, expires: now + lifetime };
+        let mut idle = self.idle.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        let connections = idle.entry(address).or_default();
+        connections.retain(|kept| now < kept.expires);
+        if connections.len() < MAX_IDLE_PER_ADDRESS {
+            connections.push(connection);
+        }
+    }
+
+    /// Closes all kept connections to an address.
+    pub fn forget(&self, address: net::SocketAddr) {
+        let mut idle = self.idle.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        idle.remove(&address);
+    }
+}
--- /dev/null
+++ b/coltsfoot-wire/src/fleet.rs
@@ -0,0 +1,148 @@
+//! Messages between instances that forward whole requests: what each has under way, what it has
+//! ordered onto engines, and what its customers ask for.
+
+use std::net;
+
+use serde::{Deserialize, Serialize};
+
+/// Work that the sender has under way at an upstream.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct UpstreamWork {
+    /// The upstream's number.
+    pub upstream: u32,
+    /// Requests sent and not ended.
+    pub running: u16,
+    /// Prompt tokens that are still to be read before the first events, as far as known.
+    pub unread_tokens: u32,
+}
+
+/// Use of an adapter at an engine by the sender.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct AdapterUse {
+    /// The engine's number.
+    pub upstream: u32,
+    /// The adapter's number.
+    pub adapter: u32,
+    /// Requests sent and not ended; zero if one ended since the last message.
+    pub running: u16,
+}
+
+/// An adapter that an engine holds.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct HeldAdapter {
+    /// The adapter's number.
+    pub adapter: u32,
+    /// Its version.
+    pub version: u64,
+}
+
+/// An engine whose orders the sender gives.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct OwnedEngine {
+    /// The engine's number.
+    pub upstream: u32,
+    /// Fencing number of the owner; the highest one is believed.
+    pub fence: u64,
+    /// Whether the engine holds its base model.
+    pub has_model: bool,
+    /// Whether the owner may give orders now.
+    pub takes_orders: bool,
+    /// Adapters that are ready to serve.
+    pub adapters: Vec<HeldAdapter>,
+}
+
+/// Demand of a customer at the sender.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CustomerDemand {
+    /// The customer's number.
+    pub customer: u32,
+    /// Tokens a second that its callers ask for.
+    pub tokens_per_s: u32,
+}
+
+/// Periodic news of an instance.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct FleetBeat {
+    /// Incarnation of the sender.
+    pub sender: u64,
+    /// Where the sender receives messages.
+    pub address: net::SocketAddr,
+    /// Grows with each beat of this incarnation.
+    pub sequence: u64,
+    /// Whether the sender is about to stop.
+    pub is_leaving: bool,
+    /// Version of the configuration that the sender uses; zero for none.
+    pub rules_version: u64,
+    /// Work under way.
+    pub work: Vec<UpstreamWork>,
+    /// Adapters in use.
+    pub uses: Vec<AdapterUse>,
+    /// Engines owned; `None` if nothing changed since the last beat that had them.
+    pub engines: Option<Vec<OwnedEngine>>,
+    /// Demand of the customers.
+    pub demands: Vec<CustomerDemand>,
+}
+
+/// Asks the owner of an engine to make an adapter ready there.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LoadAsk {
+    /// Number of the question, chosen by the sender.
+    pub ask: u64,
+    /// Where the answer is expected.
+    pub reply_to: net::SocketAddr,
+    /// The engine's number.
+    pub upstream: u32,
+    /// Base model.
+    pub model: String,
+    /// Adapter.
+    pub adapter: String,
+    /// Lowest version that will do.
+    pub version: u64,
+}
+
+/// How a question for an adapter ended.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum LoadVerdict {
+    /// The adapter is ready.
+    Ready,
+    /// The question is noted, and another answer follows.
+    Accepted,
+    /// All places are in use.
+    Full,
+    /// The receiver does not give the engine's orders now.
+    NotOwner,
+    /// The load failed.
+    Failed,
+}
+
+/// Answer to a question for an adapter.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LoadReply {
+    /// Number of the question.
+    pub ask: u64,
+    /// How it ended.
+    pub verdict: LoadVerdict,
+}
+
+/// A datagram between instances.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum FleetMessage {
+    /// Periodic news.
+    Beat(FleetBeat),
+    /// A question to an engine's owner.
+    Ask(LoadAsk),
+    /// The answer.
+    Reply(LoadReply),
+}
+
+impl FleetMessage {
+    /// Encodes the message as one datagram.
+    pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
+        postcard::to_stdvec(self)
+    }
+
+    /// Decodes a datagram.
+    pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        postcard::from_bytes(bytes)
+    }
+}
--- a/coltsfoot-wire/src/lib.rs
+++ b/coltsfoot-wire/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod codec;
 pub mod config;
 pub mod contact;
+pub mod fleet;
 pub mod member;
 pub mod once;
 pub mod peer;
--- a/coltsfootd/src/clock.rs
+++ b/coltsfootd/src/clock.rs
@@ -15,6 +15,7 @@
 #[derive(Clone, Debug)]
 enum ClockSource {
     System(time::Instant),
+    Boot,
     Paused(sync::Arc<atomic::AtomicU64>),
 }
 
@@ -24,6 +25,11 @@
         Self { source: ClockSource::System(time::Instant::now()) }
     }
 
+    /// Creates a clock that goes on while the machine is suspended.
+    pub fn since_boot() -> Self {
+        Self { source: ClockSource::Boot }
+    }
+
     /// Creates a clock that stands at zero until it is advanced.
     pub fn paused() -> Self {
         Self { source: ClockSource::Paused(sync::Arc::default()) }
@@ -35,6 +41,11 @@
             ClockSource::System(origin) => {
                 instant::MonotonicTime(origin.elapsed().as_micros() as u64)
             }
+            ClockSource::Boot => {
+                let elapsed = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+                let micros = elapsed.tv_sec as u64 * 1_000_000 + elapsed.tv_nsec as u64 / 1000;
+                instant::MonotonicTime(micros)
+            }
             ClockSource::Paused(micros) => {
                 instant::MonotonicTime(micros.load(atomic::Ordering::SeqCst))
             }
--- a/coltsfootd/src/cmd.rs
+++ b/coltsfootd/src/cmd.rs
@@ -3,15 +3,19 @@
 use std::path;
 use std::process;
 
-use coltsfootd::{daemon, logs, settings};
+use coltsfootd::{daemon, gateway, logs, settings};
+use site_platform::settings as site_settings;
 
 const HELP: &str = "\
 Serve callers as one entry instance.
 
 Usage: coltsfootd --settings FILE.json [--check-settings]
+       coltsfootd --platform [--check-settings]
 
 Options:
   --settings FILE     Settings of the instance; see docs/operators/settings.md
+  --platform          Forward whole requests on the users' platform, which writes the settings;
+                      see docs/operators/platform.md
   --check-settings    Check the settings and exit
   --help              Print this help
   --version           Print the version
@@ -40,16 +44,22 @@
     /// The settings can't be used.
     #[error(transparent)]
     Settings(#[from] settings::SettingsError),
+    /// The platform's settings can't be used.
+    #[error(transparent)]
+    Site(#[from] site_settings::SettingsError),
     /// The daemon could not serve.
     #[error(transparent)]
     Daemon(#[from] daemon::DaemonError),
+    /// The gateway could not serve.
+    #[error(transparent)]
+    Gateway(#[from] gateway::GatewayError),
 }
 
 impl CommandError {
     /// Returns the exit code.
     pub fn exit_code(&self) -> u8 {
         match self {
-            Self::Daemon(_) => FAILURE_EXIT,
+            Self::Daemon(_) | Self::Gateway(_) => FAILURE_EXIT,
             _ => USAGE_EXIT,
         }
     }
@@ -57,12 +67,16 @@
 
 struct CommandLine {
     settings: Option<path::PathBuf>,
+    is_on_platform: bool,
     check_only: bool,
 }
 
 /// Parses the command line and runs the daemon until it is told to stop.
 pub fn run() -> Result<process::ExitCode, CommandError> {
     let Some(line) = parse()? else { return Ok(process::ExitCode::SUCCESS) };
+    if line.is_on_platform {
+        return run_on_platform(line.check_only);
+    }
     let path = line.settings.ok_or(CommandError::NoSettings)?;
     let settings = settings::DaemonSettings::read(&path)?;
     if line.check_only {
@@ -74,12 +88,24 @@
     Ok(process::ExitCode::SUCCESS)
 }
 
+fn run_on_platform(check_only: bool) -> Result<process::ExitCode, CommandError> {
+    let settings = site_settings::SiteSettings::read()?;
+    if check_only {
+        println!("{}: the settings are sound", settings.instance);
+        return Ok(process::ExitCode::SUCCESS);
+    }
+    logs::start_bounded(settings::LogLevel::Info);
+    gateway::run_until_signal(settings)?;
+    Ok(process::ExitCode::SUCCESS)
+}
+
 fn parse() -> Result<Option<CommandLine>, lexopt::Error> {
-    let mut line = CommandLine { settings: None, check_only: false };
+    let mut line = CommandLine { settings: None, is_on_platform: false, check_only: false };
     let mut parser = lexopt::Parser::from_env();
     while let Some(argument) = parser.next()? {
         match argument {
             lexopt::Arg::Long("settings") => line.settings = Some(parser.value()?.into()),
+            lexopt::Arg::Long("platform") => line.is_on_platform = true,
             lexopt::Arg::Long("check-settings") => line.check_only = true,
             lexopt::Arg::Long("help") => {
                 print!("{HELP}");
--- a/coltsfootd/src/event.rs
+++ b/coltsfootd/src/event.rs
@@ -35,6 +35,8 @@
     STOPPED = 102, "stopped", Info;
     /// The planned stop took longer than allowed.
     DRAIN_TIMED_OUT = 103, "drain_timed_out", Warn;
+    /// The settings were read again.
+    RELOADED = 104, "reloaded", Info;
     /// A change set was accepted.
     CHANGE_ACCEPTED = 200, "change_accepted", Info;
     /// A change set was rejected.
@@ -43,30 +45,56 @@
     LOG_UNREACHABLE = 202, "log_unreachable", Warn;
     /// The log can be read again.
     LOG_REACHABLE = 203, "log_reachable", Info;
+    /// Records were dropped before this instance read them.
+    HISTORY_TRIMMED = 205, "history_trimmed", Info;
     /// The instance has restored the configuration.
     RESTORED = 204, "restored", Info;
     /// The instance list can't be read.
     LIST_UNREACHABLE = 210, "list_unreachable", Warn;
     /// The instance list can be read again.
     LIST_REACHABLE = 211, "list_reachable", Info;
+    /// A new version of an adapter was named.
+    VERSION_NAMED = 206, "version_named", Info;
+    /// An upstream's entry is new or changed its state.
+    UPSTREAM_CHANGED = 212, "upstream_changed", Info;
+    /// An upstream's entry is gone.
+    UPSTREAM_GONE = 213, "upstream_gone", Info;
+    /// An entry can't be understood.
+    ENTRY_REJECTED = 214, "entry_rejected", Warn;
     /// An instance joined or left the zone's view.
     VIEW_CHANGED = 300, "view_changed", Info;
     /// A peer can't be reached.
     PEER_UNREACHABLE = 301, "peer_unreachable", Warn;
     /// A peer's message was refused.
     PEER_MESSAGE_REFUSED = 302, "peer_message_refused", Warn;
+    /// Another instance was found.
+    PEER_FOUND = 303, "peer_found", Info;
+    /// The engines that this instance gives orders to changed.
+    LEASE_CHANGED = 310, "lease_changed", Info;
+    /// The lease could not be renewed.
+    LEASE_AT_RISK = 311, "lease_at_risk", Warn;
+    /// The instance noticed that it stood still.
+    STOOD_STILL = 312, "stood_still", Warn;
     /// An adapter could not be loaded.
     LOAD_FAILED = 400, "load_failed", Warn;
     /// An engine refused an order with an old fencing number.
     ORDER_FENCED = 401, "order_fenced", Warn;
     /// An engine restarted.
     ENGINE_RESTARTED = 402, "engine_restarted", Warn;
+    /// An order was given to an engine.
+    ORDER_GIVEN = 403, "order_given", Info;
+    /// An engine's report could not be fetched.
+    REPORT_FAILED = 404, "report_failed", Warn;
     /// An upstream answered for another adapter, version or request.
     WRONG_ANSWER = 500, "wrong_answer", Error;
     /// An attempt at an upstream failed.
     ATTEMPT_FAILED = 501, "attempt_failed", Warn;
     /// A request was quarantined.
     REQUEST_QUARANTINED = 502, "request_quarantined", Warn;
+    /// A request ended, with its outcome.
+    REQUEST_ENDED = 503, "request_ended", Info;
+    /// An attempt at an upstream ended without an answer for the caller.
+    ATTEMPT_ENDED = 504, "attempt_ended", Info;
 }
 
 /// Writes an event to the log.
--- /dev/null
+++ b/coltsfootd/src/gateway/attempt.rs
@@ -0,0 +1,123 @@
+//! One attempt at an upstream, up to the head of its answer.
+
+use std::net;
+use std::sync::atomic;
+use std::time;
+
+use coltsfoot_http::{body, client, header, message, pool, socket};
+use futures_lite::AsyncWriteExt as _;
+use site_platform::fields;
+
+/// Time to make a connection.
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+/// Time that a kept connection may have been idle to carry a request that must not be repeated: an
+/// upstream that closes it at the same moment leaves open whether the request ran.
+const MAX_IDLE_ONCE: time::Duration = time::Duration::from_millis(1500);
+/// Time that a kept connection may have been idle to carry other requests.
+const MAX_IDLE: time::Duration = time::Duration::from_millis(3500);
+/// Time for which a connection is kept where the upstream does not say.
+const DEFAULT_KEEP: time::Duration = time::Duration::from_millis(3500);
+/// Time before the upstream's own limit at which a connection is closed.
+const KEEP_MARGIN: time::Duration = time::Duration::from_millis(800);
+/// Answers to earlier requests that are skipped on a connection.
+const MAX_STRAY_ANSWERS: usize = 3;
+/// Longest stray answer, in bytes.
+const MAX_STRAY_BYTES: usize = 1024 * 1024;
+
+/// The answer to an attempt, whose body is still to be read.
+pub(crate) struct OpenAnswer {
+    pub head: header::ResponseHead,
+    pub fields: fields::UpstreamFields,
+    pub framing: body::BodyFraming,
+    pub stream: message::MessageStream,
+    address: net::SocketAddr,
+    is_sent: bool,
+    has_strays: bool,
+}
+
+impl OpenAnswer {
+    /// Keeps the connection for further requests, if it is in order.
+    pub fn release(self, pool: &pool::ConnectionPool) {
+        let is_sound = self.framing == body::BodyFraming::Done
+            && self.is_sent
+            && !self.has_strays
+            && self.head.keeps_connection()
+            && !self.stream.has_buffered();
+        if is_sound {
+            let told = self.fields.keep_alive.map(|keep| keep.saturating_sub(KEEP_MARGIN));
+            pool.put(self.address, self.stream, told.unwrap_or(DEFAULT_KEEP));
+        }
+    }
+}
+
+/// Why there is no answer.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum AttemptError {
+    /// No byte was sent.
+    #[error("no connection: {0}")]
+    NotSent(std::io::Error),
+    /// The request may have run.
+    #[error("no answer: {0}")]
+    Broken(#[from] message::ReadError),
+    /// The answer is not an answer to the request.
+    #[error("the answer belongs to no request")]
+    Foreign,
+}
+
+/// A request for an upstream.
+pub(crate) struct AttemptRequest<'a> {
+    pub address: net::SocketAddr,
+    pub request_id: &'a str,
+    pub head: &'a header::RequestHead,
+    pub body: &'a [u8],
+    pub may_repeat: bool,
+}
+
+/// Sends a request and reads the head of the answer.
+pub(crate) async fn send(
+    pool: &pool::ConnectionPool,
+    request: &AttemptRequest<'_>,
+) -> Result<OpenAnswer, AttemptError> {
+    let max_idle = if request.may_repeat { MAX_IDLE } else { MAX_IDLE_ONCE };
+    let mut stream = match pool.take(request.address, max_idle).await {
+        Some(stream) => stream,
+        None => {
+            let connected = socket::connect(request.address, CONNECT_TIMEOUT).await;
+            message::MessageStream::new(connected.map_err(AttemptError::NotSent)?)
+        }
+    };
+    let mut bytes = request.head.encode();
+    bytes.extend_from_slice(request.body);
+    let is_sent = atomic::AtomicBool::new(false);
+    let mut writer = stream.writer();
+    let write = async {
+        let written = writer.write_all(&bytes).await;
+        is_sent.store(written.is_ok(), atomic::Ordering::Relaxed);
+        // The answer, or the end of the connection, tells what follows.
+        std::future::pending().await
+    };
+    let read = read_answer(&mut stream, request);
+    let (head, fields, framing, has_strays) = futures_lite::future::or(read, write).await?;
+    let (address, is_sent) = (request.address, is_sent.load(atomic::Ordering::Relaxed));
+    Ok(OpenAnswer { head, fields, framing, stream, address, is_sent, has_strays })
+}
+
+type AnswerHead = (header::ResponseHead, fields::UpstreamFields, body::BodyFraming, bool);
+
+/// Reads the head of the answer to the request; skips answers to earlier ones.
+async fn read_answer(
+    stream: &mut message::MessageStream,
+    request: &AttemptRequest<'_>,
+) -> Result<AnswerHead, AttemptError> {
+    for strays in 0..=MAX_STRAY_ANSWERS {
+        let head = stream.read_response(client::MAX_HEAD_BYTES).await?;
+        let framing = body::BodyFraming::of_response(&head, &request.head.method)
+            .map_err(message::ReadError::Framing)?;
+        let fields = fields::decode_upstream(&head);
+        if fields.request_id.as_deref().is_none_or(|id| id == request.request_id) {
+            return Ok((head, fields, framing, strays > 0));
+        }
+        stream.read_body(framing, MAX_STRAY_BYTES).await?;
+    }
+    Err(AttemptError::Foreign)
+}
--- /dev/null
+++ b/coltsfootd/src/gateway/callers.rs
@@ -0,0 +1,205 @@
+//! Connections of callers and of the balancer.
+
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use async_net::{TcpListener, TcpStream};
+use coltsfoot_gateway::rules;
+use coltsfoot_http::{body, header, message, socket};
+use futures_lite::AsyncWriteExt as _;
+use site_platform::fields;
+
+use crate::gateway::{exchange, state};
+
+/// Limits before a configuration is known.
+const DEFAULT_LIMITS: rules::CallerLimits = rules::CallerLimits {
+    max_head_bytes: 16 * 1024,
+    max_body_bytes: 4 * 1024 * 1024,
+    head_timeout: time::Duration::from_secs(3),
+    idle_timeout: time::Duration::from_secs(15),
+};
+/// Time for a body, from the end of its head.
+const BODY_TIMEOUT: time::Duration = time::Duration::from_secs(10);
+/// Time in which a caller reads the last answer before its connection is closed.
+const LINGER: time::Duration = time::Duration::from_millis(300);
+/// Pause after a connection could not be accepted, mostly for want of descriptors.
+const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(20);
+/// Interval at which idle connections look for a planned stop.
+const STOP_CHECK: time::Duration = time::Duration::from_millis(250);
+
+/// Accepts callers for as long as the process runs.
+pub(crate) async fn accept(state: sync::Arc<state::GatewayState>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let task = serve_caller(sync::Arc::clone(&state), stream);
+                state.executor.spawn(task).detach();
+            }
+            Err(error) => {
+                log::warn!("a caller was not accepted: {error}");
+                async_io::Timer::after(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn limits(state: &state::GatewayState) -> rules::CallerLimits {
+    let routes = state.routes.load();
+    routes.as_ref().map_or(DEFAULT_LIMITS, |routes| routes.rules().limits)
+}
+
+async fn serve_caller(state: sync::Arc<state::GatewayState>, stream: TcpStream) {
+    if let Err(error) = socket::watch_peer(&stream) {
+        log::debug!("a caller's connection has no keep-alive: {error}");
+    }
+    let mut caller = message::MessageStream::new(stream);
+    loop {
+        if !wait_request(&state, &mut caller).await {
+            return;
+        }
+        let limits = limits(&state);
+        let request = match read_request(&mut caller, &limits).await {
+            Ok(request) => request,
+            Err(status) => {
+                reject(&mut caller, status).await;
+                return;
+            }
+        };
+        state.active_requests.fetch_add(1, atomic::Ordering::Relaxed);
+        let is_kept = serve_request(&state, &mut caller, request).await;
+        state.active_requests.fetch_sub(1, atomic::Ordering::Relaxed);
+        if !is_kept {
+            return;
+        }
+    }
+}
+
+/// Waits for the first byte of a request; returns false if the connection is to be closed.
+async fn wait_request(state: &state::GatewayState, caller: &mut message::MessageStream) -> bool {
+    let begun = state.now();
+    loop {
+        if state.now().since(begun) >= limits(state).idle_timeout {
+            return false;
+        }
+        match message::within(STOP_CHECK, caller.wait_message()).await {
+            Some(Ok(true)) => return true,
+            Some(Ok(false) | Err(_)) => return false,
+            None if state.is_stopping() => return false,
+            None => {}
+        }
+    }
+}
+
+/// A request as it was received.
+pub(crate) struct ReceivedRequest {
+    pub head: header::RequestHead,
+    pub body: Vec<u8>,
+}
+
+/// Reads a request, or returns the status with which it is rejected.
+async fn read_request(
+    caller: &mut message::MessageStream,
+    limits: &rules::CallerLimits,
+) -> Result<ReceivedRequest, u16> {
+    let read = caller.read_request(limits.max_head_bytes);
+    let head = match message::within(limits.head_timeout, read).await {
+        None => return Err(408),
+        Some(Err(error)) => return Err(rejection(&error)),
+        Some(Ok(head)) => head,
+    };
+    if head.minor == 0 {
+        return Err(505);
+    }
+    let framing = body::BodyFraming::of_request(&head.headers).map_err(|_| 400_u16)?;
+    if head.headers.lists("expect", "100-continue") && framing != body::BodyFraming::Done {
+        let interim = header::ResponseHead::new(100).encode();
+        caller.write(&interim).await.map_err(|_| 400_u16)?;
+    }
+    let read = caller.read_body(framing, limits.max_body_bytes);
+    match message::within(BODY_TIMEOUT, read).await {
+        None => Err(408),
+        Some(Err(error)) => Err(rejection(&error)),
+        Some(Ok(body)) => Ok(ReceivedRequest { head, body }),
+    }
+}
+
+fn rejection(error: &message::ReadError) -> u16 {
+    match error {
+        message::ReadError::HeadTooLong(_) => 431,
+        message::ReadError::BodyTooLong(_) => 413,
+        _ => 400,
+    }
+}
+
+async fn reject(caller: &mut message::MessageStream, status: u16) {
+    let mut head = fields::own_answer(status, None, None);
+    head.headers.push("Content-Length", "0");
+    head.headers.push("Connection", "close");
+    if caller.write(&head.encode()).await.is_ok() {
+        linger(caller).await;
+    }
+}
+
+/// Lets the caller read the last answer: closing with unread bytes would reset the connection.
+async fn linger(caller: &mut message::MessageStream) {
+    let mut writer = caller.writer();
+    if writer.close().await.is_ok() {
+        message::within(LINGER, caller.wait_closed()).await;
+    }
+}
+
+/// Serves one request; returns whether the connection stays open.
+async fn serve_request(
+    state: &sync::Arc<state::GatewayState>,
+    caller: &mut message::MessageStream,
+    request: ReceivedRequest,
+) -> bool {
+    let mut writer = caller.writer();
+    let exchange = exchange::CallerExchange::new(state, request);
+    let serve = async { Some(exchange.serve(&mut writer).await) };
+    let leave = async {
+        caller.wait_closed().await;
+        None
+    };
+    match futures_lite::future::or(serve, leave).await {
+        Some(exchange::ConnectionUse::Keep) => true,
+        Some(exchange::ConnectionUse::Close) => {
+            linger(caller).await;
+            false
+        }
+        Some(exchange::ConnectionUse::Abort) | None => false,
+    }
+}
+
+/// Answers the balancer's checks for as long as the process runs.
+pub(crate) async fn answer_readiness(state: sync::Arc<state::GatewayState>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let task = answer_checks(sync::Arc::clone(&state), stream);
+                state.executor.spawn(task).detach();
+            }
+            Err(error) => {
+                log::warn!("a readiness check was not accepted: {error}");
+                async_io::Timer::after(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn answer_checks(state: sync::Arc<state::GatewayState>, stream: TcpStream) {
+    let mut checker = message::MessageStream::new(stream);
+    loop {
+        let limits = limits(&state);
+        let read = checker.read_request(limits.max_head_bytes);
+        let Some(Ok(head)) = message::within(limits.idle_timeout, read).await else { return };
+        let is_ready = !state.is_stopping() && state.routes.load().is_some();
+        let mut answer = header::ResponseHead::new(if is_ready { 200 } else { 503 });
+        answer.headers.push("Content-Length", "0");
+        let is_written = checker.write(&answer.encode()).await.is_ok();
+        if !is_written || head.wants_close() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/coltsfootd/src/gateway/engines.rs
@@ -0,0 +1,297 @@
+//! Carries out the desk's steps for the engines that this instance owns.
+
+use std::net;
+use std::sync;
+use std::time;
+
+use coltsfoot_gateway::{demand, engine_desk};
+use coltsfoot_http::client;
+use coltsfoot_types::time as instant;
+use coltsfoot_wire::fleet as wire;
+use rustc_hash::FxHashMap;
+use site_platform::engine;
+
+use crate::event;
+use crate::gateway::{fleet, state};
+
+/// Time for the answer to an order.
+const ORDER_TIMEOUT: time::Duration = time::Duration::from_millis(300);
+/// Time for a report.
+const REPORT_TIMEOUT: time::Duration = time::Duration::from_millis(600);
+/// Pause after an order that failed.
+const ORDER_PAUSE: time::Duration = time::Duration::from_millis(100);
+/// Longest report, in bytes.
+const MAX_REPORT_BYTES: usize = 1024 * 1024;
+
+/// Who asked for an adapter.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum LoadAsker {
+    /// A request of this instance.
+    Local(u64),
+    /// Another instance.
+    Peer(net::SocketAddr, u64),
+}
+
+/// A desk and the event that wakes its task.
+struct DeskSlot {
+    number: u32,
+    partition: u32,
+    desk: engine_desk::EngineDesk<LoadAsker>,
+    wake: sync::Arc<event_listener::Event>,
+}
+
+/// The desks of the engines that this instance owns, by engine id.
+#[derive(Default)]
+pub(crate) struct DeskTable {
+    slots: sync::Mutex<FxHashMap<sync::Arc<str>, DeskSlot>>,
+}
+
+impl DeskTable {
+    /// Wakes all tasks.
+    pub fn wake_all(&self) {
+        for slot in state::lock(&self.slots).values() {
+            slot.wake.notify(usize::MAX);
+        }
+    }
+
+    /// Takes a question for an adapter; returns false if this instance does not own the engine.
+    pub fn ask(
+        &self,
+        now: instant::MonotonicTime,
+        number: u32,
+        name: &demand::AdapterName,
+        version: Option<u64>,
+        asker: LoadAsker,
+    ) -> bool {
+        let mut slots = state::lock(&self.slots);
+        let Some(slot) = slots.values_mut().find(|slot| slot.number == number) else {
+            return false;
+        };
+        slot.desk.ask(now, name, version, asker);
+        slot.wake.notify(usize::MAX);
+        true
+    }
+
+    /// Notes uses of adapters.
+    pub fn touch(&self, now: instant::MonotonicTime, uses: &[wire::AdapterUse]) {
+        let mut slots = state::lock(&self.slots);
+        for used in uses {
+            if let Some(slot) = slots.values_mut().find(|slot| slot.number == used.upstream) {
+                slot.desk.touch(now, demand::AdapterKey(used.adapter));
+            }
+        }
+    }
+
+    /// Notes that a request did not find an adapter.
+    pub fn found_missing(&self, now: instant::MonotonicTime, id: &str, key: demand::AdapterKey) {
+        if let Some(slot) = state::lock(&self.slots).get_mut(id) {
+            slot.desk.found_missing(now, key);
+        }
+    }
+
+    /// Returns what the other instances should know of the engines owned.
+    pub fn owned(&self, state: &state::GatewayState) -> Vec<wire::OwnedEngine> {
+        let now = state.now();
+        let lease = state.lease();
+        let slots = state::lock(&self.slots);
+        let known = slots.values().filter_map(|slot| {
+            let fence = lease.fence(slot.partition)?;
+            Some(wire::OwnedEngine {
+                upstream: slot.number,
+                fence,
+                has_model: slot.desk.has_model(now),
+                takes_orders: lease.order_fence(now, slot.partition).is_some(),
+                adapters: slot
+                    .desk
+                    .ready(now)
+                    .map(|(key, version)| wire::HeldAdapter { adapter: key.0, version })
+                    .collect(),
+            })
+        });
+        known.collect()
+    }
+}
+
+/// Starts a task for each engine that came to this instance.
+pub(crate) fn start_owned(state: &sync::Arc<state::GatewayState>) {
+    let Some(routes) = state.routes.load_full() else { return };
+    let held: Vec<u32> = state.lease().partitions().collect();
+    let view = state.view();
+    let mut slots = state::lock(&state.desks.slots);
+    for upstream in view.upstreams() {
+        let id = &upstream.entry.id;
+        let partition = state.partition_of(id);
+        if !held.contains(&partition) || slots.contains_key(id) {
+            continue;
+        }
+        let Some(service) = routes.service(&upstream.entry.service) else { continue };
+        let Some(rule) = &service.engine else { continue };
+        let Some(model) = rule.models.first() else { continue };
+        let model = sync::Arc::clone(&model.name);
+        let desk = engine_desk::EngineDesk::new(model, rule.adapter_capacity());
+        let wake = sync::Arc::new(event_listener::Event::new());
+        let number = upstream.number;
+        let slot = DeskSlot { number, partition, desk, wake: sync::Arc::clone(&wake) };
+        slots.insert(sync::Arc::clone(id), slot);
+        let task = tend(sync::Arc::clone(state), sync::Arc::clone(id), number, partition, wake);
+        state.executor.spawn(task).detach();
+    }
+}
+
+/// Tends one engine until it is gone or belongs to another instance.
+async fn tend(
+    state: sync::Arc<state::GatewayState>,
+    id: sync::Arc<str>,
+    number: u32,
+    partition: u32,
+    wake: sync::Arc<event_listener::Event>,
+) {
+    loop {
+        let listener = wake.listen();
+        let Some(address) = owned_address(&state, &id, number, partition) else {
+            state::lock(&state.desks.slots).remove(&id);
+            return;
+        };
+        let step = next_step(&state, &id, partition);
+        settle(&state, &id);
+        match step {
+            None => return,
+            Some(engine_desk::DeskStep::Order { order, expected_count }) => {
+                give_order(&state, &id, address, partition, order, expected_count).await;
+            }
+            Some(engine_desk::DeskStep::Report) => fetch_report(&state, &id, address).await,
+            Some(engine_desk::DeskStep::Wait(due)) => {
+                let wait = due.since(state.now());
+                let sleep = async {
+                    async_io::Timer::after(wait).await;
+                };
+                futures_lite::future::or(sleep, listener).await;
+            }
+        }
+        settle(&state, &id);
+    }
+}
+
+fn owned_address(
+    state: &state::GatewayState,
+    id: &str,
+    number: u32,
+    partition: u32,
+) -> Option<net::SocketAddr> {
+    state.lease().fence(partition)?;
+    let view = state.view();
+    let slot = view.upstream(id).filter(|slot| slot.number == number)?;
+    Some(slot.entry.address)
+}
+
+fn next_step(
+    state: &state::GatewayState,
+    id: &str,
+    partition: u32,
+) -> Option<engine_desk::DeskStep> {
+    let now = state.now();
+    let may_order = state.lease().order_fence(now, partition).is_some();
+    let view = state.view();
+    let upstream = view.upstream(id)?;
+    let mut slots = state::lock(&state.desks.slots);
+    let desk = &mut slots.get_mut(id)?.desk;
+    let in_use = |key| upstream.is_in_use(now, key);
+    Some(desk.next_step(now, may_order, in_use, |key| view.newest_version(key)))
+}
+
+/// Answers the questions that are settled and tells the others what changed.
+fn settle(state: &sync::Arc<state::GatewayState>, id: &str) {
+    let now = state.now();
+    let (replies, has_changed) = {
+        let mut slots = state::lock(&state.desks.slots);
+        let Some(slot) = slots.get_mut(id) else { return };
+        (slot.desk.take_replies(now), slot.desk.take_changed())
+    };
+    if has_changed {
+        fleet::publish_engines(state);
+    }
+    for reply in replies {
+        let verdict =
+            if reply.is_ready { wire::LoadVerdict::Ready } else { wire::LoadVerdict::Full };
+        match reply.asker {
+            LoadAsker::Local(ask) => state.loads.settle(ask, verdict),
+            LoadAsker::Peer(address, ask) => fleet::reply(state, address, ask, verdict),
+        }
+    }
+}
+
+async fn give_order(
+    state: &sync::Arc<state::GatewayState>,
+    id: &sync::Arc<str>,
+    address: net::SocketAddr,
+    partition: u32,
+    order: engine_desk::EngineOrder,
+    expected_count: u64,
+) {
+    let Some(fence) = state.lease().order_fence(state.now(), partition) else { return };
+    let holder = &state.settings.instance;
+    let authority = engine::OrderAuthority { holder, fence, engine: id };
+    let encoded = engine::encode_order(&order, expected_count, authority);
+    let Ok((head, body)) = encoded else { return };
+    let sent = client::call(&state.pool, address, &head, &body, MAX_REPORT_BYTES, ORDER_TIMEOUT);
+    let answer = match sent.await {
+        Ok(answer) => engine::decode_order_answer(answer.head.status),
+        Err(client::CallError::Connect { .. }) => engine_desk::OrderAnswer::Refused,
+        Err(_) => engine_desk::OrderAnswer::Unknown,
+    };
+    log::info!(
+        event = event::ORDER_GIVEN.number, upstream = id.to_string(), fence = fence,
+        expected = expected_count; "order_given: {order:?} {answer:?}"
+    );
+    let now = state.now();
+    {
+        let view = state.view();
+        let mut slots = state::lock(&state.desks.slots);
+        if let Some(slot) = slots.get_mut(id) {
+            slot.desk.order_ended(now, &order, answer, |key| view.newest_version(key));
+        }
+    }
+    if !matches!(answer, engine_desk::OrderAnswer::Accepted | engine_desk::OrderAnswer::Holds) {
+        async_io::Timer::after(ORDER_PAUSE).await;
+    }
+}
+
+async fn fetch_report(
+    state: &sync::Arc<state::GatewayState>,
+    id: &sync::Arc<str>,
+    address: net::SocketAddr,
+) {
+    let head = engine::report_call(id);
+    let called = client::call(&state.pool, address, &head, &[], MAX_REPORT_BYTES, REPORT_TIMEOUT);
+    let report = match called.await {
+        Ok(answer) if answer.head.status == 200 => match engine::decode_report(&answer.body) {
+            Ok(report) => Some(report),
+            Err(error) => {
+                log::warn!(
+                    event = event::REPORT_FAILED.number, upstream = id.to_string();
+                    "report_failed: {error}"
+                );
+                None
+            }
+        },
+        Ok(answer) => {
+            log::warn!(
+                event = event::REPORT_FAILED.number, upstream = id.to_string(),
+                status = answer.head.status; "report_failed"
+            );
+            None
+        }
+        Err(error) => {
+            log::warn!(
+                event = event::REPORT_FAILED.number, upstream = id.to_string();
+                "report_failed: {error}"
+            );
+            None
+        }
+    };
+    let now = state.now();
+    let mut slots = state::lock(&state.desks.slots);
+    if let Some(slot) = slots.get_mut(id) {
+        slot.desk.report_ended(now, report.as_ref());
+    }
+}
--- /dev/null
+++ b/coltsfootd/src/gateway/follower.rs
@@ -0,0 +1,252 @@
+//! Follows the operator's records and the upstreams' entries in the store.
+
+use std::sync;
+use std::time;
+
+use coltsfoot_gateway::upstream;
+use coltsfoot_types::time as instant;
+use rustc_hash::FxHashMap;
+use site_platform::{entry, rules, store};
+
+use crate::event;
+use crate::gateway::state;
+
+/// Time that a read of the operator's records waits for news.
+const OPERATOR_WAIT: time::Duration = time::Duration::from_millis(1500);
+/// Time between reads of the upstreams' entries. Well within the time in which an upstream that
+/// leaves must get no more work.
+const UPSTREAM_INTERVAL: time::Duration = time::Duration::from_millis(600);
+/// Time between reads while the store is unavailable.
+const RETRY_INTERVAL: time::Duration = time::Duration::from_millis(400);
+/// Time after the store's return in which entries that lapsed meanwhile may come back.
+const RETURN_GRACE: time::Duration = time::Duration::from_millis(2200);
+
+/// A topic that is followed.
+struct TopicFollower {
+    topic: &'static str,
+    wait: time::Duration,
+    /// Offset to read from; `None` to begin with the newest record of each key.
+    next: Option<u64>,
+    is_reachable: bool,
+}
+
+/// What a read brought.
+enum TopicNews {
+    /// The newest record of every key.
+    Whole(Vec<store::KeyedRecord>),
+    /// Further records.
+    Further(Vec<store::KeyedRecord>),
+}
+
+impl TopicFollower {
+    fn new(topic: &'static str, wait: time::Duration) -> Self {
+        Self { topic, wait, next: None, is_reachable: true }
+    }
+
+    async fn read(&mut self, store: &store::StoreClient) -> Result<TopicNews, store::StoreError> {
+        let Some(next) = self.next else {
+            let newest = store.newest(self.topic).await?;
+            self.next = Some(newest.next);
+            return Ok(TopicNews::Whole(newest.records));
+        };
+        let read = store.read(self.topic, next, self.wait).await?;
+        self.next = Some(read.next);
+        Ok(TopicNews::Further(read.records))
+    }
+
+    /// Reads once; logs when the store is lost or regained. Returns nothing if it is lost.
+    async fn poll(&mut self, store: &store::StoreClient) -> Option<TopicNews> {
+        match self.read(store).await {
+            Ok(news) => {
+                if !self.is_reachable {
+                    self.is_reachable = true;
+                    log::info!(event = event::LOG_REACHABLE.number, topic = self.topic; "log_reachable");
+                }
+                Some(news)
+            }
+            Err(store::StoreError::Trimmed) => {
+                log::info!(event = event::HISTORY_TRIMMED.number, topic = self.topic; "history_trimmed");
+                self.next = None;
+                None
+            }
+            Err(error) => {
+                if self.is_reachable {
+                    self.is_reachable = false;
+                    log::warn!(
+                        event = event::LOG_UNREACHABLE.number, topic = self.topic;
+                        "log_unreachable: {error}"
+                    );
+                }
+                async_io::Timer::after(RETRY_INTERVAL).await;
+                None
+            }
+        }
+    }
+}
+
+/// Follows the configuration and the named versions of adapters.
+pub(crate) async fn follow_operator(state: sync::Arc<state::GatewayState>) {
+    let mut follower = TopicFollower::new(store::OPERATOR_TOPIC, OPERATOR_WAIT);
+    loop {
+        match follower.poll(&state.store).await {
+            Some(TopicNews::Whole(records) | TopicNews::Further(records)) => {
+                for record in records {
+                    apply_operator(&state, &record);
+                }
+            }
+            None => {}
+        }
+    }
+}
+
+fn apply_operator(state: &state::GatewayState, record: &store::KeyedRecord) {
+    let Some(value) = &record.value else { return };
+    if record.key == rules::RULES_KEY {
+        match rules::decode_rules(value) {
+            Ok(rules) => {
+                let version = rules.version;
+                if state.apply_rules(rules) {
+                    log::info!(
+                        event = event::CHANGE_ACCEPTED.number, version = version,
+                        offset = record.offset; "change_accepted"
+                    );
+                }
+            }
+            Err(error) => log::warn!(
+                event = event::CHANGE_REJECTED.number, offset = record.offset;
+                "change_rejected: {error}"
+            ),
+        }
+    } else if record.key.starts_with(rules::VERSION_PREFIX) {
+        match rules::decode_version(value) {
+            Ok((name, version)) => {
+                let adapter = name.adapter.to_string();
+                if state.view().name_version(state.now(), name, version) {
+                    state.desks.wake_all();
+                    log::info!(
+                        event = event::VERSION_NAMED.number, adapter = adapter,
+                        version = version; "version_named"
+                    );
+                }
+            }
+            Err(error) => log::warn!(
+                event = event::CHANGE_REJECTED.number, offset = record.offset;
+                "change_rejected: {error}"
+            ),
+        }
+    }
+}
+
+/// Follows the upstreams' entries.
+pub(crate) async fn follow_upstreams(state: sync::Arc<state::GatewayState>) {
+    let mut follower = TopicFollower::new(store::UPSTREAM_TOPIC, time::Duration::ZERO);
+    let mut lapsed: FxHashMap<String, instant::MonotonicTime> = FxHashMap::default();
+    let mut lost_at: Option<instant::MonotonicTime> = None;
+    let mut returned_at: Option<instant::MonotonicTime> = None;
+    loop {
+        let news = follower.poll(&state.store).await;
+        let now = state.now();
+        if !follower.is_reachable {
+            lost_at = Some(now);
+            continue;
+        }
+        if lost_at.take().is_some() {
+            returned_at = Some(now);
+        }
+        let grace_end = returned_at.map(|returned| returned + RETURN_GRACE);
+        let removal = grace_end.filter(|end| *end > now).unwrap_or(now);
+        match news {
+            Some(TopicNews::Whole(records)) => {
+                lapse_missing(&state, &records, removal, &mut lapsed);
+                apply_entries(&state, records, removal, &mut lapsed);
+            }
+            Some(TopicNews::Further(records)) => {
+                apply_entries(&state, records, removal, &mut lapsed);
+            }
+            None => continue,
+        }
+        remove_lapsed(&state, now, &mut lapsed);
+        async_io::Timer::after(UPSTREAM_INTERVAL).await;
+    }
+}
+
+fn lapse_missing(
+    state: &state::GatewayState,
+    records: &[store::KeyedRecord],
+    removal: instant::MonotonicTime,
+    lapsed: &mut FxHashMap<String, instant::MonotonicTime>,
+) {
+    let view = state.view();
+    for slot in view.upstreams() {
+        let id = &*slot.entry.id;
+        if !records.iter().any(|record| record.key == id && record.value.is_some()) {
+            lapsed.entry(id.to_owned()).or_insert(removal);
+        }
+    }
+}
+
+fn apply_entries(
+    state: &state::GatewayState,
+    records: Vec<store::KeyedRecord>,
+    removal: instant::MonotonicTime,
+    lapsed: &mut FxHashMap<String, instant::MonotonicTime>,
+) {
+    for record in records {
+        let Some(value) = &record.value else {
+            lapsed.entry(record.key).or_insert(removal);
+            continue;
+        };
+        match entry::decode_entry(&record.key, value) {
+            Ok(entry) => {
+                lapsed.remove(&record.key);
+                put_entry(state, entry);
+            }
+            Err(error) => {
+                log::warn!(
+                    event = event::ENTRY_REJECTED.number, upstream = record.key.as_str(),
+                    offset = record.offset; "entry_rejected: {error}"
+                );
+                lapsed.entry(record.key).or_insert(removal);
+            }
+        }
+    }
+}
+
+fn put_entry(state: &state::GatewayState, entry: upstream::UpstreamEntry) {
+    let (id, address) = (entry.id.to_string(), entry.address);
+    let is_ready = entry.state == upstream::UpstreamState::Ready;
+    let mut view = state.view();
+    let known = view.upstream(&id).map(|slot| (slot.entry.born_ms, slot.entry.state));
+    let is_older = known.is_some_and(|(born, _)| entry.born_ms < born);
+    if is_older {
+        return;
+    }
+    let had_state = known.map(|(_, state)| state);
+    let new_state = entry.state;
+    let is_new = view.put_upstream(entry);
+    drop(view);
+    if is_new || had_state != Some(new_state) {
+        log::info!(
+            event = event::UPSTREAM_CHANGED.number, upstream = id,
+            address = address.to_string(), ready = is_ready, new = is_new; "upstream_changed"
+        );
+        state.desks.wake_all();
+    }
+}
+
+fn remove_lapsed(
+    state: &state::GatewayState,
+    now: instant::MonotonicTime,
+    lapsed: &mut FxHashMap<String, instant::MonotonicTime>,
+) {
+    lapsed.retain(|id, removal| {
+        if now < *removal {
+            return true;
+        }
+        if let Some(entry) = state.view().remove_upstream(id) {
+            state.pool.forget(entry.address);
+            log::info!(event = event::UPSTREAM_GONE.number, upstream = id.as_str(); "upstream_gone");
+        }
+        false
+    });
+}
--- /dev/null
+++ b/coltsfootd/src/gateway/loads.rs
@@ -0,0 +1,102 @@
+//! Questions for adapters that wait for an answer.
+
+use std::sync;
+use std::time;
+
+use coltsfoot_gateway::demand;
+use coltsfoot_http::message;
+use coltsfoot_wire::fleet as wire;
+use rustc_hash::FxHashMap;
+
+use crate::gateway::{engines, fleet, state};
+
+/// Time after which a question is sent once more, as long as nothing came back.
+const REPEAT_INTERVAL: time::Duration = time::Duration::from_millis(60);
+/// Questions sent without any answer, after which the owner counts as lost.
+const MAX_SENDS: usize = 4;
+
+/// Questions by their number.
+#[derive(Default)]
+pub(crate) struct OpenLoads {
+    open: sync::Mutex<FxHashMap<u64, async_channel::Sender<wire::LoadVerdict>>>,
+}
+
+impl OpenLoads {
+    /// Passes an answer on to its question.
+    pub fn settle(&self, ask: u64, verdict: wire::LoadVerdict) {
+        if let Some(sender) = state::lock(&self.open).get(&ask) {
+            // The question may have been given up.
+            let _ = sender.try_send(verdict);
+        }
+    }
+}
+
+/// Removes a question when its asker has left.
+struct OpenQuestion<'a> {
+    loads: &'a OpenLoads,
+    ask: u64,
+}
+
+impl Drop for OpenQuestion<'_> {
+    fn drop(&mut self) {
+        state::lock(&self.loads.open).remove(&self.ask);
+    }
+}
+
+/// Has an adapter made ready at an engine; returns how it ended, within a time limit.
+pub(crate) async fn ensure(
+    state: &sync::Arc<state::GatewayState>,
+    upstream: &str,
+    name: &demand::AdapterName,
+    limit: time::Duration,
+) -> wire::LoadVerdict {
+    let (number, owner, version) = {
+        let view = state.view();
+        let Some(slot) = view.upstream(upstream) else { return wire::LoadVerdict::NotOwner };
+        let owner = slot.residency.owner.and_then(|id| view.peer(id)).map(|peer| peer.address);
+        (slot.number, owner, view.newest_version(name.key()))
+    };
+    let ask: u64 = rand::random();
+    let (sender, receiver) = async_channel::bounded(4);
+    state::lock(&state.loads.open).insert(ask, sender);
+    let _open = OpenQuestion { loads: &state.loads, ask };
+    let asker = engines::LoadAsker::Local(ask);
+    if state.desks.ask(state.now(), number, name, version, asker) {
+        return final_verdict(&receiver, limit).await;
+    }
+    let Some(owner) = owner else { return wire::LoadVerdict::NotOwner };
+    let question = wire::LoadAsk {
+        ask,
+        reply_to: state.settings.fleet_address(),
+        upstream: number,
+        model: name.model.to_string(),
+        adapter: name.adapter.to_string(),
+        version: version.unwrap_or(0),
+    };
+    for _ in 0..MAX_SENDS {
+        fleet::send(state, owner, &wire::FleetMessage::Ask(question.clone()));
+        match message::within(REPEAT_INTERVAL, receiver.recv()).await {
+            Some(Ok(wire::LoadVerdict::Accepted)) => return final_verdict(&receiver, limit).await,
+            Some(Ok(verdict)) => return verdict,
+            Some(Err(_)) => return wire::LoadVerdict::Failed,
+            None => {}
+        }
+    }
+    wire::LoadVerdict::NotOwner
+}
+
+async fn final_verdict(
+    receiver: &async_channel::Receiver<wire::LoadVerdict>,
+    limit: time::Duration,
+) -> wire::LoadVerdict {
+    let wait = async {
+        loop {
+            match receiver.recv().await {
+                Ok(wire::LoadVerdict::Accepted) => {}
+                Ok(verdict) => return verdict,
+                Err(_) => return wire::LoadVerdict::Failed,
+            }
+        }
+    };
+    message::within(limit, wait).await.unwrap_or(wire::LoadVerdict::Failed)
+}
--- /dev/null
+++ b/coltsfootd/src/gateway/mod.rs
@@ -0,0 +1,16 @@
+//! An instance that forwards whole requests on the users' platform.
+//!
+//! Decisions are in `coltsfoot-gateway`; the platform's names and formats in `site-platform`.
+
+mod attempt;
+mod callers;
+mod engines;
+mod exchange;
+mod fleet;
+mod follower;
+mod lease;
+mod loads;
+mod run;
+mod state;
+
+pub use run::{GatewayError, run_until_signal};
--- /dev/null
+++ b/coltsfootd/src/gateway/run.rs
@@ -0,0 +1,161 @@
+//! Starts and stops a gateway.
+
+use std::io;
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::thread;
+use std::time;
+
+use async_net::TcpListener;
+use coltsfoot_gateway::order_lease;
+use coltsfoot_http::pool;
+use site_platform::{settings, store};
+
+use crate::gateway::{callers, engines, fleet, follower, lease, loads, state};
+use crate::{clock, event};
+
+/// Time that the balancer gets to notice that the instance isn't ready any more: two missed checks
+/// a second apart, and one more.
+const BALANCER_DELAY: time::Duration = time::Duration::from_millis(2500);
+/// Time kept between the end of a planned stop and the kill.
+const KILL_MARGIN: time::Duration = time::Duration::from_millis(500);
+/// Time between checks whether all requests have ended.
+const STOP_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(50);
+
+/// The gateway could not serve.
+#[derive(Debug, thiserror::Error)]
+pub enum GatewayError {
+    /// An address can't be listened on.
+    #[error("could not listen on {address} for {purpose}: {source}; name a free address")]
+    Listen {
+        /// What the address is for.
+        purpose: &'static str,
+        /// The address.
+        address: net::SocketAddr,
+        /// The cause.
+        source: io::Error,
+    },
+    /// A thread or signal handler can't be set up.
+    #[error("could not start: {0}; free resources of the machine")]
+    System(#[from] io::Error),
+}
+
+/// Serves until the process is told to stop and its requests have ended.
+pub fn run_until_signal(settings: settings::SiteSettings) -> Result<(), GatewayError> {
+    let signals = watch_signals()?;
+    let executor = sync::Arc::new(async_executor::Executor::new());
+    async_io::block_on(executor.run(serve(settings, sync::Arc::clone(&executor), signals)))
+}
+
+/// Sends a message for each stop or reload signal.
+fn watch_signals() -> Result<async_channel::Receiver<i32>, GatewayError> {
+    let (sender, receiver) = async_channel::unbounded();
+    let watched =
+        [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT, signal_hook::consts::SIGHUP];
+    let mut signals = signal_hook::iterator::Signals::new(watched)?;
+    thread::Builder::new().name("signals".to_owned()).spawn(move || {
+        for signal in signals.forever() {
+            if sender.send_blocking(signal).is_err() {
+                return;
+            }
+        }
+    })?;
+    Ok(receiver)
+}
+
+async fn serve(
+    settings: settings::SiteSettings,
+    executor: sync::Arc<async_executor::Executor<'static>>,
+    signals: async_channel::Receiver<i32>,
+) -> Result<(), GatewayError> {
+    let callers = listen("callers", settings.listen.callers).await?;
+    let readiness = listen("readiness", settings.listen.readiness).await?;
+    let state = build_state(settings, executor).await?;
+    let name = &state.settings.instance;
+    log::info!(event = event::STARTED.number, instance = name.to_string(); "started");
+    let executor = &state.executor;
+    executor.spawn(callers::accept(sync::Arc::clone(&state), callers)).detach();
+    executor.spawn(callers::answer_readiness(sync::Arc::clone(&state), readiness)).detach();
+    executor.spawn(follower::follow_operator(sync::Arc::clone(&state))).detach();
+    executor.spawn(follower::follow_upstreams(sync::Arc::clone(&state))).detach();
+    executor.spawn(fleet::receive(sync::Arc::clone(&state))).detach();
+    executor.spawn(fleet::send_beats(sync::Arc::clone(&state))).detach();
+    executor.spawn(fleet::find_peers(sync::Arc::clone(&state))).detach();
+    executor.spawn(lease::keep(sync::Arc::clone(&state))).detach();
+    wait_for_stop(&signals).await;
+    stop(&state).await;
+    Ok(())
+}
+
+async fn wait_for_stop(signals: &async_channel::Receiver<i32>) {
+    while let Ok(signal) = signals.recv().await {
+        if signal != signal_hook::consts::SIGHUP {
+            return;
+        }
+        log::info!(event = event::RELOADED.number; "reloaded: no setting can change while running");
+    }
+}
+
+/// Ends all requests and gives up the lease.
+async fn stop(state: &sync::Arc<state::GatewayState>) {
+    state.is_stopping.store(true, atomic::Ordering::Relaxed);
+    log::info!(event = event::DRAINING.number; "draining");
+    let begun = state.now();
+    state.executor.spawn(lease::give_up(sync::Arc::clone(state))).detach();
+    let longest = state.settings.bounds.stop_grace.saturating_sub(KILL_MARGIN);
+    loop {
+        async_io::Timer::after(STOP_CHECK_INTERVAL).await;
+        let elapsed = state.now().since(begun);
+        let is_idle = state.active_requests.load(atomic::Ordering::Relaxed) == 0;
+        if elapsed >= longest || (is_idle && elapsed >= BALANCER_DELAY) {
+            let left = state.active_requests.load(atomic::Ordering::Relaxed);
+            log::info!(event = event::STOPPED.number, unfinished = left; "stopped");
+            async_io::Timer::after(STOP_CHECK_INTERVAL * 2).await;
+            return;
+        }
+    }
+}
+
+async fn listen(
+    purpose: &'static str,
+    address: net::SocketAddr,
+) -> Result<TcpListener, GatewayError> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|source| GatewayError::Listen { purpose, address, source })
+}
+
+async fn build_state(
+    settings: settings::SiteSettings,
+    executor: sync::Arc<async_executor::Executor<'static>>,
+) -> Result<sync::Arc<state::GatewayState>, GatewayError> {
+    let address = settings.fleet_address();
+    let bound = async_io::Async::<net::UdpSocket>::bind(address);
+    let fleet_socket =
+        bound.map_err(|source| GatewayError::Listen { purpose: "instances", address, source })?;
+    let pool = sync::Arc::new(pool::ConnectionPool::default());
+    let lease_settings = order_lease::LeaseSettings {
+        validity: lease::VALIDITY,
+        separation: settings.bounds.order_separation,
+        thaw_pause: settings.bounds.thaw_pause,
+    };
+    Ok(sync::Arc::new(state::GatewayState {
+        clock: clock::RuntimeClock::since_boot(),
+        incarnation: rand::random(),
+        executor,
+        store: store::StoreClient::new(settings.store.address, sync::Arc::clone(&pool)),
+        pool,
+        routes: arc_swap::ArcSwapOption::empty(),
+        view: sync::Mutex::default(),
+        quota: sync::Mutex::default(),
+        retries: sync::Mutex::default(),
+        lease: sync::Mutex::new(order_lease::OrderLease::new(lease_settings)),
+        desks: engines::DeskTable::default(),
+        loads: loads::OpenLoads::default(),
+        fleet_socket,
+        peer_addresses: sync::Mutex::default(),
+        active_requests: atomic::AtomicUsize::new(0),
+        is_stopping: atomic::AtomicBool::new(false),
+        settings,
+    }))
+}
--- /dev/null
+++ b/coltsfootd/src/gateway/state.rs
@@ -0,0 +1,137 @@
+//! What the tasks of a gateway share.
+
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use coltsfoot_gateway::{fleet_view, order_lease, quota_share, route_table, rules};
+use coltsfoot_http::pool;
+use coltsfoot_once::retry_budget;
+use coltsfoot_types::time as instant;
+use rustc_hash::FxHashMap;
+use site_platform::{settings, store};
+
+use crate::clock;
+use crate::gateway::{engines, loads};
+
+/// Part of the promised retries that is used, so that instances that miss each other stay within.
+const RETRY_SHARE_USED: f64 = 0.8;
+/// Instances among which the slack of the retry budget is divided at least.
+const MIN_BUDGET_INSTANCES: usize = 6;
+
+/// The state of a gateway.
+pub(crate) struct GatewayState {
+    pub settings: settings::SiteSettings,
+    pub clock: clock::RuntimeClock,
+    /// Names this process among all that ever ran.
+    pub incarnation: u64,
+    pub executor: sync::Arc<async_executor::Executor<'static>>,
+    pub pool: sync::Arc<pool::ConnectionPool>,
+    pub store: store::StoreClient,
+    pub routes: arc_swap::ArcSwapOption<route_table::RouteTable>,
+    pub view: sync::Mutex<fleet_view::FleetView>,
+    pub quota: sync::Mutex<quota_share::QuotaShare>,
+    pub retries: sync::Mutex<FxHashMap<sync::Arc<str>, retry_budget::RetryBudget>>,
+    pub lease: sync::Mutex<order_lease::OrderLease>,
+    pub desks: engines::DeskTable,
+    pub loads: loads::OpenLoads,
+    pub fleet_socket: async_io::Async<net::UdpSocket>,
+    pub peer_addresses: sync::Mutex<Vec<net::SocketAddr>>,
+    pub active_requests: atomic::AtomicUsize,
+    pub is_stopping: atomic::AtomicBool,
+}
+
+impl GatewayState {
+    /// Returns the current instant.
+    pub fn now(&self) -> instant::MonotonicTime {
+        self.clock.now()
+    }
+
+    /// Locks what is known of the fleet.
+    pub fn view(&self) -> sync::MutexGuard<'_, fleet_view::FleetView> {
+        lock(&self.view)
+    }
+
+    /// Locks the lease.
+    pub fn lease(&self) -> sync::MutexGuard<'_, order_lease::OrderLease> {
+        lock(&self.lease)
+    }
+
+    /// Returns whether a planned stop is under way.
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping.load(atomic::Ordering::Relaxed)
+    }
+
+    /// Returns the partition of the engines' group that an engine belongs to.
+    pub fn partition_of(&self, engine: &str) -> u32 {
+        let hash = coltsfoot_gateway::rendezvous::hash_of(&engine);
+        (hash % u64::from(self.settings.store.partitions.max(1))) as u32
+    }
+
+    /// Counts a request for a service, which earns a share of a retry.
+    pub fn deposit_retry(&self, service: &sync::Arc<str>) {
+        self.with_budget(service, retry_budget::RetryBudget::deposit);
+    }
+
+    /// Takes a retry; returns false if none is left.
+    pub fn withdraw_retry(&self, service: &sync::Arc<str>) -> bool {
+        self.with_budget(service, retry_budget::RetryBudget::withdraw)
+    }
+
+    fn with_budget<T>(
+        &self,
+        service: &sync::Arc<str>,
+        change: impl FnOnce(&mut retry_budget::RetryBudget) -> T,
+    ) -> T {
+        let instances = self.view().peers().count() + 1;
+        let mut budgets = lock(&self.retries);
+        let budget = budgets
+            .entry(sync::Arc::clone(service))
+            .or_insert_with(|| retry_budget::RetryBudget::new(self.retry_settings(instances)));
+        change(budget)
+    }
+
+    fn retry_settings(&self, instances: usize) -> retry_budget::RetrySettings {
+        let bounds = &self.settings.bounds;
+        let slack = bounds.retry_budget_slack / instances.max(MIN_BUDGET_INSTANCES) as f64;
+        retry_budget::RetrySettings {
+            share_permille: (bounds.retry_budget_ratio * RETRY_SHARE_USED * 1000.0) as u64,
+            reserve: (slack * RETRY_SHARE_USED).max(1.0) as u64,
+        }
+    }
+
+    /// Puts a configuration in force unless a newer one is.
+    pub fn apply_rules(&self, rules: rules::GatewayRules) -> bool {
+        let current = self.routes.load();
+        if current.as_ref().is_some_and(|current| current.rules().version >= rules.version) {
+            return false;
+        }
+        let now = self.now();
+        {
+            let mut quota = lock(&self.quota);
+            for customer in &rules.customers {
+                let limit = customer.rate_per_s.map(|rate_per_s| quota_share::QuotaLimit {
+                    rate_per_s,
+                    burst: customer.burst,
+                });
+                quota.set_limit(now, &customer.name, limit);
+            }
+        }
+        self.routes.store(Some(sync::Arc::new(route_table::RouteTable::new(rules))));
+        true
+    }
+}
+
+/// Locks a mutex; the state behind it stays usable after a panic elsewhere.
+pub(crate) fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
+
+/// Returns the instant so far ahead as a duration from now.
+pub(crate) fn time_until(
+    now: instant::MonotonicTime,
+    deadline: instant::MonotonicTime,
+) -> time::Duration {
+    deadline.since(now)
+}
--- a/coltsfootd/src/lib.rs
+++ b/coltsfootd/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod daemon;
 pub mod event;
 mod front;
+pub mod gateway;
 pub mod logs;
 pub mod metrics;
 mod operator;
