Count quotas by gossiped totals and refuse late in a planned stop

Cause: shares of rate and burst by demand refused callers below their limits, since each instance could use only a sixth of the burst; and an instance went on accepting requests until its kill.

Ruled out: raising the shares above one in sum, which would exceed the limit when all are used.

--- a/coltsfoot-gateway/src/engine_choice.rs
+++ b/coltsfoot-gateway/src/engine_choice.rs
@@ -14,7 +14,7 @@
 const LOAD_MS: f64 = 180.0;
 /// Cost of a further copy of an adapter, by its place in the adapter's order of engines, in
 /// milliseconds: what others lose by the adapter that makes way.
-const COPY_MS: [f64; 4] = [0.0, 80.0, 160.0, 240.0];
+const COPY_MS: [f64; 4] = [0.0, 300.0, 400.0, 500.0];
 /// Cost of a request that fails and is sent again, in milliseconds.
 const FAILURE_MS: f64 = 1500.0;
 /// Cost of another availability zone, in milliseconds.
--- a/coltsfoot-gateway/src/fleet_view.rs
+++ b/coltsfoot-gateway/src/fleet_view.rs
@@ -177,8 +177,6 @@
     pub rules_version: u64,
     /// Whether it is about to stop.
     pub is_leaving: bool,
-    /// Demand of customers there, by number.
-    pub demands: FxHashMap<u32, f64>,
 }
 
 /// Upstreams, instances and adapter versions.
@@ -353,7 +351,6 @@
             sequence: 0,
             rules_version: 0,
             is_leaving: false,
-            demands: FxHashMap::default(),
         });
         if !is_new && beat.sequence <= peer.sequence {
             return false;
@@ -362,9 +359,6 @@
         peer.sequence = beat.sequence;
         peer.rules_version = beat.rules_version;
         peer.is_leaving = beat.is_leaving;
-        let demands = beat.demands.iter();
-        peer.demands =
-            demands.map(|demand| (demand.customer, f64::from(demand.tokens_per_s))).collect();
         self.take_work(now, beat);
         is_new
     }
--- a/coltsfoot-gateway/src/lib.rs
+++ b/coltsfoot-gateway/src/lib.rs
@@ -9,7 +9,7 @@
 pub mod event_stream;
 pub mod fleet_view;
 pub mod order_lease;
-pub mod quota_share;
+pub mod quota_ledger;
 pub mod rendezvous;
 pub mod route_table;
 pub mod rules;
--- a/coltsfoot-wire/src/fleet.rs
+++ b/coltsfoot-wire/src/fleet.rs
@@ -51,13 +51,13 @@
     pub adapters: Vec<HeldAdapter>,
 }
 
-/// Demand of a customer at the sender.
+/// Use of a customer's quota by the sender.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct CustomerDemand {
+pub struct CustomerUse {
     /// The customer's number.
     pub customer: u32,
-    /// Tokens a second that its callers ask for.
-    pub tokens_per_s: u32,
+    /// Tokens admitted since the sender's start; falls when a request did not run.
+    pub total: u64,
 }
 
 /// Periodic news of an instance.
@@ -79,8 +79,8 @@
     pub uses: Vec<AdapterUse>,
     /// Engines owned; `None` if nothing changed since the last beat that had them.
     pub engines: Option<Vec<OwnedEngine>>,
-    /// Demand of the customers.
-    pub demands: Vec<CustomerDemand>,
+    /// Use of the customers' quotas.
+    pub quotas: Vec<CustomerUse>,
 }
 
 /// Asks the owner of an engine to make an adapter ready there.
--- a/coltsfootd/src/gateway/callers.rs
+++ b/coltsfootd/src/gateway/callers.rs
@@ -30,7 +30,7 @@
 
 /// Accepts callers for as long as the process runs.
 pub(crate) async fn accept(state: sync::Arc<state::GatewayState>, listener: TcpListener) {
-    loop {
+    while !state.is_closed() {
         match listener.accept().await {
             Ok((stream, _)) => {
                 let task = serve_caller(sync::Arc::clone(&state), stream);
@@ -66,6 +66,10 @@
                 return;
             }
         };
+        if state.is_closed() {
+            reject(&mut caller, 503).await;
+            return;
+        }
         state.active_requests.fetch_add(1, atomic::Ordering::Relaxed);
         let is_kept = serve_request(&state, &mut caller, request).await;
         state.active_requests.fetch_sub(1, atomic::Ordering::Relaxed);
--- a/coltsfootd/src/gateway/fleet.rs
+++ b/coltsfootd/src/gateway/fleet.rs
@@ -79,12 +79,11 @@
 ) {
     let now = state.now();
     let own_address = state.settings.fleet_address();
-    let demands = state::lock(&state.quota)
-        .demands(now)
-        .filter(|(_, tokens)| *tokens >= 1.0)
-        .map(|(customer, tokens)| wire::CustomerDemand {
+    let quotas = state::lock(&state.quota)
+        .totals()
+        .map(|(customer, total)| wire::CustomerUse {
             customer: fleet_view::customer_number(customer),
-            tokens_per_s: tokens as u32,
+            total,
         })
         .collect();
     let rules_version = state.routes.load().as_ref().map_or(0, |routes| routes.rules().version);
@@ -99,7 +98,7 @@
         work: view.local_work(),
         uses,
         engines,
-        demands,
+        quotas,
     };
     let mut addresses: Vec<net::SocketAddr> = view.peers().map(|(_, peer)| peer.address).collect();
     drop(view);
@@ -136,20 +135,9 @@
             view.expire(now);
         }
         send_beat(&state, engines, Some(&mut searched));
-        share_quota(&state, now);
     }
 }
 
-fn share_quota(state: &state::GatewayState, now: instant::MonotonicTime) {
-    let view = state.view();
-    let instances = view.peers().count() + 1;
-    let others = |customer: &str| {
-        let number = fleet_view::customer_number(customer);
-        view.peers().filter_map(|(_, peer)| peer.demands.get(&number)).sum()
-    };
-    state::lock(&state.quota).set_other_demands(now, instances, others);
-}
-
 /// Receives messages for as long as the process runs.
 pub(crate) async fn receive(state: sync::Arc<state::GatewayState>) {
     let mut buffer = vec![0; MAX_DATAGRAM];
@@ -179,6 +167,7 @@
     let now = state.now();
     let is_new = state.view().take_beat(now, beat);
     state.desks.touch(now, &beat.uses);
+    take_quotas(state, now, beat);
     if is_new {
         log::info!(
             event = event::PEER_FOUND.number, address = beat.address.to_string(); "peer_found"
@@ -187,6 +176,17 @@
     }
 }
 
+fn take_quotas(state: &state::GatewayState, now: instant::MonotonicTime, beat: &wire::FleetBeat) {
+    let Some(routes) = state.routes.load_full() else { return };
+    let mut quota = state::lock(&state.quota);
+    for customer in &routes.rules().customers {
+        let number = fleet_view::customer_number(&customer.name);
+        if let Some(used) = beat.quotas.iter().find(|used| used.customer == number) {
+            quota.take_peer_total(now, beat.sender, &customer.name, used.total);
+        }
+    }
+}
+
 fn take_ask(state: &sync::Arc<state::GatewayState>, ask: &wire::LoadAsk) {
     let name = demand::AdapterName {
         model: ask.model.as_str().into(),
--- a/coltsfootd/src/gateway/run.rs
+++ b/coltsfootd/src/gateway/run.rs
@@ -107,6 +107,9 @@
     loop {
         async_io::Timer::after(STOP_CHECK_INTERVAL).await;
         let elapsed = state.now().since(begun);
+        if elapsed >= BALANCER_DELAY {
+            state.is_closed.store(true, atomic::Ordering::Relaxed);
+        }
         let is_idle = state.active_requests.load(atomic::Ordering::Relaxed) == 0;
         if elapsed >= longest || (is_idle && elapsed >= BALANCER_DELAY) {
             let left = state.active_requests.load(atomic::Ordering::Relaxed);
@@ -156,6 +159,7 @@
         peer_addresses: sync::Mutex::default(),
         active_requests: atomic::AtomicUsize::new(0),
         is_stopping: atomic::AtomicBool::new(false),
+        is_closed: atomic::AtomicBool::new(false),
         settings,
     }))
 }
--- a/coltsfootd/src/gateway/state.rs
+++ b/coltsfootd/src/gateway/state.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic;
 use std::time;
 
-use coltsfoot_gateway::{fleet_view, order_lease, quota_share, route_table, rules};
+use coltsfoot_gateway::{fleet_view, order_lease, quota_ledger, route_table, rules};
 use coltsfoot_http::pool;
 use coltsfoot_once::retry_budget;
 use coltsfoot_types::time as instant;
@@ -31,7 +31,7 @@
     pub store: store::StoreClient,
     pub routes: arc_swap::ArcSwapOption<route_table::RouteTable>,
     pub view: sync::Mutex<fleet_view::FleetView>,
-    pub quota: sync::Mutex<quota_share::QuotaShare>,
+    pub quota: sync::Mutex<quota_ledger::QuotaLedger>,
     pub retries: sync::Mutex<FxHashMap<sync::Arc<str>, retry_budget::RetryBudget>>,
     pub lease: sync::Mutex<order_lease::OrderLease>,
     pub desks: engines::DeskTable,
@@ -40,6 +40,8 @@
     pub peer_addresses: sync::Mutex<Vec<net::SocketAddr>>,
     pub active_requests: atomic::AtomicUsize,
     pub is_stopping: atomic::AtomicBool,
+    /// Whether new requests are refused, late in a planned stop.
+    pub is_closed: atomic::AtomicBool,
 }
 
 impl GatewayState {
@@ -63,6 +65,11 @@
         self.is_stopping.load(atomic::Ordering::Relaxed)
     }
 
+    /// Returns whether new requests are refused.
+    pub fn is_closed(&self) -> bool {
+        self.is_closed.load(atomic::Ordering::Relaxed)
+    }
+
     /// Returns the partition of the engines' group that an engine belongs to.
     pub fn partition_of(&self, engine: &str) -> u32 {
         let hash = coltsfoot_gateway::rendezvous::hash_of(&engine);
@@ -111,7 +118,7 @@
         {
             let mut quota = lock(&self.quota);
             for customer in &rules.customers {
-                let limit = customer.rate_per_s.map(|rate_per_s| quota_share::QuotaLimit {
+                let limit = customer.rate_per_s.map(|rate_per_s| quota_ledger::QuotaLimit {
                     rate_per_s,
                     burst: customer.burst,
                 });
