Keep a machine's engines over a restart and see silent engines sooner

Cause: after many instances were killed at once no instance could give orders for seven seconds or more, and restarted ones did not know what engines hold; loads that took longer than expected were refused after two misses; requests waited two seconds at engines that had gone dark.

The store keeps the last holder of each partition; a machine that finds itself there orders at once. Instances vouch for each other during an outage of the store. Engines without an owner are asked for their report.

Ruled out: shorter waits for a new holder, since a holder that the store passes over without a request may go on until its renewal lapses.

--- a/coltsfoot-gateway/src/engine_choice.rs
+++ b/coltsfoot-gateway/src/engine_choice.rs
@@ -23,6 +23,8 @@
 const QUEUED_MS: f64 = 40.0;
 /// Cost of an upstream to which connections failed a moment ago, in milliseconds.
 const AVOIDED_MS: f64 = 5_000.0;
+/// Cost of an upstream with running requests from which nothing comes, in milliseconds.
+const SILENT_MS: f64 = 1500.0;
 /// Share of the shared tokens that the preferred holder of a subject is expected to have kept.
 const AFFINITY_SHARE: f64 = 0.7;
 /// Expected time of a plain request, in milliseconds.
@@ -74,7 +76,8 @@
 ) -> f64 {
     let zone = if &*slot.entry.zone == request.zone { 0.0 } else { ZONE_MS };
     let avoided = if slot.is_avoided(now) { AVOIDED_MS } else { 0.0 };
-    zone + avoided + slot.failure_rate(now) * FAILURE_MS
+    let silent = if slot.is_silent(now) { SILENT_MS } else { 0.0 };
+    zone + avoided + silent + slot.failure_rate(now) * FAILURE_MS
 }
 
 fn choose_plain(
--- a/coltsfoot-gateway/src/engine_desk.rs
+++ b/coltsfoot-gateway/src/engine_desk.rs
@@ -15,6 +15,12 @@
 pub const WARM_LOAD: time::Duration = time::Duration::from_millis(25);
 /// Adapters that an engine can load as fast as [`WARM_LOAD`], held most recently.
 const WARM_ADAPTERS: usize = 48;
+/// Adapters that the weight store delivers at once at full speed.
+const FULL_SPEED_FETCHES: f64 = 8.0;
+/// Time after an order in which a missing adapter is taken to be still on its way.
+const LONGEST_LOAD: time::Duration = time::Duration::from_millis(1500);
+/// Further time for an adapter that is late.
+const LATE_LOAD_STEP: time::Duration = time::Duration::from_millis(60);
 /// Adapters that may be on their way to an engine at once.
 const MAX_LOADING: usize = 4;
 /// Age that a report may have when it arrives.
@@ -78,7 +84,9 @@
 struct PlacedAdapter {
     name: demand::AdapterName,
     version: u64,
+    ordered: clock::MonotonicTime,
     ready_at: clock::MonotonicTime,
+    is_fetched: bool,
     last_used: clock::MonotonicTime,
 }
 
@@ -312,12 +320,14 @@
         })
     }
 
-    /// Takes the answer to an order.
+    /// Takes the answer to an order. `fetching` is the number of adapters on their way from the
+    /// weight store to the engines of other instances.
     pub fn order_ended(
         &mut self,
         now: clock::MonotonicTime,
         order: &EngineOrder,
         answer: OrderAnswer,
+        fetching: u32,
         newest: impl Fn(demand::AdapterKey) -> Option<u64>,
     ) {
         self.has_changed = true;
@@ -328,7 +338,7 @@
                 if answer == OrderAnswer::Holds && !matches!(order, EngineOrder::UnloadAdapter(_)) {
                     self.resync(now);
                 }
-                self.apply(now, order, newest);
+                self.apply(now, order, fetching, newest);
             }
             OrderAnswer::Unknown => self.unanswered = Some(order.clone()),
             OrderAnswer::Conflict | OrderAnswer::Refused => {
@@ -349,6 +359,7 @@
         &mut self,
         now: clock::MonotonicTime,
         order: &EngineOrder,
+        fetching: u32,
         newest: impl Fn(demand::AdapterKey) -> Option<u64>,
     ) {
         match order {
@@ -359,11 +370,19 @@
             EngineOrder::LoadAdapter { name, version } => {
                 let key = name.key();
                 let is_warm = self.warm.contains(&key);
-                let duration = if is_warm { WARM_LOAD } else { COLD_LOAD };
+                let fetches = fetching + self.fetching(now) + 1;
+                let crowd = (f64::from(fetches) / FULL_SPEED_FETCHES).max(1.0);
+                let duration = if is_warm { WARM_LOAD } else { COLD_LOAD.mul_f64(crowd) };
                 let version = version.or_else(|| newest(key)).unwrap_or(1);
                 let ready_at = now + duration + LOAD_MARGIN;
-                let placed =
-                    PlacedAdapter { name: name.clone(), version, ready_at, last_used: now };
+                let placed = PlacedAdapter {
+                    name: name.clone(),
+                    version,
+                    ordered: now,
+                    ready_at,
+                    is_fetched: !is_warm,
+                    last_used: now,
+                };
                 self.placed.insert(key, placed);
                 self.remember_warm(key);
             }
@@ -429,7 +448,9 @@
             let key = held.name.key();
             let last_used = before.get(&key).map_or(now, |placed| placed.last_used);
             let name = held.name.clone();
-            let placed = PlacedAdapter { name, version: held.version, ready_at, last_used };
+            let version = held.version;
+            let (ordered, is_fetched) = (now, false);
+            let placed = PlacedAdapter { name, version, ordered, ready_at, is_fetched, last_used };
             self.placed.insert(key, placed);
             self.remember_warm(key);
         }
@@ -446,11 +467,26 @@
         self.has_changed = true;
     }
 
-    /// Notes that a request found an adapter missing that should have been there.
+    /// Notes that a request found an adapter missing that should have been ready: its load takes
+    /// longer, or the engine holds something else than is known.
     pub fn found_missing(&mut self, now: clock::MonotonicTime, key: demand::AdapterKey) {
-        if self.placed.get(&key).is_some_and(|placed| now > placed.ready_at + REPORT_LAG) {
+        let Some(placed) = self.placed.get_mut(&key) else { return };
+        if now < placed.ready_at {
+            return;
+        }
+        if now.since(placed.ordered) < LONGEST_LOAD {
+            placed.ready_at = now + LATE_LOAD_STEP;
+        } else if self.order_count.is_some() {
             self.resync(now);
         }
+        self.has_changed = true;
+    }
+
+    /// Returns the adapters on their way from the weight store.
+    pub fn fetching(&self, now: clock::MonotonicTime) -> u32 {
+        let coming =
+            self.placed.values().filter(|placed| placed.is_fetched && placed.ready_at > now);
+        coming.count() as u32
     }
 }
 
--- a/coltsfoot-gateway/src/fleet_view.rs
+++ b/coltsfoot-gateway/src/fleet_view.rs
@@ -7,7 +7,7 @@
 use coltsfoot_wire::fleet;
 use rustc_hash::FxHashMap;
 
-use crate::{demand, rendezvous, upstream};
+use crate::{demand, order_lease, rendezvous, upstream};
 
 /// Age above which the work told by an instance no longer counts.
 const BEAT_LIFETIME: time::Duration = time::Duration::from_millis(1500);
@@ -15,6 +15,8 @@
 pub const PEER_LIFETIME: time::Duration = time::Duration::from_secs(12);
 /// Time for which a failed connection keeps work away.
 const CONNECT_PENALTY: time::Duration = time::Duration::from_millis(1500);
+/// Silence of an upstream with running requests after which it is suspected.
+const MAX_SILENCE: time::Duration = time::Duration::from_millis(700);
 /// Weight of the newest outcome in the failure rate.
 const FAILURE_WEIGHT: f64 = 0.2;
 /// Time after which half of a failure rate is forgiven.
@@ -67,6 +69,7 @@
     /// Time that it takes, as a multiple of what is expected.
     pub slowness: f64,
     remote: FxHashMap<u64, (WorkLoad, clock::MonotonicTime)>,
+    heard: clock::MonotonicTime,
     avoid_until: clock::MonotonicTime,
     failure_rate: f64,
     failure_updated: clock::MonotonicTime,
@@ -87,6 +90,7 @@
             local: WorkLoad::default(),
             slowness: 1.0,
             remote: FxHashMap::default(),
+            heard: clock::MonotonicTime::default(),
             avoid_until: clock::MonotonicTime::default(),
             failure_rate: 0.0,
             failure_updated: clock::MonotonicTime::default(),
@@ -118,6 +122,11 @@
         now < self.avoid_until
     }
 
+    /// Returns whether nothing came from it for long although requests run there.
+    pub fn is_silent(&self, now: clock::MonotonicTime) -> bool {
+        self.local.running > 0 && now.since(self.heard) > MAX_SILENCE
+    }
+
     /// Returns whether requests of this or another instance run on an adapter.
     pub fn is_in_use(&self, now: clock::MonotonicTime, key: demand::AdapterKey) -> bool {
         let remote = self.remote_uses.get(&key);
@@ -177,6 +186,10 @@
     pub rules_version: u64,
     /// Whether it is about to stop.
     pub is_leaving: bool,
+    /// What it told of its lease.
+    pub witness: order_lease::LeaseWitness,
+    /// Adapters that its engines fetch from the weight store.
+    pub fetching: u32,
 }
 
 /// Upstreams, instances and adapter versions.
@@ -222,6 +235,19 @@
         self.upstreams.get_mut(id)
     }
 
+    /// Returns the engines of which no owner told for so long.
+    pub fn untold_engines(
+        &self,
+        now: clock::MonotonicTime,
+        longest: time::Duration,
+    ) -> Vec<sync::Arc<str>> {
+        let untold = self.upstreams.values().filter(|slot| {
+            let heard = slot.residency.heard;
+            heard.is_none_or(|heard| now.since(heard) >= longest)
+        });
+        untold.map(|slot| sync::Arc::clone(&slot.entry.id)).collect()
+    }
+
     /// Returns all upstreams.
     pub fn upstreams(&self) -> impl Iterator<Item = &UpstreamSlot> {
         self.upstreams.values()
@@ -277,6 +303,9 @@
         demand: Option<&demand::PromptDemand>,
     ) -> u64 {
         let Some(slot) = self.upstreams.get_mut(id) else { return 0 };
+        if slot.local.running == 0 {
+            slot.heard = now;
+        }
         slot.local.running += 1;
         let Some(demand) = demand else { return 0 };
         let unread = demand.prompt_tokens.saturating_sub(slot.kept_tokens(demand));
@@ -310,6 +339,13 @@
         }
     }
 
+    /// Notes that something came from an upstream.
+    pub fn upstream_heard(&mut self, now: clock::MonotonicTime, id: &str) {
+        if let Some(slot) = self.upstreams.get_mut(id) {
+            slot.heard = now;
+        }
+    }
+
     /// Notes whether an upstream served a request.
     pub fn request_judged(&mut self, now: clock::MonotonicTime, id: &str, has_failed: bool) {
         let Some(slot) = self.upstreams.get_mut(id) else { return };
@@ -351,6 +387,12 @@
             sequence: 0,
             rules_version: 0,
             is_leaving: false,
+            witness: order_lease::LeaseWitness {
+                heard: now,
+                store_age: time::Duration::ZERO,
+                partitions: Vec::new(),
+            },
+            fetching: 0,
         });
         if !is_new && beat.sequence <= peer.sequence {
             return false;
@@ -359,6 +401,12 @@
         peer.sequence = beat.sequence;
         peer.rules_version = beat.rules_version;
         peer.is_leaving = beat.is_leaving;
+        peer.fetching = u32::from(beat.fetching);
+        peer.witness = order_lease::LeaseWitness {
+            heard: now,
+            store_age: time::Duration::from_millis(u64::from(beat.store_age_ms)),
+            partitions: beat.partitions.clone(),
+        };
         self.take_work(now, beat);
         is_new
     }
@@ -403,6 +451,32 @@
         self.peers.iter().map(|(id, peer)| (*id, peer))
     }
 
+    /// Returns what the other instances told of their leases.
+    pub fn witnesses(&self) -> Vec<order_lease::LeaseWitness> {
+        self.peers.values().map(|peer| peer.witness.clone()).collect()
+    }
+
+    /// Returns the adapters that the engines of the other instances fetch from the weight store.
+    pub fn fetching(&self) -> u32 {
+        self.peers.values().map(|peer| peer.fetching).sum()
+    }
+
+    /// Takes a report that this instance fetched itself, since no owner tells of the engine.
+    pub fn take_report(
+        &mut self,
+        now: clock::MonotonicTime,
+        id: &str,
+        report: &upstream::EngineReport,
+    ) {
+        let Some(slot) = self.upstreams.get_mut(id) else { return };
+        let residency = &mut slot.residency;
+        residency.heard = Some(now);
+        residency.takes_orders = false;
+        residency.has_model = !report.models.is_empty();
+        let adapters = report.adapters.iter();
+        residency.adapters = adapters.map(|held| (held.name.key(), held.version)).collect();
+    }
+
     /// Returns another instance.
     pub fn peer(&self, id: u64) -> Option<&PeerSlot> {
         self.peers.get(&id)
--- a/coltsfoot-gateway/src/order_lease.rs
+++ b/coltsfoot-gateway/src/order_lease.rs
@@ -2,7 +2,11 @@
 //!
 //! Engines are spread over the partitions of a group in the platform's store. An instance that a
 //! partition is dealt to may give orders to its engines while its own renewals are recent, and only
-//! after any earlier holder must have stopped.
+//! after any earlier holder must have stopped. The store also keeps the last holder of each
+//! partition: a machine that finds itself there, after a restart, has nobody to wait for.
+//!
+//! While the store is out, a holder goes on as long as every other instance keeps telling that it
+//! can't reach the store either and does not hold the partition.
 
 use std::time;
 
@@ -12,7 +16,7 @@
 /// Settings of a lease.
 #[derive(Clone, Copy, Debug)]
 pub struct LeaseSettings {
-    /// Time for which a renewal allows orders, from its sending. Not above the group's time limit.
+    /// Time for which a renewal allows orders, from its sending.
     pub validity: time::Duration,
     /// Time that orders of two holders must lie apart.
     pub separation: time::Duration,
@@ -22,12 +26,44 @@
 
 /// Allowance for the time between the check and the order's arrival at an engine.
 const ORDER_DELAY: time::Duration = time::Duration::from_millis(300);
+/// Longest time for which other instances can stand in for renewals.
+const MAX_OUTAGE: time::Duration = time::Duration::from_secs(10);
+/// Age up to which the word of another instance stands in for a renewal. With the order delay it
+/// stays below the validity, for which a new holder waits.
+const MAX_WITNESS_AGE: time::Duration = time::Duration::from_millis(600);
+/// Time since another instance reached the store from which on the store counts as out for it.
+const OUTAGE_AGE: time::Duration = time::Duration::from_millis(1000);
+
+/// What another instance told of its own lease.
+#[derive(Clone, Debug)]
+pub struct LeaseWitness {
+    /// When it told.
+    pub heard: clock::MonotonicTime,
+    /// How long before it had reached the store last.
+    pub store_age: time::Duration,
+    /// Partitions that it holds.
+    pub partitions: Vec<u32>,
+}
 
 #[derive(Clone, Copy, Debug)]
 struct HeldPartition {
     fence: u64,
-    orders_from: clock::MonotonicTime,
+    acquired: clock::MonotonicTime,
     valid_until: clock::MonotonicTime,
+    right: OrderRight,
+}
+
+/// How far a holder is on the way to its first order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum OrderRight {
+    /// The last holder isn't known.
+    Unknown,
+    /// Another machine may have held the partition; its orders must be over by then.
+    After(clock::MonotonicTime),
+    /// This machine was written down as the holder; the next renewal must still show that.
+    Recorded { by: clock::MonotonicTime, after: clock::MonotonicTime },
+    /// Orders may be given from then on.
+    From(clock::MonotonicTime),
 }
 
 /// The partitions held. Times are of a clock that goes on while the machine is suspended.
@@ -36,14 +72,20 @@
     settings: LeaseSettings,
     held: FxHashMap<u32, HeldPartition>,
     generation: u64,
+    renewed: clock::MonotonicTime,
     paused_until: clock::MonotonicTime,
 }
 
 impl OrderLease {
     /// Creates a lease that holds nothing.
     pub fn new(settings: LeaseSettings) -> Self {
-        let paused_until = clock::MonotonicTime::default();
-        Self { settings, held: FxHashMap::default(), generation: 0, paused_until }
+        Self {
+            settings,
+            held: FxHashMap::default(),
+            generation: 0,
+            renewed: clock::MonotonicTime::default(),
+            paused_until: clock::MonotonicTime::default(),
+        }
     }
 
     /// Returns the generation of the group that was received last.
@@ -51,6 +93,11 @@
         self.generation
     }
 
+    /// Returns when the renewal was sent that was answered last.
+    pub fn renewed(&self) -> clock::MonotonicTime {
+        self.renewed
+    }
+
     /// Takes the answer to a renewal that was sent at `sent`. Returns whether anything changed.
     pub fn renew(
         &mut self,
@@ -63,25 +110,67 @@
             return false;
         }
         self.generation = generation;
+        self.renewed = sent;
         let count_before = self.held.len();
         self.held.retain(|partition, _| partitions.contains(partition));
         let mut has_changed = self.held.len() != count_before;
         let valid_until = sent + self.settings.validity;
-        let wait = self.settings.validity + self.settings.separation + ORDER_DELAY;
         for partition in partitions {
-            match self.held.get_mut(partition) {
-                Some(held) if now < held.valid_until => held.valid_until = valid_until,
-                _ => {
-                    let orders_from = now + wait;
-                    let held = HeldPartition { fence: generation, orders_from, valid_until };
-                    self.held.insert(*partition, held);
-                    has_changed = true;
-                }
+            let held = self.held.entry(*partition).or_insert_with(|| {
+                has_changed = true;
+                let right = OrderRight::Unknown;
+                HeldPartition { fence: generation, acquired: now, valid_until, right }
+            });
+            held.valid_until = valid_until;
+            if let OrderRight::Recorded { by, after } = held.right
+                && sent >= by
+            {
+                held.right = OrderRight::From(after);
             }
         }
         has_changed
     }
 
+    /// Returns the partitions whose last holder must be looked up.
+    pub fn unknown(&self) -> Vec<u32> {
+        let unknown = self.held.iter().filter(|(_, held)| held.right == OrderRight::Unknown);
+        unknown.map(|(partition, _)| *partition).collect()
+    }
+
+    /// Takes the last holder of a partition, looked up after it was dealt to this instance.
+    pub fn take_last_holder(
+        &mut self,
+        now: clock::MonotonicTime,
+        partition: u32,
+        is_this_machine: bool,
+    ) {
+        let wait = self.settings.validity + self.settings.separation + ORDER_DELAY;
+        if let Some(held) = self.held.get_mut(&partition)
+            && held.right == OrderRight::Unknown
+        {
+            held.right = match is_this_machine {
+                true => OrderRight::From(now),
+                false => OrderRight::After(held.acquired + wait),
+            };
+        }
+    }
+
+    /// Returns the partitions for which this machine must be written down as the holder.
+    pub fn unrecorded(&self) -> Vec<u32> {
+        let waiting =
+            self.held.iter().filter(|(_, held)| matches!(held.right, OrderRight::After(_)));
+        waiting.map(|(partition, _)| *partition).collect()
+    }
+
+    /// Notes that this machine was written down as the holder of a partition.
+    pub fn recorded(&mut self, now: clock::MonotonicTime, partition: u32) {
+        if let Some(held) = self.held.get_mut(&partition)
+            && let OrderRight::After(after) = held.right
+        {
+            held.right = OrderRight::Recorded { by: now, after };
+        }
+    }
+
     /// Notes that the instance stood still until `now`.
     pub fn pause(&mut self, now: clock::MonotonicTime) {
         self.paused_until = now + self.settings.thaw_pause;
@@ -102,11 +191,34 @@
         self.held.get(&partition).map(|held| held.fence)
     }
 
-    /// Returns the fencing number for an order now, if one may be given.
-    pub fn order_fence(&self, now: clock::MonotonicTime, partition: u32) -> Option<u64> {
+    /// Returns the fencing number for an order now, if one may be given. `witnesses` is what all
+    /// other known instances told last.
+    pub fn order_fence(
+        &self,
+        now: clock::MonotonicTime,
+        partition: u32,
+        witnesses: &[LeaseWitness],
+    ) -> Option<u64> {
         let held = self.held.get(&partition)?;
-        let may_order =
-            now >= held.orders_from && now < held.valid_until && now >= self.paused_until;
-        may_order.then_some(held.fence)
+        let OrderRight::From(from) = held.right else { return None };
+        let is_valid = now < held.valid_until || is_witnessed(now, partition, held, witnesses);
+        (now >= from && now >= self.paused_until && is_valid).then_some(held.fence)
     }
 }
+
+/// Returns whether all other instances told lately that nobody can have taken the partition.
+fn is_witnessed(
+    now: clock::MonotonicTime,
+    partition: u32,
+    held: &HeldPartition,
+    witnesses: &[LeaseWitness],
+) -> bool {
+    let is_short = now < held.valid_until + MAX_OUTAGE;
+    let agree = witnesses.iter().all(|witness| {
+        let age = now.since(witness.heard);
+        age < MAX_WITNESS_AGE
+            && witness.store_age >= OUTAGE_AGE
+            && !witness.partitions.contains(&partition)
+    });
+    is_short && agree && !witnesses.is_empty()
+}
--- a/coltsfoot-wire/src/fleet.rs
+++ b/coltsfoot-wire/src/fleet.rs
@@ -73,6 +73,12 @@
     pub is_leaving: bool,
     /// Version of the configuration that the sender uses; zero for none.
     pub rules_version: u64,
+    /// Time since the sender reached the store, in milliseconds.
+    pub store_age_ms: u32,
+    /// Partitions of the engines' group that the sender holds.
+    pub partitions: Vec<u32>,
+    /// Adapters that the sender's engines fetch from the weight store.
+    pub fetching: u16,
     /// Work under way.
     pub work: Vec<UpstreamWork>,
     /// Adapters in use.
@@ -98,6 +104,8 @@
     pub adapter: String,
     /// Lowest version that will do.
     pub version: u64,
+    /// Whether a request did not find the adapter although it was told to be ready.
+    pub was_missing: bool,
 }
 
 /// How a question for an adapter ended.
--- a/coltsfootd/src/gateway/engines.rs
+++ b/coltsfootd/src/gateway/engines.rs
@@ -4,7 +4,7 @@
 use std::sync;
 use std::time;
 
-use coltsfoot_gateway::{demand, engine_desk};
+use coltsfoot_gateway::{demand, engine_desk, upstream};
 use coltsfoot_http::client;
 use coltsfoot_types::time as instant;
 use coltsfoot_wire::fleet as wire;
@@ -20,6 +20,10 @@
 const REPORT_TIMEOUT: time::Duration = time::Duration::from_millis(600);
 /// Pause after an order that failed.
 const ORDER_PAUSE: time::Duration = time::Duration::from_millis(100);
+/// Time between looks for engines of which no owner tells.
+const UNTOLD_CHECK: time::Duration = time::Duration::from_millis(500);
+/// Time without word of an owner after which an instance looks itself.
+const UNTOLD_AGE: time::Duration = time::Duration::from_millis(1500);
 /// Longest report, in bytes.
 const MAX_REPORT_BYTES: usize = 1024 * 1024;
 
@@ -61,12 +65,16 @@
         number: u32,
         name: &demand::AdapterName,
         version: Option<u64>,
+        was_missing: bool,
         asker: LoadAsker,
     ) -> bool {
         let mut slots = state::lock(&self.slots);
         let Some(slot) = slots.values_mut().find(|slot| slot.number == number) else {
             return false;
         };
+        if was_missing {
+            slot.desk.found_missing(now, name.key());
+        }
         slot.desk.ask(now, name, version, asker);
         slot.wake.notify(usize::MAX);
         true
@@ -82,16 +90,15 @@
         }
     }
 
-    /// Notes that a request did not find an adapter.
-    pub fn found_missing(&self, now: instant::MonotonicTime, id: &str, key: demand::AdapterKey) {
-        if let Some(slot) = state::lock(&self.slots).get_mut(id) {
-            slot.desk.found_missing(now, key);
-        }
+    /// Returns the adapters on their way from the weight store to the engines owned.
+    pub fn fetching(&self, now: instant::MonotonicTime) -> u32 {
+        state::lock(&self.slots).values().map(|slot| slot.desk.fetching(now)).sum()
     }
 
     /// Returns what the other instances should know of the engines owned.
     pub fn owned(&self, state: &state::GatewayState) -> Vec<wire::OwnedEngine> {
         let now = state.now();
+        let witnesses = state.view().witnesses();
         let lease = state.lease();
         let slots = state::lock(&self.slots);
         let known = slots.values().filter_map(|slot| {
@@ -100,7 +107,7 @@
                 upstream: slot.number,
                 fence,
                 has_model: slot.desk.has_model(now),
-                takes_orders: lease.order_fence(now, slot.partition).is_some(),
+                takes_orders: lease.order_fence(now, slot.partition, &witnesses).is_some(),
                 adapters: slot
                     .desk
                     .ready(now)
@@ -190,7 +197,7 @@
     partition: u32,
 ) -> Option<engine_desk::DeskStep> {
     let now = state.now();
-    let may_order = state.lease().order_fence(now, partition).is_some();
+    let may_order = state.order_fence(partition).is_some();
     let view = state.view();
     let upstream = view.upstream(id)?;
     let mut slots = state::lock(&state.desks.slots);
@@ -228,7 +235,7 @@
     order: engine_desk::EngineOrder,
     expected_count: u64,
 ) {
-    let Some(fence) = state.lease().order_fence(state.now(), partition) else { return };
+    let Some(fence) = state.order_fence(partition) else { return };
     let holder = &state.settings.instance;
     let authority = engine::OrderAuthority { holder, fence, engine: id };
     let encoded = engine::encode_order(&order, expected_count, authority);
@@ -248,7 +255,8 @@
         let view = state.view();
         let mut slots = state::lock(&state.desks.slots);
         if let Some(slot) = slots.get_mut(id) {
-            slot.desk.order_ended(now, &order, answer, |key| view.newest_version(key));
+            let newest = |key| view.newest_version(key);
+            slot.desk.order_ended(now, &order, answer, view.fetching(), newest);
         }
     }
     if !matches!(answer, engine_desk::OrderAnswer::Accepted | engine_desk::OrderAnswer::Holds) {
@@ -261,14 +269,28 @@
     id: &sync::Arc<str>,
     address: net::SocketAddr,
 ) {
+    let report = call_report(state, id, address).await;
+    let now = state.now();
+    let mut slots = state::lock(&state.desks.slots);
+    if let Some(slot) = slots.get_mut(id) {
+        slot.desk.report_ended(now, report.as_ref());
+    }
+}
+
+/// Fetches a report; logs why if there is none.
+async fn call_report(
+    state: &state::GatewayState,
+    id: &str,
+    address: net::SocketAddr,
+) -> Option<upstream::EngineReport> {
     let head = engine::report_call(id);
     let called = client::call(&state.pool, address, &head, &[], MAX_REPORT_BYTES, REPORT_TIMEOUT);
-    let report = match called.await {
+    match called.await {
         Ok(answer) if answer.head.status == 200 => match engine::decode_report(&answer.body) {
             Ok(report) => Some(report),
             Err(error) => {
                 log::warn!(
-                    event = event::REPORT_FAILED.number, upstream = id.to_string();
+                    event = event::REPORT_FAILED.number, upstream = id;
                     "report_failed: {error}"
                 );
                 None
@@ -276,22 +298,40 @@
         },
         Ok(answer) => {
             log::warn!(
-                event = event::REPORT_FAILED.number, upstream = id.to_string(),
+                event = event::REPORT_FAILED.number, upstream = id,
                 status = answer.head.status; "report_failed"
             );
             None
         }
         Err(error) => {
             log::warn!(
-                event = event::REPORT_FAILED.number, upstream = id.to_string();
+                event = event::REPORT_FAILED.number, upstream = id;
                 "report_failed: {error}"
             );
             None
         }
-    };
-    let now = state.now();
-    let mut slots = state::lock(&state.desks.slots);
-    if let Some(slot) = slots.get_mut(id) {
-        slot.desk.report_ended(now, report.as_ref());
+    }
+}
+
+/// Looks at engines of which no owner tells, so that requests find what they hold.
+pub(crate) async fn watch_untold(state: sync::Arc<state::GatewayState>) {
+    loop {
+        async_io::Timer::after(UNTOLD_CHECK).await;
+        let Some(routes) = state.routes.load_full() else { continue };
+        let untold = state.view().untold_engines(state.now(), UNTOLD_AGE);
+        for id in untold {
+            let address = {
+                let view = state.view();
+                let slot = view.upstream(&id).filter(|slot| {
+                    let service = routes.service(&slot.entry.service);
+                    service.is_some_and(|service| service.engine.is_some())
+                });
+                slot.map(|slot| slot.entry.address)
+            };
+            let Some(address) = address else { continue };
+            if let Some(report) = call_report(&state, &id, address).await {
+                state.view().take_report(state.now(), &id, &report);
+            }
+        }
     }
 }
--- a/coltsfootd/src/gateway/exchange.rs
+++ b/coltsfootd/src/gateway/exchange.rs
@@ -22,6 +22,8 @@
 const MAX_STREAM_SILENCE: time::Duration = time::Duration::from_millis(1500);
 /// First event of a stream that may run elsewhere, as a multiple of the target.
 const FIRST_EVENT_TARGETS: u32 = 2;
+/// Time between looks at whether an upstream is silent.
+const SILENCE_CHECK: time::Duration = time::Duration::from_millis(100);
 /// Longest wait for an adapter.
 const MAX_LOAD_WAIT: time::Duration = time::Duration::from_millis(900);
 /// Engines at which an adapter is asked for before a request is refused.
@@ -302,6 +304,8 @@
     plan: attempt_plan::AttemptPlan,
     position: event_stream::StreamPosition,
     has_begun: bool,
+    /// The engine that did not have the adapter although it was told to.
+    missed_at: Option<sync::Arc<str>>,
     /// The last failure of an upstream, which is passed on if nothing better comes.
     failure: Option<(header::ResponseHead, Vec<u8>)>,
 }
@@ -322,6 +326,7 @@
             plan: attempt_plan::AttemptPlan::new(&admitted.route),
             position: event_stream::StreamPosition::after(exchange.fields.last_event),
             has_begun: false,
+            missed_at: None,
             failure: None,
         }
     }
@@ -406,8 +411,9 @@
                 return Ok(chosen);
             };
             self.log.loads += 1;
+            let was_missing = self.missed_at.as_ref() == Some(&chosen.id);
             let limit = MAX_LOAD_WAIT.min(self.time_left());
-            match loads::ensure(self.state, &chosen.id, name, limit).await {
+            match loads::ensure(self.state, &chosen.id, name, was_missing, limit).await {
                 wire::LoadVerdict::Ready => return Ok(chosen),
                 _ => tried.push(chosen.id),
             }
@@ -443,8 +449,13 @@
         let mut under_way = UnderWay::begin(self.state, &chosen.id, demand);
         self.log.sends += 1;
         let sent = self.state.now();
-        let limit = self.attempt_limit();
-        let answer = message::within(limit, attempt::send(&self.state.pool, &request)).await;
+        let send = attempt::send(&self.state.pool, &request);
+        let give_up = self.wait_silent(&chosen.id);
+        let answer = futures_lite::future::or(async { Some(send.await) }, async {
+            give_up.await;
+            None
+        });
+        let answer = answer.await;
         let answer = match answer {
             None => return self.broken(&chosen.id, "silent"),
             Some(Err(attempt::AttemptError::NotSent(_))) => {
@@ -459,6 +470,7 @@
             }
             Some(Ok(answer)) => answer,
         };
+        self.state.view().upstream_heard(self.state.now(), &chosen.id);
         if answer.fields.has_not_run && !answer.fields.is_signed {
             return self.not_run(&chosen.id, answer).await;
         }
@@ -500,24 +512,47 @@
         }
     }
 
+    /// Waits until the request had better go elsewhere: at once when its time is up, sooner if
+    /// nothing at all comes from the upstream.
+    async fn wait_silent(&self, upstream: &str) {
+        let limit = self.attempt_limit();
+        let early = limit.min(self.admitted.route.target_latency);
+        async_io::Timer::after(early).await;
+        let begun = self.state.now();
+        while self.state.now().since(begun) < limit.saturating_sub(early) {
+            let is_silent = {
+                let view = self.state.view();
+                view.upstream(upstream).is_none_or(|slot| slot.is_silent(self.state.now()))
+            };
+            if is_silent && limit < self.time_left() {
+                return;
+            }
+            async_io::Timer::after(SILENCE_CHECK).await;
+        }
+    }
+
     fn broken(&self, upstream: &str, detail: &'static str) -> AttemptOutcome {
         self.state.view().request_judged(self.state.now(), upstream, true);
         AttemptOutcome::Ended(attempt_plan::AttemptEnd::Broken, detail)
     }
 
     /// Handles an answer that states that the request did not run.
-    async fn not_run(&self, upstream: &str, mut answer: attempt::OpenAnswer) -> AttemptOutcome {
+    async fn not_run(
+        &mut self,
+        upstream: &sync::Arc<str>,
+        mut answer: attempt::OpenAnswer,
+    ) -> AttemptOutcome {
         let now = self.state.now();
         let is_misdirected = answer.head.status == 421;
         if is_misdirected {
-            let is_other = answer.fields.instance.as_deref().is_some_and(|id| id != upstream);
+            let is_other = answer.fields.instance.as_deref().is_some_and(|id| *id != **upstream);
             let demand = self.admitted.demand.as_ref();
             let adapter = demand.and_then(|demand| demand.adapter.as_ref());
             if is_other {
                 self.state.view().connect_failed(now, upstream);
             } else if let Some(adapter) = adapter {
                 self.state.view().adapter_missing(upstream, adapter.key());
-                self.state.desks.found_missing(now, upstream, adapter.key());
+                self.missed_at = Some(sync::Arc::clone(upstream));
             }
         }
         let read = answer.stream.read_body(answer.framing, MAX_ANSWER_BYTES);
@@ -582,6 +617,7 @@
                 Some(Ok(part)) => part,
             };
             let Some(part) = part else { break };
+            self.state.view().upstream_heard(self.state.now(), &chosen.id);
             splitter.push(&part);
             if splitter.is_overlong() {
                 return self.broken(&chosen.id, "stream_garbled");
--- a/coltsfootd/src/gateway/fleet.rs
+++ b/coltsfootd/src/gateway/fleet.rs
@@ -87,6 +87,11 @@
         })
         .collect();
     let rules_version = state.routes.load().as_ref().map_or(0, |routes| routes.rules().version);
+    let (renewed, partitions) = {
+        let lease = state.lease();
+        (lease.renewed(), lease.partitions().collect())
+    };
+    let fetching = state.desks.fetching(now);
     let mut view = state.view();
     let uses = view.take_uses();
     let beat = wire::FleetBeat {
@@ -95,6 +100,9 @@
         sequence: SEQUENCE.fetch_add(1, atomic::Ordering::Relaxed),
         is_leaving: state.is_stopping(),
         rules_version,
+        store_age_ms: u32::try_from(now.since(renewed).as_millis()).unwrap_or(u32::MAX),
+        partitions,
+        fetching: u16::try_from(fetching).unwrap_or(u16::MAX),
         work: view.local_work(),
         uses,
         engines,
@@ -194,7 +202,8 @@
     };
     let version = (ask.version > 0).then_some(ask.version);
     let asker = engines::LoadAsker::Peer(ask.reply_to, ask.ask);
-    let is_taken = state.desks.ask(state.now(), ask.upstream, &name, version, asker);
+    let missing = ask.was_missing;
+    let is_taken = state.desks.ask(state.now(), ask.upstream, &name, version, missing, asker);
     let verdict = if is_taken { wire::LoadVerdict::Accepted } else { wire::LoadVerdict::NotOwner };
     reply(state, ask.reply_to, ask.ask, verdict);
 }
--- a/coltsfootd/src/gateway/loads.rs
+++ b/coltsfootd/src/gateway/loads.rs
@@ -48,6 +48,7 @@
     state: &sync::Arc<state::GatewayState>,
     upstream: &str,
     name: &demand::AdapterName,
+    was_missing: bool,
     limit: time::Duration,
 ) -> wire::LoadVerdict {
     let (number, owner, version) = {
@@ -61,7 +62,7 @@
     state::lock(&state.loads.open).insert(ask, sender);
     let _open = OpenQuestion { loads: &state.loads, ask };
     let asker = engines::LoadAsker::Local(ask);
-    if state.desks.ask(state.now(), number, name, version, asker) {
+    if state.desks.ask(state.now(), number, name, version, was_missing, asker) {
         return final_verdict(&receiver, limit).await;
     }
     let Some(owner) = owner else { return wire::LoadVerdict::NotOwner };
@@ -72,6 +73,7 @@
         model: name.model.to_string(),
         adapter: name.adapter.to_string(),
         version: version.unwrap_or(0),
+        was_missing,
     };
     for _ in 0..MAX_SENDS {
         fleet::send(state, owner, &wire::FleetMessage::Ask(question.clone()));
--- a/coltsfootd/src/gateway/run.rs
+++ b/coltsfootd/src/gateway/run.rs
@@ -83,6 +83,7 @@
     executor.spawn(fleet::send_beats(sync::Arc::clone(&state))).detach();
     executor.spawn(fleet::find_peers(sync::Arc::clone(&state))).detach();
     executor.spawn(lease::keep(sync::Arc::clone(&state))).detach();
+    executor.spawn(engines::watch_untold(sync::Arc::clone(&state))).detach();
     wait_for_stop(&signals).await;
     stop(&state).await;
     Ok(())
@@ -97,12 +98,12 @@
     }
 }
 
-/// Ends all requests and gives up the lease.
+/// Ends all requests. The lease is kept up to the end, so that the machine finds its engines again
+/// if its process starts anew; it lapses otherwise.
 async fn stop(state: &sync::Arc<state::GatewayState>) {
     state.is_stopping.store(true, atomic::Ordering::Relaxed);
     log::info!(event = event::DRAINING.number; "draining");
     let begun = state.now();
-    state.executor.spawn(lease::give_up(sync::Arc::clone(state))).detach();
     let longest = state.settings.bounds.stop_grace.saturating_sub(KILL_MARGIN);
     loop {
         async_io::Timer::after(STOP_CHECK_INTERVAL).await;
--- a/coltsfootd/src/gateway/state.rs
+++ b/coltsfootd/src/gateway/state.rs
@@ -60,6 +60,12 @@
         lock(&self.lease)
     }
 
+    /// Returns the fencing number for an order to an engine of a partition, if one may be given.
+    pub fn order_fence(&self, partition: u32) -> Option<u64> {
+        let witnesses = self.view().witnesses();
+        self.lease().order_fence(self.now(), partition, &witnesses)
+    }
+
     /// Returns whether a planned stop is under way.
     pub fn is_stopping(&self) -> bool {
         self.is_stopping.load(atomic::Ordering::Relaxed)
