--- a/coltsfoot-gateway/src/quota_ledger.rs
+++ b/coltsfoot-gateway/src/quota_ledger.rs
@@ -30,6 +30,29 @@
     pub burst: f64,
 }
 
+/// How urgent a request is among those of its customer when the quota runs short. Requests that
+/// count for little serve more callers for the same quota, so the last part of it is kept for them.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum QuotaClass {
+    /// A call of a plain service.
+    Plain,
+    /// A request for a model on a route of the highest rank.
+    UrgentPrompt,
+    /// Another request for a model.
+    Prompt,
+}
+
+impl QuotaClass {
+    /// Returns the share of the burst that is kept for other classes.
+    fn reserved_share(self) -> f64 {
+        match self {
+            Self::Plain => 0.0,
+            Self::UrgentPrompt => 0.04,
+            Self::Prompt => 0.12,
+        }
+    }
+}
+
 /// Use by another instance.
 #[derive(Clone, Debug)]
 struct PeerUse {
@@ -131,19 +154,22 @@
         self.accounts.iter().map(|(customer, account)| (customer, account.spent))
     }
 
-    /// Takes a request's tokens, or returns the time after which enough are expected. The last
+    /// Takes a request's tokens, or returns the time after which enough are expected. What other
+    /// classes have reserved is left to them. The last
     /// request before a bucket is empty may exceed what is left.
     pub fn admit(
         &mut self,
         now: clock::MonotonicTime,
         customer: &str,
         tokens: u64,
+        class: QuotaClass,
     ) -> Result<(), time::Duration> {
         let Some(account) = self.accounts.get_mut(customer) else { return Ok(()) };
         account.refill(now);
-        if account.level <= 0.0 {
+        let reserve = account.limit.burst * class.reserved_share();
+        if account.level <= reserve {
             let rate = account.limit.rate_per_s.max(f64::MIN_POSITIVE);
-            let wait = ((1.0 - account.level) / rate).min(MAX_WAIT.as_secs_f64());
+            let wait = ((reserve + 1.0 - account.level) / rate).min(MAX_WAIT.as_secs_f64());
             return Err(time::Duration::from_secs_f64(wait));
         }
         account.level -= tokens as f64;
--- a/coltsfootd/src/event.rs
+++ b/coltsfootd/src/event.rs
@@ -53,6 +53,8 @@
     LIST_UNREACHABLE = 210, "list_unreachable", Warn;
     /// The instance list can be read again.
     LIST_REACHABLE = 211, "list_reachable", Info;
+    /// A customer's quota is in force.
+    QUOTA_SET = 207, "quota_set", Info;
     /// A new version of an adapter was named.
     VERSION_NAMED = 206, "version_named", Info;
     /// An upstream's entry is new or changed its state.
--- a/coltsfootd/src/gateway/exchange.rs
+++ b/coltsfootd/src/gateway/exchange.rs
@@ -4,7 +4,7 @@
 use std::time;
 
 use async_net::TcpStream;
-use coltsfoot_gateway::{attempt_plan, demand, engine_choice, event_stream, route_table, rules};
+use coltsfoot_gateway::{attempt_plan, demand, engine_choice, event_stream, quota_ledger, route_table, rules};
 use coltsfoot_http::{body, header, message};
 use coltsfoot_types::time as instant;
 use coltsfoot_wire::fleet as wire;
@@ -91,10 +91,10 @@
     /// Serves the request and writes the answer.
     pub async fn serve(self, writer: &mut TcpStream) -> ConnectionUse {
         let mut log = RequestLog::default();
-        let outcome = match self.admit() {
+        let outcome = match self.admit(&mut log) {
             Err(answer) => Outcome::Own(answer),
             Ok(admitted) => {
-                log.route = Some(sync::Arc::clone(&admitted.route.name));
+                log.tokens = admitted.tokens;
                 let mut forwarding = Forwarding::new(&self, &admitted, writer, &mut log);
                 let outcome = forwarding.run_in_time().await;
                 let has_run = forwarding.plan.may_have_run();
@@ -107,7 +107,7 @@
     }
 
     /// Decides whether the request is allowed now.
-    fn admit(&self) -> Result<AdmittedRequest, OwnAnswer> {
+    fn admit(&self, log: &mut RequestLog) -> Result<AdmittedRequest, OwnAnswer> {
         let Some(routes) = self.state.routes.load_full() else {
             return Err(OwnAnswer::refused("no_configuration", RETRY_PAUSE));
         };
@@ -120,13 +120,20 @@
             route_table::AccessDenial::NoRoute => OwnAnswer::denied(404, "no_route"),
             route_table::AccessDenial::UnknownKey => OwnAnswer::denied(401, "unknown_key"),
         })?;
+        log.route = Some(sync::Arc::clone(&granted.route.name));
+        log.customer = granted.customer.as_ref().map(|customer| sync::Arc::clone(&customer.name));
         let service = route_table::pick_service(&granted.route, &request_id)
             .and_then(|name| routes.service(&name).cloned())
             .ok_or(OwnAnswer::refused("no_service", RETRY_PAUSE))?;
         let patience = self.fields.patience.unwrap_or(granted.route.timeout);
         let deadline = self.received + patience.min(granted.route.timeout);
-        let tokens = self.charge(granted.customer.as_deref())?;
         let demand = self.fields.demand.clone().filter(|_| service.engine.is_some());
+        let class = match &demand {
+            None => quota_ledger::QuotaClass::Plain,
+            Some(_) if granted.route.priority == 0 => quota_ledger::QuotaClass::UrgentPrompt,
+            Some(_) => quota_ledger::QuotaClass::Prompt,
+        };
+        let tokens = self.charge(granted.customer.as_deref(), class)?;
         Ok(AdmittedRequest {
             request_id,
             route: granted.route,
@@ -138,14 +145,18 @@
         })
     }
 
-    fn charge(&self, customer: Option<&rules::CustomerRule>) -> Result<u64, OwnAnswer> {
+    fn charge(
+        &self,
+        customer: Option<&rules::CustomerRule>,
+        class: quota_ledger::QuotaClass,
+    ) -> Result<u64, OwnAnswer> {
         let Some(customer) = customer else { return Ok(0) };
         let declared = self.fields.demand.as_ref().map(demand::PromptDemand::total_tokens);
         let tokens = match customer.counts_tokens {
             true => declared.filter(|tokens| *tokens > 0).unwrap_or(customer.plain_tokens),
             false => 1,
         };
-        let admitted = state::lock(&self.state.quota).admit(self.received, &customer.name, tokens);
+        let admitted = state::lock(&self.state.quota).admit(self.received, &customer.name, tokens, class);
         admitted.map_err(|wait| OwnAnswer {
             status: 429,
             reason: "over_quota",
@@ -221,6 +232,8 @@
 #[derive(Default)]
 struct RequestLog {
     route: Option<sync::Arc<str>>,
+    customer: Option<sync::Arc<str>>,
+    tokens: u64,
     upstream: Option<sync::Arc<str>>,
     expected_ms: f64,
     sends: u32,
@@ -243,6 +256,7 @@
             event = event::REQUEST_ENDED.number,
             request = exchange.fields.request_id.as_deref().unwrap_or_default(),
             route = self.route.as_deref().unwrap_or_default(),
+            customer = self.customer.as_deref().unwrap_or_default(), tokens = self.tokens,
             upstream = self.upstream.as_deref().unwrap_or_default(),
             rules = version, status = status, reason = reason, sends = self.sends,
             loads = self.loads, expected_ms = self.expected_ms as u64,
--- a/coltsfootd/src/gateway/state.rs
+++ b/coltsfootd/src/gateway/state.rs
@@ -12,7 +12,7 @@
 use rustc_hash::FxHashMap;
 use site_platform::{settings, store};
 
-use crate::clock;
+use crate::{clock, event};
 use crate::gateway::{engines, loads};
 
 /// Part of the promised retries that is used, so that instances that miss each other stay within.
@@ -124,6 +124,11 @@
         {
             let mut quota = lock(&self.quota);
             for customer in &rules.customers {
+                log::info!(
+                    event = event::QUOTA_SET.number, customer = &*customer.name,
+                    rate_per_s = customer.rate_per_s.unwrap_or_default(),
+                    burst = customer.burst; "quota_set"
+                );
                 let limit = customer.rate_per_s.map(|rate_per_s| quota_ledger::QuotaLimit {
                     rate_per_s,
                     burst: customer.burst,
