Bound adapter fetches over the fleet and place by warm engines and free places

Cause: in bursts more adapters were fetched than the weight store delivers at full speed, so that predicted loads were too short and requests met 421; engines whose places were all in use were asked for more; rare adapters were copied to further engines as soon as a queue formed.

--- a/coltsfoot-gateway/src/engine_choice.rs
+++ b/coltsfoot-gateway/src/engine_choice.rs
@@ -10,11 +10,19 @@
 pub const READ_TOKENS_PER_MS: f64 = 33.0;
 /// Expected time from the end of the prompt to the first event, in milliseconds.
 pub const FIRST_EVENT_MS: f64 = 40.0;
-/// Expected time to load an adapter, in milliseconds.
-const LOAD_MS: f64 = 180.0;
-/// Cost of a further copy of an adapter, by its place in the adapter's order of engines, in
-/// milliseconds: what others lose by the adapter that makes way.
-const COPY_MS: [f64; 4] = [0.0, 300.0, 400.0, 500.0];
+/// Expected time to load an adapter that the engine held recently, in milliseconds.
+const WARM_LOAD_MS: f64 = 45.0;
+/// Expected time to fetch an adapter from the weight store, in milliseconds.
+const FETCH_MS: f64 = 270.0;
+/// Fetches that the weight store delivers at full speed.
+const FULL_SPEED_FETCHES: f64 = 8.0;
+/// Cost of a fetch to the operators and to other fetches, in milliseconds.
+const FETCH_PRICE_MS: f64 = 100.0;
+/// Time over which a further copy of an adapter pays off, in seconds.
+const COPY_HORIZON_S: f64 = 5.0;
+/// Cost of a further copy of an adapter that is asked for once, by its place in the adapter's order
+/// of engines, in milliseconds: what others lose by the adapter that makes way.
+const COPY_MS: [f64; 4] = [0.0, 700.0, 800.0, 900.0];
 /// Cost of a request that fails and is sent again, in milliseconds.
 const FAILURE_MS: f64 = 1500.0;
 /// Cost of another availability zone, in milliseconds.
@@ -112,10 +120,9 @@
     let preferred = preferred_holder(demand, &ranked, &holds);
     let costs = ranked.iter().enumerate().filter_map(|(rank, slot)| {
         let is_held = holds(slot);
-        let load = match is_held {
-            true => 0.0,
-            false if slot.residency.takes_orders => LOAD_MS + COPY_MS.get(rank)?,
-            false => return None,
+        let load = match (is_held, key) {
+            (false, Some(key)) => load_cost(now, view, slot, key, rank)?,
+            _ => 0.0,
         };
         let wait = engine_wait(now, slot, demand, preferred == Some(slot.number));
         Some((wait + load + common_cost(now, request, slot), slot, !is_held))
@@ -125,6 +132,27 @@
     Some(ChosenUpstream { id: sync::Arc::clone(&slot.entry.id), expected_ms, needs_load })
 }
 
+/// Returns the cost of loading an adapter at an engine; `None` if that is not possible.
+fn load_cost(
+    now: clock::MonotonicTime,
+    view: &fleet_view::FleetView,
+    slot: &fleet_view::UpstreamSlot,
+    key: demand::AdapterKey,
+    rank: usize,
+) -> Option<f64> {
+    let residency = &slot.residency;
+    if !residency.takes_orders || residency.idle_places == 0 {
+        return None;
+    }
+    let reuse = 1.0 + view.adapter_rate(now, key) * COPY_HORIZON_S;
+    let copy = COPY_MS.get(rank)? / reuse;
+    if slot.is_warm(key) {
+        return Some(WARM_LOAD_MS + copy);
+    }
+    let crowd = (f64::from(view.fetch_backlog() + 1) / FULL_SPEED_FETCHES).max(1.0);
+    Some(FETCH_MS * crowd + FETCH_PRICE_MS + copy)
+}
+
 /// Returns the holder that requests of one subject go to, so that its prompt is kept there.
 fn preferred_holder(
     demand: &demand::PromptDemand,
--- a/coltsfoot-gateway/src/engine_desk.rs
+++ b/coltsfoot-gateway/src/engine_desk.rs
@@ -14,7 +14,7 @@
 /// Time that an adapter takes that the engine held recently.
 pub const WARM_LOAD: time::Duration = time::Duration::from_millis(25);
 /// Adapters that an engine can load as fast as [`WARM_LOAD`], held most recently.
-const WARM_ADAPTERS: usize = 48;
+pub const WARM_ADAPTERS: usize = 48;
 /// Adapters that the weight store delivers at once at full speed.
 const FULL_SPEED_FETCHES: f64 = 8.0;
 /// Time after an order in which a missing adapter is taken to be still on its way.
@@ -28,7 +28,9 @@
 /// Time between reports of an engine.
 const REPORT_INTERVAL: time::Duration = time::Duration::from_millis(2000);
 /// Time that a question waits for a place before its asker is sent elsewhere.
-const MAX_QUESTION_WAIT: time::Duration = time::Duration::from_millis(300);
+const MAX_QUESTION_WAIT: time::Duration = time::Duration::from_millis(600);
+/// Time after which a desk looks again whether an adapter may be fetched.
+const FETCH_CHECK: time::Duration = time::Duration::from_millis(25);
 /// Allowance between the expected end of a load and the first request.
 const LOAD_MARGIN: time::Duration = time::Duration::from_millis(8);
 
@@ -63,6 +65,23 @@
     Unknown,
 }
 
+/// What the owner may do now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct OrderLeave {
+    /// Whether orders may be given at all.
+    pub may_order: bool,
+    /// Whether an adapter may be fetched from the weight store.
+    pub may_fetch: bool,
+}
+
+/// Returns whether another adapter may be fetched from the weight store, which slows all fetches
+/// down beyond a number: `own` are those of this instance, `others` those of the others. An
+/// instance without any has one to itself, unless many have.
+pub fn may_fetch(own: u32, others: u32) -> bool {
+    let most = FULL_SPEED_FETCHES as u32;
+    own + others < most || (own == 0 && others < 2 * most)
+}
+
 /// What to do next for an engine.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum DeskStep {
@@ -232,7 +251,7 @@
     pub fn next_step(
         &mut self,
         now: clock::MonotonicTime,
-        may_order: bool,
+        leave: OrderLeave,
         in_use: impl Fn(demand::AdapterKey) -> bool,
         newest: impl Fn(demand::AdapterKey) -> Option<u64>,
     ) -> DeskStep {
@@ -242,10 +261,14 @@
                 false => DeskStep::Wait(self.next_report),
             };
         };
-        if may_order && let Some(order) = self.next_order(now, in_use, newest) {
+        if leave.may_order
+            && let Some(order) = self.next_order(now, leave, in_use, newest)
+        {
             return DeskStep::Order { order, expected_count };
         }
-        DeskStep::Wait(self.next_due(now))
+        let due = self.next_due(now);
+        let is_held_up = leave.may_order && !leave.may_fetch && !self.questions.is_empty();
+        DeskStep::Wait(if is_held_up { due.min(now + FETCH_CHECK) } else { due })
     }
 
     fn next_due(&self, now: clock::MonotonicTime) -> clock::MonotonicTime {
@@ -259,6 +282,7 @@
     fn next_order(
         &self,
         now: clock::MonotonicTime,
+        leave: OrderLeave,
         in_use: impl Fn(demand::AdapterKey) -> bool,
         newest: impl Fn(demand::AdapterKey) -> Option<u64>,
     ) -> Option<EngineOrder> {
@@ -274,11 +298,12 @@
         if loading >= MAX_LOADING {
             return None;
         }
-        self.order_for_question(&in_use).or_else(|| self.order_for_version(now, &newest))
+        self.order_for_question(leave, &in_use).or_else(|| self.order_for_version(now, &newest))
     }
 
     fn order_for_question(
         &self,
+        leave: OrderLeave,
         in_use: &impl Fn(demand::AdapterKey) -> bool,
     ) -> Option<EngineOrder> {
         for question in &self.questions {
@@ -286,6 +311,9 @@
             if held.is_some_and(|held| held.version >= question.version.unwrap_or(0)) {
                 continue;
             }
+            if !leave.may_fetch && !self.warm.contains(&question.name.key()) {
+                continue;
+            }
             if held.is_some() || self.placed.len() < self.capacity {
                 let (name, version) = (question.name.clone(), question.version);
                 return Some(EngineOrder::LoadAdapter { name, version });
@@ -482,6 +510,27 @@
         self.has_changed = true;
     }
 
+    /// Returns the questions for adapters that are to be fetched from the weight store.
+    pub fn waiting_fetches(&self) -> u32 {
+        let waiting = self.questions.iter().filter(|question| {
+            let key = question.name.key();
+            !self.placed.contains_key(&key) && !self.warm.contains(&key)
+        });
+        waiting.count() as u32
+    }
+
+    /// Returns the places that are free or whose adapters could make way.
+    pub fn idle_places(&self, in_use: impl Fn(demand::AdapterKey) -> bool) -> usize {
+        let used = self.placed.iter().filter(|(key, placed)| {
+            in_use(**key) || self.questions.iter().any(|question| question.name == placed.name)
+        });
+        let new = self
+            .questions
+            .iter()
+            .filter(|question| !self.placed.contains_key(&question.name.key()));
+        self.capacity.saturating_sub(used.count() + new.count())
+    }
+
     /// Returns the adapters on their way from the weight store.
     pub fn fetching(&self, now: clock::MonotonicTime) -> u32 {
         let coming =
--- a/coltsfoot-gateway/src/fleet_view.rs
+++ b/coltsfoot-gateway/src/fleet_view.rs
@@ -7,7 +7,7 @@
 use coltsfoot_wire::fleet;
 use rustc_hash::FxHashMap;
 
-use crate::{demand, order_lease, rendezvous, upstream};
+use crate::{demand, engine_desk, order_lease, rendezvous, upstream};
 
 /// Age above which the work told by an instance no longer counts.
 const BEAT_LIFETIME: time::Duration = time::Duration::from_millis(1500);
@@ -26,6 +26,10 @@
 /// Time for which an engine with an older adapter version still gets requests, while its owner
 /// replaces it.
 const VERSION_GRACE: time::Duration = time::Duration::from_millis(2500);
+/// Time over which requests for an adapter are averaged.
+const POPULARITY_WINDOW: time::Duration = time::Duration::from_secs(5);
+/// Adapters whose requests are counted.
+const MAX_POPULARITY: usize = 4096;
 /// Prompt parts remembered for an engine.
 const MAX_KEPT_PARTS: usize = 512;
 
@@ -49,6 +53,8 @@
     pub takes_orders: bool,
     /// Whether the base model is there.
     pub has_model: bool,
+    /// Places that are free or whose adapters could make way.
+    pub idle_places: u8,
     /// When the owner told last.
     pub heard: Option<clock::MonotonicTime>,
     /// Adapters that are ready, with versions.
@@ -77,6 +83,7 @@
     adapters_touched: FxHashMap<demand::AdapterKey, ()>,
     remote_uses: FxHashMap<demand::AdapterKey, clock::MonotonicTime>,
     kept_parts: FxHashMap<(u64, u64), clock::MonotonicTime>,
+    warm: FxHashMap<demand::AdapterKey, clock::MonotonicTime>,
 }
 
 impl UpstreamSlot {
@@ -98,6 +105,7 @@
             adapters_touched: FxHashMap::default(),
             remote_uses: FxHashMap::default(),
             kept_parts: FxHashMap::default(),
+            warm: FxHashMap::default(),
             entry,
         }
     }
@@ -143,6 +151,18 @@
         kept.map(|part| part.tokens).sum()
     }
 
+    /// Returns whether the engine held an adapter recently, so that it need not be fetched.
+    pub fn is_warm(&self, key: demand::AdapterKey) -> bool {
+        self.warm.contains_key(&key)
+    }
+
+    fn trim_warm(&mut self) {
+        while self.warm.len() > engine_desk::WARM_ADAPTERS {
+            let oldest = self.warm.iter().min_by_key(|(_, held)| **held).map(|(key, _)| *key);
+            oldest.map(|key| self.warm.remove(&key));
+        }
+    }
+
     fn keep_parts(&mut self, now: clock::MonotonicTime, demand: &demand::PromptDemand) {
         let weights = demand.weights_key();
         for part in &demand.parts {
@@ -190,6 +210,8 @@
     pub witness: order_lease::LeaseWitness,
     /// Adapters that its engines fetch from the weight store.
     pub fetching: u32,
+    /// Adapters that they are to fetch once the weight store has room.
+    pub to_fetch: u32,
 }
 
 /// Upstreams, instances and adapter versions.
@@ -198,6 +220,7 @@
     upstreams: FxHashMap<sync::Arc<str>, UpstreamSlot>,
     peers: FxHashMap<u64, PeerSlot>,
     versions: FxHashMap<demand::AdapterKey, NamedVersion>,
+    popularity: FxHashMap<demand::AdapterKey, (f64, clock::MonotonicTime)>,
 }
 
 /// Returns the number of a customer in messages.
@@ -319,6 +342,27 @@
         u64::from(unread)
     }
 
+    /// Notes that a request asks for an adapter.
+    pub fn adapter_asked(&mut self, now: clock::MonotonicTime, key: demand::AdapterKey) {
+        let rate = self.local_rate(now, key) + 1.0 / POPULARITY_WINDOW.as_secs_f64();
+        self.popularity.insert(key, (rate, now));
+        if self.popularity.len() > MAX_POPULARITY {
+            self.popularity.retain(|_, (_, asked)| now.since(*asked) < POPULARITY_WINDOW);
+        }
+    }
+
+    fn local_rate(&self, now: clock::MonotonicTime, key: demand::AdapterKey) -> f64 {
+        let Some((rate, asked)) = self.popularity.get(&key) else { return 0.0 };
+        let age = now.since(*asked).as_secs_f64();
+        rate * (-age / POPULARITY_WINDOW.as_secs_f64()).exp()
+    }
+
+    /// Returns how many requests a second ask for an adapter at all instances, if the others see
+    /// as many as this one.
+    pub fn adapter_rate(&self, now: clock::MonotonicTime, key: demand::AdapterKey) -> f64 {
+        self.local_rate(now, key) * (self.peers.len() + 1) as f64
+    }
+
     /// Notes that a request's prompt was read, or that the request ended before.
     pub fn prompt_read(&mut self, id: &str, unread: u64) {
         if let Some(slot) = self.upstreams.get_mut(id) {
@@ -393,6 +437,7 @@
                 partitions: Vec::new(),
             },
             fetching: 0,
+            to_fetch: 0,
         });
         if !is_new && beat.sequence <= peer.sequence {
             return false;
@@ -402,6 +447,7 @@
         peer.rules_version = beat.rules_version;
         peer.is_leaving = beat.is_leaving;
         peer.fetching = u32::from(beat.fetching);
+        peer.to_fetch = u32::from(beat.to_fetch);
         peer.witness = order_lease::LeaseWitness {
             heard: now,
             store_age: time::Duration::from_millis(u64::from(beat.store_age_ms)),
@@ -461,6 +507,12 @@
         self.peers.values().map(|peer| peer.fetching).sum()
     }
 
+    /// Returns the adapters that wait for the weight store or are on their way from it, at the
+    /// other instances.
+    pub fn fetch_backlog(&self) -> u32 {
+        self.peers.values().map(|peer| peer.fetching + peer.to_fetch).sum()
+    }
+
     /// Takes a report that this instance fetched itself, since no owner tells of the engine.
     pub fn take_report(
         &mut self,
@@ -523,11 +575,16 @@
         return;
     }
     let adapters = engine.adapters.iter();
+    for held in &engine.adapters {
+        slot.warm.insert(demand::AdapterKey(held.adapter), now);
+    }
+    slot.trim_warm();
     slot.residency = Residency {
         fence: engine.fence,
         owner,
         takes_orders: engine.takes_orders,
         has_model: engine.has_model,
+        idle_places: engine.idle_places,
         heard: Some(now),
         adapters: adapters.map(|held| (demand::AdapterKey(held.adapter), held.version)).collect(),
     };
--- a/coltsfoot-wire/src/fleet.rs
+++ b/coltsfoot-wire/src/fleet.rs
@@ -47,6 +47,8 @@
     pub has_model: bool,
     /// Whether the owner may give orders now.
     pub takes_orders: bool,
+    /// Places that are free or whose adapters could make way.
+    pub idle_places: u8,
     /// Adapters that are ready to serve.
     pub adapters: Vec<HeldAdapter>,
 }
@@ -79,6 +81,8 @@
     pub partitions: Vec<u32>,
     /// Adapters that the sender's engines fetch from the weight store.
     pub fetching: u16,
+    /// Adapters that they are to fetch once the weight store has room.
+    pub to_fetch: u16,
     /// Work under way.
     pub work: Vec<UpstreamWork>,
     /// Adapters in use.
--- a/coltsfootd/src/gateway/engines.rs
+++ b/coltsfootd/src/gateway/engines.rs
@@ -38,6 +38,7 @@
 
 /// A desk and the event that wakes its task.
 struct DeskSlot {
+    id: sync::Arc<str>,
     number: u32,
     partition: u32,
     desk: engine_desk::EngineDesk<LoadAsker>,
@@ -95,18 +96,28 @@
         state::lock(&self.slots).values().map(|slot| slot.desk.fetching(now)).sum()
     }
 
+    /// Returns the adapters that are to be fetched once the weight store has room.
+    pub fn waiting_fetches(&self) -> u32 {
+        state::lock(&self.slots).values().map(|slot| slot.desk.waiting_fetches()).sum()
+    }
+
     /// Returns what the other instances should know of the engines owned.
     pub fn owned(&self, state: &state::GatewayState) -> Vec<wire::OwnedEngine> {
         let now = state.now();
-        let witnesses = state.view().witnesses();
+        let view = state.view();
+        let witnesses = view.witnesses();
         let lease = state.lease();
         let slots = state::lock(&self.slots);
         let known = slots.values().filter_map(|slot| {
             let fence = lease.fence(slot.partition)?;
+            let upstream = view.upstream(&slot.id);
+            let in_use = |key| upstream.is_some_and(|upstream| upstream.is_in_use(now, key));
+            let idle_places = slot.desk.idle_places(in_use);
             Some(wire::OwnedEngine {
                 upstream: slot.number,
                 fence,
                 has_model: slot.desk.has_model(now),
+                idle_places: u8::try_from(idle_places).unwrap_or(u8::MAX),
                 takes_orders: lease.order_fence(now, slot.partition, &witnesses).is_some(),
                 adapters: slot
                     .desk
@@ -138,7 +149,13 @@
         let desk = engine_desk::EngineDesk::new(model, rule.adapter_capacity());
         let wake = sync::Arc::new(event_listener::Event::new());
         let number = upstream.number;
-        let slot = DeskSlot { number, partition, desk, wake: sync::Arc::clone(&wake) };
+        let slot = DeskSlot {
+            id: sync::Arc::clone(id),
+            number,
+            partition,
+            desk,
+            wake: sync::Arc::clone(&wake),
+        };
         slots.insert(sync::Arc::clone(id), slot);
         let task = tend(sync::Arc::clone(state), sync::Arc::clone(id), number, partition, wake);
         state.executor.spawn(task).detach();
@@ -198,12 +215,15 @@
 ) -> Option<engine_desk::DeskStep> {
     let now = state.now();
     let may_order = state.order_fence(partition).is_some();
+    let own = state.desks.fetching(now);
     let view = state.view();
+    let may_fetch = engine_desk::may_fetch(own, view.fetching());
+    let leave = engine_desk::OrderLeave { may_order, may_fetch };
     let upstream = view.upstream(id)?;
     let mut slots = state::lock(&state.desks.slots);
     let desk = &mut slots.get_mut(id)?.desk;
     let in_use = |key| upstream.is_in_use(now, key);
-    Some(desk.next_step(now, may_order, in_use, |key| view.newest_version(key)))
+    Some(desk.next_step(now, leave, in_use, |key| view.newest_version(key)))
 }
 
 /// Answers the questions that are settled and tells the others what changed.
--- a/coltsfootd/src/gateway/exchange.rs
+++ b/coltsfootd/src/gateway/exchange.rs
@@ -4,7 +4,9 @@
 use std::time;
 
 use async_net::TcpStream;
-use coltsfoot_gateway::{attempt_plan, demand, engine_choice, event_stream, quota_ledger, route_table, rules};
+use coltsfoot_gateway::{
+    attempt_plan, demand, engine_choice, event_stream, quota_ledger, route_table, rules,
+};
 use coltsfoot_http::{body, header, message};
 use coltsfoot_types::time as instant;
 use coltsfoot_wire::fleet as wire;
@@ -156,7 +158,8 @@
             true => declared.filter(|tokens| *tokens > 0).unwrap_or(customer.plain_tokens),
             false => 1,
         };
-        let admitted = state::lock(&self.state.quota).admit(self.received, &customer.name, tokens, class);
+        let admitted =
+            state::lock(&self.state.quota).admit(self.received, &customer.name, tokens, class);
         admitted.map_err(|wait| OwnAnswer {
             status: 429,
             reason: "over_quota",
@@ -361,6 +364,10 @@
 
     async fn run(&mut self) -> Outcome {
         self.state.deposit_retry(&self.admitted.service.name);
+        let demand = self.admitted.demand.as_ref();
+        if let Some(adapter) = demand.and_then(|demand| demand.adapter.as_ref()) {
+            self.state.view().adapter_asked(self.state.now(), adapter.key());
+        }
         loop {
             let chosen = match self.place().await {
                 Ok(chosen) => chosen,
--- a/coltsfootd/src/gateway/fleet.rs
+++ b/coltsfootd/src/gateway/fleet.rs
@@ -92,6 +92,7 @@
         (lease.renewed(), lease.partitions().collect())
     };
     let fetching = state.desks.fetching(now);
+    let to_fetch = state.desks.waiting_fetches();
     let mut view = state.view();
     let uses = view.take_uses();
     let beat = wire::FleetBeat {
@@ -103,6 +104,7 @@
         store_age_ms: u32::try_from(now.since(renewed).as_millis()).unwrap_or(u32::MAX),
         partitions,
         fetching: u16::try_from(fetching).unwrap_or(u16::MAX),
+        to_fetch: u16::try_from(to_fetch).unwrap_or(u16::MAX),
         work: view.local_work(),
         uses,
         engines,
--- a/coltsfootd/src/gateway/state.rs
+++ b/coltsfootd/src/gateway/state.rs
@@ -12,8 +12,8 @@
 use rustc_hash::FxHashMap;
 use site_platform::{settings, store};
 
-use crate::{clock, event};
 use crate::gateway::{engines, loads};
+use crate::{clock, event};
 
 /// Part of the promised retries that is used, so that instances that miss each other stay within.
 const RETRY_SHARE_USED: f64 = 0.8;
