Let the instances of a zone own its engines, and avoid zones that are silent

Cause: during a zone cut a third of the engines on either side had owners on the other side, so that nothing could be loaded there until the lease had lapsed and the new holder had waited.

--- a/coltsfoot-gateway/src/engine_choice.rs
+++ b/coltsfoot-gateway/src/engine_choice.rs
@@ -18,6 +18,8 @@
 const FULL_SPEED_FETCHES: f64 = 8.0;
 /// Cost of a fetch to the operators and to other fetches, in milliseconds.
 const FETCH_PRICE_MS: f64 = 100.0;
+/// Expected time until a place becomes free where all are in use, in milliseconds.
+const NO_PLACE_MS: f64 = 400.0;
 /// Time over which a further copy of an adapter pays off, in seconds.
 const COPY_HORIZON_S: f64 = 5.0;
 /// Cost of a further copy of an adapter that is asked for once, by its place in the adapter's order
@@ -27,6 +29,8 @@
 const FAILURE_MS: f64 = 1500.0;
 /// Cost of another availability zone, in milliseconds.
 const ZONE_MS: f64 = 4.0;
+/// Cost of an availability zone that is probably cut off, in milliseconds.
+const SILENT_ZONE_MS: f64 = 2_000.0;
 /// Cost of each request beyond the places of an upstream, in milliseconds.
 const QUEUED_MS: f64 = 40.0;
 /// Cost of an upstream to which connections failed a moment ago, in milliseconds.
@@ -73,16 +77,22 @@
         ready.filter(|slot| !request.tried.contains(&slot.entry.id)).collect();
     match request.demand {
         Some(demand) => choose_engine(now, view, request, demand, &candidates),
-        None => choose_plain(now, request, &candidates),
+        None => choose_plain(now, view, request, &candidates),
     }
 }
 
 fn common_cost(
     now: clock::MonotonicTime,
+    view: &fleet_view::FleetView,
     request: &PlacedRequest<'_>,
     slot: &fleet_view::UpstreamSlot,
 ) -> f64 {
-    let zone = if &*slot.entry.zone == request.zone { 0.0 } else { ZONE_MS };
+    let is_near = &*slot.entry.zone == request.zone;
+    let zone = match is_near {
+        true => 0.0,
+        false if view.is_zone_silent(now, &slot.entry.zone) => SILENT_ZONE_MS,
+        false => ZONE_MS,
+    };
     let avoided = if slot.is_avoided(now) { AVOIDED_MS } else { 0.0 };
     let silent = if slot.is_silent(now) { SILENT_MS } else { 0.0 };
     zone + avoided + silent + slot.failure_rate(now) * FAILURE_MS
@@ -90,6 +100,7 @@
 
 fn choose_plain(
     now: clock::MonotonicTime,
+    view: &fleet_view::FleetView,
     request: &PlacedRequest<'_>,
     candidates: &[&fleet_view::UpstreamSlot],
 ) -> Option<ChosenUpstream> {
@@ -97,7 +108,7 @@
         let work = slot.work(now);
         let slots = slot.entry.slots.max(1);
         let rounds = f64::from(work.running) / f64::from(slots);
-        (rounds * PLAIN_WORK_MS + common_cost(now, request, slot), slot)
+        (rounds * PLAIN_WORK_MS + common_cost(now, view, request, slot), slot)
     });
     let (cost, slot) = costs.min_by(|(one, _), (other, _)| one.total_cmp(other))?;
     let id = sync::Arc::clone(&slot.entry.id);
@@ -125,7 +136,7 @@
             _ => 0.0,
         };
         let wait = engine_wait(now, slot, demand, preferred == Some(slot.number));
-        Some((wait + load + common_cost(now, request, slot), slot, !is_held))
+        Some((wait + load + common_cost(now, view, request, slot), slot, !is_held))
     });
     let best = costs.min_by(|(one, ..), (other, ..)| one.total_cmp(other));
     let (expected_ms, slot, needs_load) = best?;
@@ -141,16 +152,17 @@
     rank: usize,
 ) -> Option<f64> {
     let residency = &slot.residency;
-    if !residency.takes_orders || residency.idle_places == 0 {
+    if !residency.takes_orders {
         return None;
     }
+    let place = if residency.idle_places == 0 { NO_PLACE_MS } else { 0.0 };
     let reuse = 1.0 + view.adapter_rate(now, key) * COPY_HORIZON_S;
     let copy = COPY_MS.get(rank)? / reuse;
     if slot.is_warm(key) {
-        return Some(WARM_LOAD_MS + copy);
+        return Some(WARM_LOAD_MS + copy + place);
     }
     let crowd = (f64::from(view.fetch_backlog() + 1) / FULL_SPEED_FETCHES).max(1.0);
-    Some(FETCH_MS * crowd + FETCH_PRICE_MS + copy)
+    Some(FETCH_MS * crowd + FETCH_PRICE_MS + copy + place)
 }
 
 /// Returns the holder that requests of one subject go to, so that its prompt is kept there.
--- a/coltsfoot-gateway/src/fleet_view.rs
+++ b/coltsfoot-gateway/src/fleet_view.rs
@@ -11,6 +11,8 @@
 
 /// Age above which the work told by an instance no longer counts.
 const BEAT_LIFETIME: time::Duration = time::Duration::from_millis(1500);
+/// Time without beats from a whole zone after which it is suspected to be cut off.
+const ZONE_SILENCE: time::Duration = time::Duration::from_millis(600);
 /// Time without beats after which an instance is forgotten.
 pub const PEER_LIFETIME: time::Duration = time::Duration::from_secs(12);
 /// Time for which a failed connection keeps work away.
@@ -198,6 +200,8 @@
 pub struct PeerSlot {
     /// Where it receives messages.
     pub address: std::net::SocketAddr,
+    /// Its availability zone.
+    pub zone: sync::Arc<str>,
     /// When it was heard last.
     pub heard: clock::MonotonicTime,
     /// Sequence number of its last beat.
@@ -427,6 +431,7 @@
         let is_new = !self.peers.contains_key(&beat.sender);
         let peer = self.peers.entry(beat.sender).or_insert_with(|| PeerSlot {
             address: beat.address,
+            zone: beat.zone.as_str().into(),
             heard: now,
             sequence: 0,
             rules_version: 0,
@@ -497,9 +502,17 @@
         self.peers.iter().map(|(id, peer)| (*id, peer))
     }
 
-    /// Returns what the other instances told of their leases.
-    pub fn witnesses(&self) -> Vec<order_lease::LeaseWitness> {
-        self.peers.values().map(|peer| peer.witness.clone()).collect()
+    /// Returns what the other instances of a zone told of their leases.
+    pub fn witnesses(&self, zone: &str) -> Vec<order_lease::LeaseWitness> {
+        let near = self.peers.values().filter(|peer| &*peer.zone == zone);
+        near.map(|peer| peer.witness.clone()).collect()
+    }
+
+    /// Returns whether no instance of a zone was heard from lately although some are known: the
+    /// zone is probably cut off.
+    pub fn is_zone_silent(&self, now: clock::MonotonicTime, zone: &str) -> bool {
+        let mut near = self.peers.values().filter(|peer| &*peer.zone == zone).peekable();
+        near.peek().is_some() && near.all(|peer| now.since(peer.heard) > ZONE_SILENCE)
     }
 
     /// Returns the adapters that the engines of the other instances fetch from the weight store.
--- a/coltsfoot-gateway/src/order_lease.rs
+++ b/coltsfoot-gateway/src/order_lease.rs
@@ -27,7 +27,7 @@
 /// Allowance for the time between the check and the order's arrival at an engine.
 const ORDER_DELAY: time::Duration = time::Duration::from_millis(300);
 /// Longest time for which other instances can stand in for renewals.
-const MAX_OUTAGE: time::Duration = time::Duration::from_secs(10);
+const MAX_OUTAGE: time::Duration = time::Duration::from_secs(8);
 /// Age up to which the word of another instance stands in for a renewal. With the order delay it
 /// stays below the validity, for which a new holder waits.
 const MAX_WITNESS_AGE: time::Duration = time::Duration::from_millis(600);
--- a/coltsfoot-wire/src/fleet.rs
+++ b/coltsfoot-wire/src/fleet.rs
@@ -69,6 +69,8 @@
     pub sender: u64,
     /// Where the sender receives messages.
     pub address: net::SocketAddr,
+    /// The sender's availability zone.
+    pub zone: String,
     /// Grows with each beat of this incarnation.
     pub sequence: u64,
     /// Whether the sender is about to stop.
@@ -77,7 +79,7 @@
     pub rules_version: u64,
     /// Time since the sender reached the store, in milliseconds.
     pub store_age_ms: u32,
-    /// Partitions of the engines' group that the sender holds.
+    /// Partitions of its zone's engines that the sender holds.
     pub partitions: Vec<u32>,
     /// Adapters that the sender's engines fetch from the weight store.
     pub fetching: u16,
--- a/coltsfootd/src/gateway/attempt.rs
+++ b/coltsfootd/src/gateway/attempt.rs
@@ -9,7 +9,7 @@
 use site_platform::fields;
 
 /// Time to make a connection.
-const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(250);
 /// Time that a kept connection may have been idle to carry a request that must not be repeated: an
 /// upstream that closes it at the same moment leaves open whether the request ran.
 const MAX_IDLE_ONCE: time::Duration = time::Duration::from_millis(1500);
--- a/coltsfootd/src/gateway/engines.rs
+++ b/coltsfootd/src/gateway/engines.rs
@@ -105,7 +105,7 @@
     pub fn owned(&self, state: &state::GatewayState) -> Vec<wire::OwnedEngine> {
         let now = state.now();
         let view = state.view();
-        let witnesses = view.witnesses();
+        let witnesses = view.witnesses(&state.settings.zone);
         let lease = state.lease();
         let slots = state::lock(&self.slots);
         let known = slots.values().filter_map(|slot| {
@@ -139,7 +139,8 @@
     for upstream in view.upstreams() {
         let id = &upstream.entry.id;
         let partition = state.partition_of(id);
-        if !held.contains(&partition) || slots.contains_key(id) {
+        let is_near = upstream.entry.zone == state.settings.zone;
+        if !is_near || !held.contains(&partition) || slots.contains_key(id) {
             continue;
         }
         let Some(service) = routes.service(&upstream.entry.service) else { continue };
--- a/coltsfootd/src/gateway/exchange.rs
+++ b/coltsfootd/src/gateway/exchange.rs
@@ -26,6 +26,10 @@
 const FIRST_EVENT_TARGETS: u32 = 2;
 /// Time between looks at whether an upstream is silent.
 const SILENCE_CHECK: time::Duration = time::Duration::from_millis(100);
+/// Part of the target latency for which a request waits for an upstream to choose.
+const PLACE_WAIT_DIVISOR: u32 = 4;
+/// Time between looks for an upstream.
+const PLACE_CHECK: time::Duration = time::Duration::from_millis(40);
 /// Longest wait for an adapter.
 const MAX_LOAD_WAIT: time::Duration = time::Duration::from_millis(900);
 /// Engines at which an adapter is asked for before a request is refused.
@@ -423,7 +427,10 @@
         let mut tried: Vec<sync::Arc<str>> = self.plan.tried().to_vec();
         for _ in 0..MAX_LOAD_TRIES {
             let chosen = self.choose(&tried).or_else(|| self.choose(&[]));
-            let chosen = chosen.ok_or(OwnAnswer::refused("no_upstream", RETRY_PAUSE))?;
+            let chosen = match chosen {
+                Some(chosen) => chosen,
+                None => self.wait_for_upstream().await?,
+            };
             if !chosen.needs_load {
                 return Ok(chosen);
             }
@@ -442,6 +449,18 @@
         Err(OwnAnswer::refused("no_place", RETRY_PAUSE))
     }
 
+    /// Waits a moment for an upstream that can run the request.
+    async fn wait_for_upstream(&self) -> Result<engine_choice::ChosenUpstream, OwnAnswer> {
+        let most = self.admitted.route.target_latency / PLACE_WAIT_DIVISOR;
+        while self.state.now().since(self.exchange.received) < most {
+            async_io::Timer::after(PLACE_CHECK).await;
+            if let Some(chosen) = self.choose(&[]) {
+                return Ok(chosen);
+            }
+        }
+        Err(OwnAnswer::refused("no_upstream", RETRY_PAUSE))
+    }
+
     fn choose(&self, tried: &[sync::Arc<str>]) -> Option<engine_choice::ChosenUpstream> {
         let placed = engine_choice::PlacedRequest {
             service: &self.admitted.service,
--- a/coltsfootd/src/gateway/fleet.rs
+++ b/coltsfootd/src/gateway/fleet.rs
@@ -98,6 +98,7 @@
     let beat = wire::FleetBeat {
         sender: state.incarnation,
         address: own_address,
+        zone: state.settings.zone.to_string(),
         sequence: SEQUENCE.fetch_add(1, atomic::Ordering::Relaxed),
         is_leaving: state.is_stopping(),
         rules_version,
--- a/coltsfootd/src/gateway/follower.rs
+++ b/coltsfootd/src/gateway/follower.rs
@@ -12,10 +12,10 @@
 use crate::gateway::state;
 
 /// Time that a read of the operator's records waits for news.
-const OPERATOR_WAIT: time::Duration = time::Duration::from_millis(1500);
+const OPERATOR_WAIT: time::Duration = time::Duration::from_millis(2000);
 /// Time between reads of the upstreams' entries. Well within the time in which an upstream that
 /// leaves must get no more work.
-const UPSTREAM_INTERVAL: time::Duration = time::Duration::from_millis(600);
+const UPSTREAM_INTERVAL: time::Duration = time::Duration::from_millis(850);
 /// Time between reads while the store is unavailable.
 const RETRY_INTERVAL: time::Duration = time::Duration::from_millis(400);
 /// Time after the store's return in which entries that lapsed meanwhile may come back.
--- a/coltsfootd/src/gateway/lease.rs
+++ b/coltsfootd/src/gateway/lease.rs
@@ -8,10 +8,6 @@
 use crate::event;
 use crate::gateway::{engines, state};
 
-/// Group among whose members the engines are divided.
-const GROUP: &str = "coltsfoot-owners";
-/// Topic whose partitions stand for the engines.
-const TOPIC: &str = "coltsfoot-engines";
 /// Time after which the store gives a silent member's partitions to others.
 /// Longer than a process takes to start again, so that a machine keeps its engines then.
 const LIFETIME: time::Duration = time::Duration::from_millis(2500);
@@ -21,23 +17,49 @@
 const RENEW_INTERVAL: time::Duration = time::Duration::from_millis(400);
 /// Topic with the last holder of each partition.
 const HOLDER_TOPIC: &str = "keyed.coltsfoot-holders";
+
+/// The engines of an availability zone belong to the instances of that zone, so that a cut between
+/// zones changes no owner.
+struct ZoneGroup {
+    /// Group among whose members the zone's engines are divided.
+    group: String,
+    /// Topic whose partitions stand for the zone's engines.
+    topic: String,
+    /// This machine, which stays the same member when its process starts again.
+    member: String,
+}
+
+impl ZoneGroup {
+    fn new(state: &state::GatewayState) -> Self {
+        let zone = &state.settings.zone;
+        Self {
+            group: format!("coltsfoot-owners-{zone}"),
+            topic: format!("coltsfoot-engines-{zone}"),
+            member: state.settings.ip.to_string(),
+        }
+    }
+
+    fn name(&self) -> store::GroupName<'_> {
+        store::GroupName { group: &self.group, topic: &self.topic, member: &self.member }
+    }
+
+    /// Returns the key of a partition among the last holders.
+    fn holder_key(&self, partition: u32) -> String {
+        format!("{}/{partition}", self.topic)
+    }
+}
 /// A pause of this task that is longer means that the instance stood still.
 const STANDSTILL: time::Duration = time::Duration::from_millis(900);
 
-/// A machine stays the same member when its process starts again.
-fn member(state: &state::GatewayState) -> String {
-    state.settings.ip.to_string()
-}
 
 /// Renews the lease and starts a task for each engine owned.
 pub(crate) async fn keep(state: sync::Arc<state::GatewayState>) {
-    let member = member(&state);
-    let name = store::GroupName { group: GROUP, topic: TOPIC, member: &member };
+    let group = ZoneGroup::new(&state);
     let mut is_reachable = true;
     loop {
         let sent = state.now();
         let generation = state.lease().generation();
-        match state.store.join(name, LIFETIME, generation).await {
+        match state.store.join(group.name(), LIFETIME, generation).await {
             Ok(share) => {
                 let now = state.now();
                 let has_changed =
@@ -49,7 +71,7 @@
                     );
                 }
                 is_reachable = true;
-                settle_holders(&state, &member).await;
+                settle_holders(&state, &group).await;
             }
             Err(error) => {
                 if is_reachable {
@@ -70,7 +92,7 @@
 }
 
 /// Looks up who held the partitions that are new here, and writes this machine down as the holder.
-async fn settle_holders(state: &state::GatewayState, member: &str) {
+async fn settle_holders(state: &state::GatewayState, group: &ZoneGroup) {
     let unknown = state.lease().unknown();
     if !unknown.is_empty() {
         let newest = match state.store.newest(HOLDER_TOPIC).await {
@@ -83,16 +105,17 @@
             }
         };
         for partition in unknown {
-            let key = partition.to_string();
+            let key = group.holder_key(partition);
             let record = newest.iter().find(|record| record.key == key);
             let holder = record.and_then(|record| record.value.as_deref());
-            let is_this_machine = holder == Some(member.as_bytes());
+            let is_this_machine = holder == Some(group.member.as_bytes());
             state.lease().take_last_holder(state.now(), partition, is_this_machine);
         }
     }
     let unrecorded = state.lease().unrecorded();
     for partition in unrecorded {
-        match state.store.put(HOLDER_TOPIC, &partition.to_string(), member.as_bytes()).await {
+        let key = group.holder_key(partition);
+        match state.store.put(HOLDER_TOPIC, &key, group.member.as_bytes()).await {
             Ok(()) => state.lease().recorded(state.now(), partition),
             Err(error) => {
                 log::warn!(event = event::LEASE_AT_RISK.number; "holder not written: {error}");
--- a/coltsfootd/src/gateway/state.rs
+++ b/coltsfootd/src/gateway/state.rs
@@ -62,7 +62,7 @@
 
     /// Returns the fencing number for an order to an engine of a partition, if one may be given.
     pub fn order_fence(&self, partition: u32) -> Option<u64> {
-        let witnesses = self.view().witnesses();
+        let witnesses = self.view().witnesses(&self.settings.zone);
         self.lease().order_fence(self.now(), partition, &witnesses)
     }
 
