--- a/coltsfoot-gateway/src/engine_choice.rs
+++ b/coltsfoot-gateway/src/engine_choice.rs
@@ -18,8 +18,6 @@
 const FULL_SPEED_FETCHES: f64 = 8.0;
 /// Cost of a fetch to the operators and to other fetches, in milliseconds.
 const FETCH_PRICE_MS: f64 = 100.0;
-/// Expected time until a place becomes free where all are in use, in milliseconds.
-const NO_PLACE_MS: f64 = 400.0;
 /// Time over which a further copy of an adapter pays off, in seconds.
 const COPY_HORIZON_S: f64 = 5.0;
 /// Cost of a further copy of an adapter that is asked for once, by its place in the adapter's order
@@ -155,14 +153,16 @@
     if !residency.takes_orders {
         return None;
     }
-    let place = if residency.idle_places == 0 { NO_PLACE_MS } else { 0.0 };
+    if residency.idle_places == 0 {
+        return None;
+    }
     let reuse = 1.0 + view.adapter_rate(now, key) * COPY_HORIZON_S;
     let copy = COPY_MS.get(rank)? / reuse;
     if slot.is_warm(key) {
-        return Some(WARM_LOAD_MS + copy + place);
+        return Some(WARM_LOAD_MS + copy);
     }
     let crowd = (f64::from(view.fetch_backlog() + 1) / FULL_SPEED_FETCHES).max(1.0);
-    Some(FETCH_MS * crowd + FETCH_PRICE_MS + copy + place)
+    Some(FETCH_MS * crowd + FETCH_PRICE_MS + copy)
 }
 
 /// Returns the holder that requests of one subject go to, so that its prompt is kept there.
--- a/coltsfootd/src/gateway/lease.rs
+++ b/coltsfootd/src/gateway/lease.rs
@@ -51,7 +51,6 @@
 /// A pause of this task that is longer means that the instance stood still.
 const STANDSTILL: time::Duration = time::Duration::from_millis(900);
 
-
 /// Renews the lease and starts a task for each engine owned.
 pub(crate) async fn keep(state: sync::Arc<state::GatewayState>) {
     let group = ZoneGroup::new(&state);
