Explore the ownership protocol and mend what that found

Holders are now written down when their wait is over, under a condition on the end of the list, and a lapsed lease starts over. The exploration also fails, as it should, when new holders don't wait.

--- a/coltsfoot-gateway/src/order_lease.rs
+++ b/coltsfoot-gateway/src/order_lease.rs
@@ -24,6 +24,14 @@
     pub thaw_pause: time::Duration,
 }
 
+impl LeaseSettings {
+    /// Returns how long a new holder waits for the orders of an earlier one to be over: it may have
+    /// been passed over without a request, right after a renewal.
+    fn takeover_wait(&self) -> time::Duration {
+        self.validity + self.separation + ORDER_DELAY
+    }
+}
+
 /// Allowance for the time between the check and the order's arrival at an engine.
 const ORDER_DELAY: time::Duration = time::Duration::from_millis(300);
 /// Longest time for which other instances can stand in for renewals.
@@ -53,15 +61,18 @@
     right: OrderRight,
 }
 
-/// How far a holder is on the way to its first order.
+/// How far a holder is on the way to its first order. `list_end` is the end of the list of holders
+/// when it was read: a record counts only if nothing was added since.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum OrderRight {
     /// The last holder isn't known.
     Unknown,
-    /// Another machine may have held the partition; its orders must be over by then.
-    After(clock::MonotonicTime),
+    /// This machine is the last holder, and is to be written down again.
+    Own { list_end: u64 },
+    /// Another machine may have held the partition.
+    Foreign { list_end: u64 },
     /// This machine was written down as the holder; the next renewal must still show that.
-    Recorded { by: clock::MonotonicTime, after: clock::MonotonicTime },
+    Recorded { by: clock::MonotonicTime },
     /// Orders may be given from then on.
     From(clock::MonotonicTime),
 }
@@ -115,6 +126,8 @@
         self.held.retain(|partition, _| partitions.contains(partition));
         let mut has_changed = self.held.len() != count_before;
         let valid_until = sent + self.settings.validity;
+        // Another machine may have held a partition whose lease had lapsed, unnoticed here.
+        self.held.retain(|_, held| now < held.valid_until);
         for partition in partitions {
             let held = self.held.entry(*partition).or_insert_with(|| {
                 has_changed = true;
@@ -122,10 +135,10 @@
                 HeldPartition { fence: generation, acquired: now, valid_until, right }
             });
             held.valid_until = valid_until;
-            if let OrderRight::Recorded { by, after } = held.right
+            if let OrderRight::Recorded { by } = held.right
                 && sent >= by
             {
-                held.right = OrderRight::From(after);
+                held.right = OrderRight::From(now);
             }
         }
         has_changed
@@ -137,37 +150,66 @@
         unknown.map(|(partition, _)| *partition).collect()
     }
 
-    /// Takes the last holder of a partition, looked up after it was dealt to this instance.
-    pub fn take_last_holder(
-        &mut self,
-        now: clock::MonotonicTime,
-        partition: u32,
-        is_this_machine: bool,
-    ) {
-        let wait = self.settings.validity + self.settings.separation + ORDER_DELAY;
+    /// Takes the last holder of a partition and the end of the list of holders, both read after the
+    /// partition was dealt to this instance.
+    pub fn take_last_holder(&mut self, partition: u32, is_this_machine: bool, list_end: u64) {
         if let Some(held) = self.held.get_mut(&partition)
             && held.right == OrderRight::Unknown
         {
             held.right = match is_this_machine {
-                true => OrderRight::From(now),
-                false => OrderRight::After(held.acquired + wait),
+                true => OrderRight::Own { list_end },
+                false => OrderRight::Foreign { list_end },
             };
         }
     }
 
-    /// Returns the partitions for which this machine must be written down as the holder.
-    pub fn unrecorded(&self) -> Vec<u32> {
-        let waiting =
-            self.held.iter().filter(|(_, held)| matches!(held.right, OrderRight::After(_)));
-        waiting.map(|(partition, _)| *partition).collect()
+    /// Returns the partitions for which this machine is to be written down as the holder now, with
+    /// the end that the list of holders must still have.
+    pub fn unrecorded(&self, now: clock::MonotonicTime) -> Vec<(u32, u64)> {
+        let due = self.held.iter().filter_map(|(partition, held)| match held.right {
+            OrderRight::Own { list_end } => Some((*partition, list_end)),
+            OrderRight::Foreign { list_end } => {
+                // Only a machine that need not wait any more may find itself as the last holder.
+                let free = held.acquired + self.settings.takeover_wait();
+                (now >= free).then_some((*partition, list_end))
+            }
+            _ => None,
+        });
+        due.collect()
+    }
+
+    /// Notes that this machine was written down as the holder of a partition, and the end of the
+    /// list before and after.
+    pub fn recorded(&mut self, now: clock::MonotonicTime, partition: u32, before: u64, after: u64) {
+        for (other, held) in &mut self.held {
+            match &mut held.right {
+                OrderRight::Own { .. } if *other == partition => held.right = OrderRight::From(now),
+                OrderRight::Foreign { .. } if *other == partition => {
+                    held.right = OrderRight::Recorded { by: now };
+                }
+                // Nobody else has added to the list in between.
+                OrderRight::Own { list_end } | OrderRight::Foreign { list_end }
+                    if *list_end == before =>
+                {
+                    *list_end = after;
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Returns whether the next renewal gives leave for orders.
+    pub fn awaits_renewal(&self) -> bool {
+        self.held.values().any(|held| matches!(held.right, OrderRight::Recorded { .. }))
     }
 
-    /// Notes that this machine was written down as the holder of a partition.
-    pub fn recorded(&mut self, now: clock::MonotonicTime, partition: u32) {
+    /// Notes that a record failed, or that it isn't known whether it did: the last holder must be
+    /// looked up again.
+    pub fn record_failed(&mut self, partition: u32) {
         if let Some(held) = self.held.get_mut(&partition)
-            && let OrderRight::After(after) = held.right
+            && matches!(held.right, OrderRight::Own { .. } | OrderRight::Foreign { .. })
         {
-            held.right = OrderRight::Recorded { by: now, after };
+            held.right = OrderRight::Unknown;
         }
     }
 
--- /dev/null
+++ b/coltsfoot-gateway/tests/lease_model.rs
@@ -0,0 +1,411 @@
+//! Seeded exploration of the ownership protocol: machines that freeze, restart, are cut from the
+//! store or from each other; a store that is down, slow, loses answers, carries calls out late and
+//! deals all partitions anew. Orders of two machines must lie apart and fences must rise.
+
+use std::collections::BTreeMap;
+use std::time;
+
+use coltsfoot_gateway::{order_lease, rendezvous};
+use coltsfoot_types::time as clock;
+
+const MACHINES: usize = 3;
+const PARTITIONS: u32 = 4;
+const TICK_MS: u64 = 50;
+const RUN_MS: u64 = 60_000;
+const RENEW_MS: u64 = 400;
+const BEAT_MS: u64 = 150;
+const LIFETIME_MS: u64 = 2500;
+const SEPARATION_MS: u64 = 3000;
+
+fn at(ms: u64) -> clock::MonotonicTime {
+    clock::MonotonicTime(ms * 1000)
+}
+
+fn settings(separation_ms: u64) -> order_lease::LeaseSettings {
+    order_lease::LeaseSettings {
+        validity: time::Duration::from_millis(1300),
+        separation: time::Duration::from_millis(separation_ms),
+        thaw_pause: time::Duration::from_millis(300),
+    }
+}
+
+struct Luck(u64);
+
+impl Luck {
+    fn below(&mut self, most: u64) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        rendezvous::weight(self.0, 7) % most
+    }
+
+    fn one_in(&mut self, most: u64) -> bool {
+        self.below(most) == 0
+    }
+}
+
+#[derive(Default)]
+struct Store {
+    generation: u64,
+    /// Members with the time of their last join.
+    members: BTreeMap<usize, u64>,
+    owners: BTreeMap<u32, usize>,
+    targets: BTreeMap<u32, usize>,
+    holders: BTreeMap<u32, usize>,
+    /// Records in the list of holders.
+    list_end: u64,
+    down_until: u64,
+    lapses: bool,
+}
+
+impl Store {
+    fn rebalance(&mut self, luck: &mut Luck) {
+        self.generation += 1;
+        let members: Vec<usize> = self.members.keys().copied().collect();
+        let shift = luck.below(PARTITIONS.into()) as u32;
+        self.targets.clear();
+        for partition in 0..PARTITIONS {
+            if !members.is_empty() {
+                let member = members[((partition + shift) as usize) % members.len()];
+                self.targets.insert(partition, member);
+            }
+        }
+    }
+
+    fn expire(&mut self, now: u64, luck: &mut Luck) {
+        if now < self.down_until && !self.lapses {
+            for joined in self.members.values_mut() {
+                *joined += TICK_MS;
+            }
+            return;
+        }
+        let before = self.members.len();
+        self.members.retain(|_, joined| now < *joined + LIFETIME_MS);
+        if self.members.len() != before {
+            let members = &self.members;
+            self.owners.retain(|_, owner| members.contains_key(owner));
+            self.rebalance(luck);
+        }
+    }
+
+    fn join(&mut self, now: u64, member: usize, generation: u64, luck: &mut Luck) -> Vec<u32> {
+        let is_new = self.members.insert(member, now).is_none();
+        if is_new {
+            self.rebalance(luck);
+        }
+        if generation >= self.generation {
+            let targets = &self.targets;
+            self.owners.retain(|partition, owner| {
+                *owner != member || targets.get(partition) == Some(&member)
+            });
+        }
+        for (partition, target) in &self.targets {
+            if *target == member && !self.owners.contains_key(partition) {
+                self.owners.insert(*partition, member);
+            }
+        }
+        let held = self.owners.iter().filter(|(partition, owner)| {
+            **owner == member && self.targets.get(partition) == Some(&member)
+        });
+        held.map(|(partition, _)| *partition).collect()
+    }
+
+    /// All partitions are dealt anew at once.
+    fn deal(&mut self, luck: &mut Luck) {
+        self.rebalance(luck);
+        self.owners = self.targets.clone();
+    }
+}
+
+enum Call {
+    Join { generation: u64 },
+    Holders,
+    Record { partition: u32, list_end: u64 },
+}
+
+enum Answer {
+    Joined { sent: u64, generation: u64, partitions: Vec<u32> },
+    Holders { holders: BTreeMap<u32, usize>, list_end: u64 },
+    Recorded { partition: u32, ends: Option<(u64, u64)> },
+}
+
+struct Machine {
+    lease: order_lease::OrderLease,
+    start: u64,
+    awake_at: u64,
+    last_tick: u64,
+    next_renewal: u64,
+    store_cut_until: u64,
+    answers_lost_until: u64,
+    peers_cut_until: u64,
+    heard: BTreeMap<usize, order_lease::LeaseWitness>,
+}
+
+struct Order {
+    at: u64,
+    machine: usize,
+    fence: u64,
+}
+
+struct World {
+    luck: Luck,
+    now: u64,
+    separation_ms: u64,
+    store: Store,
+    machines: Vec<Machine>,
+    calls: Vec<(u64, usize, u64, u64, Call)>,
+    answers: Vec<(u64, usize, u64, Answer)>,
+    last_orders: BTreeMap<u32, Order>,
+    orders: u64,
+    outage_orders: u64,
+}
+
+impl World {
+    fn new(seed: u64, separation_ms: u64) -> Self {
+        let machines = (0..MACHINES).map(|_| Machine::started(0, separation_ms)).collect();
+        Self {
+            luck: Luck(seed),
+            now: 0,
+            separation_ms,
+            store: Store::default(),
+            machines,
+            calls: Vec::new(),
+            answers: Vec::new(),
+            last_orders: BTreeMap::new(),
+            orders: 0,
+            outage_orders: 0,
+        }
+    }
+
+    fn send(&mut self, machine: usize, call: Call) {
+        let cut = self.now < self.machines[machine].store_cut_until;
+        if !cut {
+            let slow = if self.luck.one_in(20) { 2500 } else { 60 };
+            let arrival = self.now + self.luck.below(slow);
+            let start = self.machines[machine].start;
+            self.calls.push((arrival, machine, start, self.now, call));
+        }
+    }
+
+    fn trouble(&mut self) {
+        let machine = self.luck.below(MACHINES as u64) as usize;
+        let length = 200 + self.luck.below(9000);
+        let until = self.now + length;
+        match self.luck.below(9) {
+            0 => self.machines[machine].awake_at = until,
+            1 => {
+                let down = self.now + 300 + self.luck.below(4000);
+                self.machines[machine] = Machine::started(down, self.separation_ms);
+            }
+            2 => self.machines[machine].store_cut_until = until,
+            3 => self.machines[machine].answers_lost_until = until,
+            4 => self.machines[machine].peers_cut_until = until,
+            5 => {
+                self.store.down_until = until;
+                self.store.lapses = self.luck.one_in(2);
+            }
+            6 => self.store.deal(&mut self.luck),
+            7 => {
+                self.machines[machine].store_cut_until = until;
+                self.store.deal(&mut self.luck);
+            }
+            _ => {
+                self.machines[machine].store_cut_until = until;
+                self.machines[machine].peers_cut_until = until;
+            }
+        }
+    }
+
+    fn step(&mut self) -> Result<(), String> {
+        self.now += TICK_MS;
+        if self.luck.one_in(50) {
+            self.trouble();
+        }
+        self.store.expire(self.now, &mut self.luck);
+        self.carry_out_calls();
+        self.deliver_answers();
+        for machine in 0..MACHINES {
+            if self.now >= self.machines[machine].awake_at {
+                self.run_machine(machine)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn carry_out_calls(&mut self) {
+        let now = self.now;
+        let (due, later) =
+            std::mem::take(&mut self.calls).into_iter().partition(|call| call.0 <= now);
+        self.calls = later;
+        for (_, machine, start, sent, call) in due {
+            if now < self.store.down_until {
+                continue;
+            }
+            let answer = match call {
+                Call::Join { generation } => {
+                    let partitions = self.store.join(now, machine, generation, &mut self.luck);
+                    Answer::Joined { sent, generation: self.store.generation, partitions }
+                }
+                Call::Holders => {
+                    let holders = self.store.holders.clone();
+                    Answer::Holders { holders, list_end: self.store.list_end }
+                }
+                Call::Record { partition, list_end } => {
+                    let fits = list_end == self.store.list_end;
+                    if fits {
+                        self.store.holders.insert(partition, machine);
+                        self.store.list_end += 1;
+                    }
+                    let ends = fits.then_some((list_end, list_end + 1));
+                    Answer::Recorded { partition, ends }
+                }
+            };
+            let arrival = now + self.luck.below(60);
+            self.answers.push((arrival, machine, start, answer));
+        }
+    }
+
+    fn deliver_answers(&mut self) {
+        let now = self.now;
+        for (due, machine, start, answer) in std::mem::take(&mut self.answers) {
+            let to = &mut self.machines[machine];
+            if now < due.max(to.awake_at) && start == to.start {
+                self.answers.push((due, machine, start, answer));
+                continue;
+            }
+            if start != to.start || now < to.answers_lost_until || now < to.store_cut_until {
+                continue;
+            }
+            match answer {
+                Answer::Joined { sent, generation, partitions } => {
+                    to.lease.renew(at(sent), at(now), generation, &partitions);
+                    if !to.lease.unknown().is_empty() {
+                        self.send(machine, Call::Holders);
+                    }
+                    self.send_records(machine);
+                }
+                Answer::Holders { holders, list_end } => {
+                    for partition in to.lease.unknown() {
+                        let is_own = holders.get(&partition) == Some(&machine);
+                        to.lease.take_last_holder(partition, is_own, list_end);
+                    }
+                    self.send_records(machine);
+                }
+                Answer::Recorded { partition, ends } => match ends {
+                    Some((before, after)) => {
+                        to.lease.recorded(at(now), partition, before, after);
+                    }
+                    None => to.lease.record_failed(partition),
+                },
+            }
+        }
+    }
+
+    /// Writes the first partition down that is due. A machine waits for the answer before the next.
+    fn send_records(&mut self, machine: usize) {
+        let due = self.machines[machine].lease.unrecorded(at(self.now));
+        if let Some((partition, list_end)) = due.first().copied() {
+            self.send(machine, Call::Record { partition, list_end });
+        }
+    }
+
+    fn run_machine(&mut self, machine: usize) -> Result<(), String> {
+        let now = self.now;
+        let state = &mut self.machines[machine];
+        if now > state.last_tick + 900 && state.last_tick > 0 {
+            state.lease.pause(at(now));
+        }
+        state.last_tick = now;
+        if now >= state.next_renewal {
+            state.next_renewal = now + RENEW_MS;
+            let generation = state.lease.generation();
+            self.send(machine, Call::Join { generation });
+        }
+        if now % BEAT_MS < TICK_MS {
+            self.beat(machine);
+        }
+        self.give_orders(machine)
+    }
+
+    fn beat(&mut self, machine: usize) {
+        let now = self.now;
+        let from = &self.machines[machine];
+        let witness = order_lease::LeaseWitness {
+            heard: at(now),
+            store_age: at(now).since(from.lease.renewed()),
+            partitions: from.lease.partitions().collect(),
+        };
+        let is_cut = now < from.peers_cut_until;
+        for other in (0..MACHINES).filter(|other| *other != machine) {
+            let to = &mut self.machines[other];
+            if !is_cut && now >= to.peers_cut_until && now >= to.awake_at {
+                to.heard.insert(machine, witness.clone());
+            }
+        }
+    }
+
+    fn give_orders(&mut self, machine: usize) -> Result<(), String> {
+        let now = self.now;
+        let witnesses: Vec<_> = self.machines[machine].heard.values().cloned().collect();
+        for partition in 0..PARTITIONS {
+            let lease = &self.machines[machine].lease;
+            let Some(fence) = lease.order_fence(at(now), partition, &witnesses) else { continue };
+            let arrival = now + self.luck.below(200);
+            self.orders += 1;
+            self.outage_orders += u64::from(now < self.store.down_until);
+            if let Some(last) = self.last_orders.get(&partition)
+                && last.machine != machine
+            {
+                let gap = arrival.saturating_sub(last.at);
+                if gap < SEPARATION_MS || fence <= last.fence {
+                    return Err(format!(
+                        "{now} ms: partition {partition}: {machine} with fence {fence}, {gap} ms \
+                         after {} with fence {}",
+                        last.machine, last.fence
+                    ));
+                }
+            }
+            self.last_orders.insert(partition, Order { at: arrival, machine, fence });
+        }
+        Ok(())
+    }
+}
+
+impl Machine {
+    fn started(start: u64, separation_ms: u64) -> Self {
+        Self {
+            lease: order_lease::OrderLease::new(settings(separation_ms)),
+            start,
+            awake_at: start,
+            last_tick: 0,
+            next_renewal: start,
+            store_cut_until: 0,
+            answers_lost_until: 0,
+            peers_cut_until: 0,
+            heard: BTreeMap::new(),
+        }
+    }
+}
+
+fn explore(seed: u64, separation_ms: u64) -> Result<(u64, u64), String> {
+    let mut world = World::new(seed, separation_ms);
+    while world.now < RUN_MS {
+        world.step().map_err(|error| format!("seed {seed}: {error}"))?;
+    }
+    Ok((world.orders, world.outage_orders))
+}
+
+#[test]
+fn orders_of_two_machines_lie_apart_and_fences_rise() {
+    let mut sums = (0, 0);
+    for seed in 0..400 {
+        let (orders, outage_orders) = explore(seed, SEPARATION_MS).expect("no violation");
+        sums = (sums.0 + orders, sums.1 + outage_orders);
+    }
+    assert!(sums.0 > 100_000, "only {} orders were given", sums.0);
+    assert!(sums.1 > 1_000, "only {} orders were given while the store was out", sums.1);
+}
+
+#[test]
+fn the_exploration_finds_a_new_holder_that_does_not_wait() {
+    let found = (0..400).filter(|seed| explore(*seed, 0).is_err()).count();
+    assert!(found > 0);
+}
--- /dev/null
+++ b/coltsfoot-gateway/tests/streams.rs
@@ -0,0 +1,37 @@
+//! Events are passed on whole, once and in order.
+
+use coltsfoot_gateway::event_stream::{self, EventVerdict};
+
+fn events(bytes: &[u8], step: usize) -> (Vec<event_stream::StreamEvent>, bool) {
+    let mut splitter = event_stream::EventSplitter::default();
+    let mut events = Vec::new();
+    for part in bytes.chunks(step) {
+        splitter.push(part);
+        while let Some(event) = splitter.next_event() {
+            events.push(event);
+        }
+    }
+    (events, splitter.has_partial())
+}
+
+#[test]
+fn events_are_the_same_however_their_bytes_arrive() {
+    let bytes = b"x-weight-versions: 3\nid: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c";
+    let (whole, is_partial) = events(bytes, bytes.len());
+    assert_eq!(whole.iter().map(|event| event.id).collect::<Vec<_>>(), [Some(1), Some(2)]);
+    assert!(is_partial, "the third event is incomplete");
+    for step in 1..bytes.len() {
+        assert_eq!(events(bytes, step), (whole.clone(), true));
+    }
+}
+
+#[test]
+fn a_resumed_stream_goes_on_after_the_last_event() {
+    let event = |id| event_stream::StreamEvent { id: Some(id), bytes: Vec::new() };
+    let mut position = event_stream::StreamPosition::after(Some(4));
+    assert_eq!(position.judge(&event(4)), EventVerdict::Duplicate);
+    assert_eq!(position.judge(&event(5)), EventVerdict::Forward);
+    assert_eq!(position.judge(&event(7)), EventVerdict::Gap);
+    assert_eq!(position.last(), Some(5));
+    assert_eq!(position.forwarded(), 1);
+}
--- a/coltsfootd/src/gateway/lease.rs
+++ b/coltsfootd/src/gateway/lease.rs
@@ -15,8 +15,8 @@
 pub(crate) const VALIDITY: time::Duration = time::Duration::from_millis(1300);
 /// Time between renewals: three within the validity.
 const RENEW_INTERVAL: time::Duration = time::Duration::from_millis(400);
-/// Topic with the last holder of each partition.
-const HOLDER_TOPIC: &str = "keyed.coltsfoot-holders";
+/// Partitions settled after a renewal at most, each with a call or two.
+const MAX_SETTLE_ROUNDS: usize = 24;
 
 /// The engines of an availability zone belong to the instances of that zone, so that a cut between
 /// zones changes no owner.
@@ -25,6 +25,8 @@
     group: String,
     /// Topic whose partitions stand for the zone's engines.
     topic: String,
+    /// Topic with the last holder of each partition.
+    holders: String,
     /// This machine, which stays the same member when its process starts again.
     member: String,
 }
@@ -35,6 +37,7 @@
         Self {
             group: format!("coltsfoot-owners-{zone}"),
             topic: format!("coltsfoot-engines-{zone}"),
+            holders: format!("keyed.coltsfoot-holders-{zone}"),
             member: state.settings.ip.to_string(),
         }
     }
@@ -44,8 +47,8 @@
     }
 
     /// Returns the key of a partition among the last holders.
-    fn holder_key(&self, partition: u32) -> String {
-        format!("{}/{partition}", self.topic)
+    fn holder_key(partition: u32) -> String {
+        partition.to_string()
     }
 }
 /// A pause of this task that is longer means that the instance stood still.
@@ -80,6 +83,9 @@
             }
         }
         engines::start_owned(&state);
+        if is_reachable && state.lease().awaits_renewal() {
+            continue;
+        }
         let before = state.now();
         async_io::Timer::after(RENEW_INTERVAL).await;
         if state.now().since(before) > STANDSTILL {
@@ -90,36 +96,50 @@
     }
 }
 
-/// Looks up who held the partitions that are new here, and writes this machine down as the holder.
+/// Looks up who held the partitions that are new here, and writes this machine down as the holder
+/// where that is due.
 async fn settle_holders(state: &state::GatewayState, group: &ZoneGroup) {
-    let unknown = state.lease().unknown();
-    if !unknown.is_empty() {
-        let newest = match state.store.newest(HOLDER_TOPIC).await {
-            Ok(newest) => newest.records,
-            // The topic comes into being with its first record.
-            Err(store::StoreError::Refused(404)) => Vec::new(),
-            Err(error) => {
-                log::warn!(event = event::LEASE_AT_RISK.number; "last holders not read: {error}");
-                return;
-            }
-        };
-        for partition in unknown {
-            let key = group.holder_key(partition);
-            let record = newest.iter().find(|record| record.key == key);
-            let holder = record.and_then(|record| record.value.as_deref());
-            let is_this_machine = holder == Some(group.member.as_bytes());
-            state.lease().take_last_holder(state.now(), partition, is_this_machine);
+    for _ in 0..MAX_SETTLE_ROUNDS {
+        if let Err(error) = look_up_holders(state, group).await {
+            log::warn!(event = event::LEASE_AT_RISK.number; "last holders not read: {error}");
+            return;
         }
-    }
-    let unrecorded = state.lease().unrecorded();
-    for partition in unrecorded {
-        let key = group.holder_key(partition);
-        match state.store.put(HOLDER_TOPIC, &key, group.member.as_bytes()).await {
-            Ok(()) => state.lease().recorded(state.now(), partition),
+        let due = state.lease().unrecorded(state.now()).first().copied();
+        let Some((partition, list_end)) = due else { return };
+        let key = ZoneGroup::holder_key(partition);
+        let value = group.member.as_bytes();
+        match state.store.put_at(&group.holders, &key, value, list_end).await {
+            Ok(end) => state.lease().recorded(state.now(), partition, list_end, end),
             Err(error) => {
-                log::warn!(event = event::LEASE_AT_RISK.number; "holder not written: {error}");
-                return;
+                state.lease().record_failed(partition);
+                log::info!(
+                    event = event::LEASE_AT_RISK.number, partition = partition;
+                    "holder not written, it is looked up again: {error}"
+                );
             }
         }
     }
 }
+
+async fn look_up_holders(
+    state: &state::GatewayState,
+    group: &ZoneGroup,
+) -> Result<(), store::StoreError> {
+    let unknown = state.lease().unknown();
+    if unknown.is_empty() {
+        return Ok(());
+    }
+    let newest = match state.store.newest(&group.holders).await {
+        // The topic comes into being with its first record.
+        Err(store::StoreError::Refused(404)) => store::KeyedRecords::default(),
+        newest => newest?,
+    };
+    for partition in unknown {
+        let key = ZoneGroup::holder_key(partition);
+        let record = newest.records.iter().find(|record| record.key == key);
+        let holder = record.and_then(|record| record.value.as_deref());
+        let is_this_machine = holder == Some(group.member.as_bytes());
+        state.lease().take_last_holder(partition, is_this_machine, newest.next);
+    }
+    Ok(())
+}
