--- /dev/null
+++ b/coltsfoot-gateway/tests/desk.rs
@@ -0,0 +1,190 @@
+//! Orders to one engine: loads, evictions, lost answers, loads that take longer.
+
+use std::sync;
+
+use coltsfoot_gateway::engine_desk::{DeskStep, EngineDesk, EngineOrder, OrderAnswer, OrderLeave};
+use coltsfoot_gateway::{demand, engine_desk, upstream};
+use coltsfoot_types::time as clock;
+
+const FULL_LEAVE: OrderLeave = OrderLeave { may_order: true, may_fetch: true };
+
+fn at(ms: u64) -> clock::MonotonicTime {
+    clock::MonotonicTime(ms * 1000)
+}
+
+fn model() -> sync::Arc<str> {
+    "drafting".into()
+}
+
+fn adapter(number: usize) -> demand::AdapterName {
+    demand::AdapterName { model: model(), adapter: format!("a{number}").into() }
+}
+
+fn report(order_count: u64, adapters: &[usize]) -> upstream::EngineReport {
+    let held = |number: &usize| upstream::HeldAdapter { name: adapter(*number), version: 1 };
+    upstream::EngineReport {
+        order_count,
+        models: vec![model()],
+        adapters: adapters.iter().map(held).collect(),
+        ..upstream::EngineReport::default()
+    }
+}
+
+/// A desk for an engine with two places that holds the given adapters.
+fn desk(adapters: &[usize]) -> EngineDesk<u32> {
+    let mut desk = EngineDesk::new(model(), 2);
+    assert_eq!(desk.next_step(at(0), FULL_LEAVE, |_| false, |_| None), DeskStep::Report);
+    desk.report_ended(at(0), Some(&report(0, adapters)));
+    desk
+}
+
+fn next(desk: &mut EngineDesk<u32>, now: u64) -> DeskStep {
+    desk.next_step(at(now), FULL_LEAVE, |_| false, |_| None)
+}
+
+fn load(number: usize) -> EngineOrder {
+    EngineOrder::LoadAdapter { name: adapter(number), version: None }
+}
+
+fn end(desk: &mut EngineDesk<u32>, now: u64, order: &EngineOrder, answer: OrderAnswer) {
+    desk.order_ended(at(now), order, answer, 0, |_| None);
+}
+
+#[test]
+fn all_askers_share_one_load_and_hear_when_it_is_ready() {
+    let mut desk = desk(&[]);
+    desk.ask(at(0), &adapter(1), None, 10);
+    desk.ask(at(1), &adapter(1), None, 11);
+    desk.ask(at(2), &adapter(1), None, 11);
+    assert_eq!(next(&mut desk, 2), DeskStep::Order { order: load(1), expected_count: 0 });
+    end(&mut desk, 5, &load(1), OrderAnswer::Accepted);
+    assert!(matches!(next(&mut desk, 5), DeskStep::Wait(_)), "it is not ordered again");
+    assert!(desk.take_replies(at(200)).is_empty());
+    let replies = desk.take_replies(at(300));
+    assert_eq!(
+        replies.iter().map(|reply| (reply.asker, reply.is_ready)).collect::<Vec<_>>(),
+        [(10, true), (11, true)]
+    );
+}
+
+#[test]
+fn the_adapter_that_was_not_used_for_longest_makes_way() {
+    let mut desk = desk(&[1, 2]);
+    desk.touch(at(10), adapter(1).key());
+    desk.ask(at(20), &adapter(3), None, 1);
+    let order = EngineOrder::UnloadAdapter(adapter(2));
+    assert_eq!(next(&mut desk, 20), DeskStep::Order { order: order.clone(), expected_count: 0 });
+    end(&mut desk, 21, &order, OrderAnswer::Holds);
+    assert_eq!(next(&mut desk, 22), DeskStep::Order { order: load(3), expected_count: 1 });
+}
+
+#[test]
+fn an_adapter_with_requests_stays_and_its_asker_is_sent_elsewhere() {
+    let mut desk = desk(&[1, 2]);
+    desk.ask(at(20), &adapter(3), None, 1);
+    let step = desk.next_step(at(20), FULL_LEAVE, |_| true, |_| None);
+    assert!(matches!(step, DeskStep::Wait(_)));
+    assert_eq!(desk.idle_places(|_| true), 0);
+    let replies = desk.take_replies(at(700));
+    assert_eq!(replies.len(), 1);
+    assert!(!replies[0].is_ready);
+}
+
+#[test]
+fn an_order_without_answer_is_repeated_under_the_same_count_before_any_other() {
+    let mut desk = desk(&[1, 2]);
+    desk.ask(at(20), &adapter(3), None, 1);
+    let order = EngineOrder::UnloadAdapter(adapter(1));
+    let step = desk.next_step(at(20), FULL_LEAVE, |key| key == adapter(2).key(), |_| None);
+    assert_eq!(step, DeskStep::Order { order: order.clone(), expected_count: 0 });
+    end(&mut desk, 320, &order, OrderAnswer::Unknown);
+    desk.touch(at(330), adapter(1).key());
+    assert_eq!(next(&mut desk, 340), DeskStep::Order { order: order.clone(), expected_count: 0 });
+    // The first one was carried out meanwhile: what the engine holds is asked.
+    end(&mut desk, 350, &order, OrderAnswer::Conflict);
+    assert!(matches!(next(&mut desk, 360), DeskStep::Wait(_)), "a report may be older than that");
+    assert_eq!(next(&mut desk, 760), DeskStep::Report);
+    desk.report_ended(at(760), Some(&report(1, &[2])));
+    assert!(desk.ready(at(760)).all(|(key, _)| key == adapter(2).key()));
+}
+
+#[test]
+fn an_old_report_changes_nothing() {
+    let mut desk = desk(&[]);
+    desk.ask(at(0), &adapter(1), None, 1);
+    next(&mut desk, 0);
+    end(&mut desk, 5, &load(1), OrderAnswer::Accepted);
+    desk.report_ended(at(300), Some(&report(0, &[])));
+    assert_eq!(desk.ready(at(300)).count(), 1);
+}
+
+#[test]
+fn a_load_that_takes_longer_is_waited_for_and_a_lost_adapter_is_looked_up() {
+    let mut desk = desk(&[]);
+    desk.ask(at(0), &adapter(1), None, 1);
+    next(&mut desk, 0);
+    end(&mut desk, 5, &load(1), OrderAnswer::Accepted);
+    assert_eq!(desk.take_replies(at(270)).len(), 1);
+    desk.found_missing(at(280), adapter(1).key());
+    desk.ask(at(280), &adapter(1), None, 2);
+    assert!(desk.take_replies(at(300)).is_empty(), "its time is extended");
+    assert_eq!(desk.take_replies(at(345)).len(), 1);
+    desk.found_missing(at(1_800), adapter(1).key());
+    assert_eq!(next(&mut desk, 2_300), DeskStep::Report);
+}
+
+#[test]
+fn fetches_are_held_back_while_the_weight_store_is_busy_but_warm_loads_are_not() {
+    let mut desk = desk(&[1]);
+    desk.report_ended(at(1), Some(&report(0, &[1])));
+    let busy = OrderLeave { may_order: true, may_fetch: false };
+    desk.ask(at(10), &adapter(7), None, 1);
+    let step = desk.next_step(at(10), busy, |_| false, |_| None);
+    assert!(matches!(step, DeskStep::Wait(until) if until <= at(40)), "it looks again soon");
+    let unload = EngineOrder::UnloadAdapter(adapter(1));
+    end(&mut desk, 11, &unload, OrderAnswer::Holds);
+    desk.ask(at(12), &adapter(1), None, 2);
+    let step = desk.next_step(at(12), busy, |_| false, |_| None);
+    assert_eq!(step, DeskStep::Order { order: load(1), expected_count: 1 });
+    assert_eq!(desk.waiting_fetches(), 1);
+}
+
+#[test]
+fn the_weight_store_is_shared_by_all_instances() {
+    assert!(engine_desk::may_fetch(7, 0));
+    assert!(!engine_desk::may_fetch(8, 0));
+    assert!(!engine_desk::may_fetch(1, 7));
+    assert!(engine_desk::may_fetch(0, 8), "one fetch is left to each");
+    assert!(!engine_desk::may_fetch(0, 16));
+}
+
+#[test]
+fn a_named_version_replaces_an_older_one() {
+    let mut desk = desk(&[1]);
+    let step = desk.next_step(at(10), FULL_LEAVE, |_| true, |_| Some(4));
+    let order = EngineOrder::LoadAdapter { name: adapter(1), version: Some(4) };
+    assert_eq!(step, DeskStep::Order { order: order.clone(), expected_count: 0 });
+    desk.order_ended(at(12), &order, OrderAnswer::Accepted, 0, |_| Some(4));
+    assert_eq!(desk.ready(at(400)).collect::<Vec<_>>(), [(adapter(1).key(), 4)]);
+}
+
+#[test]
+fn an_engine_without_its_model_gets_that_first_and_once() {
+    let mut desk: EngineDesk<u32> = EngineDesk::new(model(), 2);
+    desk.report_ended(at(0), Some(&upstream::EngineReport::default()));
+    desk.ask(at(1), &adapter(1), None, 1);
+    let order = EngineOrder::LoadModel(model());
+    assert_eq!(next(&mut desk, 1), DeskStep::Order { order: order.clone(), expected_count: 0 });
+    end(&mut desk, 5, &order, OrderAnswer::Accepted);
+    assert!(matches!(next(&mut desk, 6), DeskStep::Wait(_)));
+    assert!(!desk.has_model(at(6)));
+}
+
+#[test]
+fn nothing_is_ordered_without_leave() {
+    let mut desk = desk(&[]);
+    desk.ask(at(0), &adapter(1), None, 1);
+    let leave = OrderLeave { may_order: false, may_fetch: true };
+    let step = desk.next_step(at(0), leave, |_| false, |_| Some(9));
+    assert!(matches!(step, DeskStep::Wait(_)));
+}
