--- a/coltsfootd/src/gateway/mod.rs
+++ b/coltsfootd/src/gateway/mod.rs
@@ -13,4 +13,4 @@
 mod run;
 mod state;
 
-pub use run::{GatewayError, run_until_signal};
+pub use run::{GatewayError, GatewaySignal, run, run_until_signal};
--- a/coltsfootd/src/gateway/run.rs
+++ b/coltsfootd/src/gateway/run.rs
@@ -44,19 +44,40 @@
 /// Serves until the process is told to stop and its requests have ended.
 pub fn run_until_signal(settings: settings::SiteSettings) -> Result<(), GatewayError> {
     let signals = watch_signals()?;
+    run(settings, signals)
+}
+
+/// Serves until a stop signal is received and the requests have ended.
+pub fn run(
+    settings: settings::SiteSettings,
+    signals: async_channel::Receiver<GatewaySignal>,
+) -> Result<(), GatewayError> {
     let executor = sync::Arc::new(async_executor::Executor::new());
     async_io::block_on(executor.run(serve(settings, sync::Arc::clone(&executor), signals)))
 }
 
+/// What a running gateway can be told.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum GatewaySignal {
+    /// The settings file has changed.
+    Reload,
+    /// End all requests, then stop.
+    Stop,
+}
+
 /// Sends a message for each stop or reload signal.
-fn watch_signals() -> Result<async_channel::Receiver<i32>, GatewayError> {
+fn watch_signals() -> Result<async_channel::Receiver<GatewaySignal>, GatewayError> {
     let (sender, receiver) = async_channel::unbounded();
     let watched =
         [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT, signal_hook::consts::SIGHUP];
     let mut signals = signal_hook::iterator::Signals::new(watched)?;
     thread::Builder::new().name("signals".to_owned()).spawn(move || {
         for signal in signals.forever() {
-            if sender.send_blocking(signal).is_err() {
+            let message = match signal {
+                signal_hook::consts::SIGHUP => GatewaySignal::Reload,
+                _ => GatewaySignal::Stop,
+            };
+            if sender.send_blocking(message).is_err() {
                 return;
             }
         }
@@ -67,7 +88,7 @@
 async fn serve(
     settings: settings::SiteSettings,
     executor: sync::Arc<async_executor::Executor<'static>>,
-    signals: async_channel::Receiver<i32>,
+    signals: async_channel::Receiver<GatewaySignal>,
 ) -> Result<(), GatewayError> {
     let callers = listen("callers", settings.listen.callers).await?;
     let readiness = listen("readiness", settings.listen.readiness).await?;
@@ -89,9 +110,9 @@
     Ok(())
 }
 
-async fn wait_for_stop(signals: &async_channel::Receiver<i32>) {
+async fn wait_for_stop(signals: &async_channel::Receiver<GatewaySignal>) {
     while let Ok(signal) = signals.recv().await {
-        if signal != signal_hook::consts::SIGHUP {
+        if signal == GatewaySignal::Stop {
             return;
         }
         log::info!(event = event::RELOADED.number; "reloaded: no setting can change while running");
