--- a/coltsfoot-gateway/src/engine_desk.rs
+++ b/coltsfoot-gateway/src/engine_desk.rs
@@ -65,6 +65,19 @@
     Unknown,
 }
 
+impl OrderAnswer {
+    /// Returns a short name for logs and metrics.
+    pub fn code(self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Holds => "holds",
+            Self::Conflict => "conflict",
+            Self::Refused => "refused",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// What the owner may do now.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct OrderLeave {
--- a/coltsfoot-wire/src/fleet.rs
+++ b/coltsfoot-wire/src/fleet.rs
@@ -129,6 +129,19 @@
     Failed,
 }
 
+impl LoadVerdict {
+    /// Returns a short name for logs and metrics.
+    pub fn code(self) -> &'static str {
+        match self {
+            Self::Ready => "ready",
+            Self::Accepted => "accepted",
+            Self::Full => "full",
+            Self::NotOwner => "not_owner",
+            Self::Failed => "failed",
+        }
+    }
+}
+
 /// Answer to a question for an adapter.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LoadReply {
--- a/coltsfootd/src/cmd.rs
+++ b/coltsfootd/src/cmd.rs
@@ -3,6 +3,8 @@
 use std::path;
 use std::process;
 
+use lexopt::ValueExt as _;
+
 use coltsfootd::{daemon, gateway, logs, settings};
 use site_platform::settings as site_settings;
 
@@ -10,12 +12,13 @@
 Serve callers as one entry instance.
 
 Usage: coltsfootd --settings FILE.json [--check-settings]
-       coltsfootd --platform [--check-settings]
+       coltsfootd --platform [--metrics-port PORT] [--check-settings]
 
 Options:
   --settings FILE     Settings of the instance; see docs/operators/settings.md
   --platform          Forward whole requests on the users' platform, which writes the settings;
                       see docs/operators/platform.md
+  --metrics-port PORT  Port of the metrics on the platform (9464)
   --check-settings    Check the settings and exit
   --help              Print this help
   --version           Print the version
@@ -68,6 +71,7 @@
 struct CommandLine {
     settings: Option<path::PathBuf>,
     is_on_platform: bool,
+    metrics_port: u16,
     check_only: bool,
 }
 
@@ -75,7 +79,7 @@
 pub fn run() -> Result<process::ExitCode, CommandError> {
     let Some(line) = parse()? else { return Ok(process::ExitCode::SUCCESS) };
     if line.is_on_platform {
-        return run_on_platform(line.check_only);
+        return run_on_platform(line.metrics_port, line.check_only);
     }
     let path = line.settings.ok_or(CommandError::NoSettings)?;
     let settings = settings::DaemonSettings::read(&path)?;
@@ -88,24 +92,30 @@
     Ok(process::ExitCode::SUCCESS)
 }
 
-fn run_on_platform(check_only: bool) -> Result<process::ExitCode, CommandError> {
+fn run_on_platform(metrics_port: u16, check_only: bool) -> Result<process::ExitCode, CommandError> {
     let settings = site_settings::SiteSettings::read()?;
     if check_only {
         println!("{}: the settings are sound", settings.instance);
         return Ok(process::ExitCode::SUCCESS);
     }
     logs::start_bounded(settings::LogLevel::Info);
-    gateway::run_until_signal(settings)?;
+    gateway::run_until_signal(settings, metrics_port)?;
     Ok(process::ExitCode::SUCCESS)
 }
 
 fn parse() -> Result<Option<CommandLine>, lexopt::Error> {
-    let mut line = CommandLine { settings: None, is_on_platform: false, check_only: false };
+    let mut line = CommandLine {
+        settings: None,
+        is_on_platform: false,
+        metrics_port: gateway::METRICS_PORT,
+        check_only: false,
+    };
     let mut parser = lexopt::Parser::from_env();
     while let Some(argument) = parser.next()? {
         match argument {
             lexopt::Arg::Long("settings") => line.settings = Some(parser.value()?.into()),
             lexopt::Arg::Long("platform") => line.is_on_platform = true,
+            lexopt::Arg::Long("metrics-port") => line.metrics_port = parser.value()?.parse()?,
             lexopt::Arg::Long("check-settings") => line.check_only = true,
             lexopt::Arg::Long("help") => {
                 print!("{HELP}");
--- a/coltsfootd/src/gateway/callers.rs
+++ b/coltsfootd/src/gateway/callers.rs
@@ -178,31 +178,61 @@
 
 /// Answers the balancer's checks for as long as the process runs.
 pub(crate) async fn answer_readiness(state: sync::Arc<state::GatewayState>, listener: TcpListener) {
+    let answer = |state: &state::GatewayState| {
+        let is_ready = !state.is_stopping() && state.routes.load().is_some();
+        (if is_ready { 200 } else { 503 }, String::new())
+    };
+    answer_all(state, listener, answer).await;
+}
+
+/// Serves metrics for as long as the process runs.
+pub(crate) async fn answer_scrapes(state: sync::Arc<state::GatewayState>, listener: TcpListener) {
+    let answer = |state: &state::GatewayState| (200, state.metrics.to_text());
+    answer_all(state, listener, answer).await;
+}
+
+/// Gives the same kind of answer to all requests, whatever they ask.
+async fn answer_all(
+    state: sync::Arc<state::GatewayState>,
+    listener: TcpListener,
+    answer: impl Fn(&state::GatewayState) -> (u16, String) + Copy + Send + 'static,
+) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let task = answer_checks(sync::Arc::clone(&state), stream);
-                state.executor.spawn(task).detach();
+                let state = sync::Arc::clone(&state);
+                let executor = sync::Arc::clone(&state.executor);
+                executor
+                    .spawn(async move { answer_requests(&state, stream, answer).await })
+                    .detach();
             }
             Err(error) => {
-                log::warn!("a readiness check was not accepted: {error}");
+                log::warn!("an operator's connection was not accepted: {error}");
                 async_io::Timer::after(ACCEPT_PAUSE).await;
             }
         }
     }
 }
 
-async fn answer_checks(state: sync::Arc<state::GatewayState>, stream: TcpStream) {
-    let mut checker = message::MessageStream::new(stream);
+async fn answer_requests(
+    state: &state::GatewayState,
+    stream: TcpStream,
+    answer: impl Fn(&state::GatewayState) -> (u16, String),
+) {
+    let mut operator = message::MessageStream::new(stream);
     loop {
-        let limits = limits(&state);
-        let read = checker.read_request(limits.max_head_bytes);
-        let Some(Ok(head)) = message::within(limits.idle_timeout, read).await else { return };
-        let is_ready = !state.is_stopping() && state.routes.load().is_some();
-        let mut answer = header::ResponseHead::new(if is_ready { 200 } else { 503 });
-        answer.headers.push("Content-Length", "0");
-        let is_written = checker.write(&answer.encode()).await.is_ok();
-        if !is_written || head.wants_close() {
+        let limits = limits(state);
+        let read = operator.read_request(limits.max_head_bytes);
+        let Some(Ok(request)) = message::within(limits.idle_timeout, read).await else { return };
+        let (status, body) = answer(state);
+        let mut head = header::ResponseHead::new(status);
+        if !body.is_empty() {
+            head.headers.push("Content-Type", "text/plain; version=0.0.4");
+        }
+        head.headers.push("Content-Length", body.len().to_string());
+        let mut bytes = head.encode();
+        bytes.extend_from_slice(body.as_bytes());
+        if operator.write(&bytes).await.is_err() || request.wants_close() {
             return;
         }
     }
--- a/coltsfootd/src/gateway/engines.rs
+++ b/coltsfootd/src/gateway/engines.rs
@@ -267,6 +267,7 @@
         Err(client::CallError::Connect { .. }) => engine_desk::OrderAnswer::Refused,
         Err(_) => engine_desk::OrderAnswer::Unknown,
     };
+    state.metrics.count_order(answer.code());
     log::info!(
         event = event::ORDER_GIVEN.number, upstream = id.to_string(), fence = fence,
         expected = expected_count; "order_given: {order:?} {answer:?}"
@@ -291,6 +292,7 @@
     address: net::SocketAddr,
 ) {
     let report = call_report(state, id, address).await;
+    state.metrics.count_report(report.is_some());
     let now = state.now();
     let mut slots = state::lock(&state.desks.slots);
     if let Some(slot) = slots.get_mut(id) {
--- a/coltsfootd/src/gateway/exchange.rs
+++ b/coltsfootd/src/gateway/exchange.rs
@@ -257,6 +257,7 @@
             Outcome::Own(answer) => (answer.status, answer.reason),
         };
         let elapsed = exchange.state.now().since(exchange.received);
+        exchange.state.metrics.count_request(reason, elapsed);
         let routes = exchange.state.routes.load();
         let version = routes.as_ref().map_or(0, |routes| routes.rules().version);
         log::info!(
@@ -400,6 +401,7 @@
         end: attempt_plan::AttemptEnd,
         detail: &'static str,
     ) {
+        self.state.metrics.count_attempt(detail);
         log::info!(
             event = event::ATTEMPT_ENDED.number, request = &*self.admitted.request_id,
             upstream = &*chosen.id, end = end.code(), detail = detail,
@@ -441,7 +443,11 @@
             self.log.loads += 1;
             let was_missing = self.missed_at.as_ref() == Some(&chosen.id);
             let limit = MAX_LOAD_WAIT.min(self.time_left());
-            match loads::ensure(self.state, &chosen.id, name, was_missing, limit).await {
+            let asked = self.state.now();
+            let verdict = loads::ensure(self.state, &chosen.id, name, was_missing, limit).await;
+            let wait = self.state.now().since(asked);
+            self.state.metrics.count_load(verdict.code(), wait);
+            match verdict {
                 wire::LoadVerdict::Ready => return Ok(chosen),
                 _ => tried.push(chosen.id),
             }
@@ -696,7 +702,11 @@
         sent: instant::MonotonicTime,
     ) {
         let now = self.state.now();
-        self.log.first_ms.get_or_insert(now.since(self.exchange.received).as_millis());
+        let wait = now.since(self.exchange.received);
+        if self.log.first_ms.is_none() {
+            self.log.first_ms = Some(wait.as_millis());
+            self.state.metrics.record_first_event(wait);
+        }
         let taken = now.since(sent).as_secs_f64() * 1000.0;
         let ratio = taken / chosen.expected_ms.max(engine_choice::FIRST_EVENT_MS);
         self.state.view().first_event_timed(&chosen.id, ratio);
--- /dev/null
+++ b/coltsfootd/src/gateway/metrics.rs
@@ -0,0 +1,84 @@
+//! Counters and latency histograms of a gateway.
+
+use std::time;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics;
+
+use crate::metrics as registry;
+
+/// The metrics of one gateway.
+pub(crate) struct GatewayMetrics {
+    registry: registry::MeterRegistry,
+    requests: metrics::Counter<u64>,
+    attempts: metrics::Counter<u64>,
+    loads: metrics::Counter<u64>,
+    orders: metrics::Counter<u64>,
+    reports: metrics::Counter<u64>,
+    duration: metrics::Histogram<f64>,
+    first_event: metrics::Histogram<f64>,
+    load_wait: metrics::Histogram<f64>,
+}
+
+impl GatewayMetrics {
+    /// Creates the metrics.
+    pub fn new() -> Result<Self, registry::MetricsError> {
+        let registry = registry::MeterRegistry::new()?;
+        Ok(Self {
+            requests: registry.counter("coltsfoot_gateway_requests", "Requests, by how they ended"),
+            attempts: registry
+                .counter("coltsfoot_gateway_attempts", "Attempts without an answer, by reason"),
+            loads: registry
+                .counter("coltsfoot_gateway_loads", "Waits for an adapter, by how they ended"),
+            orders: registry
+                .counter("coltsfoot_gateway_orders", "Orders to engines, by their answer"),
+            reports: registry
+                .counter("coltsfoot_gateway_reports", "Reports asked of engines, by success"),
+            duration: registry
+                .seconds("coltsfoot_gateway_request_seconds", "Time of a request, by outcome"),
+            first_event: registry
+                .seconds("coltsfoot_gateway_first_event_seconds", "Time to a first event"),
+            load_wait: registry
+                .seconds("coltsfoot_gateway_load_wait_seconds", "Wait for an adapter"),
+            registry,
+        })
+    }
+
+    /// Counts a request that ended.
+    pub fn count_request(&self, reason: &'static str, duration: time::Duration) {
+        let labels = [KeyValue::new("reason", reason)];
+        self.requests.add(1, &labels);
+        self.duration.record(duration.as_secs_f64(), &labels);
+    }
+
+    /// Counts an attempt that brought no answer for the caller.
+    pub fn count_attempt(&self, detail: &'static str) {
+        self.attempts.add(1, &[KeyValue::new("reason", detail)]);
+    }
+
+    /// Counts a wait for an adapter.
+    pub fn count_load(&self, verdict: &'static str, wait: time::Duration) {
+        self.loads.add(1, &[KeyValue::new("verdict", verdict)]);
+        self.load_wait.record(wait.as_secs_f64(), &[]);
+    }
+
+    /// Counts an order to an engine.
+    pub fn count_order(&self, answer: &'static str) {
+        self.orders.add(1, &[KeyValue::new("answer", answer)]);
+    }
+
+    /// Counts a report that was asked of an engine.
+    pub fn count_report(&self, is_read: bool) {
+        self.reports.add(1, &[KeyValue::new("read", is_read)]);
+    }
+
+    /// Records the time from a request's arrival to its first event.
+    pub fn record_first_event(&self, wait: time::Duration) {
+        self.first_event.record(wait.as_secs_f64(), &[]);
+    }
+
+    /// Returns all metrics as Prometheus text.
+    pub fn to_text(&self) -> String {
+        self.registry.to_text()
+    }
+}
--- a/coltsfootd/src/gateway/mod.rs
+++ b/coltsfootd/src/gateway/mod.rs
@@ -10,7 +10,11 @@
 mod follower;
 mod lease;
 mod loads;
+mod metrics;
 mod run;
 mod state;
 
 pub use run::{GatewayError, GatewaySignal, run, run_until_signal};
+
+/// Port on which metrics are served where the command line names none.
+pub const METRICS_PORT: u16 = 9464;
--- a/coltsfootd/src/gateway/run.rs
+++ b/coltsfootd/src/gateway/run.rs
@@ -12,8 +12,8 @@
 use coltsfoot_http::pool;
 use site_platform::{settings, store};
 
-use crate::gateway::{callers, engines, fleet, follower, lease, loads, state};
-use crate::{clock, event};
+use crate::gateway::{callers, engines, fleet, follower, lease, loads, metrics, state};
+use crate::{clock, event, metrics as registry};
 
 /// Time that the balancer gets to notice that the instance isn't ready any more: two missed checks
 /// a second apart, and one more.
@@ -36,24 +36,36 @@
         /// The cause.
         source: io::Error,
     },
+    /// The metrics can't be set up.
+    #[error(transparent)]
+    Metrics(#[from] registry::MetricsError),
     /// A thread or signal handler can't be set up.
     #[error("could not start: {0}; free resources of the machine")]
     System(#[from] io::Error),
 }
 
 /// Serves until the process is told to stop and its requests have ended.
-pub fn run_until_signal(settings: settings::SiteSettings) -> Result<(), GatewayError> {
+pub fn run_until_signal(
+    settings: settings::SiteSettings,
+    metrics_port: u16,
+) -> Result<(), GatewayError> {
     let signals = watch_signals()?;
-    run(settings, signals)
+    run(settings, metrics_port, signals)
 }
 
 /// Serves until a stop signal is received and the requests have ended.
 pub fn run(
     settings: settings::SiteSettings,
+    metrics_port: u16,
     signals: async_channel::Receiver<GatewaySignal>,
 ) -> Result<(), GatewayError> {
     let executor = sync::Arc::new(async_executor::Executor::new());
-    async_io::block_on(executor.run(serve(settings, sync::Arc::clone(&executor), signals)))
+    async_io::block_on(executor.run(serve(
+        settings,
+        metrics_port,
+        sync::Arc::clone(&executor),
+        signals,
+    )))
 }
 
 /// What a running gateway can be told.
@@ -87,17 +99,21 @@
 
 async fn serve(
     settings: settings::SiteSettings,
+    metrics_port: u16,
     executor: sync::Arc<async_executor::Executor<'static>>,
     signals: async_channel::Receiver<GatewaySignal>,
 ) -> Result<(), GatewayError> {
     let callers = listen("callers", settings.listen.callers).await?;
     let readiness = listen("readiness", settings.listen.readiness).await?;
+    let metrics_address = net::SocketAddr::new(settings.ip, metrics_port);
+    let scrapes = listen("metrics", metrics_address).await?;
     let state = build_state(settings, executor).await?;
     let name = &state.settings.instance;
     log::info!(event = event::STARTED.number, instance = name.to_string(); "started");
     let executor = &state.executor;
     executor.spawn(callers::accept(sync::Arc::clone(&state), callers)).detach();
     executor.spawn(callers::answer_readiness(sync::Arc::clone(&state), readiness)).detach();
+    executor.spawn(callers::answer_scrapes(sync::Arc::clone(&state), scrapes)).detach();
     executor.spawn(follower::follow_operator(sync::Arc::clone(&state))).detach();
     executor.spawn(follower::follow_upstreams(sync::Arc::clone(&state))).detach();
     executor.spawn(fleet::receive(sync::Arc::clone(&state))).detach();
@@ -168,6 +184,7 @@
         clock: clock::RuntimeClock::since_boot(),
         incarnation: rand::random(),
         executor,
+        metrics: metrics::GatewayMetrics::new()?,
         store: store::StoreClient::new(settings.store.address, sync::Arc::clone(&pool)),
         pool,
         routes: arc_swap::ArcSwapOption::empty(),
--- a/coltsfootd/src/gateway/state.rs
+++ b/coltsfootd/src/gateway/state.rs
@@ -12,7 +12,7 @@
 use rustc_hash::FxHashMap;
 use site_platform::{settings, store};
 
-use crate::gateway::{engines, loads};
+use crate::gateway::{engines, loads, metrics};
 use crate::{clock, event};
 
 /// Part of the promised retries that is used, so that instances that miss each other stay within.
@@ -27,6 +27,7 @@
     /// Names this process among all that ever ran.
     pub incarnation: u64,
     pub executor: sync::Arc<async_executor::Executor<'static>>,
+    pub metrics: metrics::GatewayMetrics,
     pub pool: sync::Arc<pool::ConnectionPool>,
     pub store: store::StoreClient,
     pub routes: arc_swap::ArcSwapOption<route_table::RouteTable>,
--- a/coltsfootd/src/metrics.rs
+++ b/coltsfootd/src/metrics.rs
@@ -84,10 +84,62 @@
     }
 }
 
-/// All metrics of one instance.
-pub struct MetricSet {
+/// Where metrics are kept until they are read.
+pub(crate) struct MeterRegistry {
     registry: prometheus::Registry,
+    meter: metrics::Meter,
     _provider: SdkMeterProvider,
+}
+
+impl MeterRegistry {
+    /// Creates an empty registry.
+    pub(crate) fn new() -> Result<Self, MetricsError> {
+        let registry = prometheus::Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .scope_info_enabled(false)
+            .without_target_info()
+            .build()
+            .map_err(|error| MetricsError(error.to_string()))?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("coltsfootd");
+        Ok(Self { registry, meter, _provider: provider })
+    }
+
+    /// Creates a counter.
+    pub(crate) fn counter(
+        &self,
+        name: &'static str,
+        description: &'static str,
+    ) -> metrics::Counter<u64> {
+        self.meter.u64_counter(name).with_description(description).build()
+    }
+
+    /// Creates a histogram of durations in seconds.
+    pub(crate) fn seconds(
+        &self,
+        name: &'static str,
+        description: &'static str,
+    ) -> metrics::Histogram<f64> {
+        let bounds = LATENCY_BOUNDS_S.to_vec();
+        let histogram = self.meter.f64_histogram(name).with_description(description);
+        histogram.with_boundaries(bounds).build()
+    }
+
+    /// Returns all metrics as Prometheus text.
+    pub(crate) fn to_text(&self) -> String {
+        let mut text = Vec::new();
+        let families = self.registry.gather();
+        match prometheus::TextEncoder::new().encode(&families, &mut text) {
+            Ok(()) => String::from_utf8_lossy(&text).into_owned(),
+            Err(error) => format!("# could not encode metrics: {error}\n"),
+        }
+    }
+}
+
+/// All metrics of one instance.
+pub struct MetricSet {
+    registry: MeterRegistry,
     answers: metrics::Counter<u64>,
     refusals: metrics::Counter<u64>,
     retries: metrics::Counter<u64>,
@@ -111,20 +163,9 @@
 impl MetricSet {
     /// Creates the metrics, with a series at zero for each refusal and retry reason.
     pub fn new() -> Result<Self, MetricsError> {
-        let registry = prometheus::Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .scope_info_enabled(false)
-            .without_target_info()
-            .build()
-            .map_err(|error| MetricsError(error.to_string()))?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("coltsfootd");
-        let counter = |name, text| meter.u64_counter(name).with_description(text).build();
-        let seconds = |name, text| {
-            let bounds = LATENCY_BOUNDS_S.to_vec();
-            meter.f64_histogram(name).with_description(text).with_boundaries(bounds).build()
-        };
+        let registry = MeterRegistry::new()?;
+        let counter = |name, text| registry.counter(name, text);
+        let seconds = |name, text| registry.seconds(name, text);
         let metrics = Self {
             answers: counter("coltsfoot_answers", "Requests answered whole, by route kind"),
             refusals: counter("coltsfoot_refusals", "Requests refused, by reason"),
@@ -146,7 +187,6 @@
             admission_wait: seconds("coltsfoot_admission_wait_seconds", "Wait for admission"),
             first_token: seconds("coltsfoot_first_token_seconds", "Time to the first token"),
             registry,
-            _provider: provider,
         };
         metrics.start_series();
         Ok(metrics)
@@ -241,11 +281,6 @@
 
     /// Returns all metrics as Prometheus text.
     pub fn to_text(&self) -> String {
-        let mut text = Vec::new();
-        let families = self.registry.gather();
-        match prometheus::TextEncoder::new().encode(&families, &mut text) {
-            Ok(()) => String::from_utf8_lossy(&text).into_owned(),
-            Err(error) => format!("# could not encode metrics: {error}\n"),
-        }
+        self.registry.to_text()
     }
 }
