--- a/coltsfoot-gateway/src/engine_choice.rs
+++ b/coltsfoot-gateway/src/engine_choice.rs
@@ -23,6 +23,8 @@
 /// Cost of a further copy of an adapter that is asked for once, by its place in the adapter's order
 /// of engines, in milliseconds: what others lose by the adapter that makes way.
 const COPY_MS: [f64; 4] = [0.0, 700.0, 800.0, 900.0];
+/// Cost of a copy further down that order, in milliseconds.
+const FAR_COPY_MS: f64 = 1_000.0;
 /// Cost of a request that fails and is sent again, in milliseconds.
 const FAILURE_MS: f64 = 1500.0;
 /// Cost of another availability zone, in milliseconds.
@@ -157,7 +159,7 @@
         return None;
     }
     let reuse = 1.0 + view.adapter_rate(now, key) * COPY_HORIZON_S;
-    let copy = COPY_MS.get(rank)? / reuse;
+    let copy = COPY_MS.get(rank).unwrap_or(&FAR_COPY_MS) / reuse;
     if slot.is_warm(key) {
         return Some(WARM_LOAD_MS + copy);
     }
--- a/coltsfoot-gateway/src/engine_desk.rs
+++ b/coltsfoot-gateway/src/engine_desk.rs
@@ -29,6 +29,11 @@
 const REPORT_INTERVAL: time::Duration = time::Duration::from_millis(2000);
 /// Time that a question waits for a place before its asker is sent elsewhere.
 const MAX_QUESTION_WAIT: time::Duration = time::Duration::from_millis(600);
+/// Time for which an adapter stays after an asker was told that it is ready: until the asker's
+/// request has come and its beat tells so.
+const PROMISE: time::Duration = time::Duration::from_millis(400);
+/// Time between tries while an engine waits for requests on an adapter that makes way.
+const LEAVING_CHECK: time::Duration = time::Duration::from_millis(80);
 /// Time after which a desk looks again whether an adapter may be fetched.
 const FETCH_CHECK: time::Duration = time::Duration::from_millis(25);
 /// Allowance between the expected end of a load and the first request.
@@ -119,6 +124,8 @@
     ordered: clock::MonotonicTime,
     ready_at: clock::MonotonicTime,
     is_fetched: bool,
+    /// Until when a request may be on its way that was told that the adapter is ready.
+    promised_until: clock::MonotonicTime,
     last_used: clock::MonotonicTime,
 }
 
@@ -152,7 +159,10 @@
     warm: collections::VecDeque<demand::AdapterKey>,
     questions: collections::VecDeque<OpenQuestion<A>>,
     unanswered: Option<EngineOrder>,
-    last_order: Option<EngineOrder>,
+    /// An adapter that makes way as soon as its requests have ended.
+    leaving: Option<demand::AdapterName>,
+    /// Until when no order is tried, since the engine waits for requests to end.
+    held_up_until: clock::MonotonicTime,
     next_report: clock::MonotonicTime,
     replies: Vec<DeskReply<A>>,
     has_changed: bool,
@@ -171,7 +181,8 @@
             warm: collections::VecDeque::new(),
             questions: collections::VecDeque::new(),
             unanswered: None,
-            last_order: None,
+            leaving: None,
+            held_up_until: clock::MonotonicTime::default(),
             next_report: clock::MonotonicTime::default(),
             replies: Vec::new(),
             has_changed: true,
@@ -211,6 +222,7 @@
             && now >= placed.ready_at
         {
             placed.last_used = now;
+            placed.promised_until = now + PROMISE;
             self.replies.push(DeskReply { asker, is_ready: true });
             return;
         }
@@ -240,13 +252,16 @@
 
     /// Returns the replies that are due.
     pub fn take_replies(&mut self, now: clock::MonotonicTime) -> Vec<DeskReply<A>> {
-        let placed = &self.placed;
+        let placed = &mut self.placed;
         let replies = &mut self.replies;
         let mut came_ready = false;
         self.questions.retain(|question| {
-            let at = placed.get(&question.name.key());
-            let fitting = at.filter(|at| at.version >= question.version.unwrap_or(0));
-            let is_ready = fitting.is_some_and(|at| now >= at.ready_at);
+            let at = placed.get_mut(&question.name.key());
+            let mut fitting = at.filter(|at| at.version >= question.version.unwrap_or(0));
+            let is_ready = fitting.as_ref().is_some_and(|at| now >= at.ready_at);
+            if let Some(at) = fitting.as_mut().filter(|_| is_ready) {
+                at.promised_until = now + PROMISE;
+            }
             let is_late = fitting.is_none() && now.since(question.asked) >= MAX_QUESTION_WAIT;
             if is_ready || is_late {
                 let askers = question.askers.iter().cloned();
@@ -288,7 +303,12 @@
         let coming =
             self.placed.values().map(|placed| placed.ready_at).filter(|ready| *ready > now);
         let late = self.questions.front().map(|question| question.asked + MAX_QUESTION_WAIT);
-        let due = coming.chain(late).chain([self.next_report]).chain(self.model_ready_at);
+        let promises = self.placed.values().map(|placed| placed.promised_until);
+        let due = coming
+            .chain(late)
+            .chain(promises)
+            .chain([self.next_report, self.held_up_until])
+            .chain(self.model_ready_at);
         due.filter(|due| *due > now).min().unwrap_or(self.next_report)
     }
 
@@ -302,6 +322,9 @@
         if let Some(order) = &self.unanswered {
             return Some(order.clone());
         }
+        if now < self.held_up_until {
+            return None;
+        }
         if !self.has_model(now) {
             let is_coming = self.model_ready_at.is_some();
             return (!is_coming)
@@ -311,11 +334,13 @@
         if loading >= MAX_LOADING {
             return None;
         }
-        self.order_for_question(leave, &in_use).or_else(|| self.order_for_version(now, &newest))
+        self.order_for_question(now, leave, &in_use)
+            .or_else(|| self.order_for_version(now, &newest))
     }
 
     fn order_for_question(
         &self,
+        now: clock::MonotonicTime,
         leave: OrderLeave,
         in_use: &impl Fn(demand::AdapterKey) -> bool,
     ) -> Option<EngineOrder> {
@@ -331,7 +356,7 @@
                 let (name, version) = (question.name.clone(), question.version);
                 return Some(EngineOrder::LoadAdapter { name, version });
             }
-            if let Some(victim) = self.victim(in_use) {
+            if let Some(victim) = self.victim(now, in_use) {
                 return Some(EngineOrder::UnloadAdapter(victim));
             }
         }
@@ -339,14 +364,24 @@
     }
 
     /// Returns the adapter that was not used for the longest time, of those without requests.
-    fn victim(&self, in_use: &impl Fn(demand::AdapterKey) -> bool) -> Option<demand::AdapterName> {
-        let idle = self.placed.iter().filter(|(key, placed)| {
-            let is_asked = self.questions.iter().any(|question| question.name == placed.name);
-            !is_asked && !in_use(**key)
-        });
+    fn victim(
+        &self,
+        now: clock::MonotonicTime,
+        in_use: &impl Fn(demand::AdapterKey) -> bool,
+    ) -> Option<demand::AdapterName> {
+        let idle = self
+            .placed
+            .iter()
+            .filter(|(key, placed)| !in_use(**key) && self.may_make_way(now, placed));
         idle.min_by_key(|(_, placed)| placed.last_used).map(|(_, placed)| placed.name.clone())
     }
 
+    /// Returns whether nobody asks for an adapter and no request for it is on its way.
+    fn may_make_way(&self, now: clock::MonotonicTime, placed: &PlacedAdapter) -> bool {
+        let is_asked = self.questions.iter().any(|question| question.name == placed.name);
+        !is_asked && now >= placed.promised_until
+    }
+
     fn order_for_version(
         &self,
         now: clock::MonotonicTime,
@@ -379,7 +414,18 @@
                 if answer == OrderAnswer::Holds && !matches!(order, EngineOrder::UnloadAdapter(_)) {
                     self.resync(now);
                 }
+                // The engine takes orders again, so that what was leaving is gone.
+                self.leaving = None;
                 self.apply(now, order, fetching, newest);
+                if answer == OrderAnswer::Accepted
+                    && let EngineOrder::UnloadAdapter(name) = order
+                {
+                    self.leaving = Some(name.clone());
+                }
+            }
+            OrderAnswer::Conflict if self.leaving.is_some() => {
+                self.unanswered = None;
+                self.held_up_until = now + LEAVING_CHECK;
             }
             OrderAnswer::Unknown => self.unanswered = Some(order.clone()),
             OrderAnswer::Conflict | OrderAnswer::Refused => {
@@ -387,7 +433,6 @@
                 self.resync(now);
             }
         }
-        self.last_order = Some(order.clone());
     }
 
     /// Forgets the number of orders until a report that can't be older than now has come.
@@ -422,6 +467,7 @@
                     ordered: now,
                     ready_at,
                     is_fetched: !is_warm,
+                    promised_until: ready_at,
                     last_used: now,
                 };
                 self.placed.insert(key, placed);
@@ -483,6 +529,7 @@
     fn take_residents(&mut self, now: clock::MonotonicTime, report: &upstream::EngineReport) {
         self.has_changed = true;
         let before = std::mem::take(&mut self.placed);
+        self.leaving = None;
         let ready = report.adapters.iter().map(|held| (held, now));
         let pending = report.pending.iter().map(|held| (held, now + COLD_LOAD));
         for (held, ready_at) in pending.chain(ready) {
@@ -491,7 +538,15 @@
             let name = held.name.clone();
             let version = held.version;
             let (ordered, is_fetched) = (now, false);
-            let placed = PlacedAdapter { name, version, ordered, ready_at, is_fetched, last_used };
+            let placed = PlacedAdapter {
+                name,
+                version,
+                ordered,
+                ready_at,
+                is_fetched,
+                promised_until: ready_at,
+                last_used,
+            };
             self.placed.insert(key, placed);
             self.remember_warm(key);
         }
@@ -503,6 +558,7 @@
         self.unanswered = None;
         self.has_model = false;
         self.model_ready_at = None;
+        self.leaving = None;
         self.placed.clear();
         self.next_report = now;
         self.has_changed = true;
@@ -533,10 +589,15 @@
     }
 
     /// Returns the places that are free or whose adapters could make way.
-    pub fn idle_places(&self, in_use: impl Fn(demand::AdapterKey) -> bool) -> usize {
-        let used = self.placed.iter().filter(|(key, placed)| {
-            in_use(**key) || self.questions.iter().any(|question| question.name == placed.name)
-        });
+    pub fn idle_places(
+        &self,
+        now: clock::MonotonicTime,
+        in_use: impl Fn(demand::AdapterKey) -> bool,
+    ) -> usize {
+        let used = self
+            .placed
+            .iter()
+            .filter(|(key, placed)| in_use(**key) || !self.may_make_way(now, placed));
         let new = self
             .questions
             .iter()
--- a/coltsfoot-gateway/tests/desk.rs
+++ b/coltsfoot-gateway/tests/desk.rs
@@ -84,7 +84,7 @@
     desk.ask(at(20), &adapter(3), None, 1);
     let step = desk.next_step(at(20), FULL_LEAVE, |_| true, |_| None);
     assert!(matches!(step, DeskStep::Wait(_)));
-    assert_eq!(desk.idle_places(|_| true), 0);
+    assert_eq!(desk.idle_places(at(20), |_| true), 0);
     let replies = desk.take_replies(at(700));
     assert_eq!(replies.len(), 1);
     assert!(!replies[0].is_ready);
@@ -188,3 +188,49 @@
     let step = desk.next_step(at(0), leave, |_| false, |_| Some(9));
     assert!(matches!(step, DeskStep::Wait(_)));
 }
+
+/// Load pattern: rare adapters in quick succession at an engine whose places are all taken.
+#[test]
+fn an_adapter_does_not_make_way_before_the_request_that_asked_for_it_has_come() {
+    let mut desk = desk(&[1, 2]);
+    desk.touch(at(10), adapter(1).key());
+    desk.touch(at(10), adapter(2).key());
+    let in_use = |key| key == adapter(1).key();
+    desk.ask(at(20), &adapter(3), None, 1);
+    for _ in 0..2 {
+        if let DeskStep::Order { order, .. } = desk.next_step(at(20), FULL_LEAVE, in_use, |_| None)
+        {
+            desk.order_ended(at(20), &order, OrderAnswer::Accepted, 0, |_| None);
+        }
+    }
+    let mut desk = self::desk(&[1]);
+    desk.ask(at(20), &adapter(3), None, 1);
+    let DeskStep::Order { order, .. } = next(&mut desk, 20) else { panic!("a load") };
+    end(&mut desk, 21, &order, OrderAnswer::Accepted);
+    assert_eq!(desk.take_replies(at(300)).len(), 1, "it is ready, its request is on the way");
+    desk.ask(at(310), &adapter(4), None, 2);
+    let step = desk.next_step(at(310), FULL_LEAVE, in_use, |_| None);
+    assert!(matches!(step, DeskStep::Wait(_)), "{step:?}");
+    assert_eq!(desk.idle_places(at(310), in_use), 0);
+    let step = desk.next_step(at(800), FULL_LEAVE, in_use, |_| None);
+    let order = EngineOrder::UnloadAdapter(adapter(3));
+    assert!(matches!(step, DeskStep::Order { order: given, .. } if given == order));
+}
+
+/// An adapter turns out to be in use when it is to make way: the engine waits for its requests.
+#[test]
+fn an_unload_that_waits_for_requests_is_not_taken_for_a_fault() {
+    let mut desk = desk(&[1, 2]);
+    desk.ask(at(20), &adapter(3), None, 1);
+    let DeskStep::Order { order, .. } = next(&mut desk, 20) else { panic!("an unload") };
+    end(&mut desk, 21, &order, OrderAnswer::Accepted);
+    assert_eq!(desk.ready(at(22)).count(), 1, "no further request goes to it");
+    let load = load(3);
+    assert_eq!(next(&mut desk, 22), DeskStep::Order { order: load.clone(), expected_count: 1 });
+    end(&mut desk, 23, &load, OrderAnswer::Conflict);
+    let DeskStep::Wait(until) = next(&mut desk, 24) else { panic!("a pause") };
+    assert!(until <= at(150), "it tries again soon");
+    assert_eq!(next(&mut desk, 150), DeskStep::Order { order: load.clone(), expected_count: 1 });
+    end(&mut desk, 151, &load, OrderAnswer::Accepted);
+    assert_eq!(desk.ready(at(500)).count(), 2);
+}
--- a/coltsfootd/src/gateway/engines.rs
+++ b/coltsfootd/src/gateway/engines.rs
@@ -112,7 +112,7 @@
             let fence = lease.fence(slot.partition)?;
             let upstream = view.upstream(&slot.id);
             let in_use = |key| upstream.is_some_and(|upstream| upstream.is_in_use(now, key));
-            let idle_places = slot.desk.idle_places(in_use);
+            let idle_places = slot.desk.idle_places(now, in_use);
             Some(wire::OwnedEngine {
                 upstream: slot.number,
                 fence,
