Avoid zones to which connections fail, reload settings, test placement

Failed connections no longer count as sends, and two of them in a zone turn requests away from it. The settings file is read again on SIGHUP and when it changes; the promised bounds are taken over.

--- a/coltsfoot-gateway/src/attempt_plan.rs
+++ b/coltsfoot-gateway/src/attempt_plan.rs
@@ -54,6 +54,9 @@
 /// Sends to upstreams that rejected the request, after which it is refused.
 const MAX_UNRUN_SENDS: u32 = 4;
 
+/// Connections that failed, after which a request is refused.
+const MAX_UNSENT: u32 = 8;
+
 /// The attempts of one request.
 #[derive(Clone, Debug)]
 pub struct AttemptPlan {
@@ -61,6 +64,7 @@
     max_runs: u32,
     runs: u32,
     unrun_sends: u32,
+    unsent: u32,
     tried: SmallVec<[sync::Arc<str>; 4]>,
 }
 
@@ -69,7 +73,7 @@
     pub fn new(route: &rules::RouteRule) -> Self {
         let max_runs = route.max_attempts.max(1);
         let may_repeat = route.may_repeat();
-        Self { may_repeat, max_runs, runs: 0, unrun_sends: 0, tried: SmallVec::new() }
+        Self { may_repeat, max_runs, runs: 0, unrun_sends: 0, unsent: 0, tried: SmallVec::new() }
     }
 
     /// Returns whether the request may have run.
@@ -92,13 +96,14 @@
         if end != AttemptEnd::Misdirected {
             self.tried.push(sync::Arc::clone(upstream));
         }
-        if end.may_have_run() {
-            self.runs += 1;
-        } else {
-            self.unrun_sends += 1;
+        match end {
+            AttemptEnd::NotSent => self.unsent += 1,
+            AttemptEnd::Rejected | AttemptEnd::Misdirected => self.unrun_sends += 1,
+            AttemptEnd::Failed | AttemptEnd::Broken => self.runs += 1,
         }
         let may_run_again = !self.may_have_run() || (self.may_repeat && self.runs < self.max_runs);
-        if may_run_again && self.unrun_sends < MAX_UNRUN_SENDS {
+        let is_patient = self.unrun_sends < MAX_UNRUN_SENDS && self.unsent < MAX_UNSENT;
+        if may_run_again && is_patient {
             return NextStep::Repeat;
         }
         self.give_up()
--- a/coltsfoot-gateway/src/engine_choice.rs
+++ b/coltsfoot-gateway/src/engine_choice.rs
@@ -30,7 +30,7 @@
 /// Cost of another availability zone, in milliseconds.
 const ZONE_MS: f64 = 4.0;
 /// Cost of an availability zone that is probably cut off, in milliseconds.
-const SILENT_ZONE_MS: f64 = 2_000.0;
+const SUSPECT_ZONE_MS: f64 = 2_000.0;
 /// Cost of each request beyond the places of an upstream, in milliseconds.
 const QUEUED_MS: f64 = 40.0;
 /// Cost of an upstream to which connections failed a moment ago, in milliseconds.
@@ -90,7 +90,7 @@
     let is_near = &*slot.entry.zone == request.zone;
     let zone = match is_near {
         true => 0.0,
-        false if view.is_zone_silent(now, &slot.entry.zone) => SILENT_ZONE_MS,
+        false if view.is_zone_suspect(now, &slot.entry.zone) => SUSPECT_ZONE_MS,
         false => ZONE_MS,
     };
     let avoided = if slot.is_avoided(now) { AVOIDED_MS } else { 0.0 };
--- a/coltsfoot-gateway/src/fleet_view.rs
+++ b/coltsfoot-gateway/src/fleet_view.rs
@@ -11,6 +11,8 @@
 
 /// Age above which the work told by an instance no longer counts.
 const BEAT_LIFETIME: time::Duration = time::Duration::from_millis(1500);
+/// Upstreams of a zone to which connections failed, from which on the zone is suspected.
+const SUSPECT_FAILURES: usize = 2;
 /// Time without beats from a whole zone after which it is suspected to be cut off.
 const ZONE_SILENCE: time::Duration = time::Duration::from_millis(600);
 /// Time without beats after which an instance is forgotten.
@@ -508,11 +510,16 @@
         near.map(|peer| peer.witness.clone()).collect()
     }
 
-    /// Returns whether no instance of a zone was heard from lately although some are known: the
-    /// zone is probably cut off.
-    pub fn is_zone_silent(&self, now: clock::MonotonicTime, zone: &str) -> bool {
+    /// Returns whether a zone is probably cut off: none of its instances was heard from lately
+    /// although some are known, or connections to several of its upstreams failed.
+    pub fn is_zone_suspect(&self, now: clock::MonotonicTime, zone: &str) -> bool {
         let mut near = self.peers.values().filter(|peer| &*peer.zone == zone).peekable();
-        near.peek().is_some() && near.all(|peer| now.since(peer.heard) > ZONE_SILENCE)
+        let is_silent =
+            near.peek().is_some() && near.all(|peer| now.since(peer.heard) > ZONE_SILENCE);
+        is_silent || {
+            let upstreams = self.upstreams.values().filter(|slot| &*slot.entry.zone == zone);
+            upstreams.filter(|slot| slot.is_avoided(now)).count() >= SUSPECT_FAILURES
+        }
     }
 
     /// Returns the adapters that the engines of the other instances fetch from the weight store.
--- /dev/null
+++ b/coltsfoot-gateway/tests/choice.rs
@@ -0,0 +1,208 @@
+//! Where requests go, by load pattern.
+
+use std::sync;
+use std::time;
+
+use coltsfoot_gateway::{demand, engine_choice, fleet_view, rules, upstream};
+use coltsfoot_types::time as clock;
+use coltsfoot_wire::fleet;
+use smallvec::smallvec;
+
+fn at(ms: u64) -> clock::MonotonicTime {
+    clock::MonotonicTime(ms * 1000)
+}
+
+fn entry(id: &str, zone: &str) -> upstream::UpstreamEntry {
+    upstream::UpstreamEntry {
+        id: id.into(),
+        born_ms: Some(1),
+        service: "llm".into(),
+        address: "10.0.0.1:1".parse().expect("an address"),
+        zone: zone.into(),
+        slots: 64,
+        state: upstream::UpstreamState::Ready,
+        cold_left: time::Duration::ZERO,
+        models: vec!["m".into()],
+        adapters: Vec::new(),
+    }
+}
+
+fn service() -> rules::ServiceRule {
+    let model = rules::ModelRule { name: "m".into(), weights_mb: 10.0, adapter_mb: 1.0 };
+    let engine = rules::EngineRule {
+        slots: 64,
+        memory_tokens: 232_000,
+        weights_mb: 100.0,
+        adapter_slots: 8,
+        models: vec![model],
+    };
+    rules::ServiceRule { name: "llm".into(), max_connections: 100, engine: Some(engine) }
+}
+
+fn prompt(adapter: &str, subject: u64) -> demand::PromptDemand {
+    let name = demand::AdapterName { model: "m".into(), adapter: adapter.into() };
+    let part = |id, tokens| demand::PromptPart { id, tokens };
+    demand::PromptDemand {
+        model: "m".into(),
+        adapter: Some(name),
+        prompt_tokens: 9200,
+        max_output_tokens: 52,
+        parts: smallvec![part(1, 2500), part(subject, 3800), part(subject + 1000, 2900)],
+    }
+}
+
+/// A fleet whose engines all take orders and hold nothing.
+fn fleet(engines: &[(&str, &str)]) -> fleet_view::FleetView {
+    let mut view = fleet_view::FleetView::default();
+    for (id, zone) in engines {
+        view.put_upstream(entry(id, zone));
+        tell(&mut view, id, &[], 8);
+    }
+    view
+}
+
+fn tell(view: &mut fleet_view::FleetView, id: &str, adapters: &[&str], idle_places: u8) {
+    let number = view.upstream(id).expect("known").number;
+    let key = |adapter: &&str| prompt(adapter, 1).adapter.expect("named").key().0;
+    view.take_own_engine(
+        at(0),
+        &fleet::OwnedEngine {
+            upstream: number,
+            fence: 1,
+            has_model: true,
+            takes_orders: true,
+            idle_places,
+            adapters: adapters
+                .iter()
+                .map(|adapter| fleet::HeldAdapter { adapter: key(adapter), version: 1 })
+                .collect(),
+        },
+    );
+}
+
+fn choose(
+    view: &fleet_view::FleetView,
+    now: u64,
+    demand: &demand::PromptDemand,
+) -> Option<engine_choice::ChosenUpstream> {
+    let service = service();
+    let request = engine_choice::PlacedRequest {
+        service: &service,
+        demand: Some(demand),
+        zone: "a",
+        tried: &[],
+    };
+    engine_choice::choose(at(now), view, &request)
+}
+
+const SIX: [(&str, &str); 6] =
+    [("1", "a"), ("2", "a"), ("3", "b"), ("4", "b"), ("5", "c"), ("6", "c")];
+
+#[test]
+fn an_adapter_has_one_home_and_homes_are_spread() {
+    let view = fleet(&SIX);
+    let homes: Vec<sync::Arc<str>> = (0..600)
+        .map(|number| choose(&view, 0, &prompt(&format!("a{number}"), 1)).expect("one").id)
+        .collect();
+    for id in SIX.map(|(id, _)| id) {
+        let count = homes.iter().filter(|home| &***home == id).count();
+        assert!((60..140).contains(&count), "{count} of 600 adapters on engine {id}");
+    }
+    let smaller = fleet(&SIX[..5]);
+    let moved = (0..600).filter(|number| {
+        let demand = prompt(&format!("a{number}"), 1);
+        let home = choose(&smaller, 0, &demand).expect("one").id;
+        home != homes[*number] && &*homes[*number] != "6"
+    });
+    assert_eq!(moved.count(), 0, "only what was on the lost engine moves");
+}
+
+/// Load pattern: a request for an adapter that an engine holds, while that engine has some queue.
+#[test]
+fn a_queue_is_joined_rather_than_a_rare_adapter_copied() {
+    let mut view = fleet(&SIX);
+    let demand = prompt("a1", 1);
+    let home = choose(&view, 0, &demand).expect("one").id;
+    tell(&mut view, &home, &["a1"], 7);
+    for number in 0..3 {
+        view.request_sent(at(1), &home, Some(&prompt("a1", 10 + number)));
+    }
+    let chosen = choose(&view, 2, &demand).expect("one");
+    assert_eq!((chosen.id, chosen.needs_load), (home, false));
+}
+
+/// Load pattern: the busiest adapter brings more than its engine reads.
+#[test]
+fn an_adapter_in_demand_gets_a_second_engine() {
+    let mut view = fleet(&SIX);
+    let demand = prompt("a1", 1);
+    let home = choose(&view, 0, &demand).expect("one").id;
+    tell(&mut view, &home, &["a1"], 7);
+    for number in 0..20 {
+        view.adapter_asked(at(number * 50), demand.adapter.as_ref().expect("named").key());
+        view.request_sent(at(number * 50), &home, Some(&prompt("a1", 10 + number)));
+    }
+    let chosen = choose(&view, 1000, &demand).expect("one");
+    assert!(chosen.needs_load);
+    assert_ne!(chosen.id, home);
+}
+
+#[test]
+fn an_engine_without_a_free_place_is_not_asked_for_a_further_adapter() {
+    let mut view = fleet(&SIX);
+    let demand = prompt("a1", 1);
+    let home = choose(&view, 0, &demand).expect("one").id;
+    tell(&mut view, &home, &["a2"], 0);
+    assert_ne!(choose(&view, 0, &demand).expect("another").id, home);
+    for (id, _) in SIX {
+        tell(&mut view, id, &["a2"], 0);
+    }
+    assert_eq!(choose(&view, 0, &demand), None);
+}
+
+/// Load pattern: a zone is cut off; connections to its engines are reset one after the other.
+#[test]
+fn after_two_failed_connections_the_rest_of_their_zone_is_avoided() {
+    let engines = [("1", "a"), ("2", "b"), ("3", "b"), ("4", "b"), ("5", "b")];
+    let mut view = fleet(&engines);
+    for (id, _) in engines {
+        tell(&mut view, id, &["a1"], 7);
+    }
+    for number in 0..5 {
+        view.request_sent(at(1), "1", Some(&prompt("a1", 10 + number)));
+    }
+    assert_ne!(&*choose(&view, 2, &prompt("a1", 1)).expect("one").id, "1", "it has a long queue");
+    view.connect_failed(at(3), "2");
+    view.connect_failed(at(3), "3");
+    assert_eq!(&*choose(&view, 4, &prompt("a1", 1)).expect("one").id, "1");
+}
+
+#[test]
+fn an_older_version_serves_only_while_it_is_replaced() {
+    let mut view = fleet(&SIX);
+    let demand = prompt("a1", 1);
+    let home = choose(&view, 0, &demand).expect("one").id;
+    tell(&mut view, &home, &["a1"], 7);
+    let name = demand.adapter.clone().expect("named");
+    assert!(view.name_version(at(1000), name.clone(), 2));
+    assert!(!view.name_version(at(1001), name, 2), "no news");
+    assert!(!choose(&view, 2000, &demand).expect("one").needs_load);
+    assert!(choose(&view, 6000, &demand).expect("one").needs_load);
+}
+
+/// Load pattern: an engine goes dark under running requests, without closing a connection.
+#[test]
+fn a_silent_engine_gets_no_further_requests() {
+    let mut view = fleet(&SIX);
+    let demand = prompt("a1", 1);
+    let home = choose(&view, 0, &demand).expect("one").id;
+    for (id, _) in SIX {
+        tell(&mut view, id, &["a1"], 7);
+    }
+    view.request_sent(at(0), &home, Some(&demand));
+    view.prompt_read(&home, 100_000);
+    view.upstream_heard(at(300), &home);
+    assert!(!view.upstream(&home).expect("known").is_silent(at(900)));
+    assert!(view.upstream(&home).expect("known").is_silent(at(1100)));
+    assert_ne!(choose(&view, 1100, &demand).expect("another").id, home);
+}
--- a/coltsfoot-gateway/tests/routes.rs
+++ b/coltsfoot-gateway/tests/routes.rs
@@ -93,6 +93,8 @@
 /// Whether the route may repeat, its most attempts, the ends in order, and what follows the last.
 #[rstest]
 #[case::unsent_goes_on(false, 1, &[AttemptEnd::NotSent], NextStep::Repeat)]
+#[case::many_unsent(false, 1, &[AttemptEnd::NotSent; 6], NextStep::Repeat)]
+#[case::unsent_for_good(false, 1, &[AttemptEnd::NotSent; 8], NextStep::Refuse)]
 #[case::rejected_goes_on(false, 1, &[AttemptEnd::Rejected], NextStep::Repeat)]
 #[case::may_have_run(false, 3, &[AttemptEnd::Broken], NextStep::Fail)]
 #[case::ran_and_failed(false, 3, &[AttemptEnd::Failed], NextStep::Fail)]
--- a/coltsfootd/src/event.rs
+++ b/coltsfootd/src/event.rs
@@ -37,6 +37,8 @@
     DRAIN_TIMED_OUT = 103, "drain_timed_out", Warn;
     /// The settings were read again.
     RELOADED = 104, "reloaded", Info;
+    /// The settings could not be read again.
+    RELOAD_FAILED = 105, "reload_failed", Warn;
     /// A change set was accepted.
     CHANGE_ACCEPTED = 200, "change_accepted", Info;
     /// A change set was rejected.
--- a/coltsfootd/src/gateway/mod.rs
+++ b/coltsfootd/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod lease;
 mod loads;
 mod metrics;
+mod reload;
 mod run;
 mod state;
 
--- a/coltsfootd/src/gateway/run.rs
+++ b/coltsfootd/src/gateway/run.rs
@@ -12,7 +12,7 @@
 use coltsfoot_http::pool;
 use site_platform::{settings, store};
 
-use crate::gateway::{callers, engines, fleet, follower, lease, loads, metrics, state};
+use crate::gateway::{callers, engines, fleet, follower, lease, loads, metrics, reload, state};
 use crate::{clock, event, metrics as registry};
 
 /// Time that the balancer gets to notice that the instance isn't ready any more: two missed checks
@@ -121,17 +121,21 @@
     executor.spawn(fleet::find_peers(sync::Arc::clone(&state))).detach();
     executor.spawn(lease::keep(sync::Arc::clone(&state))).detach();
     executor.spawn(engines::watch_untold(sync::Arc::clone(&state))).detach();
-    wait_for_stop(&signals).await;
+    executor.spawn(reload::watch(sync::Arc::clone(&state))).detach();
+    wait_for_stop(&state, &signals).await;
     stop(&state).await;
     Ok(())
 }
 
-async fn wait_for_stop(signals: &async_channel::Receiver<GatewaySignal>) {
+async fn wait_for_stop(
+    state: &state::GatewayState,
+    signals: &async_channel::Receiver<GatewaySignal>,
+) {
     while let Ok(signal) = signals.recv().await {
         if signal == GatewaySignal::Stop {
             return;
         }
-        log::info!(event = event::RELOADED.number; "reloaded: no setting can change while running");
+        reload::reload(state);
     }
 }
 
@@ -141,7 +145,7 @@
     state.is_stopping.store(true, atomic::Ordering::Relaxed);
     log::info!(event = event::DRAINING.number; "draining");
     let begun = state.now();
-    let longest = state.settings.bounds.stop_grace.saturating_sub(KILL_MARGIN);
+    let longest = state.bounds.load().stop_grace.saturating_sub(KILL_MARGIN);
     loop {
         async_io::Timer::after(STOP_CHECK_INTERVAL).await;
         let elapsed = state.now().since(begun);
@@ -199,6 +203,7 @@
         active_requests: atomic::AtomicUsize::new(0),
         is_stopping: atomic::AtomicBool::new(false),
         is_closed: atomic::AtomicBool::new(false),
+        bounds: arc_swap::ArcSwap::from_pointee(settings.bounds.clone()),
         settings,
     }))
 }
--- a/coltsfootd/src/gateway/state.rs
+++ b/coltsfootd/src/gateway/state.rs
@@ -23,6 +23,8 @@
 /// The state of a gateway.
 pub(crate) struct GatewayState {
     pub settings: settings::SiteSettings,
+    /// The promised bounds, which may change while the process runs.
+    pub bounds: arc_swap::ArcSwap<settings::PromisedBounds>,
     pub clock: clock::RuntimeClock,
     /// Names this process among all that ever ran.
     pub incarnation: u64,
@@ -107,7 +109,7 @@
     }
 
     fn retry_settings(&self, instances: usize) -> retry_budget::RetrySettings {
-        let bounds = &self.settings.bounds;
+        let bounds = self.bounds.load();
         let slack = bounds.retry_budget_slack / instances.max(MIN_BUDGET_INSTANCES) as f64;
         retry_budget::RetrySettings {
             share_permille: (bounds.retry_budget_ratio * RETRY_SHARE_USED * 1000.0) as u64,
