--- a/coltsfoot-gateway/src/fleet_view.rs
+++ b/coltsfoot-gateway/src/fleet_view.rs
@@ -7,7 +7,7 @@
 use coltsfoot_wire::fleet;
 use rustc_hash::FxHashMap;
 
-use crate::{demand, engine_desk, order_lease, rendezvous, upstream};
+use crate::{demand, engine_desk, order_lease, reader_choice, rendezvous, upstream};
 
 /// Age above which the work told by an instance no longer counts.
 const BEAT_LIFETIME: time::Duration = time::Duration::from_millis(1500);
@@ -212,6 +212,10 @@
     pub rules_version: u64,
     /// Whether it is about to stop.
     pub is_leaving: bool,
+    /// What it knows of the operator's records.
+    pub operator: fleet::TopicReading,
+    /// What it knows of the upstreams' entries.
+    pub upstreams: fleet::TopicReading,
     /// What it told of its lease.
     pub witness: order_lease::LeaseWitness,
     /// Adapters that its engines fetch from the weight store.
@@ -438,6 +442,8 @@
             sequence: 0,
             rules_version: 0,
             is_leaving: false,
+            operator: beat.operator,
+            upstreams: beat.upstreams,
             witness: order_lease::LeaseWitness {
                 heard: now,
                 store_age: time::Duration::ZERO,
@@ -453,6 +459,7 @@
         peer.sequence = beat.sequence;
         peer.rules_version = beat.rules_version;
         peer.is_leaving = beat.is_leaving;
+        (peer.operator, peer.upstreams) = (beat.operator, beat.upstreams);
         peer.fetching = u32::from(beat.fetching);
         peer.to_fetch = u32::from(beat.to_fetch);
         peer.witness = order_lease::LeaseWitness {
@@ -504,6 +511,39 @@
         self.peers.iter().map(|(id, peer)| (*id, peer))
     }
 
+    /// Returns what the other instances told of a topic.
+    pub fn readings(
+        &self,
+        topic: impl Fn(&PeerSlot) -> fleet::TopicReading,
+    ) -> Vec<reader_choice::PeerReading> {
+        let peers = self.peers.iter().filter(|(_, peer)| !peer.is_leaving);
+        peers
+            .map(|(id, peer)| {
+                let reading = topic(peer);
+                let read_age = time::Duration::from_millis(u64::from(reading.age_ms));
+                let digest = reading.digest;
+                reader_choice::PeerReading { id: *id, heard: peer.heard, read_age, digest }
+            })
+            .collect()
+    }
+
+    /// Returns a digest of the upstreams that are known, the same wherever the same is known.
+    pub fn upstream_digest(&self) -> u64 {
+        let digests = self.upstreams.values().map(|slot| {
+            let is_ready = slot.entry.state == upstream::UpstreamState::Ready;
+            let entry = &slot.entry;
+            rendezvous::hash_of(&(&*entry.id, entry.born_ms, entry.address, is_ready))
+        });
+        digests.fold(0, u64::wrapping_add)
+    }
+
+    /// Returns a digest of the adapter versions that were named.
+    pub fn version_digest(&self) -> u64 {
+        let versions = self.versions.iter();
+        let digests = versions.map(|(key, named)| rendezvous::hash_of(&(key, named.version)));
+        digests.fold(0, u64::wrapping_add)
+    }
+
     /// Returns what the other instances of a zone told of their leases.
     pub fn witnesses(&self, zone: &str) -> Vec<order_lease::LeaseWitness> {
         let near = self.peers.values().filter(|peer| &*peer.zone == zone);
--- a/coltsfoot-gateway/src/lib.rs
+++ b/coltsfoot-gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod fleet_view;
 pub mod order_lease;
 pub mod quota_ledger;
+pub mod reader_choice;
 pub mod rendezvous;
 pub mod route_table;
 pub mod rules;
--- /dev/null
+++ b/coltsfoot-gateway/tests/readers.rs
@@ -0,0 +1,49 @@
+//! Few instances read the store, and the others notice what they missed.
+
+use std::time;
+
+use coltsfoot_gateway::reader_choice::{self, PeerReading, ReadNeed};
+use coltsfoot_types::time as clock;
+use rstest::rstest;
+
+fn at(ms: u64) -> clock::MonotonicTime {
+    clock::MonotonicTime(ms * 1000)
+}
+
+fn peer(id: u64, heard: u64, read_age: u64, digest: u64) -> PeerReading {
+    let read_age = time::Duration::from_millis(read_age);
+    PeerReading { id, heard: at(heard), read_age, digest }
+}
+
+#[rstest]
+#[case(1, 1)]
+#[case(2, 2)]
+#[case(6, 2)]
+#[case(79, 2)]
+fn two_instances_read_however_many_there_are(#[case] instances: u64, #[case] readers: usize) {
+    let reads = |own: u64| {
+        let peers: Vec<_> =
+            (0..instances).filter(|id| *id != own).map(|id| peer(id, 1000, 100, 1)).collect();
+        reader_choice::is_reader(at(1000), own, &peers)
+    };
+    assert_eq!((0..instances).filter(|own| reads(*own)).count(), readers);
+}
+
+#[test]
+fn instances_that_are_silent_or_cut_from_the_store_are_replaced_as_readers() {
+    let own = 1;
+    for (heard, read_age) in [(300, 100), (1000, 1400)] {
+        let peers: Vec<_> = (2..40).map(|id| peer(id, heard, read_age, 1)).collect();
+        assert!(reader_choice::is_reader(at(1000), own, &peers));
+    }
+}
+
+#[rstest]
+#[case::same(&[peer(2, 950, 100, 7)], ReadNeed::Confirmed)]
+#[case::one_differs(&[peer(2, 950, 100, 7), peer(3, 950, 200, 8)], ReadNeed::Differs)]
+#[case::old_news(&[peer(2, 950, 1290, 8)], ReadNeed::Unknown)]
+#[case::silent(&[peer(2, 100, 0, 8)], ReadNeed::Unknown)]
+#[case::alone(&[], ReadNeed::Unknown)]
+fn when_to_read(#[case] peers: &[PeerReading], #[case] expected: ReadNeed) {
+    assert_eq!(reader_choice::read_need(at(1000), 7, peers), expected);
+}
--- a/coltsfoot-wire/src/fleet.rs
+++ b/coltsfoot-wire/src/fleet.rs
@@ -62,6 +62,15 @@
     pub total: u64,
 }
 
+/// What the sender knows of a topic of the store.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TopicReading {
+    /// Time since it was read, in milliseconds.
+    pub age_ms: u32,
+    /// Digest of what is known of it.
+    pub digest: u64,
+}
+
 /// Periodic news of an instance.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct FleetBeat {
@@ -77,6 +86,10 @@
     pub is_leaving: bool,
     /// Version of the configuration that the sender uses; zero for none.
     pub rules_version: u64,
+    /// Configuration and adapter versions.
+    pub operator: TopicReading,
+    /// Entries of upstreams.
+    pub upstreams: TopicReading,
     /// Time since the sender reached the store, in milliseconds.
     pub store_age_ms: u32,
     /// Partitions of its zone's engines that the sender holds.
--- a/coltsfootd/src/gateway/exchange.rs
+++ b/coltsfootd/src/gateway/exchange.rs
@@ -245,6 +245,8 @@
     expected_ms: f64,
     sends: u32,
     loads: usize,
+    /// Time from the end of the request to its first send, in microseconds.
+    placed_us: Option<u128>,
     first_ms: Option<u128>,
 }
 
@@ -268,6 +270,7 @@
             upstream = self.upstream.as_deref().unwrap_or_default(),
             rules = version, status = status, reason = reason, sends = self.sends,
             loads = self.loads, expected_ms = self.expected_ms as u64,
+            placed_us = self.placed_us.unwrap_or_default() as u64,
             first_ms = self.first_ms.unwrap_or_default() as u64,
             ms = elapsed.as_millis() as u64;
             "request_ended"
@@ -495,6 +498,7 @@
         let mut under_way = UnderWay::begin(self.state, &chosen.id, demand);
         self.log.sends += 1;
         let sent = self.state.now();
+        self.log.placed_us.get_or_insert(sent.since(self.exchange.received).as_micros());
         let send = attempt::send(&self.state.pool, &request);
         let give_up = self.wait_silent(&chosen.id);
         let answer = futures_lite::future::or(async { Some(send.await) }, async {
--- a/coltsfootd/src/gateway/fleet.rs
+++ b/coltsfootd/src/gateway/fleet.rs
@@ -72,6 +72,11 @@
     send_beat(state, Some(engines), None);
 }
 
+/// Tells all instances at once that this one has read something new.
+pub(crate) fn publish_reading(state: &state::GatewayState) {
+    send_beat(state, None, None);
+}
+
 fn send_beat(
     state: &state::GatewayState,
     engines: Option<Vec<wire::OwnedEngine>>,
@@ -91,6 +96,7 @@
         let lease = state.lease();
         (lease.renewed(), lease.partitions().collect())
     };
+    let (operator, upstreams) = (state.operator_reading(), state.upstream_reading());
     let fetching = state.desks.fetching(now);
     let to_fetch = state.desks.waiting_fetches();
     let mut view = state.view();
@@ -102,6 +108,8 @@
         sequence: SEQUENCE.fetch_add(1, atomic::Ordering::Relaxed),
         is_leaving: state.is_stopping(),
         rules_version,
+        operator,
+        upstreams,
         store_age_ms: u32::try_from(now.since(renewed).as_millis()).unwrap_or(u32::MAX),
         partitions,
         fetching: u16::try_from(fetching).unwrap_or(u16::MAX),
--- a/coltsfootd/src/gateway/follower.rs
+++ b/coltsfootd/src/gateway/follower.rs
@@ -3,19 +3,24 @@
 use std::sync;
 use std::time;
 
-use coltsfoot_gateway::upstream;
+use coltsfoot_gateway::{fleet_view, reader_choice, upstream};
 use coltsfoot_types::time as instant;
+use coltsfoot_wire::fleet as wire;
 use rustc_hash::FxHashMap;
 use site_platform::{entry, rules, store};
 
 use crate::event;
-use crate::gateway::state;
+use crate::gateway::{fleet, state};
 
 /// Time that a read of the operator's records waits for news.
-const OPERATOR_WAIT: time::Duration = time::Duration::from_millis(2000);
+const OPERATOR_WAIT: time::Duration = time::Duration::from_millis(1000);
 /// Time between reads of the upstreams' entries. Well within the time in which an upstream that
 /// leaves must get no more work.
 const UPSTREAM_INTERVAL: time::Duration = time::Duration::from_millis(850);
+/// Time between looks at what the readers know.
+const NEED_INTERVAL: time::Duration = time::Duration::from_millis(100);
+/// Shortest time between reads of the operator's records that waited for nothing.
+const MIN_READ_INTERVAL: time::Duration = time::Duration::from_millis(30);
 /// Time between reads while the store is unavailable.
 const RETRY_INTERVAL: time::Duration = time::Duration::from_millis(400);
 /// Time after the store's return in which entries that lapsed meanwhile may come back.
@@ -84,17 +89,50 @@
     }
 }
 
+/// Waits until this instance has to read a topic: at once if it is one of the readers, otherwise when
+/// a reader knows something else or none is heard.
+async fn wait_for_need(
+    state: &state::GatewayState,
+    own: impl Fn(&state::GatewayState) -> wire::TopicReading,
+    topic: impl Fn(&fleet_view::PeerSlot) -> wire::TopicReading + Copy,
+) {
+    loop {
+        let peers = state.view().readings(topic);
+        let now = state.now();
+        if reader_choice::is_reader(now, state.incarnation, &peers) {
+            return;
+        }
+        let need = reader_choice::read_need(now, own(state).digest, &peers);
+        if need != reader_choice::ReadNeed::Confirmed {
+            return;
+        }
+        async_io::Timer::after(NEED_INTERVAL).await;
+    }
+}
+
 /// Follows the configuration and the named versions of adapters.
 pub(crate) async fn follow_operator(state: sync::Arc<state::GatewayState>) {
     let mut follower = TopicFollower::new(store::OPERATOR_TOPIC, OPERATOR_WAIT);
     loop {
-        match follower.poll(&state.store).await {
-            Some(TopicNews::Whole(records) | TopicNews::Further(records)) => {
-                for record in records {
-                    apply_operator(&state, &record);
-                }
+        let is_known = follower.next.is_some();
+        if is_known {
+            let own = state::GatewayState::operator_reading;
+            wait_for_need(&state, own, |peer| peer.operator).await;
+        }
+        let begun = state.now();
+        if let Some(TopicNews::Whole(records) | TopicNews::Further(records)) =
+            follower.poll(&state.store).await
+        {
+            *state::lock(&state.operator_read) = Some(state.now());
+            for record in &records {
+                apply_operator(&state, record);
+            }
+            if !records.is_empty() {
+                fleet::publish_reading(&state);
             }
-            None => {}
+        }
+        if state.now().since(begun) < MIN_READ_INTERVAL {
+            async_io::Timer::after(MIN_READ_INTERVAL).await;
         }
     }
 }
@@ -142,8 +180,13 @@
     let mut follower = TopicFollower::new(store::UPSTREAM_TOPIC, time::Duration::ZERO);
     let mut lapsed: FxHashMap<String, instant::MonotonicTime> = FxHashMap::default();
     let mut lost_at: Option<instant::MonotonicTime> = None;
+    let mut last_digest: Option<u64> = None;
     let mut returned_at: Option<instant::MonotonicTime> = None;
     loop {
+        if follower.next.is_some() && lapsed.is_empty() && lost_at.is_none() {
+            let own = state::GatewayState::upstream_reading;
+            wait_for_need(&state, own, |peer| peer.upstreams).await;
+        }
         let news = follower.poll(&state.store).await;
         let now = state.now();
         if !follower.is_reachable {
@@ -166,6 +209,11 @@
             None => continue,
         }
         remove_lapsed(&state, now, &mut lapsed);
+        *state::lock(&state.upstreams_read) = Some(now);
+        let digest = state.view().upstream_digest();
+        if last_digest.replace(digest) != Some(digest) {
+            fleet::publish_reading(&state);
+        }
         async_io::Timer::after(UPSTREAM_INTERVAL).await;
     }
 }
--- a/coltsfootd/src/gateway/run.rs
+++ b/coltsfootd/src/gateway/run.rs
@@ -199,6 +199,8 @@
         desks: engines::DeskTable::default(),
         loads: loads::OpenLoads::default(),
         fleet_socket,
+        operator_read: sync::Mutex::default(),
+        upstreams_read: sync::Mutex::default(),
         peer_addresses: sync::Mutex::default(),
         active_requests: atomic::AtomicUsize::new(0),
         is_stopping: atomic::AtomicBool::new(false),
--- a/coltsfootd/src/gateway/state.rs
+++ b/coltsfootd/src/gateway/state.rs
@@ -5,10 +5,11 @@
 use std::sync::atomic;
 use std::time;
 
-use coltsfoot_gateway::{fleet_view, order_lease, quota_ledger, route_table, rules};
+use coltsfoot_gateway::{fleet_view, order_lease, quota_ledger, rendezvous, route_table, rules};
 use coltsfoot_http::pool;
 use coltsfoot_once::retry_budget;
 use coltsfoot_types::time as instant;
+use coltsfoot_wire::fleet;
 use rustc_hash::FxHashMap;
 use site_platform::{settings, store};
 
@@ -40,6 +41,9 @@
     pub desks: engines::DeskTable,
     pub loads: loads::OpenLoads,
     pub fleet_socket: async_io::Async<net::UdpSocket>,
+    /// When the operator's records and the upstreams' entries were read last.
+    pub operator_read: sync::Mutex<Option<instant::MonotonicTime>>,
+    pub upstreams_read: sync::Mutex<Option<instant::MonotonicTime>>,
     pub peer_addresses: sync::Mutex<Vec<net::SocketAddr>>,
     pub active_requests: atomic::AtomicUsize,
     pub is_stopping: atomic::AtomicBool,
@@ -81,7 +85,7 @@
 
     /// Returns the partition of the engines' group that an engine belongs to.
     pub fn partition_of(&self, engine: &str) -> u32 {
-        let hash = coltsfoot_gateway::rendezvous::hash_of(&engine);
+        let hash = rendezvous::hash_of(&engine);
         (hash % u64::from(self.settings.store.partitions.max(1))) as u32
     }
 
@@ -117,6 +121,25 @@
         }
     }
 
+    /// Returns what this instance knows of the operator's records.
+    pub fn operator_reading(&self) -> fleet::TopicReading {
+        let version = self.routes.load().as_ref().map_or(0, |routes| routes.rules().version);
+        let digest = self.view().version_digest().wrapping_add(rendezvous::hash_of(&version));
+        fleet::TopicReading { age_ms: self.read_age_ms(&self.operator_read), digest }
+    }
+
+    /// Returns what this instance knows of the upstreams' entries.
+    pub fn upstream_reading(&self) -> fleet::TopicReading {
+        let digest = self.view().upstream_digest();
+        fleet::TopicReading { age_ms: self.read_age_ms(&self.upstreams_read), digest }
+    }
+
+    fn read_age_ms(&self, read: &sync::Mutex<Option<instant::MonotonicTime>>) -> u32 {
+        let read = *lock(read);
+        let age = read.map(|read| self.now().since(read).as_millis());
+        age.and_then(|age| u32::try_from(age).ok()).unwrap_or(u32::MAX)
+    }
+
     /// Puts a configuration in force unless a newer one is.
     pub fn apply_rules(&self, rules: rules::GatewayRules) -> bool {
         let current = self.routes.load();
