--- a/coltsfoot-gateway/tests/quota.rs
+++ b/coltsfoot-gateway/tests/quota.rs
@@ -1,7 +1,6 @@
 //! A customer's quota over all instances.
 
 use std::sync;
-use std::time;
 
 use coltsfoot_gateway::quota_ledger::{self, QuotaClass};
 use coltsfoot_types::time as clock;
