Divide the gateway's exchange, the fleet view and the engine desk

No change of behaviour: forwarding, relay, request log and the books of requests under way have files of their own; so have an upstream's state and the types of orders. An unused restart of a desk is gone, since a new incarnation gets a new desk.

--- a/coltsfoot-gateway/src/engine_choice.rs
+++ b/coltsfoot-gateway/src/engine_choice.rs
@@ -4,7 +4,7 @@
 
 use coltsfoot_types::time as clock;
 
-use crate::{demand, fleet_view, rendezvous, rules};
+use crate::{demand, engine_order, fleet_view, rendezvous, rules, upstream_slot};
 
 /// Prompt tokens that an engine reads in a millisecond, beside its running requests.
 pub const READ_TOKENS_PER_MS: f64 = 33.0;
@@ -14,8 +14,6 @@
 const WARM_LOAD_MS: f64 = 45.0;
 /// Expected time to fetch an adapter from the weight store, in milliseconds.
 const FETCH_MS: f64 = 270.0;
-/// Fetches that the weight store delivers at full speed.
-const FULL_SPEED_FETCHES: f64 = 8.0;
 /// Cost of a fetch to the operators and to other fetches, in milliseconds.
 const FETCH_PRICE_MS: f64 = 100.0;
 /// Time over which a further copy of an adapter pays off, in seconds.
@@ -73,7 +71,7 @@
     request: &PlacedRequest<'_>,
 ) -> Option<ChosenUpstream> {
     let ready = view.ready_upstreams(&request.service.name);
-    let candidates: Vec<&fleet_view::UpstreamSlot> =
+    let candidates: Vec<&upstream_slot::UpstreamSlot> =
         ready.filter(|slot| !request.tried.contains(&slot.entry.id)).collect();
     match request.demand {
         Some(demand) => choose_engine(now, view, request, demand, &candidates),
@@ -85,7 +83,7 @@
     now: clock::MonotonicTime,
     view: &fleet_view::FleetView,
     request: &PlacedRequest<'_>,
-    slot: &fleet_view::UpstreamSlot,
+    slot: &upstream_slot::UpstreamSlot,
 ) -> f64 {
     let is_near = &*slot.entry.zone == request.zone;
     let zone = match is_near {
@@ -102,7 +100,7 @@
     now: clock::MonotonicTime,
     view: &fleet_view::FleetView,
     request: &PlacedRequest<'_>,
-    candidates: &[&fleet_view::UpstreamSlot],
+    candidates: &[&upstream_slot::UpstreamSlot],
 ) -> Option<ChosenUpstream> {
     let costs = candidates.iter().map(|slot| {
         let work = slot.work(now);
@@ -120,14 +118,15 @@
     view: &fleet_view::FleetView,
     request: &PlacedRequest<'_>,
     demand: &demand::PromptDemand,
-    candidates: &[&fleet_view::UpstreamSlot],
+    candidates: &[&upstream_slot::UpstreamSlot],
 ) -> Option<ChosenUpstream> {
     let key = demand.adapter.as_ref().map(demand::AdapterName::key);
     let home = demand.weights_key();
-    let mut ranked: Vec<&fleet_view::UpstreamSlot> =
+    let mut ranked: Vec<&upstream_slot::UpstreamSlot> =
         candidates.iter().copied().filter(|slot| slot.residency.has_model).collect();
     ranked.sort_by_key(|slot| std::cmp::Reverse(rendezvous::weight(home, u64::from(slot.number))));
-    let holds = |slot: &fleet_view::UpstreamSlot| key.is_none_or(|key| view.holds(now, slot, key));
+    let holds =
+        |slot: &upstream_slot::UpstreamSlot| key.is_none_or(|key| view.holds(now, slot, key));
     let preferred = preferred_holder(demand, &ranked, &holds);
     let costs = ranked.iter().enumerate().filter_map(|(rank, slot)| {
         let is_held = holds(slot);
@@ -147,7 +146,7 @@
 fn load_cost(
     now: clock::MonotonicTime,
     view: &fleet_view::FleetView,
-    slot: &fleet_view::UpstreamSlot,
+    slot: &upstream_slot::UpstreamSlot,
     key: demand::AdapterKey,
     rank: usize,
 ) -> Option<f64> {
@@ -163,15 +162,15 @@
     if slot.is_warm(key) {
         return Some(WARM_LOAD_MS + copy);
     }
-    let crowd = (f64::from(view.fetch_backlog() + 1) / FULL_SPEED_FETCHES).max(1.0);
+    let crowd = (f64::from(view.fetch_backlog() + 1) / engine_order::FULL_SPEED_FETCHES).max(1.0);
     Some(FETCH_MS * crowd + FETCH_PRICE_MS + copy)
 }
 
 /// Returns the holder that requests of one subject go to, so that its prompt is kept there.
 fn preferred_holder(
     demand: &demand::PromptDemand,
-    ranked: &[&fleet_view::UpstreamSlot],
-    holds: &impl Fn(&fleet_view::UpstreamSlot) -> bool,
+    ranked: &[&upstream_slot::UpstreamSlot],
+    holds: &impl Fn(&upstream_slot::UpstreamSlot) -> bool,
 ) -> Option<u32> {
     let subject = demand.subject() ^ demand.weights_key();
     let holders = ranked.iter().filter(|slot| holds(slot)).map(|slot| slot.number);
@@ -181,7 +180,7 @@
 /// Returns the expected time to the first event at an engine that has the adapter, in milliseconds.
 fn engine_wait(
     now: clock::MonotonicTime,
-    slot: &fleet_view::UpstreamSlot,
+    slot: &upstream_slot::UpstreamSlot,
     demand: &demand::PromptDemand,
     is_preferred: bool,
 ) -> f64 {
--- a/coltsfoot-gateway/src/engine_desk.rs
+++ b/coltsfoot-gateway/src/engine_desk.rs
@@ -1,22 +1,23 @@
 //! Orders to one engine by its owner: which adapters it holds, which are asked for, which make way.
 
 use std::collections;
+use std::sync;
 use std::time;
 
 use coltsfoot_types::time as clock;
 use rustc_hash::FxHashMap;
 use smallvec::SmallVec;
 
-use crate::{demand, upstream};
+use crate::{demand, engine_order, upstream};
 
+/// Longest time that a base model takes to load while few loads run.
+const MODEL_LOAD: time::Duration = time::Duration::from_millis(1000);
 /// Time that an adapter takes from the weight store while few are on their way.
 pub const COLD_LOAD: time::Duration = time::Duration::from_millis(250);
 /// Time that an adapter takes that the engine held recently.
 pub const WARM_LOAD: time::Duration = time::Duration::from_millis(25);
 /// Adapters that an engine can load as fast as [`WARM_LOAD`], held most recently.
 pub const WARM_ADAPTERS: usize = 48;
-/// Adapters that the weight store delivers at once at full speed.
-const FULL_SPEED_FETCHES: f64 = 8.0;
 /// Time after an order in which a missing adapter is taken to be still on its way.
 const LONGEST_LOAD: time::Duration = time::Duration::from_millis(1500);
 /// Further time for an adapter that is late.
@@ -39,83 +40,6 @@
 /// Allowance between the expected end of a load and the first request.
 const LOAD_MARGIN: time::Duration = time::Duration::from_millis(8);
 
-/// An order.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum EngineOrder {
-    /// Load the base model.
-    LoadModel(std::sync::Arc<str>),
-    /// Load an adapter, or replace it by a newer version.
-    LoadAdapter {
-        /// The adapter.
-        name: demand::AdapterName,
-        /// The version; the newest where none was named.
-        version: Option<u64>,
-    },
-    /// Unload an adapter.
-    UnloadAdapter(demand::AdapterName),
-}
-
-/// An engine's answer to an order.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum OrderAnswer {
-    /// It is carried out.
-    Accepted,
-    /// It holds already.
-    Holds,
-    /// Another order is under way, or the number of orders differs from what was expected.
-    Conflict,
-    /// It was refused for another reason.
-    Refused,
-    /// No answer came; the order may be carried out later.
-    Unknown,
-}
-
-impl OrderAnswer {
-    /// Returns a short name for logs and metrics.
-    pub fn code(self) -> &'static str {
-        match self {
-            Self::Accepted => "accepted",
-            Self::Holds => "holds",
-            Self::Conflict => "conflict",
-            Self::Refused => "refused",
-            Self::Unknown => "unknown",
-        }
-    }
-}
-
-/// What the owner may do now.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct OrderLeave {
-    /// Whether orders may be given at all.
-    pub may_order: bool,
-    /// Whether an adapter may be fetched from the weight store.
-    pub may_fetch: bool,
-}
-
-/// Returns whether another adapter may be fetched from the weight store, which slows all fetches
-/// down beyond a number: `own` are those of this instance, `others` those of the others. An
-/// instance without any has one to itself, unless many have.
-pub fn may_fetch(own: u32, others: u32) -> bool {
-    let most = FULL_SPEED_FETCHES as u32;
-    own + others < most || (own == 0 && others < 2 * most)
-}
-
-/// What to do next for an engine.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum DeskStep {
-    /// Give an order that names the number of orders before it.
-    Order {
-        /// The order.
-        order: EngineOrder,
-        /// Orders accepted before it.
-        expected_count: u64,
-    },
-    /// Fetch a report.
-    Report,
-    /// Wait until then, or for a question.
-    Wait(clock::MonotonicTime),
-}
-
 /// An adapter at the engine.
 #[derive(Clone, Debug)]
 struct PlacedAdapter {
@@ -151,14 +75,14 @@
 #[derive(Clone, Debug)]
 pub struct EngineDesk<A> {
     capacity: usize,
-    model: std::sync::Arc<str>,
+    model: sync::Arc<str>,
     has_model: bool,
     model_ready_at: Option<clock::MonotonicTime>,
     order_count: Option<u64>,
     placed: FxHashMap<demand::AdapterKey, PlacedAdapter>,
     warm: collections::VecDeque<demand::AdapterKey>,
     questions: collections::VecDeque<OpenQuestion<A>>,
-    unanswered: Option<EngineOrder>,
+    unanswered: Option<engine_order::EngineOrder>,
     /// An adapter that makes way as soon as its requests have ended.
     leaving: Option<demand::AdapterName>,
     /// Until when no order is tried, since the engine waits for requests to end.
@@ -170,7 +94,7 @@
 
 impl<A: Clone + PartialEq> EngineDesk<A> {
     /// Creates a desk that knows nothing of its engine yet.
-    pub fn new(model: std::sync::Arc<str>, capacity: usize) -> Self {
+    pub fn new(model: sync::Arc<str>, capacity: usize) -> Self {
         Self {
             capacity,
             model,
@@ -279,24 +203,24 @@
     pub fn next_step(
         &mut self,
         now: clock::MonotonicTime,
-        leave: OrderLeave,
+        leave: engine_order::OrderLeave,
         in_use: impl Fn(demand::AdapterKey) -> bool,
         newest: impl Fn(demand::AdapterKey) -> Option<u64>,
-    ) -> DeskStep {
+    ) -> engine_order::DeskStep {
         let Some(expected_count) = self.order_count.filter(|_| now < self.next_report) else {
             return match now >= self.next_report {
-                true => DeskStep::Report,
-                false => DeskStep::Wait(self.next_report),
+                true => engine_order::DeskStep::Report,
+                false => engine_order::DeskStep::Wait(self.next_report),
             };
         };
         if leave.may_order
             && let Some(order) = self.next_order(now, leave, in_use, newest)
         {
-            return DeskStep::Order { order, expected_count };
+            return engine_order::DeskStep::Order { order, expected_count };
         }
         let due = self.next_due(now);
         let is_held_up = leave.may_order && !leave.may_fetch && !self.questions.is_empty();
-        DeskStep::Wait(if is_held_up { due.min(now + FETCH_CHECK) } else { due })
+        engine_order::DeskStep::Wait(if is_held_up { due.min(now + FETCH_CHECK) } else { due })
     }
 
     fn next_due(&self, now: clock::MonotonicTime) -> clock::MonotonicTime {
@@ -315,10 +239,10 @@
     fn next_order(
         &self,
         now: clock::MonotonicTime,
-        leave: OrderLeave,
+        leave: engine_order::OrderLeave,
         in_use: impl Fn(demand::AdapterKey) -> bool,
         newest: impl Fn(demand::AdapterKey) -> Option<u64>,
-    ) -> Option<EngineOrder> {
+    ) -> Option<engine_order::EngineOrder> {
         if let Some(order) = &self.unanswered {
             return Some(order.clone());
         }
@@ -328,7 +252,7 @@
         if !self.has_model(now) {
             let is_coming = self.model_ready_at.is_some();
             return (!is_coming)
-                .then(|| EngineOrder::LoadModel(std::sync::Arc::clone(&self.model)));
+                .then(|| engine_order::EngineOrder::LoadModel(sync::Arc::clone(&self.model)));
         }
         let loading = self.placed.values().filter(|placed| placed.ready_at > now).count();
         if loading >= MAX_LOADING {
@@ -341,9 +265,9 @@
     fn order_for_question(
         &self,
         now: clock::MonotonicTime,
-        leave: OrderLeave,
+        leave: engine_order::OrderLeave,
         in_use: &impl Fn(demand::AdapterKey) -> bool,
-    ) -> Option<EngineOrder> {
+    ) -> Option<engine_order::EngineOrder> {
         for question in &self.questions {
             let held = self.placed.get(&question.name.key());
             if held.is_some_and(|held| held.version >= question.version.unwrap_or(0)) {
@@ -354,10 +278,10 @@
             }
             if held.is_some() || self.placed.len() < self.capacity {
                 let (name, version) = (question.name.clone(), question.version);
-                return Some(EngineOrder::LoadAdapter { name, version });
+                return Some(engine_order::EngineOrder::LoadAdapter { name, version });
             }
             if let Some(victim) = self.victim(now, in_use) {
-                return Some(EngineOrder::UnloadAdapter(victim));
+                return Some(engine_order::EngineOrder::UnloadAdapter(victim));
             }
         }
         None
@@ -386,12 +310,12 @@
         &self,
         now: clock::MonotonicTime,
         newest: &impl Fn(demand::AdapterKey) -> Option<u64>,
-    ) -> Option<EngineOrder> {
+    ) -> Option<engine_order::EngineOrder> {
         self.placed.iter().find_map(|(key, placed)| {
             let version = newest(*key).filter(|newest| *newest > placed.version)?;
             (now >= placed.ready_at).then(|| {
                 let name = placed.name.clone();
-                EngineOrder::LoadAdapter { name, version: Some(version) }
+                engine_order::EngineOrder::LoadAdapter { name, version: Some(version) }
             })
         })
     }
@@ -401,34 +325,36 @@
     pub fn order_ended(
         &mut self,
         now: clock::MonotonicTime,
-        order: &EngineOrder,
-        answer: OrderAnswer,
+        order: &engine_order::EngineOrder,
+        answer: engine_order::OrderAnswer,
         fetching: u32,
         newest: impl Fn(demand::AdapterKey) -> Option<u64>,
     ) {
         self.has_changed = true;
         match answer {
-            OrderAnswer::Accepted | OrderAnswer::Holds => {
+            engine_order::OrderAnswer::Accepted | engine_order::OrderAnswer::Holds => {
                 self.unanswered = None;
                 self.order_count = self.order_count.map(|count| count + 1);
-                if answer == OrderAnswer::Holds && !matches!(order, EngineOrder::UnloadAdapter(_)) {
+                if answer == engine_order::OrderAnswer::Holds
+                    && !matches!(order, engine_order::EngineOrder::UnloadAdapter(_))
+                {
                     self.resync(now);
                 }
                 // The engine takes orders again, so that what was leaving is gone.
                 self.leaving = None;
                 self.apply(now, order, fetching, newest);
-                if answer == OrderAnswer::Accepted
-                    && let EngineOrder::UnloadAdapter(name) = order
+                if answer == engine_order::OrderAnswer::Accepted
+                    && let engine_order::EngineOrder::UnloadAdapter(name) = order
                 {
                     self.leaving = Some(name.clone());
                 }
             }
-            OrderAnswer::Conflict if self.leaving.is_some() => {
+            engine_order::OrderAnswer::Conflict if self.leaving.is_some() => {
                 self.unanswered = None;
                 self.held_up_until = now + LEAVING_CHECK;
             }
-            OrderAnswer::Unknown => self.unanswered = Some(order.clone()),
-            OrderAnswer::Conflict | OrderAnswer::Refused => {
+            engine_order::OrderAnswer::Unknown => self.unanswered = Some(order.clone()),
+            engine_order::OrderAnswer::Conflict | engine_order::OrderAnswer::Refused => {
                 self.unanswered = None;
                 self.resync(now);
             }
@@ -444,20 +370,20 @@
     fn apply(
         &mut self,
         now: clock::MonotonicTime,
-        order: &EngineOrder,
+        order: &engine_order::EngineOrder,
         fetching: u32,
         newest: impl Fn(demand::AdapterKey) -> Option<u64>,
     ) {
         match order {
-            EngineOrder::LoadModel(_) => {
+            engine_order::EngineOrder::LoadModel(_) => {
                 self.model_ready_at = Some(now + MODEL_LOAD);
                 self.next_report = self.next_report.min(now + MODEL_LOAD);
             }
-            EngineOrder::LoadAdapter { name, version } => {
+            engine_order::EngineOrder::LoadAdapter { name, version } => {
                 let key = name.key();
                 let is_warm = self.warm.contains(&key);
                 let fetches = fetching + self.fetching(now) + 1;
-                let crowd = (f64::from(fetches) / FULL_SPEED_FETCHES).max(1.0);
+                let crowd = (f64::from(fetches) / engine_order::FULL_SPEED_FETCHES).max(1.0);
                 let duration = if is_warm { WARM_LOAD } else { COLD_LOAD.mul_f64(crowd) };
                 let version = version.or_else(|| newest(key)).unwrap_or(1);
                 let ready_at = now + duration + LOAD_MARGIN;
@@ -473,7 +399,7 @@
                 self.placed.insert(key, placed);
                 self.remember_warm(key);
             }
-            EngineOrder::UnloadAdapter(name) => {
+            engine_order::EngineOrder::UnloadAdapter(name) => {
                 self.placed.remove(&name.key());
             }
         }
@@ -552,18 +478,6 @@
         }
     }
 
-    /// Starts over after the engine has restarted.
-    pub fn engine_restarted(&mut self, now: clock::MonotonicTime) {
-        self.order_count = None;
-        self.unanswered = None;
-        self.has_model = false;
-        self.model_ready_at = None;
-        self.leaving = None;
-        self.placed.clear();
-        self.next_report = now;
-        self.has_changed = true;
-    }
-
     /// Notes that a request found an adapter missing that should have been ready: its load takes
     /// longer, or the engine holds something else than is known.
     pub fn found_missing(&mut self, now: clock::MonotonicTime, key: demand::AdapterKey) {
@@ -612,6 +526,3 @@
         coming.count() as u32
     }
 }
-
-/// Longest time that a base model takes to load while few loads run.
-const MODEL_LOAD: time::Duration = time::Duration::from_millis(1000);
--- a/coltsfoot-gateway/src/fleet_view.rs
+++ b/coltsfoot-gateway/src/fleet_view.rs
@@ -7,10 +7,8 @@
 use coltsfoot_wire::fleet;
 use rustc_hash::FxHashMap;
 
-use crate::{demand, engine_desk, order_lease, reader_choice, rendezvous, upstream};
+use crate::{demand, order_lease, reader_choice, rendezvous, upstream, upstream_slot};
 
-/// Age above which the work told by an instance no longer counts.
-const BEAT_LIFETIME: time::Duration = time::Duration::from_millis(1500);
 /// Upstreams of a zone to which connections failed, from which on the zone is suspected.
 const SUSPECT_FAILURES: usize = 2;
 /// Time without beats from a whole zone after which it is suspected to be cut off.
@@ -19,12 +17,8 @@
 pub const PEER_LIFETIME: time::Duration = time::Duration::from_secs(12);
 /// Time for which a failed connection keeps work away.
 const CONNECT_PENALTY: time::Duration = time::Duration::from_millis(1500);
-/// Silence of an upstream with running requests after which it is suspected.
-const MAX_SILENCE: time::Duration = time::Duration::from_millis(700);
 /// Weight of the newest outcome in the failure rate.
 const FAILURE_WEIGHT: f64 = 0.2;
-/// Time after which half of a failure rate is forgiven.
-const FAILURE_HALF_LIFE: time::Duration = time::Duration::from_secs(3);
 /// Weight of the newest sample in the slowness of an engine.
 const SLOWNESS_WEIGHT: f64 = 0.25;
 /// Time for which an engine with an older adapter version still gets requests, while its owner
@@ -34,157 +28,6 @@
 const POPULARITY_WINDOW: time::Duration = time::Duration::from_secs(5);
 /// Adapters whose requests are counted.
 const MAX_POPULARITY: usize = 4096;
-/// Prompt parts remembered for an engine.
-const MAX_KEPT_PARTS: usize = 512;
-
-/// Work under way at an upstream.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct WorkLoad {
-    /// Requests sent and not ended.
-    pub running: u32,
-    /// Prompt tokens still to be read.
-    pub unread_tokens: u64,
-}
-
-/// What an engine is known to hold.
-#[derive(Clone, Debug, Default)]
-pub struct Residency {
-    /// Fencing number of the owner that told.
-    pub fence: u64,
-    /// The owner's incarnation; `None` if this instance, or if nobody told yet.
-    pub owner: Option<u64>,
-    /// Whether the owner gives orders.
-    pub takes_orders: bool,
-    /// Whether the base model is there.
-    pub has_model: bool,
-    /// Places that are free or whose adapters could make way.
-    pub idle_places: u8,
-    /// When the owner told last.
-    pub heard: Option<clock::MonotonicTime>,
-    /// Adapters that are ready, with versions.
-    pub adapters: FxHashMap<demand::AdapterKey, u64>,
-}
-
-/// One upstream.
-#[derive(Clone, Debug)]
-pub struct UpstreamSlot {
-    /// Its entry.
-    pub entry: upstream::UpstreamEntry,
-    /// Its number in messages.
-    pub number: u32,
-    /// What it holds.
-    pub residency: Residency,
-    /// Work of this instance.
-    pub local: WorkLoad,
-    /// Time that it takes, as a multiple of what is expected.
-    pub slowness: f64,
-    remote: FxHashMap<u64, (WorkLoad, clock::MonotonicTime)>,
-    heard: clock::MonotonicTime,
-    avoid_until: clock::MonotonicTime,
-    failure_rate: f64,
-    failure_updated: clock::MonotonicTime,
-    adapters_in_use: FxHashMap<demand::AdapterKey, u32>,
-    adapters_touched: FxHashMap<demand::AdapterKey, ()>,
-    remote_uses: FxHashMap<demand::AdapterKey, clock::MonotonicTime>,
-    kept_parts: FxHashMap<(u64, u64), clock::MonotonicTime>,
-    warm: FxHashMap<demand::AdapterKey, clock::MonotonicTime>,
-}
-
-impl UpstreamSlot {
-    fn new(entry: upstream::UpstreamEntry) -> Self {
-        let mut residency = Residency { has_model: !entry.models.is_empty(), ..Default::default() };
-        residency.adapters =
-            entry.adapters.iter().map(|held| (held.name.key(), held.version)).collect();
-        Self {
-            number: upstream_number(&entry),
-            residency,
-            local: WorkLoad::default(),
-            slowness: 1.0,
-            remote: FxHashMap::default(),
-            heard: clock::MonotonicTime::default(),
-            avoid_until: clock::MonotonicTime::default(),
-            failure_rate: 0.0,
-            failure_updated: clock::MonotonicTime::default(),
-            adapters_in_use: FxHashMap::default(),
-            adapters_touched: FxHashMap::default(),
-            remote_uses: FxHashMap::default(),
-            kept_parts: FxHashMap::default(),
-            warm: FxHashMap::default(),
-            entry,
-        }
-    }
-
-    /// Returns the work of all instances.
-    pub fn work(&self, now: clock::MonotonicTime) -> WorkLoad {
-        let recent = self.remote.values().filter(|(_, heard)| now.since(*heard) < BEAT_LIFETIME);
-        recent.fold(self.local, |sum, (work, _)| WorkLoad {
-            running: sum.running + work.running,
-            unread_tokens: sum.unread_tokens + work.unread_tokens,
-        })
-    }
-
-    /// Returns the share of recent requests that failed.
-    pub fn failure_rate(&self, now: clock::MonotonicTime) -> f64 {
-        let age = now.since(self.failure_updated).as_secs_f64();
-        self.failure_rate * 0.5_f64.powf(age / FAILURE_HALF_LIFE.as_secs_f64())
-    }
-
-    /// Returns whether connections to it failed a moment ago.
-    pub fn is_avoided(&self, now: clock::MonotonicTime) -> bool {
-        now < self.avoid_until
-    }
-
-    /// Returns whether nothing came from it for long although requests run there.
-    pub fn is_silent(&self, now: clock::MonotonicTime) -> bool {
-        self.local.running > 0 && now.since(self.heard) > MAX_SILENCE
-    }
-
-    /// Returns whether requests of this or another instance run on an adapter.
-    pub fn is_in_use(&self, now: clock::MonotonicTime, key: demand::AdapterKey) -> bool {
-        let remote = self.remote_uses.get(&key);
-        self.adapters_in_use.contains_key(&key)
-            || remote.is_some_and(|heard| now.since(*heard) < BEAT_LIFETIME)
-    }
-
-    /// Returns the tokens at the beginning of a prompt that the engine has probably kept.
-    pub fn kept_tokens(&self, demand: &demand::PromptDemand) -> u32 {
-        let weights = demand.weights_key();
-        let shared = demand.parts.len().saturating_sub(1);
-        let parts = demand.parts[..shared].iter();
-        let kept = parts.take_while(|part| self.kept_parts.contains_key(&(weights, part.id)));
-        kept.map(|part| part.tokens).sum()
-    }
-
-    /// Returns whether the engine held an adapter recently, so that it need not be fetched.
-    pub fn is_warm(&self, key: demand::AdapterKey) -> bool {
-        self.warm.contains_key(&key)
-    }
-
-    fn trim_warm(&mut self) {
-        while self.warm.len() > engine_desk::WARM_ADAPTERS {
-            let oldest = self.warm.iter().min_by_key(|(_, held)| **held).map(|(key, _)| *key);
-            oldest.map(|key| self.warm.remove(&key));
-        }
-    }
-
-    fn keep_parts(&mut self, now: clock::MonotonicTime, demand: &demand::PromptDemand) {
-        let weights = demand.weights_key();
-        for part in &demand.parts {
-            self.kept_parts.insert((weights, part.id), now);
-        }
-        if self.kept_parts.len() > MAX_KEPT_PARTS {
-            let mut times: Vec<_> = self.kept_parts.values().copied().collect();
-            times.sort_unstable();
-            let oldest = times[times.len() / 2];
-            self.kept_parts.retain(|_, used| *used > oldest);
-        }
-    }
-}
-
-/// Returns the number of an incarnation in messages.
-fn upstream_number(entry: &upstream::UpstreamEntry) -> u32 {
-    rendezvous::hash_of(&(&*entry.id, entry.born_ms)) as u32
-}
 
 /// The newest version that was named for an adapter.
 #[derive(Clone, Debug)]
@@ -227,7 +70,7 @@
 /// Upstreams, instances and adapter versions.
 #[derive(Clone, Debug, Default)]
 pub struct FleetView {
-    upstreams: FxHashMap<sync::Arc<str>, UpstreamSlot>,
+    upstreams: FxHashMap<sync::Arc<str>, upstream_slot::UpstreamSlot>,
     peers: FxHashMap<u64, PeerSlot>,
     versions: FxHashMap<demand::AdapterKey, NamedVersion>,
     popularity: FxHashMap<demand::AdapterKey, (f64, clock::MonotonicTime)>,
@@ -247,7 +90,8 @@
                 false
             }
             _ => {
-                self.upstreams.insert(sync::Arc::clone(&entry.id), UpstreamSlot::new(entry));
+                self.upstreams
+                    .insert(sync::Arc::clone(&entry.id), upstream_slot::UpstreamSlot::new(entry));
                 true
             }
         }
@@ -259,12 +103,12 @@
     }
 
     /// Returns an upstream.
-    pub fn upstream(&self, id: &str) -> Option<&UpstreamSlot> {
+    pub fn upstream(&self, id: &str) -> Option<&upstream_slot::UpstreamSlot> {
         self.upstreams.get(id)
     }
 
     /// Returns an upstream for changes.
-    pub fn upstream_mut(&mut self, id: &str) -> Option<&mut UpstreamSlot> {
+    pub fn upstream_mut(&mut self, id: &str) -> Option<&mut upstream_slot::UpstreamSlot> {
         self.upstreams.get_mut(id)
     }
 
@@ -282,7 +126,7 @@
     }
 
     /// Returns all upstreams.
-    pub fn upstreams(&self) -> impl Iterator<Item = &UpstreamSlot> {
+    pub fn upstreams(&self) -> impl Iterator<Item = &upstream_slot::UpstreamSlot> {
         self.upstreams.values()
     }
 
@@ -290,7 +134,7 @@
     pub fn ready_upstreams<'a>(
         &'a self,
         service: &'a str,
-    ) -> impl Iterator<Item = &'a UpstreamSlot> {
+    ) -> impl Iterator<Item = &'a upstream_slot::UpstreamSlot> {
         self.upstreams.values().filter(move |slot| {
             &*slot.entry.service == service && slot.entry.state == upstream::UpstreamState::Ready
         })
@@ -320,7 +164,7 @@
     pub fn holds(
         &self,
         now: clock::MonotonicTime,
-        slot: &UpstreamSlot,
+        slot: &upstream_slot::UpstreamSlot,
         key: demand::AdapterKey,
     ) -> bool {
         let Some(held) = slot.residency.adapters.get(&key) else { return false };
@@ -476,7 +320,10 @@
             slot.remote.remove(&beat.sender);
             if let Some(work) = beat.work.iter().find(|work| work.upstream == slot.number) {
                 let running = u32::from(work.running);
-                let load = WorkLoad { running, unread_tokens: u64::from(work.unread_tokens) };
+                let load = upstream_slot::WorkLoad {
+                    running,
+                    unread_tokens: u64::from(work.unread_tokens),
+                };
                 slot.remote.insert(beat.sender, (load, now));
             }
             for used in beat.uses.iter().filter(|used| used.upstream == slot.number) {
@@ -485,7 +332,7 @@
             let number = slot.number;
             let engines = beat.engines.iter().flatten();
             for engine in engines.filter(|engine| engine.upstream == number) {
-                take_residency(now, slot, Some(beat.sender), engine);
+                slot.take_residency(now, Some(beat.sender), engine);
             }
         }
     }
@@ -494,7 +341,7 @@
     pub fn take_own_engine(&mut self, now: clock::MonotonicTime, engine: &fleet::OwnedEngine) {
         let slot = self.upstreams.values_mut().find(|slot| slot.number == engine.upstream);
         if let Some(slot) = slot {
-            take_residency(now, slot, None, engine);
+            slot.take_residency(now, None, engine);
         }
     }
 
@@ -502,7 +349,7 @@
     pub fn expire(&mut self, now: clock::MonotonicTime) {
         self.peers.retain(|_, peer| now.since(peer.heard) < PEER_LIFETIME);
         for slot in self.upstreams.values_mut() {
-            slot.remote_uses.retain(|_, heard| now.since(*heard) < BEAT_LIFETIME);
+            slot.remote_uses.retain(|_, heard| now.since(*heard) < upstream_slot::BEAT_LIFETIME);
         }
     }
 
@@ -623,29 +470,3 @@
         uses
     }
 }
-
-fn take_residency(
-    now: clock::MonotonicTime,
-    slot: &mut UpstreamSlot,
-    owner: Option<u64>,
-    engine: &fleet::OwnedEngine,
-) {
-    let known = &slot.residency;
-    if known.heard.is_some() && engine.fence < known.fence {
-        return;
-    }
-    let adapters = engine.adapters.iter();
-    for held in &engine.adapters {
-        slot.warm.insert(demand::AdapterKey(held.adapter), now);
-    }
-    slot.trim_warm();
-    slot.residency = Residency {
-        fence: engine.fence,
-        owner,
-        takes_orders: engine.takes_orders,
-        has_model: engine.has_model,
-        idle_places: engine.idle_places,
-        heard: Some(now),
-        adapters: adapters.map(|held| (demand::AdapterKey(held.adapter), held.version)).collect(),
-    };
-}
--- a/coltsfoot-gateway/tests/desk.rs
+++ b/coltsfoot-gateway/tests/desk.rs
@@ -2,8 +2,9 @@
 
 use std::sync;
 
-use coltsfoot_gateway::engine_desk::{DeskStep, EngineDesk, EngineOrder, OrderAnswer, OrderLeave};
-use coltsfoot_gateway::{demand, engine_desk, upstream};
+use coltsfoot_gateway::engine_desk::EngineDesk;
+use coltsfoot_gateway::engine_order::{DeskStep, EngineOrder, OrderAnswer, OrderLeave};
+use coltsfoot_gateway::{demand, engine_order, upstream};
 use coltsfoot_types::time as clock;
 
 const FULL_LEAVE: OrderLeave = OrderLeave { may_order: true, may_fetch: true };
@@ -151,11 +152,11 @@
 
 #[test]
 fn the_weight_store_is_shared_by_all_instances() {
-    assert!(engine_desk::may_fetch(7, 0));
-    assert!(!engine_desk::may_fetch(8, 0));
-    assert!(!engine_desk::may_fetch(1, 7));
-    assert!(engine_desk::may_fetch(0, 8), "one fetch is left to each");
-    assert!(!engine_desk::may_fetch(0, 16));
+    assert!(engine_order::may_fetch(7, 0));
+    assert!(!engine_order::may_fetch(8, 0));
+    assert!(!engine_order::may_fetch(1, 7));
+    assert!(engine_order::may_fetch(0, 8), "one fetch is left to each");
+    assert!(!engine_order::may_fetch(0, 16));
 }
 
 #[test]
--- a/coltsfootd/src/gateway/engines.rs
+++ b/coltsfootd/src/gateway/engines.rs
@@ -4,7 +4,7 @@
 use std::sync;
 use std::time;
 
-use coltsfoot_gateway::{demand, engine_desk, upstream};
+use coltsfoot_gateway::{demand, engine_desk, engine_order, upstream};
 use coltsfoot_http::client;
 use coltsfoot_types::time as instant;
 use coltsfoot_wire::fleet as wire;
@@ -181,11 +181,11 @@
         settle(&state, &id);
         match step {
             None => return,
-            Some(engine_desk::DeskStep::Order { order, expected_count }) => {
+            Some(engine_order::DeskStep::Order { order, expected_count }) => {
                 give_order(&state, &id, address, partition, order, expected_count).await;
             }
-            Some(engine_desk::DeskStep::Report) => fetch_report(&state, &id, address).await,
-            Some(engine_desk::DeskStep::Wait(due)) => {
+            Some(engine_order::DeskStep::Report) => fetch_report(&state, &id, address).await,
+            Some(engine_order::DeskStep::Wait(due)) => {
                 let wait = due.since(state.now());
                 let sleep = async {
                     async_io::Timer::after(wait).await;
@@ -213,13 +213,13 @@
     state: &state::GatewayState,
     id: &str,
     partition: u32,
-) -> Option<engine_desk::DeskStep> {
+) -> Option<engine_order::DeskStep> {
     let now = state.now();
     let may_order = state.order_fence(partition).is_some();
     let own = state.desks.fetching(now);
     let view = state.view();
-    let may_fetch = engine_desk::may_fetch(own, view.fetching());
-    let leave = engine_desk::OrderLeave { may_order, may_fetch };
+    let may_fetch = engine_order::may_fetch(own, view.fetching());
+    let leave = engine_order::OrderLeave { may_order, may_fetch };
     let upstream = view.upstream(id)?;
     let mut slots = state::lock(&state.desks.slots);
     let desk = &mut slots.get_mut(id)?.desk;
@@ -253,7 +253,7 @@
     id: &sync::Arc<str>,
     address: net::SocketAddr,
     partition: u32,
-    order: engine_desk::EngineOrder,
+    order: engine_order::EngineOrder,
     expected_count: u64,
 ) {
     let Some(fence) = state.order_fence(partition) else { return };
@@ -264,8 +264,8 @@
     let sent = client::call(&state.pool, address, &head, &body, MAX_REPORT_BYTES, ORDER_TIMEOUT);
     let answer = match sent.await {
         Ok(answer) => engine::decode_order_answer(answer.head.status),
-        Err(client::CallError::Connect { .. }) => engine_desk::OrderAnswer::Refused,
-        Err(_) => engine_desk::OrderAnswer::Unknown,
+        Err(client::CallError::Connect { .. }) => engine_order::OrderAnswer::Refused,
+        Err(_) => engine_order::OrderAnswer::Unknown,
     };
     state.metrics.count_order(answer.code());
     log::info!(
@@ -281,7 +281,7 @@
             slot.desk.order_ended(now, &order, answer, view.fetching(), newest);
         }
     }
-    if !matches!(answer, engine_desk::OrderAnswer::Accepted | engine_desk::OrderAnswer::Holds) {
+    if !matches!(answer, engine_order::OrderAnswer::Accepted | engine_order::OrderAnswer::Holds) {
         async_io::Timer::after(ORDER_PAUSE).await;
     }
 }
--- a/coltsfootd/src/gateway/mod.rs
+++ b/coltsfootd/src/gateway/mod.rs
@@ -8,12 +8,16 @@
 mod exchange;
 mod fleet;
 mod follower;
+mod forwarding;
 mod lease;
 mod loads;
 mod metrics;
+mod relay;
 mod reload;
+mod request_log;
 mod run;
 mod state;
+mod under_way;
 
 pub use run::{GatewayError, GatewaySignal, run, run_until_signal};
 
--- /dev/null
+++ b/coltsfootd/src/gateway/request_log.rs
@@ -0,0 +1,54 @@
+//! The line that is logged of each request.
+
+use std::sync;
+
+use crate::event;
+use crate::gateway::exchange;
+
+/// What is logged of a request.
+#[derive(Default)]
+pub(super) struct RequestLog {
+    pub(super) route: Option<sync::Arc<str>>,
+    pub(super) customer: Option<sync::Arc<str>>,
+    pub(super) tokens: u64,
+    pub(super) upstream: Option<sync::Arc<str>>,
+    pub(super) expected_ms: f64,
+    pub(super) sends: u32,
+    pub(super) loads: usize,
+    /// Time from the end of the request to its first send, in microseconds.
+    pub(super) placed_us: Option<u128>,
+    pub(super) first_ms: Option<u128>,
+}
+
+impl RequestLog {
+    /// Writes the line of a request that ended, and counts it.
+    pub(super) fn write(
+        &self,
+        exchange: &exchange::CallerExchange<'_>,
+        outcome: &exchange::Outcome,
+    ) {
+        let (status, reason) = match outcome {
+            exchange::Outcome::Whole(head, _) => (head.status, "answered"),
+            exchange::Outcome::Streamed => (200, "streamed"),
+            exchange::Outcome::Cut(reason) => (0, *reason),
+            exchange::Outcome::Own(answer) => (answer.status, answer.reason),
+        };
+        let elapsed = exchange.state.now().since(exchange.received);
+        exchange.state.metrics.count_request(reason, elapsed);
+        let routes = exchange.state.routes.load();
+        let version = routes.as_ref().map_or(0, |routes| routes.rules().version);
+        log::info!(
+            event = event::REQUEST_ENDED.number,
+            request = exchange.fields.request_id.as_deref().unwrap_or_default(),
+            route = self.route.as_deref().unwrap_or_default(),
+            customer = self.customer.as_deref().unwrap_or_default(), tokens = self.tokens,
+            upstream = self.upstream.as_deref().unwrap_or_default(),
+            rules = version, status = status, reason = reason, sends = self.sends,
+            loads = self.loads, expected_ms = self.expected_ms as u64,
+            placed_us = self.placed_us.unwrap_or_default() as u64,
+            first_ms = self.first_ms.unwrap_or_default() as u64,
+            ms = elapsed.as_millis() as u64;
+            "request_ended"
+        );
+    }
+}
