--- a/coltsfoot-gateway/src/rules.rs
+++ b/coltsfoot-gateway/src/rules.rs
@@ -133,6 +133,19 @@
     pub burst: f64,
 }
 
+/// Steps that the ranks of routes take within one rank of a customer.
+const ROUTE_STEPS: u8 = 3;
+/// The least urgent step that engines know.
+const LAST_URGENCY: u8 = 9;
+
+/// Returns the urgency of a request at an engine, 0 first: the customer's rank goes before the
+/// route's, which decides among requests of customers of the same rank.
+pub fn urgency(route: &RouteRule, customer: Option<&CustomerRule>) -> u8 {
+    let rank = customer.and_then(|customer| customer.priority).unwrap_or_default();
+    let step = route.priority.min(ROUTE_STEPS - 1);
+    rank.saturating_mul(ROUTE_STEPS).saturating_add(step).min(LAST_URGENCY)
+}
+
 /// Limits on what a caller sends.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct CallerLimits {
--- a/coltsfoot-gateway/tests/routes.rs
+++ b/coltsfoot-gateway/tests/routes.rs
@@ -88,6 +88,26 @@
     }
 }
 
+#[rstest]
+#[case::route_alone(None, 0, 0)]
+#[case::less_urgent_route(None, 2, 2)]
+#[case::lowest_route(None, 7, 2)]
+#[case::customer_first(Some(0), 2, 2)]
+#[case::then_the_route(Some(1), 0, 3)]
+#[case::other_route(Some(1), 1, 4)]
+#[case::bounded(Some(5), 0, 9)]
+fn the_customers_rank_goes_before_the_routes(
+    #[case] customer: Option<u8>,
+    #[case] route_priority: u8,
+    #[case] expected: u8,
+) {
+    let mut rule = (*route("r", "/a/", false)).clone();
+    rule.priority = route_priority;
+    let mut clinic = (*table().rules().customers[0]).clone();
+    clinic.priority = customer;
+    assert_eq!(rules::urgency(&rule, Some(&clinic)), expected);
+}
+
 use attempt_plan::{AttemptEnd, NextStep};
 
 /// Whether the route may repeat, its most attempts, the ends in order, and what follows the last.
--- a/coltsfootd/src/gateway/exchange.rs
+++ b/coltsfootd/src/gateway/exchange.rs
@@ -211,7 +211,6 @@
     }
 
     pub(super) fn urgency(&self) -> u8 {
-        let customer = self.customer.as_ref().and_then(|customer| customer.priority);
-        customer.unwrap_or(self.route.priority).min(9)
+        rules::urgency(&self.route, self.customer.as_deref())
     }
 }
