--- a/coltsfoot-gateway/src/order_lease.rs
+++ b/coltsfoot-gateway/src/order_lease.rs
@@ -59,6 +59,17 @@
     acquired: clock::MonotonicTime,
     valid_until: clock::MonotonicTime,
     right: OrderRight,
+    /// The record of the last holder when it was looked up first; `None` before.
+    first_seen: Option<LastHolder>,
+}
+
+/// The last holder of a partition, as the store keeps it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LastHolder {
+    /// Whether it is this machine.
+    pub is_this_machine: bool,
+    /// Offset of the record; `None` if there is none.
+    pub offset: Option<u64>,
 }
 
 /// How far a holder is on the way to its first order. `list_end` is the end of the list of holders
@@ -131,8 +142,13 @@
         for partition in partitions {
             let held = self.held.entry(*partition).or_insert_with(|| {
                 has_changed = true;
-                let right = OrderRight::Unknown;
-                HeldPartition { fence: generation, acquired: now, valid_until, right }
+                HeldPartition {
+                    fence: generation,
+                    acquired: now,
+                    valid_until,
+                    right: OrderRight::Unknown,
+                    first_seen: None,
+                }
             });
             held.valid_until = valid_until;
             if let OrderRight::Recorded { by } = held.right
@@ -151,16 +167,21 @@
     }
 
     /// Takes the last holder of a partition and the end of the list of holders, both read after the
-    /// partition was dealt to this instance.
-    pub fn take_last_holder(&mut self, partition: u32, is_this_machine: bool, list_end: u64) {
-        if let Some(held) = self.held.get_mut(&partition)
-            && held.right == OrderRight::Unknown
-        {
-            held.right = match is_this_machine {
-                true => OrderRight::Own { list_end },
-                false => OrderRight::Foreign { list_end },
-            };
+    /// partition was dealt to this instance. If the record has changed since it was looked up
+    /// first, the partition was somebody else's in between, and starts over with the next renewal.
+    pub fn take_last_holder(&mut self, partition: u32, holder: LastHolder, list_end: u64) {
+        let Some(held) = self.held.get_mut(&partition) else { return };
+        if held.right != OrderRight::Unknown {
+            return;
         }
+        if *held.first_seen.get_or_insert(holder) != holder {
+            self.held.remove(&partition);
+            return;
+        }
+        held.right = match holder.is_this_machine {
+            true => OrderRight::Own { list_end },
+            false => OrderRight::Foreign { list_end },
+        };
     }
 
     /// Returns the partitions for which this machine is to be written down as the holder now, with
@@ -233,34 +254,29 @@
         self.held.get(&partition).map(|held| held.fence)
     }
 
-    /// Returns the fencing number for an order now, if one may be given. `witnesses` is what all
-    /// other known instances told last.
-    pub fn order_fence(
-        &self,
-        now: clock::MonotonicTime,
-        partition: u32,
-        witnesses: &[LeaseWitness],
-    ) -> Option<u64> {
+    /// Lets the word of all other known instances stand in for renewals. A lease that has lapsed
+    /// stays lapsed: somebody may have held the partition since.
+    pub fn extend(&mut self, now: clock::MonotonicTime, witnesses: &[LeaseWitness]) {
+        let Some(oldest) = witnesses.iter().map(|witness| witness.heard).min() else { return };
+        let is_out = witnesses.iter().all(|witness| witness.store_age >= OUTAGE_AGE);
+        let limit = self.renewed + self.settings.validity + MAX_OUTAGE;
+        let until = (oldest + MAX_WITNESS_AGE).min(limit);
+        if !is_out {
+            return;
+        }
+        for (partition, held) in &mut self.held {
+            let is_taken = witnesses.iter().any(|witness| witness.partitions.contains(partition));
+            if now < held.valid_until && !is_taken {
+                held.valid_until = held.valid_until.max(until);
+            }
+        }
+    }
+
+    /// Returns the fencing number for an order now, if one may be given.
+    pub fn order_fence(&self, now: clock::MonotonicTime, partition: u32) -> Option<u64> {
         let held = self.held.get(&partition)?;
         let OrderRight::From(from) = held.right else { return None };
-        let is_valid = now < held.valid_until || is_witnessed(now, partition, held, witnesses);
+        let is_valid = now < held.valid_until;
         (now >= from && now >= self.paused_until && is_valid).then_some(held.fence)
     }
 }
-
-/// Returns whether all other instances told lately that nobody can have taken the partition.
-fn is_witnessed(
-    now: clock::MonotonicTime,
-    partition: u32,
-    held: &HeldPartition,
-    witnesses: &[LeaseWitness],
-) -> bool {
-    let is_short = now < held.valid_until + MAX_OUTAGE;
-    let agree = witnesses.iter().all(|witness| {
-        let age = now.since(witness.heard);
-        age < MAX_WITNESS_AGE
-            && witness.store_age >= OUTAGE_AGE
-            && !witness.partitions.contains(&partition)
-    });
-    is_short && agree && !witnesses.is_empty()
-}
--- a/coltsfoot-gateway/tests/lease_model.rs
+++ b/coltsfoot-gateway/tests/lease_model.rs
@@ -49,7 +49,8 @@
     members: BTreeMap<usize, u64>,
     owners: BTreeMap<u32, usize>,
     targets: BTreeMap<u32, usize>,
-    holders: BTreeMap<u32, usize>,
+    /// The last holder of each partition, with the offset of its record.
+    holders: BTreeMap<u32, (usize, u64)>,
     /// Records in the list of holders.
     list_end: u64,
     down_until: u64,
@@ -123,7 +124,7 @@
 
 enum Answer {
     Joined { sent: u64, generation: u64, partitions: Vec<u32> },
-    Holders { holders: BTreeMap<u32, usize>, list_end: u64 },
+    Holders { holders: BTreeMap<u32, (usize, u64)>, list_end: u64 },
     Recorded { partition: u32, ends: Option<(u64, u64)> },
 }
 
@@ -251,7 +252,7 @@
                 Call::Record { partition, list_end } => {
                     let fits = list_end == self.store.list_end;
                     if fits {
-                        self.store.holders.insert(partition, machine);
+                        self.store.holders.insert(partition, (machine, list_end));
                         self.store.list_end += 1;
                     }
                     let ends = fits.then_some((list_end, list_end + 1));
@@ -284,8 +285,12 @@
                 }
                 Answer::Holders { holders, list_end } => {
                     for partition in to.lease.unknown() {
-                        let is_own = holders.get(&partition) == Some(&machine);
-                        to.lease.take_last_holder(partition, is_own, list_end);
+                        let record = holders.get(&partition);
+                        let holder = order_lease::LastHolder {
+                            is_this_machine: record.is_some_and(|(holder, _)| *holder == machine),
+                            offset: record.map(|(_, offset)| *offset),
+                        };
+                        to.lease.take_last_holder(partition, holder, list_end);
                     }
                     self.send_records(machine);
                 }
@@ -345,9 +350,10 @@
     fn give_orders(&mut self, machine: usize) -> Result<(), String> {
         let now = self.now;
         let witnesses: Vec<_> = self.machines[machine].heard.values().cloned().collect();
+        self.machines[machine].lease.extend(at(now), &witnesses);
         for partition in 0..PARTITIONS {
             let lease = &self.machines[machine].lease;
-            let Some(fence) = lease.order_fence(at(now), partition, &witnesses) else { continue };
+            let Some(fence) = lease.order_fence(at(now), partition) else { continue };
             let arrival = now + self.luck.below(200);
             self.orders += 1;
             self.outage_orders += u64::from(now < self.store.down_until);
@@ -396,7 +402,10 @@
 #[test]
 fn orders_of_two_machines_lie_apart_and_fences_rise() {
     let mut sums = (0, 0);
-    for seed in 0..400 {
+    // 2203: a partition was dealt to another machine and back between two renewals of a machine
+    // that still waited for its first order.
+    // 10441: a lease that had lapsed was taken up again on the word of the others.
+    for seed in (0..400).chain([2203, 10_441]) {
         let (orders, outage_orders) = explore(seed, SEPARATION_MS).expect("no violation");
         sums = (sums.0 + orders, sums.1 + outage_orders);
     }
--- a/coltsfootd/src/gateway/engines.rs
+++ b/coltsfootd/src/gateway/engines.rs
@@ -105,7 +105,6 @@
     pub fn owned(&self, state: &state::GatewayState) -> Vec<wire::OwnedEngine> {
         let now = state.now();
         let view = state.view();
-        let witnesses = view.witnesses(&state.settings.zone);
         let lease = state.lease();
         let slots = state::lock(&self.slots);
         let known = slots.values().filter_map(|slot| {
@@ -118,7 +117,7 @@
                 fence,
                 has_model: slot.desk.has_model(now),
                 idle_places: u8::try_from(idle_places).unwrap_or(u8::MAX),
-                takes_orders: lease.order_fence(now, slot.partition, &witnesses).is_some(),
+                takes_orders: lease.order_fence(now, slot.partition).is_some(),
                 adapters: slot
                     .desk
                     .ready(now)
--- a/coltsfootd/src/gateway/fleet.rs
+++ b/coltsfootd/src/gateway/fleet.rs
@@ -144,6 +144,7 @@
     let mut searched = FxHashMap::default();
     for round in 0_u64.. {
         async_io::Timer::after(BEAT_INTERVAL).await;
+        state.extend_lease();
         let engines = round.is_multiple_of(ENGINES_EVERY).then(|| state.desks.owned(&state));
         let now = state.now();
         if let Some(engines) = &engines {
--- a/coltsfootd/src/gateway/lease.rs
+++ b/coltsfootd/src/gateway/lease.rs
@@ -3,6 +3,7 @@
 use std::sync;
 use std::time;
 
+use coltsfoot_gateway::order_lease;
 use site_platform::store;
 
 use crate::event;
@@ -138,8 +139,11 @@
         let key = ZoneGroup::holder_key(partition);
         let record = newest.records.iter().find(|record| record.key == key);
         let holder = record.and_then(|record| record.value.as_deref());
-        let is_this_machine = holder == Some(group.member.as_bytes());
-        state.lease().take_last_holder(partition, is_this_machine, newest.next);
+        let holder = order_lease::LastHolder {
+            is_this_machine: holder == Some(group.member.as_bytes()),
+            offset: record.map(|record| record.offset),
+        };
+        state.lease().take_last_holder(partition, holder, newest.next);
     }
     Ok(())
 }
--- a/coltsfootd/src/gateway/state.rs
+++ b/coltsfootd/src/gateway/state.rs
@@ -69,8 +69,14 @@
 
     /// Returns the fencing number for an order to an engine of a partition, if one may be given.
     pub fn order_fence(&self, partition: u32) -> Option<u64> {
+        self.extend_lease();
+        self.lease().order_fence(self.now(), partition)
+    }
+
+    /// Lets the other instances of the zone vouch for the lease while the store is out.
+    pub fn extend_lease(&self) {
         let witnesses = self.view().witnesses(&self.settings.zone);
-        self.lease().order_fence(self.now(), partition, &witnesses)
+        self.lease().extend(self.now(), &witnesses);
     }
 
     /// Returns whether a planned stop is under way.
