--- a/coltsfoot-gateway/src/engine_desk.rs
+++ b/coltsfoot-gateway/src/engine_desk.rs
@@ -435,14 +435,14 @@
             self.model_ready_at = None;
         }
         if is_same {
-            self.defer_pending(now, report);
+            self.take_versions(now, report);
         } else {
             self.take_residents(now, report);
         }
     }
 
-    /// Delays adapters that are still on their way.
-    fn defer_pending(&mut self, now: clock::MonotonicTime, report: &upstream::EngineReport) {
+    /// Takes the versions of adapters that were ordered without naming one.
+    fn take_versions(&mut self, now: clock::MonotonicTime, report: &upstream::EngineReport) {
         for held in &report.adapters {
             if let Some(placed) = self.placed.get_mut(&held.name.key())
                 && now >= placed.ready_at
--- a/coltsfoot-gateway/src/fleet_view.rs
+++ b/coltsfoot-gateway/src/fleet_view.rs
@@ -191,7 +191,7 @@
         if let Some(adapter) = &demand.adapter {
             let key = adapter.key();
             *slot.adapters_in_use.entry(key).or_default() += 1;
-            slot.adapters_touched.insert(key, ());
+            slot.adapters_touched.insert(key);
         }
         u64::from(unread)
     }
@@ -457,7 +457,7 @@
         let mut uses = Vec::new();
         for slot in self.upstreams.values_mut() {
             let touched = std::mem::take(&mut slot.adapters_touched);
-            let keys = slot.adapters_in_use.keys().chain(touched.keys());
+            let keys = slot.adapters_in_use.keys().chain(&touched);
             let mut keys: Vec<demand::AdapterKey> = keys.copied().collect();
             keys.sort_unstable();
             keys.dedup();
--- a/coltsfoot-gateway/src/upstream_slot.rs
+++ b/coltsfoot-gateway/src/upstream_slot.rs
@@ -4,7 +4,7 @@
 
 use coltsfoot_types::time as clock;
 use coltsfoot_wire::fleet;
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::{demand, engine_desk, rendezvous, upstream};
 
@@ -64,7 +64,7 @@
     pub(crate) failure_rate: f64,
     pub(crate) failure_updated: clock::MonotonicTime,
     pub(crate) adapters_in_use: FxHashMap<demand::AdapterKey, u32>,
-    pub(crate) adapters_touched: FxHashMap<demand::AdapterKey, ()>,
+    pub(crate) adapters_touched: FxHashSet<demand::AdapterKey>,
     pub(crate) remote_uses: FxHashMap<demand::AdapterKey, clock::MonotonicTime>,
     pub(crate) kept_parts: FxHashMap<(u64, u64), clock::MonotonicTime>,
     pub(crate) warm: FxHashMap<demand::AdapterKey, clock::MonotonicTime>,
@@ -86,7 +86,7 @@
             failure_rate: 0.0,
             failure_updated: clock::MonotonicTime::default(),
             adapters_in_use: FxHashMap::default(),
-            adapters_touched: FxHashMap::default(),
+            adapters_touched: FxHashSet::default(),
             remote_uses: FxHashMap::default(),
             kept_parts: FxHashMap::default(),
             warm: FxHashMap::default(),
--- a/coltsfootd/src/gateway/forwarding.rs
+++ b/coltsfootd/src/gateway/forwarding.rs
@@ -81,7 +81,7 @@
     }
 
     fn time_left(&self) -> time::Duration {
-        state::time_until(self.state.now(), self.admitted.deadline)
+        self.admitted.deadline.since(self.state.now())
     }
 
     async fn run(&mut self) -> exchange::Outcome {
--- a/coltsfootd/src/gateway/state.rs
+++ b/coltsfootd/src/gateway/state.rs
@@ -3,7 +3,6 @@
 use std::net;
 use std::sync;
 use std::sync::atomic;
-use std::time;
 
 use coltsfoot_gateway::{fleet_view, order_lease, quota_ledger, rendezvous, route_table, rules};
 use coltsfoot_http::pool;
@@ -177,11 +176,3 @@
 pub(crate) fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
 }
-
-/// Returns the instant so far ahead as a duration from now.
-pub(crate) fn time_until(
-    now: instant::MonotonicTime,
-    deadline: instant::MonotonicTime,
-) -> time::Duration {
-    deadline.since(now)
-}
