Wait for an adapter where it is on its way, and free places when requests end

Cause: in bursts all places of the engines counted as taken although they were not.

Beats now carry the adapters on their way with the expected time; an instance also remembers its own questions until the owner tells of them. Uses are kept per sender and replaced by each beat.

Both tests were seen to fail without the change.

--- a/coltsfoot-gateway/src/engine_choice.rs
+++ b/coltsfoot-gateway/src/engine_choice.rs
@@ -154,6 +154,9 @@
     if !residency.takes_orders {
         return None;
     }
+    if let Some(ready) = slot.coming(now, key) {
+        return Some(ready.since(now).as_secs_f64() * 1000.0);
+    }
     if residency.idle_places == 0 {
         return None;
     }
--- a/coltsfoot-gateway/src/engine_desk.rs
+++ b/coltsfoot-gateway/src/engine_desk.rs
@@ -127,6 +127,21 @@
         ready.map(|(key, placed)| (*key, placed.version))
     }
 
+    /// Returns the adapters that are on their way or asked for, with the expected time.
+    pub fn coming(
+        &self,
+        now: clock::MonotonicTime,
+    ) -> impl Iterator<Item = (demand::AdapterKey, clock::MonotonicTime)> {
+        let ordered = self.placed.iter().filter(move |(_, placed)| now < placed.ready_at);
+        let ordered = ordered.map(|(key, placed)| (*key, placed.ready_at));
+        let asked = self.questions.iter().map(|question| question.name.key());
+        let asked = asked.filter(|key| !self.placed.contains_key(key));
+        ordered.chain(asked.map(move |key| {
+            let is_warm = self.warm.contains(&key);
+            (key, now + if is_warm { WARM_LOAD } else { COLD_LOAD })
+        }))
+    }
+
     /// Returns whether what others know of the engine is outdated, and resets the mark.
     pub fn take_changed(&mut self) -> bool {
         std::mem::take(&mut self.has_changed)
--- a/coltsfoot-gateway/src/fleet_view.rs
+++ b/coltsfoot-gateway/src/fleet_view.rs
@@ -7,7 +7,7 @@
 use coltsfoot_wire::fleet;
 use rustc_hash::FxHashMap;
 
-use crate::{demand, order_lease, reader_choice, rendezvous, upstream, upstream_slot};
+use crate::{demand, engine_desk, order_lease, reader_choice, rendezvous, upstream, upstream_slot};
 
 /// Upstreams of a zone to which connections failed, from which on the zone is suspected.
 const SUSPECT_FAILURES: usize = 2;
@@ -211,6 +211,22 @@
         rate * (-age / POPULARITY_WINDOW.as_secs_f64()).exp()
     }
 
+    /// Notes that this instance asks for an adapter at an engine.
+    pub fn load_asked(&mut self, now: clock::MonotonicTime, id: &str, key: demand::AdapterKey) {
+        if let Some(slot) = self.upstreams.get_mut(id) {
+            let is_warm = slot.is_warm(key);
+            let wait = if is_warm { engine_desk::WARM_LOAD } else { engine_desk::COLD_LOAD };
+            slot.asked.entry(key).or_insert(now + wait);
+        }
+    }
+
+    /// Notes the end of such a question.
+    pub fn load_ended(&mut self, id: &str, key: demand::AdapterKey) {
+        if let Some(slot) = self.upstreams.get_mut(id) {
+            slot.asked.remove(&key);
+        }
+    }
+
     /// Returns how many requests a second ask for an adapter at all instances, if the others see
     /// as many as this one.
     pub fn adapter_rate(&self, now: clock::MonotonicTime, key: demand::AdapterKey) -> f64 {
@@ -326,9 +342,13 @@
                 };
                 slot.remote.insert(beat.sender, (load, now));
             }
-            for used in beat.uses.iter().filter(|used| used.upstream == slot.number) {
-                slot.remote_uses.insert(demand::AdapterKey(used.adapter), now);
-            }
+            let uses = beat.uses.iter().filter(|used| used.upstream == slot.number);
+            let running = uses.filter(|used| used.running > 0);
+            let keys: Vec<_> = running.map(|used| demand::AdapterKey(used.adapter)).collect();
+            match keys.is_empty() {
+                true => slot.remote_uses.remove(&beat.sender),
+                false => slot.remote_uses.insert(beat.sender, (keys, now)),
+            };
             let number = slot.number;
             let engines = beat.engines.iter().flatten();
             for engine in engines.filter(|engine| engine.upstream == number) {
@@ -349,7 +369,9 @@
     pub fn expire(&mut self, now: clock::MonotonicTime) {
         self.peers.retain(|_, peer| now.since(peer.heard) < PEER_LIFETIME);
         for slot in self.upstreams.values_mut() {
-            slot.remote_uses.retain(|_, heard| now.since(*heard) < upstream_slot::BEAT_LIFETIME);
+            let is_recent = |heard| now.since(heard) < upstream_slot::BEAT_LIFETIME;
+            slot.remote_uses.retain(|_, (_, heard)| is_recent(*heard));
+            slot.asked.retain(|_, ready| is_recent(*ready));
         }
     }
 
--- a/coltsfoot-gateway/src/upstream_slot.rs
+++ b/coltsfoot-gateway/src/upstream_slot.rs
@@ -14,6 +14,8 @@
 const MAX_SILENCE: time::Duration = time::Duration::from_millis(700);
 /// Time after which half of a failure rate is forgiven.
 const FAILURE_HALF_LIFE: time::Duration = time::Duration::from_secs(3);
+/// Time after an adapter's expected arrival for which an unanswered question counts.
+const ASK_LIFETIME: time::Duration = time::Duration::from_millis(300);
 /// Prompt parts remembered for an engine.
 const MAX_KEPT_PARTS: usize = 512;
 
@@ -43,6 +45,8 @@
     pub heard: Option<clock::MonotonicTime>,
     /// Adapters that are ready, with versions.
     pub adapters: FxHashMap<demand::AdapterKey, u64>,
+    /// Adapters that are on their way or asked for, with the expected time.
+    pub coming: FxHashMap<demand::AdapterKey, clock::MonotonicTime>,
 }
 
 /// One upstream.
@@ -65,7 +69,10 @@
     pub(crate) failure_updated: clock::MonotonicTime,
     pub(crate) adapters_in_use: FxHashMap<demand::AdapterKey, u32>,
     pub(crate) adapters_touched: FxHashSet<demand::AdapterKey>,
-    pub(crate) remote_uses: FxHashMap<demand::AdapterKey, clock::MonotonicTime>,
+    pub(crate) remote_uses: FxHashMap<u64, (Vec<demand::AdapterKey>, clock::MonotonicTime)>,
+    /// Adapters that this instance has asked for, with the expected time; the owner tells of them a
+    /// little later.
+    pub(crate) asked: FxHashMap<demand::AdapterKey, clock::MonotonicTime>,
     pub(crate) kept_parts: FxHashMap<(u64, u64), clock::MonotonicTime>,
     pub(crate) warm: FxHashMap<demand::AdapterKey, clock::MonotonicTime>,
 }
@@ -88,6 +95,7 @@
             adapters_in_use: FxHashMap::default(),
             adapters_touched: FxHashSet::default(),
             remote_uses: FxHashMap::default(),
+            asked: FxHashMap::default(),
             kept_parts: FxHashMap::default(),
             warm: FxHashMap::default(),
             entry,
@@ -121,9 +129,21 @@
 
     /// Returns whether requests of this or another instance run on an adapter.
     pub fn is_in_use(&self, now: clock::MonotonicTime, key: demand::AdapterKey) -> bool {
-        let remote = self.remote_uses.get(&key);
+        let mut remote = self.remote_uses.values();
         self.adapters_in_use.contains_key(&key)
-            || remote.is_some_and(|heard| now.since(*heard) < BEAT_LIFETIME)
+            || remote.any(|(keys, heard)| {
+                now.since(*heard) < BEAT_LIFETIME && keys.contains(&key)
+            })
+    }
+
+    /// Returns when an adapter is expected that is on its way to the engine.
+    pub fn coming(
+        &self,
+        now: clock::MonotonicTime,
+        key: demand::AdapterKey,
+    ) -> Option<clock::MonotonicTime> {
+        let asked = self.asked.get(&key).filter(|ready| now < **ready + ASK_LIFETIME);
+        self.residency.coming.get(&key).or(asked).copied()
     }
 
     /// Returns the tokens at the beginning of a prompt that the engine has probably kept.
@@ -173,6 +193,14 @@
             adapters: adapters
                 .map(|held| (demand::AdapterKey(held.adapter), held.version))
                 .collect(),
+            coming: engine
+                .coming
+                .iter()
+                .map(|coming| {
+                    let wait = time::Duration::from_millis(u64::from(coming.ready_in_ms));
+                    (demand::AdapterKey(coming.adapter), now + wait)
+                })
+                .collect(),
         };
     }
 
--- a/coltsfoot-gateway/tests/choice.rs
+++ b/coltsfoot-gateway/tests/choice.rs
@@ -61,7 +61,42 @@
     view
 }
 
+fn beat(sequence: u64, uses: Vec<fleet::AdapterUse>) -> fleet::FleetBeat {
+    fleet::FleetBeat {
+        sender: 7,
+        address: "10.0.0.2:1".parse().expect("an address"),
+        zone: "z".to_owned(),
+        sequence,
+        is_leaving: false,
+        rules_version: 1,
+        operator: fleet::TopicReading::default(),
+        upstreams: fleet::TopicReading::default(),
+        store_age_ms: 0,
+        partitions: Vec::new(),
+        fetching: 0,
+        to_fetch: 0,
+        work: Vec::new(),
+        uses,
+        engines: None,
+        quotas: Vec::new(),
+    }
+}
+
 fn tell(view: &mut fleet_view::FleetView, id: &str, adapters: &[&str], idle_places: u8) {
+    tell_engine(view, id, adapters, idle_places, Vec::new());
+}
+
+fn tell_coming(view: &mut fleet_view::FleetView, id: &str, coming: Vec<fleet::ComingAdapter>) {
+    tell_engine(view, id, &[], 0, coming);
+}
+
+fn tell_engine(
+    view: &mut fleet_view::FleetView,
+    id: &str,
+    adapters: &[&str],
+    idle_places: u8,
+    coming: Vec<fleet::ComingAdapter>,
+) {
     let number = view.upstream(id).expect("known").number;
     let key = |adapter: &&str| prompt(adapter, 1).adapter.expect("named").key().0;
     view.take_own_engine(
@@ -76,6 +111,7 @@
                 .iter()
                 .map(|adapter| fleet::HeldAdapter { adapter: key(adapter), version: 1 })
                 .collect(),
+            coming,
         },
     );
 }
@@ -206,3 +242,43 @@
     assert!(view.upstream(&home).expect("known").is_silent(at(1100)));
     assert_ne!(choose(&view, 1100, &demand).expect("another").id, home);
 }
+
+/// A burst for one adapter: the first request's question takes the only free place at its home.
+#[test]
+fn requests_for_an_adapter_on_its_way_wait_for_it_there() {
+    let mut view = fleet(&[("a", "z"), ("b", "z")]);
+    let asked = prompt("x", 1);
+    let key = asked.adapter.as_ref().expect("named").key();
+    let home = choose(&view, 0, &asked).expect("a place").id;
+    let other = if &*home == "a" { "b" } else { "a" };
+    tell(&mut view, &home, &[], 1);
+    view.load_asked(at(0), &home, key);
+    // The owner tells that its last place is spoken for.
+    tell(&mut view, &home, &[], 0);
+    let joined = choose(&view, 0, &asked).expect("a place");
+    assert_eq!((&*joined.id, joined.needs_load), (&*home, true));
+    view.load_ended(&home, key);
+    assert_eq!(&*choose(&view, 0, &asked).expect("a place").id, other);
+    // Another instance learns the same from the owner's beat.
+    let coming = vec![fleet::ComingAdapter { adapter: key.0, ready_in_ms: 200 }];
+    tell_coming(&mut view, &home, coming);
+    let joined = choose(&view, 0, &asked).expect("a place");
+    assert_eq!((&*joined.id, joined.needs_load), (&*home, true));
+    assert_eq!(&*choose(&view, 0, &prompt("y", 1)).expect("a place").id, other);
+}
+
+/// Short requests of other instances on many adapters: each place is free once its request has ended.
+#[test]
+fn an_adapter_is_in_use_elsewhere_only_while_its_requests_run() {
+    let mut view = fleet(&[("a", "z")]);
+    let number = view.upstream("a").expect("known").number;
+    let key = prompt("x", 1).adapter.expect("named").key();
+    let used = |running| fleet::AdapterUse { upstream: number, adapter: key.0, running };
+    view.take_beat(at(100), &beat(1, vec![used(2)]));
+    assert!(view.upstream("a").expect("known").is_in_use(at(110), key));
+    view.take_beat(at(250), &beat(2, vec![used(0)]));
+    assert!(!view.upstream("a").expect("known").is_in_use(at(260), key));
+    view.take_beat(at(400), &beat(3, vec![used(1)]));
+    view.take_beat(at(550), &beat(4, Vec::new()));
+    assert!(!view.upstream("a").expect("known").is_in_use(at(560), key));
+}
--- a/coltsfoot-wire/src/fleet.rs
+++ b/coltsfoot-wire/src/fleet.rs
@@ -36,6 +36,15 @@
     pub version: u64,
 }
 
+/// An adapter that an engine will hold soon.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ComingAdapter {
+    /// The adapter's number.
+    pub adapter: u32,
+    /// Expected time until it can serve, in milliseconds.
+    pub ready_in_ms: u16,
+}
+
 /// An engine whose orders the sender gives.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct OwnedEngine {
@@ -51,6 +60,8 @@
     pub idle_places: u8,
     /// Adapters that are ready to serve.
     pub adapters: Vec<HeldAdapter>,
+    /// Adapters that are on their way or asked for.
+    pub coming: Vec<ComingAdapter>,
 }
 
 /// Use of a customer's quota by the sender.
--- a/coltsfootd/src/gateway/engines.rs
+++ b/coltsfootd/src/gateway/engines.rs
@@ -123,6 +123,15 @@
                     .ready(now)
                     .map(|(key, version)| wire::HeldAdapter { adapter: key.0, version })
                     .collect(),
+                coming: slot
+                    .desk
+                    .coming(now)
+                    .map(|(key, ready)| wire::ComingAdapter {
+                        adapter: key.0,
+                        ready_in_ms: u16::try_from(ready.since(now).as_millis())
+                            .unwrap_or(u16::MAX),
+                    })
+                    .collect(),
             })
         });
         known.collect()
--- a/coltsfootd/src/gateway/loads.rs
+++ b/coltsfootd/src/gateway/loads.rs
@@ -33,13 +33,16 @@
 
 /// Removes a question when its asker has left.
 struct OpenQuestion<'a> {
-    loads: &'a OpenLoads,
+    state: &'a state::GatewayState,
+    upstream: &'a str,
+    key: demand::AdapterKey,
     ask: u64,
 }
 
 impl Drop for OpenQuestion<'_> {
     fn drop(&mut self) {
-        state::lock(&self.loads.open).remove(&self.ask);
+        state::lock(&self.state.loads.open).remove(&self.ask);
+        self.state.view().load_ended(self.upstream, self.key);
     }
 }
 
@@ -51,16 +54,18 @@
     was_missing: bool,
     limit: time::Duration,
 ) -> wire::LoadVerdict {
+    let key = name.key();
     let (number, owner, version) = {
-        let view = state.view();
+        let mut view = state.view();
+        view.load_asked(state.now(), upstream, key);
         let Some(slot) = view.upstream(upstream) else { return wire::LoadVerdict::NotOwner };
         let owner = slot.residency.owner.and_then(|id| view.peer(id)).map(|peer| peer.address);
-        (slot.number, owner, view.newest_version(name.key()))
+        (slot.number, owner, view.newest_version(key))
     };
     let ask: u64 = rand::random();
     let (sender, receiver) = async_channel::bounded(4);
     state::lock(&state.loads.open).insert(ask, sender);
-    let _open = OpenQuestion { loads: &state.loads, ask };
+    let _open = OpenQuestion { state, upstream, key, ask };
     let asker = engines::LoadAsker::Local(ask);
     if state.desks.ask(state.now(), number, name, version, was_missing, asker) {
         return final_verdict(&receiver, limit).await;
