Do not ask an owner that fell silent for adapters

Cause: while an instance is cut off, its engines still counted as taking orders. Each request that needed an adapter there lost 240 ms to four unanswered questions before it tried the next engine, and was refused after three (no_place).

The test failed before.

--- a/coltsfoot-gateway/src/engine_choice.rs
+++ b/coltsfoot-gateway/src/engine_choice.rs
@@ -151,7 +151,7 @@
     rank: usize,
 ) -> Option<f64> {
     let residency = &slot.residency;
-    if !residency.takes_orders {
+    if !residency.takes_orders || !view.is_owner_heard(now, slot) {
         return None;
     }
     if let Some(ready) = slot.coming(now, key) {
--- a/coltsfoot-gateway/src/fleet_view.rs
+++ b/coltsfoot-gateway/src/fleet_view.rs
@@ -13,6 +13,8 @@
 const SUSPECT_FAILURES: usize = 2;
 /// Time without beats from a whole zone after which it is suspected to be cut off.
 const ZONE_SILENCE: time::Duration = time::Duration::from_millis(600);
+/// Time without beats after which an owner is not asked for adapters: four beats.
+const OWNER_SILENCE: time::Duration = time::Duration::from_millis(600);
 /// Time without beats after which an instance is forgotten.
 pub const PEER_LIFETIME: time::Duration = time::Duration::from_secs(12);
 /// Time for which a failed connection keeps work away.
@@ -227,6 +229,16 @@
         }
     }
 
+    /// Returns whether the owner of an engine is this instance or was heard from lately.
+    pub fn is_owner_heard(
+        &self,
+        now: clock::MonotonicTime,
+        slot: &upstream_slot::UpstreamSlot,
+    ) -> bool {
+        let Some(owner) = slot.residency.owner else { return true };
+        self.peers.get(&owner).is_some_and(|peer| now.since(peer.heard) < OWNER_SILENCE)
+    }
+
     /// Returns how many requests a second ask for an adapter at all instances, if the others see
     /// as many as this one.
     pub fn adapter_rate(&self, now: clock::MonotonicTime, key: demand::AdapterKey) -> f64 {
--- a/coltsfoot-gateway/tests/choice.rs
+++ b/coltsfoot-gateway/tests/choice.rs
@@ -282,3 +282,29 @@
     view.take_beat(at(550), &beat(4, Vec::new()));
     assert!(!view.upstream("a").expect("known").is_in_use(at(560), key));
 }
+
+/// A cut instance that owns engines: questions to it would be lost.
+#[test]
+fn an_owner_that_fell_silent_is_not_asked_for_adapters() {
+    let mut view = fleet(&[("a", "z"), ("b", "z")]);
+    let asked = prompt("x", 1);
+    let home = choose(&view, 0, &asked).expect("a place").id;
+    let other = if &*home == "a" { "b" } else { "a" };
+    let number = view.upstream(&home).expect("known").number;
+    let owned = fleet::OwnedEngine {
+        upstream: number,
+        fence: 2,
+        has_model: true,
+        takes_orders: true,
+        idle_places: 8,
+        adapters: Vec::new(),
+        coming: Vec::new(),
+    };
+    let mut told = beat(1, Vec::new());
+    told.engines = Some(vec![owned]);
+    view.take_beat(at(1000), &told);
+    assert_eq!(choose(&view, 1100, &asked).expect("a place").id, home);
+    assert_eq!(&*choose(&view, 1700, &asked).expect("a place").id, other);
+    view.take_beat(at(1800), &beat(2, Vec::new()));
+    assert_eq!(choose(&view, 1900, &asked).expect("a place").id, home);
+}
