--- /dev/null
+++ b/coltsfoot-gateway/src/beat_plan.rs
@@ -0,0 +1,39 @@
+//! How often an instance tells the others of itself, so that what it sends and receives does not
+//! grow with the number of instances.
+
+use std::time;
+
+/// Time between beats in a small fleet.
+pub const SHORTEST_INTERVAL: time::Duration = time::Duration::from_millis(150);
+/// Beats a second to the other instances of the zone at most, of about 400 bytes.
+const NEAR_BEATS_PER_S: f64 = 80.0;
+/// Beats a second to other zones at most; their bytes have a price.
+const FAR_BEATS_PER_S: f64 = 50.0;
+
+/// Times between beats.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct BeatPlan {
+    /// Time between beats to an instance of the same zone.
+    pub near: time::Duration,
+    /// Time between beats to an instance of another zone.
+    pub far: time::Duration,
+}
+
+impl BeatPlan {
+    /// Plans the beats to so many instances.
+    pub fn new(near_peers: usize, far_peers: usize) -> Self {
+        Self {
+            near: interval(near_peers, NEAR_BEATS_PER_S),
+            far: interval(far_peers, FAR_BEATS_PER_S),
+        }
+    }
+
+    /// Returns whether every change is told at once.
+    pub fn is_prompt(&self) -> bool {
+        self.near == SHORTEST_INTERVAL && self.far == SHORTEST_INTERVAL
+    }
+}
+
+fn interval(peers: usize, beats_per_s: f64) -> time::Duration {
+    time::Duration::from_secs_f64(peers as f64 / beats_per_s).max(SHORTEST_INTERVAL)
+}
--- a/coltsfoot-gateway/src/engine_choice.rs
+++ b/coltsfoot-gateway/src/engine_choice.rs
@@ -4,7 +4,7 @@
 
 use coltsfoot_types::time as clock;
 
-use crate::{demand, engine_order, fleet_view, rendezvous, rules, upstream_slot};
+use crate::{demand, fleet_view, rendezvous, rules, upstream_slot};
 
 /// Prompt tokens that an engine reads in a millisecond, beside its running requests.
 pub const READ_TOKENS_PER_MS: f64 = 33.0;
@@ -16,10 +16,11 @@
 const FETCH_MS: f64 = 270.0;
 /// Cost of a fetch to the operators and to other fetches, in milliseconds.
 const FETCH_PRICE_MS: f64 = 100.0;
-/// Time over which a further copy of an adapter pays off, in seconds.
-const COPY_HORIZON_S: f64 = 5.0;
-/// Cost of a further copy of an adapter that is asked for once, by its place in the adapter's order
-/// of engines, in milliseconds: what others lose by the adapter that makes way.
+/// Cost of fetching an adapter that no engine holds to another one than its first, in milliseconds:
+/// later requests look for it at its first.
+const MOVED_MS: f64 = 100.0;
+/// Cost of a further copy of an adapter that nobody uses, by its place in the adapter's order of
+/// engines, in milliseconds: what others lose by the adapter that makes way.
 const COPY_MS: [f64; 4] = [0.0, 700.0, 800.0, 900.0];
 /// Cost of a copy further down that order, in milliseconds.
 const FAR_COPY_MS: f64 = 1_000.0;
@@ -128,10 +129,19 @@
     let holds =
         |slot: &upstream_slot::UpstreamSlot| key.is_none_or(|key| view.holds(now, slot, key));
     let preferred = preferred_holder(demand, &ranked, &holds);
+    let is_somewhere = key.is_some_and(|key| {
+        ranked.iter().any(|slot| holds(slot) || slot.coming(now, key).is_some())
+    });
     let costs = ranked.iter().enumerate().filter_map(|(rank, slot)| {
         let is_held = holds(slot);
         let load = match (is_held, key) {
-            (false, Some(key)) => load_cost(now, view, slot, key, rank)?,
+            (false, Some(key)) if slot.coming(now, key).is_none() && is_somewhere => {
+                load_cost(now, view, slot, key)? + copy_cost(now, view, key, rank)
+            }
+            (false, Some(key)) => {
+                let moved = if rank == 0 || slot.is_warm(key) { 0.0 } else { MOVED_MS };
+                load_cost(now, view, slot, key)? + moved
+            }
             _ => 0.0,
         };
         let wait = engine_wait(now, slot, demand, preferred == Some(slot.number));
@@ -142,13 +152,25 @@
     Some(ChosenUpstream { id: sync::Arc::clone(&slot.entry.id), expected_ms, needs_load })
 }
 
-/// Returns the cost of loading an adapter at an engine; `None` if that is not possible.
+/// Returns the cost of a further copy of an adapter: what others lose by the place that it takes,
+/// shared by those who use it.
+fn copy_cost(
+    now: clock::MonotonicTime,
+    view: &fleet_view::FleetView,
+    key: demand::AdapterKey,
+    rank: usize,
+) -> f64 {
+    let users = 1.0 + f64::from(view.adapter_running(now, key));
+    COPY_MS.get(rank).unwrap_or(&FAR_COPY_MS) / users
+}
+
+/// Returns the expected time to load an adapter at an engine, and the price of that; `None` if it is
+/// not possible.
 fn load_cost(
     now: clock::MonotonicTime,
     view: &fleet_view::FleetView,
     slot: &upstream_slot::UpstreamSlot,
     key: demand::AdapterKey,
-    rank: usize,
 ) -> Option<f64> {
     let residency = &slot.residency;
     if !residency.takes_orders || !view.is_owner_heard(now, slot) {
@@ -160,13 +182,11 @@
     if residency.idle_places == 0 {
         return None;
     }
-    let reuse = 1.0 + view.adapter_rate(now, key) * COPY_HORIZON_S;
-    let copy = COPY_MS.get(rank).unwrap_or(&FAR_COPY_MS) / reuse;
     if slot.is_warm(key) {
-        return Some(WARM_LOAD_MS + copy);
+        return Some(WARM_LOAD_MS);
     }
-    let crowd = (f64::from(view.fetch_backlog() + 1) / engine_order::FULL_SPEED_FETCHES).max(1.0);
-    Some(FETCH_MS * crowd + FETCH_PRICE_MS + copy)
+    let slowdown = view.fetch_load(view.fetch_backlog()).slowdown(1);
+    Some(FETCH_MS * slowdown + FETCH_PRICE_MS)
 }
 
 /// Returns the holder that requests of one subject go to, so that its prompt is kept there.
--- a/coltsfoot-gateway/src/engine_desk.rs
+++ b/coltsfoot-gateway/src/engine_desk.rs
@@ -335,14 +335,13 @@
         })
     }
 
-    /// Takes the answer to an order. `fetching` is the number of adapters on their way from the
-    /// weight store to the engines of other instances.
+    /// Takes the answer to an order.
     pub fn order_ended(
         &mut self,
         now: clock::MonotonicTime,
         order: &engine_order::EngineOrder,
         answer: engine_order::OrderAnswer,
-        fetching: u32,
+        fetches: engine_order::FetchLoad,
         newest: impl Fn(demand::AdapterKey) -> Option<u64>,
     ) {
         self.has_changed = true;
@@ -357,7 +356,7 @@
                 }
                 // The engine takes orders again, so that what was leaving is gone.
                 self.leaving = None;
-                self.apply(now, order, fetching, newest);
+                self.apply(now, order, fetches, newest);
                 if answer == engine_order::OrderAnswer::Accepted
                     && let engine_order::EngineOrder::UnloadAdapter(name) = order
                 {
@@ -386,7 +385,7 @@
         &mut self,
         now: clock::MonotonicTime,
         order: &engine_order::EngineOrder,
-        fetching: u32,
+        fetches: engine_order::FetchLoad,
         newest: impl Fn(demand::AdapterKey) -> Option<u64>,
     ) {
         match order {
@@ -397,9 +396,8 @@
             engine_order::EngineOrder::LoadAdapter { name, version } => {
                 let key = name.key();
                 let is_warm = self.warm.contains(&key);
-                let fetches = fetching + self.fetching(now) + 1;
-                let crowd = (f64::from(fetches) / engine_order::FULL_SPEED_FETCHES).max(1.0);
-                let duration = if is_warm { WARM_LOAD } else { COLD_LOAD.mul_f64(crowd) };
+                let slowdown = fetches.slowdown(self.fetching(now) + 1);
+                let duration = if is_warm { WARM_LOAD } else { COLD_LOAD.mul_f64(slowdown) };
                 let version = version.or_else(|| newest(key)).unwrap_or(1);
                 let ready_at = now + duration + LOAD_MARGIN;
                 let placed = PlacedAdapter {
--- a/coltsfoot-gateway/src/engine_order.rs
+++ b/coltsfoot-gateway/src/engine_order.rs
@@ -6,8 +6,10 @@
 
 use crate::demand;
 
-/// Adapters that the weight store delivers at once at full speed.
-pub const FULL_SPEED_FETCHES: f64 = 8.0;
+/// Adapters that the weight store delivers at once at full speed, in a small fleet and by the engine.
+/// No record tells it; these fit the sites, 8 for 12 engines and 24 for 60.
+const MIN_FULL_SPEED: u32 = 8;
+const FULL_SPEED_PER_ENGINE: f64 = 0.4;
 
 /// An order.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -62,12 +64,33 @@
     pub may_fetch: bool,
 }
 
-/// Returns whether another adapter may be fetched from the weight store, which slows all fetches
-/// down beyond a number: `own` are those of this instance, `others` those of the others. An
-/// instance without any has one to itself, unless many have.
-pub fn may_fetch(own: u32, others: u32) -> bool {
-    let most = FULL_SPEED_FETCHES as u32;
-    own + others < most || (own == 0 && others < 2 * most)
+/// Load of the weight store, which slows all fetches down beyond a number of them.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct FetchLoad {
+    /// Fetches of the engines of other instances.
+    pub others: u32,
+    /// Fetches that run at once at full speed.
+    pub full_speed: u32,
+}
+
+impl FetchLoad {
+    /// Creates the load in a fleet of so many engines.
+    pub fn new(others: u32, engines: usize) -> Self {
+        let full_speed = (engines as f64 * FULL_SPEED_PER_ENGINE) as u32;
+        Self { others, full_speed: full_speed.max(MIN_FULL_SPEED) }
+    }
+
+    /// Returns whether an instance with `own` fetches may begin another. One without any has one to
+    /// itself, unless many have.
+    pub fn may_fetch(&self, own: u32) -> bool {
+        let most = self.full_speed;
+        own + self.others < most || (own == 0 && self.others < 2 * most)
+    }
+
+    /// Returns by how much fetches take longer if there are `own` beside those of the others.
+    pub fn slowdown(&self, own: u32) -> f64 {
+        (f64::from(self.others + own) / f64::from(self.full_speed)).max(1.0)
+    }
 }
 
 /// What to do next for an engine.
--- a/coltsfoot-gateway/src/fleet_view.rs
+++ b/coltsfoot-gateway/src/fleet_view.rs
@@ -7,12 +7,19 @@
 use coltsfoot_wire::fleet;
 use rustc_hash::FxHashMap;
 
-use crate::{demand, engine_desk, order_lease, reader_choice, rendezvous, upstream, upstream_slot};
+use crate::{
+    beat_plan, demand, engine_desk, engine_order, order_lease, reader_choice, rendezvous, upstream,
+    upstream_slot,
+};
 
 /// Upstreams of a zone to which connections failed, from which on the zone is suspected.
 const SUSPECT_FAILURES: usize = 2;
 /// Time without beats from a whole zone after which it is suspected to be cut off.
 const ZONE_SILENCE: time::Duration = time::Duration::from_millis(600);
+/// Beats of an instance that may be lost before what it told is no longer believed.
+const BEATS_TO_LOSE: u32 = 3;
+/// Beats after which an owner must have told of its engines, even if some were lost.
+const BEATS_TO_MISS_ENGINES: u32 = 10;
 /// Time without beats after which an owner is not asked for adapters: four beats.
 const OWNER_SILENCE: time::Duration = time::Duration::from_millis(600);
 /// Time without beats after which an instance is forgotten.
@@ -26,10 +33,6 @@
 /// Time for which an engine with an older adapter version still gets requests, while its owner
 /// replaces it.
 const VERSION_GRACE: time::Duration = time::Duration::from_millis(2500);
-/// Time over which requests for an adapter are averaged.
-const POPULARITY_WINDOW: time::Duration = time::Duration::from_secs(5);
-/// Adapters whose requests are counted.
-const MAX_POPULARITY: usize = 4096;
 
 /// The newest version that was named for an adapter.
 #[derive(Clone, Debug)]
@@ -55,6 +58,8 @@
     pub sequence: u64,
     /// Version of its configuration.
     pub rules_version: u64,
+    /// Time between its beats.
+    pub interval: time::Duration,
     /// Whether it is about to stop.
     pub is_leaving: bool,
     /// What it knows of the operator's records.
@@ -75,7 +80,6 @@
     upstreams: FxHashMap<sync::Arc<str>, upstream_slot::UpstreamSlot>,
     peers: FxHashMap<u64, PeerSlot>,
     versions: FxHashMap<demand::AdapterKey, NamedVersion>,
-    popularity: FxHashMap<demand::AdapterKey, (f64, clock::MonotonicTime)>,
 }
 
 /// Returns the number of a customer in messages.
@@ -121,6 +125,9 @@
         longest: time::Duration,
     ) -> Vec<sync::Arc<str>> {
         let untold = self.upstreams.values().filter(|slot| {
+            let owner = slot.residency.owner.and_then(|owner| self.peers.get(&owner));
+            let interval = owner.map_or(time::Duration::ZERO, |owner| owner.interval);
+            let longest = longest.max(interval * BEATS_TO_MISS_ENGINES);
             let heard = slot.residency.heard;
             heard.is_none_or(|heard| now.since(heard) >= longest)
         });
@@ -198,21 +205,6 @@
         u64::from(unread)
     }
 
-    /// Notes that a request asks for an adapter.
-    pub fn adapter_asked(&mut self, now: clock::MonotonicTime, key: demand::AdapterKey) {
-        let rate = self.local_rate(now, key) + 1.0 / POPULARITY_WINDOW.as_secs_f64();
-        self.popularity.insert(key, (rate, now));
-        if self.popularity.len() > MAX_POPULARITY {
-            self.popularity.retain(|_, (_, asked)| now.since(*asked) < POPULARITY_WINDOW);
-        }
-    }
-
-    fn local_rate(&self, now: clock::MonotonicTime, key: demand::AdapterKey) -> f64 {
-        let Some((rate, asked)) = self.popularity.get(&key) else { return 0.0 };
-        let age = now.since(*asked).as_secs_f64();
-        rate * (-age / POPULARITY_WINDOW.as_secs_f64()).exp()
-    }
-
     /// Notes that this instance asks for an adapter at an engine.
     pub fn load_asked(&mut self, now: clock::MonotonicTime, id: &str, key: demand::AdapterKey) {
         if let Some(slot) = self.upstreams.get_mut(id) {
@@ -236,13 +228,21 @@
         slot: &upstream_slot::UpstreamSlot,
     ) -> bool {
         let Some(owner) = slot.residency.owner else { return true };
-        self.peers.get(&owner).is_some_and(|peer| now.since(peer.heard) < OWNER_SILENCE)
+        self.peers.get(&owner).is_some_and(|peer| {
+            let longest = OWNER_SILENCE.max(peer.interval * BEATS_TO_LOSE);
+            now.since(peer.heard) < longest
+        })
     }
 
-    /// Returns how many requests a second ask for an adapter at all instances, if the others see
-    /// as many as this one.
-    pub fn adapter_rate(&self, now: clock::MonotonicTime, key: demand::AdapterKey) -> f64 {
-        self.local_rate(now, key) * (self.peers.len() + 1) as f64
+    /// Plans the beats to the instances that are known.
+    pub fn beat_plan(&self, zone: &str) -> beat_plan::BeatPlan {
+        let near = self.peers.values().filter(|peer| &*peer.zone == zone).count();
+        beat_plan::BeatPlan::new(near, self.peers.len() - near)
+    }
+
+    /// Returns how many requests run on an adapter at all engines.
+    pub fn adapter_running(&self, now: clock::MonotonicTime, key: demand::AdapterKey) -> u32 {
+        self.upstreams.values().map(|slot| slot.running_on(now, key)).sum()
     }
 
     /// Notes that a request's prompt was read, or that the request ended before.
@@ -312,6 +312,7 @@
             zone: beat.zone.as_str().into(),
             heard: now,
             sequence: 0,
+            interval: time::Duration::ZERO,
             rules_version: 0,
             is_leaving: false,
             operator: beat.operator,
@@ -329,6 +330,7 @@
         }
         peer.heard = now;
         peer.sequence = beat.sequence;
+        peer.interval = time::Duration::from_millis(u64::from(beat.interval_ms));
         peer.rules_version = beat.rules_version;
         peer.is_leaving = beat.is_leaving;
         (peer.operator, peer.upstreams) = (beat.operator, beat.upstreams);
@@ -344,6 +346,8 @@
     }
 
     fn take_work(&mut self, now: clock::MonotonicTime, beat: &fleet::FleetBeat) {
+        let interval = time::Duration::from_millis(u64::from(beat.interval_ms));
+        let expiry = now + upstream_slot::BEAT_LIFETIME.max(interval * BEATS_TO_LOSE);
         for slot in self.upstreams.values_mut() {
             slot.remote.remove(&beat.sender);
             if let Some(work) = beat.work.iter().find(|work| work.upstream == slot.number) {
@@ -352,14 +356,15 @@
                     running,
                     unread_tokens: u64::from(work.unread_tokens),
                 };
-                slot.remote.insert(beat.sender, (load, now));
+                slot.remote.insert(beat.sender, (load, expiry));
             }
             let uses = beat.uses.iter().filter(|used| used.upstream == slot.number);
             let running = uses.filter(|used| used.running > 0);
-            let keys: Vec<_> = running.map(|used| demand::AdapterKey(used.adapter)).collect();
-            match keys.is_empty() {
+            let counts: Vec<_> =
+                running.map(|used| (demand::AdapterKey(used.adapter), used.running)).collect();
+            match counts.is_empty() {
                 true => slot.remote_uses.remove(&beat.sender),
-                false => slot.remote_uses.insert(beat.sender, (keys, now)),
+                false => slot.remote_uses.insert(beat.sender, (counts, expiry)),
             };
             let number = slot.number;
             let engines = beat.engines.iter().flatten();
@@ -381,9 +386,9 @@
     pub fn expire(&mut self, now: clock::MonotonicTime) {
         self.peers.retain(|_, peer| now.since(peer.heard) < PEER_LIFETIME);
         for slot in self.upstreams.values_mut() {
-            let is_recent = |heard| now.since(heard) < upstream_slot::BEAT_LIFETIME;
-            slot.remote_uses.retain(|_, (_, heard)| is_recent(*heard));
-            slot.asked.retain(|_, ready| is_recent(*ready));
+            slot.remote.retain(|_, (_, expiry)| now < *expiry);
+            slot.remote_uses.retain(|_, (_, expiry)| now < *expiry);
+            slot.asked.retain(|_, ready| now < *ready + upstream_slot::BEAT_LIFETIME);
         }
     }
 
@@ -403,7 +408,8 @@
                 let reading = topic(peer);
                 let read_age = time::Duration::from_millis(u64::from(reading.age_ms));
                 let digest = reading.digest;
-                reader_choice::PeerReading { id: *id, heard: peer.heard, read_age, digest }
+                let (heard, interval) = (peer.heard, peer.interval);
+                reader_choice::PeerReading { id: *id, heard, interval, read_age, digest }
             })
             .collect()
     }
@@ -448,6 +454,12 @@
         self.peers.values().map(|peer| peer.fetching).sum()
     }
 
+    /// Returns the load of the weight store by so many fetches of others.
+    pub fn fetch_load(&self, others: u32) -> engine_order::FetchLoad {
+        let engines = self.upstreams.values().filter(|slot| slot.residency.has_model).count();
+        engine_order::FetchLoad::new(others, engines)
+    }
+
     /// Returns the adapters that wait for the weight store or are on their way from it, at the
     /// other instances.
     pub fn fetch_backlog(&self) -> u32 {
@@ -486,12 +498,11 @@
         .collect()
     }
 
-    /// Returns the adapters that this instance uses or used since the last call.
-    pub fn take_uses(&mut self) -> Vec<fleet::AdapterUse> {
+    /// Returns the adapters that this instance uses or used since they were forgotten.
+    pub fn uses(&mut self, forget: bool) -> Vec<fleet::AdapterUse> {
         let mut uses = Vec::new();
         for slot in self.upstreams.values_mut() {
-            let touched = std::mem::take(&mut slot.adapters_touched);
-            let keys = slot.adapters_in_use.keys().chain(&touched);
+            let keys = slot.adapters_in_use.keys().chain(&slot.adapters_touched);
             let mut keys: Vec<demand::AdapterKey> = keys.copied().collect();
             keys.sort_unstable();
             keys.dedup();
@@ -500,6 +511,9 @@
                 adapter: key.0,
                 running: slot.adapters_in_use.get(&key).map_or(0, |count| *count as u16),
             }));
+            if forget {
+                slot.adapters_touched.clear();
+            }
         }
         uses
     }
--- a/coltsfoot-gateway/src/lib.rs
+++ b/coltsfoot-gateway/src/lib.rs
@@ -3,6 +3,7 @@
 //! use. No sockets, threads or wall clocks; time is an argument.
 
 pub mod attempt_plan;
+pub mod beat_plan;
 pub mod demand;
 pub mod engine_choice;
 pub mod engine_desk;
--- a/coltsfoot-gateway/src/reader_choice.rs
+++ b/coltsfoot-gateway/src/reader_choice.rs
@@ -22,6 +22,8 @@
     pub id: u64,
     /// When it told.
     pub heard: clock::MonotonicTime,
+    /// Time between its beats.
+    pub interval: time::Duration,
     /// How long before it had read last.
     pub read_age: time::Duration,
     /// Digest of what it knows.
@@ -30,20 +32,21 @@
 
 impl PeerReading {
     fn is_alive(&self, now: clock::MonotonicTime) -> bool {
-        now.since(self.heard) < MAX_BEAT_AGE && self.read_age < MAX_READ_AGE
+        now.since(self.heard) < MAX_BEAT_AGE.max(self.interval * 2) && self.read_age < MAX_READ_AGE
     }
 
     fn is_fresh(&self, now: clock::MonotonicTime) -> bool {
-        self.is_alive(now) && now.since(self.heard) + self.read_age < MAX_READ_AGE
+        let longest = MAX_READ_AGE + self.interval;
+        self.is_alive(now) && now.since(self.heard) + self.read_age < longest
     }
 }
 
 /// What an instance that does not read knows of its own state.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ReadNeed {
-    /// Some reader knows something else: read now.
+    /// Another instance has read something else since: read now.
     Differs,
-    /// All readers that were heard know the same.
+    /// Nobody is known to have read anything else since.
     Confirmed,
     /// No reader was heard.
     Unknown,
@@ -57,11 +60,32 @@
     better.count() < READERS
 }
 
-/// Compares an instance's digest with those of the readers that were heard.
-pub fn read_need(now: clock::MonotonicTime, digest: u64, peers: &[PeerReading]) -> ReadNeed {
+/// Returns the reading that was made last.
+pub fn newest_reading(now: clock::MonotonicTime, peers: &[PeerReading]) -> Option<&PeerReading> {
+    let fresh = peers.iter().filter(|peer| peer.is_fresh(now));
+    fresh.max_by_key(|peer| peer.heard - peer.read_age)
+}
+
+/// What an instance knows of a topic itself.
+#[derive(Clone, Copy, Debug)]
+pub struct OwnReading {
+    /// Digest of what it knows.
+    pub digest: u64,
+    /// When it read last.
+    pub read_at: Option<clock::MonotonicTime>,
+}
+
+/// Compares an instance's reading with those of others that were heard. One that is older than its
+/// own tells it nothing: after a change, others catch up at different times.
+pub fn read_need(now: clock::MonotonicTime, own: OwnReading, peers: &[PeerReading]) -> ReadNeed {
+    let is_recent = own.read_at.is_some_and(|read| now.since(read) < MAX_READ_AGE);
     let mut fresh = peers.iter().filter(|peer| peer.is_fresh(now)).peekable();
-    if fresh.peek().is_none() {
+    if fresh.peek().is_none() && !is_recent {
         return ReadNeed::Unknown;
     }
-    if fresh.all(|peer| peer.digest == digest) { ReadNeed::Confirmed } else { ReadNeed::Differs }
+    let is_news = |peer: &PeerReading| {
+        let read_at = peer.heard - peer.read_age;
+        peer.digest != own.digest && own.read_at.is_none_or(|own| read_at > own)
+    };
+    if fresh.any(is_news) { ReadNeed::Differs } else { ReadNeed::Confirmed }
 }
--- a/coltsfoot-gateway/src/upstream_slot.rs
+++ b/coltsfoot-gateway/src/upstream_slot.rs
@@ -28,6 +28,9 @@
     pub unread_tokens: u64,
 }
 
+/// Requests that run on adapters.
+type AdapterCounts = Vec<(demand::AdapterKey, u16)>;
+
 /// What an engine is known to hold.
 #[derive(Clone, Debug, Default)]
 pub struct Residency {
@@ -62,6 +65,7 @@
     pub local: WorkLoad,
     /// Time that it takes, as a multiple of what is expected.
     pub slowness: f64,
+    /// Work of the other instances and until when it counts.
     pub(crate) remote: FxHashMap<u64, (WorkLoad, clock::MonotonicTime)>,
     pub(crate) heard: clock::MonotonicTime,
     pub(crate) avoid_until: clock::MonotonicTime,
@@ -69,7 +73,8 @@
     pub(crate) failure_updated: clock::MonotonicTime,
     pub(crate) adapters_in_use: FxHashMap<demand::AdapterKey, u32>,
     pub(crate) adapters_touched: FxHashSet<demand::AdapterKey>,
-    pub(crate) remote_uses: FxHashMap<u64, (Vec<demand::AdapterKey>, clock::MonotonicTime)>,
+    /// Adapters in use by the other instances and until when that counts.
+    pub(crate) remote_uses: FxHashMap<u64, (AdapterCounts, clock::MonotonicTime)>,
     /// Adapters that this instance has asked for, with the expected time; the owner tells of them a
     /// little later.
     pub(crate) asked: FxHashMap<demand::AdapterKey, clock::MonotonicTime>,
@@ -104,7 +109,7 @@
 
     /// Returns the work of all instances.
     pub fn work(&self, now: clock::MonotonicTime) -> WorkLoad {
-        let recent = self.remote.values().filter(|(_, heard)| now.since(*heard) < BEAT_LIFETIME);
+        let recent = self.remote.values().filter(|(_, expiry)| now < *expiry);
         recent.fold(self.local, |sum, (work, _)| WorkLoad {
             running: sum.running + work.running,
             unread_tokens: sum.unread_tokens + work.unread_tokens,
@@ -129,11 +134,17 @@
 
     /// Returns whether requests of this or another instance run on an adapter.
     pub fn is_in_use(&self, now: clock::MonotonicTime, key: demand::AdapterKey) -> bool {
-        let mut remote = self.remote_uses.values();
-        self.adapters_in_use.contains_key(&key)
-            || remote.any(|(keys, heard)| {
-                now.since(*heard) < BEAT_LIFETIME && keys.contains(&key)
-            })
+        self.running_on(now, key) > 0
+    }
+
+    /// Returns how many requests of all instances run on an adapter.
+    pub fn running_on(&self, now: clock::MonotonicTime, key: demand::AdapterKey) -> u32 {
+        let local = self.adapters_in_use.get(&key).copied().unwrap_or(0);
+        let remote = self.remote_uses.values().filter(|(_, expiry)| now < *expiry);
+        let counts = remote.flat_map(|(counts, _)| counts);
+        let counts =
+            counts.filter(|(used, _)| *used == key).map(|(_, running)| u32::from(*running));
+        local + counts.sum::<u32>()
     }
 
     /// Returns when an adapter is expected that is on its way to the engine.
--- /dev/null
+++ b/coltsfoot-gateway/tests/beats.rs
@@ -0,0 +1,27 @@
+//! What instances tell each other does not grow with their number.
+
+use std::time;
+
+use coltsfoot_gateway::beat_plan;
+use rstest::rstest;
+
+#[rstest]
+#[case::three_zones_of_two(1, 4)]
+#[case::three_zones_of_three(2, 6)]
+fn a_small_fleet_beats_as_often_as_it_can(#[case] near: usize, #[case] far: usize) {
+    let plan = beat_plan::BeatPlan::new(near, far);
+    assert_eq!((plan.near, plan.far), (beat_plan::SHORTEST_INTERVAL, beat_plan::SHORTEST_INTERVAL));
+    assert!(plan.is_prompt());
+}
+
+#[rstest]
+#[case::of_79(25, 53)]
+#[case::of_300(99, 200)]
+#[case::of_1000(333, 666)]
+fn an_instance_sends_as_many_beats_however_many_there_are(#[case] near: usize, #[case] far: usize) {
+    let plan = beat_plan::BeatPlan::new(near, far);
+    let per_s = |peers: usize, interval: time::Duration| peers as f64 / interval.as_secs_f64();
+    let sent = per_s(near, plan.near) + per_s(far, plan.far);
+    assert!(sent <= 131.0, "{sent} beats a second");
+    assert!(!plan.is_prompt());
+}
--- a/coltsfoot-gateway/tests/choice.rs
+++ b/coltsfoot-gateway/tests/choice.rs
@@ -67,6 +67,7 @@
         address: "10.0.0.2:1".parse().expect("an address"),
         zone: "z".to_owned(),
         sequence,
+        interval_ms: 150,
         is_leaving: false,
         rules_version: 1,
         operator: fleet::TopicReading::default(),
@@ -82,6 +83,18 @@
     }
 }
 
+fn owned(number: u32) -> fleet::OwnedEngine {
+    fleet::OwnedEngine {
+        upstream: number,
+        fence: 1,
+        has_model: true,
+        takes_orders: true,
+        idle_places: 8,
+        adapters: Vec::new(),
+        coming: Vec::new(),
+    }
+}
+
 fn tell(view: &mut fleet_view::FleetView, id: &str, adapters: &[&str], idle_places: u8) {
     tell_engine(view, id, adapters, idle_places, Vec::new());
 }
@@ -102,16 +115,13 @@
     view.take_own_engine(
         at(0),
         &fleet::OwnedEngine {
-            upstream: number,
-            fence: 1,
-            has_model: true,
-            takes_orders: true,
             idle_places,
             adapters: adapters
                 .iter()
                 .map(|adapter| fleet::HeldAdapter { adapter: key(adapter), version: 1 })
                 .collect(),
             coming,
+            ..owned(number)
         },
     );
 }
@@ -175,7 +185,6 @@
     let home = choose(&view, 0, &demand).expect("one").id;
     tell(&mut view, &home, &["a1"], 7);
     for number in 0..20 {
-        view.adapter_asked(at(number * 50), demand.adapter.as_ref().expect("named").key());
         view.request_sent(at(number * 50), &home, Some(&prompt("a1", 10 + number)));
     }
     let chosen = choose(&view, 1000, &demand).expect("one");
@@ -283,6 +292,20 @@
     assert!(!view.upstream("a").expect("known").is_in_use(at(560), key));
 }
 
+#[test]
+fn an_owner_in_a_large_fleet_tells_of_its_engines_less_often() {
+    let mut view = fleet(&[("a", "z")]);
+    let number = view.upstream("a").expect("known").number;
+    for (sequence, interval_ms, age, expected) in [(1, 150, 1600, 1), (2, 1000, 9000, 0)] {
+        let mut told = beat(sequence, Vec::new());
+        told.interval_ms = interval_ms;
+        told.engines = Some(vec![fleet::OwnedEngine { fence: 2, ..owned(number) }]);
+        view.take_beat(at(1000), &told);
+        let untold = view.untold_engines(at(1000 + age), time::Duration::from_millis(1500));
+        assert_eq!(untold.len(), expected, "{interval_ms} ms between beats");
+    }
+}
+
 /// A cut instance that owns engines: questions to it would be lost.
 #[test]
 fn an_owner_that_fell_silent_is_not_asked_for_adapters() {
@@ -291,20 +314,41 @@
     let home = choose(&view, 0, &asked).expect("a place").id;
     let other = if &*home == "a" { "b" } else { "a" };
     let number = view.upstream(&home).expect("known").number;
-    let owned = fleet::OwnedEngine {
-        upstream: number,
-        fence: 2,
-        has_model: true,
-        takes_orders: true,
-        idle_places: 8,
-        adapters: Vec::new(),
-        coming: Vec::new(),
-    };
     let mut told = beat(1, Vec::new());
-    told.engines = Some(vec![owned]);
+    told.engines = Some(vec![fleet::OwnedEngine { fence: 2, ..owned(number) }]);
     view.take_beat(at(1000), &told);
     assert_eq!(choose(&view, 1100, &asked).expect("a place").id, home);
     assert_eq!(&*choose(&view, 1700, &asked).expect("a place").id, other);
     view.take_beat(at(1800), &beat(2, Vec::new()));
     assert_eq!(choose(&view, 1900, &asked).expect("a place").id, home);
 }
+
+/// A rare adapter in a large fleet: one request at each of a few instances says nothing of the others.
+#[test]
+fn a_rare_adapter_is_not_copied_because_the_fleet_is_large() {
+    let mut view = fleet(&SIX);
+    let demand = prompt("a1", 1);
+    let home = choose(&view, 0, &demand).expect("one").id;
+    tell(&mut view, &home, &["a1"], 7);
+    for sender in 100..178 {
+        view.take_beat(at(1), &fleet::FleetBeat { sender, ..beat(1, Vec::new()) });
+    }
+    for number in 0..2 {
+        view.request_sent(at(1), &home, Some(&prompt("a1", 10 + number)));
+    }
+    assert_eq!(choose(&view, 2, &demand).expect("one").id, home);
+}
+
+/// Its first engine was full once: where it was brought then, it need not be fetched again.
+#[test]
+fn an_adapter_that_nobody_holds_goes_where_it_is_warm() {
+    let mut view = fleet(&SIX);
+    let demand = prompt("a1", 1);
+    let home = choose(&view, 0, &demand).expect("one").id;
+    tell(&mut view, &home, &[], 0);
+    let second = choose(&view, 0, &demand).expect("one").id;
+    tell(&mut view, &second, &["a1"], 7);
+    tell(&mut view, &second, &[], 8);
+    tell(&mut view, &home, &[], 8);
+    assert_eq!(choose(&view, 0, &demand).expect("one").id, second);
+}
--- a/coltsfoot-gateway/tests/desk.rs
+++ b/coltsfoot-gateway/tests/desk.rs
@@ -7,6 +7,7 @@
 use coltsfoot_gateway::{demand, engine_order, upstream};
 use coltsfoot_types::time as clock;
 
+const IDLE_STORE: engine_order::FetchLoad = engine_order::FetchLoad { others: 0, full_speed: 8 };
 const FULL_LEAVE: OrderLeave = OrderLeave { may_order: true, may_fetch: true };
 
 fn at(ms: u64) -> clock::MonotonicTime {
@@ -48,7 +49,7 @@
 }
 
 fn end(desk: &mut EngineDesk<u32>, now: u64, order: &EngineOrder, answer: OrderAnswer) {
-    desk.order_ended(at(now), order, answer, 0, |_| None);
+    desk.order_ended(at(now), order, answer, IDLE_STORE, |_| None);
 }
 
 #[test]
@@ -152,11 +153,12 @@
 
 #[test]
 fn the_weight_store_is_shared_by_all_instances() {
-    assert!(engine_order::may_fetch(7, 0));
-    assert!(!engine_order::may_fetch(8, 0));
-    assert!(!engine_order::may_fetch(1, 7));
-    assert!(engine_order::may_fetch(0, 8), "one fetch is left to each");
-    assert!(!engine_order::may_fetch(0, 16));
+    let may_fetch = |own, others| engine_order::FetchLoad::new(others, 12).may_fetch(own);
+    assert!(may_fetch(7, 0));
+    assert!(!may_fetch(8, 0));
+    assert!(!may_fetch(1, 7));
+    assert!(may_fetch(0, 8), "one fetch is left to each");
+    assert!(!may_fetch(0, 16));
 }
 
 #[test]
@@ -165,7 +167,7 @@
     let step = desk.next_step(at(10), FULL_LEAVE, |_| true, |_| Some(4));
     let order = EngineOrder::LoadAdapter { name: adapter(1), version: Some(4) };
     assert_eq!(step, DeskStep::Order { order: order.clone(), expected_count: 0 });
-    desk.order_ended(at(12), &order, OrderAnswer::Accepted, 0, |_| Some(4));
+    desk.order_ended(at(12), &order, OrderAnswer::Accepted, IDLE_STORE, |_| Some(4));
     assert_eq!(desk.ready(at(400)).collect::<Vec<_>>(), [(adapter(1).key(), 4)]);
 }
 
@@ -201,7 +203,7 @@
     for _ in 0..2 {
         if let DeskStep::Order { order, .. } = desk.next_step(at(20), FULL_LEAVE, in_use, |_| None)
         {
-            desk.order_ended(at(20), &order, OrderAnswer::Accepted, 0, |_| None);
+            desk.order_ended(at(20), &order, OrderAnswer::Accepted, IDLE_STORE, |_| None);
         }
     }
     let mut desk = self::desk(&[1]);
@@ -235,3 +237,13 @@
     end(&mut desk, 151, &load, OrderAnswer::Accepted);
     assert_eq!(desk.ready(at(500)).count(), 2);
 }
+
+/// A burst for rare adapters on 60 engines: as many are fetched at once as the store delivers there.
+#[test]
+fn a_large_fleet_fetches_more_at_once() {
+    assert!(engine_order::FetchLoad::new(23, 60).may_fetch(0));
+    assert!(engine_order::FetchLoad::new(22, 60).may_fetch(1));
+    assert!(!engine_order::FetchLoad::new(23, 60).may_fetch(1));
+    assert_eq!(engine_order::FetchLoad::new(35, 60).slowdown(1), 1.5);
+    assert_eq!(engine_order::FetchLoad::new(11, 12).slowdown(1), 1.5);
+}
--- a/coltsfoot-gateway/tests/readers.rs
+++ b/coltsfoot-gateway/tests/readers.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use coltsfoot_gateway::reader_choice::{self, PeerReading, ReadNeed};
+use coltsfoot_gateway::reader_choice::{self, OwnReading, PeerReading, ReadNeed};
 use coltsfoot_types::time as clock;
 use rstest::rstest;
 
@@ -12,7 +12,8 @@
 
 fn peer(id: u64, heard: u64, read_age: u64, digest: u64) -> PeerReading {
     let read_age = time::Duration::from_millis(read_age);
-    PeerReading { id, heard: at(heard), read_age, digest }
+    let interval = time::Duration::ZERO;
+    PeerReading { id, heard: at(heard), interval, read_age, digest }
 }
 
 #[rstest]
@@ -38,12 +39,25 @@
     }
 }
 
+fn need(read_at: u64, peers: &[PeerReading]) -> ReadNeed {
+    let own = OwnReading { digest: 7, read_at: Some(at(read_at)) };
+    reader_choice::read_need(at(3000), own, peers)
+}
+
 #[rstest]
-#[case::same(&[peer(2, 950, 100, 7)], ReadNeed::Confirmed)]
-#[case::one_differs(&[peer(2, 950, 100, 7), peer(3, 950, 200, 8)], ReadNeed::Differs)]
-#[case::old_news(&[peer(2, 950, 1290, 8)], ReadNeed::Unknown)]
-#[case::silent(&[peer(2, 100, 0, 8)], ReadNeed::Unknown)]
+#[case::same(&[peer(2, 2950, 100, 7)], ReadNeed::Confirmed)]
+#[case::one_differs(&[peer(2, 2950, 100, 7), peer(3, 2950, 200, 8)], ReadNeed::Differs)]
+#[case::old_news(&[peer(2, 2950, 1290, 8)], ReadNeed::Unknown)]
+#[case::silent(&[peer(2, 2100, 0, 8)], ReadNeed::Unknown)]
 #[case::alone(&[], ReadNeed::Unknown)]
 fn when_to_read(#[case] peers: &[PeerReading], #[case] expected: ReadNeed) {
-    assert_eq!(reader_choice::read_need(at(1000), 7, peers), expected);
+    assert_eq!(need(1000, peers), expected);
+}
+
+/// A change in a large fleet: whoever has read it does not read on until all others have.
+#[test]
+fn those_who_have_not_caught_up_are_not_waited_for() {
+    let behind: Vec<_> = (2..79).map(|id| peer(id, 2950, 100, 8)).collect();
+    assert_eq!(need(2900, &behind), ReadNeed::Confirmed);
+    assert_eq!(need(2840, &behind), ReadNeed::Differs);
 }
--- a/coltsfoot-wire/src/fleet.rs
+++ b/coltsfoot-wire/src/fleet.rs
@@ -93,6 +93,8 @@
     pub zone: String,
     /// Grows with each beat of this incarnation.
     pub sequence: u64,
+    /// Time to the next beat to the receiver at most, in milliseconds.
+    pub interval_ms: u32,
     /// Whether the sender is about to stop.
     pub is_leaving: bool,
     /// Version of the configuration that the sender uses; zero for none.
@@ -175,6 +177,44 @@
     pub verdict: LoadVerdict,
 }
 
+/// A topic of the store whose records instances pass on.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum NewsTopic {
+    /// Configuration and adapter versions.
+    Operator,
+    /// Entries of upstreams.
+    Upstreams,
+}
+
+/// A record of the store.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct NewsRecord {
+    /// Its key.
+    pub key: String,
+    /// Its offset in the topic.
+    pub offset: u64,
+    /// Its value.
+    pub value: Vec<u8>,
+}
+
+/// Records of a topic.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TopicNews {
+    /// The topic.
+    pub topic: NewsTopic,
+    /// The newest record of each key.
+    pub records: Vec<NewsRecord>,
+}
+
+/// Asks for all records of a topic.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct NewsAsk {
+    /// The topic.
+    pub topic: NewsTopic,
+    /// Where the records are expected.
+    pub reply_to: net::SocketAddr,
+}
+
 /// A datagram between instances.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum FleetMessage {
@@ -184,6 +224,10 @@
     Ask(LoadAsk),
     /// The answer.
     Reply(LoadReply),
+    /// Records of the store.
+    News(TopicNews),
+    /// A question for such records.
+    NewsAsk(NewsAsk),
 }
 
 impl FleetMessage {
--- a/coltsfootd/src/event.rs
+++ b/coltsfootd/src/event.rs
@@ -65,6 +65,8 @@
     UPSTREAM_GONE = 213, "upstream_gone", Info;
     /// An entry can't be understood.
     ENTRY_REJECTED = 214, "entry_rejected", Warn;
+    /// Others know more of the store, and one of them is asked.
+    NEWS_ASKED = 215, "news_asked", Info;
     /// An instance joined or left the zone's view.
     VIEW_CHANGED = 300, "view_changed", Info;
     /// A peer can't be reached.
--- a/coltsfootd/src/gateway/engines.rs
+++ b/coltsfootd/src/gateway/engines.rs
@@ -226,7 +226,7 @@
     let may_order = state.order_fence(partition).is_some();
     let own = state.desks.fetching(now);
     let view = state.view();
-    let may_fetch = engine_order::may_fetch(own, view.fetching());
+    let may_fetch = view.fetch_load(view.fetching()).may_fetch(own);
     let leave = engine_order::OrderLeave { may_order, may_fetch };
     let upstream = view.upstream(id)?;
     let mut slots = state::lock(&state.desks.slots);
@@ -286,7 +286,8 @@
         let mut slots = state::lock(&state.desks.slots);
         if let Some(slot) = slots.get_mut(id) {
             let newest = |key| view.newest_version(key);
-            slot.desk.order_ended(now, &order, answer, view.fetching(), newest);
+            let fetches = view.fetch_load(view.fetching());
+            slot.desk.order_ended(now, &order, answer, fetches, newest);
         }
     }
     if !matches!(answer, engine_order::OrderAnswer::Accepted | engine_order::OrderAnswer::Holds) {
--- a/coltsfootd/src/gateway/fleet.rs
+++ b/coltsfootd/src/gateway/fleet.rs
@@ -5,24 +5,22 @@
 use std::sync::atomic;
 use std::time;
 
-use coltsfoot_gateway::{demand, fleet_view};
+use coltsfoot_gateway::{beat_plan, demand, fleet_view};
 use coltsfoot_types::time as instant;
 use coltsfoot_wire::fleet as wire;
 use rustc_hash::FxHashMap;
 
 use crate::event;
-use crate::gateway::{engines, state};
+use crate::gateway::{engines, news, state};
 
-/// Time between beats.
-const BEAT_INTERVAL: time::Duration = time::Duration::from_millis(150);
 /// Beats after which the engines owned are told again.
 const ENGINES_EVERY: u64 = 4;
 /// Time between beats to an instance that was not heard from.
 const SEARCH_INTERVAL: time::Duration = time::Duration::from_millis(1000);
 /// Topic in which instances tell where they receive messages.
 const INSTANCE_TOPIC: &str = "keyed.coltsfoot-instances";
-/// Time between reads of that topic.
-const FIND_INTERVAL: time::Duration = time::Duration::from_secs(5);
+/// Time between reads of that topic. An instance that starts reads it and tells the others of itself.
+const FIND_INTERVAL: time::Duration = time::Duration::from_secs(20);
 /// Time between tries while the store is unavailable.
 const FIND_RETRY: time::Duration = time::Duration::from_millis(700);
 /// Longest datagram, in bytes.
@@ -59,31 +57,83 @@
     send(state, address, &wire::FleetMessage::Reply(wire::LoadReply { ask, verdict }));
 }
 
-/// Tells all instances at once what the owned engines hold.
+/// Tells the others what the owned engines hold: at once in a small fleet, with the next beats in a
+/// large one.
 pub(crate) fn publish_engines(state: &state::GatewayState) {
     let engines = state.desks.owned(state);
     let now = state.now();
-    {
+    let plan = {
         let mut view = state.view();
         for engine in &engines {
             view.take_own_engine(now, engine);
         }
+        view.beat_plan(&state.settings.zone)
+    };
+    if plan.is_prompt() {
+        BeatRound::whole(plan, Some(engines)).send(state);
+    } else {
+        state.engines_changed.store(true, atomic::Ordering::Relaxed);
     }
-    send_beat(state, Some(engines), None);
 }
 
 /// Tells all instances at once that this one has read something new.
 pub(crate) fn publish_reading(state: &state::GatewayState) {
-    send_beat(state, None, None);
+    let plan = state.view().beat_plan(&state.settings.zone);
+    BeatRound::whole(plan, None).send(state);
+}
+
+/// The beats that are sent at one time.
+struct BeatRound {
+    plan: beat_plan::BeatPlan,
+    /// Whether the instances of the same zone get one.
+    is_near: bool,
+    /// Whether those of other zones get one.
+    is_far: bool,
+    engines: Option<Vec<wire::OwnedEngine>>,
+}
+
+impl BeatRound {
+    fn whole(plan: beat_plan::BeatPlan, engines: Option<Vec<wire::OwnedEngine>>) -> Self {
+        Self { plan, is_near: true, is_far: true, engines }
+    }
+
+    fn send(self, state: &state::GatewayState) {
+        let mut beat = build_beat(state, self.engines, self.is_far);
+        let own_zone = &state.settings.zone;
+        let peers: Vec<(bool, net::SocketAddr)> = {
+            let view = state.view();
+            view.peers().map(|(_, peer)| (peer.zone == *own_zone, peer.address)).collect()
+        };
+        for (is_near, interval) in [(true, self.plan.near), (false, self.plan.far)] {
+            if if is_near { self.is_near } else { self.is_far } {
+                let addresses = peers.iter().filter(|(near, _)| *near == is_near);
+                send_beat(state, &mut beat, interval, addresses.map(|(_, address)| *address));
+            }
+        }
+    }
 }
 
 fn send_beat(
     state: &state::GatewayState,
-    engines: Option<Vec<wire::OwnedEngine>>,
-    searched: Option<&mut FxHashMap<net::SocketAddr, instant::MonotonicTime>>,
+    beat: &mut wire::FleetBeat,
+    interval: time::Duration,
+    addresses: impl Iterator<Item = net::SocketAddr>,
 ) {
+    beat.interval_ms = u32::try_from(interval.as_millis()).unwrap_or(u32::MAX);
+    let message = wire::FleetMessage::Beat(beat.clone());
+    match message.encode() {
+        Ok(bytes) => addresses.for_each(|address| send_bytes(state, address, &bytes)),
+        Err(error) => log::error!(event = event::PEER_UNREACHABLE.number; "not encoded: {error}"),
+    }
+}
+
+/// Builds a beat. Uses of adapters that ended are told until `forget_uses`.
+fn build_beat(
+    state: &state::GatewayState,
+    engines: Option<Vec<wire::OwnedEngine>>,
+    forget_uses: bool,
+) -> wire::FleetBeat {
     let now = state.now();
-    let own_address = state.settings.fleet_address();
     let quotas = state::lock(&state.quota)
         .totals()
         .map(|(customer, total)| wire::CustomerUse {
@@ -96,16 +146,21 @@
         let lease = state.lease();
         (lease.renewed(), lease.partitions().collect())
     };
-    let (operator, upstreams) = (state.operator_reading(), state.upstream_reading());
+    let operator = state.told_reading(state.own_operator());
+    let upstreams = state.told_reading(state.own_upstreams());
     let fetching = state.desks.fetching(now);
     let to_fetch = state.desks.waiting_fetches();
-    let mut view = state.view();
-    let uses = view.take_uses();
-    let beat = wire::FleetBeat {
+    let (uses, work) = {
+        let mut view = state.view();
+        (view.uses(forget_uses), view.local_work())
+    };
+    state.desks.touch(now, &uses);
+    wire::FleetBeat {
         sender: state.incarnation,
-        address: own_address,
+        address: state.settings.fleet_address(),
         zone: state.settings.zone.to_string(),
         sequence: SEQUENCE.fetch_add(1, atomic::Ordering::Relaxed),
+        interval_ms: 0,
         is_leaving: state.is_stopping(),
         rules_version,
         operator,
@@ -114,47 +169,92 @@
         partitions,
         fetching: u16::try_from(fetching).unwrap_or(u16::MAX),
         to_fetch: u16::try_from(to_fetch).unwrap_or(u16::MAX),
-        work: view.local_work(),
+        work,
         uses,
         engines,
         quotas,
-    };
-    let mut addresses: Vec<net::SocketAddr> = view.peers().map(|(_, peer)| peer.address).collect();
-    drop(view);
-    state.desks.touch(now, &beat.uses);
-    if let Some(searched) = searched {
-        for address in state::lock(&state.peer_addresses).iter() {
-            let sent = searched.get(address);
-            let is_due = sent.is_none_or(|sent| now.since(*sent) >= SEARCH_INTERVAL);
-            if is_due && !addresses.contains(address) {
-                searched.insert(*address, now);
-                addresses.push(*address);
-            }
-        }
     }
-    if let Ok(bytes) = wire::FleetMessage::Beat(beat).encode() {
-        for address in addresses.into_iter().filter(|address| *address != own_address) {
-            send_bytes(state, address, &bytes);
+}
+
+/// Sends beats to machines that are known from the store but not heard from.
+fn search_peers(
+    state: &state::GatewayState,
+    searched: &mut FxHashMap<net::SocketAddr, instant::MonotonicTime>,
+) {
+    let now = state.now();
+    let own_address = state.settings.fleet_address();
+    let heard: Vec<net::SocketAddr> =
+        state.view().peers().map(|(_, peer)| peer.address).chain([own_address]).collect();
+    let mut due = Vec::new();
+    for address in state::lock(&state.peer_addresses).iter() {
+        let sent = searched.get(address);
+        let is_due = sent.is_none_or(|sent| now.since(*sent) >= SEARCH_INTERVAL);
+        if is_due && !heard.contains(address) {
+            searched.insert(*address, now);
+            due.push(*address);
         }
     }
+    if !due.is_empty() {
+        let mut beat = build_beat(state, None, false);
+        send_beat(state, &mut beat, SEARCH_INTERVAL, due.into_iter());
+    }
 }
 
 /// Sends beats for as long as the process runs.
 pub(crate) async fn send_beats(state: sync::Arc<state::GatewayState>) {
     let mut searched = FxHashMap::default();
-    for round in 0_u64.. {
-        async_io::Timer::after(BEAT_INTERVAL).await;
+    let mut near = BeatTimer::default();
+    let mut far = BeatTimer::default();
+    loop {
+        async_io::Timer::after(beat_plan::SHORTEST_INTERVAL).await;
         state.extend_lease();
-        let engines = round.is_multiple_of(ENGINES_EVERY).then(|| state.desks.owned(&state));
         let now = state.now();
-        if let Some(engines) = &engines {
+        let plan = {
             let mut view = state.view();
-            for engine in engines {
+            view.expire(now);
+            view.beat_plan(&state.settings.zone)
+        };
+        if state.engines_changed.swap(false, atomic::Ordering::Relaxed) {
+            near.tell_engines = true;
+            far.tell_engines = true;
+        }
+        let (is_near, near_engines) = near.take_due(now, plan.near);
+        let (is_far, far_engines) = far.take_due(now, plan.far);
+        if is_near || is_far {
+            let engines = (near_engines || far_engines).then(|| state.desks.owned(&state));
+            let mut view = state.view();
+            for engine in engines.iter().flatten() {
                 view.take_own_engine(now, engine);
             }
-            view.expire(now);
+            drop(view);
+            BeatRound { plan, is_near, is_far, engines }.send(&state);
+        }
+        search_peers(&state, &mut searched);
+    }
+}
+
+/// When beats of one kind were sent.
+#[derive(Default)]
+struct BeatTimer {
+    sent: Option<instant::MonotonicTime>,
+    beats: u64,
+    /// Whether the engines owned have changed since they were told.
+    tell_engines: bool,
+}
+
+impl BeatTimer {
+    /// Returns whether a beat is due, and whether it tells of the engines; notes that it is sent.
+    fn take_due(&mut self, now: instant::MonotonicTime, interval: time::Duration) -> (bool, bool) {
+        // The timer's resolution is that of the shortest interval.
+        let is_early = |sent| now.since(sent) + beat_plan::SHORTEST_INTERVAL / 2 < interval;
+        if self.sent.is_some_and(is_early) {
+            return (false, false);
         }
-        send_beat(&state, engines, Some(&mut searched));
+        self.sent = Some(now);
+        let has_engines = self.tell_engines || self.beats.is_multiple_of(ENGINES_EVERY);
+        self.beats += 1;
+        self.tell_engines = false;
+        (true, has_engines)
     }
 }
 
@@ -173,6 +273,8 @@
             Ok(wire::FleetMessage::Beat(beat)) => take_beat(&state, &beat),
             Ok(wire::FleetMessage::Ask(ask)) => take_ask(&state, &ask),
             Ok(wire::FleetMessage::Reply(reply)) => state.loads.settle(reply.ask, reply.verdict),
+            Ok(wire::FleetMessage::News(records)) => news::take(&state, records),
+            Ok(wire::FleetMessage::NewsAsk(ask)) => news::answer(&state, &ask),
             Err(error) => log::warn!(
                 event = event::PEER_MESSAGE_REFUSED.number; "peer_message_refused: {error}"
             ),
@@ -192,7 +294,8 @@
         log::info!(
             event = event::PEER_FOUND.number, address = beat.address.to_string(); "peer_found"
         );
-        publish_engines(state);
+        let mut answer = build_beat(state, Some(state.desks.owned(state)), false);
+        send_beat(state, &mut answer, SEARCH_INTERVAL, [beat.address].into_iter());
     }
 }
 
--- a/coltsfootd/src/gateway/follower.rs
+++ b/coltsfootd/src/gateway/follower.rs
@@ -10,7 +10,7 @@
 use site_platform::{entry, rules, store};
 
 use crate::event;
-use crate::gateway::{fleet, state};
+use crate::gateway::{fleet, news, state};
 
 /// Time that a read of the operator's records waits for news.
 const OPERATOR_WAIT: time::Duration = time::Duration::from_millis(1000);
@@ -93,7 +93,7 @@
 /// a reader knows something else or none is heard.
 async fn wait_for_need(
     state: &state::GatewayState,
-    own: impl Fn(&state::GatewayState) -> wire::TopicReading,
+    own: impl Fn(&state::GatewayState) -> reader_choice::OwnReading,
     topic: impl Fn(&fleet_view::PeerSlot) -> wire::TopicReading + Copy,
 ) {
     loop {
@@ -102,7 +102,7 @@
         if reader_choice::is_reader(now, state.incarnation, &peers) {
             return;
         }
-        let need = reader_choice::read_need(now, own(state).digest, &peers);
+        let need = reader_choice::read_need(now, own(state), &peers);
         if need != reader_choice::ReadNeed::Confirmed {
             return;
         }
@@ -116,18 +116,22 @@
     loop {
         let is_known = follower.next.is_some();
         if is_known {
-            let own = state::GatewayState::operator_reading;
+            let own = state::GatewayState::own_operator;
             wait_for_need(&state, own, |peer| peer.operator).await;
         }
         let begun = state.now();
-        if let Some(TopicNews::Whole(records) | TopicNews::Further(records)) =
-            follower.poll(&state.store).await
-        {
+        let news = follower.poll(&state.store).await;
+        let is_whole = matches!(news, Some(TopicNews::Whole(_)));
+        if let Some(TopicNews::Whole(records) | TopicNews::Further(records)) = news {
             *state::lock(&state.operator_read) = Some(state.now());
             for record in &records {
                 apply_operator(&state, record);
             }
+            news::keep(&state, wire::NewsTopic::Operator, &records, is_whole);
             if !records.is_empty() {
+                if is_known {
+                    news::push(&state, wire::NewsTopic::Operator, &records);
+                }
                 fleet::publish_reading(&state);
             }
         }
@@ -137,7 +141,8 @@
     }
 }
 
-fn apply_operator(state: &state::GatewayState, record: &store::KeyedRecord) {
+/// Takes a record of the operator.
+pub(crate) fn apply_operator(state: &state::GatewayState, record: &store::KeyedRecord) {
     let Some(value) = &record.value else { return };
     if record.key == rules::RULES_KEY {
         match rules::decode_rules(value) {
@@ -184,7 +189,7 @@
     let mut returned_at: Option<instant::MonotonicTime> = None;
     loop {
         if follower.next.is_some() && lapsed.is_empty() && lost_at.is_none() {
-            let own = state::GatewayState::upstream_reading;
+            let own = state::GatewayState::own_upstreams;
             wait_for_need(&state, own, |peer| peer.upstreams).await;
         }
         let news = follower.poll(&state.store).await;
@@ -200,10 +205,12 @@
         let removal = grace_end.filter(|end| *end > now).unwrap_or(now);
         match news {
             Some(TopicNews::Whole(records)) => {
+                news::keep(&state, wire::NewsTopic::Upstreams, &records, true);
                 lapse_missing(&state, &records, removal, &mut lapsed);
                 apply_entries(&state, records, removal, &mut lapsed);
             }
             Some(TopicNews::Further(records)) => {
+                news::keep(&state, wire::NewsTopic::Upstreams, &records, false);
                 apply_entries(&state, records, removal, &mut lapsed);
             }
             None => continue,
@@ -240,26 +247,39 @@
     lapsed: &mut FxHashMap<String, instant::MonotonicTime>,
 ) {
     for record in records {
-        let Some(value) = &record.value else {
-            lapsed.entry(record.key).or_insert(removal);
-            continue;
-        };
-        match entry::decode_entry(&record.key, value) {
-            Ok(entry) => {
+        match decode_entry(&record) {
+            Some(entry) => {
                 lapsed.remove(&record.key);
                 put_entry(state, entry);
             }
-            Err(error) => {
-                log::warn!(
-                    event = event::ENTRY_REJECTED.number, upstream = record.key.as_str(),
-                    offset = record.offset; "entry_rejected: {error}"
-                );
+            None => {
                 lapsed.entry(record.key).or_insert(removal);
             }
         }
     }
 }
 
+/// Decodes an upstream's entry; `None` if it was withdrawn or is not one.
+fn decode_entry(record: &store::KeyedRecord) -> Option<upstream::UpstreamEntry> {
+    let value = record.value.as_ref()?;
+    let decoded = entry::decode_entry(&record.key, value);
+    if let Err(error) = &decoded {
+        log::warn!(
+            event = event::ENTRY_REJECTED.number, upstream = record.key.as_str(),
+            offset = record.offset; "entry_rejected: {error}"
+        );
+    }
+    decoded.ok()
+}
+
+/// Takes an upstream's entry that another instance passed on. Entries that are withdrawn are left to
+/// those who read the store, where they may come back.
+pub(crate) fn put_record(state: &state::GatewayState, record: &store::KeyedRecord) {
+    if let Some(entry) = decode_entry(record) {
+        put_entry(state, entry);
+    }
+}
+
 fn put_entry(state: &state::GatewayState, entry: upstream::UpstreamEntry) {
     let (id, address) = (entry.id.to_string(), entry.address);
     let is_ready = entry.state == upstream::UpstreamState::Ready;
--- a/coltsfootd/src/gateway/forwarding.rs
+++ b/coltsfootd/src/gateway/forwarding.rs
@@ -86,10 +86,6 @@
 
     async fn run(&mut self) -> exchange::Outcome {
         self.state.deposit_retry(&self.admitted.service.name);
-        let demand = self.admitted.demand.as_ref();
-        if let Some(adapter) = demand.and_then(|demand| demand.adapter.as_ref()) {
-            self.state.view().adapter_asked(self.state.now(), adapter.key());
-        }
         loop {
             let chosen = match self.place().await {
                 Ok(chosen) => chosen,
--- a/coltsfootd/src/gateway/lease.rs
+++ b/coltsfootd/src/gateway/lease.rs
@@ -16,6 +16,9 @@
 pub(crate) const VALIDITY: time::Duration = time::Duration::from_millis(1300);
 /// Time between renewals: three within the validity.
 const RENEW_INTERVAL: time::Duration = time::Duration::from_millis(400);
+/// Time between renewals without any partition: three within the lifetime, and less than the age from
+/// which on others take the store to be out for this instance.
+const IDLE_RENEW_INTERVAL: time::Duration = time::Duration::from_millis(700);
 /// Partitions settled after a renewal at most, each with a call or two.
 const MAX_SETTLE_ROUNDS: usize = 24;
 
@@ -52,8 +55,8 @@
         partition.to_string()
     }
 }
-/// A pause of this task that is longer means that the instance stood still.
-const STANDSTILL: time::Duration = time::Duration::from_millis(900);
+/// Time by which this task wakes too late if the instance stood still.
+const STANDSTILL: time::Duration = time::Duration::from_millis(500);
 
 /// Renews the lease and starts a task for each engine owned.
 pub(crate) async fn keep(state: sync::Arc<state::GatewayState>) {
@@ -88,8 +91,10 @@
             continue;
         }
         let before = state.now();
-        async_io::Timer::after(RENEW_INTERVAL).await;
-        if state.now().since(before) > STANDSTILL {
+        let is_idle = is_reachable && state.lease().partitions().next().is_none();
+        let pause = if is_idle { IDLE_RENEW_INTERVAL } else { RENEW_INTERVAL };
+        async_io::Timer::after(pause).await;
+        if state.now().since(before) > pause + STANDSTILL {
             let now = state.now();
             state.lease().pause(now);
             log::warn!(event = event::STOOD_STILL.number; "stood_still: no orders for a moment");
--- a/coltsfootd/src/gateway/mod.rs
+++ b/coltsfootd/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 mod lease;
 mod loads;
 mod metrics;
+mod news;
 mod relay;
 mod reload;
 mod request_log;
--- a/coltsfootd/src/gateway/run.rs
+++ b/coltsfootd/src/gateway/run.rs
@@ -12,7 +12,9 @@
 use coltsfoot_http::pool;
 use site_platform::{settings, store};
 
-use crate::gateway::{callers, engines, fleet, follower, lease, loads, metrics, reload, state};
+use crate::gateway::{
+    callers, engines, fleet, follower, lease, loads, metrics, news, reload, state,
+};
 use crate::{clock, event, metrics as registry};
 
 /// Time that the balancer gets to notice that the instance isn't ready any more: two missed checks
@@ -118,6 +120,7 @@
     executor.spawn(follower::follow_upstreams(sync::Arc::clone(&state))).detach();
     executor.spawn(fleet::receive(sync::Arc::clone(&state))).detach();
     executor.spawn(fleet::send_beats(sync::Arc::clone(&state))).detach();
+    executor.spawn(news::ask_when_behind(sync::Arc::clone(&state))).detach();
     executor.spawn(fleet::find_peers(sync::Arc::clone(&state))).detach();
     executor.spawn(lease::keep(sync::Arc::clone(&state))).detach();
     executor.spawn(engines::watch_untold(sync::Arc::clone(&state))).detach();
@@ -201,6 +204,9 @@
         fleet_socket,
         operator_read: sync::Mutex::default(),
         upstreams_read: sync::Mutex::default(),
+        operator_records: sync::Mutex::default(),
+        upstream_records: sync::Mutex::default(),
+        engines_changed: atomic::AtomicBool::new(false),
         peer_addresses: sync::Mutex::default(),
         active_requests: atomic::AtomicUsize::new(0),
         is_stopping: atomic::AtomicBool::new(false),
--- a/coltsfootd/src/gateway/state.rs
+++ b/coltsfootd/src/gateway/state.rs
@@ -4,7 +4,9 @@
 use std::sync;
 use std::sync::atomic;
 
-use coltsfoot_gateway::{fleet_view, order_lease, quota_ledger, rendezvous, route_table, rules};
+use coltsfoot_gateway::{
+    fleet_view, order_lease, quota_ledger, reader_choice, rendezvous, route_table, rules,
+};
 use coltsfoot_http::pool;
 use coltsfoot_once::retry_budget;
 use coltsfoot_types::time as instant;
@@ -12,7 +14,7 @@
 use rustc_hash::FxHashMap;
 use site_platform::{settings, store};
 
-use crate::gateway::{engines, loads, metrics};
+use crate::gateway::{engines, loads, metrics, news};
 use crate::{clock, event};
 
 /// Part of the promised retries that is used, so that instances that miss each other stay within.
@@ -43,6 +45,11 @@
     /// When the operator's records and the upstreams' entries were read last.
     pub operator_read: sync::Mutex<Option<instant::MonotonicTime>>,
     pub upstreams_read: sync::Mutex<Option<instant::MonotonicTime>>,
+    /// What was read of the store, to pass it on.
+    pub operator_records: sync::Mutex<news::KnownRecords>,
+    pub upstream_records: sync::Mutex<news::KnownRecords>,
+    /// Whether the engines owned have changed since the last beats.
+    pub engines_changed: atomic::AtomicBool,
     pub peer_addresses: sync::Mutex<Vec<net::SocketAddr>>,
     pub active_requests: atomic::AtomicUsize,
     pub is_stopping: atomic::AtomicBool,
@@ -56,6 +63,14 @@
         self.clock.now()
     }
 
+    /// Returns the records that are known of a topic.
+    pub fn known_records(&self, topic: fleet::NewsTopic) -> &sync::Mutex<news::KnownRecords> {
+        match topic {
+            fleet::NewsTopic::Operator => &self.operator_records,
+            fleet::NewsTopic::Upstreams => &self.upstream_records,
+        }
+    }
+
     /// Locks what is known of the fleet.
     pub fn view(&self) -> sync::MutexGuard<'_, fleet_view::FleetView> {
         lock(&self.view)
@@ -127,22 +142,23 @@
     }
 
     /// Returns what this instance knows of the operator's records.
-    pub fn operator_reading(&self) -> fleet::TopicReading {
+    pub fn own_operator(&self) -> reader_choice::OwnReading {
         let version = self.routes.load().as_ref().map_or(0, |routes| routes.rules().version);
         let digest = self.view().version_digest().wrapping_add(rendezvous::hash_of(&version));
-        fleet::TopicReading { age_ms: self.read_age_ms(&self.operator_read), digest }
+        reader_choice::OwnReading { digest, read_at: *lock(&self.operator_read) }
     }
 
     /// Returns what this instance knows of the upstreams' entries.
-    pub fn upstream_reading(&self) -> fleet::TopicReading {
+    pub fn own_upstreams(&self) -> reader_choice::OwnReading {
         let digest = self.view().upstream_digest();
-        fleet::TopicReading { age_ms: self.read_age_ms(&self.upstreams_read), digest }
+        reader_choice::OwnReading { digest, read_at: *lock(&self.upstreams_read) }
     }
 
-    fn read_age_ms(&self, read: &sync::Mutex<Option<instant::MonotonicTime>>) -> u32 {
-        let read = *lock(read);
-        let age = read.map(|read| self.now().since(read).as_millis());
-        age.and_then(|age| u32::try_from(age).ok()).unwrap_or(u32::MAX)
+    /// Returns a reading as it is told to other instances.
+    pub fn told_reading(&self, own: reader_choice::OwnReading) -> fleet::TopicReading {
+        let age = own.read_at.map(|read| self.now().since(read).as_millis());
+        let age_ms = age.and_then(|age| u32::try_from(age).ok()).unwrap_or(u32::MAX);
+        fleet::TopicReading { age_ms, digest: own.digest }
     }
 
     /// Puts a configuration in force unless a newer one is.
