--- /dev/null
+++ b/coltsfoot-gateway/src/engine_desk/reports.rs
@@ -0,0 +1,90 @@
+//! What an engine's reports, and requests that found an adapter missing, tell of what it holds.
+
+use coltsfoot_types::time as clock;
+
+use crate::engine_desk::{
+    COLD_LOAD, EngineDesk, LATE_LOAD_STEP, LONGEST_LOAD, PlacedAdapter, REPORT_INTERVAL, REPORT_LAG,
+};
+use crate::{demand, upstream};
+
+impl<A: Clone + PartialEq> EngineDesk<A> {
+    /// Takes a report; `None` if none came.
+    pub fn report_ended(
+        &mut self,
+        now: clock::MonotonicTime,
+        report: Option<&upstream::EngineReport>,
+    ) {
+        let Some(report) = report else {
+            self.next_report = now + REPORT_LAG;
+            return;
+        };
+        self.next_report = now + REPORT_INTERVAL;
+        if self.order_count.is_some_and(|count| report.order_count < count) {
+            // The report is older than the last orders.
+            return;
+        }
+        let is_same = self.order_count == Some(report.order_count);
+        self.order_count = Some(report.order_count);
+        self.has_model = report.models.contains(&self.model);
+        if self.has_model || !report.is_busy {
+            self.model_ready_at = None;
+        }
+        if is_same {
+            self.take_versions(now, report);
+        } else {
+            self.take_residents(now, report);
+        }
+    }
+
+    /// Takes the versions of adapters that were ordered without naming one.
+    fn take_versions(&mut self, now: clock::MonotonicTime, report: &upstream::EngineReport) {
+        for held in &report.adapters {
+            if let Some(placed) = self.placed.get_mut(&held.name.key())
+                && now >= placed.ready_at
+            {
+                placed.version = held.version.max(placed.version);
+            }
+        }
+    }
+
+    fn take_residents(&mut self, now: clock::MonotonicTime, report: &upstream::EngineReport) {
+        self.has_changed = true;
+        let before = std::mem::take(&mut self.placed);
+        self.leaving = None;
+        let ready = report.adapters.iter().map(|held| (held, now));
+        let pending = report.pending.iter().map(|held| (held, now + COLD_LOAD));
+        for (held, ready_at) in pending.chain(ready) {
+            let key = held.name.key();
+            let last_used = before.get(&key).map_or(now, |placed| placed.last_used);
+            let name = held.name.clone();
+            let version = held.version;
+            let (ordered, is_fetched) = (now, false);
+            let placed = PlacedAdapter {
+                name,
+                version,
+                ordered,
+                ready_at,
+                is_fetched,
+                promised_until: ready_at,
+                last_used,
+            };
+            self.placed.insert(key, placed);
+            self.remember_warm(key);
+        }
+    }
+
+    /// Notes that a request found an adapter missing that should have been ready: its load takes
+    /// longer, or the engine holds something else than is known.
+    pub fn found_missing(&mut self, now: clock::MonotonicTime, key: demand::AdapterKey) {
+        let Some(placed) = self.placed.get_mut(&key) else { return };
+        if now < placed.ready_at {
+            return;
+        }
+        if now.since(placed.ordered) < LONGEST_LOAD {
+            placed.ready_at = now + LATE_LOAD_STEP;
+        } else if self.order_count.is_some() {
+            self.resync(now);
+        }
+        self.has_changed = true;
+    }
+}
--- a/coltsfoot-gateway/src/fleet_view.rs
+++ b/coltsfoot-gateway/src/fleet_view.rs
@@ -8,8 +8,8 @@
 use rustc_hash::FxHashMap;
 
 use crate::{
-    beat_plan, demand, engine_desk, engine_order, order_lease, reader_choice, rendezvous, upstream,
-    upstream_slot,
+    beat_plan, demand, engine_desk, engine_order, order_lease, peer_slot, reader_choice,
+    rendezvous, upstream, upstream_slot,
 };
 
 /// Upstreams of a zone to which connections failed, from which on the zone is suspected.
@@ -45,40 +45,11 @@
     pub learned: clock::MonotonicTime,
 }
 
-/// Another instance.
-#[derive(Clone, Debug)]
-pub struct PeerSlot {
-    /// Where it receives messages.
-    pub address: std::net::SocketAddr,
-    /// Its availability zone.
-    pub zone: sync::Arc<str>,
-    /// When it was heard last.
-    pub heard: clock::MonotonicTime,
-    /// Sequence number of its last beat.
-    pub sequence: u64,
-    /// Version of its configuration.
-    pub rules_version: u64,
-    /// Time between its beats.
-    pub interval: time::Duration,
-    /// Whether it is about to stop.
-    pub is_leaving: bool,
-    /// What it knows of the operator's records.
-    pub operator: fleet::TopicReading,
-    /// What it knows of the upstreams' entries.
-    pub upstreams: fleet::TopicReading,
-    /// What it told of its lease.
-    pub witness: order_lease::LeaseWitness,
-    /// Adapters that its engines fetch from the weight store.
-    pub fetching: u32,
-    /// Adapters that they are to fetch once the weight store has room.
-    pub to_fetch: u32,
-}
-
 /// Upstreams, instances and adapter versions.
 #[derive(Clone, Debug, Default)]
 pub struct FleetView {
     upstreams: FxHashMap<sync::Arc<str>, upstream_slot::UpstreamSlot>,
-    peers: FxHashMap<u64, PeerSlot>,
+    peers: FxHashMap<u64, peer_slot::PeerSlot>,
     versions: FxHashMap<demand::AdapterKey, NamedVersion>,
 }
 
@@ -307,40 +278,10 @@
     /// Takes the beat of another instance. Returns whether the instance was not known.
     pub fn take_beat(&mut self, now: clock::MonotonicTime, beat: &fleet::FleetBeat) -> bool {
         let is_new = !self.peers.contains_key(&beat.sender);
-        let peer = self.peers.entry(beat.sender).or_insert_with(|| PeerSlot {
-            address: beat.address,
-            zone: beat.zone.as_str().into(),
-            heard: now,
-            sequence: 0,
-            interval: time::Duration::ZERO,
-            rules_version: 0,
-            is_leaving: false,
-            operator: beat.operator,
-            upstreams: beat.upstreams,
-            witness: order_lease::LeaseWitness {
-                heard: now,
-                store_age: time::Duration::ZERO,
-                partitions: Vec::new(),
-            },
-            fetching: 0,
-            to_fetch: 0,
-        });
-        if !is_new && beat.sequence <= peer.sequence {
+        let peer = self.peers.entry(beat.sender);
+        if !peer.or_insert_with(|| peer_slot::PeerSlot::new(now, beat)).take_beat(now, beat) {
             return false;
         }
-        peer.heard = now;
-        peer.sequence = beat.sequence;
-        peer.interval = time::Duration::from_millis(u64::from(beat.interval_ms));
-        peer.rules_version = beat.rules_version;
-        peer.is_leaving = beat.is_leaving;
-        (peer.operator, peer.upstreams) = (beat.operator, beat.upstreams);
-        peer.fetching = u32::from(beat.fetching);
-        peer.to_fetch = u32::from(beat.to_fetch);
-        peer.witness = order_lease::LeaseWitness {
-            heard: now,
-            store_age: time::Duration::from_millis(u64::from(beat.store_age_ms)),
-            partitions: beat.partitions.clone(),
-        };
         self.take_work(now, beat);
         is_new
     }
@@ -377,10 +318,9 @@
     /// Takes what an owner tells of one engine. Returns whether the owner is known and this is news.
     pub fn take_change(&mut self, now: clock::MonotonicTime, change: &fleet::EngineChange) -> bool {
         let Some(peer) = self.peers.get_mut(&change.sender) else { return false };
-        if change.sequence <= peer.sequence {
+        if !peer.take_sequence(change.sequence) {
             return false;
         }
-        peer.sequence = change.sequence;
         let number = change.engine.upstream;
         if let Some(slot) = self.upstreams.values_mut().find(|slot| slot.number == number) {
             slot.take_residency(now, Some(change.sender), &change.engine);
@@ -407,14 +347,19 @@
     }
 
     /// Returns the other instances.
-    pub fn peers(&self) -> impl Iterator<Item = (u64, &PeerSlot)> {
+    pub fn peers(&self) -> impl Iterator<Item = (u64, &peer_slot::PeerSlot)> {
         self.peers.iter().map(|(id, peer)| (*id, peer))
     }
 
+    /// Returns where the other instances receive messages.
+    pub fn peer_addresses(&self) -> Vec<std::net::SocketAddr> {
+        self.peers.values().map(|peer| peer.address).collect()
+    }
+
     /// Returns what the other instances told of a topic.
     pub fn readings(
         &self,
-        topic: impl Fn(&PeerSlot) -> fleet::TopicReading,
+        topic: impl Fn(&peer_slot::PeerSlot) -> fleet::TopicReading,
     ) -> Vec<reader_choice::PeerReading> {
         let peers = self.peers.iter().filter(|(_, peer)| !peer.is_leaving);
         peers
@@ -497,7 +442,7 @@
     }
 
     /// Returns another instance.
-    pub fn peer(&self, id: u64) -> Option<&PeerSlot> {
+    pub fn peer(&self, id: u64) -> Option<&peer_slot::PeerSlot> {
         self.peers.get(&id)
     }
 
--- a/coltsfoot-gateway/src/lib.rs
+++ b/coltsfoot-gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod event_stream;
 pub mod fleet_view;
 pub mod order_lease;
+pub mod peer_slot;
 pub mod place_search;
 pub mod quota_ledger;
 pub mod reader_choice;
--- /dev/null
+++ b/coltsfoot-gateway/src/peer_slot.rs
@@ -0,0 +1,89 @@
+//! What an instance knows of another one.
+
+use std::sync;
+use std::time;
+
+use coltsfoot_types::time as clock;
+use coltsfoot_wire::fleet;
+
+use crate::order_lease;
+
+/// Another instance.
+#[derive(Clone, Debug)]
+pub struct PeerSlot {
+    /// Where it receives messages.
+    pub address: std::net::SocketAddr,
+    /// Its availability zone.
+    pub zone: sync::Arc<str>,
+    /// When it was heard last.
+    pub heard: clock::MonotonicTime,
+    /// Sequence number of its last beat.
+    pub sequence: u64,
+    /// Version of its configuration.
+    pub rules_version: u64,
+    /// Time between its beats.
+    pub interval: time::Duration,
+    /// Whether it is about to stop.
+    pub is_leaving: bool,
+    /// What it knows of the operator's records.
+    pub operator: fleet::TopicReading,
+    /// What it knows of the upstreams' entries.
+    pub upstreams: fleet::TopicReading,
+    /// What it told of its lease.
+    pub witness: order_lease::LeaseWitness,
+    /// Adapters that its engines fetch from the weight store.
+    pub fetching: u32,
+    /// Adapters that they are to fetch once the weight store has room.
+    pub to_fetch: u32,
+}
+
+impl PeerSlot {
+    /// Creates a slot for an instance that was not known; nothing of its beat is taken yet.
+    pub(crate) fn new(now: clock::MonotonicTime, beat: &fleet::FleetBeat) -> Self {
+        Self {
+            address: beat.address,
+            zone: beat.zone.as_str().into(),
+            heard: now,
+            sequence: 0,
+            interval: time::Duration::ZERO,
+            rules_version: 0,
+            is_leaving: false,
+            operator: beat.operator,
+            upstreams: beat.upstreams,
+            witness: order_lease::LeaseWitness {
+                heard: now,
+                store_age: time::Duration::ZERO,
+                partitions: Vec::new(),
+            },
+            fetching: 0,
+            to_fetch: 0,
+        }
+    }
+
+    /// Notes the number of a message; returns false if a later one came before.
+    pub(crate) fn take_sequence(&mut self, sequence: u64) -> bool {
+        let is_later = sequence > self.sequence;
+        self.sequence = self.sequence.max(sequence);
+        is_later
+    }
+
+    /// Takes a beat; returns false if it is older than what is known.
+    pub(crate) fn take_beat(&mut self, now: clock::MonotonicTime, beat: &fleet::FleetBeat) -> bool {
+        if !self.take_sequence(beat.sequence) {
+            return false;
+        }
+        self.heard = now;
+        self.interval = time::Duration::from_millis(u64::from(beat.interval_ms));
+        self.rules_version = beat.rules_version;
+        self.is_leaving = beat.is_leaving;
+        (self.operator, self.upstreams) = (beat.operator, beat.upstreams);
+        self.fetching = u32::from(beat.fetching);
+        self.to_fetch = u32::from(beat.to_fetch);
+        self.witness = order_lease::LeaseWitness {
+            heard: now,
+            store_age: time::Duration::from_millis(u64::from(beat.store_age_ms)),
+            partitions: beat.partitions.clone(),
+        };
+        true
+    }
+}
--- /dev/null
+++ b/coltsfootd/src/gateway/beats.rs
@@ -0,0 +1,217 @@
+//! Beats: what an instance tells the others of itself, and when.
+
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use coltsfoot_gateway::{beat_plan, fleet_view};
+use coltsfoot_types::time as instant;
+use coltsfoot_wire::fleet as wire;
+use rustc_hash::FxHashMap;
+
+use crate::gateway::{fleet, state};
+
+/// Beats after which the engines owned are told again.
+const ENGINES_EVERY: u64 = 4;
+/// Time between beats to an instance that was not heard from.
+const SEARCH_INTERVAL: time::Duration = time::Duration::from_millis(1000);
+
+/// Numbers the beats and changes of this process.
+static SEQUENCE: atomic::AtomicU64 = atomic::AtomicU64::new(1);
+
+/// Tells all others at once what changed at an owned engine: with a whole beat in a small fleet.
+pub(crate) fn publish_engine(state: &state::GatewayState, id: &str) {
+    let Some(engine) = state.desks.owned_engine(state, id) else { return };
+    let plan = {
+        let mut view = state.view();
+        view.take_own_engine(state.now(), &engine);
+        view.beat_plan(&state.settings.zone)
+    };
+    if plan.is_prompt() {
+        BeatRound::whole(plan, Some(state.desks.owned(state))).send(state);
+        return;
+    }
+    let sequence = SEQUENCE.fetch_add(1, atomic::Ordering::Relaxed);
+    let change = wire::EngineChange { sender: state.incarnation, sequence, engine };
+    let addresses = state.view().peer_addresses();
+    fleet::send(state, addresses, &wire::FleetMessage::Change(change));
+}
+
+/// Tells all instances at once that this one has read something new.
+pub(crate) fn publish_reading(state: &state::GatewayState) {
+    let plan = state.view().beat_plan(&state.settings.zone);
+    BeatRound::whole(plan, None).send(state);
+}
+
+/// The beats that are sent at one time.
+struct BeatRound {
+    plan: beat_plan::BeatPlan,
+    /// Whether the instances of the same zone get one.
+    is_near: bool,
+    /// Whether those of other zones get one.
+    is_far: bool,
+    engines: Option<Vec<wire::OwnedEngine>>,
+}
+
+impl BeatRound {
+    fn whole(plan: beat_plan::BeatPlan, engines: Option<Vec<wire::OwnedEngine>>) -> Self {
+        Self { plan, is_near: true, is_far: true, engines }
+    }
+
+    fn send(self, state: &state::GatewayState) {
+        let mut beat = build_beat(state, self.engines, self.is_far);
+        let own_zone = &state.settings.zone;
+        let peers: Vec<(bool, net::SocketAddr)> = {
+            let view = state.view();
+            view.peers().map(|(_, peer)| (peer.zone == *own_zone, peer.address)).collect()
+        };
+        for (is_near, interval) in [(true, self.plan.near), (false, self.plan.far)] {
+            let is_sent = if is_near { self.is_near } else { self.is_far };
+            if is_sent {
+                let addresses = peers.iter().filter(|(near, _)| *near == is_near);
+                send_beat(state, &mut beat, interval, addresses.map(|(_, address)| *address));
+            }
+        }
+    }
+}
+
+fn send_beat(
+    state: &state::GatewayState,
+    beat: &mut wire::FleetBeat,
+    interval: time::Duration,
+    addresses: impl IntoIterator<Item = net::SocketAddr>,
+) {
+    beat.interval_ms = u32::try_from(interval.as_millis()).unwrap_or(u32::MAX);
+    fleet::send(state, addresses, &wire::FleetMessage::Beat(beat.clone()));
+}
+
+/// Builds a beat. Uses of adapters that ended are told until `forget_uses`.
+fn build_beat(
+    state: &state::GatewayState,
+    engines: Option<Vec<wire::OwnedEngine>>,
+    forget_uses: bool,
+) -> wire::FleetBeat {
+    let now = state.now();
+    let quotas = state::lock(&state.quota)
+        .totals()
+        .map(|(customer, total)| wire::CustomerUse {
+            customer: fleet_view::customer_number(customer),
+            total,
+        })
+        .collect();
+    let rules_version = state.routes.load().as_ref().map_or(0, |routes| routes.rules().version);
+    let (renewed, partitions) = {
+        let lease = state.lease();
+        (lease.renewed(), lease.partitions().collect())
+    };
+    let operator = state.told_reading(state.own_operator());
+    let upstreams = state.told_reading(state.own_upstreams());
+    let fetching = state.desks.fetching(now);
+    let to_fetch = state.desks.waiting_fetches();
+    let (uses, work) = {
+        let mut view = state.view();
+        (view.uses(forget_uses), view.local_work())
+    };
+    state.desks.touch(now, &uses);
+    wire::FleetBeat {
+        sender: state.incarnation,
+        address: state.settings.fleet_address(),
+        zone: state.settings.zone.to_string(),
+        sequence: SEQUENCE.fetch_add(1, atomic::Ordering::Relaxed),
+        interval_ms: 0,
+        is_leaving: state.is_stopping(),
+        rules_version,
+        operator,
+        upstreams,
+        store_age_ms: u32::try_from(now.since(renewed).as_millis()).unwrap_or(u32::MAX),
+        partitions,
+        fetching: u16::try_from(fetching).unwrap_or(u16::MAX),
+        to_fetch: u16::try_from(to_fetch).unwrap_or(u16::MAX),
+        work,
+        uses,
+        engines,
+        quotas,
+    }
+}
+
+/// Tells an instance that was just found what this one knows.
+pub(crate) fn answer_newcomer(state: &state::GatewayState, address: net::SocketAddr) {
+    let mut beat = build_beat(state, Some(state.desks.owned(state)), false);
+    send_beat(state, &mut beat, SEARCH_INTERVAL, [address]);
+}
+
+/// Sends beats to machines that are known from the store but not heard from.
+fn search_peers(
+    state: &state::GatewayState,
+    searched: &mut FxHashMap<net::SocketAddr, instant::MonotonicTime>,
+) {
+    let now = state.now();
+    let own_address = state.settings.fleet_address();
+    let heard: Vec<net::SocketAddr> =
+        state.view().peers().map(|(_, peer)| peer.address).chain([own_address]).collect();
+    let mut due = Vec::new();
+    for address in state::lock(&state.peer_addresses).iter() {
+        let sent = searched.get(address);
+        let is_due = sent.is_none_or(|sent| now.since(*sent) >= SEARCH_INTERVAL);
+        if is_due && !heard.contains(address) {
+            searched.insert(*address, now);
+            due.push(*address);
+        }
+    }
+    if !due.is_empty() {
+        let mut beat = build_beat(state, None, false);
+        send_beat(state, &mut beat, SEARCH_INTERVAL, due);
+    }
+}
+
+/// Sends beats for as long as the process runs.
+pub(crate) async fn send_beats(state: sync::Arc<state::GatewayState>) {
+    let mut searched = FxHashMap::default();
+    let mut near = BeatTimer::default();
+    let mut far = BeatTimer::default();
+    loop {
+        async_io::Timer::after(beat_plan::SHORTEST_INTERVAL).await;
+        state.extend_lease();
+        let now = state.now();
+        let plan = {
+            let mut view = state.view();
+            view.expire(now);
+            view.beat_plan(&state.settings.zone)
+        };
+        let (is_near, near_engines) = near.take_due(now, plan.near);
+        let (is_far, far_engines) = far.take_due(now, plan.far);
+        if is_near || is_far {
+            let engines = (near_engines || far_engines).then(|| state.desks.owned(&state));
+            let mut view = state.view();
+            for engine in engines.iter().flatten() {
+                view.take_own_engine(now, engine);
+            }
+            drop(view);
+            BeatRound { plan, is_near, is_far, engines }.send(&state);
+        }
+        search_peers(&state, &mut searched);
+    }
+}
+
+/// When beats of one kind were sent.
+#[derive(Default)]
+struct BeatTimer {
+    sent: Option<instant::MonotonicTime>,
+    beats: u64,
+}
+
+impl BeatTimer {
+    /// Returns whether a beat is due, and whether it tells of the engines; notes that it is sent.
+    fn take_due(&mut self, now: instant::MonotonicTime, interval: time::Duration) -> (bool, bool) {
+        // The timer's resolution is that of the shortest interval.
+        let is_early = |sent| now.since(sent) + beat_plan::SHORTEST_INTERVAL / 2 < interval;
+        if self.sent.is_some_and(is_early) {
+            return (false, false);
+        }
+        self.sent = Some(now);
+        let has_engines = self.beats.is_multiple_of(ENGINES_EVERY);
+        self.beats += 1;
+        (true, has_engines)
+    }
+}
--- a/coltsfootd/src/gateway/engines.rs
+++ b/coltsfootd/src/gateway/engines.rs
@@ -12,7 +12,7 @@
 use site_platform::engine;
 
 use crate::event;
-use crate::gateway::{fleet, state};
+use crate::gateway::{beats, fleet, state};
 
 /// Time for the answer to an order.
 const ORDER_TIMEOUT: time::Duration = time::Duration::from_millis(300);
@@ -242,7 +242,7 @@
         (slot.desk.take_replies(now), slot.desk.take_changed())
     };
     if has_changed {
-        fleet::publish_engine(state, id);
+        beats::publish_engine(state, id);
     }
     for reply in replies {
         let verdict =
--- a/coltsfootd/src/gateway/follower.rs
+++ b/coltsfootd/src/gateway/follower.rs
@@ -3,14 +3,14 @@
 use std::sync;
 use std::time;
 
-use coltsfoot_gateway::{fleet_view, reader_choice, upstream};
+use coltsfoot_gateway::{peer_slot, reader_choice, upstream};
 use coltsfoot_types::time as instant;
 use coltsfoot_wire::fleet as wire;
 use rustc_hash::FxHashMap;
 use site_platform::{entry, rules, store};
 
 use crate::event;
-use crate::gateway::{fleet, news, state};
+use crate::gateway::{beats, news, state};
 
 /// Time that a read of the operator's records waits for news.
 const OPERATOR_WAIT: time::Duration = time::Duration::from_millis(1000);
@@ -94,7 +94,7 @@
 async fn wait_for_need(
     state: &state::GatewayState,
     own: impl Fn(&state::GatewayState) -> reader_choice::OwnReading,
-    topic: impl Fn(&fleet_view::PeerSlot) -> wire::TopicReading + Copy,
+    topic: impl Fn(&peer_slot::PeerSlot) -> wire::TopicReading + Copy,
 ) {
     loop {
         let peers = state.view().readings(topic);
@@ -132,7 +132,7 @@
                 if is_known {
                     news::push(&state, wire::NewsTopic::Operator, &records);
                 }
-                fleet::publish_reading(&state);
+                beats::publish_reading(&state);
             }
         }
         if state.now().since(begun) < MIN_READ_INTERVAL {
@@ -223,7 +223,7 @@
         *state::lock(&state.upstreams_read) = Some(now);
         let digest = state.view().upstream_digest();
         if last_digest.replace(digest) != Some(digest) {
-            fleet::publish_reading(&state);
+            beats::publish_reading(&state);
         }
         async_io::Timer::after(UPSTREAM_INTERVAL).await;
     }
--- a/coltsfootd/src/gateway/loads.rs
+++ b/coltsfootd/src/gateway/loads.rs
@@ -81,7 +81,7 @@
         was_missing,
     };
     for _ in 0..MAX_SENDS {
-        fleet::send(state, owner, &wire::FleetMessage::Ask(question.clone()));
+        fleet::send(state, [owner], &wire::FleetMessage::Ask(question.clone()));
         match message::within(REPEAT_INTERVAL, receiver.recv()).await {
             Some(Ok(wire::LoadVerdict::Accepted)) => return final_verdict(&receiver, limit).await,
             Some(Ok(verdict)) => return verdict,
--- a/coltsfootd/src/gateway/mod.rs
+++ b/coltsfootd/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 //! Decisions are in `coltsfoot-gateway`; the platform's names and formats in `site-platform`.
 
 mod attempt;
+mod beats;
 mod callers;
 mod engines;
 mod exchange;
--- a/coltsfootd/src/gateway/news.rs
+++ b/coltsfootd/src/gateway/news.rs
@@ -6,7 +6,7 @@
 use std::sync;
 use std::time;
 
-use coltsfoot_gateway::{fleet_view, reader_choice};
+use coltsfoot_gateway::{peer_slot, reader_choice};
 use coltsfoot_types::time as instant;
 use coltsfoot_wire::fleet as wire;
 use site_platform::store;
@@ -66,14 +66,11 @@
     let small = records
         .iter()
         .filter(|record| record.value.as_ref().is_none_or(|value| value.len() <= MAX_PUSHED_BYTES));
-    let addresses: Vec<net::SocketAddr> =
-        state.view().peers().map(|(_, peer)| peer.address).collect();
+    let addresses = state.view().peer_addresses();
     for record in small {
         let records = vec![encode(record)];
         let message = wire::FleetMessage::News(wire::TopicNews { topic, records });
-        for address in &addresses {
-            fleet::send(state, *address, &message);
-        }
+        fleet::send(state, addresses.iter().copied(), &message);
     }
 }
 
@@ -103,7 +100,7 @@
 
 fn send_batch(state: &state::GatewayState, ask: &wire::NewsAsk, records: Vec<wire::NewsRecord>) {
     let news = wire::TopicNews { topic: ask.topic, records };
-    fleet::send(state, ask.reply_to, &wire::FleetMessage::News(news));
+    fleet::send(state, [ask.reply_to], &wire::FleetMessage::News(news));
 }
 
 /// Takes records from another instance.
@@ -141,7 +138,7 @@
                     read_age_ms = state.told_reading(own).age_ms; "news_asked: {topic:?}"
                 );
                 let ask = wire::NewsAsk { topic, reply_to: state.settings.fleet_address() };
-                fleet::send(&state, address, &wire::FleetMessage::NewsAsk(ask));
+                fleet::send(&state, [address], &wire::FleetMessage::NewsAsk(ask));
             }
         }
     }
@@ -153,7 +150,7 @@
     topic: wire::NewsTopic,
     own: reader_choice::OwnReading,
 ) -> Option<net::SocketAddr> {
-    let reading = |peer: &fleet_view::PeerSlot| match topic {
+    let reading = |peer: &peer_slot::PeerSlot| match topic {
         wire::NewsTopic::Operator => peer.operator,
         wire::NewsTopic::Upstreams => peer.upstreams,
     };
--- a/coltsfootd/src/gateway/run.rs
+++ b/coltsfootd/src/gateway/run.rs
@@ -13,7 +13,7 @@
 use site_platform::{settings, store};
 
 use crate::gateway::{
-    callers, engines, fleet, follower, lease, loads, metrics, news, reload, state,
+    beats, callers, engines, fleet, follower, lease, loads, metrics, news, reload, state,
 };
 use crate::{clock, event, metrics as registry};
 
@@ -119,7 +119,7 @@
     executor.spawn(follower::follow_operator(sync::Arc::clone(&state))).detach();
     executor.spawn(follower::follow_upstreams(sync::Arc::clone(&state))).detach();
     executor.spawn(fleet::receive(sync::Arc::clone(&state))).detach();
-    executor.spawn(fleet::send_beats(sync::Arc::clone(&state))).detach();
+    executor.spawn(beats::send_beats(sync::Arc::clone(&state))).detach();
     executor.spawn(news::ask_when_behind(sync::Arc::clone(&state))).detach();
     executor.spawn(fleet::find_peers(sync::Arc::clone(&state))).detach();
     executor.spawn(lease::keep(sync::Arc::clone(&state))).detach();
