--- a/coltsfootd/src/gateway/follower.rs
+++ b/coltsfootd/src/gateway/follower.rs
@@ -211,10 +211,6 @@
             }
             Some(TopicNews::Further(records)) => {
                 news::keep(&state, wire::NewsTopic::Upstreams, &records, false);
-                // Entries that were withdrawn while the store was out may come back.
-                if removal == now {
-                    news::push(&state, wire::NewsTopic::Upstreams, &records);
-                }
                 apply_entries(&state, records, removal, &mut lapsed);
             }
             None => continue,
@@ -276,11 +272,11 @@
     decoded.ok()
 }
 
-/// Takes an upstream's entry, or its end, that another instance passed on.
+/// Takes an upstream's entry that another instance passed on. Entries that are withdrawn are left to
+/// those who read the store, where they may come back.
 pub(crate) fn put_record(state: &state::GatewayState, record: &store::KeyedRecord) {
-    match decode_entry(record) {
-        Some(entry) => put_entry(state, entry),
-        None => remove_upstream(state, &record.key),
+    if let Some(entry) = decode_entry(record) {
+        put_entry(state, entry);
     }
 }
 
--- a/coltsfootd/src/gateway/news.rs
+++ b/coltsfootd/src/gateway/news.rs
@@ -1,5 +1,6 @@
 //! Records of the store that instances pass on to each other: small ones of the operator as soon as
-//! a reader has them, all of them to an instance that can't read the store itself.
+//! a reader has them, all of them to an instance that can't read the store itself. Entries of upstreams
+//! are only passed on when asked for, since each is written anew with every heartbeat.
 
 use std::collections;
 use std::net;
@@ -57,15 +58,15 @@
     }
 }
 
-/// Passes small records, and withdrawn ones, on to all instances.
+/// Passes small records on to all instances.
 pub(crate) fn push(
     state: &state::GatewayState,
     topic: wire::NewsTopic,
     records: &[store::KeyedRecord],
 ) {
-    let small = records
-        .iter()
-        .filter(|record| record.value.as_ref().is_none_or(|value| value.len() <= MAX_PUSHED_BYTES));
+    let small = records.iter().filter(|record| {
+        record.value.as_ref().is_some_and(|value| value.len() <= MAX_PUSHED_BYTES)
+    });
     let addresses = state.view().peer_addresses();
     for record in small {
         let records = vec![encode(record)];
