Compute what is the same at all engines once a choice

Choosing an engine counted the requests that run on the adapter, the fetches of all instances and the engines of the fleet again for each engine without it. They are now computed once, and what loading costs stands in one function. A search without tried upstreams no longer repeats a choice that found nothing.

The time saved was not measured.

--- a/coltsfoot-gateway/src/engine_choice.rs
+++ b/coltsfoot-gateway/src/engine_choice.rs
@@ -129,19 +129,11 @@
     let holds =
         |slot: &upstream_slot::UpstreamSlot| key.is_none_or(|key| view.holds(now, slot, key));
     let preferred = preferred_holder(demand, &ranked, &holds);
-    let is_somewhere = key.is_some_and(|key| {
-        ranked.iter().any(|slot| holds(slot) || slot.coming(now, key).is_some())
-    });
+    let wanted = key.map(|key| WantedAdapter::new(now, view, &ranked, key));
     let costs = ranked.iter().enumerate().filter_map(|(rank, slot)| {
         let is_held = holds(slot);
-        let load = match (is_held, key) {
-            (false, Some(key)) if slot.coming(now, key).is_none() && is_somewhere => {
-                load_cost(now, view, slot, key)? + copy_cost(now, view, key, rank)
-            }
-            (false, Some(key)) => {
-                let moved = if rank == 0 || slot.is_warm(key) { 0.0 } else { MOVED_MS };
-                load_cost(now, view, slot, key)? + moved
-            }
+        let load = match &wanted {
+            Some(wanted) if !is_held => wanted.load_cost(now, view, slot, rank)?,
             _ => 0.0,
         };
         let wait = engine_wait(now, slot, demand, preferred == Some(slot.number));
@@ -152,41 +144,65 @@
     Some(ChosenUpstream { id: sync::Arc::clone(&slot.entry.id), expected_ms, needs_load })
 }
 
-/// Returns the cost of a further copy of an adapter: what others lose by the place that it takes,
-/// shared by those who use it.
-fn copy_cost(
-    now: clock::MonotonicTime,
-    view: &fleet_view::FleetView,
+/// What is the same at all engines for an adapter that may have to be loaded.
+struct WantedAdapter {
     key: demand::AdapterKey,
-    rank: usize,
-) -> f64 {
-    let users = 1.0 + f64::from(view.adapter_running(now, key));
-    COPY_MS.get(rank).unwrap_or(&FAR_COPY_MS) / users
+    /// Whether an engine holds it or will soon.
+    is_somewhere: bool,
+    /// Requests that run on it, and this one.
+    users: f64,
+    /// Cost of a fetch, in milliseconds.
+    fetch_ms: f64,
 }
 
-/// Returns the expected time to load an adapter at an engine, and the price of that; `None` if it is
-/// not possible.
-fn load_cost(
-    now: clock::MonotonicTime,
-    view: &fleet_view::FleetView,
-    slot: &upstream_slot::UpstreamSlot,
-    key: demand::AdapterKey,
-) -> Option<f64> {
-    let residency = &slot.residency;
-    if !residency.takes_orders || !view.is_owner_heard(now, slot) {
-        return None;
-    }
-    if let Some(ready) = slot.coming(now, key) {
-        return Some(ready.since(now).as_secs_f64() * 1000.0);
+impl WantedAdapter {
+    fn new(
+        now: clock::MonotonicTime,
+        view: &fleet_view::FleetView,
+        engines: &[&upstream_slot::UpstreamSlot],
+        key: demand::AdapterKey,
+    ) -> Self {
+        let slowdown = view.fetch_load(view.fetch_backlog()).slowdown(1);
+        Self {
+            key,
+            is_somewhere: engines
+                .iter()
+                .any(|slot| view.holds(now, slot, key) || slot.coming(now, key).is_some()),
+            users: 1.0 + f64::from(view.adapter_running(now, key)),
+            fetch_ms: FETCH_MS * slowdown + FETCH_PRICE_MS,
+        }
     }
-    if residency.idle_places == 0 {
-        return None;
-    }
-    if slot.is_warm(key) {
-        return Some(WARM_LOAD_MS);
+
+    /// Returns the cost of loading the adapter at an engine, which has a place in its order of engines;
+    /// `None` if that is not possible.
+    fn load_cost(
+        &self,
+        now: clock::MonotonicTime,
+        view: &fleet_view::FleetView,
+        slot: &upstream_slot::UpstreamSlot,
+        rank: usize,
+    ) -> Option<f64> {
+        let residency = &slot.residency;
+        if !residency.takes_orders || !view.is_owner_heard(now, slot) {
+            return None;
+        }
+        if let Some(ready) = slot.coming(now, self.key) {
+            let moved = if rank == 0 || slot.is_warm(self.key) { 0.0 } else { MOVED_MS };
+            return Some(ready.since(now).as_secs_f64() * 1000.0 + moved);
+        }
+        if residency.idle_places == 0 {
+            return None;
+        }
+        let is_warm = slot.is_warm(self.key);
+        let load = if is_warm { WARM_LOAD_MS } else { self.fetch_ms };
+        let further = match self.is_somewhere {
+            // What others lose by the place of a copy, shared by those who use it.
+            true => COPY_MS.get(rank).unwrap_or(&FAR_COPY_MS) / self.users,
+            false if rank == 0 || is_warm => 0.0,
+            false => MOVED_MS,
+        };
+        Some(load + further)
     }
-    let slowdown = view.fetch_load(view.fetch_backlog()).slowdown(1);
-    Some(FETCH_MS * slowdown + FETCH_PRICE_MS)
 }
 
 /// Returns the holder that requests of one subject go to, so that its prompt is kept there.
--- a/coltsfoot-gateway/src/place_search.rs
+++ b/coltsfoot-gateway/src/place_search.rs
@@ -79,7 +79,11 @@
             let request = engine_choice::PlacedRequest { tried, ..*request };
             engine_choice::choose(now, view, &request)
         };
-        match choose(&untried).or_else(|| choose(&self.without_place)) {
+        let choose_again = || {
+            let has_tried = !request.tried.is_empty();
+            has_tried.then(|| choose(&self.without_place)).flatten()
+        };
+        match choose(&untried).or_else(choose_again) {
             Some(chosen) if chosen.needs_load => SearchStep::Load(chosen),
             Some(chosen) => SearchStep::Send(chosen),
             None if now >= self.wait_until => SearchStep::Refuse("no_upstream"),
