Connect in one place, and drop what nobody reads

Both HTTP callers took a kept connection or made one by themselves; the pool does it now, and the call needs no second function with the same six parameters. Beats no longer carry the version of the configuration, which no receiver read; a count of sends and a result that no caller used go too. No behaviour changes otherwise.

--- a/coltsfoot-gateway/src/attempt_plan.rs
+++ b/coltsfoot-gateway/src/attempt_plan.rs
@@ -81,11 +81,6 @@
         self.runs > 0
     }
 
-    /// Returns how often the request was sent.
-    pub fn sends(&self) -> u32 {
-        self.runs + self.unrun_sends
-    }
-
     /// Returns the upstreams to avoid.
     pub fn tried(&self) -> &[sync::Arc<str>] {
         &self.tried
--- a/coltsfoot-gateway/src/fleet_view.rs
+++ b/coltsfoot-gateway/src/fleet_view.rs
@@ -315,17 +315,16 @@
         }
     }
 
-    /// Takes what an owner tells of one engine. Returns whether the owner is known and this is news.
-    pub fn take_change(&mut self, now: clock::MonotonicTime, change: &fleet::EngineChange) -> bool {
-        let Some(peer) = self.peers.get_mut(&change.sender) else { return false };
+    /// Takes what an owner tells of one engine, unless it is unknown or told something later before.
+    pub fn take_change(&mut self, now: clock::MonotonicTime, change: &fleet::EngineChange) {
+        let Some(peer) = self.peers.get_mut(&change.sender) else { return };
         if !peer.take_sequence(change.sequence) {
-            return false;
+            return;
         }
         let number = change.engine.upstream;
         if let Some(slot) = self.upstreams.values_mut().find(|slot| slot.number == number) {
             slot.take_residency(now, Some(change.sender), &change.engine);
         }
-        true
     }
 
     /// Takes what this instance knows of an engine as its owner.
--- a/coltsfoot-gateway/src/peer_slot.rs
+++ b/coltsfoot-gateway/src/peer_slot.rs
@@ -19,8 +19,6 @@
     pub heard: clock::MonotonicTime,
     /// Sequence number of its last beat.
     pub sequence: u64,
-    /// Version of its configuration.
-    pub rules_version: u64,
     /// Time between its beats.
     pub interval: time::Duration,
     /// Whether it is about to stop.
@@ -46,7 +44,6 @@
             heard: now,
             sequence: 0,
             interval: time::Duration::ZERO,
-            rules_version: 0,
             is_leaving: false,
             operator: beat.operator,
             upstreams: beat.upstreams,
@@ -74,7 +71,6 @@
         }
         self.heard = now;
         self.interval = time::Duration::from_millis(u64::from(beat.interval_ms));
-        self.rules_version = beat.rules_version;
         self.is_leaving = beat.is_leaving;
         (self.operator, self.upstreams) = (beat.operator, beat.upstreams);
         self.fetching = u32::from(beat.fetching);
--- a/coltsfoot-http/src/client.rs
+++ b/coltsfoot-http/src/client.rs
@@ -3,7 +3,7 @@
 use std::net;
 use std::time;
 
-use crate::{body, header, message, pool, socket};
+use crate::{body, header, message, pool};
 
 /// Longest answer head, in bytes.
 pub const MAX_HEAD_BYTES: usize = 32 * 1024;
@@ -57,33 +57,18 @@
     max_body: usize,
     limit: time::Duration,
 ) -> Result<CallAnswer, CallError> {
-    let exchange = exchange(pool, address, head, content, max_body, limit);
-    let answer = message::within(limit, exchange).await;
-    answer.unwrap_or(Err(CallError::TimedOut { address, limit }))
-}
-
-async fn exchange(
-    pool: &pool::ConnectionPool,
-    address: net::SocketAddr,
-    head: &header::RequestHead,
-    content: &[u8],
-    max_body: usize,
-    limit: time::Duration,
-) -> Result<CallAnswer, CallError> {
-    let mut stream = match pool.take(address, KEPT_LIFETIME).await {
-        Some(stream) => stream,
-        None => {
-            let connected = socket::connect(address, limit).await;
-            let stream = connected.map_err(|source| CallError::Connect { address, source })?;
-            message::MessageStream::new(stream)
+    let exchange = async {
+        let connected = pool.take_or_connect(address, KEPT_LIFETIME, limit).await;
+        let mut stream = connected.map_err(|source| CallError::Connect { address, source })?;
+        let answer = send_and_read(&mut stream, head, content, max_body).await;
+        let answer = answer.map_err(|source| CallError::Answer { address, source })?;
+        if answer.head.keeps_connection() && !stream.has_buffered() {
+            pool.put(address, stream, KEPT_LIFETIME);
         }
+        Ok(answer)
     };
-    let answer = send_and_read(&mut stream, head, content, max_body).await;
-    let answer = answer.map_err(|source| CallError::Answer { address, source })?;
-    if answer.head.keeps_connection() && !stream.has_buffered() {
-        pool.put(address, stream, KEPT_LIFETIME);
-    }
-    Ok(answer)
+    let answer = message::within(limit, exchange).await;
+    answer.unwrap_or(Err(CallError::TimedOut { address, limit }))
 }
 
 async fn send_and_read(
--- a/coltsfoot-http/src/pool.rs
+++ b/coltsfoot-http/src/pool.rs
@@ -1,13 +1,14 @@
 //! Kept connections to upstreams.
 
 use std::collections;
+use std::io;
 use std::net;
 use std::sync;
 use std::time;
 
 use futures_lite::future;
 
-use crate::message;
+use crate::{message, socket};
 
 /// Kept connections per address.
 const MAX_IDLE_PER_ADDRESS: usize = 32;
@@ -46,6 +47,19 @@
         }
     }
 
+    /// Takes a kept connection, or makes one within a time limit.
+    pub async fn take_or_connect(
+        &self,
+        address: net::SocketAddr,
+        max_idle: time::Duration,
+        limit: time::Duration,
+    ) -> io::Result<message::MessageStream> {
+        match self.take(address, max_idle).await {
+            Some(stream) => Ok(stream),
+            None => Ok(message::MessageStream::new(socket::connect(address, limit).await?)),
+        }
+    }
+
     fn pop(&self, address: net::SocketAddr) -> Option<IdleConnection> {
         let mut idle = self.idle.lock().unwrap_or_else(sync::PoisonError::into_inner);
         idle.get_mut(&address)?.pop()
--- a/coltsfoot-measure/src/burst/instance.rs
+++ b/coltsfoot-measure/src/burst/instance.rs
@@ -48,7 +48,6 @@
             sequence: self.sequence,
             interval_ms: 150,
             is_leaving: false,
-            rules_version: 1,
             operator: fleet::TopicReading::default(),
             upstreams: fleet::TopicReading::default(),
             store_age_ms: 0,
--- a/coltsfoot-wire/src/fleet.rs
+++ b/coltsfoot-wire/src/fleet.rs
@@ -97,8 +97,6 @@
     pub interval_ms: u32,
     /// Whether the sender is about to stop.
     pub is_leaving: bool,
-    /// Version of the configuration that the sender uses; zero for none.
-    pub rules_version: u64,
     /// Configuration and adapter versions.
     pub operator: TopicReading,
     /// Entries of upstreams.
--- a/coltsfootd/src/gateway/attempt.rs
+++ b/coltsfootd/src/gateway/attempt.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic;
 use std::time;
 
-use coltsfoot_http::{body, client, header, message, pool, socket};
+use coltsfoot_http::{body, client, header, message, pool};
 use futures_lite::AsyncWriteExt as _;
 use site_platform::fields;
 
@@ -79,13 +79,8 @@
     request: &AttemptRequest<'_>,
 ) -> Result<OpenAnswer, AttemptError> {
     let max_idle = if request.may_repeat { MAX_IDLE } else { MAX_IDLE_ONCE };
-    let mut stream = match pool.take(request.address, max_idle).await {
-        Some(stream) => stream,
-        None => {
-            let connected = socket::connect(request.address, CONNECT_TIMEOUT).await;
-            message::MessageStream::new(connected.map_err(AttemptError::NotSent)?)
-        }
-    };
+    let connected = pool.take_or_connect(request.address, max_idle, CONNECT_TIMEOUT).await;
+    let mut stream = connected.map_err(AttemptError::NotSent)?;
     let mut bytes = request.head.encode();
     bytes.extend_from_slice(request.body);
     let is_sent = atomic::AtomicBool::new(false);
--- a/coltsfootd/src/gateway/beats.rs
+++ b/coltsfootd/src/gateway/beats.rs
@@ -100,7 +100,6 @@
             total,
         })
         .collect();
-    let rules_version = state.routes.load().as_ref().map_or(0, |routes| routes.rules().version);
     let (renewed, partitions) = {
         let lease = state.lease();
         (lease.renewed(), lease.partitions().collect())
@@ -121,7 +120,6 @@
         sequence: SEQUENCE.fetch_add(1, atomic::Ordering::Relaxed),
         interval_ms: 0,
         is_leaving: state.is_stopping(),
-        rules_version,
         operator,
         upstreams,
         store_age_ms: u32::try_from(now.since(renewed).as_millis()).unwrap_or(u32::MAX),
