Keep a connection for an hour at most, whatever its peer allows

An answer with Keep-Alive: timeout= made the pool panic when it computed the end of the time. The new test panicked before.

--- a/coltsfoot-http/src/pool.rs
+++ b/coltsfoot-http/src/pool.rs
@@ -13,6 +13,9 @@
 /// Kept connections per address.
 const MAX_IDLE_PER_ADDRESS: usize = 32;
 
+/// Longest time for which a connection is kept, whatever its peer allows.
+const MAX_LIFETIME: time::Duration = time::Duration::from_secs(3600);
+
 /// A connection that may serve another exchange.
 #[derive(Debug)]
 struct IdleConnection {
@@ -65,7 +68,7 @@
         idle.get_mut(&address)?.pop()
     }
 
-    /// Keeps a connection for so long.
+    /// Keeps a connection for so long, an hour at most.
     pub fn put(
         &self,
         address: net::SocketAddr,
@@ -73,7 +76,8 @@
         lifetime: time::Duration,
     ) {
         let now = time::Instant::now();
-        let connection = IdleConnection { stream, idle_since: now, expires: now + lifetime };
+        let expires = now + lifetime.min(MAX_LIFETIME);
+        let connection = IdleConnection { stream, idle_since: now, expires };
         let mut idle = self.idle.lock().unwrap_or_else(sync::PoisonError::into_inner);
         let connections = idle.entry(address).or_default();
         connections.retain(|kept| now < kept.expires);
--- a/coltsfoot-http/tests/connections.rs
+++ b/coltsfoot-http/tests/connections.rs
@@ -104,3 +104,14 @@
         drop(far);
     });
 }
+
+#[test]
+fn a_connection_that_may_be_kept_for_ever_is_kept() {
+    async_io::block_on(async {
+        let (near, _far, address) = connected().await;
+        let pool = pool::ConnectionPool::default();
+        let lifetime = time::Duration::from_secs(u64::MAX);
+        pool.put(address, message::MessageStream::new(near), lifetime);
+        assert!(pool.take(address, time::Duration::from_secs(1)).await.is_some());
+    });
+}
