Learn how many fetches the weight store bears from how long they take

Cause: the bound on fetches under way was 8, or 0.4 an engine, which fits two sites. Change: each owner compares its fetches with what it expected and raises or lowers the bound (additive increase, decrease by how late they were, once for what began before); beats carry bound and time, so that instances converge and newcomers begin with them. Questions tell the expected wait of the weight store. Ruled out: a table by sheet figures (LoadsPerS and LoadTimeS do not give the bound), a window for each instance (one each is already the bound with six instances), a fixed back-off of 0.8 (slow after the store loses three quarters).

--- a/coltsfoot-gateway/src/engine_choice.rs
+++ b/coltsfoot-gateway/src/engine_choice.rs
@@ -12,8 +12,8 @@
 pub const FIRST_EVENT_MS: f64 = 40.0;
 /// Expected time to load an adapter that the engine held recently, in milliseconds.
 const WARM_LOAD_MS: f64 = 45.0;
-/// Expected time to fetch an adapter from the weight store, in milliseconds.
-const FETCH_MS: f64 = 270.0;
+/// Expected time from the end of a fetch to the engine's leave for requests, in milliseconds.
+const FETCH_MARGIN_MS: f64 = 20.0;
 /// Cost of a fetch to the operators and to other fetches, in milliseconds.
 const FETCH_PRICE_MS: f64 = 100.0;
 /// Cost of fetching an adapter that no engine holds to another one than its first, in milliseconds:
@@ -162,14 +162,14 @@
         engines: &[&upstream_slot::UpstreamSlot],
         key: demand::AdapterKey,
     ) -> Self {
-        let slowdown = view.fetch_load(view.fetch_backlog()).slowdown(1);
+        let fetch_time = view.fetch_load(view.fetch_backlog()).expected_time();
         Self {
             key,
             is_somewhere: engines
                 .iter()
                 .any(|slot| view.holds(now, slot, key) || slot.coming(now, key).is_some()),
             users: 1.0 + f64::from(view.adapter_running(now, key)),
-            fetch_ms: FETCH_MS * slowdown + FETCH_PRICE_MS,
+            fetch_ms: fetch_time.as_secs_f64() * 1000.0 + FETCH_MARGIN_MS + FETCH_PRICE_MS,
         }
     }
 
--- a/coltsfoot-gateway/src/engine_desk.rs
+++ b/coltsfoot-gateway/src/engine_desk.rs
@@ -12,12 +12,12 @@
 use rustc_hash::FxHashMap;
 use smallvec::SmallVec;
 
-use crate::{demand, engine_order};
+use crate::{demand, engine_order, fetch_pace};
 
 /// Longest time that a base model takes to load while few loads run.
 const MODEL_LOAD: time::Duration = time::Duration::from_millis(1000);
-/// Time that an adapter takes from the weight store while few are on their way.
-pub const COLD_LOAD: time::Duration = time::Duration::from_millis(250);
+/// Time after which an adapter is expected that a report lists as on its way.
+const PENDING_LOAD: time::Duration = time::Duration::from_millis(250);
 /// Time that an adapter takes that the engine held recently.
 pub const WARM_LOAD: time::Duration = time::Duration::from_millis(25);
 /// Adapters that an engine can load as fast as [`WARM_LOAD`], held most recently.
@@ -41,6 +41,8 @@
 const LEAVING_CHECK: time::Duration = time::Duration::from_millis(80);
 /// Time after which a desk looks again whether an adapter may be fetched.
 const FETCH_CHECK: time::Duration = time::Duration::from_millis(25);
+/// Time after its expected end in which a fetch that is late is found out by a request.
+const FETCH_JUDGED_AFTER: time::Duration = time::Duration::from_millis(150);
 /// Allowance between the expected end of a load and the first request.
 const LOAD_MARGIN: time::Duration = time::Duration::from_millis(8);
 
@@ -51,12 +53,23 @@
     version: u64,
     ordered: clock::MonotonicTime,
     ready_at: clock::MonotonicTime,
-    is_fetched: bool,
+    /// The fetch from the weight store, until its time is known.
+    fetch: Option<OpenFetch>,
     /// Until when a request may be on its way that was told that the adapter is ready.
     promised_until: clock::MonotonicTime,
     last_used: clock::MonotonicTime,
 }
 
+/// A fetch from the weight store whose outcome is still to be judged.
+#[derive(Clone, Copy, Debug)]
+struct OpenFetch {
+    /// Fetches of all engines that were under way, with this one.
+    under_way: u32,
+    expected: time::Duration,
+    /// Time after which the adapter is taken to be there.
+    taken: time::Duration,
+}
+
 /// A question for an adapter, by one or more askers.
 #[derive(Clone, Debug)]
 struct OpenQuestion<A> {
@@ -131,10 +144,12 @@
         ready.map(|(key, placed)| (*key, placed.version))
     }
 
-    /// Returns the adapters that are on their way or asked for, with the expected time.
+    /// Returns the adapters that are on their way or asked for, with the expected time: those asked
+    /// for wait for the weight store as told by `fetches`.
     pub fn coming(
         &self,
         now: clock::MonotonicTime,
+        fetches: engine_order::FetchLoad,
     ) -> impl Iterator<Item = (demand::AdapterKey, clock::MonotonicTime)> {
         let ordered = self.placed.iter().filter(move |(_, placed)| now < placed.ready_at);
         let ordered = ordered.map(|(key, placed)| (*key, placed.ready_at));
@@ -142,7 +157,7 @@
         let asked = asked.filter(|key| !self.placed.contains_key(key));
         ordered.chain(asked.map(move |key| {
             let is_warm = self.warm.contains(&key);
-            (key, now + if is_warm { WARM_LOAD } else { COLD_LOAD })
+            (key, now + if is_warm { WARM_LOAD } else { fetches.expected_time() })
         }))
     }
 
@@ -154,10 +169,11 @@
         upstream: u32,
         fence: u64,
         takes_orders: bool,
+        fetches: engine_order::FetchLoad,
         in_use: impl Fn(demand::AdapterKey) -> bool,
     ) -> fleet::OwnedEngine {
         let held = self.ready(now);
-        let coming = self.coming(now).map(|(key, ready)| {
+        let coming = self.coming(now, fetches).map(|(key, ready)| {
             let ready_in_ms = u16::try_from(ready.since(now).as_millis()).unwrap_or(u16::MAX);
             fleet::ComingAdapter { adapter: key.0, ready_in_ms }
         });
@@ -320,7 +336,23 @@
     /// Returns the adapters on their way from the weight store.
     pub fn fetching(&self, now: clock::MonotonicTime) -> u32 {
         let coming =
-            self.placed.values().filter(|placed| placed.is_fetched && placed.ready_at > now);
+            self.placed.values().filter(|placed| placed.fetch.is_some() && placed.ready_at > now);
         coming.count() as u32
     }
+
+    /// Returns how fetches ended that were not told yet.
+    pub fn take_samples(&mut self, now: clock::MonotonicTime) -> Vec<fetch_pace::FetchSample> {
+        let judged = self.placed.values_mut().filter(|placed| is_judged(now, placed));
+        let samples = judged.filter_map(|placed| {
+            let OpenFetch { under_way, expected, taken } = placed.fetch.take()?;
+            let began = placed.ordered;
+            Some(fetch_pace::FetchSample { began, under_way, expected, taken })
+        });
+        samples.collect()
+    }
+}
+
+/// Returns whether a request would have found out by now that the fetch of an adapter is late.
+fn is_judged(now: clock::MonotonicTime, placed: &PlacedAdapter) -> bool {
+    now >= placed.ready_at + FETCH_JUDGED_AFTER
 }
--- a/coltsfoot-gateway/src/engine_desk/orders.rs
+++ b/coltsfoot-gateway/src/engine_desk/orders.rs
@@ -5,7 +5,7 @@
 use coltsfoot_types::time as clock;
 
 use crate::engine_desk::{
-    COLD_LOAD, EngineDesk, LEAVING_CHECK, LOAD_MARGIN, MAX_LOADING, MODEL_LOAD, PlacedAdapter,
+    EngineDesk, LEAVING_CHECK, LOAD_MARGIN, MAX_LOADING, MODEL_LOAD, OpenFetch, PlacedAdapter,
     REPORT_LAG, WARM_ADAPTERS, WARM_LOAD,
 };
 use crate::{demand, engine_order};
@@ -156,8 +156,9 @@
             engine_order::EngineOrder::LoadAdapter { name, version } => {
                 let key = name.key();
                 let is_warm = self.warm.contains(&key);
-                let slowdown = fetches.slowdown(self.fetching(now) + 1);
-                let duration = if is_warm { WARM_LOAD } else { COLD_LOAD.mul_f64(slowdown) };
+                let duration = if is_warm { WARM_LOAD } else { fetches.expected_time() };
+                let under_way = fetches.others + 1;
+                let fetch = OpenFetch { under_way, expected: duration, taken: duration };
                 let version = version.or_else(|| newest(key)).unwrap_or(1);
                 let ready_at = now + duration + LOAD_MARGIN;
                 let placed = PlacedAdapter {
@@ -165,7 +166,7 @@
                     version,
                     ordered: now,
                     ready_at,
-                    is_fetched: !is_warm,
+                    fetch: (!is_warm).then_some(fetch),
                     promised_until: ready_at,
                     last_used: now,
                 };
--- a/coltsfoot-gateway/src/engine_desk/reports.rs
+++ b/coltsfoot-gateway/src/engine_desk/reports.rs
@@ -3,7 +3,8 @@
 use coltsfoot_types::time as clock;
 
 use crate::engine_desk::{
-    COLD_LOAD, EngineDesk, LATE_LOAD_STEP, LONGEST_LOAD, PlacedAdapter, REPORT_INTERVAL, REPORT_LAG,
+    EngineDesk, LATE_LOAD_STEP, LONGEST_LOAD, PENDING_LOAD, PlacedAdapter, REPORT_INTERVAL,
+    REPORT_LAG,
 };
 use crate::{demand, upstream};
 
@@ -52,19 +53,19 @@
         let before = std::mem::take(&mut self.placed);
         self.leaving = None;
         let ready = report.adapters.iter().map(|held| (held, now));
-        let pending = report.pending.iter().map(|held| (held, now + COLD_LOAD));
+        let pending = report.pending.iter().map(|held| (held, now + PENDING_LOAD));
         for (held, ready_at) in pending.chain(ready) {
             let key = held.name.key();
             let last_used = before.get(&key).map_or(now, |placed| placed.last_used);
             let name = held.name.clone();
             let version = held.version;
-            let (ordered, is_fetched) = (now, false);
+            let (ordered, fetch) = (now, None);
             let placed = PlacedAdapter {
                 name,
                 version,
                 ordered,
                 ready_at,
-                is_fetched,
+                fetch,
                 promised_until: ready_at,
                 last_used,
             };
@@ -82,6 +83,9 @@
         }
         if now.since(placed.ordered) < LONGEST_LOAD {
             placed.ready_at = now + LATE_LOAD_STEP;
+            if let Some(fetch) = &mut placed.fetch {
+                fetch.taken = placed.ready_at.since(placed.ordered);
+            }
         } else if self.order_count.is_some() {
             self.resync(now);
         }
--- a/coltsfoot-gateway/src/engine_order.rs
+++ b/coltsfoot-gateway/src/engine_order.rs
@@ -1,15 +1,14 @@
 //! Orders to an engine, its answers, and what an owner does next.
 
 use std::sync;
+use std::time;
 
 use coltsfoot_types::time as clock;
 
 use crate::demand;
 
-/// Adapters that the weight store delivers at once at full speed, in a small fleet and by the engine.
-/// No record tells it; these fit the sites, 8 for 12 engines and 24 for 60.
-const MIN_FULL_SPEED: u32 = 8;
-const FULL_SPEED_PER_ENGINE: f64 = 0.4;
+/// Part of the bound on fetches by which the first fetch of an instance may exceed it.
+const FIRST_FETCH_PART: u32 = 8;
 
 /// An order.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -67,29 +66,26 @@
 /// Load of the weight store, which slows all fetches down beyond a number of them.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct FetchLoad {
-    /// Fetches of the engines of other instances.
+    /// Fetches under way, without the one that is asked about.
     pub others: u32,
     /// Fetches that run at once at full speed.
     pub full_speed: u32,
+    /// Time of a fetch at full speed.
+    pub fetch_time: time::Duration,
 }
 
 impl FetchLoad {
-    /// Creates the load in a fleet of so many engines.
-    pub fn new(others: u32, engines: usize) -> Self {
-        let full_speed = (engines as f64 * FULL_SPEED_PER_ENGINE) as u32;
-        Self { others, full_speed: full_speed.max(MIN_FULL_SPEED) }
-    }
-
-    /// Returns whether an instance with `own` fetches may begin another. One without any has one to
-    /// itself, unless many have.
+    /// Returns whether an instance, `own` of whose fetches are among those under way, may begin another.
+    /// One without any may exceed the bound a little, so that it is not shut out by the others.
     pub fn may_fetch(&self, own: u32) -> bool {
-        let most = self.full_speed;
-        own + self.others < most || (own == 0 && self.others < 2 * most)
+        let first = self.full_speed + self.full_speed.div_ceil(FIRST_FETCH_PART);
+        self.others < if own == 0 { first } else { self.full_speed }
     }
 
-    /// Returns by how much fetches take longer if there are `own` beside those of the others.
-    pub fn slowdown(&self, own: u32) -> f64 {
-        (f64::from(self.others + own) / f64::from(self.full_speed)).max(1.0)
+    /// Returns how long a fetch takes that begins now.
+    pub fn expected_time(&self) -> time::Duration {
+        let slowdown = f64::from(self.others + 1) / f64::from(self.full_speed.max(1));
+        self.fetch_time.mul_f64(slowdown.max(1.0))
     }
 }
 
--- a/coltsfoot-gateway/src/fleet_view.rs
+++ b/coltsfoot-gateway/src/fleet_view.rs
@@ -8,8 +8,8 @@
 use rustc_hash::FxHashMap;
 
 use crate::{
-    beat_plan, demand, engine_desk, engine_order, order_lease, peer_slot, reader_choice,
-    rendezvous, upstream, upstream_slot,
+    beat_plan, demand, engine_desk, engine_order, fetch_pace, order_lease, peer_slot,
+    reader_choice, rendezvous, upstream, upstream_slot,
 };
 
 /// Upstreams of a zone to which connections failed, from which on the zone is suspected.
@@ -51,6 +51,9 @@
     upstreams: FxHashMap<sync::Arc<str>, upstream_slot::UpstreamSlot>,
     peers: FxHashMap<u64, peer_slot::PeerSlot>,
     versions: FxHashMap<demand::AdapterKey, NamedVersion>,
+    fetch_pace: fetch_pace::FetchPace,
+    /// Fetches that wait or are under way at the engines of this instance.
+    own_backlog: u32,
 }
 
 /// Returns the number of a customer in messages.
@@ -178,9 +181,10 @@
 
     /// Notes that this instance asks for an adapter at an engine.
     pub fn load_asked(&mut self, now: clock::MonotonicTime, id: &str, key: demand::AdapterKey) {
+        let fetch_time = self.fetch_load(self.fetch_backlog()).expected_time();
         if let Some(slot) = self.upstreams.get_mut(id) {
             let is_warm = slot.is_warm(key);
-            let wait = if is_warm { engine_desk::WARM_LOAD } else { engine_desk::COLD_LOAD };
+            let wait = if is_warm { engine_desk::WARM_LOAD } else { fetch_time };
             slot.asked.entry(key).or_insert(now + wait);
         }
     }
@@ -282,6 +286,8 @@
         if !peer.or_insert_with(|| peer_slot::PeerSlot::new(now, beat)).take_beat(now, beat) {
             return false;
         }
+        let fetch_time = time::Duration::from_millis(u64::from(beat.fetch_ms));
+        self.fetch_pace.take_peer(beat.fetch_limit_tenths, fetch_time);
         self.take_work(now, beat);
         is_new
     }
@@ -412,16 +418,36 @@
         self.peers.values().map(|peer| peer.fetching).sum()
     }
 
-    /// Returns the load of the weight store by so many fetches of others.
-    pub fn fetch_load(&self, others: u32) -> engine_order::FetchLoad {
-        let engines = self.upstreams.values().filter(|slot| slot.residency.has_model).count();
-        engine_order::FetchLoad::new(others, engines)
+    /// Returns the load of the weight store by so many fetches.
+    pub fn fetch_load(&self, under_way: u32) -> engine_order::FetchLoad {
+        self.fetch_pace.load(under_way)
     }
 
-    /// Returns the adapters that wait for the weight store or are on their way from it, at the
-    /// other instances.
+    /// Returns what was learned of the weight store.
+    pub fn fetch_pace(&self) -> &fetch_pace::FetchPace {
+        &self.fetch_pace
+    }
+
+    /// Takes how fetches of this instance's engines ended.
+    pub fn take_fetch_samples(
+        &mut self,
+        now: clock::MonotonicTime,
+        samples: &[fetch_pace::FetchSample],
+    ) {
+        for sample in samples {
+            self.fetch_pace.take_sample(now, *sample);
+        }
+    }
+
+    /// Notes how many fetches wait or are under way at the engines of this instance.
+    pub fn set_own_backlog(&mut self, fetches: u32) {
+        self.own_backlog = fetches;
+    }
+
+    /// Returns the adapters that wait for the weight store or are on their way from it.
     pub fn fetch_backlog(&self) -> u32 {
-        self.peers.values().map(|peer| peer.fetching + peer.to_fetch).sum()
+        let peers = self.peers.values();
+        self.own_backlog + peers.map(|peer| peer.fetching + peer.to_fetch).sum::<u32>()
     }
 
     /// Takes a report that this instance fetched itself, since no owner tells of the engine.
--- a/coltsfoot-gateway/src/lib.rs
+++ b/coltsfoot-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod engine_desk;
 pub mod engine_order;
 pub mod event_stream;
+pub mod fetch_pace;
 pub mod fleet_view;
 pub mod order_lease;
 pub mod peer_slot;
--- a/coltsfoot-gateway/tests/desk.rs
+++ b/coltsfoot-gateway/tests/desk.rs
@@ -1,13 +1,18 @@
 //! Orders to one engine: loads, evictions, lost answers, loads that take longer.
 
 use std::sync;
+use std::time;
 
 use coltsfoot_gateway::engine_desk::EngineDesk;
 use coltsfoot_gateway::engine_order::{DeskStep, EngineOrder, OrderAnswer, OrderLeave};
-use coltsfoot_gateway::{demand, engine_order, upstream};
+use coltsfoot_gateway::{demand, engine_order, fetch_pace, upstream};
 use coltsfoot_types::time as clock;
 
-const IDLE_STORE: engine_order::FetchLoad = engine_order::FetchLoad { others: 0, full_speed: 8 };
+const IDLE_STORE: engine_order::FetchLoad = engine_order::FetchLoad {
+    others: 0,
+    full_speed: 8,
+    fetch_time: time::Duration::from_millis(250),
+};
 const FULL_LEAVE: OrderLeave = OrderLeave { may_order: true, may_fetch: true };
 
 fn at(ms: u64) -> clock::MonotonicTime {
@@ -153,7 +158,8 @@
 
 #[test]
 fn the_weight_store_is_shared_by_all_instances() {
-    let may_fetch = |own, others| engine_order::FetchLoad::new(others, 12).may_fetch(own);
+    let may_fetch =
+        |own, others| engine_order::FetchLoad { others: own + others, ..IDLE_STORE }.may_fetch(own);
     assert!(may_fetch(7, 0));
     assert!(!may_fetch(8, 0));
     assert!(!may_fetch(1, 7));
@@ -238,12 +244,21 @@
     assert_eq!(desk.ready(at(500)).count(), 2);
 }
 
-/// A burst for rare adapters on 60 engines: as many are fetched at once as the store delivers there.
 #[test]
-fn a_large_fleet_fetches_more_at_once() {
-    assert!(engine_order::FetchLoad::new(23, 60).may_fetch(0));
-    assert!(engine_order::FetchLoad::new(22, 60).may_fetch(1));
-    assert!(!engine_order::FetchLoad::new(23, 60).may_fetch(1));
-    assert_eq!(engine_order::FetchLoad::new(35, 60).slowdown(1), 1.5);
-    assert_eq!(engine_order::FetchLoad::new(11, 12).slowdown(1), 1.5);
+fn a_fetch_is_judged_by_whether_a_request_found_it_late() {
+    let mut desk = desk(&[]);
+    let busy = engine_order::FetchLoad { others: 5, ..IDLE_STORE };
+    for number in [1, 2] {
+        desk.ask(at(0), &adapter(number), None, 1, |_| false);
+        let DeskStep::Order { order, .. } = next(&mut desk, 0) else { panic!("a load") };
+        desk.order_ended(at(0), &order, OrderAnswer::Accepted, busy, |_| None);
+    }
+    desk.found_missing(at(260), adapter(2).key());
+    assert!(desk.take_samples(at(400)).is_empty(), "a request may still find it missing");
+    let expected = time::Duration::from_millis(250);
+    let timely = fetch_pace::FetchSample { began: at(0), under_way: 6, expected, taken: expected };
+    assert_eq!(desk.take_samples(at(410)), [timely]);
+    let late = fetch_pace::FetchSample { taken: time::Duration::from_millis(320), ..timely };
+    assert_eq!(desk.take_samples(at(480)), [late]);
+    assert!(desk.take_samples(at(2_000)).is_empty(), "each is told once");
 }
--- /dev/null
+++ b/coltsfoot-gateway/tests/fetches.rs
@@ -0,0 +1,165 @@
+//! Fetches from weight stores that bear different numbers at once, which no record tells.
+
+use std::time;
+
+use coltsfoot_gateway::fetch_pace::{FetchPace, FetchSample};
+use coltsfoot_types::time as clock;
+
+const FETCH_MS: u64 = 250;
+/// Time between looks of the owners.
+const STEP_MS: u64 = 10;
+/// Time between the exchanges of what the instances have learned.
+const BEAT_STEPS: u64 = 15;
+
+fn at(ms: u64) -> clock::MonotonicTime {
+    clock::MonotonicTime(ms * 1000)
+}
+
+fn sample(began: u64, under_way: u32, expected: u64, taken: u64) -> FetchSample {
+    FetchSample {
+        began: at(began),
+        under_way,
+        expected: time::Duration::from_millis(expected),
+        taken: time::Duration::from_millis(taken),
+    }
+}
+
+#[derive(Clone, Copy)]
+struct OpenFetch {
+    instance: usize,
+    began: u64,
+    under_way: u32,
+    expected: u64,
+    taken: u64,
+}
+
+/// A weight store that bears so many fetches, and instances that always want more of it.
+struct PressedStore {
+    full_speed: f64,
+    fetch_ms: f64,
+    paces: Vec<FetchPace>,
+    fetches: Vec<OpenFetch>,
+    done: usize,
+    longest_ms: u64,
+}
+
+impl PressedStore {
+    fn new(full_speed: f64, instances: usize) -> Self {
+        Self {
+            full_speed,
+            fetch_ms: FETCH_MS as f64,
+            paces: vec![FetchPace::default(); instances],
+            fetches: Vec::new(),
+            done: 0,
+            longest_ms: 0,
+        }
+    }
+
+    fn run(&mut self, from_ms: u64, to_ms: u64) {
+        (self.done, self.longest_ms) = (0, 0);
+        for step in from_ms / STEP_MS..to_ms / STEP_MS {
+            let now = step * STEP_MS;
+            self.end_fetches(now);
+            for turn in 0..self.paces.len() {
+                // Whoever looks first finds the most room.
+                self.begin_fetches(now, (turn + step as usize) % self.paces.len());
+            }
+            if step.is_multiple_of(BEAT_STEPS) {
+                self.exchange();
+            }
+        }
+    }
+
+    fn begin_fetches(&mut self, now: u64, instance: usize) {
+        loop {
+            let own = self.fetches.iter().filter(|fetch| fetch.instance == instance).count() as u32;
+            let load = self.paces[instance].load(self.fetches.len() as u32);
+            if !load.may_fetch(own) {
+                return;
+            }
+            let under_way = load.others + 1;
+            let slowdown = (f64::from(under_way) / self.full_speed).max(1.0);
+            let taken = (self.fetch_ms * slowdown) as u64;
+            self.longest_ms = self.longest_ms.max(taken);
+            let expected = load.expected_time().as_millis() as u64;
+            self.fetches.push(OpenFetch { instance, began: now, under_way, expected, taken });
+        }
+    }
+
+    fn end_fetches(&mut self, now: u64) {
+        let (ended, open): (Vec<_>, _) =
+            self.fetches.iter().partition(|fetch| fetch.began + fetch.taken <= now);
+        self.fetches = open;
+        self.done += ended.len();
+        for fetch in ended {
+            // Requests come with a small delay, so that a slightly late one is not noticed.
+            let is_late = fetch.taken > fetch.expected + 8;
+            let taken = if is_late { fetch.taken } else { fetch.expected };
+            let sample = sample(fetch.began, fetch.under_way, fetch.expected, taken);
+            self.paces[fetch.instance].take_sample(at(now), sample);
+        }
+    }
+
+    fn exchange(&mut self) {
+        let told: Vec<_> =
+            self.paces.iter().map(|pace| (pace.limit_tenths(), pace.fetch_time())).collect();
+        for (own, pace) in self.paces.iter_mut().enumerate() {
+            for (_, (limit, fetch_time)) in told.iter().enumerate().filter(|(of, _)| *of != own) {
+                pace.take_peer(*limit, *fetch_time);
+            }
+        }
+    }
+
+    fn limits(&self) -> impl Iterator<Item = f64> {
+        self.paces.iter().map(|pace| f64::from(pace.limit()))
+    }
+}
+
+/// Rare adapters are asked for without end: within two seconds the store is used to nearly all that
+/// it bears, and fetches are not slowed down much.
+#[test]
+fn the_bound_is_found_quickly_for_any_store() {
+    for (full_speed, instances) in [(8.0, 6), (24.0, 8), (24.0, 60), (48.0, 5), (88.0, 62)] {
+        let mut store = PressedStore::new(full_speed, instances);
+        store.run(0, 2_000);
+        store.run(2_000, 10_000);
+        let bearable = full_speed * 8_000.0 / FETCH_MS as f64;
+        let used = store.done as f64 / bearable;
+        assert!(used > 0.85, "{used} of a store that bears {full_speed}, {instances} instances");
+        let most = 1.6 * FETCH_MS as f64;
+        assert!((store.longest_ms as f64) < most, "{} at {full_speed}", store.longest_ms);
+    }
+}
+
+#[test]
+fn the_bound_follows_a_store_that_changes() {
+    let mut store = PressedStore::new(48.0, 8);
+    store.run(0, 4_000);
+    assert!(store.limits().all(|limit| limit > 0.75 * 48.0));
+    store.full_speed = 12.0;
+    store.run(4_000, 9_000);
+    assert!(store.limits().all(|limit| limit < 1.5 * 12.0));
+    store.full_speed = 30.0;
+    store.run(9_000, 20_000);
+    assert!(store.limits().all(|limit| limit > 0.75 * 30.0));
+}
+
+#[test]
+fn an_instance_that_starts_takes_over_what_the_others_learned() {
+    let mut store = PressedStore::new(48.0, 8);
+    store.run(0, 4_000);
+    let mut newcomer = FetchPace::default();
+    newcomer.take_peer(store.paces[0].limit_tenths(), store.paces[0].fetch_time());
+    assert_eq!(newcomer.limit(), store.paces[0].limit());
+}
+
+#[test]
+fn late_fetches_of_a_calm_store_lengthen_the_expected_time() {
+    let mut pace = FetchPace::default();
+    for _ in 0..20 {
+        pace.take_sample(at(0), sample(0, 1, 250, 310));
+    }
+    assert_eq!(pace.limit(), FetchPace::default().limit(), "the number is not the cause");
+    assert!(pace.fetch_time() > time::Duration::from_millis(600));
+    assert!(pace.load(0).expected_time() == pace.fetch_time());
+}
--- a/coltsfoot-gateway/tests/fleet_fixture/mod.rs
+++ b/coltsfoot-gateway/tests/fleet_fixture/mod.rs
@@ -77,6 +77,8 @@
         partitions: Vec::new(),
         fetching: 0,
         to_fetch: 0,
+        fetch_limit_tenths: 80,
+        fetch_ms: 250,
         work: Vec::new(),
         uses,
         engines: None,
--- a/coltsfoot-measure/src/burst/engine.rs
+++ b/coltsfoot-measure/src/burst/engine.rs
@@ -16,6 +16,8 @@
 pub const PLACES: usize = 8;
 /// Adapters delivered at once at full speed to all engines.
 const FULL_SPEED: f64 = 8.0;
+/// Time of a fetch at full speed, in milliseconds.
+const FETCH_MS: f64 = 250.0;
 
 /// A run of a request.
 #[derive(Clone, Debug)]
@@ -119,7 +121,7 @@
                 );
                 let is_warm = self.warm.contains(&key);
                 let slowdown = ((fetching + 1) as f64 / FULL_SPEED).max(1.0);
-                let cold = engine_desk::COLD_LOAD.as_millis() as f64 * slowdown;
+                let cold = FETCH_MS * slowdown;
                 let warm = engine_desk::WARM_LOAD.as_millis() as f64;
                 let load_ms = if is_warm { warm } else { cold };
                 self.placed.insert(key, (name.clone(), now + load_ms as u64));
--- a/coltsfoot-measure/src/burst/instance.rs
+++ b/coltsfoot-measure/src/burst/instance.rs
@@ -39,8 +39,10 @@
         for id in ids {
             self.view.upstream_heard(at(now), id);
         }
-        let fetching: u32 = self.desks.values().map(|desk| desk.fetching(at(now))).sum();
+        let fetching = self.fetching(now);
         let to_fetch: u32 = self.desks.values().map(|desk| desk.waiting_fetches()).sum();
+        self.view.set_own_backlog(fetching + to_fetch);
+        let pace = self.view.fetch_pace().clone();
         fleet::FleetBeat {
             sender: self.number as u64,
             address: std::net::SocketAddr::from(([127, 0, 0, 1], self.number as u16)),
@@ -54,6 +56,8 @@
             partitions: Vec::new(),
             fetching: fetching as u16,
             to_fetch: to_fetch as u16,
+            fetch_limit_tenths: pace.limit_tenths(),
+            fetch_ms: pace.fetch_time().as_millis() as u16,
             work: self.view.local_work(),
             uses: self.view.uses(true),
             engines: Some(engines),
@@ -64,7 +68,13 @@
     fn describe(&self, now: u64, place: usize, ids: &[std::sync::Arc<str>]) -> fleet::OwnedEngine {
         let slot = self.view.upstream(&ids[place]).expect("known");
         let in_use = |key| slot.is_in_use(at(now), key);
-        self.desks[&place].describe(at(now), slot.number, 1, true, in_use)
+        let fetches = self.view.fetch_load(self.view.fetch_backlog());
+        self.desks[&place].describe(at(now), slot.number, 1, true, fetches, in_use)
+    }
+
+    /// Returns the adapters on their way to the engines owned.
+    pub fn fetching(&self, now: u64) -> u32 {
+        self.desks.values().map(|desk| desk.fetching(at(now))).sum()
     }
 
     /// Returns the next order for an engine owned, or takes a report if one is due.
@@ -75,8 +85,8 @@
         id: &str,
         engine: &engine::ModelEngine,
     ) -> Option<engine_order::EngineOrder> {
-        let own: u32 = self.desks.values().map(|desk| desk.fetching(at(now))).sum();
-        let may_fetch = self.view.fetch_load(self.view.fetching()).may_fetch(own);
+        let own = self.fetching(now);
+        let may_fetch = self.view.fetch_load(own + self.view.fetching()).may_fetch(own);
         let leave = engine_order::OrderLeave { may_order: true, may_fetch };
         let slot = self.view.upstream(id).expect("known");
         let desk = self.desks.get_mut(&place).expect("owned");
--- a/coltsfoot-measure/src/burst/world.rs
+++ b/coltsfoot-measure/src/burst/world.rs
@@ -247,13 +247,16 @@
                 let fetching: usize = self.engines.iter().map(|engine| engine.fetching(now)).sum();
                 let (answer, is_fetch) = self.engines[place].order(now, &order, fetching);
                 self.result.fetches += usize::from(is_fetch);
-                let fetches = owner.view.fetch_load(owner.view.fetching());
+                let under_way = owner.fetching(now) + owner.view.fetching();
+                let fetches = owner.view.fetch_load(under_way);
                 let desk = owner.desks.get_mut(&place).expect("owned");
                 desk.order_ended(at(now), &order, answer, fetches, |_| None);
             }
             let owner = &mut self.instances[self.owners[place]];
             let desk = owner.desks.get_mut(&place).expect("owned");
             let replies = desk.take_replies(at(now));
+            let samples = desk.take_samples(at(now));
+            owner.view.take_fetch_samples(at(now), &samples);
             if desk.take_changed() {
                 self.send_beat(now, self.owners[place]);
             }
@@ -363,6 +366,8 @@
             self.result.misdirected += 1;
             let key = request.demand.adapter.as_ref().expect("named").key();
             view.adapter_missing(&self.ids[place], key);
+            let desks = &mut self.instances[self.owners[place]].desks;
+            desks.get_mut(&place).expect("owned").found_missing(at(now), key);
             state.phase = Phase::Search { next_ms: now + 1 };
             return;
         };
--- a/coltsfoot-wire/src/fleet.rs
+++ b/coltsfoot-wire/src/fleet.rs
@@ -109,6 +109,10 @@
     pub fetching: u16,
     /// Adapters that they are to fetch once the weight store has room.
     pub to_fetch: u16,
+    /// Tenths of the fetches of all engines that the sender takes to run at once at full speed.
+    pub fetch_limit_tenths: u16,
+    /// Time of a fetch at full speed as the sender has learned it, in milliseconds.
+    pub fetch_ms: u16,
     /// Work under way.
     pub work: Vec<UpstreamWork>,
     /// Adapters in use.
--- a/coltsfootd/src/event.rs
+++ b/coltsfootd/src/event.rs
@@ -91,6 +91,8 @@
     ORDER_GIVEN = 403, "order_given", Info;
     /// An engine's report could not be fetched.
     REPORT_FAILED = 404, "report_failed", Warn;
+    /// The number of fetches that the weight store bears was learned anew.
+    FETCH_PACE_LEARNED = 405, "fetch_pace_learned", Info;
     /// An upstream answered for another adapter, version or request.
     WRONG_ANSWER = 500, "wrong_answer", Error;
     /// An attempt at an upstream failed.
--- a/coltsfootd/src/gateway/beats.rs
+++ b/coltsfootd/src/gateway/beats.rs
@@ -108,9 +108,10 @@
     let upstreams = state.told_reading(state.own_upstreams());
     let fetching = state.desks.fetching(now);
     let to_fetch = state.desks.waiting_fetches();
-    let (uses, work) = {
+    let (uses, work, pace) = {
         let mut view = state.view();
-        (view.uses(forget_uses), view.local_work())
+        view.set_own_backlog(fetching + to_fetch);
+        (view.uses(forget_uses), view.local_work(), view.fetch_pace().clone())
     };
     state.desks.touch(now, &uses);
     wire::FleetBeat {
@@ -126,6 +127,8 @@
         partitions,
         fetching: u16::try_from(fetching).unwrap_or(u16::MAX),
         to_fetch: u16::try_from(to_fetch).unwrap_or(u16::MAX),
+        fetch_limit_tenths: pace.limit_tenths(),
+        fetch_ms: u16::try_from(pace.fetch_time().as_millis()).unwrap_or(u16::MAX),
         work,
         uses,
         engines,
--- a/coltsfootd/src/gateway/engines.rs
+++ b/coltsfootd/src/gateway/engines.rs
@@ -4,7 +4,9 @@
 use std::sync;
 use std::time;
 
-use coltsfoot_gateway::{demand, engine_desk, engine_order, fleet_view, order_lease, upstream};
+use coltsfoot_gateway::{
+    demand, engine_desk, engine_order, fetch_pace, fleet_view, order_lease, upstream,
+};
 use coltsfoot_http::client;
 use coltsfoot_types::time as instant;
 use coltsfoot_wire::fleet as wire;
@@ -132,7 +134,8 @@
         let upstream = view.upstream(&self.id);
         let in_use = |key| upstream.is_some_and(|upstream| upstream.is_in_use(now, key));
         let takes_orders = lease.order_fence(now, self.partition).is_some();
-        Some(self.desk.describe(now, self.number, fence, takes_orders, in_use))
+        let fetches = view.fetch_load(view.fetch_backlog());
+        Some(self.desk.describe(now, self.number, fence, takes_orders, fetches, in_use))
     }
 }
 
@@ -224,7 +227,7 @@
     let may_order = state.order_fence(partition).is_some();
     let own = state.desks.fetching(now);
     let view = state.view();
-    let may_fetch = view.fetch_load(view.fetching()).may_fetch(own);
+    let may_fetch = view.fetch_load(own + view.fetching()).may_fetch(own);
     let leave = engine_order::OrderLeave { may_order, may_fetch };
     let upstream = view.upstream(id)?;
     let mut slots = state::lock(&state.desks.slots);
@@ -236,11 +239,15 @@
 /// Answers the questions that are settled and tells the others what changed.
 fn settle(state: &sync::Arc<state::GatewayState>, id: &str) {
     let now = state.now();
-    let (replies, has_changed) = {
+    let (replies, samples, has_changed) = {
         let mut slots = state::lock(&state.desks.slots);
         let Some(slot) = slots.get_mut(id) else { return };
-        (slot.desk.take_replies(now), slot.desk.take_changed())
+        let desk = &mut slot.desk;
+        (desk.take_replies(now), desk.take_samples(now), desk.take_changed())
     };
+    if !samples.is_empty() {
+        take_samples(state, now, &samples);
+    }
     if has_changed {
         beats::publish_engine(state, id);
     }
@@ -254,6 +261,26 @@
     }
 }
 
+/// Learns from fetches how many the weight store delivers at once; logs changes.
+fn take_samples(
+    state: &state::GatewayState,
+    now: instant::MonotonicTime,
+    samples: &[fetch_pace::FetchSample],
+) {
+    let mut view = state.view();
+    let before = view.fetch_pace().limit();
+    view.take_fetch_samples(now, samples);
+    let pace = view.fetch_pace();
+    if pace.limit() != before {
+        log::info!(
+            event = event::FETCH_PACE_LEARNED.number, limit = pace.limit(),
+            fetch_ms = pace.fetch_time().as_millis() as u64,
+            late = samples.iter().filter(|sample| sample.is_late()).count() as u64;
+            "fetch_pace_learned"
+        );
+    }
+}
+
 async fn give_order(
     state: &sync::Arc<state::GatewayState>,
     id: &sync::Arc<str>,
@@ -280,11 +307,12 @@
     );
     let now = state.now();
     {
+        let own = state.desks.fetching(now);
         let view = state.view();
         let mut slots = state::lock(&state.desks.slots);
         if let Some(slot) = slots.get_mut(id) {
             let newest = |key| view.newest_version(key);
-            let fetches = view.fetch_load(view.fetching());
+            let fetches = view.fetch_load(own + view.fetching());
             slot.desk.order_ended(now, &order, answer, fetches, newest);
         }
     }
