--- a/coltsfoot-gateway/src/fetch_pace.rs
+++ b/coltsfoot-gateway/src/fetch_pace.rs
@@ -29,10 +29,11 @@
 const PEER_WEIGHT: f64 = 0.05;
 /// Time of a fetch at full speed before anything was observed: the figure of the platform's sheets.
 const START_FETCH_TIME: time::Duration = time::Duration::from_millis(250);
-/// Shortest and longest time of a fetch at full speed that is believed, in milliseconds.
-const FETCH_TIMES_MS: (f64, f64) = (50.0, 2_000.0);
+/// Longest time of a fetch at full speed that is believed, in milliseconds.
+const MAX_FETCH_MS: f64 = 2_000.0;
 /// Change of the expected time with each late and each timely fetch at full speed, so that one in
-/// about fifty is late.
+/// about fifty is late. It never falls below the time of the sheets: with less, all fetches would
+/// come late and the bound would fall without cause.
 const LATE_FACTOR: f64 = 1.05;
 const TIMELY_FACTOR: f64 = 0.999;
 
@@ -104,8 +105,7 @@
         let is_calm = under_way < self.limit * CALM_SHARE;
         if is_calm {
             let factor = if sample.is_late() { LATE_FACTOR } else { TIMELY_FACTOR };
-            let (shortest, longest) = FETCH_TIMES_MS;
-            self.fetch_ms = (self.fetch_ms * factor).clamp(shortest, longest);
+            self.fetch_ms = believed(self.fetch_ms * factor);
         } else if sample.is_late() {
             self.back_off(now, sample);
         } else if under_way >= self.limit * PRESSED_SHARE {
@@ -137,8 +137,10 @@
             true => self.limit.max(limit),
             false => self.limit + (limit - self.limit) * PEER_WEIGHT,
         };
-        let (shortest, longest) = FETCH_TIMES_MS;
-        let told = fetch_ms.clamp(shortest, longest);
-        self.fetch_ms += (told - self.fetch_ms) * PEER_WEIGHT;
+        self.fetch_ms += (believed(fetch_ms) - self.fetch_ms) * PEER_WEIGHT;
     }
 }
+
+fn believed(fetch_ms: f64) -> f64 {
+    fetch_ms.clamp(START_FETCH_TIME.as_secs_f64() * 1000.0, MAX_FETCH_MS)
+}
--- a/coltsfoot-gateway/tests/fetches.rs
+++ b/coltsfoot-gateway/tests/fetches.rs
@@ -163,3 +163,16 @@
     assert!(pace.fetch_time() > time::Duration::from_millis(600));
     assert!(pace.load(0).expected_time() == pace.fetch_time());
 }
+
+/// Long calm: the expected time stays above the true one, so that nothing is taken for congestion
+/// and the bound holds when the load returns.
+#[test]
+fn a_long_calm_does_not_make_fetches_seem_late() {
+    let mut store = PressedStore::new(24.0, 8);
+    store.run(0, 4_000);
+    for _ in 0..2_000 {
+        store.paces[0].take_sample(at(4_000), sample(3_900, 1, 250, 250));
+    }
+    store.run(4_000, 9_000);
+    assert!(store.limits().all(|limit| limit > 0.75 * 24.0));
+}
