Let one instance of each zone tell the other zones in large fleets

Change: in a fleet where direct beats would be rarer than every 150 ms, the largest instance of a zone (its relay) sends sums over the zone to one instance of each other zone, which passes them on. Engines are told when they changed, members and all engines now and then. Every instance gathers, so that each can become the relay; quotas are keyed by the relay and counted from its first word. Suspect zones are computed once a choice, uses only at holders. Ruled out: relays in small fleets (a further 250 ms of age), two relays at once (quotas counted twice), totals of the relay's zone without deltas (a restart would look like a refund).

--- a/coltsfoot-gateway/src/beat_plan.rs
+++ b/coltsfoot-gateway/src/beat_plan.rs
@@ -1,5 +1,6 @@
 //! How often an instance tells the others of itself, so that what it sends and receives does not
-//! grow with the number of instances.
+//! grow with the number of instances. In a large fleet one instance of each zone tells the other zones
+//! of all of its zone.
 
 use std::time;
 
@@ -7,25 +8,30 @@
 pub const SHORTEST_INTERVAL: time::Duration = time::Duration::from_millis(150);
 /// Beats a second to the other instances of the zone at most, of about 400 bytes.
 const NEAR_BEATS_PER_S: f64 = 80.0;
-/// Beats a second to other zones at most; their bytes have a price.
+/// Beats a second to other zones at most, sent by each instance itself; beyond that a relay sends sums
+/// over its zone, since bytes between zones have a price.
 const FAR_BEATS_PER_S: f64 = 50.0;
+/// Shortest time between the beats of a relay.
+const ZONE_INTERVAL: time::Duration = time::Duration::from_millis(250);
 
 /// Times between beats.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct BeatPlan {
     /// Time between beats to an instance of the same zone.
     pub near: time::Duration,
-    /// Time between beats to an instance of another zone.
+    /// Time between beats to another zone: of each instance to each there, or of the relay.
     pub far: time::Duration,
+    /// Whether a relay tells the other zones.
+    pub is_relayed: bool,
 }
 
 impl BeatPlan {
     /// Plans the beats to so many instances.
     pub fn new(near_peers: usize, far_peers: usize) -> Self {
-        Self {
-            near: interval(near_peers, NEAR_BEATS_PER_S),
-            far: interval(far_peers, FAR_BEATS_PER_S),
-        }
+        let near = interval(near_peers, NEAR_BEATS_PER_S);
+        let far = interval(far_peers, FAR_BEATS_PER_S);
+        let is_relayed = far > SHORTEST_INTERVAL;
+        Self { near, far: if is_relayed { near.max(ZONE_INTERVAL) } else { far }, is_relayed }
     }
 
     /// Returns whether every change is told at once.
--- a/coltsfoot-gateway/src/engine_choice.rs
+++ b/coltsfoot-gateway/src/engine_choice.rs
@@ -71,25 +71,26 @@
     view: &fleet_view::FleetView,
     request: &PlacedRequest<'_>,
 ) -> Option<ChosenUpstream> {
+    let suspects = view.suspect_zones(now);
     let ready = view.ready_upstreams(&request.service.name);
     let candidates: Vec<&upstream_slot::UpstreamSlot> =
         ready.filter(|slot| !request.tried.contains(&slot.entry.id)).collect();
     match request.demand {
-        Some(demand) => choose_engine(now, view, request, demand, &candidates),
-        None => choose_plain(now, view, request, &candidates),
+        Some(demand) => choose_engine(now, view, request, demand, &candidates, &suspects),
+        None => choose_plain(now, request, &candidates, &suspects),
     }
 }
 
 fn common_cost(
     now: clock::MonotonicTime,
-    view: &fleet_view::FleetView,
     request: &PlacedRequest<'_>,
     slot: &upstream_slot::UpstreamSlot,
+    suspects: &[&str],
 ) -> f64 {
     let is_near = &*slot.entry.zone == request.zone;
     let zone = match is_near {
         true => 0.0,
-        false if view.is_zone_suspect(now, &slot.entry.zone) => SUSPECT_ZONE_MS,
+        false if suspects.contains(&&*slot.entry.zone) => SUSPECT_ZONE_MS,
         false => ZONE_MS,
     };
     let avoided = if slot.is_avoided(now) { AVOIDED_MS } else { 0.0 };
@@ -99,15 +100,15 @@
 
 fn choose_plain(
     now: clock::MonotonicTime,
-    view: &fleet_view::FleetView,
     request: &PlacedRequest<'_>,
     candidates: &[&upstream_slot::UpstreamSlot],
+    suspects: &[&str],
 ) -> Option<ChosenUpstream> {
     let costs = candidates.iter().map(|slot| {
         let work = slot.work(now);
         let slots = slot.entry.slots.max(1);
         let rounds = f64::from(work.running) / f64::from(slots);
-        (rounds * PLAIN_WORK_MS + common_cost(now, view, request, slot), slot)
+        (rounds * PLAIN_WORK_MS + common_cost(now, request, slot, suspects), slot)
     });
     let (cost, slot) = costs.min_by(|(one, _), (other, _)| one.total_cmp(other))?;
     let id = sync::Arc::clone(&slot.entry.id);
@@ -120,6 +121,7 @@
     request: &PlacedRequest<'_>,
     demand: &demand::PromptDemand,
     candidates: &[&upstream_slot::UpstreamSlot],
+    suspects: &[&str],
 ) -> Option<ChosenUpstream> {
     let key = demand.adapter.as_ref().map(demand::AdapterName::key);
     let home = demand.weights_key();
@@ -137,7 +139,7 @@
             _ => 0.0,
         };
         let wait = engine_wait(now, slot, demand, preferred == Some(slot.number));
-        Some((wait + load + common_cost(now, view, request, slot), slot, !is_held))
+        Some((wait + load + common_cost(now, request, slot, suspects), slot, !is_held))
     });
     let best = costs.min_by(|(one, ..), (other, ..)| one.total_cmp(other));
     let (expected_ms, slot, needs_load) = best?;
--- a/coltsfoot-gateway/src/fleet_view.rs
+++ b/coltsfoot-gateway/src/fleet_view.rs
@@ -1,11 +1,14 @@
 //! What an instance knows of the upstreams and of the work of all instances there.
 
+pub mod zones;
+
 use std::sync;
 use std::time;
 
 use coltsfoot_types::time as clock;
 use coltsfoot_wire::fleet;
 use rustc_hash::FxHashMap;
+use smallvec::SmallVec;
 
 use crate::{
     beat_plan, demand, engine_desk, engine_order, fetch_pace, order_lease, peer_slot,
@@ -51,11 +54,21 @@
     upstreams: FxHashMap<sync::Arc<str>, upstream_slot::UpstreamSlot>,
     peers: FxHashMap<u64, peer_slot::PeerSlot>,
     versions: FxHashMap<demand::AdapterKey, NamedVersion>,
+    /// Upstreams by their number in messages.
+    numbers: FxHashMap<u32, sync::Arc<str>>,
+    /// Other zones of which a relay tells.
+    zones: FxHashMap<sync::Arc<str>, zones::RelayedZone>,
     fetch_pace: fetch_pace::FetchPace,
     /// Fetches that wait or are under way at the engines of this instance.
     own_backlog: u32,
+    /// Other instances found in the store.
+    found_near: usize,
+    found_far: usize,
 }
 
+/// Zones that are probably cut off.
+pub type SuspectZones<'a> = SmallVec<[&'a str; 4]>;
+
 /// Returns the number of a customer in messages.
 pub fn customer_number(name: &str) -> u32 {
     rendezvous::hash_of(&name) as u32
@@ -70,8 +83,11 @@
                 false
             }
             _ => {
-                self.upstreams
-                    .insert(sync::Arc::clone(&entry.id), upstream_slot::UpstreamSlot::new(entry));
+                let id = sync::Arc::clone(&entry.id);
+                self.remove_upstream(&id);
+                let slot = upstream_slot::UpstreamSlot::new(entry);
+                self.numbers.insert(slot.number, sync::Arc::clone(&id));
+                self.upstreams.insert(id, slot);
                 true
             }
         }
@@ -79,7 +95,15 @@
 
     /// Forgets an upstream.
     pub fn remove_upstream(&mut self, id: &str) -> Option<upstream::UpstreamEntry> {
-        self.upstreams.remove(id).map(|slot| slot.entry)
+        let slot = self.upstreams.remove(id)?;
+        self.numbers.remove(&slot.number);
+        Some(slot.entry)
+    }
+
+    /// Returns the upstream with a number.
+    fn slot_mut(&mut self, number: u32) -> Option<&mut upstream_slot::UpstreamSlot> {
+        let id = self.numbers.get(&number)?;
+        self.upstreams.get_mut(id)
     }
 
     /// Returns an upstream.
@@ -209,15 +233,23 @@
         })
     }
 
-    /// Plans the beats to the instances that are known.
+    /// Plans the beats to the instances that are known, or found in the store.
     pub fn beat_plan(&self, zone: &str) -> beat_plan::BeatPlan {
         let near = self.peers.values().filter(|peer| &*peer.zone == zone).count();
-        beat_plan::BeatPlan::new(near, self.peers.len() - near)
+        let far = self.peers.len() - near;
+        beat_plan::BeatPlan::new(near.max(self.found_near), far.max(self.found_far))
+    }
+
+    /// Notes how many other instances of its own zone and of others an instance found in the store.
+    pub fn set_found(&mut self, near: usize, far: usize) {
+        (self.found_near, self.found_far) = (near, far);
     }
 
     /// Returns how many requests run on an adapter at all engines.
     pub fn adapter_running(&self, now: clock::MonotonicTime, key: demand::AdapterKey) -> u32 {
-        self.upstreams.values().map(|slot| slot.running_on(now, key)).sum()
+        let slots = self.upstreams.values();
+        let holders = slots.filter(|slot| slot.residency.adapters.contains_key(&key));
+        holders.map(|slot| slot.running_on(now, key)).sum()
     }
 
     /// Notes that a request's prompt was read, or that the request ended before.
@@ -288,35 +320,49 @@
         }
         let fetch_time = time::Duration::from_millis(u64::from(beat.fetch_ms));
         self.fetch_pace.take_peer(beat.fetch_limit_tenths, fetch_time);
-        self.take_work(now, beat);
+        if self.is_zone_relayed(now, &beat.zone) {
+            // Its work is among the sums of its zone.
+            if let Some(peer) = self.peers.get_mut(&beat.sender) {
+                (peer.fetching, peer.to_fetch) = (0, 0);
+            }
+        } else {
+            let interval = time::Duration::from_millis(u64::from(beat.interval_ms));
+            let expiry = now + upstream_slot::BEAT_LIFETIME.max(interval * BEATS_TO_LOSE);
+            self.put_work(beat.sender, expiry, &beat.work, &beat.uses);
+        }
+        for engine in beat.engines.iter().flatten() {
+            if let Some(slot) = self.slot_mut(engine.upstream) {
+                slot.take_residency(now, Some(beat.sender), engine);
+            }
+        }
         is_new
     }
 
-    fn take_work(&mut self, now: clock::MonotonicTime, beat: &fleet::FleetBeat) {
-        let interval = time::Duration::from_millis(u64::from(beat.interval_ms));
-        let expiry = now + upstream_slot::BEAT_LIFETIME.max(interval * BEATS_TO_LOSE);
+    /// Replaces the work that an instance, or a zone, was known to have.
+    fn put_work(
+        &mut self,
+        teller: u64,
+        expiry: clock::MonotonicTime,
+        work: &[fleet::UpstreamWork],
+        uses: &[fleet::AdapterUse],
+    ) {
         for slot in self.upstreams.values_mut() {
-            slot.remote.remove(&beat.sender);
-            if let Some(work) = beat.work.iter().find(|work| work.upstream == slot.number) {
+            slot.remote.remove(&teller);
+            slot.remote_uses.remove(&teller);
+        }
+        for work in work {
+            if let Some(slot) = self.slot_mut(work.upstream) {
                 let running = u32::from(work.running);
-                let load = upstream_slot::WorkLoad {
-                    running,
-                    unread_tokens: u64::from(work.unread_tokens),
-                };
-                slot.remote.insert(beat.sender, (load, expiry));
+                let unread_tokens = u64::from(work.unread_tokens);
+                let load = upstream_slot::WorkLoad { running, unread_tokens };
+                slot.remote.insert(teller, (load, expiry));
             }
-            let uses = beat.uses.iter().filter(|used| used.upstream == slot.number);
-            let running = uses.filter(|used| used.running > 0);
-            let counts: Vec<_> =
-                running.map(|used| (demand::AdapterKey(used.adapter), used.running)).collect();
-            match counts.is_empty() {
-                true => slot.remote_uses.remove(&beat.sender),
-                false => slot.remote_uses.insert(beat.sender, (counts, expiry)),
-            };
-            let number = slot.number;
-            let engines = beat.engines.iter().flatten();
-            for engine in engines.filter(|engine| engine.upstream == number) {
-                slot.take_residency(now, Some(beat.sender), engine);
+        }
+        for used in uses.iter().filter(|used| used.running > 0) {
+            if let Some(slot) = self.slot_mut(used.upstream) {
+                let entry = slot.remote_uses.entry(teller);
+                let (counts, _) = entry.or_insert_with(|| (Vec::new(), expiry));
+                counts.push((demand::AdapterKey(used.adapter), used.running));
             }
         }
     }
@@ -327,16 +373,14 @@
         if !peer.take_sequence(change.sequence) {
             return;
         }
-        let number = change.engine.upstream;
-        if let Some(slot) = self.upstreams.values_mut().find(|slot| slot.number == number) {
+        if let Some(slot) = self.slot_mut(change.engine.upstream) {
             slot.take_residency(now, Some(change.sender), &change.engine);
         }
     }
 
     /// Takes what this instance knows of an engine as its owner.
     pub fn take_own_engine(&mut self, now: clock::MonotonicTime, engine: &fleet::OwnedEngine) {
-        let slot = self.upstreams.values_mut().find(|slot| slot.number == engine.upstream);
-        if let Some(slot) = slot {
+        if let Some(slot) = self.slot_mut(engine.upstream) {
             slot.take_residency(now, None, engine);
         }
     }
@@ -344,6 +388,11 @@
     /// Forgets instances that were not heard from for long, and old uses.
     pub fn expire(&mut self, now: clock::MonotonicTime) {
         self.peers.retain(|_, peer| now.since(peer.heard) < PEER_LIFETIME);
+        let is_relayed = |zone: &str| self.is_zone_relayed(now, zone);
+        let silent: Vec<_> = self.zones.keys().filter(|zone| !is_relayed(zone)).cloned().collect();
+        for zone in silent {
+            self.zones.remove(&zone);
+        }
         for slot in self.upstreams.values_mut() {
             slot.remote.retain(|_, (_, expiry)| now < *expiry);
             slot.remote_uses.retain(|_, (_, expiry)| now < *expiry);
@@ -361,6 +410,12 @@
         self.peers.values().map(|peer| peer.address).collect()
     }
 
+    /// Returns where the other instances of a zone receive messages.
+    pub fn near_addresses(&self, zone: &str) -> Vec<std::net::SocketAddr> {
+        let near = self.peers.values().filter(|peer| &*peer.zone == zone);
+        near.map(|peer| peer.address).collect()
+    }
+
     /// Returns what the other instances told of a topic.
     pub fn readings(
         &self,
@@ -401,21 +456,38 @@
         near.map(|peer| peer.witness.clone()).collect()
     }
 
-    /// Returns whether a zone is probably cut off: none of its instances was heard from lately
-    /// although some are known, or connections to several of its upstreams failed.
-    pub fn is_zone_suspect(&self, now: clock::MonotonicTime, zone: &str) -> bool {
-        let mut near = self.peers.values().filter(|peer| &*peer.zone == zone).peekable();
-        let is_silent =
-            near.peek().is_some() && near.all(|peer| now.since(peer.heard) > ZONE_SILENCE);
-        is_silent || {
-            let upstreams = self.upstreams.values().filter(|slot| &*slot.entry.zone == zone);
-            upstreams.filter(|slot| slot.is_avoided(now)).count() >= SUSPECT_FAILURES
+    /// Returns the zones that are probably cut off: none of their instances was heard from lately
+    /// although some are known, or connections to several of their upstreams failed.
+    pub fn suspect_zones(&self, now: clock::MonotonicTime) -> SuspectZones<'_> {
+        let mut zones: SmallVec<[(&str, bool, usize); 8]> = SmallVec::new();
+        let mut note = |zone, is_heard, failures| match zones.iter_mut().find(|z| z.0 == zone) {
+            Some(known) => {
+                known.1 |= is_heard;
+                known.2 += failures;
+            }
+            None => zones.push((zone, is_heard, failures)),
+        };
+        for peer in self.peers.values() {
+            let longest = match self.zones.get(&peer.zone) {
+                Some(relayed) => ZONE_SILENCE.max(relayed.interval * BEATS_TO_LOSE),
+                None => ZONE_SILENCE,
+            };
+            note(&*peer.zone, now.since(peer.heard) <= longest, 0);
+        }
+        let is_known = |zone: &str| self.peers.values().any(|peer| &*peer.zone == zone);
+        for slot in self.upstreams.values().filter(|slot| slot.is_avoided(now)) {
+            note(&*slot.entry.zone, !is_known(&slot.entry.zone), 1);
         }
+        let suspects = zones
+            .into_iter()
+            .filter(|(_, is_heard, failures)| !is_heard || *failures >= SUSPECT_FAILURES);
+        suspects.map(|(zone, ..)| zone).collect()
     }
 
     /// Returns the adapters that the engines of the other instances fetch from the weight store.
     pub fn fetching(&self) -> u32 {
-        self.peers.values().map(|peer| peer.fetching).sum()
+        let zones: u32 = self.zones.values().map(|zone| zone.fetching).sum();
+        zones + self.peers.values().map(|peer| peer.fetching).sum::<u32>()
     }
 
     /// Returns the load of the weight store by so many fetches.
@@ -446,8 +518,9 @@
 
     /// Returns the adapters that wait for the weight store or are on their way from it.
     pub fn fetch_backlog(&self) -> u32 {
-        let peers = self.peers.values();
-        self.own_backlog + peers.map(|peer| peer.fetching + peer.to_fetch).sum::<u32>()
+        let (peers, zones) = (self.peers.values(), self.zones.values());
+        let relayed: u32 = zones.map(|zone| zone.fetching + zone.to_fetch).sum();
+        self.own_backlog + relayed + peers.map(|peer| peer.fetching + peer.to_fetch).sum::<u32>()
     }
 
     /// Takes a report that this instance fetched itself, since no owner tells of the engine.
--- a/coltsfoot-gateway/src/lib.rs
+++ b/coltsfoot-gateway/src/lib.rs
@@ -21,3 +21,4 @@
 pub mod rules;
 pub mod upstream;
 pub mod upstream_slot;
+pub mod zone_relay;
--- a/coltsfoot-gateway/src/peer_slot.rs
+++ b/coltsfoot-gateway/src/peer_slot.rs
@@ -8,6 +8,9 @@
 
 use crate::order_lease;
 
+/// The reading of an instance that does not read.
+pub(crate) const UNREAD: fleet::TopicReading = fleet::TopicReading { age_ms: u32::MAX, digest: 0 };
+
 /// Another instance.
 #[derive(Clone, Debug)]
 pub struct PeerSlot {
@@ -15,7 +18,11 @@
     pub address: std::net::SocketAddr,
     /// Its availability zone.
     pub zone: sync::Arc<str>,
-    /// When it was heard last.
+    /// Its share of a processor, in thousandths.
+    pub capacity: u16,
+    /// Whether the relay of its zone names it.
+    pub(crate) is_listed: bool,
+    /// When it was heard last, itself or through its zone's relay.
     pub heard: clock::MonotonicTime,
     /// Sequence number of its last beat.
     pub sequence: u64,
@@ -41,6 +48,8 @@
         Self {
             address: beat.address,
             zone: beat.zone.as_str().into(),
+            capacity: beat.capacity,
+            is_listed: false,
             heard: now,
             sequence: 0,
             interval: time::Duration::ZERO,
@@ -57,6 +66,33 @@
         }
     }
 
+    /// Creates a slot for an instance that its zone's relay named.
+    pub(crate) fn listed(
+        now: clock::MonotonicTime,
+        member: &fleet::ZoneMember,
+        zone: &sync::Arc<str>,
+    ) -> Self {
+        Self {
+            address: member.address,
+            zone: sync::Arc::clone(zone),
+            capacity: member.capacity,
+            is_listed: true,
+            heard: now,
+            sequence: 0,
+            interval: time::Duration::ZERO,
+            is_leaving: false,
+            operator: UNREAD,
+            upstreams: UNREAD,
+            witness: order_lease::LeaseWitness {
+                heard: now,
+                store_age: time::Duration::ZERO,
+                partitions: Vec::new(),
+            },
+            fetching: 0,
+            to_fetch: 0,
+        }
+    }
+
     /// Notes the number of a message; returns false if a later one came before.
     pub(crate) fn take_sequence(&mut self, sequence: u64) -> bool {
         let is_later = sequence > self.sequence;
@@ -72,6 +108,7 @@
         self.heard = now;
         self.interval = time::Duration::from_millis(u64::from(beat.interval_ms));
         self.is_leaving = beat.is_leaving;
+        self.capacity = beat.capacity;
         (self.operator, self.upstreams) = (beat.operator, beat.upstreams);
         self.fetching = u32::from(beat.fetching);
         self.to_fetch = u32::from(beat.to_fetch);
--- a/coltsfoot-gateway/src/quota_ledger.rs
+++ b/coltsfoot-gateway/src/quota_ledger.rs
@@ -149,6 +149,13 @@
         }
     }
 
+    /// Forgets an instance whose use is told by another one from now on.
+    pub fn forget_peer(&mut self, peer: u64) {
+        for account in self.accounts.values_mut() {
+            account.peers.remove(&peer);
+        }
+    }
+
     /// Returns what this instance has used since its start, by customer.
     pub fn totals(&self) -> impl Iterator<Item = (&sync::Arc<str>, u64)> {
         self.accounts.iter().map(|(customer, account)| (customer, account.spent))
--- a/coltsfoot-gateway/src/reader_choice.rs
+++ b/coltsfoot-gateway/src/reader_choice.rs
@@ -32,7 +32,8 @@
 
 impl PeerReading {
     fn is_alive(&self, now: clock::MonotonicTime) -> bool {
-        now.since(self.heard) < MAX_BEAT_AGE.max(self.interval * 2) && self.read_age < MAX_READ_AGE
+        let is_heard = now.since(self.heard) < MAX_BEAT_AGE.max(self.interval * 2);
+        is_heard && self.read_age < MAX_READ_AGE + self.interval
     }
 
     fn is_fresh(&self, now: clock::MonotonicTime) -> bool {
--- a/coltsfoot-gateway/src/upstream_slot.rs
+++ b/coltsfoot-gateway/src/upstream_slot.rs
@@ -28,6 +28,16 @@
     pub unread_tokens: u64,
 }
 
+impl WorkLoad {
+    /// Returns the sum.
+    pub(crate) fn plus(self, other: Self) -> Self {
+        Self {
+            running: self.running + other.running,
+            unread_tokens: self.unread_tokens + other.unread_tokens,
+        }
+    }
+}
+
 /// Requests that run on adapters.
 type AdapterCounts = Vec<(demand::AdapterKey, u16)>;
 
@@ -52,6 +62,26 @@
     pub coming: FxHashMap<demand::AdapterKey, clock::MonotonicTime>,
 }
 
+impl Residency {
+    /// Returns whether an owner tells nothing new.
+    fn is_told_as(&self, engine: &fleet::OwnedEngine) -> bool {
+        let holds = |held: &fleet::HeldAdapter| {
+            self.adapters.get(&demand::AdapterKey(held.adapter)) == Some(&held.version)
+        };
+        let awaits = |coming: &fleet::ComingAdapter| {
+            self.coming.contains_key(&demand::AdapterKey(coming.adapter))
+        };
+        self.fence == engine.fence
+            && self.takes_orders == engine.takes_orders
+            && self.has_model == engine.has_model
+            && self.idle_places == engine.idle_places
+            && self.adapters.len() == engine.adapters.len()
+            && self.coming.len() == engine.coming.len()
+            && engine.adapters.iter().all(holds)
+            && engine.coming.iter().all(awaits)
+    }
+}
+
 /// One upstream.
 #[derive(Clone, Debug)]
 pub struct UpstreamSlot {
@@ -61,6 +91,8 @@
     pub number: u32,
     /// What it holds.
     pub residency: Residency,
+    /// Grows whenever what it holds is told anew.
+    pub(crate) revision: u64,
     /// Work of this instance.
     pub local: WorkLoad,
     /// Time that it takes, as a multiple of what is expected.
@@ -90,6 +122,7 @@
         Self {
             number: upstream_number(&entry),
             residency,
+            revision: 0,
             local: WorkLoad::default(),
             slowness: 1.0,
             remote: FxHashMap::default(),
@@ -110,10 +143,7 @@
     /// Returns the work of all instances.
     pub fn work(&self, now: clock::MonotonicTime) -> WorkLoad {
         let recent = self.remote.values().filter(|(_, expiry)| now < *expiry);
-        recent.fold(self.local, |sum, (work, _)| WorkLoad {
-            running: sum.running + work.running,
-            unread_tokens: sum.unread_tokens + work.unread_tokens,
-        })
+        recent.fold(self.local, |sum, (work, _)| sum.plus(*work))
     }
 
     /// Returns the share of recent requests that failed.
@@ -189,11 +219,13 @@
         if known.heard.is_some() && engine.fence < known.fence {
             return;
         }
+        let is_same = known.is_told_as(engine);
         let adapters = engine.adapters.iter();
         for held in &engine.adapters {
             self.warm.insert(demand::AdapterKey(held.adapter), now);
         }
         self.trim_warm();
+        self.revision += u64::from(!is_same);
         self.residency = Residency {
             fence: engine.fence,
             owner,
--- a/coltsfoot-gateway/tests/fleet_fixture/mod.rs
+++ b/coltsfoot-gateway/tests/fleet_fixture/mod.rs
@@ -68,6 +68,7 @@
         sender: 7,
         address: "10.0.0.2:1".parse().expect("an address"),
         zone: "z".to_owned(),
+        capacity: 250,
         sequence,
         interval_ms: 150,
         is_leaving: false,
--- /dev/null
+++ b/coltsfoot-gateway/tests/zones.rs
@@ -0,0 +1,199 @@
+//! Zones of a large fleet, each told of by one of its instances.
+
+use std::net;
+use std::time;
+
+use coltsfoot_gateway::fleet_view::{FleetView, zones};
+use coltsfoot_gateway::quota_ledger::{QuotaClass, QuotaLedger, QuotaLimit};
+use coltsfoot_gateway::zone_relay;
+use coltsfoot_types::time as clock;
+use coltsfoot_wire::fleet;
+
+mod fleet_fixture;
+
+use fleet_fixture::{at, beat, owned, prompt};
+
+const ENGINES: [(&str, &str); 3] = [("near", "a"), ("far", "b"), ("third", "c")];
+
+fn address(id: u64) -> net::SocketAddr {
+    net::SocketAddr::from(([10, 0, 0, 1], id as u16))
+}
+
+fn member(id: u64) -> zones::OwnMember {
+    zones::OwnMember { id, capacity: 120, address: address(id) }
+}
+
+/// A beat of an instance of zone `a`.
+fn near_beat(id: u64, sequence: u64) -> fleet::FleetBeat {
+    fleet::FleetBeat {
+        sender: id,
+        address: address(id),
+        zone: "a".to_owned(),
+        capacity: 120,
+        ..beat(sequence, Vec::new())
+    }
+}
+
+fn relay_beat(
+    now: clock::MonotonicTime,
+    digest: &mut zone_relay::ZoneDigest,
+    view: &FleetView,
+    id: u64,
+    sequence: u64,
+) -> fleet::ZoneBeat {
+    let reading = fleet::ZoneReading {
+        reader: id,
+        operator: fleet::TopicReading::default(),
+        upstreams: fleet::TopicReading::default(),
+    };
+    let own = zone_relay::RelaySelf {
+        member: member(id),
+        zone: "a",
+        sequence,
+        interval: time::Duration::from_millis(250),
+        reading,
+        fetching: 1,
+        to_fetch: 2,
+    };
+    digest.build(now, view, own)
+}
+
+fn number(view: &FleetView, id: &str) -> u32 {
+    view.upstream(id).expect("known").number
+}
+
+/// Instances 1 (the relay) and 2 run requests at an engine of another zone: its instances see the sum
+/// through one message, and where the instances and their engines are to be asked.
+#[test]
+fn other_zones_see_the_sums_of_a_zone() {
+    let mut relay = fleet_fixture::fleet(&ENGINES);
+    let demand = prompt("a1", 1);
+    let key = demand.adapter.as_ref().expect("named").key();
+    relay.request_sent(at(0), "far", Some(&demand));
+    let far = number(&relay, "far");
+    let mut second = near_beat(2, 1);
+    second.work = vec![fleet::UpstreamWork { upstream: far, running: 4, unread_tokens: 70 }];
+    second.uses = vec![fleet::AdapterUse { upstream: far, adapter: key.0, running: 4 }];
+    let held = vec![fleet::HeldAdapter { adapter: key.0, version: 3 }];
+    let engine = fleet::OwnedEngine { adapters: held, ..owned(number(&relay, "near")) };
+    second.engines = Some(vec![engine]);
+    second.fetching = 5;
+    relay.take_beat(at(1), &second);
+    let mut digest = zone_relay::ZoneDigest::default();
+    let told = relay_beat(at(10), &mut digest, &relay, 1, 1);
+
+    let mut other = fleet_fixture::fleet(&ENGINES);
+    assert!(other.take_zone(at(12), &told).is_taken);
+    let slot = other.upstream("far").expect("known");
+    assert_eq!(slot.work(at(20)).running, 5);
+    assert_eq!(slot.running_on(at(20), key), 5);
+    assert_eq!(other.fetching(), 6);
+    let near = other.upstream("near").expect("known");
+    assert!(other.holds(at(20), near, key));
+    let owner = near.residency.owner.and_then(|owner| other.peer(owner)).expect("an owner");
+    assert_eq!(owner.address, address(2));
+    assert!(!other.take_zone(at(13), &told).is_taken, "a second copy is no news");
+    // A beat of the instance itself, on its search for others, counts nothing twice.
+    other.take_beat(at(14), &second);
+    assert_eq!(other.upstream("far").expect("known").work(at(20)).running, 5);
+    assert_eq!(other.fetching(), 6);
+}
+
+#[test]
+fn engines_are_told_when_they_changed_and_at_times_all() {
+    let mut relay = fleet_fixture::fleet(&ENGINES);
+    let mut digest = zone_relay::ZoneDigest::default();
+    let mut told = |relay: &FleetView, sequence: u64| {
+        let beat = relay_beat(at(sequence * 250), &mut digest, relay, 1, sequence);
+        beat.engines.len()
+    };
+    assert_eq!(told(&relay, 1), 1, "only those of its own zone");
+    assert_eq!(told(&relay, 2), 0);
+    fleet_fixture::tell(&mut relay, "near", &["a7"], 7);
+    assert_eq!(told(&relay, 3), 1);
+    fleet_fixture::tell(&mut relay, "near", &["a7"], 7);
+    let later: Vec<usize> = (4..10).map(|sequence| told(&relay, sequence)).collect();
+    assert_eq!(later.iter().sum::<usize>(), 1, "all of them once in eight beats: {later:?}");
+}
+
+#[test]
+fn the_largest_instance_is_the_relay_and_another_one_follows_when_it_falls_silent() {
+    let now = at(1_000);
+    let relays = |silent: Option<u64>| -> Vec<u64> {
+        let is_relay = |own: &u64| {
+            let mut view = FleetView::default();
+            for other in (1..=20).filter(|other| other != own) {
+                let mut beat = near_beat(other, 1);
+                beat.capacity = if other.is_multiple_of(10) { 500 } else { 120 };
+                let heard = if silent == Some(other) { at(100) } else { now };
+                view.take_beat(heard, &beat);
+            }
+            let capacity = if own.is_multiple_of(10) { 500 } else { 120 };
+            view.is_relay(now, "a", zones::OwnMember { capacity, ..member(*own) })
+        };
+        (1..=20).filter(|own| silent != Some(*own)).filter(is_relay).collect()
+    };
+    let first = relays(None);
+    assert_eq!(first.len(), 1);
+    assert!(first[0].is_multiple_of(10));
+    let second = relays(Some(first[0]));
+    assert_eq!(second.len(), 1);
+    assert!(second[0].is_multiple_of(10));
+}
+
+/// A customer's use is counted once, whoever tells it: first the instances themselves, then a relay,
+/// then the next relay, and through the restart of an instance.
+#[test]
+fn quotas_are_counted_once_when_the_teller_changes() {
+    let customer: std::sync::Arc<str> = "c".into();
+    let limit = QuotaLimit { rate_per_s: 0.0, burst: 10_000.0 };
+    let mut ledger = QuotaLedger::default();
+    ledger.set_limit(at(0), &customer, Some(limit));
+    let mut told = 0;
+    let mut digests = [zone_relay::ZoneDigest::default(), zone_relay::ZoneDigest::default()];
+    let used = |total| vec![fleet::CustomerUse { customer: 1, total }];
+    let mut view = FleetView::default();
+    for instance in [7, 8] {
+        view.take_beat(at(0), &near_beat(instance, 1));
+    }
+    let relay_total = |digests: &mut [zone_relay::ZoneDigest; 2], relay: usize| {
+        let beat = relay_beat(at(0), &mut digests[relay], &view, relay as u64 + 1, 1);
+        beat.quotas.first().map_or(0, |used| used.total)
+    };
+    // Instance 7 starts with 500 used before anyone gathered; it uses 100, restarts, uses 200 more.
+    for (instance, total) in [(7, 500), (7, 600), (8, 0), (8, 200)] {
+        for digest in &mut digests {
+            digest.take(instance, &used(total), &[]);
+        }
+        told = relay_total(&mut digests, 0);
+    }
+    assert_eq!(told, 300);
+    ledger.take_peer_total(at(1), 1, &customer, 0);
+    ledger.take_peer_total(at(2), 1, &customer, told);
+    // The next relay gathered the same; its first word is only where it begins.
+    ledger.forget_peer(1);
+    ledger.take_peer_total(at(3), 2, &customer, relay_total(&mut digests, 1));
+    for digest in &mut digests {
+        digest.take(8, &used(250), &[]);
+    }
+    ledger.take_peer_total(at(4), 2, &customer, relay_total(&mut digests, 1));
+    // A tenth of the burst is there at the start: 1,000 less 350.
+    assert!(ledger.admit(at(5), &customer, 649, QuotaClass::Plain).is_ok());
+    assert!(ledger.admit(at(5), &customer, 1, QuotaClass::Plain).is_ok());
+    assert!(ledger.admit(at(5), &customer, 1, QuotaClass::Plain).is_err());
+}
+
+#[test]
+fn a_zone_whose_relay_falls_silent_is_suspected_then_told_by_others() {
+    let mut relay = fleet_fixture::fleet(&ENGINES);
+    relay.take_beat(at(0), &near_beat(2, 1));
+    let mut digest = zone_relay::ZoneDigest::default();
+    let mut other = fleet_fixture::fleet(&ENGINES);
+    other.take_zone(at(0), &relay_beat(at(0), &mut digest, &relay, 1, 1));
+    assert!(other.suspect_zones(at(500)).is_empty());
+    assert_eq!(other.suspect_zones(at(1_000)).as_slice(), ["a"]);
+    assert!(other.is_zone_relayed(at(1_000), "a"));
+    let news = other.take_zone(at(1_100), &relay_beat(at(1_100), &mut digest, &relay, 2, 1));
+    assert_eq!(news.replaced, [1]);
+    assert!(other.suspect_zones(at(1_200)).is_empty());
+}
--- a/coltsfoot-measure/src/burst/instance.rs
+++ b/coltsfoot-measure/src/burst/instance.rs
@@ -47,6 +47,7 @@
             sender: self.number as u64,
             address: std::net::SocketAddr::from(([127, 0, 0, 1], self.number as u16)),
             zone: self.zone.clone(),
+            capacity: 250,
             sequence: self.sequence,
             interval_ms: 150,
             is_leaving: false,
--- a/coltsfoot-wire/src/fleet.rs
+++ b/coltsfoot-wire/src/fleet.rs
@@ -91,6 +91,8 @@
     pub address: net::SocketAddr,
     /// The sender's availability zone.
     pub zone: String,
+    /// The sender's share of a processor, in thousandths.
+    pub capacity: u16,
     /// Grows with each beat of this incarnation.
     pub sequence: u64,
     /// Time to the next beat to the receiver at most, in milliseconds.
@@ -123,6 +125,72 @@
     pub quotas: Vec<CustomerUse>,
 }
 
+/// An instance of a zone, as its relay tells it to other zones.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ZoneMember {
+    /// Incarnation.
+    pub id: u64,
+    /// Where it receives messages.
+    pub address: net::SocketAddr,
+    /// Its share of a processor, in thousandths.
+    pub capacity: u16,
+}
+
+/// What an instance of a zone knows of the store's topics.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ZoneReading {
+    /// Incarnation of the instance.
+    pub reader: u64,
+    /// Configuration and adapter versions.
+    pub operator: TopicReading,
+    /// Entries of upstreams.
+    pub upstreams: TopicReading,
+}
+
+/// An engine and its owner.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ZoneEngine {
+    /// Incarnation of the owner.
+    pub owner: u64,
+    /// What the owner told.
+    pub engine: OwnedEngine,
+}
+
+/// Sums over the instances of a zone, which one of them tells the other zones.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ZoneBeat {
+    /// Incarnation of the relay.
+    pub sender: u64,
+    /// The relay's availability zone.
+    pub zone: String,
+    /// Grows with each beat of this incarnation.
+    pub sequence: u64,
+    /// Time to the next beat at most, in milliseconds.
+    pub interval_ms: u32,
+    /// Whether an instance of the receiver's zone passed it on.
+    pub is_passed_on: bool,
+    /// All instances of the zone; `None` if they were told lately.
+    pub members: Option<Vec<ZoneMember>>,
+    /// What those instances know that read the store.
+    pub readings: Vec<ZoneReading>,
+    /// Adapters that the zone's engines fetch from the weight store.
+    pub fetching: u16,
+    /// Adapters that they are to fetch once the weight store has room.
+    pub to_fetch: u16,
+    /// Tenths of the fetches of all engines that are taken to run at once at full speed.
+    pub fetch_limit_tenths: u16,
+    /// Time of a fetch at full speed, in milliseconds.
+    pub fetch_ms: u16,
+    /// Work under way.
+    pub work: Vec<UpstreamWork>,
+    /// Adapters in use.
+    pub uses: Vec<AdapterUse>,
+    /// Engines of the zone that changed, at times all of them.
+    pub engines: Vec<ZoneEngine>,
+    /// Use of the customers' quotas since the relay's start.
+    pub quotas: Vec<CustomerUse>,
+}
+
 /// What changed at an engine, told at once where beats are far apart.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct EngineChange {
@@ -243,6 +311,8 @@
     News(TopicNews),
     /// A question for such records.
     NewsAsk(NewsAsk),
+    /// Sums over a zone.
+    Zone(ZoneBeat),
 }
 
 impl FleetMessage {
--- a/coltsfootd/src/event.rs
+++ b/coltsfootd/src/event.rs
@@ -75,6 +75,8 @@
     PEER_MESSAGE_REFUSED = 302, "peer_message_refused", Warn;
     /// Another instance was found.
     PEER_FOUND = 303, "peer_found", Info;
+    /// Another instance tells of a zone now.
+    ZONE_RELAYED = 304, "zone_relayed", Info;
     /// The engines that this instance gives orders to changed.
     LEASE_CHANGED = 310, "lease_changed", Info;
     /// The lease could not be renewed.
--- a/coltsfootd/src/gateway/beats.rs
+++ b/coltsfootd/src/gateway/beats.rs
@@ -1,14 +1,14 @@
-//! Beats: what an instance tells the others of itself, and when.
+//! Beats: what an instance tells the others of itself, and of its zone while it is the zone's relay.
 
 use std::net;
 use std::sync;
 use std::sync::atomic;
 use std::time;
 
-use coltsfoot_gateway::{beat_plan, fleet_view};
+use coltsfoot_gateway::{beat_plan, fleet_view, zone_relay};
 use coltsfoot_types::time as instant;
 use coltsfoot_wire::fleet as wire;
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::gateway::{fleet, state};
 
@@ -34,7 +34,10 @@
     }
     let sequence = SEQUENCE.fetch_add(1, atomic::Ordering::Relaxed);
     let change = wire::EngineChange { sender: state.incarnation, sequence, engine };
-    let addresses = state.view().peer_addresses();
+    let addresses = match plan.is_relayed {
+        true => state.view().near_addresses(&state.settings.zone),
+        false => state.view().peer_addresses(),
+    };
     fleet::send(state, addresses, &wire::FleetMessage::Change(change));
 }
 
@@ -42,6 +45,9 @@
 pub(crate) fn publish_reading(state: &state::GatewayState) {
     let plan = state.view().beat_plan(&state.settings.zone);
     BeatRound::whole(plan, None).send(state);
+    if plan.is_relayed {
+        relay_zone(state, plan.far);
+    }
 }
 
 /// The beats that are sent at one time.
@@ -60,14 +66,19 @@
     }
 
     fn send(self, state: &state::GatewayState) {
-        let mut beat = build_beat(state, self.engines, self.is_far);
+        let forget_uses = if self.plan.is_relayed { self.is_near } else { self.is_far };
+        let mut beat = build_beat(state, self.engines, forget_uses);
+        if self.plan.is_relayed {
+            let mut digest = state::lock(&state.digest);
+            digest.take(state.incarnation, &beat.quotas, &beat.uses);
+        }
         let own_zone = &state.settings.zone;
         let peers: Vec<(bool, net::SocketAddr)> = {
             let view = state.view();
             view.peers().map(|(_, peer)| (peer.zone == *own_zone, peer.address)).collect()
         };
         for (is_near, interval) in [(true, self.plan.near), (false, self.plan.far)] {
-            let is_sent = if is_near { self.is_near } else { self.is_far };
+            let is_sent = if is_near { self.is_near } else { self.is_far && !self.plan.is_relayed };
             if is_sent {
                 let addresses = peers.iter().filter(|(near, _)| *near == is_near);
                 send_beat(state, &mut beat, interval, addresses.map(|(_, address)| *address));
@@ -118,6 +129,7 @@
         sender: state.incarnation,
         address: state.settings.fleet_address(),
         zone: state.settings.zone.to_string(),
+        capacity: state.settings.capacity(),
         sequence: SEQUENCE.fetch_add(1, atomic::Ordering::Relaxed),
         interval_ms: 0,
         is_leaving: state.is_stopping(),
@@ -136,28 +148,84 @@
     }
 }
 
-/// Tells an instance that was just found what this one knows.
-pub(crate) fn answer_newcomer(state: &state::GatewayState, address: net::SocketAddr) {
+/// Tells the other zones of this one if this instance is its relay.
+fn relay_zone(state: &state::GatewayState, interval: time::Duration) {
+    let now = state.now();
+    let zone = &*state.settings.zone;
+    let fetching = state.desks.fetching(now);
+    let to_fetch = state.desks.waiting_fetches();
+    let reading = wire::ZoneReading {
+        reader: state.incarnation,
+        operator: state.told_reading(state.own_operator()),
+        upstreams: state.told_reading(state.own_upstreams()),
+    };
+    let view = state.view();
+    let mut digest = state::lock(&state.digest);
+    let member = state.own_member();
+    if !view.is_relay(now, zone, member) {
+        digest.skip();
+        return;
+    }
+    let sequence = SEQUENCE.fetch_add(1, atomic::Ordering::Relaxed);
+    let own =
+        zone_relay::RelaySelf { member, zone, sequence, interval, reading, fetching, to_fetch };
+    let beat = digest.build(now, &view, own);
+    let mut contacts = view.zone_contacts(now, zone);
+    contacts.extend(unheard_contacts(state, &view));
+    drop(view);
+    drop(digest);
+    fleet::send(state, contacts, &wire::FleetMessage::Zone(beat));
+}
+
+/// Returns an instance of each zone of which none was heard, as the store lists them.
+fn unheard_contacts(
+    state: &state::GatewayState,
+    view: &fleet_view::FleetView,
+) -> Vec<net::SocketAddr> {
+    let heard: FxHashSet<&str> = view.peers().map(|(_, peer)| &*peer.zone).collect();
+    let found = state::lock(&state.found_peers);
+    let mut unheard: FxHashMap<&str, Vec<net::SocketAddr>> = FxHashMap::default();
+    for peer in found.iter() {
+        if *peer.zone != *state.settings.zone && !heard.contains(&*peer.zone) {
+            unheard.entry(&peer.zone).or_default().push(peer.address);
+        }
+    }
+    let pick = |addresses: Vec<net::SocketAddr>| addresses[rand::random_range(..addresses.len())];
+    unheard.into_values().map(pick).collect()
+}
+
+/// Tells an instance that was just found what this one knows. In a large fleet the relays tell those
+/// of other zones.
+pub(crate) fn answer_newcomer(state: &state::GatewayState, newcomer: &wire::FleetBeat) {
+    let plan = state.view().beat_plan(&state.settings.zone);
+    if plan.is_relayed && *newcomer.zone != *state.settings.zone {
+        return;
+    }
     let mut beat = build_beat(state, Some(state.desks.owned(state)), false);
-    send_beat(state, &mut beat, SEARCH_INTERVAL, [address]);
+    send_beat(state, &mut beat, SEARCH_INTERVAL, [newcomer.address]);
 }
 
-/// Sends beats to machines that are known from the store but not heard from.
+/// Sends beats to machines that are known from the store but not heard from; in a large fleet only to
+/// those of the own zone.
 fn search_peers(
     state: &state::GatewayState,
+    is_relayed: bool,
     searched: &mut FxHashMap<net::SocketAddr, instant::MonotonicTime>,
 ) {
     let now = state.now();
     let own_address = state.settings.fleet_address();
-    let heard: Vec<net::SocketAddr> =
+    let heard: FxHashSet<net::SocketAddr> =
         state.view().peers().map(|(_, peer)| peer.address).chain([own_address]).collect();
     let mut due = Vec::new();
-    for address in state::lock(&state.peer_addresses).iter() {
-        let sent = searched.get(address);
+    for peer in state::lock(&state.found_peers).iter() {
+        if is_relayed && *peer.zone != *state.settings.zone {
+            continue;
+        }
+        let sent = searched.get(&peer.address);
         let is_due = sent.is_none_or(|sent| now.since(*sent) >= SEARCH_INTERVAL);
-        if is_due && !heard.contains(address) {
-            searched.insert(*address, now);
-            due.push(*address);
+        if is_due && !heard.contains(&peer.address) {
+            searched.insert(peer.address, now);
+            due.push(peer.address);
         }
     }
     if !due.is_empty() {
@@ -191,7 +259,10 @@
             drop(view);
             BeatRound { plan, is_near, is_far, engines }.send(&state);
         }
-        search_peers(&state, &mut searched);
+        if is_far && plan.is_relayed {
+            relay_zone(&state, plan.far);
+        }
+        search_peers(&state, plan.is_relayed, &mut searched);
     }
 }
 
--- a/coltsfootd/src/gateway/fleet.rs
+++ b/coltsfootd/src/gateway/fleet.rs
@@ -20,6 +20,26 @@
 /// Longest datagram, in bytes.
 const MAX_DATAGRAM: usize = 64 * 1024;
 
+/// Another instance, as the store lists it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct FoundPeer {
+    pub address: net::SocketAddr,
+    /// Its availability zone.
+    pub zone: sync::Arc<str>,
+}
+
+impl FoundPeer {
+    /// Encodes it as a record of the store: address and zone.
+    fn encode(&self) -> String {
+        format!("{} {}", self.address, self.zone)
+    }
+
+    fn decode(text: &str) -> Option<Self> {
+        let (address, zone) = text.split_once(' ')?;
+        Some(Self { address: address.parse().ok()?, zone: zone.into() })
+    }
+}
+
 /// Sends a message to instances; a full socket buffer loses it like the network would.
 pub(crate) fn send(
     state: &state::GatewayState,
@@ -70,6 +90,7 @@
             Ok(wire::FleetMessage::Reply(reply)) => state.loads.settle(reply.ask, reply.verdict),
             Ok(wire::FleetMessage::News(records)) => news::take(&state, records),
             Ok(wire::FleetMessage::NewsAsk(ask)) => news::answer(&state, &ask),
+            Ok(wire::FleetMessage::Zone(beat)) => take_zone(&state, beat),
             Err(error) => log::warn!(
                 event = event::PEER_MESSAGE_REFUSED.number; "peer_message_refused: {error}"
             ),
@@ -84,22 +105,63 @@
     let now = state.now();
     let is_new = state.view().take_beat(now, beat);
     state.desks.touch(now, &beat.uses);
-    take_quotas(state, now, beat);
+    if *beat.zone == *state.settings.zone {
+        state::lock(&state.digest).take(beat.sender, &beat.quotas, &beat.uses);
+    }
+    if !state.view().is_zone_relayed(now, &beat.zone) {
+        take_quotas(state, now, beat.sender, &beat.quotas);
+    }
     if is_new {
         log::info!(
             event = event::PEER_FOUND.number, address = beat.address.to_string(); "peer_found"
         );
-        beats::answer_newcomer(state, beat.address);
+        beats::answer_newcomer(state, beat);
+    }
+}
+
+/// Takes the sums of another zone, and passes them on in this one if they came from there.
+fn take_zone(state: &state::GatewayState, mut beat: wire::ZoneBeat) {
+    if *beat.zone == *state.settings.zone {
+        return;
+    }
+    let now = state.now();
+    let (is_known, news) = {
+        let mut view = state.view();
+        (view.is_zone_relayed(now, &beat.zone), view.take_zone(now, &beat))
+    };
+    if !news.is_taken {
+        return;
+    }
+    if !is_known || !news.replaced.is_empty() {
+        log::info!(
+            event = event::ZONE_RELAYED.number, zone = beat.zone.as_str(), relay = beat.sender,
+            replaced = news.replaced.len(); "zone_relayed"
+        );
+    }
+    for teller in news.replaced {
+        state::lock(&state.quota).forget_peer(teller);
+    }
+    take_quotas(state, now, beat.sender, &beat.quotas);
+    state.desks.touch(now, &beat.uses);
+    if !beat.is_passed_on {
+        beat.is_passed_on = true;
+        let near = state.view().near_addresses(&state.settings.zone);
+        send(state, near, &wire::FleetMessage::Zone(beat));
     }
 }
 
-fn take_quotas(state: &state::GatewayState, now: instant::MonotonicTime, beat: &wire::FleetBeat) {
+fn take_quotas(
+    state: &state::GatewayState,
+    now: instant::MonotonicTime,
+    teller: u64,
+    quotas: &[wire::CustomerUse],
+) {
     let Some(routes) = state.routes.load_full() else { return };
     let mut quota = state::lock(&state.quota);
     for customer in &routes.rules().customers {
         let number = fleet_view::customer_number(&customer.name);
-        if let Some(used) = beat.quotas.iter().find(|used| used.customer == number) {
-            quota.take_peer_total(now, beat.sender, &customer.name, used.total);
+        if let Some(used) = quotas.iter().find(|used| used.customer == number) {
+            quota.take_peer_total(now, teller, &customer.name, used.total);
         }
     }
 }
@@ -119,19 +181,27 @@
 
 /// Tells in the store where this instance receives messages, and finds the others there.
 pub(crate) async fn find_peers(state: sync::Arc<state::GatewayState>) {
-    let own = state.settings.fleet_address().to_string();
+    let own = FoundPeer {
+        address: state.settings.fleet_address(),
+        zone: sync::Arc::clone(&state.settings.zone),
+    };
     let mut is_told = false;
     loop {
         if !is_told {
             let key = state.settings.ip.to_string();
-            is_told = state.store.put(INSTANCE_TOPIC, &key, own.as_bytes()).await.is_ok();
+            is_told = state.store.put(INSTANCE_TOPIC, &key, own.encode().as_bytes()).await.is_ok();
         }
         let pause = match state.store.newest(INSTANCE_TOPIC).await {
             Ok(newest) => {
                 let values = newest.records.iter().filter_map(|record| record.value.as_deref());
                 let texts = values.filter_map(|value| str::from_utf8(value).ok());
-                let addresses = texts.filter_map(|text| text.parse().ok()).collect();
-                *state::lock(&state.peer_addresses) = addresses;
+                let others: Vec<_> = texts
+                    .filter_map(FoundPeer::decode)
+                    .filter(|peer| peer.address != own.address)
+                    .collect();
+                let near = others.iter().filter(|peer| peer.zone == own.zone).count();
+                state.view().set_found(near, others.len() - near);
+                *state::lock(&state.found_peers) = others;
                 if is_told { FIND_INTERVAL } else { FIND_RETRY }
             }
             Err(error) => {
--- a/coltsfootd/src/gateway/state.rs
+++ b/coltsfootd/src/gateway/state.rs
@@ -6,6 +6,7 @@
 
 use coltsfoot_gateway::{
     fleet_view, order_lease, quota_ledger, reader_choice, rendezvous, route_table, rules,
+    zone_relay,
 };
 use coltsfoot_http::pool;
 use coltsfoot_once::retry_budget;
@@ -14,7 +15,7 @@
 use rustc_hash::FxHashMap;
 use site_platform::{settings, store};
 
-use crate::gateway::{engines, loads, metrics, news};
+use crate::gateway::{engines, fleet as fleet_io, loads, metrics, news};
 use crate::{clock, event};
 
 /// Part of the promised retries that is used, so that instances that miss each other stay within.
@@ -48,7 +49,10 @@
     /// What was read of the store, to pass it on.
     pub operator_records: sync::Mutex<news::KnownRecords>,
     pub upstream_records: sync::Mutex<news::KnownRecords>,
-    pub peer_addresses: sync::Mutex<Vec<net::SocketAddr>>,
+    /// Other instances, as the store lists them.
+    pub found_peers: sync::Mutex<Vec<fleet_io::FoundPeer>>,
+    /// What this instance has gathered of its zone, to tell it as the zone's relay.
+    pub digest: sync::Mutex<zone_relay::ZoneDigest>,
     pub active_requests: atomic::AtomicUsize,
     pub is_stopping: atomic::AtomicBool,
     /// Whether new requests are refused, late in a planned stop.
@@ -91,6 +95,15 @@
         self.lease().extend(self.now(), &witnesses);
     }
 
+    /// Returns this instance's place among those of its zone.
+    pub fn own_member(&self) -> fleet_view::zones::OwnMember {
+        fleet_view::zones::OwnMember {
+            id: self.incarnation,
+            capacity: self.settings.capacity(),
+            address: self.settings.fleet_address(),
+        }
+    }
+
     /// Returns whether a planned stop is under way.
     pub fn is_stopping(&self) -> bool {
         self.is_stopping.load(atomic::Ordering::Relaxed)
