Read records of instances that name no zone

Cause: the record of where an instance receives messages now holds its zone too, and one without a zone, as instances of earlier versions write it, was not read: such instances were never searched. Test: an_instance_that_cannot_read_the_store_learns_from_another hung on it.

--- a/coltsfootd/src/gateway/beats.rs
+++ b/coltsfootd/src/gateway/beats.rs
@@ -186,7 +186,8 @@
     let found = state::lock(&state.found_peers);
     let mut unheard: FxHashMap<&str, Vec<net::SocketAddr>> = FxHashMap::default();
     for peer in found.iter() {
-        if *peer.zone != *state.settings.zone && !heard.contains(&*peer.zone) {
+        let is_far = !peer.zone.is_empty() && peer.zone != state.settings.zone;
+        if is_far && !heard.contains(&*peer.zone) {
             unheard.entry(&peer.zone).or_default().push(peer.address);
         }
     }
@@ -218,7 +219,8 @@
         state.view().peers().map(|(_, peer)| peer.address).chain([own_address]).collect();
     let mut due = Vec::new();
     for peer in state::lock(&state.found_peers).iter() {
-        if is_relayed && *peer.zone != *state.settings.zone {
+        let may_be_near = peer.zone.is_empty() || peer.zone == state.settings.zone;
+        if is_relayed && !may_be_near {
             continue;
         }
         let sent = searched.get(&peer.address);
--- a/coltsfootd/src/gateway/fleet.rs
+++ b/coltsfootd/src/gateway/fleet.rs
@@ -34,8 +34,9 @@
         format!("{} {}", self.address, self.zone)
     }
 
+    /// Decodes a record; instances of earlier versions name no zone.
     fn decode(text: &str) -> Option<Self> {
-        let (address, zone) = text.split_once(' ')?;
+        let (address, zone) = text.split_once(' ').unwrap_or((text, ""));
         Some(Self { address: address.parse().ok()?, zone: zone.into() })
     }
 }
