Tell all instances of upstreams that changed, so that they need not read the store

Cause: each new, leaving or lost upstream made every instance read the store, and one that can't read it never learned that an entry was withdrawn. Change: the two readers pass on entries that tell of a change, and removals; heartbeats are not passed on. An instance that has not read for 2 s reads the newest entries in place of all heartbeats since. Test: an_instance_that_cannot_read_the_store_is_told_that_an_upstream_is_gone (hangs on the code before).

--- a/coltsfootd/src/gateway/follower.rs
+++ b/coltsfootd/src/gateway/follower.rs
@@ -17,6 +17,8 @@
 /// Time between reads of the upstreams' entries. Well within the time in which an upstream that
 /// leaves must get no more work.
 const UPSTREAM_INTERVAL: time::Duration = time::Duration::from_millis(850);
+/// Time since the last read up to which all records since are read.
+const LONGEST_CATCH_UP: time::Duration = time::Duration::from_millis(2000);
 /// Time between looks at what the readers know.
 const NEED_INTERVAL: time::Duration = time::Duration::from_millis(100);
 /// Shortest time between reads of the operator's records that waited for nothing.
@@ -191,6 +193,11 @@
         if follower.next.is_some() && lapsed.is_empty() && lost_at.is_none() {
             let own = state::GatewayState::own_upstreams;
             wait_for_need(&state, own, |peer| peer.upstreams).await;
+            let last = *state::lock(&state.upstreams_read);
+            if last.is_none_or(|last| state.now().since(last) > LONGEST_CATCH_UP) {
+                // The newest entries are fewer than all heartbeats since.
+                follower.next = None;
+            }
         }
         let news = follower.poll(&state.store).await;
         let now = state.now();
@@ -203,19 +210,25 @@
         }
         let grace_end = returned_at.map(|returned| returned + RETURN_GRACE);
         let removal = grace_end.filter(|end| *end > now).unwrap_or(now);
-        match news {
+        let is_first = state::lock(&state.upstreams_read).is_none();
+        let mut changed = match news {
             Some(TopicNews::Whole(records)) => {
                 news::keep(&state, wire::NewsTopic::Upstreams, &records, true);
                 lapse_missing(&state, &records, removal, &mut lapsed);
-                apply_entries(&state, records, removal, &mut lapsed);
+                apply_entries(&state, records, removal, &mut lapsed)
             }
             Some(TopicNews::Further(records)) => {
                 news::keep(&state, wire::NewsTopic::Upstreams, &records, false);
-                apply_entries(&state, records, removal, &mut lapsed);
+                apply_entries(&state, records, removal, &mut lapsed)
             }
             None => continue,
+        };
+        let read_to = follower.next.unwrap_or_default();
+        changed.extend(remove_lapsed(&state, now, read_to, &mut lapsed));
+        if !is_first && is_reader(&state) {
+            // The others need not read what they are told here.
+            news::push(&state, wire::NewsTopic::Upstreams, &changed);
         }
-        remove_lapsed(&state, now, &mut lapsed);
         *state::lock(&state.upstreams_read) = Some(now);
         let digest = state.view().upstream_digest();
         if last_digest.replace(digest) != Some(digest) {
@@ -240,23 +253,34 @@
     }
 }
 
+/// Returns whether this instance is one of those that read the upstreams' entries for all.
+fn is_reader(state: &state::GatewayState) -> bool {
+    let peers = state.view().readings(|peer| peer.upstreams);
+    reader_choice::is_reader(state.now(), state.incarnation, &peers)
+}
+
+/// Takes upstreams' entries; returns the records that told anything new.
 fn apply_entries(
     state: &state::GatewayState,
     records: Vec<store::KeyedRecord>,
     removal: instant::MonotonicTime,
     lapsed: &mut FxHashMap<String, instant::MonotonicTime>,
-) {
+) -> Vec<store::KeyedRecord> {
+    let mut changed = Vec::new();
     for record in records {
         match decode_entry(&record) {
             Some(entry) => {
                 lapsed.remove(&record.key);
-                put_entry(state, entry);
+                if put_entry(state, entry) {
+                    changed.push(record);
+                }
             }
             None => {
                 lapsed.entry(record.key).or_insert(removal);
             }
         }
     }
+    changed
 }
 
 /// Decodes an upstream's entry; `None` if it was withdrawn or is not one.
@@ -272,54 +296,65 @@
     decoded.ok()
 }
 
-/// Takes an upstream's entry that another instance passed on. Entries that are withdrawn are left to
-/// those who read the store, where they may come back.
+/// Takes an upstream's entry that another instance passed on, or that it found to be gone for good.
 pub(crate) fn put_record(state: &state::GatewayState, record: &store::KeyedRecord) {
-    if let Some(entry) = decode_entry(record) {
+    if record.value.is_none() {
+        remove_upstream(state, &record.key);
+    } else if let Some(entry) = decode_entry(record) {
         put_entry(state, entry);
     }
 }
 
-fn put_entry(state: &state::GatewayState, entry: upstream::UpstreamEntry) {
+/// Takes an upstream's entry; returns whether it is new or its state changed.
+fn put_entry(state: &state::GatewayState, entry: upstream::UpstreamEntry) -> bool {
     let (id, address) = (entry.id.to_string(), entry.address);
     let is_ready = entry.state == upstream::UpstreamState::Ready;
     let mut view = state.view();
     let known = view.upstream(&id).map(|slot| (slot.entry.born_ms, slot.entry.state));
     let is_older = known.is_some_and(|(born, _)| entry.born_ms < born);
     if is_older {
-        return;
+        return false;
     }
     let had_state = known.map(|(_, state)| state);
     let new_state = entry.state;
     let is_new = view.put_upstream(entry);
     drop(view);
-    if is_new || had_state != Some(new_state) {
+    let has_changed = is_new || had_state != Some(new_state);
+    if has_changed {
         log::info!(
             event = event::UPSTREAM_CHANGED.number, upstream = id,
             address = address.to_string(), ready = is_ready, new = is_new; "upstream_changed"
         );
         state.desks.wake_all();
     }
+    has_changed
 }
 
+/// Removes upstreams whose entries are gone for good, as read up to an offset; returns records that
+/// tell so.
 fn remove_lapsed(
     state: &state::GatewayState,
     now: instant::MonotonicTime,
+    read_to: u64,
     lapsed: &mut FxHashMap<String, instant::MonotonicTime>,
-) {
+) -> Vec<store::KeyedRecord> {
+    let mut removed = Vec::new();
     lapsed.retain(|id, removal| {
         if now < *removal {
             return true;
         }
-        remove_upstream(state, id);
+        if remove_upstream(state, id) {
+            removed.push(store::KeyedRecord { key: id.clone(), value: None, offset: read_to });
+        }
         false
     });
+    removed
 }
 
-fn remove_upstream(state: &state::GatewayState, id: &str) {
-    let removed = state.view().remove_upstream(id);
-    if let Some(entry) = removed {
-        state.pool.forget(entry.address);
-        log::info!(event = event::UPSTREAM_GONE.number, upstream = id; "upstream_gone");
-    }
+/// Forgets an upstream; returns whether it was known.
+fn remove_upstream(state: &state::GatewayState, id: &str) -> bool {
+    let Some(entry) = state.view().remove_upstream(id) else { return false };
+    state.pool.forget(entry.address);
+    log::info!(event = event::UPSTREAM_GONE.number, upstream = id; "upstream_gone");
+    true
 }
--- a/coltsfootd/src/gateway/news.rs
+++ b/coltsfootd/src/gateway/news.rs
@@ -1,6 +1,6 @@
-//! Records of the store that instances pass on to each other: small ones of the operator as soon as
-//! a reader has them, all of them to an instance that can't read the store itself. Entries of upstreams
-//! are only passed on when asked for, since each is written anew with every heartbeat.
+//! Records of the store that instances pass on to each other: as soon as a reader has them, small ones
+//! of the operator and entries of upstreams that tell of a change (each is written anew with every
+//! heartbeat); all of them to an instance that can't read the store itself.
 
 use std::collections;
 use std::net;
@@ -58,15 +58,14 @@
     }
 }
 
-/// Passes small records on to all instances.
+/// Passes small records on to all instances; records without a value tell that a key is gone.
 pub(crate) fn push(
     state: &state::GatewayState,
     topic: wire::NewsTopic,
     records: &[store::KeyedRecord],
 ) {
-    let small = records.iter().filter(|record| {
-        record.value.as_ref().is_some_and(|value| value.len() <= MAX_PUSHED_BYTES)
-    });
+    let length = |record: &store::KeyedRecord| record.value.as_ref().map_or(0, Vec::len);
+    let small = records.iter().filter(|record| length(record) <= MAX_PUSHED_BYTES);
     let addresses = state.view().peer_addresses();
     for record in small {
         let records = vec![encode(record)];
