Spread records of holders over time, and retry a store that is away less often

Change: the instances of a larger zone begin at random within 300 ms; retries double from 0.4 to 1.6 s; instances are listed once a minute, since beats and relays name them. Ruled out: entries of upstreams as the cause (passing them on changed nothing), rarer renewals (the lease lasts 1.3 s).

--- a/coltsfoot-gateway/src/order_lease.rs
+++ b/coltsfoot-gateway/src/order_lease.rs
@@ -160,6 +160,11 @@
         has_changed
     }
 
+    /// Returns whether a last holder is to be looked up or written down now.
+    pub fn needs_settling(&self, now: clock::MonotonicTime) -> bool {
+        !self.unknown().is_empty() || !self.unrecorded(now).is_empty()
+    }
+
     /// Returns the partitions whose last holder must be looked up.
     pub fn unknown(&self) -> Vec<u32> {
         let unknown = self.held.iter().filter(|(_, held)| held.right == OrderRight::Unknown);
--- a/coltsfootd/src/gateway/fleet.rs
+++ b/coltsfootd/src/gateway/fleet.rs
@@ -14,7 +14,7 @@
 /// Topic in which instances tell where they receive messages.
 const INSTANCE_TOPIC: &str = "keyed.coltsfoot-instances";
 /// Time between reads of that topic. An instance that starts reads it and tells the others of itself.
-const FIND_INTERVAL: time::Duration = time::Duration::from_secs(20);
+const FIND_INTERVAL: time::Duration = time::Duration::from_secs(60);
 /// Time between tries while the store is unavailable.
 const FIND_RETRY: time::Duration = time::Duration::from_millis(700);
 /// Longest datagram, in bytes.
--- a/coltsfootd/src/gateway/follower.rs
+++ b/coltsfootd/src/gateway/follower.rs
@@ -23,8 +23,10 @@
 const NEED_INTERVAL: time::Duration = time::Duration::from_millis(100);
 /// Shortest time between reads of the operator's records that waited for nothing.
 const MIN_READ_INTERVAL: time::Duration = time::Duration::from_millis(30);
-/// Time between reads while the store is unavailable.
+/// Time between reads while the store is unavailable: it doubles with each failure, since refused calls
+/// are charged too and others pass on what they read.
 const RETRY_INTERVAL: time::Duration = time::Duration::from_millis(400);
+const LONGEST_RETRY: time::Duration = time::Duration::from_millis(1600);
 /// Time after the store's return in which entries that lapsed meanwhile may come back.
 const RETURN_GRACE: time::Duration = time::Duration::from_millis(2200);
 
@@ -35,6 +37,7 @@
     /// Offset to read from; `None` to begin with the newest record of each key.
     next: Option<u64>,
     is_reachable: bool,
+    retry_interval: time::Duration,
 }
 
 /// What a read brought.
@@ -47,7 +50,8 @@
 
 impl TopicFollower {
     fn new(topic: &'static str, wait: time::Duration) -> Self {
-        Self { topic, wait, next: None, is_reachable: true }
+        let retry_interval = RETRY_INTERVAL;
+        Self { topic, wait, next: None, is_reachable: true, retry_interval }
     }
 
     async fn read(&mut self, store: &store::StoreClient) -> Result<TopicNews, store::StoreError> {
@@ -65,6 +69,7 @@
     async fn poll(&mut self, store: &store::StoreClient) -> Option<TopicNews> {
         match self.read(store).await {
             Ok(news) => {
+                self.retry_interval = RETRY_INTERVAL;
                 if !self.is_reachable {
                     self.is_reachable = true;
                     log::info!(event = event::LOG_REACHABLE.number, topic = self.topic; "log_reachable");
@@ -84,7 +89,8 @@
                         "log_unreachable: {error}"
                     );
                 }
-                async_io::Timer::after(RETRY_INTERVAL).await;
+                async_io::Timer::after(self.retry_interval).await;
+                self.retry_interval = (self.retry_interval * 2).min(LONGEST_RETRY);
                 None
             }
         }
--- a/coltsfootd/src/gateway/lease.rs
+++ b/coltsfootd/src/gateway/lease.rs
@@ -19,6 +19,13 @@
 /// Time between renewals without any partition: three within the lifetime, and less than the age from
 /// which on others take the store to be out for this instance.
 const IDLE_RENEW_INTERVAL: time::Duration = time::Duration::from_millis(700);
+/// Time over which the instances of a zone spread their records of holders, by their number and at
+/// most: each record is written only if no other was added since the list was read. Short against the
+/// validity, since renewals wait for it.
+const SETTLE_SPREAD: time::Duration = time::Duration::from_millis(15);
+const MAX_SETTLE_SPREAD: time::Duration = time::Duration::from_millis(300);
+/// Other instances of a zone below which their records seldom meet.
+const SMALL_ZONE: usize = 5;
 /// Partitions settled after a renewal at most, each with a call or two.
 const MAX_SETTLE_ROUNDS: usize = 24;
 
@@ -105,6 +112,10 @@
 /// Looks up who held the partitions that are new here, and writes this machine down as the holder
 /// where that is due.
 async fn settle_holders(state: &state::GatewayState, group: &ZoneGroup) {
+    if !state.lease().needs_settling(state.now()) {
+        return;
+    }
+    async_io::Timer::after(settle_pause(state)).await;
     for _ in 0..MAX_SETTLE_ROUNDS {
         if let Err(error) = look_up_holders(state, group).await {
             log::warn!(event = event::LEASE_AT_RISK.number; "last holders not read: {error}");
@@ -127,6 +138,16 @@
     }
 }
 
+/// Returns a random part of the time over which records of holders are spread.
+fn settle_pause(state: &state::GatewayState) -> time::Duration {
+    let near = state.view().near_addresses(&state.settings.zone).len();
+    let spread = SETTLE_SPREAD.saturating_mul(near as u32).min(MAX_SETTLE_SPREAD);
+    match near {
+        0..SMALL_ZONE => time::Duration::ZERO,
+        _ => spread.mul_f64(rand::random()),
+    }
+}
+
 async fn look_up_holders(
     state: &state::GatewayState,
     group: &ZoneGroup,
