Do not take a late answer to a request for that of an order, nor poll a topic that does not exist yet

Cause: orders, reports and requests share kept connections. A second copy of an answer, late on a connection that carries an order by then, was taken for its answer: a 200 as "holds already". Change: an answer with a request id leaves an order unanswered; a missing topic is read by the readers.

--- a/coltsfootd/src/gateway/engines.rs
+++ b/coltsfootd/src/gateway/engines.rs
@@ -296,7 +296,7 @@
     let Ok((head, body)) = encoded else { return };
     let sent = client::call(&state.pool, address, &head, &body, MAX_REPORT_BYTES, ORDER_TIMEOUT);
     let answer = match sent.await {
-        Ok(answer) => engine::decode_order_answer(answer.head.status),
+        Ok(answer) => engine::decode_order_answer(&answer.head),
         Err(client::CallError::Connect { .. }) => engine_order::OrderAnswer::Refused,
         Err(_) => engine_order::OrderAnswer::Unknown,
     };
--- a/coltsfootd/src/gateway/follower.rs
+++ b/coltsfootd/src/gateway/follower.rs
@@ -37,6 +37,9 @@
     /// Offset to read from; `None` to begin with the newest record of each key.
     next: Option<u64>,
     is_reachable: bool,
+    /// Whether the topic may not exist yet, before the operator's first record: nothing to read then,
+    /// but no reason for every instance to ask again and again.
+    may_be_missing: bool,
     retry_interval: time::Duration,
 }
 
@@ -51,12 +54,20 @@
 impl TopicFollower {
     fn new(topic: &'static str, wait: time::Duration) -> Self {
         let retry_interval = RETRY_INTERVAL;
-        Self { topic, wait, next: None, is_reachable: true, retry_interval }
+        let (is_reachable, may_be_missing) = (true, topic == store::OPERATOR_TOPIC);
+        Self { topic, wait, next: None, is_reachable, may_be_missing, retry_interval }
     }
 
     async fn read(&mut self, store: &store::StoreClient) -> Result<TopicNews, store::StoreError> {
         let Some(next) = self.next else {
-            let newest = store.newest(self.topic).await?;
+            let newest = match store.newest(self.topic).await {
+                Err(store::StoreError::Refused(404)) if self.may_be_missing => {
+                    async_io::Timer::after(RETRY_INTERVAL).await;
+                    return Ok(TopicNews::Further(Vec::new()));
+                }
+                newest => newest?,
+            };
+            self.may_be_missing = false;
             self.next = Some(newest.next);
             return Ok(TopicNews::Whole(newest.records));
         };
@@ -123,7 +134,7 @@
     let mut follower = TopicFollower::new(store::OPERATOR_TOPIC, OPERATOR_WAIT);
     loop {
         let is_known = follower.next.is_some();
-        if is_known {
+        if is_known || state::lock(&state.operator_read).is_some() {
             let own = state::GatewayState::own_operator;
             wait_for_need(&state, own, |peer| peer.operator).await;
         }
