Find zones again after a partition, and believe one relay of a zone at a time

Cause, found by reading: a relay sends to instances heard lately, else to listed ones of zones of which it knows nobody; after a cut of more than 3 s it knew instances it did not hear, and sent nothing until it had forgotten them (12 s). Two relays of a zone by turns reset the count of quotas with each beat. Change: a zone without anybody heard is tried at the instances that the store lists, one after the other; another relay is believed once the known one missed two beats. What instances know of each other is a file of its own; code is moved only. Tests: zones_find_each_other_again_after_a_partition and one_relay_at_a_time_is_believed, which fail on the code before.

--- a/coltsfoot-gateway/src/fleet_view.rs
+++ b/coltsfoot-gateway/src/fleet_view.rs
@@ -1,5 +1,6 @@
 //! What an instance knows of the upstreams and of the work of all instances there.
 
+pub mod peers;
 pub mod zones;
 
 use std::sync;
@@ -8,17 +9,11 @@
 use coltsfoot_types::time as clock;
 use coltsfoot_wire::fleet;
 use rustc_hash::FxHashMap;
-use smallvec::SmallVec;
 
 use crate::{
-    beat_plan, demand, engine_desk, engine_order, fetch_pace, order_lease, peer_slot,
-    reader_choice, rendezvous, upstream, upstream_slot,
+    demand, engine_desk, engine_order, fetch_pace, peer_slot, rendezvous, upstream, upstream_slot,
 };
 
-/// Upstreams of a zone to which connections failed, from which on the zone is suspected.
-const SUSPECT_FAILURES: usize = 2;
-/// Time without beats from a whole zone after which it is suspected to be cut off.
-const ZONE_SILENCE: time::Duration = time::Duration::from_millis(600);
 /// Beats of an instance that may be lost before what it told is no longer believed.
 const BEATS_TO_LOSE: u32 = 3;
 /// Beats after which an owner must have told of its engines, even if some were lost.
@@ -66,9 +61,6 @@
     found_far: usize,
 }
 
-/// Zones that are probably cut off.
-pub type SuspectZones<'a> = SmallVec<[&'a str; 4]>;
-
 /// Returns the number of a customer in messages.
 pub fn customer_number(name: &str) -> u32 {
     rendezvous::hash_of(&name) as u32
@@ -220,31 +212,6 @@
         }
     }
 
-    /// Returns whether the owner of an engine is this instance or was heard from lately.
-    pub fn is_owner_heard(
-        &self,
-        now: clock::MonotonicTime,
-        slot: &upstream_slot::UpstreamSlot,
-    ) -> bool {
-        let Some(owner) = slot.residency.owner else { return true };
-        self.peers.get(&owner).is_some_and(|peer| {
-            let longest = OWNER_SILENCE.max(peer.interval * BEATS_TO_LOSE);
-            now.since(peer.heard) < longest
-        })
-    }
-
-    /// Plans the beats to the instances that are known, or found in the store.
-    pub fn beat_plan(&self, zone: &str) -> beat_plan::BeatPlan {
-        let near = self.peers.values().filter(|peer| &*peer.zone == zone).count();
-        let far = self.peers.len() - near;
-        beat_plan::BeatPlan::new(near.max(self.found_near), far.max(self.found_far))
-    }
-
-    /// Notes how many other instances of its own zone and of others an instance found in the store.
-    pub fn set_found(&mut self, near: usize, far: usize) {
-        (self.found_near, self.found_far) = (near, far);
-    }
-
     /// Returns how many requests run on an adapter at all engines.
     pub fn adapter_running(&self, now: clock::MonotonicTime, key: demand::AdapterKey) -> u32 {
         let slots = self.upstreams.values();
@@ -400,39 +367,6 @@
         }
     }
 
-    /// Returns the other instances.
-    pub fn peers(&self) -> impl Iterator<Item = (u64, &peer_slot::PeerSlot)> {
-        self.peers.iter().map(|(id, peer)| (*id, peer))
-    }
-
-    /// Returns where the other instances receive messages.
-    pub fn peer_addresses(&self) -> Vec<std::net::SocketAddr> {
-        self.peers.values().map(|peer| peer.address).collect()
-    }
-
-    /// Returns where the other instances of a zone receive messages.
-    pub fn near_addresses(&self, zone: &str) -> Vec<std::net::SocketAddr> {
-        let near = self.peers.values().filter(|peer| &*peer.zone == zone);
-        near.map(|peer| peer.address).collect()
-    }
-
-    /// Returns what the other instances told of a topic.
-    pub fn readings(
-        &self,
-        topic: impl Fn(&peer_slot::PeerSlot) -> fleet::TopicReading,
-    ) -> Vec<reader_choice::PeerReading> {
-        let peers = self.peers.iter().filter(|(_, peer)| !peer.is_leaving);
-        peers
-            .map(|(id, peer)| {
-                let reading = topic(peer);
-                let read_age = time::Duration::from_millis(u64::from(reading.age_ms));
-                let digest = reading.digest;
-                let (heard, interval) = (peer.heard, peer.interval);
-                reader_choice::PeerReading { id: *id, heard, interval, read_age, digest }
-            })
-            .collect()
-    }
-
     /// Returns a digest of the upstreams that are known, the same wherever the same is known.
     pub fn upstream_digest(&self) -> u64 {
         let digests = self.upstreams.values().map(|slot| {
@@ -450,40 +384,6 @@
         digests.fold(0, u64::wrapping_add)
     }
 
-    /// Returns what the other instances of a zone told of their leases.
-    pub fn witnesses(&self, zone: &str) -> Vec<order_lease::LeaseWitness> {
-        let near = self.peers.values().filter(|peer| &*peer.zone == zone);
-        near.map(|peer| peer.witness.clone()).collect()
-    }
-
-    /// Returns the zones that are probably cut off: none of their instances was heard from lately
-    /// although some are known, or connections to several of their upstreams failed.
-    pub fn suspect_zones(&self, now: clock::MonotonicTime) -> SuspectZones<'_> {
-        let mut zones: SmallVec<[(&str, bool, usize); 8]> = SmallVec::new();
-        let mut note = |zone, is_heard, failures| match zones.iter_mut().find(|z| z.0 == zone) {
-            Some(known) => {
-                known.1 |= is_heard;
-                known.2 += failures;
-            }
-            None => zones.push((zone, is_heard, failures)),
-        };
-        for peer in self.peers.values() {
-            let longest = match self.zones.get(&peer.zone) {
-                Some(relayed) => ZONE_SILENCE.max(relayed.interval * BEATS_TO_LOSE),
-                None => ZONE_SILENCE,
-            };
-            note(&*peer.zone, now.since(peer.heard) <= longest, 0);
-        }
-        let is_known = |zone: &str| self.peers.values().any(|peer| &*peer.zone == zone);
-        for slot in self.upstreams.values().filter(|slot| slot.is_avoided(now)) {
-            note(&*slot.entry.zone, !is_known(&slot.entry.zone), 1);
-        }
-        let suspects = zones
-            .into_iter()
-            .filter(|(_, is_heard, failures)| !is_heard || *failures >= SUSPECT_FAILURES);
-        suspects.map(|(zone, ..)| zone).collect()
-    }
-
     /// Returns the adapters that the engines of the other instances fetch from the weight store.
     pub fn fetching(&self) -> u32 {
         let zones: u32 = self.zones.values().map(|zone| zone.fetching).sum();
@@ -539,11 +439,6 @@
         residency.adapters = adapters.map(|held| (held.name.key(), held.version)).collect();
     }
 
-    /// Returns another instance.
-    pub fn peer(&self, id: u64) -> Option<&peer_slot::PeerSlot> {
-        self.peers.get(&id)
-    }
-
     /// Returns the work of this instance, for a beat.
     pub fn local_work(&self) -> Vec<fleet::UpstreamWork> {
         let busy = self.upstreams.values().filter(|slot| slot.local.running > 0);
--- a/coltsfoot-gateway/src/fleet_view/zones.rs
+++ b/coltsfoot-gateway/src/fleet_view/zones.rs
@@ -18,6 +18,20 @@
 /// Time without beats of a relay after which its zone counts as not relayed.
 const RELAYED_LIFETIME: time::Duration = time::Duration::from_secs(3);
 
+/// Beats that a relay may miss before another instance's word is taken for that of its zone.
+const RELAY_BEATS: u32 = 2;
+/// Time after which the next one of a zone's listed instances is tried.
+const CONTACT_TURN: time::Duration = time::Duration::from_millis(500);
+
+/// An instance as the store lists it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ListedInstance {
+    /// Where it receives messages.
+    pub address: net::SocketAddr,
+    /// Its availability zone; empty if the list does not tell.
+    pub zone: sync::Arc<str>,
+}
+
 /// What is known of the relay of another zone.
 #[derive(Clone, Debug)]
 pub(super) struct RelayedZone {
@@ -86,8 +100,14 @@
         })
     }
 
-    /// Returns whom a relay tells in each other zone: the one that would be its relay.
-    pub fn zone_contacts(&self, now: clock::MonotonicTime, zone: &str) -> Vec<net::SocketAddr> {
+    /// Returns whom a relay tells in each other zone: the one that would be its relay there, or where
+    /// nobody was heard lately, as after a partition, any of those that the store lists.
+    pub fn zone_contacts(
+        &self,
+        now: clock::MonotonicTime,
+        zone: &str,
+        listed: &[ListedInstance],
+    ) -> Vec<net::SocketAddr> {
         let mut best: FxHashMap<&str, ((u16, u64), net::SocketAddr)> = FxHashMap::default();
         for (id, peer) in &self.peers {
             let is_heard = now.since(peer.heard) < OWNER_SILENCE.max(peer.interval * BEATS_TO_LOSE);
@@ -101,7 +121,16 @@
                 *known = candidate;
             }
         }
-        best.into_values().map(|(_, address)| address).collect()
+        let mut unheard: FxHashMap<&str, Vec<net::SocketAddr>> = FxHashMap::default();
+        for other in listed {
+            let is_far = !other.zone.is_empty() && &*other.zone != zone;
+            if is_far && !best.contains_key(&*other.zone) {
+                unheard.entry(&other.zone).or_default().push(other.address);
+            }
+        }
+        let turn = (now.0 / CONTACT_TURN.as_micros() as u64) as usize;
+        let tried = unheard.into_values().map(|addresses| addresses[turn % addresses.len()]);
+        best.into_values().map(|(_, address)| address).chain(tried).collect()
     }
 
     /// Returns the instances of a zone, without this one.
@@ -167,9 +196,12 @@
     pub fn take_zone(&mut self, now: clock::MonotonicTime, beat: &fleet::ZoneBeat) -> ZoneNews {
         let interval = time::Duration::from_millis(u64::from(beat.interval_ms));
         let known = self.zones.get(beat.zone.as_str());
-        let is_old =
-            known.is_some_and(|zone| zone.relay == beat.sender && beat.sequence <= zone.sequence);
-        if is_old {
+        let is_refused = known.is_some_and(|known| match known.relay == beat.sender {
+            true => beat.sequence <= known.sequence,
+            // One relay at a time, so that quotas are not counted from two first words by turns.
+            false => now.since(known.heard) < known.interval * RELAY_BEATS,
+        });
+        if is_refused {
             return ZoneNews::default();
         }
         let mut replaced = Vec::new();
--- a/coltsfoot-gateway/tests/zones.rs
+++ b/coltsfoot-gateway/tests/zones.rs
@@ -197,3 +197,34 @@
     assert_eq!(news.replaced, [1]);
     assert!(other.suspect_zones(at(1_200)).is_empty());
 }
+
+/// Two relays of one zone, for example one that was frozen: the other zones keep to the one they know
+/// while it is heard.
+#[test]
+fn one_relay_at_a_time_is_believed() {
+    let relay = fleet_fixture::fleet(&ENGINES);
+    let mut digest = zone_relay::ZoneDigest::default();
+    let mut other = fleet_fixture::fleet(&ENGINES);
+    assert!(other.take_zone(at(0), &relay_beat(at(0), &mut digest, &relay, 1, 1)).is_taken);
+    let second = relay_beat(at(100), &mut digest, &relay, 2, 1);
+    assert!(!other.take_zone(at(100), &second).is_taken);
+    assert!(other.take_zone(at(250), &relay_beat(at(250), &mut digest, &relay, 1, 2)).is_taken);
+    assert!(other.take_zone(at(750), &second).is_taken);
+}
+
+/// Zones that are cut off from each other for longer than they believe what they heard: afterwards each
+/// tries the instances that the store lists until one is heard.
+#[test]
+fn zones_find_each_other_again_after_a_partition() {
+    let relay = fleet_fixture::fleet(&ENGINES);
+    let mut digest = zone_relay::ZoneDigest::default();
+    let mut other = fleet_fixture::fleet(&ENGINES);
+    other.take_zone(at(0), &relay_beat(at(0), &mut digest, &relay, 1, 1));
+    let listed = |id, zone: &str| zones::ListedInstance { address: address(id), zone: zone.into() };
+    let listed = [listed(1, "a"), listed(2, "a"), listed(3, "b")];
+    let contacts = |now| other.zone_contacts(at(now), "b", &listed);
+    assert_eq!(contacts(100), [address(1)], "who is heard");
+    let tried: Vec<_> = (0..2).flat_map(|turn| contacts(5_000 + turn * 500)).collect();
+    assert_eq!(tried.len(), 2);
+    assert!(tried.contains(&address(1)) && tried.contains(&address(2)), "each in turn: {tried:?}");
+}
--- a/coltsfootd/src/gateway/beats.rs
+++ b/coltsfootd/src/gateway/beats.rs
@@ -170,31 +170,12 @@
     let own =
         zone_relay::RelaySelf { member, zone, sequence, interval, reading, fetching, to_fetch };
     let beat = digest.build(now, &view, own);
-    let mut contacts = view.zone_contacts(now, zone);
-    contacts.extend(unheard_contacts(state, &view));
+    let contacts = view.zone_contacts(now, zone, &state::lock(&state.found_peers));
     drop(view);
     drop(digest);
     fleet::send(state, contacts, &wire::FleetMessage::Zone(beat));
 }
 
-/// Returns an instance of each zone of which none was heard, as the store lists them.
-fn unheard_contacts(
-    state: &state::GatewayState,
-    view: &fleet_view::FleetView,
-) -> Vec<net::SocketAddr> {
-    let heard: FxHashSet<&str> = view.peers().map(|(_, peer)| &*peer.zone).collect();
-    let found = state::lock(&state.found_peers);
-    let mut unheard: FxHashMap<&str, Vec<net::SocketAddr>> = FxHashMap::default();
-    for peer in found.iter() {
-        let is_far = !peer.zone.is_empty() && peer.zone != state.settings.zone;
-        if is_far && !heard.contains(&*peer.zone) {
-            unheard.entry(&peer.zone).or_default().push(peer.address);
-        }
-    }
-    let pick = |addresses: Vec<net::SocketAddr>| addresses[rand::random_range(..addresses.len())];
-    unheard.into_values().map(pick).collect()
-}
-
 /// Tells an instance that was just found what this one knows. In a large fleet the relays tell those
 /// of other zones.
 pub(crate) fn answer_newcomer(state: &state::GatewayState, newcomer: &wire::FleetBeat) {
--- a/coltsfootd/src/gateway/fleet.rs
+++ b/coltsfootd/src/gateway/fleet.rs
@@ -4,6 +4,7 @@
 use std::sync;
 use std::time;
 
+use coltsfoot_gateway::fleet_view::zones;
 use coltsfoot_gateway::{demand, fleet_view};
 use coltsfoot_types::time as instant;
 use coltsfoot_wire::fleet as wire;
@@ -20,25 +21,15 @@
 /// Longest datagram, in bytes.
 const MAX_DATAGRAM: usize = 64 * 1024;
 
-/// Another instance, as the store lists it.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub(crate) struct FoundPeer {
-    pub address: net::SocketAddr,
-    /// Its availability zone.
-    pub zone: sync::Arc<str>,
+/// Encodes an instance as a record of the store: address and zone.
+fn encode_instance(instance: &zones::ListedInstance) -> String {
+    format!("{} {}", instance.address, instance.zone)
 }
 
-impl FoundPeer {
-    /// Encodes it as a record of the store: address and zone.
-    fn encode(&self) -> String {
-        format!("{} {}", self.address, self.zone)
-    }
-
-    /// Decodes a record; instances of earlier versions name no zone.
-    fn decode(text: &str) -> Option<Self> {
-        let (address, zone) = text.split_once(' ').unwrap_or((text, ""));
-        Some(Self { address: address.parse().ok()?, zone: zone.into() })
-    }
+/// Decodes such a record; instances of earlier versions name no zone.
+fn decode_instance(text: &str) -> Option<zones::ListedInstance> {
+    let (address, zone) = text.split_once(' ').unwrap_or((text, ""));
+    Some(zones::ListedInstance { address: address.parse().ok()?, zone: zone.into() })
 }
 
 /// Sends a message to instances; a full socket buffer loses it like the network would.
@@ -182,7 +173,7 @@
 
 /// Tells in the store where this instance receives messages, and finds the others there.
 pub(crate) async fn find_peers(state: sync::Arc<state::GatewayState>) {
-    let own = FoundPeer {
+    let own = zones::ListedInstance {
         address: state.settings.fleet_address(),
         zone: sync::Arc::clone(&state.settings.zone),
     };
@@ -190,14 +181,18 @@
     loop {
         if !is_told {
             let key = state.settings.ip.to_string();
-            is_told = state.store.put(INSTANCE_TOPIC, &key, own.encode().as_bytes()).await.is_ok();
+            is_told = state
+                .store
+                .put(INSTANCE_TOPIC, &key, encode_instance(&own).as_bytes())
+                .await
+                .is_ok();
         }
         let pause = match state.store.newest(INSTANCE_TOPIC).await {
             Ok(newest) => {
                 let values = newest.records.iter().filter_map(|record| record.value.as_deref());
                 let texts = values.filter_map(|value| str::from_utf8(value).ok());
                 let others: Vec<_> = texts
-                    .filter_map(FoundPeer::decode)
+                    .filter_map(decode_instance)
                     .filter(|peer| peer.address != own.address)
                     .collect();
                 let near = others.iter().filter(|peer| peer.zone == own.zone).count();
--- a/coltsfootd/src/gateway/state.rs
+++ b/coltsfootd/src/gateway/state.rs
@@ -15,7 +15,7 @@
 use rustc_hash::FxHashMap;
 use site_platform::{settings, store};
 
-use crate::gateway::{engines, fleet as fleet_io, loads, metrics, news};
+use crate::gateway::{engines, loads, metrics, news};
 use crate::{clock, event};
 
 /// Part of the promised retries that is used, so that instances that miss each other stay within.
@@ -50,7 +50,7 @@
     pub operator_records: sync::Mutex<news::KnownRecords>,
     pub upstream_records: sync::Mutex<news::KnownRecords>,
     /// Other instances, as the store lists them.
-    pub found_peers: sync::Mutex<Vec<fleet_io::FoundPeer>>,
+    pub found_peers: sync::Mutex<Vec<fleet_view::zones::ListedInstance>>,
     /// What this instance has gathered of its zone, to tell it as the zone's relay.
     pub digest: sync::Mutex<zone_relay::ZoneDigest>,
     pub active_requests: atomic::AtomicUsize,
