Create what is known of an instance in one place

PeerSlot::new and PeerSlot::listed wrote the same fields twice; both now begin with a slot of which nothing else is known. Behaviour is unchanged; the tests of coltsfoot-gateway pass.

--- a/coltsfoot-gateway/src/peer_slot.rs
+++ b/coltsfoot-gateway/src/peer_slot.rs
@@ -45,25 +45,9 @@
 impl PeerSlot {
     /// Creates a slot for an instance that was not known; nothing of its beat is taken yet.
     pub(crate) fn new(now: clock::MonotonicTime, beat: &fleet::FleetBeat) -> Self {
-        Self {
-            address: beat.address,
-            zone: beat.zone.as_str().into(),
-            capacity: beat.capacity,
-            is_listed: false,
-            heard: now,
-            sequence: 0,
-            interval: time::Duration::ZERO,
-            is_leaving: false,
-            operator: beat.operator,
-            upstreams: beat.upstreams,
-            witness: order_lease::LeaseWitness {
-                heard: now,
-                store_age: time::Duration::ZERO,
-                partitions: Vec::new(),
-            },
-            fetching: 0,
-            to_fetch: 0,
-        }
+        let (operator, upstreams) = (beat.operator, beat.upstreams);
+        let zone = beat.zone.as_str().into();
+        Self { operator, upstreams, ..Self::unread(now, beat.address, zone, beat.capacity) }
     }
 
     /// Creates a slot for an instance that its zone's relay named.
@@ -71,12 +55,23 @@
         now: clock::MonotonicTime,
         member: &fleet::ZoneMember,
         zone: &sync::Arc<str>,
+    ) -> Self {
+        let slot = Self::unread(now, member.address, sync::Arc::clone(zone), member.capacity);
+        Self { is_listed: true, ..slot }
+    }
+
+    /// Creates a slot for an instance of which nothing else is known.
+    fn unread(
+        now: clock::MonotonicTime,
+        address: std::net::SocketAddr,
+        zone: sync::Arc<str>,
+        capacity: u16,
     ) -> Self {
         Self {
-            address: member.address,
-            zone: sync::Arc::clone(zone),
-            capacity: member.capacity,
-            is_listed: true,
+            address,
+            zone,
+            capacity,
+            is_listed: false,
             heard: now,
             sequence: 0,
             interval: time::Duration::ZERO,
