Tell repeats of a request and crashes of upstreams apart in the log

On-call could not see that two request ids were the same request sent again, nor that an upstream had crashed rather than lost one connection; so nothing told a forgotten crash from one that was not shared between instances.

request_ended and attempt_ended now carry a digest of method, target, customer and body, and upstream_crashed (505) names each request that was at an upstream when it crashed, with the crashes known of it. A crash is confirmed by a refused connection after a broken one, as at the own interface, by a new incarnation, or by the end of the entry of a ready upstream. The runs and the table are those of coltsfoot-once; nothing is refused or sent otherwise yet.

--- /dev/null
+++ b/coltsfoot-gateway/src/crash_ledger.rs
@@ -0,0 +1,179 @@
+//! Which requests ran at upstreams that crashed, and which are refused since they crash whatever
+//! upstream runs them. A repeat has a request id of its own and may come at any instance, so requests
+//! go by the digest of their content and instances tell each other of crashes.
+
+use std::time;
+
+use coltsfoot_once::{crash_suspects, quarantine};
+use coltsfoot_types::{id, name, time as clock};
+use coltsfoot_wire::once;
+use smallvec::SmallVec;
+
+/// Crashes with no whole run in between from which a request is refused. Every request that a crash
+/// cut is suspected, so an innocent one would have to meet another's crashes that often in a row.
+const QUARANTINE_CRASHES: u32 = 3;
+/// Time after its last crash for which a request is refused: it comes again for as long as its caller
+/// tries, and each further crash cuts all that run there.
+const REFUSAL: time::Duration = time::Duration::from_secs(24 * 3600);
+/// Time after its last crash for which a request is suspected. Where many callers ask for the same,
+/// unrelated crashes must not add up over a day.
+const SUSPICION: time::Duration = time::Duration::from_secs(3600);
+/// Crashes from which all instances are told of a request, and not only its collectors.
+const TOLD_TO_ALL: usize = 2;
+/// Requests that are told of again in one message at most.
+const MAX_TOLD_AGAIN: usize = 8;
+
+/// Notices of crashes.
+pub type CrashNotices = SmallVec<[once::CrashNotice; 4]>;
+
+/// Whom to tell of a crash.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum NoticeAudience {
+    /// The few instances that gather what is known of a request; see `FleetView::collectors`.
+    Collectors,
+    /// All instances.
+    All,
+}
+
+/// Returns whom to tell of a request with that many crashes. Most requests that are cut by a crash are
+/// innocent and run to their end afterwards; all instances need not hear of these.
+pub fn audience(crashes: usize) -> NoticeAudience {
+    if crashes < TOLD_TO_ALL { NoticeAudience::Collectors } else { NoticeAudience::All }
+}
+
+/// What a message of another instance brought.
+#[derive(Clone, Debug, PartialEq)]
+pub struct NoticeNews {
+    /// Whether the request is refused from now on and was not before.
+    pub is_quarantined: bool,
+    /// What is known now if that is more than the sender and this instance knew; the others are to be
+    /// told.
+    pub union: Option<once::CrashNotice>,
+}
+
+/// The requests under way at each upstream, and the crashes that requests have met.
+#[derive(Clone, Debug)]
+pub struct CrashLedger {
+    suspects: crash_suspects::CrashSuspects,
+    table: quarantine::QuarantineTable,
+    attempts: u128,
+}
+
+impl Default for CrashLedger {
+    fn default() -> Self {
+        let settings = quarantine::QuarantineSettings {
+            crashes: QUARANTINE_CRASHES,
+            lifetime: REFUSAL,
+            suspicion: SUSPICION,
+            ..Default::default()
+        };
+        Self {
+            suspects: crash_suspects::CrashSuspects::default(),
+            table: quarantine::QuarantineTable::new(settings),
+            attempts: 0,
+        }
+    }
+}
+
+impl CrashLedger {
+    /// Returns for how long a request is refused, if it is.
+    pub fn refusal(
+        &self,
+        now: clock::MonotonicTime,
+        digest: &once::RequestDigest,
+    ) -> Option<time::Duration> {
+        self.table.refusal(now, digest)
+    }
+
+    /// Returns the crashes that a request has met since it last ran to its end.
+    pub fn crashes(&self, now: clock::MonotonicTime, digest: &once::RequestDigest) -> u32 {
+        self.table.crashes(now, digest)
+    }
+
+    /// Notes that a request is sent to an upstream.
+    pub fn begin(&mut self, upstream: &str, digest: once::RequestDigest) -> id::AttemptId {
+        self.attempts += 1;
+        let attempt = id::AttemptId { request: id::RequestId(self.attempts), number: 0 };
+        self.suspects.begin(&name::UpstreamName::from(upstream), attempt, digest, false);
+        attempt
+    }
+
+    /// Notes how a request left its upstream. Returns whom to tell that it is no longer suspected, if
+    /// it was.
+    pub fn end(
+        &mut self,
+        now: clock::MonotonicTime,
+        upstream: &str,
+        attempt: id::AttemptId,
+        digest: &once::RequestDigest,
+        end: crash_suspects::RunEnd,
+    ) -> Option<NoticeAudience> {
+        let crashes = self.table.crashes(now, digest);
+        let upstream = name::UpstreamName::from(upstream);
+        self.suspects.end(now, &upstream, attempt, end, &mut self.table);
+        let is_cleared = crashes > 0 && self.table.crashes(now, digest) == 0;
+        is_cleared.then(|| audience(crashes as usize))
+    }
+
+    /// Notes that an incarnation of an upstream has crashed. Returns the notices for other instances.
+    pub fn crash(
+        &mut self,
+        now: clock::MonotonicTime,
+        upstream: &str,
+        incarnation: u32,
+    ) -> CrashNotices {
+        self.suspects.crash(now, &crash_id(upstream, incarnation), &mut self.table)
+    }
+
+    /// Notes that an upstream's entry is gone, after a crash or since it has left. Returns the notices
+    /// for other instances.
+    pub fn gone(
+        &mut self,
+        now: clock::MonotonicTime,
+        upstream: &str,
+        incarnation: u32,
+    ) -> CrashNotices {
+        self.suspects.gone(now, &crash_id(upstream, incarnation), &mut self.table)
+    }
+
+    /// Notes that an upstream runs on, so that connections that broke were not lost by a crash.
+    pub fn confirm_alive(&mut self, upstream: &str) {
+        self.suspects.confirm_alive(&name::UpstreamName::from(upstream));
+    }
+
+    /// Takes what another instance knows of a request's crashes; `None` if it is nothing new.
+    pub fn take_notice(
+        &mut self,
+        now: clock::MonotonicTime,
+        notice: &once::CrashNotice,
+    ) -> Option<NoticeNews> {
+        let was_refused = self.refusal(now, &notice.digest).is_some();
+        if !self.table.merge(now, notice) {
+            return None;
+        }
+        let union = self.table.notice(now, notice.digest);
+        let is_more = union.crashes.len() > notice.crashes.len();
+        Some(NoticeNews {
+            is_quarantined: !was_refused && self.refusal(now, &notice.digest).is_some(),
+            union: is_more.then_some(union),
+        })
+    }
+
+    /// Takes from another instance that a request has run to its end.
+    pub fn take_clearance(&mut self, now: clock::MonotonicTime, digest: &once::RequestDigest) {
+        self.table.exonerate(now, digest);
+    }
+
+    /// Returns what to tell some instance again, in case that it missed it or has just started: the
+    /// requests whose crashes all instances are to know, the newest ones first.
+    pub fn told_again(&self, now: clock::MonotonicTime) -> Vec<once::CrashNotice> {
+        let mut notices = self.table.notices(now, TOLD_TO_ALL);
+        notices.sort_by_key(|notice| std::cmp::Reverse(notice.time_left));
+        notices.truncate(MAX_TOLD_AGAIN);
+        notices
+    }
+}
+
+fn crash_id(upstream: &str, incarnation: u32) -> once::CrashId {
+    once::CrashId { upstream: upstream.into(), generation: u64::from(incarnation) }
+}
--- a/coltsfoot-gateway/src/lib.rs
+++ b/coltsfoot-gateway/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod attempt_plan;
 pub mod beat_plan;
+pub mod crash_ledger;
 pub mod demand;
 pub mod engine_choice;
 pub mod engine_desk;
--- a/coltsfoot-once/src/crash_suspects.rs
+++ b/coltsfoot-once/src/crash_suspects.rs
@@ -68,12 +68,16 @@
         table: &mut quarantine::QuarantineTable,
     ) {
         let Some(runs) = self.runs.get_mut(upstream) else { return };
+        runs.retain(|run| run.lost_at.is_none_or(|lost_at| is_fresh(now, lost_at)));
         let Some(place) = runs.iter().position(|run| run.attempt == attempt) else { return };
         if end == RunEnd::ConnectionLost {
             runs[place].lost_at = Some(now);
             return;
         }
         let run = runs.remove(place);
+        if runs.is_empty() {
+            self.runs.remove(upstream);
+        }
         if end == RunEnd::Completed {
             table.exonerate(now, &run.digest);
         }
@@ -87,12 +91,25 @@
         table: &mut quarantine::QuarantineTable,
     ) -> SmallVec<[once::CrashNotice; 4]> {
         let runs = self.runs.remove(&crash.upstream).unwrap_or_default();
-        let fresh = runs
-            .into_iter()
-            .filter(|run| run.lost_at.is_none_or(|lost_at| now.since(lost_at) < CONFIRMATION_TIME));
+        let fresh =
+            runs.into_iter().filter(|run| run.lost_at.is_none_or(|lost_at| is_fresh(now, lost_at)));
         fresh.filter_map(|run| table.record(now, run.digest, crash.clone())).collect()
     }
 
+    /// Notes that an upstream is gone. It may have left in order: only requests whose connections
+    /// broke are suspected. Returns the notices for the other instances.
+    pub fn gone(
+        &mut self,
+        now: clock::MonotonicTime,
+        crash: &once::CrashId,
+        table: &mut quarantine::QuarantineTable,
+    ) -> SmallVec<[once::CrashNotice; 4]> {
+        if let Some(runs) = self.runs.get_mut(&crash.upstream) {
+            runs.retain(|run| run.lost_at.is_some());
+        }
+        self.crash(now, crash, table)
+    }
+
     /// Notes that an upstream runs on: connections that broke before were not lost by a crash.
     pub fn confirm_alive(&mut self, upstream: &name::UpstreamName) {
         if let Some(runs) = self.runs.get_mut(upstream) {
@@ -100,3 +117,8 @@
         }
     }
 }
+
+/// Returns whether a crash may still be the reason why a connection broke.
+fn is_fresh(now: clock::MonotonicTime, lost_at: clock::MonotonicTime) -> bool {
+    now.since(lost_at) < CONFIRMATION_TIME
+}
--- a/coltsfoot-once/src/quarantine.rs
+++ b/coltsfoot-once/src/quarantine.rs
@@ -1,4 +1,4 @@
-//! Requests suspected of crashing upstreams, by digest; two crashes quarantine a request.
+//! Requests suspected of crashing upstreams, by digest; a few crashes quarantine a request.
 
 use std::collections;
 use std::time;
@@ -12,15 +12,24 @@
 /// Settings of a table.
 #[derive(Clone, Copy, Debug)]
 pub struct QuarantineSettings {
-    /// Time after the last crash for which a request stays suspected or quarantined.
+    /// Crashes from which a request is quarantined.
+    pub crashes: u32,
+    /// Time after the last crash for which a request stays quarantined.
     pub lifetime: time::Duration,
+    /// Time after the last crash for which a request stays suspected that is not quarantined.
+    pub suspicion: time::Duration,
     /// Digests remembered at most; those that end first are forgotten first.
     pub max_entries: usize,
 }
 
 impl Default for QuarantineSettings {
     fn default() -> Self {
-        Self { lifetime: time::Duration::from_secs(600), max_entries: 10_000 }
+        Self {
+            crashes: dispatch::QUARANTINE_CRASHES,
+            lifetime: time::Duration::from_secs(600),
+            suspicion: time::Duration::from_secs(600),
+            max_entries: 10_000,
+        }
     }
 }
 
@@ -78,11 +87,28 @@
     ) -> QuarantineVerdict {
         match self.crashes(now, digest) {
             0 => QuarantineVerdict::Clear,
-            crashes if crashes < dispatch::QUARANTINE_CRASHES => QuarantineVerdict::Suspected,
+            crashes if crashes < self.settings.crashes => QuarantineVerdict::Suspected,
             _ => QuarantineVerdict::Quarantined,
         }
     }
 
+    /// Returns for how long a digest is refused, if it is quarantined.
+    pub fn refusal(
+        &self,
+        now: clock::MonotonicTime,
+        digest: &once::RequestDigest,
+    ) -> Option<time::Duration> {
+        let is_refused = self.verdict(now, digest) == QuarantineVerdict::Quarantined;
+        is_refused.then(|| self.notice(now, *digest).time_left)
+    }
+
+    /// Returns the notices of digests with so many crashes or more.
+    pub fn notices(&self, now: clock::MonotonicTime, crashes: usize) -> Vec<once::CrashNotice> {
+        let known = self.suspicions.iter().filter(|(_, suspicion)| now < suspicion.until);
+        let known = known.filter(|(_, suspicion)| suspicion.crashes.len() >= crashes);
+        known.map(|(digest, _)| self.notice(now, *digest)).collect()
+    }
+
     /// Records a crash and returns the notice for the other instances if it is news.
     pub fn record(
         &mut self,
@@ -99,11 +125,10 @@
     /// Merges a notice and returns whether it brought a crash that was not known.
     pub fn merge(&mut self, now: clock::MonotonicTime, notice: &once::CrashNotice) -> bool {
         self.suspicions.retain(|_, suspicion| now < suspicion.until);
-        let until = now + notice.time_left.min(self.settings.lifetime);
         let suspicion = self
             .suspicions
             .entry(notice.digest)
-            .or_insert_with(|| Suspicion { crashes: SmallVec::new(), until });
+            .or_insert_with(|| Suspicion { crashes: SmallVec::new(), until: now });
         let mut is_news = false;
         for crash in &notice.crashes {
             if !suspicion.crashes.contains(crash) {
@@ -112,7 +137,14 @@
             }
         }
         if is_news {
-            suspicion.until = suspicion.until.max(until);
+            let settings = &self.settings;
+            let is_quarantined = |crashes: usize| crashes >= settings.crashes as usize;
+            let time_left = match is_quarantined(suspicion.crashes.len()) {
+                true if is_quarantined(notice.crashes.len()) => notice.time_left,
+                true => settings.lifetime,
+                false => notice.time_left.min(settings.suspicion),
+            };
+            suspicion.until = suspicion.until.max(now + time_left.min(settings.lifetime));
         }
         self.limit_entries();
         is_news
@@ -125,7 +157,12 @@
         }
     }
 
-    fn notice(&self, now: clock::MonotonicTime, digest: once::RequestDigest) -> once::CrashNotice {
+    /// Returns what is known of a digest, for other instances.
+    pub fn notice(
+        &self,
+        now: clock::MonotonicTime,
+        digest: once::RequestDigest,
+    ) -> once::CrashNotice {
         let suspicion = self.suspicions.get(&digest);
         let crashes = suspicion.map(|suspicion| suspicion.crashes.clone()).unwrap_or_default();
         let time_left = suspicion.map_or(time::Duration::ZERO, |known| known.until.since(now));
--- a/coltsfoot-wire/src/once.rs
+++ b/coltsfoot-wire/src/once.rs
@@ -31,6 +31,13 @@
 #[serde(transparent)]
 pub struct RequestDigest(#[serde_as(as = "hex::Hex")] pub [u8; 32]);
 
+impl RequestDigest {
+    /// Returns the first half as hexadecimal digits, for logs.
+    pub fn short(&self) -> String {
+        self.0[..8].iter().map(|byte| format!("{byte:02x}")).collect()
+    }
+}
+
 impl fmt::Debug for RequestDigest {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{:02x}{:02x}..", self.0[0], self.0[1])
--- a/coltsfootd/src/event.rs
+++ b/coltsfootd/src/event.rs
@@ -105,6 +105,8 @@
     REQUEST_ENDED = 503, "request_ended", Info;
     /// An attempt at an upstream ended without an answer for the caller.
     ATTEMPT_ENDED = 504, "attempt_ended", Info;
+    /// An upstream crashed while requests ran there.
+    UPSTREAM_CRASHED = 505, "upstream_crashed", Warn;
 }
 
 /// Writes an event to the log.
--- a/coltsfootd/src/front/crash_watch.rs
+++ b/coltsfootd/src/front/crash_watch.rs
@@ -9,7 +9,7 @@
 use coltsfoot_wire::once;
 use futures_lite::FutureExt as _;
 
-use crate::{event, shared};
+use crate::{event, request_digest, shared};
 
 /// Waits before each look at an engine whose connection broke.
 const PROBE_WAITS: [time::Duration; 3] =
@@ -54,15 +54,9 @@
 
 /// Returns the digest of what an engine runs, whoever sends it.
 pub fn digest_of(chat: &protocol::ChatRequest) -> once::RequestDigest {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(chat.model.as_bytes());
-    for message in &chat.messages {
-        for text in [&message.role, &message.content] {
-            hasher.update(&(text.len() as u64).to_le_bytes());
-            hasher.update(text.as_bytes());
-        }
-    }
-    once::RequestDigest(*hasher.finalize().as_bytes())
+    let texts = chat.messages.iter().flat_map(|message| [&message.role, &message.content]);
+    let parts = std::iter::once(&chat.model).chain(texts);
+    request_digest::digest_of(parts.map(|part| part.as_bytes()))
 }
 
 async fn has_closed_its_port(client: &engine::EngineClient) -> bool {
--- a/coltsfootd/src/gateway/exchange.rs
+++ b/coltsfootd/src/gateway/exchange.rs
@@ -7,10 +7,12 @@
 use coltsfoot_gateway::{demand, place_search, quota_ledger, route_table, rules};
 use coltsfoot_http::header;
 use coltsfoot_types::time as instant;
+use coltsfoot_wire::once;
 use futures_lite::AsyncWriteExt as _;
 use site_platform::fields;
 
 use crate::gateway::{callers, forwarding, request_log, state};
+use crate::request_digest;
 
 /// What happens to the caller's connection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -106,6 +108,8 @@
         })?;
         log.route = Some(sync::Arc::clone(&granted.route.name));
         log.customer = granted.customer.as_ref().map(|customer| sync::Arc::clone(&customer.name));
+        let digest = self.digest(granted.customer.as_deref());
+        log.digest = Some(digest);
         let service = route_table::pick_service(&granted.route, &request_id)
             .and_then(|name| routes.service(&name).cloned())
             .ok_or(OwnAnswer::refused("no_service", place_search::RETRY_PAUSE))?;
@@ -120,6 +124,7 @@
         let tokens = self.charge(granted.customer.as_deref(), class)?;
         Ok(AdmittedRequest {
             request_id,
+            digest,
             route: granted.route,
             customer: granted.customer,
             service,
@@ -129,6 +134,15 @@
         })
     }
 
+    /// Returns what repeats of the request have in common: who asks for what. Fields of the head may
+    /// differ between repeats.
+    fn digest(&self, customer: Option<&rules::CustomerRule>) -> once::RequestDigest {
+        let head = &self.request.head;
+        let customer = customer.map_or("", |customer| &*customer.name);
+        let texts = [&*head.method, &*head.target, customer].map(str::as_bytes);
+        request_digest::digest_of(texts.into_iter().chain([&*self.request.body]))
+    }
+
     fn charge(
         &self,
         customer: Option<&rules::CustomerRule>,
@@ -187,6 +201,7 @@
 /// A request that is allowed and within its customer's quota.
 pub(super) struct AdmittedRequest {
     pub(super) request_id: sync::Arc<str>,
+    pub(super) digest: once::RequestDigest,
     pub(super) route: sync::Arc<rules::RouteRule>,
     pub(super) customer: Option<sync::Arc<rules::CustomerRule>>,
     pub(super) service: sync::Arc<rules::ServiceRule>,
--- a/coltsfootd/src/gateway/follower.rs
+++ b/coltsfootd/src/gateway/follower.rs
@@ -10,7 +10,7 @@
 use site_platform::{entry, rules, store};
 
 use crate::event;
-use crate::gateway::{beats, news, state};
+use crate::gateway::{beats, crashes, news, state};
 
 /// Time that a read of the operator's records waits for news.
 const OPERATOR_WAIT: time::Duration = time::Duration::from_millis(1000);
@@ -327,15 +327,19 @@
     let (id, address) = (entry.id.to_string(), entry.address);
     let is_ready = entry.state == upstream::UpstreamState::Ready;
     let mut view = state.view();
-    let known = view.upstream(&id).map(|slot| (slot.entry.born_ms, slot.entry.state));
-    let is_older = known.is_some_and(|(born, _)| entry.born_ms < born);
+    let known = view.upstream(&id);
+    let known = known.map(|slot| (slot.entry.born_ms, slot.entry.state, slot.number));
+    let is_older = known.is_some_and(|(born, ..)| entry.born_ms < born);
     if is_older {
         return false;
     }
-    let had_state = known.map(|(_, state)| state);
+    let had_state = known.map(|(_, state, _)| state);
     let new_state = entry.state;
     let is_new = view.put_upstream(entry);
     drop(view);
+    if let Some((.., incarnation)) = known.filter(|_| is_new) {
+        crashes::upstream_replaced(state, &id, incarnation, true);
+    }
     let has_changed = is_new || had_state != Some(new_state);
     if has_changed {
         log::info!(
@@ -370,8 +374,18 @@
 
 /// Forgets an upstream; returns whether it was known.
 fn remove_upstream(state: &state::GatewayState, id: &str) -> bool {
-    let Some(entry) = state.view().remove_upstream(id) else { return false };
+    let (entry, incarnation) = {
+        let mut view = state.view();
+        let incarnation = view.upstream(id).map(|slot| slot.number);
+        let Some(entry) = view.remove_upstream(id) else { return false };
+        (entry, incarnation)
+    };
     state.pool.forget(entry.address);
+    if let Some(incarnation) = incarnation
+        && entry.state == upstream::UpstreamState::Ready
+    {
+        crashes::upstream_replaced(state, id, incarnation, false);
+    }
     log::info!(event = event::UPSTREAM_GONE.number, upstream = id; "upstream_gone");
     true
 }
--- a/coltsfootd/src/gateway/forwarding.rs
+++ b/coltsfootd/src/gateway/forwarding.rs
@@ -1,5 +1,6 @@
 //! Sends a request to upstreams until there is an answer for its caller.
 
+use std::net;
 use std::sync;
 use std::time;
 
@@ -10,7 +11,7 @@
 use site_platform::fields;
 
 use crate::event;
-use crate::gateway::{attempt, exchange, loads, request_log, state, under_way};
+use crate::gateway::{attempt, crashes, exchange, loads, request_log, state, under_way};
 
 /// Longest answer that is not a stream, in bytes.
 const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
@@ -113,7 +114,7 @@
         self.state.metrics.count_attempt(detail);
         log::info!(
             event = event::ATTEMPT_ENDED.number, request = &*self.admitted.request_id,
-            upstream = &*chosen.id, end = end.code(), detail = detail,
+            digest = self.admitted.digest.short(), upstream = &*chosen.id, end = end.code(), detail = detail,
             ms = self.state.now().since(self.exchange.received).as_millis() as u64;
             "attempt_ended"
         );
@@ -193,6 +194,18 @@
         else {
             return AttemptOutcome::Ended(attempt_plan::AttemptEnd::NotSent, "upstream_gone");
         };
+        let running = crashes::RunningRequest::begin(self.state, &chosen.id, self.admitted.digest);
+        let outcome = self.exchange_with(chosen, address).await;
+        running.ended(&outcome, address);
+        outcome
+    }
+
+    /// Sends the request to an upstream and passes its answer on.
+    async fn exchange_with(
+        &mut self,
+        chosen: &engine_choice::ChosenUpstream,
+        address: net::SocketAddr,
+    ) -> AttemptOutcome {
         let head = self.encode(&chosen.id);
         let may_repeat = self.admitted.route.may_repeat();
         let request = attempt::AttemptRequest {
--- a/coltsfootd/src/gateway/metrics.rs
+++ b/coltsfootd/src/gateway/metrics.rs
@@ -15,6 +15,7 @@
     loads: metrics::Counter<u64>,
     orders: metrics::Counter<u64>,
     reports: metrics::Counter<u64>,
+    crash_suspects: metrics::Counter<u64>,
     duration: metrics::Histogram<f64>,
     first_event: metrics::Histogram<f64>,
     load_wait: metrics::Histogram<f64>,
@@ -34,6 +35,10 @@
                 .counter("coltsfoot_gateway_orders", "Orders to engines, by their answer"),
             reports: registry
                 .counter("coltsfoot_gateway_reports", "Reports asked of engines, by success"),
+            crash_suspects: registry.counter(
+                "coltsfoot_gateway_crash_suspects",
+                "Requests that were at an upstream when it crashed",
+            ),
             duration: registry
                 .seconds("coltsfoot_gateway_request_seconds", "Time of a request, by outcome"),
             first_event: registry
@@ -72,6 +77,11 @@
         self.reports.add(1, &[KeyValue::new("read", is_read)]);
     }
 
+    /// Counts requests that were at an upstream when it crashed.
+    pub fn count_crash_suspects(&self, requests: usize) {
+        self.crash_suspects.add(requests as u64, &[]);
+    }
+
     /// Records the time from a request's arrival to its first event.
     pub fn record_first_event(&self, wait: time::Duration) {
         self.first_event.record(wait.as_secs_f64(), &[]);
--- a/coltsfootd/src/gateway/mod.rs
+++ b/coltsfootd/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 mod attempt;
 mod beats;
 mod callers;
+mod crashes;
 mod engines;
 mod exchange;
 mod fleet;
--- a/coltsfootd/src/gateway/request_log.rs
+++ b/coltsfootd/src/gateway/request_log.rs
@@ -2,6 +2,8 @@
 
 use std::sync;
 
+use coltsfoot_wire::once;
+
 use crate::event;
 use crate::gateway::exchange;
 
@@ -10,6 +12,7 @@
 pub(super) struct RequestLog {
     pub(super) route: Option<sync::Arc<str>>,
     pub(super) customer: Option<sync::Arc<str>>,
+    pub(super) digest: Option<once::RequestDigest>,
     pub(super) tokens: u64,
     pub(super) upstream: Option<sync::Arc<str>>,
     pub(super) expected_ms: f64,
@@ -42,6 +45,7 @@
             request = exchange.fields.request_id.as_deref().unwrap_or_default(),
             route = self.route.as_deref().unwrap_or_default(),
             customer = self.customer.as_deref().unwrap_or_default(), tokens = self.tokens,
+            digest = self.digest.map(|digest| digest.short()).unwrap_or_default(),
             upstream = self.upstream.as_deref().unwrap_or_default(),
             rules = version, status = status, reason = reason, sends = self.sends,
             loads = self.loads, expected_ms = self.expected_ms as u64,
--- a/coltsfootd/src/gateway/run.rs
+++ b/coltsfootd/src/gateway/run.rs
@@ -13,7 +13,7 @@
 use site_platform::{settings, store};
 
 use crate::gateway::{
-    beats, callers, engines, fleet, follower, lease, loads, metrics, news, reload, state,
+    beats, callers, crashes, engines, fleet, follower, lease, loads, metrics, news, reload, state,
 };
 use crate::{clock, event, metrics as registry};
 
@@ -201,6 +201,7 @@
         lease: sync::Mutex::new(order_lease::OrderLease::new(lease_settings)),
         desks: engines::DeskTable::default(),
         loads: loads::OpenLoads::default(),
+        crashes: crashes::CrashState::default(),
         fleet_socket,
         operator_read: sync::Mutex::default(),
         upstreams_read: sync::Mutex::default(),
--- a/coltsfootd/src/gateway/state.rs
+++ b/coltsfootd/src/gateway/state.rs
@@ -15,7 +15,7 @@
 use rustc_hash::FxHashMap;
 use site_platform::{settings, store};
 
-use crate::gateway::{engines, loads, metrics, news};
+use crate::gateway::{crashes, engines, loads, metrics, news};
 use crate::{clock, event};
 
 /// Part of the promised retries that is used, so that instances that miss each other stay within.
@@ -42,6 +42,7 @@
     pub lease: sync::Mutex<order_lease::OrderLease>,
     pub desks: engines::DeskTable,
     pub loads: loads::OpenLoads,
+    pub crashes: crashes::CrashState,
     pub fleet_socket: async_io::Async<net::UdpSocket>,
     /// When the operator's records and the upstreams' entries were read last.
     pub operator_read: sync::Mutex<Option<instant::MonotonicTime>>,
--- a/coltsfootd/src/lib.rs
+++ b/coltsfootd/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod metrics;
 mod operator;
 mod peers;
+mod request_digest;
 mod server;
 pub mod settings;
 mod shared;
