Refuse a request that has crashed three upstreams, at all instances

Callers whose requests ran beside it were cut again and again: an engine that a request crashes loses all that runs there, and the gateway sent the request on for as long as its caller came back, up to two engines each time.

Cause: the gateway kept nothing of what ran at an upstream when it crashed, so a repeat, which has a request id of its own, was a new request to every instance. The own interface had the table for it (coltsfoot-once), the gateway had not: knowledge of one entrance that the other needs.

Now each instance enters its requests at upstreams in CrashLedger. A crash makes all that it cut suspects; a run to the end clears them. A first crash is told to three instances chosen by the request's digest, which add up what several saw; from the second on all are told, and told again to one instance a second and to those that start. From the third crash the request is refused with 503, truly not run, before it takes quota, and also between two attempts. The table is the one of the own interface; how many crashes, for how long, and which reports are of one crash are settings now.

Naming a crash by the entry's incarnation was tried first: 6 crashes of 12, since an upstream is back before its entry is read; crashes go by their time.

--- a/coltsfoot-gateway/src/crash_ledger.rs
+++ b/coltsfoot-gateway/src/crash_ledger.rs
@@ -18,6 +18,9 @@
 /// Time after its last crash for which a request is suspected. Where many callers ask for the same,
 /// unrelated crashes must not add up over a day.
 const SUSPICION: time::Duration = time::Duration::from_secs(3600);
+/// Time within which instances see one crash, in milliseconds: a lost connection shows at once, and an
+/// upstream takes longer to start.
+const CRASH_SPAN_MS: u64 = 1_000;
 /// Crashes from which all instances are told of a request, and not only its collectors.
 const TOLD_TO_ALL: usize = 2;
 /// Requests that are told of again in one message at most.
@@ -65,6 +68,7 @@
             crashes: QUARANTINE_CRASHES,
             lifetime: REFUSAL,
             suspicion: SUSPICION,
+            crash_span: CRASH_SPAN_MS,
             ..Default::default()
         };
         Self {
@@ -115,25 +119,27 @@
         is_cleared.then(|| audience(crashes as usize))
     }
 
-    /// Notes that an incarnation of an upstream has crashed. Returns the notices for other instances.
+    /// Notes that an upstream has crashed, at a time in milliseconds since the Unix epoch. Returns the
+    /// notices for other instances.
     pub fn crash(
         &mut self,
         now: clock::MonotonicTime,
         upstream: &str,
-        incarnation: u32,
+        unix_ms: u64,
     ) -> CrashNotices {
-        self.suspects.crash(now, &crash_id(upstream, incarnation), &mut self.table)
+        self.suspects.crash(now, &crash_id(upstream, unix_ms), &mut self.table)
     }
 
-    /// Notes that an upstream's entry is gone, after a crash or since it has left. Returns the notices
-    /// for other instances.
+    /// Notes that an upstream's entry is gone or that of a new incarnation, after a crash or since it
+    /// has left in order, at a time in milliseconds since the Unix epoch. Only requests whose
+    /// connections broke are suspected. Returns the notices for other instances.
     pub fn gone(
         &mut self,
         now: clock::MonotonicTime,
         upstream: &str,
-        incarnation: u32,
+        unix_ms: u64,
     ) -> CrashNotices {
-        self.suspects.gone(now, &crash_id(upstream, incarnation), &mut self.table)
+        self.suspects.gone(now, &crash_id(upstream, unix_ms), &mut self.table)
     }
 
     /// Notes that an upstream runs on, so that connections that broke were not lost by a crash.
@@ -174,6 +180,7 @@
     }
 }
 
-fn crash_id(upstream: &str, incarnation: u32) -> once::CrashId {
-    once::CrashId { upstream: upstream.into(), generation: u64::from(incarnation) }
+/// Names a crash by its time: an upstream may be back before its entry tells of a new incarnation.
+fn crash_id(upstream: &str, unix_ms: u64) -> once::CrashId {
+    once::CrashId { upstream: upstream.into(), generation: unix_ms }
 }
--- a/coltsfoot-gateway/src/fleet_view/peers.rs
+++ b/coltsfoot-gateway/src/fleet_view/peers.rs
@@ -3,10 +3,10 @@
 use std::time;
 
 use coltsfoot_types::time as clock;
-use coltsfoot_wire::fleet;
+use coltsfoot_wire::{fleet, once};
 use smallvec::SmallVec;
 
-use crate::{beat_plan, order_lease, peer_slot, reader_choice, upstream_slot};
+use crate::{beat_plan, order_lease, peer_slot, reader_choice, rendezvous, upstream_slot};
 
 use super::{BEATS_TO_LOSE, FleetView, OWNER_SILENCE};
 
@@ -15,6 +15,10 @@
 /// Time without beats from a whole zone after which it is suspected to be cut off.
 const ZONE_SILENCE: time::Duration = time::Duration::from_millis(600);
 
+/// Instances that gather what is known of a request's crashes, so that one of them hears of each
+/// although messages are lost and instances end.
+const COLLECTORS: usize = 3;
+
 /// Zones that are probably cut off.
 pub type SuspectZones<'a> = SmallVec<[&'a str; 4]>;
 
@@ -54,6 +58,19 @@
         self.peers.values().map(|peer| peer.address).collect()
     }
 
+    /// Returns the instances that gather what is known of a request's crashes, but for the asking one.
+    pub fn collectors(
+        &self,
+        own: u64,
+        digest: &once::RequestDigest,
+    ) -> SmallVec<[std::net::SocketAddr; COLLECTORS]> {
+        let own = (own, None);
+        let others = self.peers.iter().map(|(id, peer)| (*id, Some(peer.address)));
+        let mut all: Vec<_> = others.chain([own]).collect();
+        all.sort_by_key(|(id, _)| std::cmp::Reverse(rendezvous::weight(digest.number(), *id)));
+        all.into_iter().take(COLLECTORS).filter_map(|(_, address)| address).collect()
+    }
+
     /// Returns where the other instances of a zone receive messages.
     pub fn near_addresses(&self, zone: &str) -> Vec<std::net::SocketAddr> {
         let near = self.peers.values().filter(|peer| &*peer.zone == zone);
--- /dev/null
+++ b/coltsfoot-gateway/tests/crashes.rs
@@ -0,0 +1,160 @@
+//! Requests that crash whatever upstream runs them, as several instances see them.
+
+use std::collections;
+use std::net;
+use std::time;
+
+use coltsfoot_gateway::crash_ledger::{self, NoticeAudience};
+use coltsfoot_gateway::fleet_view;
+use coltsfoot_once::crash_suspects::RunEnd;
+use coltsfoot_types::time as clock;
+use coltsfoot_wire::{fleet, once};
+
+mod fleet_fixture;
+
+const CRASHING: once::RequestDigest = once::RequestDigest([1; 32]);
+const INNOCENT: once::RequestDigest = once::RequestDigest([2; 32]);
+const HOUR_S: u64 = 3600;
+
+fn at_s(seconds: u64) -> clock::MonotonicTime {
+    clock::MonotonicTime::default() + time::Duration::from_secs(seconds)
+}
+
+/// Runs a request until its upstream crashes; returns the notice of it.
+fn run_to_crash(
+    ledger: &mut crash_ledger::CrashLedger,
+    second: u64,
+    upstream: &str,
+    digest: once::RequestDigest,
+) -> Option<once::CrashNotice> {
+    let now = at_s(second);
+    let attempt = ledger.begin(upstream, digest);
+    ledger.end(now, upstream, attempt, &digest, RunEnd::ConnectionLost);
+    ledger.crash(now, upstream, second * 1000).into_iter().next()
+}
+
+/// Runs a request to its end; returns whom to tell that it is cleared.
+fn run_whole(
+    ledger: &mut crash_ledger::CrashLedger,
+    second: u64,
+    digest: once::RequestDigest,
+) -> Option<NoticeAudience> {
+    let attempt = ledger.begin("sound", digest);
+    ledger.end(at_s(second), "sound", attempt, &digest, RunEnd::Completed)
+}
+
+#[test]
+fn a_request_is_refused_from_its_third_crash_although_no_instance_saw_two() {
+    let mut ledgers: [crash_ledger::CrashLedger; 4] = Default::default();
+    let [first, second, third, collector] = &mut ledgers;
+    let one = run_to_crash(first, 1, "a", CRASHING).expect("a crash");
+    assert_eq!(crash_ledger::audience(one.crashes.len()), NoticeAudience::Collectors);
+    let two = run_to_crash(second, 5, "b", CRASHING).expect("a crash");
+    assert!(collector.take_notice(at_s(1), &one).expect("news").union.is_none());
+    let union = collector.take_notice(at_s(5), &two).expect("news").union.expect("both crashes");
+    assert_eq!(crash_ledger::audience(union.crashes.len()), NoticeAudience::All);
+    for ledger in [&mut *first, &mut *second, &mut *third] {
+        ledger.take_notice(at_s(5), &union);
+        assert_eq!(ledger.refusal(at_s(6), &CRASHING), None);
+    }
+    let three = run_to_crash(third, 9, "a", CRASHING).expect("a crash");
+    assert!(first.take_notice(at_s(9), &three).expect("news").is_quarantined);
+    assert!(collector.take_notice(at_s(9), &three).expect("news").is_quarantined);
+    for ledger in [first, third, collector] {
+        let refusal = ledger.refusal(at_s(10), &CRASHING).expect("refused");
+        assert!(refusal > time::Duration::from_secs(23 * HOUR_S));
+    }
+}
+
+#[test]
+fn one_crash_seen_by_several_instances_counts_once() {
+    let [mut here, mut there]: [crash_ledger::CrashLedger; 2] = Default::default();
+    let seen_here = run_to_crash(&mut here, 1, "a", CRASHING).expect("a crash");
+    let attempt = there.begin("a", CRASHING);
+    there.end(at_s(1), "a", attempt, &CRASHING, RunEnd::ConnectionLost);
+    there.crash(at_s(1), "a", 1_400);
+    assert_eq!(there.take_notice(at_s(2), &seen_here), None);
+    assert_eq!(there.crashes(at_s(2), &CRASHING), 1);
+    run_to_crash(&mut there, 3, "a", CRASHING);
+    assert_eq!(there.crashes(at_s(3), &CRASHING), 2, "the upstream was back");
+}
+
+#[test]
+fn a_request_that_runs_to_its_end_is_no_longer_suspected() {
+    let [mut here, mut there]: [crash_ledger::CrashLedger; 2] = Default::default();
+    for second in [1, 4] {
+        let notice = run_to_crash(&mut here, second, "a", INNOCENT).expect("a crash");
+        there.take_notice(at_s(second), &notice);
+    }
+    assert_eq!(run_whole(&mut here, 6, INNOCENT), Some(NoticeAudience::All));
+    there.take_clearance(at_s(6), &INNOCENT);
+    assert_eq!(run_whole(&mut here, 7, INNOCENT), None, "nothing is known against it any more");
+    for ledger in [&mut here, &mut there] {
+        run_to_crash(ledger, 9, "a", INNOCENT);
+        assert_eq!(ledger.crashes(at_s(9), &INNOCENT), 1);
+    }
+}
+
+#[test]
+fn crashes_of_hours_do_not_add_up() {
+    let mut ledger = crash_ledger::CrashLedger::default();
+    for number in 0..6 {
+        run_to_crash(&mut ledger, number * (HOUR_S + 1), "a", INNOCENT);
+    }
+    assert_eq!(ledger.refusal(at_s(6 * HOUR_S), &INNOCENT), None);
+}
+
+#[test]
+fn an_upstream_that_leaves_or_runs_on_suspects_nobody() {
+    let mut ledger = crash_ledger::CrashLedger::default();
+    let running = ledger.begin("a", INNOCENT);
+    let lost = ledger.begin("a", CRASHING);
+    ledger.end(at_s(1), "a", lost, &CRASHING, RunEnd::ConnectionLost);
+    let suspected: Vec<_> =
+        ledger.gone(at_s(2), "a", 2_000).into_iter().map(|notice| notice.digest).collect();
+    assert_eq!(suspected, [CRASHING], "the other one was still running");
+    ledger.end(at_s(3), "a", running, &INNOCENT, RunEnd::Completed);
+
+    let attempt = ledger.begin("b", INNOCENT);
+    ledger.end(at_s(4), "b", attempt, &INNOCENT, RunEnd::ConnectionLost);
+    ledger.confirm_alive("b");
+    assert!(ledger.crash(at_s(5), "b", 5_000).is_empty());
+}
+
+#[test]
+fn what_all_are_to_know_is_told_again_newest_first_and_in_few_messages() {
+    let mut ledger = crash_ledger::CrashLedger::default();
+    for number in 0..20 {
+        let digest = once::RequestDigest([number; 32]);
+        for crash in 0..3 {
+            run_to_crash(&mut ledger, u64::from(number) * 10 + crash * 2, "a", digest);
+        }
+    }
+    run_to_crash(&mut ledger, 300, "a", once::RequestDigest([99; 32]));
+    let told = ledger.told_again(at_s(301));
+    assert_eq!(told.len(), 8);
+    assert_eq!(told[0].digest, once::RequestDigest([19; 32]));
+    let mut late = crash_ledger::CrashLedger::default();
+    assert!(late.take_notice(at_s(301), &told[0]).expect("news").is_quarantined);
+    assert_eq!(late.take_notice(at_s(302), &told[0]), None);
+}
+
+#[test]
+fn all_instances_have_the_same_collectors_of_a_request() {
+    let address = |id: u64| net::SocketAddr::from(([10, 0, 0, 1], id as u16));
+    let collectors = |own: u64| {
+        let mut view = fleet_view::FleetView::default();
+        for id in (1..=40).filter(|id| *id != own) {
+            let beat = fleet_fixture::beat(1, Vec::new());
+            let beat = fleet::FleetBeat { sender: id, address: address(id), ..beat };
+            view.take_beat(at_s(1), &beat);
+        }
+        view.collectors(own, &CRASHING)
+    };
+    let all: collections::BTreeSet<net::SocketAddr> = (1..=40).flat_map(collectors).collect();
+    assert_eq!(all.len(), 3);
+    let gathering = (1..=40).filter(|own| all.contains(&address(*own)));
+    for own in gathering {
+        assert_eq!(collectors(own).len(), 2, "a collector tells the two others");
+    }
+}
--- a/coltsfoot-once/src/quarantine.rs
+++ b/coltsfoot-once/src/quarantine.rs
@@ -18,6 +18,9 @@
     pub lifetime: time::Duration,
     /// Time after the last crash for which a request stays suspected that is not quarantined.
     pub suspicion: time::Duration,
+    /// Numbers of an upstream's crashes that differ by less are of one crash, as several instances saw
+    /// it.
+    pub crash_span: u64,
     /// Digests remembered at most; those that end first are forgotten first.
     pub max_entries: usize,
 }
@@ -28,6 +31,7 @@
             crashes: dispatch::QUARANTINE_CRASHES,
             lifetime: time::Duration::from_secs(600),
             suspicion: time::Duration::from_secs(600),
+            crash_span: 1,
             max_entries: 10_000,
         }
     }
@@ -131,7 +135,11 @@
             .or_insert_with(|| Suspicion { crashes: SmallVec::new(), until: now });
         let mut is_news = false;
         for crash in &notice.crashes {
-            if !suspicion.crashes.contains(crash) {
+            let is_same = |known: &once::CrashId| {
+                known.upstream == crash.upstream
+                    && known.generation.abs_diff(crash.generation) < self.settings.crash_span
+            };
+            if !suspicion.crashes.iter().any(is_same) {
                 suspicion.crashes.push(crash.clone());
                 is_news = true;
             }
--- a/coltsfoot-wire/src/fleet.rs
+++ b/coltsfoot-wire/src/fleet.rs
@@ -5,6 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::once;
+
 /// Work that the sender has under way at an upstream.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct UpstreamWork {
@@ -313,6 +315,10 @@
     NewsAsk(NewsAsk),
     /// Sums over a zone.
     Zone(ZoneBeat),
+    /// Crashes that a request has met.
+    Crash(once::CrashNotice),
+    /// A request that was suspected of crashes has run to its end.
+    CrashCleared(once::RequestDigest),
 }
 
 impl FleetMessage {
--- a/coltsfoot-wire/src/once.rs
+++ b/coltsfoot-wire/src/once.rs
@@ -32,6 +32,12 @@
 pub struct RequestDigest(#[serde_as(as = "hex::Hex")] pub [u8; 32]);
 
 impl RequestDigest {
+    /// Returns a number for hashing among instances.
+    pub fn number(&self) -> u64 {
+        let first = self.0.first_chunk().copied().unwrap_or_default();
+        u64::from_le_bytes(first)
+    }
+
     /// Returns the first half as hexadecimal digits, for logs.
     pub fn short(&self) -> String {
         self.0[..8].iter().map(|byte| format!("{byte:02x}")).collect()
@@ -169,7 +175,7 @@
 }
 
 /// Crashes that one request is suspected of.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct CrashNotice {
     /// Digest of the request.
     pub digest: RequestDigest,
--- a/coltsfootd/src/gateway/crashes.rs
+++ b/coltsfootd/src/gateway/crashes.rs
@@ -1,4 +1,5 @@
-//! Finds out whether a broken connection was a crash of its upstream, and notes which requests met it.
+//! Finds out whether a broken connection was a crash of its upstream, notes which requests met it, and
+//! tells other instances.
 
 use std::io;
 use std::net;
@@ -9,11 +10,11 @@
 use coltsfoot_http::{message, socket};
 use coltsfoot_once::crash_suspects::RunEnd;
 use coltsfoot_types::id;
-use coltsfoot_wire::once;
+use coltsfoot_wire::{fleet as wire, once};
 use rustc_hash::FxHashSet;
 
-use crate::event;
-use crate::gateway::{exchange, forwarding, state};
+use crate::gateway::{exchange, fleet, forwarding, state};
+use crate::{clock, event};
 
 /// Time to connect to an upstream after a connection to it broke.
 const PROBE_TIMEOUT: time::Duration = time::Duration::from_millis(250);
@@ -25,6 +26,10 @@
 /// Time for which that connection is kept for requests.
 const PROBE_KEEP: time::Duration = time::Duration::from_millis(1500);
 
+/// Time between messages to an instance chosen at random. With n instances each one gets one an interval
+/// on average.
+const TELL_INTERVAL: time::Duration = time::Duration::from_secs(1);
+
 /// Crashes and what is being found out about them.
 #[derive(Default)]
 pub(crate) struct CrashState {
@@ -78,8 +83,16 @@
 impl Drop for RunningRequest<'_> {
     fn drop(&mut self) {
         let now = self.state.now();
-        let mut ledger = self.state.crashes.ledger();
-        ledger.end(now, &self.upstream, self.attempt, &self.digest, self.end);
+        let cleared = self.state.crashes.ledger().end(
+            now,
+            &self.upstream,
+            self.attempt,
+            &self.digest,
+            self.end,
+        );
+        if let Some(audience) = cleared {
+            tell(self.state, audience, &self.digest, wire::FleetMessage::CrashCleared(self.digest));
+        }
     }
 }
 
@@ -99,13 +112,8 @@
         state::lock(&state.crashes.probed).remove(&upstream);
         match finding {
             ProbeFinding::PortClosed => {
-                let incarnation = state.view().upstream(&upstream).map(|slot| slot.number);
                 state.view().connect_failed(state.now(), &upstream);
-                if let Some(incarnation) = incarnation {
-                    let now = state.now();
-                    let notices = state.crashes.ledger().crash(now, &upstream, incarnation);
-                    report_crash(&state, &upstream, notices);
-                }
+                note_crash(&state, &upstream);
             }
             ProbeFinding::Alive => state.crashes.ledger().confirm_alive(&upstream),
             ProbeFinding::Unknown => {}
@@ -142,25 +150,19 @@
     ProbeFinding::Unknown
 }
 
-/// Notes that an upstream came back anew or that its entry is gone.
-pub(crate) fn upstream_replaced(
-    state: &state::GatewayState,
-    upstream: &str,
-    incarnation: u32,
-    is_back: bool,
-) {
-    let now = state.now();
-    let notices = {
-        let mut ledger = state.crashes.ledger();
-        match is_back {
-            true => ledger.crash(now, upstream, incarnation),
-            false => ledger.gone(now, upstream, incarnation),
-        }
-    };
+/// Notes that an upstream has crashed.
+fn note_crash(state: &state::GatewayState, upstream: &str) {
+    let notices = state.crashes.ledger().crash(state.now(), upstream, clock::wall_time().0);
+    report_crash(state, upstream, notices);
+}
+
+/// Notes that the entry of a ready upstream is gone, or is that of a new incarnation.
+pub(crate) fn note_gone(state: &state::GatewayState, upstream: &str) {
+    let notices = state.crashes.ledger().gone(state.now(), upstream, clock::wall_time().0);
     report_crash(state, upstream, notices);
 }
 
-/// Logs the requests that met a crash.
+/// Logs the requests that met a crash, and tells other instances of them.
 fn report_crash(state: &state::GatewayState, upstream: &str, notices: crash_ledger::CrashNotices) {
     state.metrics.count_crash_suspects(notices.len());
     for notice in notices {
@@ -169,5 +171,79 @@
             digest = notice.digest.short(), crashes = notice.crashes.len();
             "upstream_crashed"
         );
+        if state.crashes.ledger().refusal(state.now(), &notice.digest).is_some() {
+            log_quarantine(&notice);
+        }
+        tell_crashes(state, notice);
+    }
+}
+
+fn log_quarantine(notice: &once::CrashNotice) {
+    log::warn!(
+        event = event::REQUEST_QUARANTINED.number, digest = notice.digest.short(),
+        crashes = notice.crashes.len(), time_left_s = notice.time_left.as_secs();
+        "request_quarantined"
+    );
+}
+
+fn tell_crashes(state: &state::GatewayState, notice: once::CrashNotice) {
+    let audience = crash_ledger::audience(notice.crashes.len());
+    let digest = notice.digest;
+    tell(state, audience, &digest, wire::FleetMessage::Crash(notice));
+}
+
+fn tell(
+    state: &state::GatewayState,
+    audience: crash_ledger::NoticeAudience,
+    digest: &once::RequestDigest,
+    message: wire::FleetMessage,
+) {
+    let addresses = {
+        let view = state.view();
+        match audience {
+            crash_ledger::NoticeAudience::Collectors => {
+                view.collectors(state.incarnation, digest).into_vec()
+            }
+            crash_ledger::NoticeAudience::All => view.peer_addresses(),
+        }
+    };
+    fleet::send(state, addresses, &message);
+}
+
+/// Takes what another instance tells of a request's crashes.
+pub(crate) fn take_notice(state: &state::GatewayState, notice: &once::CrashNotice) {
+    let news = state.crashes.ledger().take_notice(state.now(), notice);
+    let Some(news) = news else { return };
+    let known = news.union.as_ref().unwrap_or(notice);
+    if news.is_quarantined {
+        log_quarantine(known);
+    }
+    if let Some(union) = news.union {
+        tell_crashes(state, union);
+    }
+}
+
+/// Takes from another instance that a request has run to its end.
+pub(crate) fn take_clearance(state: &state::GatewayState, digest: &once::RequestDigest) {
+    state.crashes.ledger().take_clearance(state.now(), digest);
+}
+
+/// Tells other instances in turn of the requests that all are to know, for as long as the process runs:
+/// of a few that missed it, and of those that start.
+pub(crate) async fn tell_again(state: sync::Arc<state::GatewayState>) {
+    loop {
+        async_io::Timer::after(TELL_INTERVAL).await;
+        let addresses = state.view().peer_addresses();
+        let Some(address) = rand::seq::IndexedRandom::choose(&*addresses, &mut rand::rng()) else {
+            continue;
+        };
+        tell_known(&state, *address);
+    }
+}
+
+/// Tells an instance of the requests that all are to know.
+pub(crate) fn tell_known(state: &state::GatewayState, address: net::SocketAddr) {
+    for notice in state.crashes.ledger().told_again(state.now()) {
+        fleet::send(state, [address], &wire::FleetMessage::Crash(notice));
     }
 }
--- a/coltsfootd/src/gateway/exchange.rs
+++ b/coltsfootd/src/gateway/exchange.rs
@@ -110,6 +110,7 @@
         log.customer = granted.customer.as_ref().map(|customer| sync::Arc::clone(&customer.name));
         let digest = self.digest(granted.customer.as_deref());
         log.digest = Some(digest);
+        self.check_quarantine(&digest)?;
         let service = route_table::pick_service(&granted.route, &request_id)
             .and_then(|name| routes.service(&name).cloned())
             .ok_or(OwnAnswer::refused("no_service", place_search::RETRY_PAUSE))?;
@@ -134,6 +135,12 @@
         })
     }
 
+    /// Refuses a request that crashes the upstreams that run it.
+    pub(super) fn check_quarantine(&self, digest: &once::RequestDigest) -> Result<(), OwnAnswer> {
+        let refusal = self.state.crashes.ledger().refusal(self.state.now(), digest);
+        refusal.map_or(Ok(()), |time_left| Err(OwnAnswer::refused("quarantined", time_left)))
+    }
+
     /// Returns what repeats of the request have in common: who asks for what. Fields of the head may
     /// differ between repeats.
     fn digest(&self, customer: Option<&rules::CustomerRule>) -> once::RequestDigest {
--- a/coltsfootd/src/gateway/fleet.rs
+++ b/coltsfootd/src/gateway/fleet.rs
@@ -10,7 +10,7 @@
 use coltsfoot_wire::fleet as wire;
 
 use crate::event;
-use crate::gateway::{beats, engines, news, state};
+use crate::gateway::{beats, crashes, engines, news, state};
 
 /// Topic in which instances tell where they receive messages.
 const INSTANCE_TOPIC: &str = "keyed.coltsfoot-instances";
@@ -83,6 +83,10 @@
             Ok(wire::FleetMessage::News(records)) => news::take(&state, records),
             Ok(wire::FleetMessage::NewsAsk(ask)) => news::answer(&state, &ask),
             Ok(wire::FleetMessage::Zone(beat)) => take_zone(&state, beat),
+            Ok(wire::FleetMessage::Crash(notice)) => crashes::take_notice(&state, &notice),
+            Ok(wire::FleetMessage::CrashCleared(digest)) => {
+                crashes::take_clearance(&state, &digest);
+            }
             Err(error) => log::warn!(
                 event = event::PEER_MESSAGE_REFUSED.number; "peer_message_refused: {error}"
             ),
@@ -108,6 +112,7 @@
             event = event::PEER_FOUND.number, address = beat.address.to_string(); "peer_found"
         );
         beats::answer_newcomer(state, beat);
+        crashes::tell_known(state, beat.address);
     }
 }
 
--- a/coltsfootd/src/gateway/follower.rs
+++ b/coltsfootd/src/gateway/follower.rs
@@ -327,18 +327,17 @@
     let (id, address) = (entry.id.to_string(), entry.address);
     let is_ready = entry.state == upstream::UpstreamState::Ready;
     let mut view = state.view();
-    let known = view.upstream(&id);
-    let known = known.map(|slot| (slot.entry.born_ms, slot.entry.state, slot.number));
-    let is_older = known.is_some_and(|(born, ..)| entry.born_ms < born);
+    let known = view.upstream(&id).map(|slot| (slot.entry.born_ms, slot.entry.state));
+    let is_older = known.is_some_and(|(born, _)| entry.born_ms < born);
     if is_older {
         return false;
     }
-    let had_state = known.map(|(_, state, _)| state);
+    let had_state = known.map(|(_, state)| state);
     let new_state = entry.state;
     let is_new = view.put_upstream(entry);
     drop(view);
-    if let Some((.., incarnation)) = known.filter(|_| is_new) {
-        crashes::upstream_replaced(state, &id, incarnation, true);
+    if is_new && known.is_some() {
+        crashes::note_gone(state, &id);
     }
     let has_changed = is_new || had_state != Some(new_state);
     if has_changed {
@@ -374,17 +373,10 @@
 
 /// Forgets an upstream; returns whether it was known.
 fn remove_upstream(state: &state::GatewayState, id: &str) -> bool {
-    let (entry, incarnation) = {
-        let mut view = state.view();
-        let incarnation = view.upstream(id).map(|slot| slot.number);
-        let Some(entry) = view.remove_upstream(id) else { return false };
-        (entry, incarnation)
-    };
+    let Some(entry) = state.view().remove_upstream(id) else { return false };
     state.pool.forget(entry.address);
-    if let Some(incarnation) = incarnation
-        && entry.state == upstream::UpstreamState::Ready
-    {
-        crashes::upstream_replaced(state, id, incarnation, false);
+    if entry.state == upstream::UpstreamState::Ready {
+        crashes::note_gone(state, id);
     }
     log::info!(event = event::UPSTREAM_GONE.number, upstream = id; "upstream_gone");
     true
--- a/coltsfootd/src/gateway/forwarding.rs
+++ b/coltsfootd/src/gateway/forwarding.rs
@@ -87,6 +87,9 @@
                 Ok(chosen) => chosen,
                 Err(refusal) => return self.give_up(refusal),
             };
+            if let Err(refusal) = self.exchange.check_quarantine(&self.admitted.digest) {
+                return self.give_up(refusal);
+            }
             self.log.upstream = Some(sync::Arc::clone(&chosen.id));
             self.log.expected_ms = chosen.expected_ms;
             let (end, detail) = match self.attempt(&chosen).await {
