Heed upstreams that say that they leave or want no work for a while

An upstream that leaves says so in its answers (Server-Leaving), and one that answers 503 with Retry-After wants nothing from this instance for so long. The gateway read neither: requests went on to an engine until its entry changed, each at the risk of being cut, and a busy engine was asked again at once.

IntakeBoard keeps both by incarnation, apart from the entries: an entry that is older, told again, or lapsed and returned changes nothing, a new incarnation starts clean. One that leaves gets no request and no load; the others are told, also those that start later. In a quiet time nothing is sent at all: no request, also none chosen before, no order, no report. After it one request is tried before the rest. If all that stay want quiet beyond the time for which a request waits, it is refused at once, and Retry-After names when the first one wants work, spread over 300 ms.

Not told to others: quiet times; whether others should hold back is not measured.

--- a/coltsfoot-gateway/src/engine_choice.rs
+++ b/coltsfoot-gateway/src/engine_choice.rs
@@ -72,7 +72,7 @@
     request: &PlacedRequest<'_>,
 ) -> Option<ChosenUpstream> {
     let suspects = view.suspect_zones(now);
-    let ready = view.ready_upstreams(&request.service.name);
+    let ready = view.ready_upstreams(now, &request.service.name);
     let candidates: Vec<&upstream_slot::UpstreamSlot> =
         ready.filter(|slot| !request.tried.contains(&slot.entry.id)).collect();
     match request.demand {
--- a/coltsfoot-gateway/src/fleet_view.rs
+++ b/coltsfoot-gateway/src/fleet_view.rs
@@ -11,7 +11,8 @@
 use rustc_hash::FxHashMap;
 
 use crate::{
-    demand, engine_desk, engine_order, fetch_pace, peer_slot, rendezvous, upstream, upstream_slot,
+    demand, engine_desk, engine_order, fetch_pace, intake_board, peer_slot, rendezvous, upstream,
+    upstream_slot,
 };
 
 /// Beats of an instance that may be lost before what it told is no longer believed.
@@ -53,6 +54,7 @@
     numbers: FxHashMap<u32, sync::Arc<str>>,
     /// Other zones of which a relay tells.
     zones: FxHashMap<sync::Arc<str>, zones::RelayedZone>,
+    intake: intake_board::IntakeBoard,
     fetch_pace: fetch_pace::FetchPace,
     /// Fetches that wait or are under way at the engines of this instance.
     own_backlog: u32,
@@ -131,6 +133,18 @@
 
     /// Returns the upstreams of a service that take work.
     pub fn ready_upstreams<'a>(
+        &'a self,
+        now: clock::MonotonicTime,
+        service: &'a str,
+    ) -> impl Iterator<Item = &'a upstream_slot::UpstreamSlot> {
+        let listed = self.listed_upstreams(service);
+        listed.filter(move |slot| {
+            self.intake.intake(now, slot.number) == intake_board::UpstreamIntake::Open
+        })
+    }
+
+    /// Returns the upstreams of a service that are ready by their entries.
+    fn listed_upstreams<'a>(
         &'a self,
         service: &'a str,
     ) -> impl Iterator<Item = &'a upstream_slot::UpstreamSlot> {
@@ -139,6 +153,36 @@
         })
     }
 
+    /// Returns when the first upstream of a service takes work again, if all that stay want nothing for
+    /// now.
+    pub fn next_intake(
+        &self,
+        now: clock::MonotonicTime,
+        service: &str,
+    ) -> Option<clock::MonotonicTime> {
+        let mut first: Option<clock::MonotonicTime> = None;
+        for slot in self.listed_upstreams(service) {
+            match self.intake.intake(now, slot.number) {
+                intake_board::UpstreamIntake::Open => return None,
+                intake_board::UpstreamIntake::Leaving => {}
+                intake_board::UpstreamIntake::Closed(until) => {
+                    first = Some(first.map_or(until, |first| first.min(until)));
+                }
+            }
+        }
+        first
+    }
+
+    /// Returns what upstreams said of taking work.
+    pub fn intake(&self) -> &intake_board::IntakeBoard {
+        &self.intake
+    }
+
+    /// Returns what upstreams said of taking work, to note what they say.
+    pub fn intake_mut(&mut self) -> &mut intake_board::IntakeBoard {
+        &mut self.intake
+    }
+
     /// Notes a named version. Returns whether it is news.
     pub fn name_version(
         &mut self,
@@ -179,6 +223,7 @@
         demand: Option<&demand::PromptDemand>,
     ) -> u64 {
         let Some(slot) = self.upstreams.get_mut(id) else { return 0 };
+        self.intake.sent(now, slot.number);
         if slot.local.running == 0 {
             slot.heard = now;
         }
--- a/coltsfoot-gateway/src/place_search.rs
+++ b/coltsfoot-gateway/src/place_search.rs
@@ -87,6 +87,12 @@
             Some(chosen) if chosen.needs_load => SearchStep::Load(chosen),
             Some(chosen) => SearchStep::Send(chosen),
             None if now >= self.wait_until => SearchStep::Refuse("no_upstream"),
+            None if view
+                .next_intake(now, &request.service.name)
+                .is_some_and(|next| next >= self.wait_until) =>
+            {
+                SearchStep::Refuse("upstreams_quiet")
+            }
             None => {
                 self.without_place.clear();
                 SearchStep::Wait(LOOK_INTERVAL)
--- /dev/null
+++ b/coltsfoot-gateway/tests/intake.rs
@@ -0,0 +1,101 @@
+//! Upstreams that leave or want nothing for a while, as placing sees them.
+
+mod fleet_fixture;
+
+use std::time;
+
+use coltsfoot_gateway::intake_board::{self, UpstreamIntake};
+use coltsfoot_gateway::place_search::{PlaceSearch, SearchStep};
+use coltsfoot_gateway::{engine_choice, fleet_view};
+use fleet_fixture::{at, entry, fleet, prompt, service, tell};
+use rstest::rstest;
+
+const TARGET: time::Duration = time::Duration::from_millis(1000);
+
+fn number(view: &fleet_view::FleetView, id: &str) -> u32 {
+    view.upstream(id).expect("known").number
+}
+
+fn step(now: u64, view: &fleet_view::FleetView) -> SearchStep {
+    let (service, demand) = (service(), prompt("x", 1));
+    let request = engine_choice::PlacedRequest {
+        service: &service,
+        demand: Some(&demand),
+        zone: "a",
+        tried: &[],
+    };
+    PlaceSearch::new(at(now), TARGET).next_step(at(now), view, &request)
+}
+
+fn sends_to(step: &SearchStep, id: &str) -> bool {
+    matches!(step, SearchStep::Send(chosen) if &*chosen.id == id)
+}
+
+#[test]
+fn an_incarnation_that_leaves_stays_out_whatever_its_entry_says() {
+    let mut view = fleet(&[("a", "z"), ("b", "z")]);
+    tell(&mut view, "a", &["x"], 0);
+    tell(&mut view, "b", &["x"], 0);
+    let leaving = number(&view, "a");
+    assert!(view.intake_mut().leaves(at(0), leaving));
+    assert!(!view.intake_mut().leaves(at(1), leaving), "known");
+    assert!(sends_to(&step(10, &view), "b"));
+    view.put_upstream(entry("a", "z"));
+    assert!(sends_to(&step(20, &view), "b"), "told ready again");
+    view.remove_upstream("a");
+    view.put_upstream(entry("a", "z"));
+    tell(&mut view, "a", &["x"], 0);
+    assert!(sends_to(&step(30, &view), "b"), "its entry lapsed and came back");
+    view.remove_upstream("b");
+    assert!(matches!(step(40, &view), SearchStep::Wait(_)), "there may be a new one soon");
+    let mut again = entry("a", "z");
+    again.born_ms = Some(again.born_ms.unwrap_or_default() + 1);
+    view.put_upstream(again);
+    tell(&mut view, "a", &["x"], 0);
+    assert!(sends_to(&step(50, &view), "a"), "a new incarnation");
+}
+
+#[test]
+fn all_upstreams_that_want_quiet_refuse_at_once_until_the_first_wants_work() {
+    let mut view = fleet(&[("a", "z"), ("b", "z")]);
+    for (id, seconds) in [("a", 3), ("b", 2)] {
+        tell(&mut view, id, &["x"], 0);
+        let number = number(&view, id);
+        view.intake_mut().wants_quiet(at(0), number, time::Duration::from_secs(seconds));
+    }
+    assert_eq!(step(10, &view), SearchStep::Refuse("upstreams_quiet"));
+    assert_eq!(view.next_intake(at(10), &service().name), Some(at(2000)));
+    assert!(matches!(step(1900, &view), SearchStep::Wait(_)), "it is worth waiting");
+    assert!(sends_to(&step(2000, &view), "b"));
+}
+
+#[test]
+fn one_request_is_tried_after_a_quiet_time_before_all_that_waited() {
+    let mut view = fleet(&[("a", "z")]);
+    tell(&mut view, "a", &["x"], 0);
+    let number = number(&view, "a");
+    view.intake_mut().wants_quiet(at(0), number, time::Duration::from_secs(1));
+    view.intake_mut().takes_work(at(500), number);
+    assert_eq!(
+        view.intake().intake(at(600), number),
+        UpstreamIntake::Closed(at(1000)),
+        "an answer to a request from before ends nothing"
+    );
+    assert!(sends_to(&step(1000, &view), "a"));
+    view.request_sent(at(1000), "a", Some(&prompt("x", 1)));
+    assert!(!sends_to(&step(1010, &view), "a"), "the first one is tried");
+    view.intake_mut().takes_work(at(1100), number);
+    assert!(sends_to(&step(1110, &view), "a"));
+}
+
+#[rstest]
+#[case::longer(2, 3, 3)]
+#[case::shorter(3, 2, 3)]
+#[case::beyond_any_use(2, u64::MAX, intake_board::MAX_QUIET.as_secs())]
+fn the_longest_wish_counts(#[case] first: u64, #[case] second: u64, #[case] expected: u64) {
+    let mut board = intake_board::IntakeBoard::default();
+    for seconds in [first, second] {
+        board.wants_quiet(at(0), 7, time::Duration::from_secs(seconds));
+    }
+    assert_eq!(board.intake(at(1), 7), UpstreamIntake::Closed(at(expected * 1000)));
+}
--- a/coltsfoot-wire/src/fleet.rs
+++ b/coltsfoot-wire/src/fleet.rs
@@ -319,6 +319,8 @@
     Crash(once::CrashNotice),
     /// A request that was suspected of crashes has run to its end.
     CrashCleared(once::RequestDigest),
+    /// Numbers of upstreams that said in answers that they leave.
+    Leaving(Vec<u32>),
 }
 
 impl FleetMessage {
--- a/coltsfootd/src/event.rs
+++ b/coltsfootd/src/event.rs
@@ -67,6 +67,10 @@
     ENTRY_REJECTED = 214, "entry_rejected", Warn;
     /// Others know more of the store, and one of them is asked.
     NEWS_ASKED = 215, "news_asked", Info;
+    /// An upstream said in an answer that it leaves.
+    UPSTREAM_LEAVES = 216, "upstream_leaves", Info;
+    /// An upstream said in an answer that it wants nothing for a while.
+    UPSTREAM_QUIET = 217, "upstream_quiet", Info;
     /// An instance joined or left the zone's view.
     VIEW_CHANGED = 300, "view_changed", Info;
     /// A peer can't be reached.
--- a/coltsfootd/src/gateway/crashes.rs
+++ b/coltsfootd/src/gateway/crashes.rs
@@ -13,7 +13,7 @@
 use coltsfoot_wire::{fleet as wire, once};
 use rustc_hash::FxHashSet;
 
-use crate::gateway::{exchange, fleet, forwarding, state};
+use crate::gateway::{exchange, fleet, forwarding, intake, state};
 use crate::{clock, event};
 
 /// Time to connect to an upstream after a connection to it broke.
@@ -228,8 +228,8 @@
     state.crashes.ledger().take_clearance(state.now(), digest);
 }
 
-/// Tells other instances in turn of the requests that all are to know, for as long as the process runs:
-/// of a few that missed it, and of those that start.
+/// Tells other instances in turn of what all are to know, for as long as the process runs: some may
+/// have missed it, or started since.
 pub(crate) async fn tell_again(state: sync::Arc<state::GatewayState>) {
     loop {
         async_io::Timer::after(TELL_INTERVAL).await;
@@ -238,6 +238,7 @@
             continue;
         };
         tell_known(&state, *address);
+        intake::tell_known(&state, *address);
     }
 }
 
--- a/coltsfootd/src/gateway/engines.rs
+++ b/coltsfootd/src/gateway/engines.rs
@@ -4,17 +4,18 @@
 use std::sync;
 use std::time;
 
+use coltsfoot_gateway::intake_board::UpstreamIntake;
 use coltsfoot_gateway::{
     demand, engine_desk, engine_order, fetch_pace, fleet_view, order_lease, upstream,
 };
-use coltsfoot_http::client;
+use coltsfoot_http::{client, header};
 use coltsfoot_types::time as instant;
 use coltsfoot_wire::fleet as wire;
 use rustc_hash::FxHashMap;
 use site_platform::engine;
 
 use crate::event;
-use crate::gateway::{beats, fleet, state};
+use crate::gateway::{beats, fleet, intake, state};
 
 /// Time for the answer to an order.
 const ORDER_TIMEOUT: time::Duration = time::Duration::from_millis(300);
@@ -26,6 +27,8 @@
 const UNTOLD_CHECK: time::Duration = time::Duration::from_millis(500);
 /// Time without word of an owner after which an instance looks itself.
 const UNTOLD_AGE: time::Duration = time::Duration::from_millis(1500);
+/// Time between looks at the questions for an engine that wants no orders for a while.
+const QUIET_CHECK: time::Duration = time::Duration::from_millis(100);
 /// Longest report, in bytes.
 const MAX_REPORT_BYTES: usize = 1024 * 1024;
 
@@ -133,7 +136,8 @@
         let fence = lease.fence(self.partition)?;
         let upstream = view.upstream(&self.id);
         let in_use = |key| upstream.is_some_and(|upstream| upstream.is_in_use(now, key));
-        let takes_orders = lease.order_fence(now, self.partition).is_some();
+        let is_open = view.intake().intake(now, self.number) == UpstreamIntake::Open;
+        let takes_orders = is_open && lease.order_fence(now, self.partition).is_some();
         let fetches = view.fetch_load(view.fetch_backlog());
         Some(self.desk.describe(now, self.number, fence, takes_orders, fetches, in_use))
     }
@@ -186,6 +190,12 @@
             state::lock(&state.desks.slots).remove(&id);
             return;
         };
+        if let Some(until) = intake::quiet_until(&state, number) {
+            settle(&state, &id);
+            let wait = until.since(state.now()).min(QUIET_CHECK);
+            async_io::Timer::after(wait).await;
+            continue;
+        }
         let step = next_step(&state, &id, partition);
         settle(&state, &id);
         match step {
@@ -224,12 +234,13 @@
     partition: u32,
 ) -> Option<engine_order::DeskStep> {
     let now = state.now();
-    let may_order = state.order_fence(partition).is_some();
+    let fence = state.order_fence(partition);
     let own = state.desks.fetching(now);
     let view = state.view();
     let may_fetch = view.fetch_load(own + view.fetching()).may_fetch(own);
-    let leave = engine_order::OrderLeave { may_order, may_fetch };
     let upstream = view.upstream(id)?;
+    let is_open = view.intake().intake(now, upstream.number) == UpstreamIntake::Open;
+    let leave = engine_order::OrderLeave { may_order: is_open && fence.is_some(), may_fetch };
     let mut slots = state::lock(&state.desks.slots);
     let desk = &mut slots.get_mut(id)?.desk;
     let in_use = |key| upstream.is_in_use(now, key);
@@ -294,9 +305,13 @@
     let authority = engine::OrderAuthority { holder, fence, engine: id };
     let encoded = engine::encode_order(&order, expected_count, authority);
     let Ok((head, body)) = encoded else { return };
+    let number = upstream_number(state, id);
     let sent = client::call(&state.pool, address, &head, &body, MAX_REPORT_BYTES, ORDER_TIMEOUT);
     let answer = match sent.await {
-        Ok(answer) => engine::decode_order_answer(&answer.head),
+        Ok(answer) => {
+            note_answer(state, id, number, &answer.head);
+            engine::decode_order_answer(&answer.head)
+        }
         Err(client::CallError::Connect { .. }) => engine_order::OrderAnswer::Refused,
         Err(_) => engine_order::OrderAnswer::Unknown,
     };
@@ -342,8 +357,13 @@
     address: net::SocketAddr,
 ) -> Option<upstream::EngineReport> {
     let head = engine::report_call(id);
+    let number = upstream_number(state, id);
     let called = client::call(&state.pool, address, &head, &[], MAX_REPORT_BYTES, REPORT_TIMEOUT);
-    match called.await {
+    let called = called.await;
+    if let Ok(answer) = &called {
+        note_answer(state, id, number, &answer.head);
+    }
+    match called {
         Ok(answer) if answer.head.status == 200 => match engine::decode_report(&answer.body) {
             Ok(report) => Some(report),
             Err(error) => {
@@ -371,6 +391,22 @@
     }
 }
 
+fn upstream_number(state: &state::GatewayState, id: &str) -> Option<u32> {
+    state.view().upstream(id).map(|slot| slot.number)
+}
+
+/// Notes what an engine says of taking work in the answer to an order or in a report.
+fn note_answer(
+    state: &state::GatewayState,
+    id: &str,
+    number: Option<u32>,
+    head: &header::ResponseHead,
+) {
+    if let Some(number) = number {
+        intake::note_answer(state, id, number, head);
+    }
+}
+
 /// Looks at engines of which no owner tells, so that requests find what they hold.
 pub(crate) async fn watch_untold(state: sync::Arc<state::GatewayState>) {
     loop {
@@ -382,7 +418,9 @@
                 let view = state.view();
                 let slot = view.upstream(&id).filter(|slot| {
                     let service = routes.service(&slot.entry.service);
-                    service.is_some_and(|service| service.engine.is_some())
+                    let is_open = view.intake().intake(state.now(), slot.number);
+                    is_open == UpstreamIntake::Open
+                        && service.is_some_and(|service| service.engine.is_some())
                 });
                 slot.map(|slot| slot.entry.address)
             };
--- a/coltsfootd/src/gateway/fleet.rs
+++ b/coltsfootd/src/gateway/fleet.rs
@@ -10,7 +10,7 @@
 use coltsfoot_wire::fleet as wire;
 
 use crate::event;
-use crate::gateway::{beats, crashes, engines, news, state};
+use crate::gateway::{beats, crashes, engines, intake, news, state};
 
 /// Topic in which instances tell where they receive messages.
 const INSTANCE_TOPIC: &str = "keyed.coltsfoot-instances";
@@ -87,6 +87,11 @@
             Ok(wire::FleetMessage::CrashCleared(digest)) => {
                 crashes::take_clearance(&state, &digest);
             }
+            Ok(wire::FleetMessage::Leaving(numbers)) => {
+                for number in numbers {
+                    intake::take_leaving(&state, number);
+                }
+            }
             Err(error) => log::warn!(
                 event = event::PEER_MESSAGE_REFUSED.number; "peer_message_refused: {error}"
             ),
@@ -113,6 +118,7 @@
         );
         beats::answer_newcomer(state, beat);
         crashes::tell_known(state, beat.address);
+        intake::tell_known(state, beat.address);
     }
 }
 
--- a/coltsfootd/src/gateway/forwarding.rs
+++ b/coltsfootd/src/gateway/forwarding.rs
@@ -11,7 +11,7 @@
 use site_platform::fields;
 
 use crate::event;
-use crate::gateway::{attempt, crashes, exchange, loads, request_log, state, under_way};
+use crate::gateway::{attempt, crashes, exchange, intake, loads, request_log, state, under_way};
 
 /// Longest answer that is not a stream, in bytes.
 const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
@@ -157,12 +157,21 @@
                     async_io::Timer::after(pause).await;
                 }
                 place_search::SearchStep::Refuse(reason) => {
-                    return Err(exchange::OwnAnswer::refused(reason, place_search::RETRY_PAUSE));
+                    return Err(exchange::OwnAnswer::refused(reason, self.retry_pause()));
                 }
             }
         }
     }
 
+    /// Returns when a refused caller may come back: once an upstream wants work again, and then not all
+    /// at the same moment.
+    fn retry_pause(&self) -> time::Duration {
+        let now = self.state.now();
+        let next = self.state.view().next_intake(now, &self.admitted.service.name);
+        let spread = place_search::RETRY_PAUSE.mul_f64(rand::random());
+        next.map_or(place_search::RETRY_PAUSE, |next| next.since(now) + spread)
+    }
+
     fn search_step(&self, search: &mut place_search::PlaceSearch) -> place_search::SearchStep {
         let request = engine_choice::PlacedRequest {
             service: &self.admitted.service,
@@ -193,12 +202,18 @@
     }
 
     async fn attempt(&mut self, chosen: &engine_choice::ChosenUpstream) -> AttemptOutcome {
-        let Some(address) = self.state.view().upstream(&chosen.id).map(|slot| slot.entry.address)
-        else {
+        let known = {
+            let view = self.state.view();
+            view.upstream(&chosen.id).map(|slot| (slot.entry.address, slot.number))
+        };
+        let Some((address, number)) = known else {
             return AttemptOutcome::Ended(attempt_plan::AttemptEnd::NotSent, "upstream_gone");
         };
+        if !intake::is_open(self.state, number) {
+            return AttemptOutcome::Ended(attempt_plan::AttemptEnd::NotSent, "upstream_closed");
+        }
         let running = crashes::RunningRequest::begin(self.state, &chosen.id, self.admitted.digest);
-        let outcome = self.exchange_with(chosen, address).await;
+        let outcome = self.exchange_with(chosen, address, number).await;
         running.ended(&outcome, address);
         outcome
     }
@@ -208,6 +223,7 @@
         &mut self,
         chosen: &engine_choice::ChosenUpstream,
         address: net::SocketAddr,
+        number: u32,
     ) -> AttemptOutcome {
         let head = self.encode(&chosen.id);
         let may_repeat = self.admitted.route.may_repeat();
@@ -245,6 +261,7 @@
             Some(Ok(answer)) => answer,
         };
         self.state.view().upstream_heard(self.state.now(), &chosen.id);
+        intake::note_answer(self.state, &chosen.id, number, &answer.head);
         if answer.fields.has_not_run && !answer.fields.is_signed {
             return self.not_run(&chosen.id, answer).await;
         }
--- /dev/null
+++ b/coltsfootd/src/gateway/intake.rs
@@ -0,0 +1,74 @@
+//! What upstreams say in their answers of taking further work.
+
+use coltsfoot_gateway::intake_board::UpstreamIntake;
+use coltsfoot_http::header;
+use coltsfoot_types::time as instant;
+use coltsfoot_wire::fleet as wire;
+use site_platform::fields;
+
+use crate::event;
+use crate::gateway::{fleet, state};
+
+/// Notes what an answer says. `number` is that of the incarnation that the request was sent to, which may
+/// have been followed by another one under the same id.
+pub(super) fn note_answer(
+    state: &state::GatewayState,
+    upstream: &str,
+    number: u32,
+    head: &header::ResponseHead,
+) {
+    let said = fields::decode_upstream(head);
+    if said.instance.as_deref().is_some_and(|id| id != upstream) {
+        return;
+    }
+    let now = state.now();
+    match said.quiet {
+        Some(quiet) => {
+            state.view().intake_mut().wants_quiet(now, number, quiet);
+            log::info!(
+                event = event::UPSTREAM_QUIET.number, upstream = upstream,
+                quiet_ms = u64::try_from(quiet.as_millis()).unwrap_or(u64::MAX);
+                "upstream_quiet"
+            );
+        }
+        None => state.view().intake_mut().takes_work(now, number),
+    }
+    if said.is_leaving && take_leaving(state, number) {
+        let addresses = state.view().peer_addresses();
+        fleet::send(state, addresses, &wire::FleetMessage::Leaving(vec![number]));
+    }
+}
+
+/// Takes that an upstream leaves; returns whether it is news.
+pub(super) fn take_leaving(state: &state::GatewayState, number: u32) -> bool {
+    let is_news = state.view().intake_mut().leaves(state.now(), number);
+    if is_news {
+        log::info!(event = event::UPSTREAM_LEAVES.number, number = number; "upstream_leaves");
+        state.desks.wake_all();
+    }
+    is_news
+}
+
+/// Returns until when an upstream wants nothing at all, neither requests nor orders nor reports.
+pub(super) fn quiet_until(
+    state: &state::GatewayState,
+    number: u32,
+) -> Option<instant::MonotonicTime> {
+    match state.view().intake().intake(state.now(), number) {
+        UpstreamIntake::Closed(until) => Some(until),
+        UpstreamIntake::Open | UpstreamIntake::Leaving => None,
+    }
+}
+
+/// Returns whether an upstream takes requests.
+pub(super) fn is_open(state: &state::GatewayState, number: u32) -> bool {
+    state.view().intake().intake(state.now(), number) == UpstreamIntake::Open
+}
+
+/// Tells an instance of upstreams that leave.
+pub(super) fn tell_known(state: &state::GatewayState, address: std::net::SocketAddr) {
+    let leaving = state.view().intake().told_again(state.now());
+    if !leaving.is_empty() {
+        fleet::send(state, [address], &wire::FleetMessage::Leaving(leaving));
+    }
+}
--- a/coltsfootd/src/gateway/mod.rs
+++ b/coltsfootd/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod fleet;
 mod follower;
 mod forwarding;
+mod intake;
 mod lease;
 mod loads;
 mod metrics;
