Bound answers that never end, and let others have their turn while one is read

An upstream in trouble may send bytes that are no answer until its connection is closed. Heads, sizes and chunk lines were bounded; interim answers and trailer fields were not, and were read for as long as they came. At most 16 interim answers and 16 KiB of chunk extensions and trailers per message are read now; the connection is closed beyond, and the attempt counts as broken. A peer that sends faster than it is read never makes a read wait, so that the one thread would serve neither timers nor others: every eighth read lets others go first.

Shown: nine kinds of endless answers; without the bounds the cases of interim answers and of trailers do not end within 60 s, the others did before. The test of turns passes without the change too, since the sender is slow on loopback: it guards, it does not prove. Not bounded in sum: whole answers of up to 8 MiB from many upstreams at once.

--- a/coltsfoot-http/src/message.rs
+++ b/coltsfoot-http/src/message.rs
@@ -4,7 +4,7 @@
 use std::time;
 
 use async_net::TcpStream;
-use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _};
+use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _, future};
 
 use crate::{body, header};
 
@@ -15,6 +15,14 @@
 /// Bytes that are kept for later while an exchange is under way.
 const MAX_EARLY_BYTES: usize = 64 * 1024;
 
+/// Interim answers before an answer at most.
+const MAX_INTERIM: usize = 16;
+/// Bytes of chunk extensions and trailer fields in one body at most; nobody needs them.
+const MAX_CHUNK_EXTRAS: usize = 16 * 1024;
+/// Reads after which other tasks get a turn: from a peer that sends faster than it is read, a read never
+/// waits, so that neither timers nor other connections would be served.
+const READS_PER_TURN: usize = 8;
+
 /// A message could not be read.
 #[derive(Debug, thiserror::Error)]
 pub enum ReadError {
@@ -44,12 +52,15 @@
     stream: TcpStream,
     buffer: Vec<u8>,
     is_ended: bool,
+    reads: usize,
+    /// Bytes of chunk extensions and trailer fields of the current message.
+    chunk_extras: usize,
 }
 
 impl MessageStream {
     /// Wraps a connected stream.
     pub fn new(stream: TcpStream) -> Self {
-        Self { stream, buffer: Vec::new(), is_ended: false }
+        Self { stream, buffer: Vec::new(), is_ended: false, reads: 0, chunk_extras: 0 }
     }
 
     /// Returns a second handle for writing while this one reads.
@@ -79,6 +90,15 @@
         Ok(count)
     }
 
+    /// Reads once and lets other tasks have their turn.
+    async fn fill_in_turn(&mut self) -> io::Result<usize> {
+        self.reads += 1;
+        if self.reads.is_multiple_of(READS_PER_TURN) {
+            future::yield_now().await;
+        }
+        self.fill().await
+    }
+
     /// Waits until the other side closes or resets the connection. Bytes that arrive meanwhile are
     /// kept for the next message.
     pub async fn wait_closed(&mut self) {
@@ -96,7 +116,7 @@
     /// Waits until the first byte of a message is there; returns false if the connection ended.
     pub async fn wait_message(&mut self) -> io::Result<bool> {
         while self.buffer.is_empty() {
-            if self.fill().await? == 0 {
+            if self.fill_in_turn().await? == 0 {
                 return Ok(false);
             }
         }
@@ -114,6 +134,7 @@
                     return Err(ReadError::HeadTooLong(max_bytes));
                 }
                 self.consume(length);
+                self.chunk_extras = 0;
                 return Ok(head);
             }
             self.fill_head(max_bytes).await?;
@@ -125,12 +146,18 @@
         &mut self,
         max_bytes: usize,
     ) -> Result<header::ResponseHead, ReadError> {
+        let mut interim = 0;
         loop {
             if let Some((head, length)) = parse_response(&self.buffer)? {
                 self.consume(length);
                 if head.status >= 200 {
+                    self.chunk_extras = 0;
                     return Ok(head);
                 }
+                interim += 1;
+                if interim > MAX_INTERIM {
+                    return Err(ReadError::Malformed("too many interim answers"));
+                }
                 continue;
             }
             self.fill_head(max_bytes).await?;
@@ -141,7 +168,7 @@
         if self.buffer.len() > max_bytes {
             return Err(ReadError::HeadTooLong(max_bytes));
         }
-        match self.fill().await? {
+        match self.fill_in_turn().await? {
             0 => Err(ReadError::Closed),
             _ => Ok(()),
         }
@@ -167,6 +194,8 @@
                     let line = self.read_line().await?;
                     let size = body::parse_chunk_size(&line)
                         .ok_or(ReadError::Malformed("chunk size is no hexadecimal number"))?;
+                    let extension = line.iter().skip_while(|byte| **byte != b';').count();
+                    self.count_extras(extension)?;
                     *framing = match size {
                         0 => body::BodyFraming::Trailer,
                         size => body::BodyFraming::ChunkData(size),
@@ -187,12 +216,14 @@
                     *framing = body::BodyFraming::ChunkSize;
                 }
                 body::BodyFraming::Trailer => {
-                    if self.read_line().await?.is_empty() {
+                    let line = self.read_line().await?;
+                    self.count_extras(line.len())?;
+                    if line.is_empty() {
                         *framing = body::BodyFraming::Done;
                     }
                 }
                 body::BodyFraming::UntilClose => {
-                    if self.buffer.is_empty() && self.fill().await? == 0 {
+                    if self.buffer.is_empty() && self.fill_in_turn().await? == 0 {
                         *framing = body::BodyFraming::Done;
                         return Ok(None);
                     }
@@ -221,8 +252,16 @@
         Ok(whole)
     }
 
+    fn count_extras(&mut self, bytes: usize) -> Result<(), ReadError> {
+        self.chunk_extras += bytes;
+        if self.chunk_extras > MAX_CHUNK_EXTRAS {
+            return Err(ReadError::Malformed("too many chunk extensions or trailer fields"));
+        }
+        Ok(())
+    }
+
     async fn take_up_to(&mut self, left: u64) -> Result<Vec<u8>, ReadError> {
-        if self.buffer.is_empty() && self.fill().await? == 0 {
+        if self.buffer.is_empty() && self.fill_in_turn().await? == 0 {
             return Err(ReadError::Closed);
         }
         let count = self.buffer.len().min(usize::try_from(left).unwrap_or(usize::MAX));
@@ -243,7 +282,7 @@
             if self.buffer.len() > body::MAX_CHUNK_LINE {
                 return Err(ReadError::Malformed("chunk line is too long"));
             }
-            if self.fill().await? == 0 {
+            if self.fill_in_turn().await? == 0 {
                 return Err(ReadError::Closed);
             }
         }
--- a/coltsfoot-http/tests/connections.rs
+++ b/coltsfoot-http/tests/connections.rs
@@ -6,6 +6,7 @@
 use async_net::{TcpListener, TcpStream};
 use coltsfoot_http::{body, message, pool};
 use futures_lite::{AsyncWriteExt as _, future};
+use rstest::rstest;
 
 /// Returns both ends of a connection.
 async fn connected() -> (TcpStream, TcpStream, net::SocketAddr) {
@@ -115,3 +116,70 @@
         assert!(pool.take(address, time::Duration::from_secs(1)).await.is_some());
     });
 }
+
+/// Sends the beginning and then the rest again and again, until the other side closes.
+fn send_endlessly(mut far: TcpStream, beginning: &'static [u8], rest: &'static [u8]) {
+    std::thread::spawn(move || {
+        async_io::block_on(async {
+            let block = rest.repeat(16 * 1024 / rest.len().max(1));
+            if far.write_all(beginning).await.is_ok() {
+                while far.write_all(&block).await.is_ok() {}
+            }
+        });
+    });
+}
+
+#[rstest]
+#[case::head(b"HTTP/1.1 200 OK\r\n", b"X-Field: 1\r\n")]
+#[case::garbage(b"", b"bytes that are no answer ")]
+#[case::interim(b"", b"HTTP/1.1 100 Continue\r\n\r\n")]
+#[case::sized(b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", b"x")]
+#[case::until_close(b"HTTP/1.1 200 OK\r\n\r\n", b"x")]
+#[case::chunks(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", b"1\r\nx\r\n")]
+#[case::extensions(
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+    b"1;extension=without-any-use\r\nx\r\n"
+)]
+#[case::one_extension(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", b"x")]
+#[case::trailers(
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+    b"X-Trailer: 1\r\n"
+)]
+fn an_answer_without_end_is_an_error(
+    #[case] beginning: &'static [u8],
+    #[case] rest: &'static [u8],
+) {
+    async_io::block_on(async {
+        let (near, far, _) = connected().await;
+        send_endlessly(far, beginning, rest);
+        let mut stream = message::MessageStream::new(near);
+        let Ok(head) = stream.read_response(32 * 1024).await else { return };
+        let framing = body::BodyFraming::of_response(&head, "GET").expect("framed");
+        assert!(stream.read_body(framing, 256 * 1024).await.is_err());
+    });
+}
+
+#[test]
+fn reading_without_end_leaves_others_their_turn() {
+    async_io::block_on(async {
+        let (near, far, _) = connected().await;
+        send_endlessly(far, b"HTTP/1.1 200 OK\r\n\r\n", b"x");
+        let mut stream = message::MessageStream::new(near);
+        let head = stream.read_response(32 * 1024).await.expect("a head");
+        let mut framing = body::BodyFraming::of_response(&head, "GET").expect("framed");
+        let mut turns = 0;
+        let read = async {
+            for _ in 0..1_000 {
+                stream.read_part(&mut framing).await.expect("more");
+            }
+        };
+        let others = async {
+            loop {
+                turns += 1;
+                future::yield_now().await;
+            }
+        };
+        future::or(read, others).await;
+        assert!(turns >= 100, "{turns} turns beside 1,000 reads");
+    });
+}
