End a silent stream only where it can go on elsewhere, and count events as progress, not bytes

And a stream whose engine sent a byte now and then, but no event, was kept to its deadline although another engine could have gone on.

A stream now ends early only if the request may run once more, and only for want of a whole event.

--- a/coltsfoot-gateway/src/attempt_plan.rs
+++ b/coltsfoot-gateway/src/attempt_plan.rs
@@ -81,6 +81,11 @@
         self.runs > 0
     }
 
+    /// Returns whether the request may run once more if the present attempt fails after it has run.
+    pub fn may_go_elsewhere(&self) -> bool {
+        self.may_repeat && self.runs + 1 < self.max_runs
+    }
+
     /// Returns the upstreams to avoid.
     pub fn tried(&self) -> &[sync::Arc<str>] {
         &self.tried
--- a/coltsfootd/src/gateway/forwarding.rs
+++ b/coltsfootd/src/gateway/forwarding.rs
@@ -76,7 +76,7 @@
         }
     }
 
-    fn time_left(&self) -> time::Duration {
+    pub(super) fn time_left(&self) -> time::Duration {
         self.admitted.deadline.since(self.state.now())
     }
 
--- a/coltsfootd/src/gateway/relay.rs
+++ b/coltsfootd/src/gateway/relay.rs
@@ -10,7 +10,7 @@
 
 use crate::gateway::{attempt, exchange, forwarding, under_way};
 
-/// Silence of a stream after which it counts as broken. Callers leave after two seconds.
+/// Time without a whole event after which a stream goes on elsewhere. Callers leave after two seconds.
 const MAX_STREAM_SILENCE: time::Duration = time::Duration::from_millis(1500);
 
 impl forwarding::Forwarding<'_, '_> {
@@ -24,11 +24,10 @@
     ) -> forwarding::AttemptOutcome {
         let mut splitter = event_stream::EventSplitter::default();
         let mut has_event = false;
+        let mut last_event = self.state.now();
         loop {
-            let limit = match has_event {
-                true => MAX_STREAM_SILENCE,
-                false => self.attempt_limit().max(MAX_STREAM_SILENCE),
-            };
+            let silence = self.state.now().since(last_event);
+            let limit = self.longest_silence(has_event).saturating_sub(silence);
             let part = answer.stream.read_part(&mut answer.framing);
             let part = match message::within(limit, part).await {
                 None => return self.broken(&chosen.id, "stream_silent"),
@@ -43,6 +42,7 @@
             }
             let mut output = Vec::new();
             while let Some(event) = splitter.next_event() {
+                last_event = self.state.now();
                 if !has_event {
                     has_event = true;
                     under_way.prompt_read();
@@ -73,6 +73,16 @@
         })
     }
 
+    /// Returns how long a stream may go without a whole event. Bytes that complete none are no progress.
+    /// A stream that can't go on elsewhere is not ended: an engine that preempts it goes on later.
+    fn longest_silence(&self, has_event: bool) -> time::Duration {
+        match has_event {
+            true if self.plan.may_go_elsewhere() => MAX_STREAM_SILENCE,
+            true => self.time_left(),
+            false => self.attempt_limit().max(MAX_STREAM_SILENCE),
+        }
+    }
+
     fn time_first_event(
         &mut self,
         chosen: &engine_choice::ChosenUpstream,
