Name the upstream in the line that tells that it leaves

On-call would have had only its number in messages, which no other line has. Found on reading the change; the whole-path tests of leaving upstreams passed.

--- a/coltsfoot-gateway/src/fleet_view.rs
+++ b/coltsfoot-gateway/src/fleet_view.rs
@@ -105,6 +105,11 @@
         self.upstreams.get(id)
     }
 
+    /// Returns the id of the upstream whose incarnation has a number, if it is known.
+    pub fn upstream_id(&self, number: u32) -> Option<&sync::Arc<str>> {
+        self.numbers.get(&number)
+    }
+
     /// Returns an upstream for changes.
     pub fn upstream_mut(&mut self, id: &str) -> Option<&mut upstream_slot::UpstreamSlot> {
         self.upstreams.get_mut(id)
--- a/coltsfootd/src/gateway/crashes.rs
+++ b/coltsfootd/src/gateway/crashes.rs
@@ -25,7 +25,6 @@
 const MAX_PROBES: usize = 3;
 /// Time for which that connection is kept for requests.
 const PROBE_KEEP: time::Duration = time::Duration::from_millis(1500);
-
 /// Time between messages to an instance chosen at random. With n instances each one gets one an interval
 /// on average.
 const TELL_INTERVAL: time::Duration = time::Duration::from_secs(1);
--- a/coltsfootd/src/gateway/intake.rs
+++ b/coltsfootd/src/gateway/intake.rs
@@ -43,7 +43,12 @@
 pub(super) fn take_leaving(state: &state::GatewayState, number: u32) -> bool {
     let is_news = state.view().intake_mut().leaves(state.now(), number);
     if is_news {
-        log::info!(event = event::UPSTREAM_LEAVES.number, number = number; "upstream_leaves");
+        // Another instance may have read its entry first.
+        let upstream = state.view().upstream_id(number).map(|id| id.to_string());
+        log::info!(
+            event = event::UPSTREAM_LEAVES.number, number = number,
+            upstream = upstream.unwrap_or_default(); "upstream_leaves"
+        );
         state.desks.wake_all();
     }
     is_news
