Decode the head of an upstream's answer once

Each answer's fields were decoded twice, once for the attempt and again to see whether the upstream leaves or wants quiet. Found on reading the change; behaviour is the same.

--- a/coltsfootd/src/gateway/engines.rs
+++ b/coltsfootd/src/gateway/engines.rs
@@ -12,7 +12,7 @@
 use coltsfoot_types::time as instant;
 use coltsfoot_wire::fleet as wire;
 use rustc_hash::FxHashMap;
-use site_platform::engine;
+use site_platform::{engine, fields};
 
 use crate::event;
 use crate::gateway::{beats, fleet, intake, state};
@@ -403,7 +403,7 @@
     head: &header::ResponseHead,
 ) {
     if let Some(number) = number {
-        intake::note_answer(state, id, number, head);
+        intake::note_answer(state, id, number, &fields::decode_upstream(head));
     }
 }
 
--- a/coltsfootd/src/gateway/forwarding.rs
+++ b/coltsfootd/src/gateway/forwarding.rs
@@ -261,7 +261,7 @@
             Some(Ok(answer)) => answer,
         };
         self.state.view().upstream_heard(self.state.now(), &chosen.id);
-        intake::note_answer(self.state, &chosen.id, number, &answer.head);
+        intake::note_answer(self.state, &chosen.id, number, &answer.fields);
         if answer.fields.has_not_run && !answer.fields.is_signed {
             return self.not_run(&chosen.id, answer).await;
         }
--- a/coltsfootd/src/gateway/intake.rs
+++ b/coltsfootd/src/gateway/intake.rs
@@ -1,7 +1,6 @@
 //! What upstreams say in their answers of taking further work.
 
 use coltsfoot_gateway::intake_board::UpstreamIntake;
-use coltsfoot_http::header;
 use coltsfoot_types::time as instant;
 use coltsfoot_wire::fleet as wire;
 use site_platform::fields;
@@ -15,9 +14,8 @@
     state: &state::GatewayState,
     upstream: &str,
     number: u32,
-    head: &header::ResponseHead,
+    said: &fields::UpstreamFields,
 ) {
-    let said = fields::decode_upstream(head);
     if said.instance.as_deref().is_some_and(|id| id != upstream) {
         return;
     }
