Tell in the log which upstreams name a limit, and what is sent to them

Without a change of what is sent. Answers are decoded, the newest word of each incarnation is kept, and each send to a limited upstream has a line with its purpose.

A limit ends only by the answer to something that ran and was sent after the last word: answers overtake each other, and rejections may come from what stands before the upstream's work.

--- a/coltsfoot-gateway/src/fleet_view.rs
+++ b/coltsfoot-gateway/src/fleet_view.rs
@@ -11,8 +11,8 @@
 use rustc_hash::FxHashMap;
 
 use crate::{
-    demand, engine_desk, engine_order, fetch_pace, intake_board, peer_slot, rendezvous, upstream,
-    upstream_slot,
+    demand, engine_desk, engine_order, fetch_pace, intake_board, limit_board, peer_slot,
+    rendezvous, upstream, upstream_slot,
 };
 
 /// Beats of an instance that may be lost before what it told is no longer believed.
@@ -55,6 +55,7 @@
     /// Other zones of which a relay tells.
     zones: FxHashMap<sync::Arc<str>, zones::RelayedZone>,
     intake: intake_board::IntakeBoard,
+    limits: limit_board::LimitBoard,
     fetch_pace: fetch_pace::FetchPace,
     /// Fetches that wait or are under way at the engines of this instance.
     own_backlog: u32,
@@ -188,6 +189,16 @@
         &mut self.intake
     }
 
+    /// Returns the limits that upstreams named.
+    pub fn limits(&self) -> &limit_board::LimitBoard {
+        &self.limits
+    }
+
+    /// Returns the limits that upstreams named, to note what they say.
+    pub fn limits_mut(&mut self) -> &mut limit_board::LimitBoard {
+        &mut self.limits
+    }
+
     /// Notes a named version. Returns whether it is news.
     pub fn name_version(
         &mut self,
--- a/coltsfoot-gateway/src/lib.rs
+++ b/coltsfoot-gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod fetch_pace;
 pub mod fleet_view;
 pub mod intake_board;
+pub mod limit_board;
 pub mod order_lease;
 pub mod peer_slot;
 pub mod place_search;
--- a/coltsfootd/src/gateway/engines.rs
+++ b/coltsfootd/src/gateway/engines.rs
@@ -6,7 +6,7 @@
 
 use coltsfoot_gateway::intake_board::UpstreamIntake;
 use coltsfoot_gateway::{
-    demand, engine_desk, engine_order, fetch_pace, fleet_view, order_lease, upstream,
+    demand, engine_desk, engine_order, fetch_pace, fleet_view, limit_board, order_lease, upstream,
 };
 use coltsfoot_http::{client, header};
 use coltsfoot_types::time as instant;
@@ -306,10 +306,13 @@
     let encoded = engine::encode_order(&order, expected_count, authority);
     let Ok((head, body)) = encoded else { return };
     let number = upstream_number(state, id);
+    let item = number.map(|number| {
+        intake::SentItem::new(state, id, number, limit_board::SendPurpose::Order, "")
+    });
     let sent = client::call(&state.pool, address, &head, &body, MAX_REPORT_BYTES, ORDER_TIMEOUT);
     let answer = match sent.await {
         Ok(answer) => {
-            note_answer(state, id, number, &answer.head);
+            note_answer(state, item.as_ref(), &answer.head);
             engine::decode_order_answer(&answer.head)
         }
         Err(client::CallError::Connect { .. }) => engine_order::OrderAnswer::Refused,
@@ -358,10 +361,13 @@
 ) -> Option<upstream::EngineReport> {
     let head = engine::report_call(id);
     let number = upstream_number(state, id);
+    let item = number.map(|number| {
+        intake::SentItem::new(state, id, number, limit_board::SendPurpose::Report, "")
+    });
     let called = client::call(&state.pool, address, &head, &[], MAX_REPORT_BYTES, REPORT_TIMEOUT);
     let called = called.await;
     if let Ok(answer) = &called {
-        note_answer(state, id, number, &answer.head);
+        note_answer(state, item.as_ref(), &answer.head);
     }
     match called {
         Ok(answer) if answer.head.status == 200 => match engine::decode_report(&answer.body) {
@@ -398,12 +404,11 @@
 /// Notes what an engine says of taking work in the answer to an order or in a report.
 fn note_answer(
     state: &state::GatewayState,
-    id: &str,
-    number: Option<u32>,
+    item: Option<&intake::SentItem<'_>>,
     head: &header::ResponseHead,
 ) {
-    if let Some(number) = number {
-        intake::note_answer(state, id, number, &fields::decode_upstream(head));
+    if let Some(item) = item {
+        intake::note_answer(state, item, &fields::decode_upstream(head));
     }
 }
 
--- a/coltsfootd/src/gateway/forwarding.rs
+++ b/coltsfootd/src/gateway/forwarding.rs
@@ -5,7 +5,9 @@
 use std::time;
 
 use async_net::TcpStream;
-use coltsfoot_gateway::{attempt_plan, engine_choice, event_stream, place_search, rules};
+use coltsfoot_gateway::{
+    attempt_plan, engine_choice, event_stream, limit_board, place_search, rules,
+};
 use coltsfoot_http::{body, header, message};
 use coltsfoot_wire::fleet as wire;
 use site_platform::fields;
@@ -237,7 +239,10 @@
         let demand = self.admitted.demand.as_ref();
         let mut under_way = under_way::UnderWay::begin(self.state, &chosen.id, demand);
         self.log.sends += 1;
-        let sent = self.state.now();
+        let request_id = &*self.admitted.request_id;
+        let purpose = limit_board::SendPurpose::Request;
+        let item = intake::SentItem::new(self.state, &chosen.id, number, purpose, request_id);
+        let sent = item.sent;
         self.log.placed_us.get_or_insert(sent.since(self.exchange.received).as_micros());
         let send = attempt::send(&self.state.pool, &request);
         let give_up = self.wait_silent(&chosen.id);
@@ -261,7 +266,7 @@
             Some(Ok(answer)) => answer,
         };
         self.state.view().upstream_heard(self.state.now(), &chosen.id);
-        intake::note_answer(self.state, &chosen.id, number, &answer.fields);
+        intake::note_answer(self.state, &item, &answer.fields);
         if answer.fields.has_not_run && !answer.fields.is_signed {
             return self.not_run(&chosen.id, answer).await;
         }
