Keep to the limit that an upstream names, over all instances together

Class: a limit that holds for all instances together, kept by each from what it has heard.

Every send to such an upstream, request, order or report, now wants leave from one instance, chosen by hash among those of the upstream's zone. It keeps half a second of unused sends at most, begins empty when it takes over, and leaves a quarter of the limit to orders and reports. Without leave the upstream is left out until there may be some: the request goes elsewhere at once, or is refused with a time that follows from the limit. Limits are told to all instances when they begin, end or change by more than a quarter.

Without leave for orders of their own an engine at 1 a second served nobody while adapters came and went.

--- a/coltsfoot-gateway/src/engine_choice.rs
+++ b/coltsfoot-gateway/src/engine_choice.rs
@@ -4,7 +4,7 @@
 
 use coltsfoot_types::time as clock;
 
-use crate::{demand, fleet_view, rendezvous, rules, upstream_slot};
+use crate::{demand, fleet_view, rendezvous, rules, send_permits, upstream_slot};
 
 /// Prompt tokens that an engine reads in a millisecond, beside its running requests.
 pub const READ_TOKENS_PER_MS: f64 = 33.0;
@@ -197,6 +197,7 @@
         }
         let is_warm = slot.is_warm(self.key);
         let load = if is_warm { WARM_LOAD_MS } else { self.fetch_ms };
+        let load = load + order_wait(now, view, slot);
         let further = match self.is_somewhere {
             // What others lose by the place of a copy, shared by those who use it.
             true => COPY_MS.get(rank).unwrap_or(&FAR_COPY_MS) / self.users,
@@ -207,6 +208,16 @@
     }
 }
 
+/// Returns the time until an engine takes one more order, within the limit that it named, in milliseconds.
+fn order_wait(
+    now: clock::MonotonicTime,
+    view: &fleet_view::FleetView,
+    slot: &upstream_slot::UpstreamSlot,
+) -> f64 {
+    let limit = view.limits().limit(now, slot.number);
+    limit.map_or(0.0, |per_s| send_permits::order_wait(per_s).as_secs_f64() * 1000.0)
+}
+
 /// Returns the holder that requests of one subject go to, so that its prompt is kept there.
 fn preferred_holder(
     demand: &demand::PromptDemand,
--- a/coltsfoot-gateway/src/engine_desk.rs
+++ b/coltsfoot-gateway/src/engine_desk.rs
@@ -105,6 +105,8 @@
     /// Until when no order is tried, since the engine waits for requests to end.
     held_up_until: clock::MonotonicTime,
     next_report: clock::MonotonicTime,
+    /// When the last report came.
+    reported: Option<clock::MonotonicTime>,
     replies: Vec<DeskReply<A>>,
     has_changed: bool,
 }
@@ -125,6 +127,7 @@
             leaving: None,
             held_up_until: clock::MonotonicTime::default(),
             next_report: clock::MonotonicTime::default(),
+            reported: None,
             replies: Vec::new(),
             has_changed: true,
         }
@@ -278,23 +281,29 @@
         in_use: impl Fn(demand::AdapterKey) -> bool,
         newest: impl Fn(demand::AdapterKey) -> Option<u64>,
     ) -> engine_order::DeskStep {
-        let Some(expected_count) = self.order_count.filter(|_| now < self.next_report) else {
-            return match now >= self.next_report {
-                true => engine_order::DeskStep::Report,
-                false => engine_order::DeskStep::Wait(self.next_report),
-            };
+        let spared_until = self.reported.map(|reported| reported + leave.report_pause);
+        let report_due = self.next_report.max(spared_until.unwrap_or_default());
+        if now >= report_due {
+            return engine_order::DeskStep::Report;
+        }
+        let Some(expected_count) = self.order_count else {
+            return engine_order::DeskStep::Wait(report_due);
         };
         if leave.may_order
             && let Some(order) = self.next_order(now, leave, in_use, newest)
         {
             return engine_order::DeskStep::Order { order, expected_count };
         }
-        let due = self.next_due(now);
+        let due = self.next_due(now, report_due);
         let is_held_up = leave.may_order && !leave.may_fetch && !self.questions.is_empty();
         engine_order::DeskStep::Wait(if is_held_up { due.min(now + FETCH_CHECK) } else { due })
     }
 
-    fn next_due(&self, now: clock::MonotonicTime) -> clock::MonotonicTime {
+    fn next_due(
+        &self,
+        now: clock::MonotonicTime,
+        report_due: clock::MonotonicTime,
+    ) -> clock::MonotonicTime {
         let coming =
             self.placed.values().map(|placed| placed.ready_at).filter(|ready| *ready > now);
         let late = self.questions.front().map(|question| question.asked + MAX_QUESTION_WAIT);
@@ -302,9 +311,9 @@
         let due = coming
             .chain(late)
             .chain(promises)
-            .chain([self.next_report, self.held_up_until])
+            .chain([report_due, self.held_up_until])
             .chain(self.model_ready_at);
-        due.filter(|due| *due > now).min().unwrap_or(self.next_report)
+        due.filter(|due| *due > now).min().unwrap_or(report_due)
     }
 
     /// Returns the questions for adapters that are to be fetched from the weight store.
--- a/coltsfoot-gateway/src/engine_desk/reports.rs
+++ b/coltsfoot-gateway/src/engine_desk/reports.rs
@@ -20,6 +20,7 @@
             return;
         };
         self.next_report = now + REPORT_INTERVAL;
+        self.reported = Some(now);
         if self.order_count.is_some_and(|count| report.order_count < count) {
             // The report is older than the last orders.
             return;
--- a/coltsfoot-gateway/src/engine_order.rs
+++ b/coltsfoot-gateway/src/engine_order.rs
@@ -61,6 +61,8 @@
     pub may_order: bool,
     /// Whether an adapter may be fetched from the weight store.
     pub may_fetch: bool,
+    /// Time between reports at least; zero if the engine named no limit.
+    pub report_pause: time::Duration,
 }
 
 /// Load of the weight store, which slows all fetches down beyond a number of them.
--- a/coltsfoot-gateway/src/fleet_view.rs
+++ b/coltsfoot-gateway/src/fleet_view.rs
@@ -1,5 +1,6 @@
 //! What an instance knows of the upstreams and of the work of all instances there.
 
+pub mod givers;
 pub mod peers;
 pub mod zones;
 
--- /dev/null
+++ b/coltsfoot-gateway/src/fleet_view/givers.rs
@@ -0,0 +1,66 @@
+//! Which instance gives leave to send something to an upstream that named a limit.
+
+use std::net;
+
+use coltsfoot_types::time as clock;
+use smallvec::SmallVec;
+
+use crate::{peer_slot, rendezvous};
+
+use super::{BEATS_TO_LOSE, FleetView, OWNER_SILENCE, zones};
+
+/// Instances that are asked for leave in turn: the second one knows sooner than others if the first is
+/// gone.
+const GIVERS: usize = 2;
+
+/// An instance that is asked for leave to send.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PermitGiver {
+    /// This instance.
+    Own,
+    /// Another one, by where it receives messages.
+    Peer(net::SocketAddr),
+}
+
+/// Instances to ask in turn.
+pub type PermitGivers = SmallVec<[PermitGiver; GIVERS]>;
+
+impl FleetView {
+    /// Returns the instances to ask for leave to send to an upstream, the one that gives it first. They
+    /// are of the upstream's zone if some of its instances are heard, so that whoever reaches the
+    /// upstream across a partition reaches the giver. `own` is this instance, in `zone`; it gives no
+    /// leave once it is about to stop.
+    pub fn permit_givers(
+        &self,
+        now: clock::MonotonicTime,
+        number: u32,
+        own: zones::OwnMember,
+        zone: &str,
+        is_stopping: bool,
+    ) -> PermitGivers {
+        let upstream = self.upstream_id(number).and_then(|id| self.upstream(id));
+        let upstream_zone = upstream.map(|slot| &*slot.entry.zone);
+        let is_usable = |peer: &&peer_slot::PeerSlot| {
+            let longest = OWNER_SILENCE.max(peer.interval * BEATS_TO_LOSE);
+            !peer.is_leaving && now.since(peer.heard) < longest
+        };
+        let mut givers: SmallVec<[(bool, u64, PermitGiver); 8]> = SmallVec::new();
+        let mut add = |id: u64, zone: &str, giver: PermitGiver| {
+            let weight = rendezvous::weight(u64::from(number), id);
+            givers.push((Some(zone) == upstream_zone, weight, giver));
+        };
+        for (id, peer) in self.peers.iter().filter(|(_, peer)| is_usable(peer)) {
+            add(*id, &peer.zone, PermitGiver::Peer(peer.address));
+        }
+        if !is_stopping {
+            add(own.id, zone, PermitGiver::Own);
+        }
+        let is_near = givers.iter().any(|(is_near, ..)| *is_near);
+        givers.retain(|(near, ..)| *near == is_near);
+        givers.sort_unstable_by_key(|(_, weight, _)| std::cmp::Reverse(*weight));
+        let first = givers.iter().map(|(.., giver)| *giver).take(GIVERS);
+        let first: PermitGivers = first.collect();
+        // Without any other instance an instance that stops still sends what is under way.
+        if first.is_empty() { PermitGivers::from_iter([PermitGiver::Own]) } else { first }
+    }
+}
--- a/coltsfoot-gateway/src/intake_board.rs
+++ b/coltsfoot-gateway/src/intake_board.rs
@@ -41,6 +41,8 @@
 pub struct IntakeBoard {
     leaving: FxHashMap<u32, clock::MonotonicTime>,
     quiet: FxHashMap<u32, QuietTime>,
+    /// Until when there is no leave to send, within the limits that upstreams named.
+    held: FxHashMap<u32, clock::MonotonicTime>,
 }
 
 impl IntakeBoard {
@@ -49,9 +51,19 @@
         if self.leaving.contains_key(&number) {
             return UpstreamIntake::Leaving;
         }
-        let Some(quiet) = self.quiet.get(&number) else { return UpstreamIntake::Open };
-        let until = quiet.tried.map_or(quiet.until, |tried| tried + TRIAL_LIMIT);
-        if now < until { UpstreamIntake::Closed(until) } else { UpstreamIntake::Open }
+        let quiet = self.quiet.get(&number);
+        let quiet = quiet.map(|quiet| quiet.tried.map_or(quiet.until, |tried| tried + TRIAL_LIMIT));
+        let until = quiet.max(self.held.get(&number).copied());
+        match until {
+            Some(until) if now < until => UpstreamIntake::Closed(until),
+            _ => UpstreamIntake::Open,
+        }
+    }
+
+    /// Notes that there is no leave to send to an incarnation for a while.
+    pub fn hold(&mut self, now: clock::MonotonicTime, number: u32, pause: time::Duration) {
+        self.held.retain(|_, until| now < *until);
+        self.held.insert(number, now + pause);
     }
 
     /// Notes that an incarnation leaves. Returns whether it was not known.
--- a/coltsfoot-gateway/src/lib.rs
+++ b/coltsfoot-gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod rendezvous;
 pub mod route_table;
 pub mod rules;
+pub mod send_permits;
 pub mod upstream;
 pub mod upstream_slot;
 pub mod zone_relay;
--- a/coltsfoot-gateway/tests/desk.rs
+++ b/coltsfoot-gateway/tests/desk.rs
@@ -13,7 +13,8 @@
     full_speed: 8,
     fetch_time: time::Duration::from_millis(250),
 };
-const FULL_LEAVE: OrderLeave = OrderLeave { may_order: true, may_fetch: true };
+const FULL_LEAVE: OrderLeave =
+    OrderLeave { may_order: true, may_fetch: true, report_pause: time::Duration::ZERO };
 
 fn at(ms: u64) -> clock::MonotonicTime {
     clock::MonotonicTime(ms * 1000)
@@ -144,7 +145,7 @@
 fn fetches_are_held_back_while_the_weight_store_is_busy_but_warm_loads_are_not() {
     let mut desk = desk(&[1]);
     desk.report_ended(at(1), Some(&report(0, &[1])));
-    let busy = OrderLeave { may_order: true, may_fetch: false };
+    let busy = OrderLeave { may_fetch: false, ..FULL_LEAVE };
     desk.ask(at(10), &adapter(7), None, 1, |_| false);
     let step = desk.next_step(at(10), busy, |_| false, |_| None);
     assert!(matches!(step, DeskStep::Wait(until) if until <= at(40)), "it looks again soon");
@@ -193,7 +194,7 @@
 fn nothing_is_ordered_without_leave() {
     let mut desk = desk(&[]);
     desk.ask(at(0), &adapter(1), None, 1, |_| false);
-    let leave = OrderLeave { may_order: false, may_fetch: true };
+    let leave = OrderLeave { may_order: false, ..FULL_LEAVE };
     let step = desk.next_step(at(0), leave, |_| false, |_| Some(9));
     assert!(matches!(step, DeskStep::Wait(_)));
 }
@@ -262,3 +263,28 @@
     assert_eq!(desk.take_samples(at(480)), [late]);
     assert!(desk.take_samples(at(2_000)).is_empty(), "each is told once");
 }
+
+#[test]
+fn reports_of_an_engine_that_named_a_limit_leave_it_time_for_requests() {
+    let mut desk = desk(&[1]);
+    let leave = OrderLeave { report_pause: time::Duration::from_secs(10), ..FULL_LEAVE };
+    let mut now = 0;
+    let mut reports = Vec::new();
+    while now < 25_000 {
+        match desk.next_step(at(now), leave, |_| false, |_| None) {
+            DeskStep::Report => {
+                reports.push(now);
+                desk.report_ended(at(now), Some(&report(0, &[1])));
+            }
+            DeskStep::Wait(due) => {
+                assert!(due > at(now), "no waiting without end");
+                now = due.0 / 1000;
+            }
+            DeskStep::Order { order, .. } => panic!("{order:?}"),
+        }
+    }
+    assert_eq!(reports, [10_000, 20_000]);
+    desk.ask(at(now), &adapter(2), None, 1, |_| false);
+    let step = desk.next_step(at(now), leave, |_| false, |_| None);
+    assert!(matches!(step, DeskStep::Order { .. }), "orders need no report: {step:?}");
+}
--- a/coltsfoot-gateway/tests/fleet_fixture/mod.rs
+++ b/coltsfoot-gateway/tests/fleet_fixture/mod.rs
@@ -5,7 +5,8 @@
 
 use std::time;
 
-use coltsfoot_gateway::{demand, fleet_view, rules, upstream};
+use coltsfoot_gateway::place_search::{PlaceSearch, SearchStep};
+use coltsfoot_gateway::{demand, engine_choice, fleet_view, rules, upstream};
 use coltsfoot_types::time as clock;
 use coltsfoot_wire::fleet;
 use smallvec::smallvec;
@@ -129,3 +130,27 @@
         },
     );
 }
+
+/// Target latency of the requests that are placed.
+pub const TARGET: time::Duration = time::Duration::from_millis(1000);
+
+/// The next step in the search of a prompt for the adapter `x`.
+pub fn search_step(search: &mut PlaceSearch, now: u64, view: &fleet_view::FleetView) -> SearchStep {
+    let (service, demand) = (service(), prompt("x", 1));
+    let request = engine_choice::PlacedRequest {
+        service: &service,
+        demand: Some(&demand),
+        zone: "a",
+        tried: &[],
+    };
+    search.next_step(at(now), view, &request)
+}
+
+/// The first step of a search that begins now.
+pub fn step(now: u64, view: &fleet_view::FleetView) -> SearchStep {
+    search_step(&mut PlaceSearch::new(at(now), TARGET), now, view)
+}
+
+pub fn sends_to(step: &SearchStep, id: &str) -> bool {
+    matches!(step, SearchStep::Send(chosen) if &*chosen.id == id)
+}
--- a/coltsfoot-gateway/tests/intake.rs
+++ b/coltsfoot-gateway/tests/intake.rs
@@ -4,33 +4,16 @@
 
 use std::time;
 
+use coltsfoot_gateway::fleet_view;
 use coltsfoot_gateway::intake_board::{self, UpstreamIntake};
-use coltsfoot_gateway::place_search::{PlaceSearch, SearchStep};
-use coltsfoot_gateway::{engine_choice, fleet_view};
-use fleet_fixture::{at, entry, fleet, prompt, service, tell};
+use coltsfoot_gateway::place_search::SearchStep;
+use fleet_fixture::{at, entry, fleet, prompt, sends_to, service, step, tell};
 use rstest::rstest;
 
-const TARGET: time::Duration = time::Duration::from_millis(1000);
-
 fn number(view: &fleet_view::FleetView, id: &str) -> u32 {
     view.upstream(id).expect("known").number
 }
 
-fn step(now: u64, view: &fleet_view::FleetView) -> SearchStep {
-    let (service, demand) = (service(), prompt("x", 1));
-    let request = engine_choice::PlacedRequest {
-        service: &service,
-        demand: Some(&demand),
-        zone: "a",
-        tried: &[],
-    };
-    PlaceSearch::new(at(now), TARGET).next_step(at(now), view, &request)
-}
-
-fn sends_to(step: &SearchStep, id: &str) -> bool {
-    matches!(step, SearchStep::Send(chosen) if &*chosen.id == id)
-}
-
 #[test]
 fn an_incarnation_that_leaves_stays_out_whatever_its_entry_says() {
     let mut view = fleet(&[("a", "z"), ("b", "z")]);
--- a/coltsfoot-gateway/tests/search.rs
+++ b/coltsfoot-gateway/tests/search.rs
@@ -2,31 +2,17 @@
 
 mod fleet_fixture;
 
-use std::time;
-
 use coltsfoot_gateway::place_search::{LoadEnd, PlaceSearch, SearchStep};
-use coltsfoot_gateway::{engine_choice, fleet_view};
-use fleet_fixture::{at, fleet, prompt, service, tell};
-
-const TARGET: time::Duration = time::Duration::from_millis(1000);
-
-fn step(search: &mut PlaceSearch, now: u64, view: &fleet_view::FleetView) -> SearchStep {
-    let (service, demand) = (service(), prompt("x", 1));
-    let request = engine_choice::PlacedRequest {
-        service: &service,
-        demand: Some(&demand),
-        zone: "a",
-        tried: &[],
-    };
-    search.next_step(at(now), view, &request)
-}
+use fleet_fixture::{TARGET, at, fleet, search_step, tell};
 
 #[test]
 fn an_engine_that_holds_the_adapter_gets_the_request_at_once() {
     let mut view = fleet(&[("a", "z"), ("b", "z")]);
     tell(&mut view, "b", &["x"], 0);
     let mut search = PlaceSearch::new(at(0), TARGET);
-    assert!(matches!(step(&mut search, 0, &view), SearchStep::Send(chosen) if &*chosen.id == "b"));
+    assert!(
+        matches!(search_step(&mut search, 0, &view), SearchStep::Send(chosen) if &*chosen.id == "b")
+    );
 }
 
 /// A burst takes the last places while the request is on its way to ask for one.
@@ -36,14 +22,16 @@
     let mut search = PlaceSearch::new(at(0), TARGET);
     let mut asked = Vec::new();
     for now in [0, 3] {
-        let SearchStep::Load(chosen) = step(&mut search, now, &view) else { panic!("an engine") };
+        let SearchStep::Load(chosen) = search_step(&mut search, now, &view) else {
+            panic!("an engine")
+        };
         search.load_ended(&chosen.id, LoadEnd::NoPlace);
         asked.push(chosen.id);
     }
     asked.sort();
     assert_eq!(asked, ["a".into(), "b".into()]);
-    assert!(matches!(step(&mut search, 6, &view), SearchStep::Wait(_)));
-    assert!(matches!(step(&mut search, 46, &view), SearchStep::Load(_)));
+    assert!(matches!(search_step(&mut search, 6, &view), SearchStep::Wait(_)));
+    assert!(matches!(search_step(&mut search, 46, &view), SearchStep::Load(_)));
 }
 
 /// All places are taken by long streams: a request that can't start in time is told so early.
@@ -54,7 +42,7 @@
     let mut search = PlaceSearch::new(at(0), TARGET);
     let mut now = 0;
     let reason = loop {
-        match step(&mut search, now, &view) {
+        match search_step(&mut search, now, &view) {
             SearchStep::Wait(pause) => now += pause.as_millis() as u64,
             SearchStep::Refuse(reason) => break reason,
             other => panic!("{other:?}"),
@@ -69,9 +57,9 @@
     let mut view = fleet(&[("a", "z")]);
     tell(&mut view, "a", &[], 0);
     let mut search = PlaceSearch::new(at(0), TARGET);
-    assert!(matches!(step(&mut search, 0, &view), SearchStep::Wait(_)));
+    assert!(matches!(search_step(&mut search, 0, &view), SearchStep::Wait(_)));
     tell(&mut view, "a", &[], 1);
-    assert!(matches!(step(&mut search, 40, &view), SearchStep::Load(_)));
+    assert!(matches!(search_step(&mut search, 40, &view), SearchStep::Load(_)));
 }
 
 /// Owners that were killed: three of them are asked, no more.
@@ -80,8 +68,10 @@
     let view = fleet(&[("a", "z"), ("b", "z"), ("c", "z"), ("d", "z")]);
     let mut search = PlaceSearch::new(at(0), TARGET);
     for now in 0..3 {
-        let SearchStep::Load(chosen) = step(&mut search, now, &view) else { panic!("an engine") };
+        let SearchStep::Load(chosen) = search_step(&mut search, now, &view) else {
+            panic!("an engine")
+        };
         search.load_ended(&chosen.id, LoadEnd::Failed);
     }
-    assert_eq!(step(&mut search, 3, &view), SearchStep::Refuse("no_place"));
+    assert_eq!(search_step(&mut search, 3, &view), SearchStep::Refuse("no_place"));
 }
--- a/coltsfoot-measure/src/burst/instance.rs
+++ b/coltsfoot-measure/src/burst/instance.rs
@@ -1,6 +1,7 @@
 //! A gateway of the model: its view, the desks of the engines it owns, and its beats.
 
 use std::collections::BTreeMap;
+use std::time;
 
 use coltsfoot_gateway::{engine_desk, engine_order, fleet_view};
 use coltsfoot_wire::fleet;
@@ -88,7 +89,11 @@
     ) -> Option<engine_order::EngineOrder> {
         let own = self.fetching(now);
         let may_fetch = self.view.fetch_load(own + self.view.fetching()).may_fetch(own);
-        let leave = engine_order::OrderLeave { may_order: true, may_fetch };
+        let leave = engine_order::OrderLeave {
+            may_order: true,
+            may_fetch,
+            report_pause: time::Duration::ZERO,
+        };
         let slot = self.view.upstream(id).expect("known");
         let desk = self.desks.get_mut(&place).expect("owned");
         let in_use = |key| slot.is_in_use(at(now), key);
--- a/coltsfoot-wire/src/fleet.rs
+++ b/coltsfoot-wire/src/fleet.rs
@@ -298,6 +298,53 @@
     pub reply_to: net::SocketAddr,
 }
 
+/// The newest word of an upstream on how many requests it takes from all instances together.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ToldLimit {
+    /// The upstream's number.
+    pub upstream: u32,
+    /// Thousandths of a request a second, `u64::MAX` for a limit without bound; `None` if it names none
+    /// any more.
+    pub limit_thousandths: Option<u64>,
+    /// Time since that was sent which the upstream answered, in milliseconds.
+    pub sent_ms_ago: u32,
+    /// Time since its answer came, in milliseconds.
+    pub heard_ms_ago: u32,
+}
+
+/// Asks for leave to send something to an upstream that named a limit.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PermitAsk {
+    /// Number of the question, chosen by the sender.
+    pub ask: u64,
+    /// Where the answer is expected.
+    pub reply_to: net::SocketAddr,
+    /// The limit, as the sender knows it.
+    pub limit: ToldLimit,
+    /// Whether an order or a question for a report is to be sent, not a request.
+    pub is_upkeep: bool,
+}
+
+/// Answer to a question for leave to send.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum PermitVerdict {
+    /// One send may begin now.
+    Granted,
+    /// None may, for so many milliseconds.
+    Denied(u32),
+    /// Another instance gives leave.
+    NotGiver,
+}
+
+/// The answer and its question.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PermitReply {
+    /// Number of the question.
+    pub ask: u64,
+    /// The answer.
+    pub verdict: PermitVerdict,
+}
+
 /// A datagram between instances.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum FleetMessage {
@@ -321,6 +368,12 @@
     CrashCleared(once::RequestDigest),
     /// Numbers of upstreams that said in answers that they leave.
     Leaving(Vec<u32>),
+    /// Limits that upstreams named in answers, or no longer name.
+    Limits(Vec<ToldLimit>),
+    /// A question for leave to send.
+    PermitAsk(PermitAsk),
+    /// The answer.
+    PermitReply(PermitReply),
 }
 
 impl FleetMessage {
--- a/coltsfootd/src/gateway/crashes.rs
+++ b/coltsfootd/src/gateway/crashes.rs
@@ -13,7 +13,7 @@
 use coltsfoot_wire::{fleet as wire, once};
 use rustc_hash::FxHashSet;
 
-use crate::gateway::{exchange, fleet, forwarding, intake, state};
+use crate::gateway::{exchange, fleet, forwarding, intake, permits, state};
 use crate::{clock, event};
 
 /// Time to connect to an upstream after a connection to it broke.
@@ -238,6 +238,7 @@
         };
         tell_known(&state, *address);
         intake::tell_known(&state, *address);
+        permits::tell_known(&state, *address);
     }
 }
 
--- a/coltsfootd/src/gateway/engines.rs
+++ b/coltsfootd/src/gateway/engines.rs
@@ -6,16 +6,17 @@
 
 use coltsfoot_gateway::intake_board::UpstreamIntake;
 use coltsfoot_gateway::{
-    demand, engine_desk, engine_order, fetch_pace, fleet_view, limit_board, order_lease, upstream,
+    demand, engine_desk, engine_order, fetch_pace, fleet_view, limit_board, order_lease,
+    send_permits, upstream,
 };
-use coltsfoot_http::{client, header};
+use coltsfoot_http::client;
 use coltsfoot_types::time as instant;
 use coltsfoot_wire::fleet as wire;
 use rustc_hash::FxHashMap;
 use site_platform::{engine, fields};
 
 use crate::event;
-use crate::gateway::{beats, fleet, intake, state};
+use crate::gateway::{beats, fleet, intake, permits, state};
 
 /// Time for the answer to an order.
 const ORDER_TIMEOUT: time::Duration = time::Duration::from_millis(300);
@@ -47,6 +48,8 @@
     number: u32,
     partition: u32,
     desk: engine_desk::EngineDesk<LoadAsker>,
+    /// Until when the engine takes neither orders nor reports, within the limit that it named.
+    paused_until: instant::MonotonicTime,
     wake: sync::Arc<event_listener::Event>,
 }
 
@@ -100,6 +103,23 @@
         }
     }
 
+    /// Returns until when an engine takes neither orders nor reports, within the limit that it named.
+    fn paused_until(
+        &self,
+        now: instant::MonotonicTime,
+        id: &str,
+    ) -> Option<instant::MonotonicTime> {
+        let paused_until = state::lock(&self.slots).get(id).map(|slot| slot.paused_until);
+        paused_until.filter(|until| now < *until)
+    }
+
+    /// Notes that an engine takes neither orders nor reports until then.
+    fn pause(&self, id: &str, until: instant::MonotonicTime) {
+        if let Some(slot) = state::lock(&self.slots).get_mut(id) {
+            slot.paused_until = until;
+        }
+    }
+
     /// Returns the adapters on their way from the weight store to the engines owned.
     pub fn fetching(&self, now: instant::MonotonicTime) -> u32 {
         state::lock(&self.slots).values().map(|slot| slot.desk.fetching(now)).sum()
@@ -137,7 +157,9 @@
         let upstream = view.upstream(&self.id);
         let in_use = |key| upstream.is_some_and(|upstream| upstream.is_in_use(now, key));
         let is_open = view.intake().intake(now, self.number) == UpstreamIntake::Open;
-        let takes_orders = is_open && lease.order_fence(now, self.partition).is_some();
+        let is_paused = now < self.paused_until;
+        let takes_orders =
+            is_open && !is_paused && lease.order_fence(now, self.partition).is_some();
         let fetches = view.fetch_load(view.fetch_backlog());
         Some(self.desk.describe(now, self.number, fence, takes_orders, fetches, in_use))
     }
@@ -168,6 +190,7 @@
             number,
             partition,
             desk,
+            paused_until: instant::MonotonicTime::default(),
             wake: sync::Arc::clone(&wake),
         };
         slots.insert(sync::Arc::clone(id), slot);
@@ -190,7 +213,8 @@
             state::lock(&state.desks.slots).remove(&id);
             return;
         };
-        if let Some(until) = intake::quiet_until(&state, number) {
+        let paused_until = state.desks.paused_until(state.now(), &id);
+        if let Some(until) = intake::quiet_until(&state, number).max(paused_until) {
             settle(&state, &id);
             let wait = until.since(state.now()).min(QUIET_CHECK);
             async_io::Timer::after(wait).await;
@@ -201,9 +225,17 @@
         match step {
             None => return,
             Some(engine_order::DeskStep::Order { order, expected_count }) => {
-                give_order(&state, &id, address, partition, order, expected_count).await;
+                let item = sent_item(&id, number, limit_board::SendPurpose::Order);
+                if has_leave(&state, item).await {
+                    give_order(&state, item, address, partition, order, expected_count).await;
+                }
+            }
+            Some(engine_order::DeskStep::Report) => {
+                let item = sent_item(&id, number, limit_board::SendPurpose::Report);
+                if has_leave(&state, item).await {
+                    fetch_report(&state, item, address).await;
+                }
             }
-            Some(engine_order::DeskStep::Report) => fetch_report(&state, &id, address).await,
             Some(engine_order::DeskStep::Wait(due)) => {
                 let wait = due.since(state.now());
                 let sleep = async {
@@ -240,7 +272,12 @@
     let may_fetch = view.fetch_load(own + view.fetching()).may_fetch(own);
     let upstream = view.upstream(id)?;
     let is_open = view.intake().intake(now, upstream.number) == UpstreamIntake::Open;
-    let leave = engine_order::OrderLeave { may_order: is_open && fence.is_some(), may_fetch };
+    let limit = view.limits().limit(now, upstream.number);
+    let leave = engine_order::OrderLeave {
+        may_order: is_open && fence.is_some(),
+        may_fetch,
+        report_pause: limit.map_or(time::Duration::ZERO, send_permits::report_pause),
+    };
     let mut slots = state::lock(&state.desks.slots);
     let desk = &mut slots.get_mut(id)?.desk;
     let in_use = |key| upstream.is_in_use(now, key);
@@ -292,27 +329,44 @@
     }
 }
 
+fn sent_item(
+    upstream: &str,
+    number: u32,
+    purpose: limit_board::SendPurpose,
+) -> permits::PermitUse<'_> {
+    permits::PermitUse { upstream, number, purpose, request: "" }
+}
+
+/// Returns whether an engine takes an order or a question for a report now, within the limit that it named.
+async fn has_leave(state: &state::GatewayState, item: permits::PermitUse<'_>) -> bool {
+    match permits::obtain(state, item).await {
+        Ok(()) => true,
+        Err(pause) => {
+            state.desks.pause(item.upstream, state.now() + pause);
+            false
+        }
+    }
+}
+
 async fn give_order(
     state: &sync::Arc<state::GatewayState>,
-    id: &sync::Arc<str>,
+    item: permits::PermitUse<'_>,
     address: net::SocketAddr,
     partition: u32,
     order: engine_order::EngineOrder,
     expected_count: u64,
 ) {
     let Some(fence) = state.order_fence(partition) else { return };
+    let id = item.upstream;
     let holder = &state.settings.instance;
     let authority = engine::OrderAuthority { holder, fence, engine: id };
     let encoded = engine::encode_order(&order, expected_count, authority);
     let Ok((head, body)) = encoded else { return };
-    let number = upstream_number(state, id);
-    let item = number.map(|number| {
-        intake::SentItem::new(state, id, number, limit_board::SendPurpose::Order, "")
-    });
-    let sent = client::call(&state.pool, address, &head, &body, MAX_REPORT_BYTES, ORDER_TIMEOUT);
-    let answer = match sent.await {
+    let sent = state.now();
+    let called = client::call(&state.pool, address, &head, &body, MAX_REPORT_BYTES, ORDER_TIMEOUT);
+    let answer = match called.await {
         Ok(answer) => {
-            note_answer(state, item.as_ref(), &answer.head);
+            intake::note_answer(state, &item, sent, &fields::decode_upstream(&answer.head));
             engine::decode_order_answer(&answer.head)
         }
         Err(client::CallError::Connect { .. }) => engine_order::OrderAnswer::Refused,
@@ -341,14 +395,14 @@
 
 async fn fetch_report(
     state: &sync::Arc<state::GatewayState>,
-    id: &sync::Arc<str>,
+    item: permits::PermitUse<'_>,
     address: net::SocketAddr,
 ) {
-    let report = call_report(state, id, address).await;
+    let report = call_report(state, item, address).await;
     state.metrics.count_report(report.is_some());
     let now = state.now();
     let mut slots = state::lock(&state.desks.slots);
-    if let Some(slot) = slots.get_mut(id) {
+    if let Some(slot) = slots.get_mut(item.upstream) {
         slot.desk.report_ended(now, report.as_ref());
     }
 }
@@ -356,18 +410,16 @@
 /// Fetches a report; logs why if there is none.
 async fn call_report(
     state: &state::GatewayState,
-    id: &str,
+    item: permits::PermitUse<'_>,
     address: net::SocketAddr,
 ) -> Option<upstream::EngineReport> {
+    let id = item.upstream;
     let head = engine::report_call(id);
-    let number = upstream_number(state, id);
-    let item = number.map(|number| {
-        intake::SentItem::new(state, id, number, limit_board::SendPurpose::Report, "")
-    });
+    let sent = state.now();
     let called = client::call(&state.pool, address, &head, &[], MAX_REPORT_BYTES, REPORT_TIMEOUT);
     let called = called.await;
     if let Ok(answer) = &called {
-        note_answer(state, item.as_ref(), &answer.head);
+        intake::note_answer(state, &item, sent, &fields::decode_upstream(&answer.head));
     }
     match called {
         Ok(answer) if answer.head.status == 200 => match engine::decode_report(&answer.body) {
@@ -397,21 +449,6 @@
     }
 }
 
-fn upstream_number(state: &state::GatewayState, id: &str) -> Option<u32> {
-    state.view().upstream(id).map(|slot| slot.number)
-}
-
-/// Notes what an engine says of taking work in the answer to an order or in a report.
-fn note_answer(
-    state: &state::GatewayState,
-    item: Option<&intake::SentItem<'_>>,
-    head: &header::ResponseHead,
-) {
-    if let Some(item) = item {
-        intake::note_answer(state, item, &fields::decode_upstream(head));
-    }
-}
-
 /// Looks at engines of which no owner tells, so that requests find what they hold.
 pub(crate) async fn watch_untold(state: sync::Arc<state::GatewayState>) {
     loop {
@@ -419,18 +456,22 @@
         let Some(routes) = state.routes.load_full() else { continue };
         let untold = state.view().untold_engines(state.now(), UNTOLD_AGE);
         for id in untold {
-            let address = {
+            let known = {
                 let view = state.view();
                 let slot = view.upstream(&id).filter(|slot| {
                     let service = routes.service(&slot.entry.service);
                     let is_open = view.intake().intake(state.now(), slot.number);
+                    // What an engine takes that named a limit is left to requests.
+                    let is_limited = view.limits().limit(state.now(), slot.number).is_some();
                     is_open == UpstreamIntake::Open
+                        && !is_limited
                         && service.is_some_and(|service| service.engine.is_some())
                 });
-                slot.map(|slot| slot.entry.address)
+                slot.map(|slot| (slot.entry.address, slot.number))
             };
-            let Some(address) = address else { continue };
-            if let Some(report) = call_report(&state, &id, address).await {
+            let Some((address, number)) = known else { continue };
+            let item = sent_item(&id, number, limit_board::SendPurpose::Report);
+            if let Some(report) = call_report(&state, item, address).await {
                 state.view().take_report(state.now(), &id, &report);
             }
         }
--- a/coltsfootd/src/gateway/fleet.rs
+++ b/coltsfootd/src/gateway/fleet.rs
@@ -10,7 +10,7 @@
 use coltsfoot_wire::fleet as wire;
 
 use crate::event;
-use crate::gateway::{beats, crashes, engines, intake, news, state};
+use crate::gateway::{beats, crashes, engines, intake, news, permits, state};
 
 /// Topic in which instances tell where they receive messages.
 const INSTANCE_TOPIC: &str = "keyed.coltsfoot-instances";
@@ -92,6 +92,13 @@
                     intake::take_leaving(&state, number);
                 }
             }
+            Ok(wire::FleetMessage::Limits(limits)) => {
+                limits.iter().for_each(|told| permits::take_told(&state, told));
+            }
+            Ok(wire::FleetMessage::PermitAsk(ask)) => permits::answer(&state, &ask),
+            Ok(wire::FleetMessage::PermitReply(reply)) => {
+                state.permits.asks.settle(reply.ask, reply.verdict);
+            }
             Err(error) => log::warn!(
                 event = event::PEER_MESSAGE_REFUSED.number; "peer_message_refused: {error}"
             ),
@@ -119,6 +126,7 @@
         beats::answer_newcomer(state, beat);
         crashes::tell_known(state, beat.address);
         intake::tell_known(state, beat.address);
+        permits::tell_known(state, beat.address);
     }
 }
 
--- a/coltsfootd/src/gateway/forwarding.rs
+++ b/coltsfootd/src/gateway/forwarding.rs
@@ -13,7 +13,9 @@
 use site_platform::fields;
 
 use crate::event;
-use crate::gateway::{attempt, crashes, exchange, intake, loads, request_log, state, under_way};
+use crate::gateway::{
+    attempt, crashes, exchange, intake, loads, permits, request_log, state, under_way,
+};
 
 /// Longest answer that is not a stream, in bytes.
 const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
@@ -147,10 +149,14 @@
         let mut search = place_search::PlaceSearch::new(self.exchange.received, target);
         loop {
             match self.search_step(&mut search) {
-                place_search::SearchStep::Send(chosen) => return Ok(chosen),
+                place_search::SearchStep::Send(chosen) => {
+                    if self.has_leave(&chosen).await {
+                        return Ok(chosen);
+                    }
+                }
                 place_search::SearchStep::Load(chosen) => {
                     let end = self.load(&chosen).await;
-                    if end == place_search::LoadEnd::Ready {
+                    if end == place_search::LoadEnd::Ready && self.has_leave(&chosen).await {
                         return Ok(chosen);
                     }
                     search.load_ended(&chosen.id, end);
@@ -165,6 +171,30 @@
         }
     }
 
+    /// Returns whether an upstream takes one more request, within the limit that it named. If not, it is
+    /// left out of further searches until it may.
+    async fn has_leave(&self, chosen: &engine_choice::ChosenUpstream) -> bool {
+        let number = self.state.view().upstream(&chosen.id).map(|slot| slot.number);
+        let Some(number) = number else { return true };
+        match permits::obtain(self.state, self.sent_item(&chosen.id, number)).await {
+            Ok(()) => true,
+            Err(pause) => {
+                let now = self.state.now();
+                self.state.view().intake_mut().hold(now, number, pause);
+                false
+            }
+        }
+    }
+
+    fn sent_item<'c>(&'c self, upstream: &'c str, number: u32) -> permits::PermitUse<'c> {
+        permits::PermitUse {
+            upstream,
+            number,
+            purpose: limit_board::SendPurpose::Request,
+            request: &self.admitted.request_id,
+        }
+    }
+
     /// Returns when a refused caller may come back: once an upstream wants work again, and then not all
     /// at the same moment.
     fn retry_pause(&self) -> time::Duration {
@@ -239,10 +269,7 @@
         let demand = self.admitted.demand.as_ref();
         let mut under_way = under_way::UnderWay::begin(self.state, &chosen.id, demand);
         self.log.sends += 1;
-        let request_id = &*self.admitted.request_id;
-        let purpose = limit_board::SendPurpose::Request;
-        let item = intake::SentItem::new(self.state, &chosen.id, number, purpose, request_id);
-        let sent = item.sent;
+        let sent = self.state.now();
         self.log.placed_us.get_or_insert(sent.since(self.exchange.received).as_micros());
         let send = attempt::send(&self.state.pool, &request);
         let give_up = self.wait_silent(&chosen.id);
@@ -266,7 +293,8 @@
             Some(Ok(answer)) => answer,
         };
         self.state.view().upstream_heard(self.state.now(), &chosen.id);
-        intake::note_answer(self.state, &item, &answer.fields);
+        let item = self.sent_item(&chosen.id, number);
+        intake::note_answer(self.state, &item, sent, &answer.fields);
         if answer.fields.has_not_run && !answer.fields.is_signed {
             return self.not_run(&chosen.id, answer).await;
         }
--- a/coltsfootd/src/gateway/intake.rs
+++ b/coltsfootd/src/gateway/intake.rs
@@ -7,52 +7,21 @@
 use site_platform::fields;
 
 use crate::event;
-use crate::gateway::{fleet, state};
+use crate::gateway::{fleet, permits, state};
 
-/// Something that was sent to an upstream.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct SentItem<'a> {
-    pub(super) upstream: &'a str,
-    /// Number of the incarnation that it was sent to, which may have been followed by another one under
-    /// the same id.
-    pub(super) number: u32,
-    pub(super) purpose: limit_board::SendPurpose,
-    pub(super) sent: instant::MonotonicTime,
-}
-
-impl<'a> SentItem<'a> {
-    /// Notes that something is about to be sent; `request` is the id of a caller's request.
-    pub(super) fn new(
-        state: &state::GatewayState,
-        upstream: &'a str,
-        number: u32,
-        purpose: limit_board::SendPurpose,
-        request: &str,
-    ) -> Self {
-        let sent = state.now();
-        if let Some(per_s) = state.view().limits().limit(sent, number) {
-            log::info!(
-                event = event::LIMITED_SEND.number, upstream = upstream, per_s = per_s,
-                purpose = purpose.code(), request = request;
-                "limited_send"
-            );
-        }
-        Self { upstream, number, purpose, sent }
-    }
-}
-
-/// Notes what an answer says of the upstream that gave it.
+/// Notes what the answer to something that was sent at some time says of the upstream that gave it.
 pub(super) fn note_answer(
     state: &state::GatewayState,
-    item: &SentItem<'_>,
+    item: &permits::PermitUse<'_>,
+    sent: instant::MonotonicTime,
     said: &fields::UpstreamFields,
 ) {
-    let SentItem { upstream, number, .. } = *item;
+    let permits::PermitUse { upstream, number, .. } = *item;
     if said.instance.as_deref().is_some_and(|id| id != upstream) {
         return;
     }
     let now = state.now();
-    note_limit(state, item, said);
+    note_limit(state, item, sent, said);
     match said.quiet {
         Some(quiet) => {
             state.view().intake_mut().wants_quiet(now, number, quiet);
@@ -72,7 +41,12 @@
 
 /// Notes the limit that an answer names. Only an answer to a request that ran tells that there is none:
 /// others may come from what stands before the upstream's work.
-fn note_limit(state: &state::GatewayState, item: &SentItem<'_>, said: &fields::UpstreamFields) {
+fn note_limit(
+    state: &state::GatewayState,
+    item: &permits::PermitUse<'_>,
+    sent: instant::MonotonicTime,
+    said: &fields::UpstreamFields,
+) {
     let per_s = match said.limit {
         limit_board::LimitNotice::Named(per_s) => Some(per_s),
         limit_board::LimitNotice::Absent if said.is_signed => None,
@@ -85,15 +59,7 @@
             return;
         }
     };
-    let now = state.now();
-    let word = limit_board::LimitWord { per_s, sent: item.sent, heard: now };
-    if state.view().limits_mut().take(now, item.number, word) {
-        log::info!(
-            event = event::UPSTREAM_LIMITED.number, upstream = item.upstream,
-            per_s = per_s.unwrap_or(-1.0), purpose = item.purpose.code();
-            "upstream_limited"
-        );
-    }
+    permits::note_word(state, item, sent, per_s);
 }
 
 /// Takes that an upstream leaves; returns whether it is news.
--- a/coltsfootd/src/gateway/loads.rs
+++ b/coltsfootd/src/gateway/loads.rs
@@ -6,7 +6,6 @@
 use coltsfoot_gateway::demand;
 use coltsfoot_http::message;
 use coltsfoot_wire::fleet as wire;
-use rustc_hash::FxHashMap;
 
 use crate::gateway::{engines, fleet, state};
 
@@ -15,33 +14,15 @@
 /// Questions sent without any answer, after which the owner counts as lost.
 const MAX_SENDS: usize = 4;
 
-/// Questions by their number.
-#[derive(Default)]
-pub(crate) struct OpenLoads {
-    open: sync::Mutex<FxHashMap<u64, async_channel::Sender<wire::LoadVerdict>>>,
-}
-
-impl OpenLoads {
-    /// Passes an answer on to its question.
-    pub fn settle(&self, ask: u64, verdict: wire::LoadVerdict) {
-        if let Some(sender) = state::lock(&self.open).get(&ask) {
-            // The question may have been given up.
-            let _ = sender.try_send(verdict);
-        }
-    }
-}
-
-/// Removes a question when its asker has left.
-struct OpenQuestion<'a> {
+/// Notes that an adapter is no longer asked for when its asker has left.
+struct AskedAdapter<'a> {
     state: &'a state::GatewayState,
     upstream: &'a str,
     key: demand::AdapterKey,
-    ask: u64,
 }
 
-impl Drop for OpenQuestion<'_> {
+impl Drop for AskedAdapter<'_> {
     fn drop(&mut self) {
-        state::lock(&self.state.loads.open).remove(&self.ask);
         self.state.view().load_ended(self.upstream, self.key);
     }
 }
@@ -62,13 +43,12 @@
         let owner = slot.residency.owner.and_then(|id| view.peer(id)).map(|peer| peer.address);
         (slot.number, owner, view.newest_version(key))
     };
-    let ask: u64 = rand::random();
-    let (sender, receiver) = async_channel::bounded(4);
-    state::lock(&state.loads.open).insert(ask, sender);
-    let _open = OpenQuestion { state, upstream, key, ask };
+    let _asked = AskedAdapter { state, upstream, key };
+    let open = state.loads.begin();
+    let (ask, receiver) = (open.number, &open.answers);
     let asker = engines::LoadAsker::Local(ask);
     if state.desks.ask(state, number, name, version, was_missing, asker) {
-        return final_verdict(&receiver, limit).await;
+        return final_verdict(receiver, limit).await;
     }
     let Some(owner) = owner else { return wire::LoadVerdict::NotOwner };
     let question = wire::LoadAsk {
@@ -83,7 +63,7 @@
     for _ in 0..MAX_SENDS {
         fleet::send(state, [owner], &wire::FleetMessage::Ask(question.clone()));
         match message::within(REPEAT_INTERVAL, receiver.recv()).await {
-            Some(Ok(wire::LoadVerdict::Accepted)) => return final_verdict(&receiver, limit).await,
+            Some(Ok(wire::LoadVerdict::Accepted)) => return final_verdict(receiver, limit).await,
             Some(Ok(verdict)) => return verdict,
             Some(Err(_)) => return wire::LoadVerdict::Failed,
             None => {}
--- a/coltsfootd/src/gateway/metrics.rs
+++ b/coltsfootd/src/gateway/metrics.rs
@@ -15,6 +15,7 @@
     loads: metrics::Counter<u64>,
     orders: metrics::Counter<u64>,
     reports: metrics::Counter<u64>,
+    permits: metrics::Counter<u64>,
     crash_suspects: metrics::Counter<u64>,
     duration: metrics::Histogram<f64>,
     first_event: metrics::Histogram<f64>,
@@ -35,6 +36,10 @@
                 .counter("coltsfoot_gateway_orders", "Orders to engines, by their answer"),
             reports: registry
                 .counter("coltsfoot_gateway_reports", "Reports asked of engines, by success"),
+            permits: registry.counter(
+                "coltsfoot_gateway_permits",
+                "Questions for leave to send to upstreams that named a limit, by answer and purpose",
+            ),
             crash_suspects: registry.counter(
                 "coltsfoot_gateway_crash_suspects",
                 "Requests that were at an upstream when it crashed",
@@ -77,6 +82,12 @@
         self.reports.add(1, &[KeyValue::new("read", is_read)]);
     }
 
+    /// Counts a question for leave to send to an upstream that named a limit.
+    pub fn count_permit(&self, verdict: &'static str, purpose: &'static str) {
+        let labels = [KeyValue::new("verdict", verdict), KeyValue::new("purpose", purpose)];
+        self.permits.add(1, &labels);
+    }
+
     /// Counts requests that were at an upstream when it crashed.
     pub fn count_crash_suspects(&self, requests: usize) {
         self.crash_suspects.add(requests as u64, &[]);
--- a/coltsfootd/src/gateway/mod.rs
+++ b/coltsfootd/src/gateway/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Decisions are in `coltsfoot-gateway`; the platform's names and formats in `site-platform`.
 
+mod asks;
 mod attempt;
 mod beats;
 mod callers;
@@ -16,6 +17,7 @@
 mod loads;
 mod metrics;
 mod news;
+mod permits;
 mod relay;
 mod reload;
 mod request_log;
--- a/coltsfootd/src/gateway/run.rs
+++ b/coltsfootd/src/gateway/run.rs
@@ -13,7 +13,8 @@
 use site_platform::{settings, store};
 
 use crate::gateway::{
-    beats, callers, crashes, engines, fleet, follower, lease, loads, metrics, news, reload, state,
+    asks, beats, callers, crashes, engines, fleet, follower, lease, metrics, news, permits, reload,
+    state,
 };
 use crate::{clock, event, metrics as registry};
 
@@ -201,7 +202,8 @@
         retries: sync::Mutex::default(),
         lease: sync::Mutex::new(order_lease::OrderLease::new(lease_settings)),
         desks: engines::DeskTable::default(),
-        loads: loads::OpenLoads::default(),
+        loads: asks::OpenAsks::default(),
+        permits: permits::PermitState::default(),
         crashes: crashes::CrashState::default(),
         fleet_socket,
         operator_read: sync::Mutex::default(),
--- a/coltsfootd/src/gateway/state.rs
+++ b/coltsfootd/src/gateway/state.rs
@@ -15,7 +15,7 @@
 use rustc_hash::FxHashMap;
 use site_platform::{settings, store};
 
-use crate::gateway::{crashes, engines, loads, metrics, news};
+use crate::gateway::{asks, crashes, engines, metrics, news, permits};
 use crate::{clock, event};
 
 /// Part of the promised retries that is used, so that instances that miss each other stay within.
@@ -41,7 +41,8 @@
     pub retries: sync::Mutex<FxHashMap<sync::Arc<str>, retry_budget::RetryBudget>>,
     pub lease: sync::Mutex<order_lease::OrderLease>,
     pub desks: engines::DeskTable,
-    pub loads: loads::OpenLoads,
+    pub loads: asks::OpenAsks<fleet::LoadVerdict>,
+    pub permits: permits::PermitState,
     pub crashes: crashes::CrashState,
     pub fleet_socket: async_io::Async<net::UdpSocket>,
     /// When the operator's records and the upstreams' entries were read last.
