--- a/coltsfoot-gateway/tests/desk.rs
+++ b/coltsfoot-gateway/tests/desk.rs
@@ -284,7 +284,8 @@
         }
     }
     assert_eq!(reports, [10_000, 20_000]);
-    desk.ask(at(now), &adapter(2), None, 1, |_| false);
-    let step = desk.next_step(at(now), leave, |_| false, |_| None);
+    let later = at(25_000);
+    desk.ask(later, &adapter(2), None, 1, |_| false);
+    let step = desk.next_step(later, leave, |_| false, |_| None);
     assert!(matches!(step, DeskStep::Order { .. }), "orders need no report: {step:?}");
 }
