Name a crash by when connections broke, not by when it was found out

A request that crashes its upstreams ran at a fourth one.

The crash was found out 0.3 s later by the next entry and named by that time; the next crash came 0.9 s after it and was taken for the same one, as crashes of one upstream less than 1 s apart are. Ruled out: instances that do not know each other yet (the failures stay with a second's pause before the first crash).

--- a/coltsfoot-gateway/src/crash_ledger.rs
+++ b/coltsfoot-gateway/src/crash_ledger.rs
@@ -119,19 +119,20 @@
         is_cleared.then(|| audience(crashes as usize))
     }
 
-    /// Notes that an upstream has crashed, at a time in milliseconds since the Unix epoch. Returns the
-    /// notices for other instances.
+    /// Notes that an upstream has crashed. `unix_ms` is now, in milliseconds since the Unix epoch. Returns
+    /// the notices for other instances.
     pub fn crash(
         &mut self,
         now: clock::MonotonicTime,
         upstream: &str,
         unix_ms: u64,
     ) -> CrashNotices {
-        self.suspects.crash(now, &crash_id(upstream, unix_ms), &mut self.table)
+        let crash = self.crash_id(now, upstream, unix_ms);
+        self.suspects.crash(now, &crash, &mut self.table)
     }
 
     /// Notes that an upstream's entry is gone or that of a new incarnation, after a crash or since it
-    /// has left in order, at a time in milliseconds since the Unix epoch. Only requests whose
+    /// has left in order. `unix_ms` is now, in milliseconds since the Unix epoch. Only requests whose
     /// connections broke are suspected. Returns the notices for other instances.
     pub fn gone(
         &mut self,
@@ -139,7 +140,8 @@
         upstream: &str,
         unix_ms: u64,
     ) -> CrashNotices {
-        self.suspects.gone(now, &crash_id(upstream, unix_ms), &mut self.table)
+        let crash = self.crash_id(now, upstream, unix_ms);
+        self.suspects.gone(now, &crash, &mut self.table)
     }
 
     /// Notes that an upstream runs on, so that connections that broke were not lost by a crash.
@@ -178,9 +180,13 @@
         notices.truncate(MAX_TOLD_AGAIN);
         notices
     }
-}
 
-/// Names a crash by its time: an upstream may be back before its entry tells of a new incarnation.
-fn crash_id(upstream: &str, unix_ms: u64) -> once::CrashId {
-    once::CrashId { upstream: upstream.into(), generation: unix_ms }
+    /// Names a crash by its time: an upstream may be back before its entry tells of a new incarnation.
+    /// The crash was when connections broke, which may be well before it is found out.
+    fn crash_id(&self, now: clock::MonotonicTime, upstream: &str, unix_ms: u64) -> once::CrashId {
+        let lost_at = self.suspects.last_lost(now, &name::UpstreamName::from(upstream));
+        let age = lost_at.map_or(time::Duration::ZERO, |lost_at| now.since(lost_at));
+        let generation = unix_ms.saturating_sub(age.as_millis() as u64);
+        once::CrashId { upstream: upstream.into(), generation }
+    }
 }
--- a/coltsfoot-gateway/tests/crashes.rs
+++ b/coltsfoot-gateway/tests/crashes.rs
@@ -158,3 +158,19 @@
         assert_eq!(collectors(own).len(), 2, "a collector tells the two others");
     }
 }
+
+/// The first crash shows by the upstream's next entry only, shortly before it crashes again.
+#[test]
+fn a_crash_that_is_found_out_late_does_not_hide_the_next_one() {
+    let at_ms = |ms: u64| clock::MonotonicTime(ms * 1000);
+    let mut ledger = crash_ledger::CrashLedger::default();
+    let lose = |ledger: &mut crash_ledger::CrashLedger, ms| {
+        let attempt = ledger.begin("a", CRASHING);
+        ledger.end(at_ms(ms), "a", attempt, &CRASHING, RunEnd::ConnectionLost);
+    };
+    lose(&mut ledger, 0);
+    assert_eq!(ledger.gone(at_ms(400), "a", 50_400).len(), 1);
+    lose(&mut ledger, 1_200);
+    assert_eq!(ledger.crash(at_ms(1_201), "a", 51_201).len(), 1);
+    assert_eq!(ledger.crashes(at_ms(1_300), &CRASHING), 2);
+}
--- a/coltsfoot-once/src/crash_suspects.rs
+++ b/coltsfoot-once/src/crash_suspects.rs
@@ -83,6 +83,16 @@
         }
     }
 
+    /// Returns when the last connection to an upstream broke that may have met a crash.
+    pub fn last_lost(
+        &self,
+        now: clock::MonotonicTime,
+        upstream: &name::UpstreamName,
+    ) -> Option<clock::MonotonicTime> {
+        let runs = self.runs.get(upstream).into_iter().flatten();
+        runs.filter_map(|run| run.lost_at).filter(|lost_at| is_fresh(now, *lost_at)).max()
+    }
+
     /// Notes that an upstream has crashed and returns the notices for the other instances.
     pub fn crash(
         &mut self,
--- a/coltsfootd/src/gateway/crashes.rs
+++ b/coltsfootd/src/gateway/crashes.rs
@@ -138,6 +138,8 @@
             Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
                 return ProbeFinding::PortClosed;
             }
+            // Accepted by a port that was closed at the same moment.
+            Err(error) if error.kind() == io::ErrorKind::ConnectionReset => continue,
             Err(_) => return ProbeFinding::Unknown,
         };
         let mut stream = message::MessageStream::new(connected);
