Keep two more unused sends of a named limit, and model engines that name one

With one unused send, leave was lost whenever no caller came for a moment. In 4 s an engine gets 4.5 times its limit and two at most, or four times and three (8 at 1.4, where 13 are allowed).

--- a/coltsfoot-gateway/src/send_permits.rs
+++ b/coltsfoot-gateway/src/send_permits.rs
@@ -10,10 +10,12 @@
 /// Sends a second that a lower limit is raised to: only an answer tells that a limit has ended. In the
 /// span over which the platform counts (4 s) that is one send, of the five that it allows beside a limit.
 const MIN_RATE: f64 = 0.25;
-/// Time for which sends that were not asked for are kept. With it an upstream gets 4.5 times the limit
-/// in 4 s at most where six times are allowed; the rest is for the time in which instances disagree on
-/// who gives leave.
+/// Time for which sends that were not asked for are kept, and further ones that are kept for longer, as
+/// callers come at random. With both an upstream gets 4.5 times its limit and two in 4 s at most, or
+/// four times and three, where six times and five are allowed; the rest is for the time in which
+/// instances disagree on who gives leave.
 const BURST_TIME: time::Duration = time::Duration::from_millis(500);
+const SPARE_SENDS: f64 = 2.0;
 /// Time after the last question for which an upstream is remembered.
 const MEMORY: time::Duration = time::Duration::from_secs(60);
 
@@ -60,7 +62,7 @@
     /// Adds what has come since, and returns the time until there is one send.
     fn refill(&mut self, now: clock::MonotonicTime, rate: f64) -> time::Duration {
         let earned = now.since(self.updated).as_secs_f64() * rate;
-        let capacity = (rate * BURST_TIME.as_secs_f64()).max(1.0);
+        let capacity = (rate * BURST_TIME.as_secs_f64()).max(1.0) + SPARE_SENDS;
         self.level = (self.level + earned).min(capacity);
         self.updated = self.updated.max(now);
         time::Duration::from_secs_f64((1.0 - self.level).max(0.0) / rate)
--- a/coltsfoot-gateway/tests/limits.rs
+++ b/coltsfoot-gateway/tests/limits.rs
@@ -119,7 +119,8 @@
         assert!(take(1_000, 50.0).is_ok(), "what was not asked for is kept for a while");
     }
     assert!(take(2_000, 50.0).is_ok());
-    assert!(take(3_000, 1.0).is_ok());
+    let at_once = (0..50).take_while(|_| take(3_000, 1.0).is_ok()).count();
+    assert_eq!(at_once, 3, "as many as if the limit had been low all the time");
     assert_eq!(take(3_000, 1.0), Err(time::Duration::from_secs(1)));
 }
 
--- a/coltsfoot-measure/src/burst/arrivals.rs
+++ b/coltsfoot-measure/src/burst/arrivals.rs
@@ -34,14 +34,20 @@
 }
 
 /// Draws all requests, in the order of their arrival.
-pub fn draw(seed: u64, instances: usize, has_adapters: bool) -> Vec<CallerRequest> {
+pub fn draw(
+    seed: u64,
+    instances: usize,
+    has_adapters: bool,
+    has_burst: bool,
+) -> Vec<CallerRequest> {
     let mut rng = rngs::StdRng::seed_from_u64(seed);
     let popularity = rand_distr::Zipf::new(ADAPTERS, ADAPTER_EXPONENT).expect("a valid exponent");
     let spread = rand_distr::LogNormal::new(-0.3, 0.8).expect("a valid spread");
     let mut requests = Vec::new();
     let mut now = 0.0;
     loop {
-        let rate = if BURST_MS.contains(&(now as u64)) { BURST_PER_S } else { CALM_PER_S };
+        let rate =
+            if has_burst && BURST_MS.contains(&(now as u64)) { BURST_PER_S } else { CALM_PER_S };
         let gap: f64 = rand_distr::Exp::new(rate / 1000.0).expect("a rate").sample(&mut rng);
         now += gap;
         if now as u64 >= END_MS {
--- a/coltsfoot-measure/src/burst/instance.rs
+++ b/coltsfoot-measure/src/burst/instance.rs
@@ -3,7 +3,8 @@
 use std::collections::BTreeMap;
 use std::time;
 
-use coltsfoot_gateway::{engine_desk, engine_order, fleet_view};
+use coltsfoot_gateway::{engine_desk, engine_order, fleet_view, send_permits};
+use coltsfoot_types::time as clock;
 use coltsfoot_wire::fleet;
 
 use crate::burst::{at, engine};
@@ -18,6 +19,8 @@
     pub view: fleet_view::FleetView,
     /// Desks of the engines owned, by the engine's place in the model.
     pub desks: BTreeMap<usize, engine_desk::EngineDesk<ModelAsker>>,
+    /// Until when engines owned take no orders, by their place.
+    paused: BTreeMap<usize, clock::MonotonicTime>,
     sequence: u64,
 }
 
@@ -26,7 +29,7 @@
     pub fn new(number: usize, zone: String, view: fleet_view::FleetView, owned: &[usize]) -> Self {
         let desk = || engine_desk::EngineDesk::new("m".into(), engine::PLACES);
         let desks = owned.iter().map(|engine| (*engine, desk())).collect();
-        Self { number, zone, view, desks, sequence: 0 }
+        Self { number, zone, view, desks, paused: BTreeMap::new(), sequence: 0 }
     }
 
     /// Returns what the others are told now.
@@ -71,7 +74,8 @@
         let slot = self.view.upstream(&ids[place]).expect("known");
         let in_use = |key| slot.is_in_use(at(now), key);
         let fetches = self.view.fetch_load(self.view.fetch_backlog());
-        self.desks[&place].describe(at(now), slot.number, 1, true, fetches, in_use)
+        let takes_orders = self.paused.get(&place).is_none_or(|until| at(now) >= *until);
+        self.desks[&place].describe(at(now), slot.number, 1, takes_orders, fetches, in_use)
     }
 
     /// Returns the adapters on their way to the engines owned.
@@ -79,31 +83,46 @@
         self.desks.values().map(|desk| desk.fetching(at(now))).sum()
     }
 
-    /// Returns the next order for an engine owned, or takes a report if one is due.
-    pub fn next_order(
-        &mut self,
-        now: u64,
-        place: usize,
-        id: &str,
-        engine: &engine::ModelEngine,
-    ) -> Option<engine_order::EngineOrder> {
+    /// Returns the next step of the desk of an engine owned.
+    pub fn next_step(&mut self, now: u64, place: usize, id: &str) -> engine_order::DeskStep {
         let own = self.fetching(now);
         let may_fetch = self.view.fetch_load(own + self.view.fetching()).may_fetch(own);
+        let slot = self.view.upstream(id).expect("known");
+        let limit = self.view.limits().limit(at(now), slot.number);
         let leave = engine_order::OrderLeave {
             may_order: true,
             may_fetch,
-            report_pause: time::Duration::ZERO,
+            report_pause: limit.map_or(time::Duration::ZERO, send_permits::report_pause),
         };
-        let slot = self.view.upstream(id).expect("known");
+        if let Some(until) = self.paused.get(&place).filter(|until| at(now) < **until) {
+            return engine_order::DeskStep::Wait(*until);
+        }
         let desk = self.desks.get_mut(&place).expect("owned");
         let in_use = |key| slot.is_in_use(at(now), key);
-        match desk.next_step(at(now), leave, in_use, |_| None) {
+        desk.next_step(at(now), leave, in_use, |_| None)
+    }
+
+    /// Returns the order of a step, or takes the report that it asks for.
+    pub fn carry_out(
+        &mut self,
+        now: u64,
+        place: usize,
+        step: engine_order::DeskStep,
+        engine: &engine::ModelEngine,
+    ) -> Option<engine_order::EngineOrder> {
+        match step {
             engine_order::DeskStep::Order { order, .. } => Some(order),
             engine_order::DeskStep::Report => {
+                let desk = self.desks.get_mut(&place).expect("owned");
                 desk.report_ended(at(now), Some(&engine.report(now)));
                 None
             }
             engine_order::DeskStep::Wait(_) => None,
         }
     }
+
+    /// Notes that an engine owned takes no orders for a while.
+    pub fn pause(&mut self, now: u64, place: usize, wait: time::Duration) {
+        self.paused.insert(place, at(now) + wait);
+    }
 }
--- a/coltsfoot-measure/src/burst/world.rs
+++ b/coltsfoot-measure/src/burst/world.rs
@@ -4,7 +4,10 @@
 use std::sync;
 use std::time;
 
-use coltsfoot_gateway::{demand, engine_choice, fleet_view, place_search, rules, upstream};
+use coltsfoot_gateway::{
+    demand, engine_choice, engine_order, fleet_view, limit_board, place_search, rules,
+    send_permits, upstream,
+};
 use coltsfoot_wire::fleet;
 
 use crate::burst::{arrivals, at, engine, instance};
@@ -25,6 +28,23 @@
 /// Time for a load before it counts as failed, in milliseconds.
 const LOAD_LIMIT_MS: u64 = 900;
 
+/// Time of a question for leave to send and its answer, in milliseconds.
+const PERMIT_MS: u64 = 2 * DELAY_MS;
+/// Span over which sends to limited engines are counted, in milliseconds: that of the users' rule.
+const LIMIT_SPAN_MS: u64 = 4_000;
+
+/// When limits are named, in milliseconds: once the engines hold what is asked for.
+const LIMITED_FROM_MS: u64 = 5_000;
+
+/// Engines that name a limit.
+#[derive(Clone, Copy, Debug)]
+pub struct NamedLimits {
+    /// How many engines name one.
+    pub engines: usize,
+    /// Requests a second that each of them takes.
+    pub per_s: f64,
+}
+
 /// How engines are chosen.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ChoicePolicy {
@@ -48,9 +68,21 @@
     pub lost: usize,
     pub fetches: usize,
     pub misdirected: usize,
+    /// Requests and orders that each limited engine got, by time in milliseconds.
+    pub limited_sends: BTreeMap<usize, Vec<u64>>,
 }
 
 impl BurstResult {
+    /// Returns the largest number of requests and orders that a limited engine got in 4 s.
+    pub fn busiest_span(&self) -> usize {
+        let spans = self.limited_sends.values().flat_map(|sends| {
+            sends.iter().enumerate().map(|(first, begin)| {
+                sends[first..].iter().filter(|sent| **sent < begin + LIMIT_SPAN_MS).count()
+            })
+        });
+        spans.max().unwrap_or(0)
+    }
+
     /// Returns the worth earned, as a share of all.
     pub fn worth(&self) -> f64 {
         (self.in_target as f64 + LATE_WORTH * self.late as f64) / self.requests as f64
@@ -90,12 +122,21 @@
     requests: Vec<RequestState>,
     mail: BTreeMap<(u64, u64), Message>,
     sent: u64,
+    /// Leave as the giver of all limited engines gives it.
+    permits: send_permits::PermitLedger,
+    limits: NamedLimits,
     result: BurstResult,
 }
 
 impl BurstWorld {
     /// Creates a fleet and draws the requests.
-    pub fn new(seed: u64, instances: usize, engines: usize, policy: ChoicePolicy) -> Self {
+    pub fn new(
+        seed: u64,
+        instances: usize,
+        engines: usize,
+        policy: ChoicePolicy,
+        limits: NamedLimits,
+    ) -> Self {
         let ids: Vec<sync::Arc<str>> =
             (0..engines).map(|place| format!("e{place}").into()).collect();
         let zone = |number: usize| format!("z{}", number % ZONES);
@@ -118,7 +159,8 @@
             })
             .collect();
         let has_adapters = policy != ChoicePolicy::NoAdapters;
-        let drawn = arrivals::draw(seed, instances.len(), has_adapters);
+        let has_burst = limits.engines == 0;
+        let drawn = arrivals::draw(seed, instances.len(), has_adapters, has_burst);
         let requests = drawn.into_iter().map(|request| RequestState {
             search: search(request.arrival_ms),
             phase: Phase::Search { next_ms: request.arrival_ms },
@@ -137,6 +179,8 @@
             requests: requests.collect(),
             mail: BTreeMap::new(),
             sent: 0,
+            permits: send_permits::PermitLedger::default(),
+            limits,
             result: BurstResult::default(),
         }
     }
@@ -145,6 +189,9 @@
     pub fn run(mut self) -> BurstResult {
         self.result.requests = self.requests.len();
         for now in 0..arrivals::END_MS + 3 * DEADLINE_MS {
+            if now == LIMITED_FROM_MS {
+                self.name_limits();
+            }
             self.deliver(now);
             self.end_runs(now);
             if now.is_multiple_of(DESK_MS) {
@@ -162,6 +209,17 @@
         self.result
     }
 
+    fn name_limits(&mut self) {
+        let (sent, heard) = (at(LIMITED_FROM_MS - 1), at(LIMITED_FROM_MS));
+        let word = limit_board::LimitWord { per_s: Some(self.limits.per_s), sent, heard };
+        for instance in &mut self.instances {
+            for id in &self.ids[..self.limits.engines] {
+                let number = instance.view.upstream(id).expect("known").number;
+                instance.view.limits_mut().take(heard, number, word);
+            }
+        }
+    }
+
     fn post(&mut self, due: u64, message: Message) {
         self.sent += 1;
         self.mail.insert((due, self.sent), message);
@@ -239,11 +297,29 @@
         }
     }
 
+    /// Returns the next order for an engine, or takes a report if one is due, as far as there is leave.
+    fn next_order(&mut self, now: u64, place: usize) -> Option<engine_order::EngineOrder> {
+        let owner = self.owners[place];
+        let step = self.instances[owner].next_step(now, place, &self.ids[place]);
+        if matches!(step, engine_order::DeskStep::Wait(_)) {
+            return None;
+        }
+        let leave = self.ask_leave(now, place, send_permits::PermitClass::Upkeep);
+        let owner = &mut self.instances[owner];
+        match leave {
+            Ok(()) => owner.carry_out(now, place, step, &self.engines[place]),
+            Err(wait) => {
+                owner.pause(now, place, wait);
+                None
+            }
+        }
+    }
+
     fn tend_desks(&mut self, now: u64) {
         for place in 0..self.engines.len() {
-            let owner = &mut self.instances[self.owners[place]];
-            let engine = &self.engines[place];
-            if let Some(order) = owner.next_order(now, place, &self.ids[place], engine) {
+            let order = self.next_order(now, place);
+            if let Some(order) = order {
+                let owner = &mut self.instances[self.owners[place]];
                 let fetching: usize = self.engines.iter().map(|engine| engine.fetching(now)).sum();
                 let (answer, is_fetch) = self.engines[place].order(now, &order, fetching);
                 self.result.fetches += usize::from(is_fetch);
@@ -357,7 +433,30 @@
         self.ids.iter().position(|known| **known == *id).expect("known")
     }
 
+    /// Asks for leave to send something to an engine; returns the time until there may be some.
+    fn ask_leave(
+        &mut self,
+        now: u64,
+        place: usize,
+        class: send_permits::PermitClass,
+    ) -> Result<(), time::Duration> {
+        let view = &self.instances[0].view;
+        let engine = view.upstream(&self.ids[place]).expect("known").number;
+        let Some(per_s) = view.limits().limit(at(now), engine) else { return Ok(()) };
+        self.permits.take(at(now), engine, per_s, class)?;
+        self.result.limited_sends.entry(place).or_default().push(now);
+        Ok(())
+    }
+
     fn send(&mut self, now: u64, number: usize, place: usize) {
+        if let Err(wait) = self.ask_leave(now, place, send_permits::PermitClass::Request) {
+            let state = &mut self.requests[number];
+            let view = &mut self.instances[state.request.instance].view;
+            let engine = view.upstream(&self.ids[place]).expect("known").number;
+            view.intake_mut().hold(at(now), engine, wait);
+            state.phase = Phase::Search { next_ms: now + PERMIT_MS };
+            return;
+        }
         let state = &mut self.requests[number];
         let request = &state.request;
         let view = &mut self.instances[request.instance].view;
--- a/coltsfoot-measure/src/cmd/burst.rs
+++ b/coltsfoot-measure/src/cmd/burst.rs
@@ -2,7 +2,7 @@
 
 use serde::Serialize;
 
-use crate::burst::world::{BurstWorld, ChoicePolicy};
+use crate::burst::world::{BurstWorld, ChoicePolicy, NamedLimits};
 use crate::cmd::{MeasureError, MeasureOptions};
 
 /// Instances and engines of the users' smaller site.
@@ -21,6 +21,17 @@
     lost: usize,
     fetches: usize,
     misdirected: usize,
+    busiest_span: usize,
+}
+
+/// Decodes `limited-ENGINES-LIMIT`; other cases name no limits.
+fn named_limits(case: &str) -> Option<NamedLimits> {
+    let Some(limits) = case.strip_prefix("limited-") else {
+        return Some(NamedLimits { engines: 0, per_s: 0.0 });
+    };
+    let (engines, per_s) = limits.split_once('-')?;
+    let engines = engines.parse().ok().filter(|engines| *engines <= ENGINES)?;
+    Some(NamedLimits { engines, per_s: per_s.parse().ok()? })
 }
 
 /// Runs the measure. Cases name the policy.
@@ -31,9 +42,11 @@
         "coming-unknown" => ChoicePolicy::ComingUnknown,
         "least-loaded" => ChoicePolicy::LeastLoaded,
         "no-adapters" => ChoicePolicy::NoAdapters,
+        _ if case.starts_with("limited") => ChoicePolicy::Gateway,
         _ => return Err(MeasureError::UnknownCase(case)),
     };
-    let result = BurstWorld::new(options.seed, INSTANCES, ENGINES, policy).run();
+    let limits = named_limits(&case).ok_or(MeasureError::UnknownCase(case.clone()))?;
+    let result = BurstWorld::new(options.seed, INSTANCES, ENGINES, policy, limits).run();
     let report = BurstReport {
         case,
         seed: options.seed,
@@ -45,6 +58,7 @@
         lost: result.lost,
         fetches: result.fetches,
         misdirected: result.misdirected,
+        busiest_span: result.busiest_span(),
     };
     let line = serde_json::to_string(&report).expect("a report of numbers can be encoded");
     println!("{line}");
--- a/coltsfoot-measure/tests/burst.rs
+++ b/coltsfoot-measure/tests/burst.rs
@@ -2,6 +2,8 @@
 
 use std::process;
 
+use rstest::rstest;
+
 /// Seeds over which worth is averaged.
 const SEEDS: std::ops::RangeInclusive<u64> = 1..=8;
 
@@ -42,6 +44,28 @@
     assert!(refusals < blind_refusals, "{refusals} against {blind_refusals}");
 }
 
+/// Four of twelve engines name a limit of a third of what they get: what they no longer take goes to the
+/// others, and nobody is refused.
+#[test]
+fn requests_go_elsewhere_when_engines_name_limits() {
+    let [worth, refusals, _] = mean("limited-4-1.4");
+    assert!(worth >= 0.95, "{worth}");
+    assert_eq!(refusals, 0.0);
+}
+
+/// All engines name a limit, as in a shortage.
+#[rstest]
+#[case::low("limited-12-0.5", 0.5)]
+#[case::a_third("limited-12-1.4", 1.4)]
+#[case::high("limited-12-5", 5.0)]
+fn engines_get_no_more_than_the_limits_that_they_name(#[case] case: &str, #[case] per_s: f64) {
+    for seed in SEEDS {
+        let most = report(case, seed)["busiest_span"].as_f64().expect("a number");
+        assert!(most <= per_s * 4.0 * 1.5 + 5.0, "{most} requests and orders in 4 s");
+        assert!(most >= per_s * 4.0 * 0.5, "{most} requests and orders in 4 s");
+    }
+}
+
 #[test]
 fn a_run_repeats() {
     assert_eq!(report("gateway", 5), report("gateway", 5));
