Give leave for as much of a limit as the part of the instances that is heard

A model of many instances and one limited upstream (coltsfoot-measure limits), with slow and lost messages, the giver killed, instances that return and join, and a zone cut off for 5 s. In a cut both sides had a giver with the whole limit: 82 requests in 4 s where 65 are allowed at a limit of 10 a second with 6 and with 60 instances, 322 of 245 at 40. The new tests fail on that. After 12 s the instances across a partition are forgotten; beyond that both sides have all of it, as they would otherwise never recover from a loss.

Parts starve at low limits, as one send takes minutes to come together, or pass the limit, as each instance keeps one. The giver costs two messages a question, 460 a second for 240 requests a second at 195 instances.

--- a/coltsfoot-gateway/src/fleet_view/givers.rs
+++ b/coltsfoot-gateway/src/fleet_view/givers.rs
@@ -25,7 +25,20 @@
 /// Instances to ask in turn.
 pub type PermitGivers = SmallVec<[PermitGiver; GIVERS]>;
 
+fn is_heard(now: clock::MonotonicTime, peer: &peer_slot::PeerSlot) -> bool {
+    now.since(peer.heard) < OWNER_SILENCE.max(peer.interval * BEATS_TO_LOSE)
+}
+
 impl FleetView {
+    /// Returns the sends a second for which this instance gives leave, if it does and the upstream named
+    /// a limit: as large a part of the limit as the part of the known instances that are heard. Those
+    /// across a partition have a giver of their own.
+    pub fn permit_rate(&self, now: clock::MonotonicTime, number: u32) -> Option<f64> {
+        let limit = self.limits.limit(now, number)?;
+        let heard = self.peers.values().filter(|peer| is_heard(now, peer)).count() + 1;
+        Some(limit * heard as f64 / (self.peers.len() + 1) as f64)
+    }
+
     /// Returns the instances to ask for leave to send to an upstream, the one that gives it first. They
     /// are of the upstream's zone if some of its instances are heard, so that whoever reaches the
     /// upstream across a partition reaches the giver. `own` is this instance, in `zone`; it gives no
@@ -40,10 +53,7 @@
     ) -> PermitGivers {
         let upstream = self.upstream_id(number).and_then(|id| self.upstream(id));
         let upstream_zone = upstream.map(|slot| &*slot.entry.zone);
-        let is_usable = |peer: &&peer_slot::PeerSlot| {
-            let longest = OWNER_SILENCE.max(peer.interval * BEATS_TO_LOSE);
-            !peer.is_leaving && now.since(peer.heard) < longest
-        };
+        let is_usable = |peer: &peer_slot::PeerSlot| !peer.is_leaving && is_heard(now, peer);
         let mut givers: SmallVec<[(bool, u64, PermitGiver); 8]> = SmallVec::new();
         let mut add = |id: u64, zone: &str, giver: PermitGiver| {
             let weight = rendezvous::weight(u64::from(number), id);
--- a/coltsfoot-gateway/tests/limits.rs
+++ b/coltsfoot-gateway/tests/limits.rs
@@ -169,6 +169,23 @@
     assert_eq!(givers(&view, 900), [first], "the other one is silent");
 }
 
+/// Four of six instances are cut off: those that are left give leave for a third of the limit, and for all
+/// of it once the others are forgotten.
+#[test]
+fn both_sides_of_a_partition_keep_to_one_limit() {
+    let mut view = fleet(&[("a", "z")]);
+    let number = view.upstream("a").expect("known").number;
+    view.limits_mut().take(at(0), number, word(Some(6.0), 0, 0));
+    (2..=6).for_each(|id| hear(&mut view, 0, id, "z", false));
+    assert_eq!(view.permit_rate(at(100), number), Some(6.0));
+    hear(&mut view, 2_000, 2, "z", false);
+    assert_eq!(view.permit_rate(at(2_100), number), Some(2.0));
+    hear(&mut view, 13_000, 2, "z", false);
+    view.expire(at(13_000));
+    assert_eq!(view.permit_rate(at(13_000), number), Some(6.0));
+    assert_eq!(view.permit_rate(at(13_000), number + 1), None, "no limit");
+}
+
 #[test]
 fn an_upstream_without_leave_is_passed_over_until_there_is_some() {
     let mut view = fleet(&[("a", "z"), ("b", "z")]);
--- a/coltsfoot-measure/src/cmd/mod.rs
+++ b/coltsfoot-measure/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 mod config;
 mod control;
 mod fairness;
+mod limits;
 mod member;
 mod once;
 mod placement;
@@ -28,6 +29,7 @@
     MeasureCommand { name: "config", run: config::run },
     MeasureCommand { name: "fairness", run: fairness::run },
     MeasureCommand { name: "control", run: control::run },
+    MeasureCommand { name: "limits", run: limits::run },
     MeasureCommand { name: "member", run: member::run },
     MeasureCommand { name: "once", run: once::run },
     MeasureCommand { name: "path", run: whole_path::run },
--- a/coltsfootd/src/gateway/permits.rs
+++ b/coltsfootd/src/gateway/permits.rs
@@ -119,7 +119,7 @@
 /// Gives leave for one send, or tells when there may be some.
 fn give(state: &state::GatewayState, number: u32, class: PermitClass) -> wire::PermitVerdict {
     let now = state.now();
-    let Some(per_s) = state.view().limits().limit(now, number) else {
+    let Some(per_s) = state.view().permit_rate(now, number) else {
         return wire::PermitVerdict::Granted;
     };
     match state::lock(&state.permits.ledger).take(now, number, per_s, class) {
