Let all instances of a zone agree on whether the zone has a relay

In a large fleet callers got more than their customer's quota, and requests were placed without knowledge of other zones, for up to the first minute after all instances had started together.

Each instance decided for itself whether the fleet is large, by the list of the store that it reads once a minute. The largest instance of a zone read it while few had entered, took the fleet to be small, and did not relay; the others took it for their relay and told other zones nothing. The supposed cause, full buckets on old totals, is ruled out: totals of the own zone were taken in time.

Beats now tell how many instances of other zones the sender has heard or found, and the plan goes by the largest number told in the zone. Only what an instance knows itself is told, so that numbers fall when instances leave. The new test fails on the code before.

--- a/coltsfoot-gateway/src/fleet_view/peers.rs
+++ b/coltsfoot-gateway/src/fleet_view/peers.rs
@@ -36,11 +36,20 @@
         })
     }
 
-    /// Plans the beats to the instances that are known, or found in the store.
+    /// Plans the beats to the instances that are known, found in the store, or known to others of the
+    /// zone: all must agree on whether a relay is needed.
     pub fn beat_plan(&self, zone: &str) -> beat_plan::BeatPlan {
-        let near = self.peers.values().filter(|peer| &*peer.zone == zone).count();
-        let far = self.peers.len() - near;
-        beat_plan::BeatPlan::new(near.max(self.found_near), far.max(self.found_far))
+        let near: SmallVec<[_; 32]> =
+            self.peers.values().filter(|peer| &*peer.zone == zone).collect();
+        let told = near.iter().map(|peer| peer.far_instances).max().unwrap_or(0);
+        let far = self.far_instances(zone).max(told);
+        beat_plan::BeatPlan::new(near.len().max(self.found_near), far)
+    }
+
+    /// Returns how many instances of other zones than its own an instance has heard or found in the store.
+    pub fn far_instances(&self, zone: &str) -> usize {
+        let far = self.peers.values().filter(|peer| &*peer.zone != zone).count();
+        far.max(self.found_far)
     }
 
     /// Notes how many other instances of its own zone and of others an instance found in the store.
--- a/coltsfoot-gateway/src/peer_slot.rs
+++ b/coltsfoot-gateway/src/peer_slot.rs
@@ -30,6 +30,8 @@
     pub interval: time::Duration,
     /// Whether it is about to stop.
     pub is_leaving: bool,
+    /// Instances of other zones than its own that it has heard or found in the store.
+    pub(crate) far_instances: usize,
     /// What it knows of the operator's records.
     pub operator: fleet::TopicReading,
     /// What it knows of the upstreams' entries.
@@ -76,6 +78,7 @@
             sequence: 0,
             interval: time::Duration::ZERO,
             is_leaving: false,
+            far_instances: 0,
             operator: UNREAD,
             upstreams: UNREAD,
             witness: order_lease::LeaseWitness {
@@ -103,6 +106,7 @@
         self.heard = now;
         self.interval = time::Duration::from_millis(u64::from(beat.interval_ms));
         self.is_leaving = beat.is_leaving;
+        self.far_instances = usize::from(beat.far_instances);
         self.capacity = beat.capacity;
         (self.operator, self.upstreams) = (beat.operator, beat.upstreams);
         self.fetching = u32::from(beat.fetching);
--- a/coltsfoot-gateway/tests/fleet_fixture/mod.rs
+++ b/coltsfoot-gateway/tests/fleet_fixture/mod.rs
@@ -73,6 +73,7 @@
         sequence,
         interval_ms: 150,
         is_leaving: false,
+        far_instances: 0,
         operator: fleet::TopicReading::default(),
         upstreams: fleet::TopicReading::default(),
         store_age_ms: 0,
--- a/coltsfoot-gateway/tests/zones.rs
+++ b/coltsfoot-gateway/tests/zones.rs
@@ -228,3 +228,21 @@
     assert_eq!(tried.len(), 2);
     assert!(tried.contains(&address(1)) && tried.contains(&address(2)), "each in turn: {tried:?}");
 }
+
+/// All instances start at once. The largest one reads the list while few are on it, so that it takes the
+/// fleet to be small; the others take it for the relay of their zone.
+#[test]
+fn an_instance_that_found_few_others_relays_its_zone_if_the_others_wait_for_it() {
+    let mut largest = fleet_fixture::fleet(&ENGINES);
+    largest.set_found(1, 2);
+    let mut other = near_beat(2, 1);
+    other.far_instances = 40;
+    largest.take_beat(at(0), &other);
+    assert!(largest.beat_plan("a").is_relayed);
+    assert!(largest.is_relay(at(0), "a", zones::OwnMember { capacity: 250, ..member(1) }));
+    assert_eq!(largest.far_instances("a"), 2, "what is told is not told again");
+    other.far_instances = 2;
+    other.sequence = 2;
+    largest.take_beat(at(200), &other);
+    assert!(!largest.beat_plan("a").is_relayed, "the fleet has become small");
+}
--- a/coltsfoot-measure/src/burst/instance.rs
+++ b/coltsfoot-measure/src/burst/instance.rs
@@ -55,6 +55,7 @@
             sequence: self.sequence,
             interval_ms: 150,
             is_leaving: false,
+            far_instances: 0,
             operator: fleet::TopicReading::default(),
             upstreams: fleet::TopicReading::default(),
             store_age_ms: 0,
--- a/coltsfoot-measure/src/limits/world.rs
+++ b/coltsfoot-measure/src/limits/world.rs
@@ -253,6 +253,7 @@
             sequence: now * 1000 + instance.sequence,
             interval_ms: interval.as_millis() as u32,
             is_leaving: false,
+            far_instances: 0,
             operator: fleet::TopicReading::default(),
             upstreams: fleet::TopicReading::default(),
             store_age_ms: 0,
--- a/coltsfoot-wire/src/fleet.rs
+++ b/coltsfoot-wire/src/fleet.rs
@@ -101,6 +101,8 @@
     pub interval_ms: u32,
     /// Whether the sender is about to stop.
     pub is_leaving: bool,
+    /// Instances of other zones that the sender has heard or found in the store.
+    pub far_instances: u16,
     /// Configuration and adapter versions.
     pub operator: TopicReading,
     /// Entries of upstreams.
--- a/coltsfootd/src/gateway/beats.rs
+++ b/coltsfootd/src/gateway/beats.rs
@@ -119,10 +119,11 @@
     let upstreams = state.told_reading(state.own_upstreams());
     let fetching = state.desks.fetching(now);
     let to_fetch = state.desks.waiting_fetches();
-    let (uses, work, pace) = {
+    let (uses, work, pace, far_instances) = {
         let mut view = state.view();
         view.set_own_backlog(fetching + to_fetch);
-        (view.uses(forget_uses), view.local_work(), view.fetch_pace().clone())
+        let far = u16::try_from(view.far_instances(&state.settings.zone)).unwrap_or(u16::MAX);
+        (view.uses(forget_uses), view.local_work(), view.fetch_pace().clone(), far)
     };
     state.desks.touch(now, &uses);
     wire::FleetBeat {
@@ -133,6 +134,7 @@
         sequence: SEQUENCE.fetch_add(1, atomic::Ordering::Relaxed),
         interval_ms: 0,
         is_leaving: state.is_stopping(),
+        far_instances,
         operator,
         upstreams,
         store_age_ms: u32::try_from(now.since(renewed).as_millis()).unwrap_or(u32::MAX),
