--- a/coltsfootd/src/gateway/engines.rs
+++ b/coltsfootd/src/gateway/engines.rs
@@ -225,15 +225,15 @@
         match step {
             None => return,
             Some(engine_order::DeskStep::Order { order, expected_count }) => {
-                let item = sent_item(&id, number, limit_board::SendPurpose::Order);
-                if has_leave(&state, item).await {
-                    give_order(&state, item, address, partition, order, expected_count).await;
+                let plan = send_plan(&id, number, limit_board::SendPurpose::Order);
+                if has_leave(&state, plan).await {
+                    give_order(&state, plan, address, partition, order, expected_count).await;
                 }
             }
             Some(engine_order::DeskStep::Report) => {
-                let item = sent_item(&id, number, limit_board::SendPurpose::Report);
-                if has_leave(&state, item).await {
-                    fetch_report(&state, item, address).await;
+                let plan = send_plan(&id, number, limit_board::SendPurpose::Report);
+                if has_leave(&state, plan).await {
+                    fetch_report(&state, plan, address).await;
                 }
             }
             Some(engine_order::DeskStep::Wait(due)) => {
@@ -329,20 +329,20 @@
     }
 }
 
-fn sent_item(
+fn send_plan(
     upstream: &str,
     number: u32,
     purpose: limit_board::SendPurpose,
-) -> permits::PermitUse<'_> {
-    permits::PermitUse { upstream, number, purpose, request: "" }
+) -> permits::SendPlan<'_> {
+    permits::SendPlan { upstream, number, purpose, request: "" }
 }
 
 /// Returns whether an engine takes an order or a question for a report now, within the limit that it named.
-async fn has_leave(state: &state::GatewayState, item: permits::PermitUse<'_>) -> bool {
-    match permits::obtain(state, item).await {
+async fn has_leave(state: &state::GatewayState, plan: permits::SendPlan<'_>) -> bool {
+    match permits::obtain(state, plan).await {
         Ok(()) => true,
         Err(pause) => {
-            state.desks.pause(item.upstream, state.now() + pause);
+            state.desks.pause(plan.upstream, state.now() + pause);
             false
         }
     }
@@ -350,14 +350,14 @@
 
 async fn give_order(
     state: &sync::Arc<state::GatewayState>,
-    item: permits::PermitUse<'_>,
+    plan: permits::SendPlan<'_>,
     address: net::SocketAddr,
     partition: u32,
     order: engine_order::EngineOrder,
     expected_count: u64,
 ) {
     let Some(fence) = state.order_fence(partition) else { return };
-    let id = item.upstream;
+    let id = plan.upstream;
     let holder = &state.settings.instance;
     let authority = engine::OrderAuthority { holder, fence, engine: id };
     let encoded = engine::encode_order(&order, expected_count, authority);
@@ -366,7 +366,7 @@
     let called = client::call(&state.pool, address, &head, &body, MAX_REPORT_BYTES, ORDER_TIMEOUT);
     let answer = match called.await {
         Ok(answer) => {
-            intake::note_answer(state, &item, sent, &fields::decode_upstream(&answer.head));
+            intake::note_answer(state, &plan, sent, &fields::decode_upstream(&answer.head));
             engine::decode_order_answer(&answer.head)
         }
         Err(client::CallError::Connect { .. }) => engine_order::OrderAnswer::Refused,
@@ -395,14 +395,14 @@
 
 async fn fetch_report(
     state: &sync::Arc<state::GatewayState>,
-    item: permits::PermitUse<'_>,
+    plan: permits::SendPlan<'_>,
     address: net::SocketAddr,
 ) {
-    let report = call_report(state, item, address).await;
+    let report = call_report(state, plan, address).await;
     state.metrics.count_report(report.is_some());
     let now = state.now();
     let mut slots = state::lock(&state.desks.slots);
-    if let Some(slot) = slots.get_mut(item.upstream) {
+    if let Some(slot) = slots.get_mut(plan.upstream) {
         slot.desk.report_ended(now, report.as_ref());
     }
 }
@@ -410,16 +410,16 @@
 /// Fetches a report; logs why if there is none.
 async fn call_report(
     state: &state::GatewayState,
-    item: permits::PermitUse<'_>,
+    plan: permits::SendPlan<'_>,
     address: net::SocketAddr,
 ) -> Option<upstream::EngineReport> {
-    let id = item.upstream;
+    let id = plan.upstream;
     let head = engine::report_call(id);
     let sent = state.now();
     let called = client::call(&state.pool, address, &head, &[], MAX_REPORT_BYTES, REPORT_TIMEOUT);
     let called = called.await;
     if let Ok(answer) = &called {
-        intake::note_answer(state, &item, sent, &fields::decode_upstream(&answer.head));
+        intake::note_answer(state, &plan, sent, &fields::decode_upstream(&answer.head));
     }
     match called {
         Ok(answer) if answer.head.status == 200 => match engine::decode_report(&answer.body) {
@@ -470,8 +470,8 @@
                 slot.map(|slot| (slot.entry.address, slot.number))
             };
             let Some((address, number)) = known else { continue };
-            let item = sent_item(&id, number, limit_board::SendPurpose::Report);
-            if let Some(report) = call_report(&state, item, address).await {
+            let plan = send_plan(&id, number, limit_board::SendPurpose::Report);
+            if let Some(report) = call_report(&state, plan, address).await {
                 state.view().take_report(state.now(), &id, &report);
             }
         }
--- a/coltsfootd/src/gateway/forwarding.rs
+++ b/coltsfootd/src/gateway/forwarding.rs
@@ -176,7 +176,7 @@
     async fn has_leave(&self, chosen: &engine_choice::ChosenUpstream) -> bool {
         let number = self.state.view().upstream(&chosen.id).map(|slot| slot.number);
         let Some(number) = number else { return true };
-        match permits::obtain(self.state, self.sent_item(&chosen.id, number)).await {
+        match permits::obtain(self.state, self.send_plan(&chosen.id, number)).await {
             Ok(()) => true,
             Err(pause) => {
                 let now = self.state.now();
@@ -186,8 +186,8 @@
         }
     }
 
-    fn sent_item<'c>(&'c self, upstream: &'c str, number: u32) -> permits::PermitUse<'c> {
-        permits::PermitUse {
+    fn send_plan<'c>(&'c self, upstream: &'c str, number: u32) -> permits::SendPlan<'c> {
+        permits::SendPlan {
             upstream,
             number,
             purpose: limit_board::SendPurpose::Request,
@@ -293,8 +293,8 @@
             Some(Ok(answer)) => answer,
         };
         self.state.view().upstream_heard(self.state.now(), &chosen.id);
-        let item = self.sent_item(&chosen.id, number);
-        intake::note_answer(self.state, &item, sent, &answer.fields);
+        let plan = self.send_plan(&chosen.id, number);
+        intake::note_answer(self.state, &plan, sent, &answer.fields);
         if answer.fields.has_not_run && !answer.fields.is_signed {
             return self.not_run(&chosen.id, answer).await;
         }
--- a/coltsfootd/src/gateway/intake.rs
+++ b/coltsfootd/src/gateway/intake.rs
@@ -12,16 +12,16 @@
 /// Notes what the answer to something that was sent at some time says of the upstream that gave it.
 pub(super) fn note_answer(
     state: &state::GatewayState,
-    item: &permits::PermitUse<'_>,
+    plan: &permits::SendPlan<'_>,
     sent: instant::MonotonicTime,
     said: &fields::UpstreamFields,
 ) {
-    let permits::PermitUse { upstream, number, .. } = *item;
+    let permits::SendPlan { upstream, number, .. } = *plan;
     if said.instance.as_deref().is_some_and(|id| id != upstream) {
         return;
     }
     let now = state.now();
-    note_limit(state, item, sent, said);
+    note_limit(state, plan, sent, said);
     match said.quiet {
         Some(quiet) => {
             state.view().intake_mut().wants_quiet(now, number, quiet);
@@ -43,7 +43,7 @@
 /// others may come from what stands before the upstream's work.
 fn note_limit(
     state: &state::GatewayState,
-    item: &permits::PermitUse<'_>,
+    plan: &permits::SendPlan<'_>,
     sent: instant::MonotonicTime,
     said: &fields::UpstreamFields,
 ) {
@@ -53,13 +53,13 @@
         limit_board::LimitNotice::Absent => return,
         limit_board::LimitNotice::Unreadable => {
             log::warn!(
-                event = event::LIMIT_UNREADABLE.number, upstream = item.upstream,
-                purpose = item.purpose.code(); "limit_unreadable"
+                event = event::LIMIT_UNREADABLE.number, upstream = plan.upstream,
+                purpose = plan.purpose.code(); "limit_unreadable"
             );
             return;
         }
     };
-    permits::note_word(state, item, sent, per_s);
+    permits::note_word(state, plan, sent, per_s);
 }
 
 /// Takes that an upstream leaves; returns whether it is news.
--- a/coltsfootd/src/gateway/permits.rs
+++ b/coltsfootd/src/gateway/permits.rs
@@ -31,9 +31,9 @@
     pub asks: asks::OpenAsks<wire::PermitVerdict>,
 }
 
-/// What leave is wanted for.
+/// Something that is about to be sent, or was.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct PermitUse<'a> {
+pub(super) struct SendPlan<'a> {
     pub(super) upstream: &'a str,
     /// Number of its incarnation.
     pub(super) number: u32,
@@ -46,22 +46,22 @@
 /// there may be some.
 pub(super) async fn obtain(
     state: &state::GatewayState,
-    wanted: PermitUse<'_>,
+    plan: SendPlan<'_>,
 ) -> Result<(), time::Duration> {
-    let limit = state.view().limits().told(state.now(), wanted.number);
+    let limit = state.view().limits().told(state.now(), plan.number);
     let Some(limit) = limit else { return Ok(()) };
-    let verdict = ask_givers(state, limit, wanted.purpose.class()).await;
+    let verdict = ask_givers(state, limit, plan.purpose.class()).await;
     let code = match verdict {
         Some(wire::PermitVerdict::Granted) => "granted",
         Some(wire::PermitVerdict::Denied(_)) => "denied",
         Some(wire::PermitVerdict::NotGiver) | None => "unanswered",
     };
-    state.metrics.count_permit(code, wanted.purpose.code());
+    state.metrics.count_permit(code, plan.purpose.code());
     log::info!(
-        event = event::LIMITED_SEND.number, upstream = wanted.upstream, verdict = code,
+        event = event::LIMITED_SEND.number, upstream = plan.upstream, verdict = code,
         limit_thousandths = limit.limit_thousandths.unwrap_or_default(),
-        limit_age_ms = limit.heard_ms_ago, purpose = wanted.purpose.code(),
-        request = wanted.request; "limited_send"
+        limit_age_ms = limit.heard_ms_ago, purpose = plan.purpose.code(),
+        request = plan.request; "limited_send"
     );
     match verdict {
         Some(wire::PermitVerdict::Granted) => Ok(()),
@@ -144,18 +144,18 @@
 /// Notes what an answer to something that this instance sent says of a limit, and tells the others.
 pub(super) fn note_word(
     state: &state::GatewayState,
-    item: &PermitUse<'_>,
+    plan: &SendPlan<'_>,
     sent: instant::MonotonicTime,
     per_s: Option<f64>,
 ) {
     let now = state.now();
     let word = limit_board::LimitWord { per_s, sent, heard: now };
-    let news = state.view().limits_mut().take(now, item.number, word);
+    let news = state.view().limits_mut().take(now, plan.number, word);
     if news != LimitNews::Notable {
         return;
     }
-    log_limit(item.upstream, per_s, item.purpose.code());
-    let told = word.to_told(now, item.number);
+    log_limit(plan.upstream, per_s, plan.purpose.code());
+    let told = word.to_told(now, plan.number);
     let addresses = state.view().peer_addresses();
     fleet::send(state, addresses, &wire::FleetMessage::Limits(vec![told]));
 }
