Refuse a question for an adapter at once while no order can be given

A request for an adapter that is not at a limited engine waited up to 0.6 s for an order that there was no leave for, and was refused then. The desk knows until when it has none: it answers at once, and tells the others that it takes no orders meanwhile. The pause moves from the daemon's slots into the desk, which the model uses too.

The test of the desk is new; the desk had no pause before.

--- a/coltsfoot-gateway/src/engine_desk.rs
+++ b/coltsfoot-gateway/src/engine_desk.rs
@@ -104,6 +104,8 @@
     leaving: Option<demand::AdapterName>,
     /// Until when no order is tried, since the engine waits for requests to end.
     held_up_until: clock::MonotonicTime,
+    /// Until when the engine takes neither orders nor reports, within the limit that it named.
+    paused_until: clock::MonotonicTime,
     next_report: clock::MonotonicTime,
     /// When the last report came.
     reported: Option<clock::MonotonicTime>,
@@ -126,6 +128,7 @@
             unanswered: None,
             leaving: None,
             held_up_until: clock::MonotonicTime::default(),
+            paused_until: clock::MonotonicTime::default(),
             next_report: clock::MonotonicTime::default(),
             reported: None,
             replies: Vec::new(),
@@ -184,7 +187,7 @@
             upstream,
             fence,
             has_model: self.has_model(now),
-            takes_orders,
+            takes_orders: takes_orders && !self.is_paused(now),
             idle_places: u8::try_from(self.idle_places(now, in_use)).unwrap_or(u8::MAX),
             adapters: held
                 .map(|(key, version)| fleet::HeldAdapter { adapter: key.0, version })
@@ -198,8 +201,18 @@
         std::mem::take(&mut self.has_changed)
     }
 
+    /// Notes that the engine takes neither orders nor reports until then.
+    pub fn pause(&mut self, until: clock::MonotonicTime) {
+        self.paused_until = until;
+        self.has_changed = true;
+    }
+
+    fn is_paused(&self, now: clock::MonotonicTime) -> bool {
+        now < self.paused_until
+    }
+
     /// Takes a question for an adapter. It is answered at once if the adapter is there, or if there is
-    /// no place for it.
+    /// no place for it or no order can be given for a while.
     pub fn ask(
         &mut self,
         now: clock::MonotonicTime,
@@ -220,7 +233,7 @@
         }
         let is_asked = self.questions.iter().any(|question| question.name == *name);
         let has_room = is_asked || self.placed.contains_key(&key);
-        if !has_room && self.idle_places(now, in_use) == 0 {
+        if !has_room && (self.is_paused(now) || self.idle_places(now, in_use) == 0) {
             self.replies.push(DeskReply { asker, is_ready: false });
             return;
         }
@@ -283,6 +296,11 @@
     ) -> engine_order::DeskStep {
         let spared_until = self.reported.map(|reported| reported + leave.report_pause);
         let report_due = self.next_report.max(spared_until.unwrap_or_default());
+        if self.is_paused(now) {
+            return engine_order::DeskStep::Wait(
+                self.next_due(now, report_due).min(self.paused_until),
+            );
+        }
         if now >= report_due {
             return engine_order::DeskStep::Report;
         }
--- a/coltsfoot-gateway/tests/desk.rs
+++ b/coltsfoot-gateway/tests/desk.rs
@@ -289,3 +289,19 @@
     let step = desk.next_step(later, leave, |_| false, |_| None);
     assert!(matches!(step, DeskStep::Order { .. }), "orders need no report: {step:?}");
 }
+
+/// Load pattern: rare adapters at an engine that named a limit, whose orders are used up.
+#[test]
+fn an_adapter_for_which_no_order_can_be_given_is_refused_at_once() {
+    let mut desk = desk(&[1]);
+    desk.pause(at(3_000));
+    desk.ask(at(10), &adapter(2), None, 1, |_| false);
+    desk.ask(at(10), &adapter(1), None, 2, |_| false);
+    let replies = desk.take_replies(at(10));
+    assert_eq!(replies.iter().map(|reply| reply.is_ready).collect::<Vec<_>>(), [false, true]);
+    assert!(matches!(next(&mut desk, 20), DeskStep::Wait(due) if due > at(20)));
+    assert!(matches!(next(&mut desk, 2_500), DeskStep::Wait(due) if due <= at(3_000)));
+    let told = desk.describe(at(20), 1, 1, true, IDLE_STORE, |_| false);
+    assert!(!told.takes_orders);
+    assert_eq!(next(&mut desk, 3_000), DeskStep::Report);
+}
--- a/coltsfoot-measure/src/burst/instance.rs
+++ b/coltsfoot-measure/src/burst/instance.rs
@@ -4,7 +4,6 @@
 use std::time;
 
 use coltsfoot_gateway::{engine_desk, engine_order, fleet_view, send_permits};
-use coltsfoot_types::time as clock;
 use coltsfoot_wire::fleet;
 
 use crate::burst::{at, engine};
@@ -19,8 +18,6 @@
     pub view: fleet_view::FleetView,
     /// Desks of the engines owned, by the engine's place in the model.
     pub desks: BTreeMap<usize, engine_desk::EngineDesk<ModelAsker>>,
-    /// Until when engines owned take no orders, by their place.
-    paused: BTreeMap<usize, clock::MonotonicTime>,
     sequence: u64,
 }
 
@@ -29,7 +26,7 @@
     pub fn new(number: usize, zone: String, view: fleet_view::FleetView, owned: &[usize]) -> Self {
         let desk = || engine_desk::EngineDesk::new("m".into(), engine::PLACES);
         let desks = owned.iter().map(|engine| (*engine, desk())).collect();
-        Self { number, zone, view, desks, paused: BTreeMap::new(), sequence: 0 }
+        Self { number, zone, view, desks, sequence: 0 }
     }
 
     /// Returns what the others are told now.
@@ -75,8 +72,7 @@
         let slot = self.view.upstream(&ids[place]).expect("known");
         let in_use = |key| slot.is_in_use(at(now), key);
         let fetches = self.view.fetch_load(self.view.fetch_backlog());
-        let takes_orders = self.paused.get(&place).is_none_or(|until| at(now) >= *until);
-        self.desks[&place].describe(at(now), slot.number, 1, takes_orders, fetches, in_use)
+        self.desks[&place].describe(at(now), slot.number, 1, true, fetches, in_use)
     }
 
     /// Returns the adapters on their way to the engines owned.
@@ -95,9 +91,6 @@
             may_fetch,
             report_pause: limit.map_or(time::Duration::ZERO, send_permits::report_pause),
         };
-        if let Some(until) = self.paused.get(&place).filter(|until| at(now) < **until) {
-            return engine_order::DeskStep::Wait(*until);
-        }
         let desk = self.desks.get_mut(&place).expect("owned");
         let in_use = |key| slot.is_in_use(at(now), key);
         desk.next_step(at(now), leave, in_use, |_| None)
@@ -124,6 +117,6 @@
 
     /// Notes that an engine owned takes no orders for a while.
     pub fn pause(&mut self, now: u64, place: usize, wait: time::Duration) {
-        self.paused.insert(place, at(now) + wait);
+        self.desks.get_mut(&place).expect("owned").pause(at(now) + wait);
     }
 }
--- a/coltsfootd/src/gateway/engines.rs
+++ b/coltsfootd/src/gateway/engines.rs
@@ -48,8 +48,6 @@
     number: u32,
     partition: u32,
     desk: engine_desk::EngineDesk<LoadAsker>,
-    /// Until when the engine takes neither orders nor reports, within the limit that it named.
-    paused_until: instant::MonotonicTime,
     wake: sync::Arc<event_listener::Event>,
 }
 
@@ -103,20 +101,10 @@
         }
     }
 
-    /// Returns until when an engine takes neither orders nor reports, within the limit that it named.
-    fn paused_until(
-        &self,
-        now: instant::MonotonicTime,
-        id: &str,
-    ) -> Option<instant::MonotonicTime> {
-        let paused_until = state::lock(&self.slots).get(id).map(|slot| slot.paused_until);
-        paused_until.filter(|until| now < *until)
-    }
-
     /// Notes that an engine takes neither orders nor reports until then.
     fn pause(&self, id: &str, until: instant::MonotonicTime) {
         if let Some(slot) = state::lock(&self.slots).get_mut(id) {
-            slot.paused_until = until;
+            slot.desk.pause(until);
         }
     }
 
@@ -157,9 +145,7 @@
         let upstream = view.upstream(&self.id);
         let in_use = |key| upstream.is_some_and(|upstream| upstream.is_in_use(now, key));
         let is_open = view.intake().intake(now, self.number) == UpstreamIntake::Open;
-        let is_paused = now < self.paused_until;
-        let takes_orders =
-            is_open && !is_paused && lease.order_fence(now, self.partition).is_some();
+        let takes_orders = is_open && lease.order_fence(now, self.partition).is_some();
         let fetches = view.fetch_load(view.fetch_backlog());
         Some(self.desk.describe(now, self.number, fence, takes_orders, fetches, in_use))
     }
@@ -190,7 +176,6 @@
             number,
             partition,
             desk,
-            paused_until: instant::MonotonicTime::default(),
             wake: sync::Arc::clone(&wake),
         };
         slots.insert(sync::Arc::clone(id), slot);
@@ -213,8 +198,7 @@
             state::lock(&state.desks.slots).remove(&id);
             return;
         };
-        let paused_until = state.desks.paused_until(state.now(), &id);
-        if let Some(until) = intake::quiet_until(&state, number).max(paused_until) {
+        if let Some(until) = intake::quiet_until(&state, number) {
             settle(&state, &id);
             let wait = until.since(state.now()).min(QUIET_CHECK);
             async_io::Timer::after(wait).await;
