Leave a paused stream alone while no retry or no other upstream is left

It was not sent on, although the same engine could have been asked again: no retry was left.

A stream is ended for its silence only while there is a retry and another upstream, which is looked at again every 100 ms. A stream that had no second run before was ended early if bytes without an event came; that is gone as well.

--- a/coltsfoot-once/src/retry_budget.rs
+++ b/coltsfoot-once/src/retry_budget.rs
@@ -38,6 +38,11 @@
         self.balance_milli = (self.balance_milli + self.settings.share_permille).min(limit);
     }
 
+    /// Returns whether a retry is left.
+    pub fn has_retry(&self) -> bool {
+        self.balance_milli >= MILLI
+    }
+
     /// Takes one retry; returns false if none is left.
     pub fn withdraw(&mut self) -> bool {
         let Some(balance) = self.balance_milli.checked_sub(MILLI) else { return false };
--- a/coltsfootd/src/gateway/forwarding.rs
+++ b/coltsfootd/src/gateway/forwarding.rs
@@ -11,6 +11,7 @@
 use coltsfoot_http::{body, header, message};
 use coltsfoot_wire::fleet as wire;
 use site_platform::fields;
+use smallvec::SmallVec;
 
 use crate::event;
 use crate::gateway::{
@@ -22,7 +23,7 @@
 /// First event of a stream that may run elsewhere, as a multiple of the target.
 const FIRST_EVENT_TARGETS: u32 = 2;
 /// Time between looks at whether an upstream is silent.
-const SILENCE_CHECK: time::Duration = time::Duration::from_millis(100);
+pub(super) const SILENCE_CHECK: time::Duration = time::Duration::from_millis(100);
 /// Time for the body of a rejection, after which its connection is closed instead of kept.
 const REJECTION_READ_LIMIT: time::Duration = time::Duration::from_millis(300);
 /// Longest wait for an adapter.
@@ -171,6 +172,30 @@
         }
     }
 
+    /// Returns whether there is a retry and another upstream for the request, if it were ended at this one.
+    pub(super) fn can_go_elsewhere(&self, upstream: &sync::Arc<str>) -> bool {
+        if !self.plan.may_go_elsewhere() || !self.state.has_retry(&self.admitted.service.name) {
+            return false;
+        }
+        let tried: SmallVec<[sync::Arc<str>; 4]> =
+            self.plan.tried().iter().chain([upstream]).cloned().collect();
+        let request = self.placed_request(&tried);
+        let chosen = engine_choice::choose(self.state.now(), &self.state.view(), &request);
+        chosen.is_some()
+    }
+
+    fn placed_request<'c>(
+        &'c self,
+        tried: &'c [sync::Arc<str>],
+    ) -> engine_choice::PlacedRequest<'c> {
+        engine_choice::PlacedRequest {
+            service: &self.admitted.service,
+            demand: self.admitted.demand.as_ref(),
+            zone: &self.state.settings.zone,
+            tried,
+        }
+    }
+
     /// Returns whether an upstream takes one more request, within the limit that it named. If not, it is
     /// left out of further searches until it may.
     async fn has_leave(&self, chosen: &engine_choice::ChosenUpstream) -> bool {
@@ -205,12 +230,7 @@
     }
 
     fn search_step(&self, search: &mut place_search::PlaceSearch) -> place_search::SearchStep {
-        let request = engine_choice::PlacedRequest {
-            service: &self.admitted.service,
-            demand: self.admitted.demand.as_ref(),
-            zone: &self.state.settings.zone,
-            tried: self.plan.tried(),
-        };
+        let request = self.placed_request(self.plan.tried());
         search.next_step(self.state.now(), &self.state.view(), &request)
     }
 
--- a/coltsfootd/src/gateway/relay.rs
+++ b/coltsfootd/src/gateway/relay.rs
@@ -1,5 +1,6 @@
 //! Passes streams on event by event.
 
+use std::sync;
 use std::time;
 
 use coltsfoot_gateway::{engine_choice, event_stream};
@@ -27,10 +28,13 @@
         let mut last_event = self.state.now();
         loop {
             let silence = self.state.now().since(last_event);
-            let limit = self.longest_silence(has_event).saturating_sub(silence);
+            if self.is_overdue(&chosen.id, has_event, silence) {
+                return self.broken(&chosen.id, "stream_silent");
+            }
+            let limit = MAX_STREAM_SILENCE.saturating_sub(silence).max(forwarding::SILENCE_CHECK);
             let part = answer.stream.read_part(&mut answer.framing);
             let part = match message::within(limit, part).await {
-                None => return self.broken(&chosen.id, "stream_silent"),
+                None => continue,
                 Some(Err(_)) => return self.broken(&chosen.id, "stream_broke_off"),
                 Some(Ok(part)) => part,
             };
@@ -73,13 +77,18 @@
         })
     }
 
-    /// Returns how long a stream may go without a whole event. Bytes that complete none are no progress.
-    /// A stream that can't go on elsewhere is not ended: an engine that preempts it goes on later.
-    fn longest_silence(&self, has_event: bool) -> time::Duration {
+    /// Returns whether a stream without a whole event for so long is to be ended. Bytes that complete none
+    /// are no progress. A stream that can't go on elsewhere is not ended: an engine that preempts it goes
+    /// on later.
+    fn is_overdue(
+        &self,
+        upstream: &sync::Arc<str>,
+        has_event: bool,
+        silence: time::Duration,
+    ) -> bool {
         match has_event {
-            true if self.plan.may_go_elsewhere() => MAX_STREAM_SILENCE,
-            true => self.time_left(),
-            false => self.attempt_limit().max(MAX_STREAM_SILENCE),
+            true => silence >= MAX_STREAM_SILENCE && self.can_go_elsewhere(upstream),
+            false => silence >= self.attempt_limit().max(MAX_STREAM_SILENCE),
         }
     }
 
--- a/coltsfootd/src/gateway/state.rs
+++ b/coltsfootd/src/gateway/state.rs
@@ -132,6 +132,11 @@
         self.with_budget(service, retry_budget::RetryBudget::withdraw)
     }
 
+    /// Returns whether a retry is left.
+    pub fn has_retry(&self, service: &sync::Arc<str>) -> bool {
+        self.with_budget(service, |budget| budget.has_retry())
+    }
+
     fn with_budget<T>(
         &self,
         service: &sync::Arc<str>,
