Say in one place who was heard lately, and what an instance is told again

The rule for an instance that was heard lately stood in the choice of owners, of contacts in other zones and of who gives leave; it is PeerSlot::is_heard. The three things that a newcomer and, in turn, every instance is told were named in two places; they are told by one function beside the messages. Behaviour is the same; all tests of both packages and of the whole path pass.

--- a/coltsfoot-gateway/src/fleet_view.rs
+++ b/coltsfoot-gateway/src/fleet_view.rs
@@ -17,11 +17,11 @@
 };
 
 /// Beats of an instance that may be lost before what it told is no longer believed.
-const BEATS_TO_LOSE: u32 = 3;
+pub(crate) const BEATS_TO_LOSE: u32 = 3;
 /// Beats after which an owner must have told of its engines, even if some were lost.
 const BEATS_TO_MISS_ENGINES: u32 = 10;
-/// Time without beats after which an owner is not asked for adapters: four beats.
-const OWNER_SILENCE: time::Duration = time::Duration::from_millis(600);
+/// Time without beats after which an instance is not asked for anything: four beats.
+pub(crate) const PEER_SILENCE: time::Duration = time::Duration::from_millis(600);
 /// Time without beats after which an instance is forgotten.
 pub const PEER_LIFETIME: time::Duration = time::Duration::from_secs(12);
 /// Time for which a failed connection keeps work away.
--- a/coltsfoot-gateway/src/fleet_view/givers.rs
+++ b/coltsfoot-gateway/src/fleet_view/givers.rs
@@ -5,9 +5,9 @@
 use coltsfoot_types::time as clock;
 use smallvec::SmallVec;
 
-use crate::{peer_slot, rendezvous};
+use crate::rendezvous;
 
-use super::{BEATS_TO_LOSE, FleetView, OWNER_SILENCE, zones};
+use super::{FleetView, zones};
 
 /// Instances that are asked for leave in turn: the second one knows sooner than others if the first is
 /// gone.
@@ -25,17 +25,13 @@
 /// Instances to ask in turn.
 pub type PermitGivers = SmallVec<[PermitGiver; GIVERS]>;
 
-fn is_heard(now: clock::MonotonicTime, peer: &peer_slot::PeerSlot) -> bool {
-    now.since(peer.heard) < OWNER_SILENCE.max(peer.interval * BEATS_TO_LOSE)
-}
-
 impl FleetView {
     /// Returns the sends a second for which this instance gives leave, if it does and the upstream named
     /// a limit: as large a part of the limit as the part of the known instances that are heard. Those
     /// across a partition have a giver of their own.
     pub fn permit_rate(&self, now: clock::MonotonicTime, number: u32) -> Option<f64> {
         let limit = self.limits.limit(now, number)?;
-        let heard = self.peers.values().filter(|peer| is_heard(now, peer)).count() + 1;
+        let heard = self.peers.values().filter(|peer| peer.is_heard(now)).count() + 1;
         Some(limit * heard as f64 / (self.peers.len() + 1) as f64)
     }
 
@@ -53,13 +49,14 @@
     ) -> PermitGivers {
         let upstream = self.upstream_id(number).and_then(|id| self.upstream(id));
         let upstream_zone = upstream.map(|slot| &*slot.entry.zone);
-        let is_usable = |peer: &peer_slot::PeerSlot| !peer.is_leaving && is_heard(now, peer);
         let mut givers: SmallVec<[(bool, u64, PermitGiver); 8]> = SmallVec::new();
         let mut add = |id: u64, zone: &str, giver: PermitGiver| {
             let weight = rendezvous::weight(u64::from(number), id);
             givers.push((Some(zone) == upstream_zone, weight, giver));
         };
-        for (id, peer) in self.peers.iter().filter(|(_, peer)| is_usable(peer)) {
+        for (id, peer) in
+            self.peers.iter().filter(|(_, peer)| !peer.is_leaving && peer.is_heard(now))
+        {
             add(*id, &peer.zone, PermitGiver::Peer(peer.address));
         }
         if !is_stopping {
--- a/coltsfoot-gateway/src/fleet_view/peers.rs
+++ b/coltsfoot-gateway/src/fleet_view/peers.rs
@@ -8,7 +8,7 @@
 
 use crate::{beat_plan, order_lease, peer_slot, reader_choice, rendezvous, upstream_slot};
 
-use super::{BEATS_TO_LOSE, FleetView, OWNER_SILENCE};
+use super::{BEATS_TO_LOSE, FleetView};
 
 /// Upstreams of a zone to which connections failed, from which on the zone is suspected.
 const SUSPECT_FAILURES: usize = 2;
@@ -30,10 +30,7 @@
         slot: &upstream_slot::UpstreamSlot,
     ) -> bool {
         let Some(owner) = slot.residency.owner else { return true };
-        self.peers.get(&owner).is_some_and(|peer| {
-            let longest = OWNER_SILENCE.max(peer.interval * BEATS_TO_LOSE);
-            now.since(peer.heard) < longest
-        })
+        self.peers.get(&owner).is_some_and(|peer| peer.is_heard(now))
     }
 
     /// Plans the beats to the instances that are known, found in the store, or known to others of the
--- a/coltsfoot-gateway/src/fleet_view/zones.rs
+++ b/coltsfoot-gateway/src/fleet_view/zones.rs
@@ -11,7 +11,7 @@
 
 use crate::{demand, peer_slot, rendezvous, upstream_slot};
 
-use super::{BEATS_TO_LOSE, FleetView, OWNER_SILENCE};
+use super::{BEATS_TO_LOSE, FleetView};
 
 /// Time without beats from an instance after which another one becomes the relay of its zone.
 const RELAY_SILENCE: time::Duration = time::Duration::from_millis(600);
@@ -110,8 +110,7 @@
     ) -> Vec<net::SocketAddr> {
         let mut best: FxHashMap<&str, ((u16, u64), net::SocketAddr)> = FxHashMap::default();
         for (id, peer) in &self.peers {
-            let is_heard = now.since(peer.heard) < OWNER_SILENCE.max(peer.interval * BEATS_TO_LOSE);
-            if &*peer.zone == zone || !is_heard {
+            if &*peer.zone == zone || !peer.is_heard(now) {
                 continue;
             }
             let weight = rendezvous::weight(zone_key(&peer.zone), *id);
--- a/coltsfoot-gateway/src/peer_slot.rs
+++ b/coltsfoot-gateway/src/peer_slot.rs
@@ -6,7 +6,7 @@
 use coltsfoot_types::time as clock;
 use coltsfoot_wire::fleet;
 
-use crate::order_lease;
+use crate::{fleet_view, order_lease};
 
 /// The reading of an instance that does not read.
 pub(crate) const UNREAD: fleet::TopicReading = fleet::TopicReading { age_ms: u32::MAX, digest: 0 };
@@ -91,6 +91,12 @@
         }
     }
 
+    /// Returns whether it was heard lately, as far as its beats tell.
+    pub(crate) fn is_heard(&self, now: clock::MonotonicTime) -> bool {
+        let longest = fleet_view::PEER_SILENCE.max(self.interval * fleet_view::BEATS_TO_LOSE);
+        now.since(self.heard) < longest
+    }
+
     /// Notes the number of a message; returns false if a later one came before.
     pub(crate) fn take_sequence(&mut self, sequence: u64) -> bool {
         let is_later = sequence > self.sequence;
--- a/coltsfootd/src/event.rs
+++ b/coltsfootd/src/event.rs
@@ -73,7 +73,7 @@
     UPSTREAM_QUIET = 217, "upstream_quiet", Info;
     /// An upstream named in an answer how many requests a second it takes, or no longer does so.
     UPSTREAM_LIMITED = 218, "upstream_limited", Info;
-    /// Something is sent to an upstream that named a limit.
+    /// Something was to be sent to an upstream that named a limit.
     LIMITED_SEND = 219, "limited_send", Info;
     /// The limit that an upstream named can't be understood.
     LIMIT_UNREADABLE = 220, "limit_unreadable", Warn;
--- a/coltsfootd/src/gateway/crashes.rs
+++ b/coltsfootd/src/gateway/crashes.rs
@@ -13,7 +13,7 @@
 use coltsfoot_wire::{fleet as wire, once};
 use rustc_hash::FxHashSet;
 
-use crate::gateway::{exchange, fleet, forwarding, intake, permits, state};
+use crate::gateway::{exchange, fleet, forwarding, state};
 use crate::{clock, event};
 
 /// Time to connect to an upstream after a connection to it broke.
@@ -25,9 +25,6 @@
 const MAX_PROBES: usize = 3;
 /// Time for which that connection is kept for requests.
 const PROBE_KEEP: time::Duration = time::Duration::from_millis(1500);
-/// Time between messages to an instance chosen at random. With n instances each one gets one an interval
-/// on average.
-const TELL_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
 /// Crashes and what is being found out about them.
 #[derive(Default)]
@@ -229,21 +226,6 @@
     state.crashes.ledger().take_clearance(state.now(), digest);
 }
 
-/// Tells other instances in turn of what all are to know, for as long as the process runs: some may
-/// have missed it, or started since.
-pub(crate) async fn tell_again(state: sync::Arc<state::GatewayState>) {
-    loop {
-        async_io::Timer::after(TELL_INTERVAL).await;
-        let addresses = state.view().peer_addresses();
-        let Some(address) = rand::seq::IndexedRandom::choose(&*addresses, &mut rand::rng()) else {
-            continue;
-        };
-        tell_known(&state, *address);
-        intake::tell_known(&state, *address);
-        permits::tell_known(&state, *address);
-    }
-}
-
 /// Tells an instance of the requests that all are to know.
 pub(crate) fn tell_known(state: &state::GatewayState, address: net::SocketAddr) {
     for notice in state.crashes.ledger().told_again(state.now()) {
--- a/coltsfootd/src/gateway/fleet.rs
+++ b/coltsfootd/src/gateway/fleet.rs
@@ -18,6 +18,9 @@
 const FIND_INTERVAL: time::Duration = time::Duration::from_secs(60);
 /// Time between tries while the store is unavailable.
 const FIND_RETRY: time::Duration = time::Duration::from_millis(700);
+/// Time between messages to an instance chosen at random. With n instances each one gets one an interval
+/// on average.
+const TELL_INTERVAL: time::Duration = time::Duration::from_secs(1);
 /// Longest datagram, in bytes.
 const MAX_DATAGRAM: usize = 64 * 1024;
 
@@ -124,9 +127,26 @@
             event = event::PEER_FOUND.number, address = beat.address.to_string(); "peer_found"
         );
         beats::answer_newcomer(state, beat);
-        crashes::tell_known(state, beat.address);
-        intake::tell_known(state, beat.address);
-        permits::tell_known(state, beat.address);
+        tell_known(state, beat.address);
+    }
+}
+
+/// Tells an instance what all are to know of upstreams and requests.
+fn tell_known(state: &state::GatewayState, address: net::SocketAddr) {
+    crashes::tell_known(state, address);
+    intake::tell_known(state, address);
+    permits::tell_known(state, address);
+}
+
+/// Tells other instances in turn of what all are to know, for as long as the process runs: some may
+/// have missed it, or started since.
+pub(crate) async fn tell_again(state: sync::Arc<state::GatewayState>) {
+    loop {
+        async_io::Timer::after(TELL_INTERVAL).await;
+        let addresses = state.view().peer_addresses();
+        if let Some(address) = rand::seq::IndexedRandom::choose(&*addresses, &mut rand::rng()) {
+            tell_known(&state, *address);
+        }
     }
 }
 
--- a/coltsfootd/src/gateway/run.rs
+++ b/coltsfootd/src/gateway/run.rs
@@ -123,7 +123,7 @@
     executor.spawn(beats::send_beats(sync::Arc::clone(&state))).detach();
     executor.spawn(news::ask_when_behind(sync::Arc::clone(&state))).detach();
     executor.spawn(fleet::find_peers(sync::Arc::clone(&state))).detach();
-    executor.spawn(crashes::tell_again(sync::Arc::clone(&state))).detach();
+    executor.spawn(fleet::tell_again(sync::Arc::clone(&state))).detach();
     executor.spawn(lease::keep(sync::Arc::clone(&state))).detach();
     executor.spawn(engines::watch_untold(sync::Arc::clone(&state))).detach();
     executor.spawn(reload::watch(sync::Arc::clone(&state))).detach();
