Share what the models of a fleet have in common

Instants, idle beats, entries of engines and the busiest span stood in both models; the tests of both ran their measure with the same lines.

--- a/coltsfoot-measure/src/burst/engine.rs
+++ b/coltsfoot-measure/src/burst/engine.rs
@@ -4,7 +4,7 @@
 
 use coltsfoot_gateway::{demand, engine_desk, engine_order, upstream};
 
-use crate::burst::at;
+use crate::fleet_model::at;
 
 /// Prompt tokens read in a millisecond; step of a stream in milliseconds; tokens of an event.
 const READ_TOKENS_PER_MS: f64 = 38.7;
--- a/coltsfoot-measure/src/burst/instance.rs
+++ b/coltsfoot-measure/src/burst/instance.rs
@@ -6,7 +6,8 @@
 use coltsfoot_gateway::{engine_desk, engine_order, fleet_view, send_permits};
 use coltsfoot_wire::fleet;
 
-use crate::burst::{at, engine};
+use crate::burst::engine;
+use crate::fleet_model::{self, at};
 
 /// Who asked for an adapter: an instance, and one of its requests.
 pub type ModelAsker = (usize, usize);
@@ -45,18 +46,6 @@
         self.view.set_own_backlog(fetching + to_fetch);
         let pace = self.view.fetch_pace().clone();
         fleet::FleetBeat {
-            sender: self.number as u64,
-            address: std::net::SocketAddr::from(([127, 0, 0, 1], self.number as u16)),
-            zone: self.zone.clone(),
-            capacity: 250,
-            sequence: self.sequence,
-            interval_ms: 150,
-            is_leaving: false,
-            far_instances: 0,
-            operator: fleet::TopicReading::default(),
-            upstreams: fleet::TopicReading::default(),
-            store_age_ms: 0,
-            partitions: Vec::new(),
             fetching: fetching as u16,
             to_fetch: to_fetch as u16,
             fetch_limit_tenths: pace.limit_tenths(),
@@ -64,7 +53,7 @@
             work: self.view.local_work(),
             uses: self.view.uses(true),
             engines: Some(engines),
-            quotas: Vec::new(),
+            ..fleet_model::idle_beat(self.number as u64, self.number, &self.zone, self.sequence)
         }
     }
 
--- a/coltsfoot-measure/src/burst/mod.rs
+++ b/coltsfoot-measure/src/burst/mod.rs
@@ -5,10 +5,3 @@
 pub mod engine;
 pub mod instance;
 pub mod world;
-
-use coltsfoot_types::time as clock;
-
-/// Returns an instant of the model.
-pub fn at(ms: u64) -> clock::MonotonicTime {
-    clock::MonotonicTime(ms * 1000)
-}
--- a/coltsfoot-measure/src/burst/world.rs
+++ b/coltsfoot-measure/src/burst/world.rs
@@ -5,12 +5,12 @@
 use std::time;
 
 use coltsfoot_gateway::{
-    demand, engine_choice, engine_order, fleet_view, limit_board, place_search, rules,
-    send_permits, upstream,
+    demand, engine_choice, engine_order, fleet_view, limit_board, place_search, rules, send_permits,
 };
 use coltsfoot_wire::fleet;
 
-use crate::burst::{arrivals, at, engine, instance};
+use crate::burst::{arrivals, engine, instance};
+use crate::fleet_model::{self, at};
 
 const ZONES: usize = 3;
 /// Time of a message between instances, in milliseconds.
@@ -30,9 +30,6 @@
 
 /// Time of a question for leave to send and its answer, in milliseconds.
 const PERMIT_MS: u64 = 2 * DELAY_MS;
-/// Span over which sends to limited engines are counted, in milliseconds: that of the users' rule.
-const LIMIT_SPAN_MS: u64 = 4_000;
-
 /// When limits are named, in milliseconds: once the engines hold what is asked for.
 const LIMITED_FROM_MS: u64 = 5_000;
 
@@ -75,11 +72,7 @@
 impl BurstResult {
     /// Returns the largest number of requests and orders that a limited engine got in 4 s.
     pub fn busiest_span(&self) -> usize {
-        let spans = self.limited_sends.values().flat_map(|sends| {
-            sends.iter().enumerate().map(|(first, begin)| {
-                sends[first..].iter().filter(|sent| **sent < begin + LIMIT_SPAN_MS).count()
-            })
-        });
+        let spans = self.limited_sends.values().map(|sends| fleet_model::busiest_span(sends));
         spans.max().unwrap_or(0)
     }
 
@@ -142,7 +135,7 @@
         let zone = |number: usize| format!("z{}", number % ZONES);
         let mut view = fleet_view::FleetView::default();
         for (place, id) in ids.iter().enumerate() {
-            view.put_upstream(entry(id, &zone(place)));
+            view.put_upstream(fleet_model::engine_entry(id, &zone(place)));
         }
         // Owners are of the engine's zone.
         let owner = |place: usize| {
@@ -488,21 +481,6 @@
     place_search::PlaceSearch::new(at(received_ms), target)
 }
 
-fn entry(id: &sync::Arc<str>, zone: &str) -> upstream::UpstreamEntry {
-    upstream::UpstreamEntry {
-        id: sync::Arc::clone(id),
-        born_ms: Some(1),
-        service: "llm".into(),
-        address: std::net::SocketAddr::from(([127, 0, 0, 1], 1)),
-        zone: zone.into(),
-        slots: 64,
-        state: upstream::UpstreamState::Ready,
-        cold_left: time::Duration::ZERO,
-        models: vec!["m".into()],
-        adapters: Vec::new(),
-    }
-}
-
 fn service() -> rules::ServiceRule {
     let model = rules::ModelRule { name: "m".into(), weights_mb: 34_300.0, adapter_mb: 40.0 };
     let engine = rules::EngineRule {
--- a/coltsfoot-measure/src/limits/world.rs
+++ b/coltsfoot-measure/src/limits/world.rs
@@ -6,12 +6,12 @@
 use coltsfoot_gateway::fleet_view::givers::PermitGiver;
 use coltsfoot_gateway::fleet_view::zones::OwnMember;
 use coltsfoot_gateway::send_permits::{PermitClass, PermitLedger};
-use coltsfoot_gateway::{beat_plan, fleet_view, limit_board, upstream};
-use coltsfoot_types::time as clock;
+use coltsfoot_gateway::{beat_plan, fleet_view, limit_board};
 use coltsfoot_wire::fleet;
 use rand::rngs;
 use rand::{RngExt as _, SeedableRng as _};
 
+use crate::fleet_model::{self, address, at};
 use crate::limits::division::{LimitDivision, PartBucket};
 
 const ZONES: usize = 3;
@@ -28,8 +28,6 @@
 /// Length of a run, and time from which sends count: the users' contact time, in milliseconds.
 const RUN_MS: u64 = 30_000;
 const COUNTED_FROM_MS: u64 = 3_000;
-/// Span over which the users count, in milliseconds.
-const SPAN_MS: u64 = 4_000;
 /// Times of the faults: a kill of the giver, its return, a new instance, a cut of a zone and its end.
 const KILL_MS: u64 = 8_000;
 const RETURN_MS: u64 = 13_000;
@@ -51,11 +49,8 @@
 impl LimitResult {
     /// Returns the largest number of requests in a span, of those that count.
     pub fn busiest_span(&self) -> usize {
-        let counted: Vec<_> = self.sent_ms.iter().filter(|ms| **ms >= COUNTED_FROM_MS).collect();
-        let spans = counted.iter().enumerate().map(|(first, begin)| {
-            counted[first..].iter().filter(|sent| ***sent < **begin + SPAN_MS).count()
-        });
-        spans.max().unwrap_or(0)
+        let counted = self.sent_ms.iter().copied().filter(|ms| *ms >= COUNTED_FROM_MS);
+        fleet_model::busiest_span(&counted.collect::<Vec<_>>())
     }
 
     /// Returns what was sent as a share of the limit.
@@ -157,7 +152,7 @@
     /// Starts an instance at a place, in the place of one that ended there.
     fn start(&mut self, place: usize) {
         let mut view = fleet_view::FleetView::default();
-        view.put_upstream(entry());
+        view.put_upstream(fleet_model::engine_entry(&UPSTREAM.into(), "z0"));
         let instance = ModelInstance {
             id: self.rng.random(),
             zone: place % ZONES,
@@ -245,27 +240,10 @@
         let interval = self.plan.near.max(self.plan.far);
         let instance = &mut self.instances[place];
         instance.sequence += 1;
+        let (zone, sequence) = (format!("z{}", instance.zone), now * 1000 + instance.sequence);
         fleet::FleetBeat {
-            sender: instance.id,
-            address: address(place),
-            zone: format!("z{}", instance.zone),
-            capacity: 250,
-            sequence: now * 1000 + instance.sequence,
             interval_ms: interval.as_millis() as u32,
-            is_leaving: false,
-            far_instances: 0,
-            operator: fleet::TopicReading::default(),
-            upstreams: fleet::TopicReading::default(),
-            store_age_ms: 0,
-            partitions: Vec::new(),
-            fetching: 0,
-            to_fetch: 0,
-            fetch_limit_tenths: 80,
-            fetch_ms: 250,
-            work: Vec::new(),
-            uses: Vec::new(),
-            engines: None,
-            quotas: Vec::new(),
+            ..fleet_model::idle_beat(instance.id, place, &zone, sequence)
         }
     }
 
@@ -395,26 +373,3 @@
         }
     }
 }
-
-fn at(ms: u64) -> clock::MonotonicTime {
-    clock::MonotonicTime(ms * 1000)
-}
-
-fn address(place: usize) -> std::net::SocketAddr {
-    std::net::SocketAddr::from(([127, 0, 0, 1], place as u16))
-}
-
-fn entry() -> upstream::UpstreamEntry {
-    upstream::UpstreamEntry {
-        id: UPSTREAM.into(),
-        born_ms: Some(1),
-        service: "llm".into(),
-        address: address(0),
-        zone: "z0".into(),
-        slots: 64,
-        state: upstream::UpstreamState::Ready,
-        cold_left: time::Duration::ZERO,
-        models: vec!["m".into()],
-        adapters: Vec::new(),
-    }
-}
--- a/coltsfoot-measure/src/main.rs
+++ b/coltsfoot-measure/src/main.rs
@@ -4,6 +4,7 @@
 mod cmd;
 mod config;
 mod control_cost;
+mod fleet_model;
 mod limits;
 mod once;
 mod path_load;
--- a/coltsfoot-measure/tests/burst.rs
+++ b/coltsfoot-measure/tests/burst.rs
@@ -1,24 +1,15 @@
 //! The gateway's placing in a burst against other policies, on the model of engines.
 
-use std::process;
+mod common;
 
 use rstest::rstest;
 
 /// Seeds over which worth is averaged.
 const SEEDS: std::ops::RangeInclusive<u64> = 1..=8;
 
-fn report(case: &str, seed: u64) -> serde_json::Value {
-    let output = process::Command::new(env!("CARGO_BIN_EXE_coltsfoot-measure"))
-        .args(["burst", "--case", case, "--seed", &seed.to_string()])
-        .output()
-        .expect("the program runs");
-    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
-    serde_json::from_slice(&output.stdout).expect("a line of JSON")
-}
-
 /// Returns the mean worth earned, the refusals and the fetches.
 fn mean(case: &str) -> [f64; 3] {
-    let reports: Vec<_> = SEEDS.map(|seed| report(case, seed)).collect();
+    let reports: Vec<_> = SEEDS.map(|seed| common::report("burst", case, seed)).collect();
     ["worth", "refusals", "fetches"].map(|field| {
         let values = reports.iter().map(|report| report[field].as_f64().expect("a number"));
         values.sum::<f64>() / reports.len() as f64
@@ -60,7 +51,7 @@
 #[case::high("limited-12-5", 5.0)]
 fn engines_get_no_more_than_the_limits_that_they_name(#[case] case: &str, #[case] per_s: f64) {
     for seed in SEEDS {
-        let most = report(case, seed)["busiest_span"].as_f64().expect("a number");
+        let most = common::report("burst", case, seed)["busiest_span"].as_f64().expect("a number");
         assert!(most <= per_s * 4.0 * 1.5 + 5.0, "{most} requests and orders in 4 s");
         assert!(most >= per_s * 4.0 * 0.5, "{most} requests and orders in 4 s");
     }
@@ -68,5 +59,5 @@
 
 #[test]
 fn a_run_repeats() {
-    assert_eq!(report("gateway", 5), report("gateway", 5));
+    assert_eq!(common::report("burst", "gateway", 5), common::report("burst", "gateway", 5));
 }
--- a/coltsfoot-measure/tests/limits.rs
+++ b/coltsfoot-measure/tests/limits.rs
@@ -1,18 +1,9 @@
 //! An upstream that named a limit, and many instances that send to it.
 
-use std::process;
+mod common;
 
 use rstest::rstest;
 
-fn report(case: &str, seed: u64) -> serde_json::Value {
-    let output = process::Command::new(env!("CARGO_BIN_EXE_coltsfoot-measure"))
-        .args(["limits", "--case", case, "--seed", &seed.to_string()])
-        .output()
-        .expect("the program runs");
-    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
-    serde_json::from_slice(&output.stdout).expect("a line of JSON")
-}
-
 /// The giver is killed, instances return and join, a zone is cut off; messages are slow and get lost.
 #[rstest]
 #[case::six(6, 1..=8)]
@@ -24,7 +15,7 @@
     #[values(0.5, 1.4, 10.0, 40.0)] per_s: f64,
 ) {
     for seed in seeds {
-        let report = report(&format!("giver-{instances}-{per_s}-faults"), seed);
+        let report = common::report("limits", &format!("giver-{instances}-{per_s}-faults"), seed);
         let most = report["busiest_span"].as_f64().expect("a number");
         assert!(most <= per_s * 4.0 * 1.5 + 5.0, "seed {seed}: {most} requests in 4 s");
         let used = report["used_share"].as_f64().expect("a number");
