Log every request that was read, and who ended its connection

A request whose caller was taken for gone wrote no request_ended line, so that a caller who left, a connection that broke and a request dropped by the instance looked the same; request_ended was written before the response and did not tell whether it was delivered. Connections closed by the instance left no trace at all.

request_ended is now written once when serving ends, also by cancellation, with delivered, connection and events. request_rejected (506) and connection_closed (507) cover what ends before a request is read, and attempt_ended tells what came next.

--- a/coltsfoot-gateway/src/attempt_plan.rs
+++ b/coltsfoot-gateway/src/attempt_plan.rs
@@ -51,6 +51,17 @@
     Fail,
 }
 
+impl NextStep {
+    /// Returns a short name for logs.
+    pub fn code(self) -> &'static str {
+        match self {
+            Self::Retry => "retry",
+            Self::Refuse => "refuse",
+            Self::Fail => "fail",
+        }
+    }
+}
+
 /// Attempts that upstreams rejected or that were misdirected, after which a request is refused.
 const MAX_REJECTIONS: u32 = 4;
 
--- a/coltsfoot-http/src/message.rs
+++ b/coltsfoot-http/src/message.rs
@@ -46,6 +46,15 @@
     BodyTooLong(usize),
 }
 
+/// How a peer ended a connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PeerEnd {
+    /// The peer closed it, or its sending side.
+    Closed,
+    /// It was reset or failed.
+    Failed,
+}
+
 /// TCP stream with a read buffer, for messages in both directions.
 #[derive(Debug)]
 pub struct MessageStream {
@@ -101,13 +110,14 @@
 
     /// Waits until the peer closes or resets the connection. Bytes that arrive meanwhile are buffered
     /// for the next message; with a full buffer it waits forever.
-    pub async fn wait_closed(&mut self) {
+    pub async fn wait_closed(&mut self) -> PeerEnd {
         loop {
             if self.buffer.len() >= MAX_EARLY_BYTES {
                 return std::future::pending().await;
             }
             match self.fill().await {
-                Ok(0) | Err(_) => return,
+                Ok(0) => return PeerEnd::Closed,
+                Err(_) => return PeerEnd::Failed,
                 Ok(_) => {}
             }
         }
--- a/coltsfootd/src/event.rs
+++ b/coltsfootd/src/event.rs
@@ -117,6 +117,10 @@
     ATTEMPT_ENDED = 504, "attempt_ended", Info;
     /// An upstream crashed while it was running requests.
     UPSTREAM_CRASHED = 505, "upstream_crashed", Warn;
+    /// A request was rejected before it was read or admitted.
+    REQUEST_REJECTED = 506, "request_rejected", Info;
+    /// The instance closed a caller's connection on which no request was in progress.
+    CONNECTION_CLOSED = 507, "connection_closed", Info;
 }
 
 /// Logs an event as `NAME: DETAILS`, with its number as a field.
--- a/coltsfootd/src/gateway/callers.rs
+++ b/coltsfootd/src/gateway/callers.rs
@@ -10,7 +10,8 @@
 use futures_lite::AsyncWriteExt as _;
 use site_platform::fields;
 
-use crate::gateway::{exchange, state};
+use crate::event;
+use crate::gateway::{exchange, request_log, state};
 
 /// Limits until a configuration is known.
 const DEFAULT_LIMITS: rules::CallerLimits = rules::CallerLimits {
@@ -55,19 +56,20 @@
     }
     let mut caller = message::MessageStream::new(stream);
     loop {
-        if !wait_request(&state, &mut caller).await {
+        if let Err(end) = wait_request(&state, &mut caller).await {
+            log_idle_end(&state, end);
             return;
         }
         let limits = limits(&state);
         let request = match read_request(&mut caller, &limits).await {
             Ok(request) => request,
-            Err(status) => {
-                reject(&mut caller, status).await;
+            Err(rejection) => {
+                reject(&state, &mut caller, &rejection).await;
                 return;
             }
         };
         if state.is_rejecting() {
-            reject(&mut caller, 503).await;
+            reject(&state, &mut caller, &Rejection { status: 503, reason: "stopping" }).await;
             return;
         }
         state.active_requests.fetch_add(1, atomic::Ordering::Relaxed);
@@ -79,17 +81,29 @@
     }
 }
 
-/// Waits for the first byte of a request; returns false if the connection should be closed instead.
-async fn wait_request(state: &state::GatewayState, caller: &mut message::MessageStream) -> bool {
+/// Logs the end of a connection without a request in progress; ends by the caller are only counted.
+fn log_idle_end(state: &state::GatewayState, reason: &'static str) {
+    state.metrics.count_connection(reason);
+    if matches!(reason, "idle" | "stopping") {
+        log::info!(event = event::CONNECTION_CLOSED.number, reason = reason; "connection_closed");
+    }
+}
+
+/// Waits for the first byte of a request, or returns why the connection should be closed instead.
+async fn wait_request(
+    state: &state::GatewayState,
+    caller: &mut message::MessageStream,
+) -> Result<(), &'static str> {
     let started = state.now();
     loop {
         if state.now().since(started) >= limits(state).idle_timeout {
-            return false;
+            return Err("idle");
         }
         match message::with_timeout(STOP_CHECK_INTERVAL, caller.wait_message()).await {
-            Some(Ok(true)) => return true,
-            Some(Ok(false) | Err(_)) => return false,
-            None if state.is_stopping() => return false,
+            Some(Ok(true)) => return Ok(()),
+            Some(Ok(false)) => return Err(request_log::end_code(message::PeerEnd::Closed)),
+            Some(Err(_)) => return Err(request_log::end_code(message::PeerEnd::Failed)),
+            None if state.is_stopping() => return Err("stopping"),
             None => {}
         }
     }
@@ -101,46 +115,73 @@
     pub body: Vec<u8>,
 }
 
-/// Reads a request, or returns the HTTP status to reject it with.
+/// Why a request is rejected before it was read completely.
+#[derive(Clone, Copy, Debug)]
+struct Rejection {
+    status: u16,
+    /// Reason for the log.
+    reason: &'static str,
+}
+
+/// Reads a request, or returns why it is rejected.
 async fn read_request(
     caller: &mut message::MessageStream,
     limits: &rules::CallerLimits,
-) -> Result<ReceivedRequest, u16> {
+) -> Result<ReceivedRequest, Rejection> {
+    const HEAD_TIMEOUT: Rejection = Rejection { status: 408, reason: "head_timeout" };
+    const BODY_TIMEOUT_PASSED: Rejection = Rejection { status: 408, reason: "body_timeout" };
+
     let read = caller.read_request(limits.max_head_bytes);
     let head = match message::with_timeout(limits.head_timeout, read).await {
-        None => return Err(408),
-        Some(Err(error)) => return Err(rejection_status(&error)),
+        None => return Err(HEAD_TIMEOUT),
+        Some(Err(error)) => return Err(rejection_of(&error)),
         Some(Ok(head)) => head,
     };
     if head.minor_version == 0 {
-        return Err(505);
+        return Err(Rejection { status: 505, reason: "http_version" });
     }
-    let framing = body::BodyFraming::of_request(&head.headers).map_err(|_| 400_u16)?;
+    let framing = body::BodyFraming::of_request(&head.headers)
+        .map_err(|_| Rejection { status: 400, reason: "ambiguous_framing" })?;
     if head.headers.contains_token("expect", "100-continue") && framing != body::BodyFraming::Done {
         let interim = header::ResponseHead::new(100).encode();
-        caller.write(&interim).await.map_err(|_| 400_u16)?;
+        let written = caller.write(&interim).await;
+        written.map_err(|_| Rejection { status: 400, reason: "caller_reset" })?;
     }
     let read = caller.read_body(framing, limits.max_body_bytes);
     match message::with_timeout(BODY_TIMEOUT, read).await {
-        None => Err(408),
-        Some(Err(error)) => Err(rejection_status(&error)),
+        None => Err(BODY_TIMEOUT_PASSED),
+        Some(Err(error)) => Err(rejection_of(&error)),
         Some(Ok(body)) => Ok(ReceivedRequest { head, body }),
     }
 }
 
-fn rejection_status(error: &message::ReadError) -> u16 {
-    match error {
-        message::ReadError::HeadTooLong(_) => 431,
-        message::ReadError::BodyTooLong(_) => 413,
-        _ => 400,
-    }
+fn rejection_of(error: &message::ReadError) -> Rejection {
+    let (status, reason) = match error {
+        message::ReadError::HeadTooLong(_) => (431, "head_too_long"),
+        message::ReadError::BodyTooLong(_) => (413, "body_too_long"),
+        message::ReadError::Closed => (400, request_log::end_code(message::PeerEnd::Closed)),
+        message::ReadError::Io(_) => (400, request_log::end_code(message::PeerEnd::Failed)),
+        message::ReadError::Malformed(_) | message::ReadError::Framing(_) => (400, "malformed"),
+    };
+    Rejection { status, reason }
 }
 
-async fn reject(caller: &mut message::MessageStream, status: u16) {
-    let mut head = fields::local_reply(status, None, None);
+async fn reject(
+    state: &state::GatewayState,
+    caller: &mut message::MessageStream,
+    rejection: &Rejection,
+) {
+    let mut head = fields::local_reply(rejection.status, None, None);
     head.headers.push("Content-Length", "0");
     head.headers.push("Connection", "close");
-    if caller.write(&head.encode()).await.is_ok() {
+    let is_written = caller.write(&head.encode()).await.is_ok();
+    state.metrics.count_connection(rejection.reason);
+    log::info!(
+        event = event::REQUEST_REJECTED.number, status = rejection.status,
+        reason = rejection.reason, delivered = is_written;
+        "request_rejected"
+    );
+    if is_written {
         linger(caller).await;
     }
 }
@@ -162,19 +203,24 @@
 ) -> bool {
     let mut writer = caller.writer();
     let exchange = exchange::CallerExchange::new(state, request);
-    let serve = async { Some(exchange.serve(&mut writer).await) };
-    let disconnect = async {
-        caller.wait_closed().await;
-        None
+    let mut log = request_log::RequestLog::begin(&exchange);
+    let serve = async { Ok(exchange.serve(&mut writer, &mut log).await) };
+    let disconnect = async { Err(caller.wait_closed().await) };
+    let served = futures_lite::future::or(serve, disconnect).await;
+    let end = match served {
+        Ok(exchange::ConnectionUse::Keep) => "kept",
+        Ok(exchange::ConnectionUse::Close) => "closed",
+        Ok(exchange::ConnectionUse::Abort) => "aborted",
+        Err(end) => request_log::end_code(end),
     };
-    match futures_lite::future::or(serve, disconnect).await {
-        Some(exchange::ConnectionUse::Keep) => true,
-        Some(exchange::ConnectionUse::Close) => {
-            linger(caller).await;
-            false
-        }
-        Some(exchange::ConnectionUse::Abort) | None => false,
+    log.write(end);
+    if end != "kept" {
+        state.metrics.count_connection(end);
+    }
+    if served == Ok(exchange::ConnectionUse::Close) {
+        linger(caller).await;
     }
+    served == Ok(exchange::ConnectionUse::Keep)
 }
 
 /// Responds to the load balancer's readiness checks; never returns.
--- a/coltsfootd/src/gateway/exchange.rs
+++ b/coltsfootd/src/gateway/exchange.rs
@@ -77,26 +77,30 @@
     }
 
     /// Serves the request and writes the response.
-    pub async fn serve(self, writer: &mut TcpStream) -> ConnectionUse {
-        let mut log = request_log::RequestLog::default();
-        let outcome = match self.admit(&mut log) {
+    pub async fn serve(
+        &self,
+        writer: &mut TcpStream,
+        log: &mut request_log::RequestLog<'a>,
+    ) -> ConnectionUse {
+        let outcome = match self.admit(log) {
             Err(reply) => Outcome::Local(reply),
             Ok(admitted) => {
                 log.tokens = admitted.tokens;
-                let mut forwarding =
-                    forwarding::Forwarding::new(&self, &admitted, writer, &mut log);
+                let mut forwarding = forwarding::Forwarding::new(self, &admitted, writer, log);
                 let outcome = forwarding.run_until_deadline().await;
                 let may_have_run = forwarding.plan.may_have_run();
                 admitted.settle_quota(self.state, &outcome, may_have_run);
                 outcome
             }
         };
-        log.write(&self, &outcome);
-        self.write_response(writer, outcome).await
+        log.record_outcome(&outcome);
+        let connection_use = self.write_response(writer, outcome).await;
+        log.is_delivered = connection_use != ConnectionUse::Abort;
+        connection_use
     }
 
     /// Authorizes the request and charges its customer's quota, or returns why it is refused.
-    fn admit(&self, log: &mut request_log::RequestLog) -> Result<AdmittedRequest, LocalReply> {
+    fn admit(&self, log: &mut request_log::RequestLog<'_>) -> Result<AdmittedRequest, LocalReply> {
         let Some(routes) = self.state.routes.load_full() else {
             return Err(LocalReply::unavailable("no_configuration", upstream_search::RETRY_PAUSE));
         };
--- a/coltsfootd/src/gateway/forwarding.rs
+++ b/coltsfootd/src/gateway/forwarding.rs
@@ -43,7 +43,7 @@
     pub(super) exchange: &'b exchange::CallerExchange<'a>,
     pub(super) admitted: &'b exchange::AdmittedRequest,
     pub(super) writer: &'b mut TcpStream,
-    pub(super) log: &'b mut request_log::RequestLog,
+    pub(super) log: &'b mut request_log::RequestLog<'a>,
     pub(super) plan: attempt_plan::AttemptPlan,
     pub(super) position: event_stream::StreamPosition,
     /// Whether the head of the response was written to the caller.
@@ -60,7 +60,7 @@
         exchange: &'b exchange::CallerExchange<'a>,
         admitted: &'b exchange::AdmittedRequest,
         writer: &'b mut TcpStream,
-        log: &'b mut request_log::RequestLog,
+        log: &'b mut request_log::RequestLog<'a>,
     ) -> Self {
         Self {
             state: exchange.state,
@@ -107,11 +107,13 @@
                 AttemptOutcome::Ended(end, detail) => (end, detail),
             };
             let next = self.plan.record(&chosen.id, end);
-            self.log_attempt(&chosen, end, detail);
             let is_sent = end != attempt_plan::AttemptEnd::NotSent;
-            let may_retry = next == attempt_plan::NextStep::Retry
-                && (!is_sent || self.state.withdraw_retry(&self.admitted.service.name));
-            if !may_retry {
+            let has_budget = next != attempt_plan::NextStep::Retry
+                || !is_sent
+                || self.state.withdraw_retry(&self.admitted.service.name);
+            let next_code = if has_budget { next.code() } else { "no_budget" };
+            self.log_attempt(&chosen, end, detail, next_code);
+            if next != attempt_plan::NextStep::Retry || !has_budget {
                 return self.give_up(exchange::LocalReply::unavailable(
                     end.code(),
                     upstream_search::RETRY_PAUSE,
@@ -125,11 +127,13 @@
         chosen: &engine_choice::ChosenUpstream,
         end: attempt_plan::AttemptEnd,
         detail: &'static str,
+        next: &'static str,
     ) {
         self.state.metrics.count_attempt(detail);
         log::info!(
             event = event::ATTEMPT_ENDED.number, request = &*self.admitted.request_id,
             digest = self.admitted.digest.short(), upstream = &*chosen.id, end = end.code(), detail = detail,
+            next = next, events = self.position.forwarded(),
             ms = self.state.now().since(self.exchange.received).as_millis() as u64;
             "attempt_ended"
         );
--- a/coltsfootd/src/gateway/metrics.rs
+++ b/coltsfootd/src/gateway/metrics.rs
@@ -11,6 +11,7 @@
 pub(crate) struct GatewayMetrics {
     registry: registry::MeterRegistry,
     requests: metrics::Counter<u64>,
+    connections: metrics::Counter<u64>,
     attempts: metrics::Counter<u64>,
     loads: metrics::Counter<u64>,
     orders: metrics::Counter<u64>,
@@ -28,6 +29,10 @@
         let registry = registry::MeterRegistry::new()?;
         Ok(Self {
             requests: registry.counter("coltsfoot_gateway_requests", "Requests, by how they ended"),
+            connections: registry.counter(
+                "coltsfoot_gateway_connections_ended",
+                "Connections of callers that ended, by reason",
+            ),
             attempts: registry
                 .counter("coltsfoot_gateway_attempts", "Attempts without an answer, by reason"),
             loads: registry
@@ -61,6 +66,11 @@
         self.duration.record(duration.as_secs_f64(), &labels);
     }
 
+    /// Counts a connection of a caller that ended, by reason.
+    pub fn count_connection(&self, reason: &'static str) {
+        self.connections.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Counts an attempt without a response for the caller, by reason.
     pub fn count_attempt(&self, detail: &'static str) {
         self.attempts.add(1, &[KeyValue::new("reason", detail)]);
--- a/coltsfootd/src/gateway/relay.rs
+++ b/coltsfootd/src/gateway/relay.rs
@@ -62,6 +62,7 @@
                     }
                 }
             }
+            self.log.events = self.position.forwarded();
             if !output.is_empty() && !self.write_events(&response.head, &output).await {
                 return forwarding::AttemptOutcome::Done(exchange::Outcome::Aborted("caller_gone"));
             }
