Keep a connection whose stream did not announce its end

A stream whose head was written before a planned stop bore no `Connection: close`, but its connection was closed after the last event: whether it is kept was asked again at the end. The caller sent its next request on it, which was read in the linger before the close and dropped, without an answer or a line in the log.

The decision is now made once, when the head is written. The next request on such a connection is served, and its answer announces the close.

The new test failed before: no answer to the request after a stream that was under way when the stop began.

--- a/coltsfootd/src/gateway/exchange.rs
+++ b/coltsfootd/src/gateway/exchange.rs
@@ -64,6 +64,8 @@
     pub(super) request: callers::ReceivedRequest,
     pub(super) fields: fields::CallerFields,
     pub(super) received: instant::MonotonicTime,
+    /// Set once the head of the response is written, as the caller relies on what it announces.
+    connection_use: sync::OnceLock<ConnectionUse>,
 }
 
 impl<'a> CallerExchange<'a> {
@@ -73,7 +75,8 @@
         request: callers::ReceivedRequest,
     ) -> Self {
         let fields = fields::decode_caller(&request.head);
-        Self { state, request, fields, received: state.now() }
+        let connection_use = sync::OnceLock::new();
+        Self { state, request, fields, received: state.now(), connection_use }
     }
 
     /// Serves the request and writes the response.
@@ -202,9 +205,13 @@
         }
     }
 
+    /// Decides whether the connection is kept, when the head of the response is written; a stop that
+    /// begins later does not change it.
     pub(super) fn connection_use(&self) -> ConnectionUse {
-        let is_last = self.state.is_stopping() || self.request.head.wants_close();
-        if is_last { ConnectionUse::Close } else { ConnectionUse::Keep }
+        *self.connection_use.get_or_init(|| {
+            let is_last = self.state.is_stopping() || self.request.head.wants_close();
+            if is_last { ConnectionUse::Close } else { ConnectionUse::Keep }
+        })
     }
 }
 
