Count a request from its first byte until its response is delivered

A request was active only once it was read whole, and only until its response was written. The process therefore ended 2.5 s after SIGTERM while a caller's body was on its way, or while a refusal and the linger after it were. A panic or a cancelled task left the count off for good.

Requests and connections are now counted by guards. The end comes as soon as nothing is open, at the latest half a second before the kill. Each check enters one phase at most, so that callers who waited through a pause of the process are refused before the end.

--- a/coltsfoot-gateway/src/lib.rs
+++ b/coltsfoot-gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod route_table;
 pub mod rules;
 pub mod send_permits;
+pub mod stop_plan;
 pub mod upstream;
 pub mod upstream_search;
 pub mod upstream_slot;
--- /dev/null
+++ b/coltsfoot-gateway/src/stop_plan.rs
@@ -0,0 +1,79 @@
+//! Phases of a planned stop, by elapsed time and by what is still open.
+
+use std::time;
+
+use coltsfoot_types::time as instant;
+
+/// Time for the load balancer to notice that the instance isn't ready any more: two failed checks a
+/// second apart, and half a second.
+const LOAD_BALANCER_DELAY: time::Duration = time::Duration::from_millis(2500);
+/// Time between the end of a stop and the moment at which the process would be killed.
+const KILL_MARGIN: time::Duration = time::Duration::from_millis(500);
+/// Time to refuse the callers that wait and to close idle connections before a stop must end.
+const CLOSING_TIME: time::Duration = time::Duration::from_millis(600);
+/// Share of a short stop in which requests are served.
+const MAX_SERVING_SHARE: f64 = 0.5;
+
+/// What an instance does with its callers.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub enum StopPhase {
+    /// No stop has begun.
+    #[default]
+    Running,
+    /// Requests are served, and each response announces the end of its connection.
+    Serving,
+    /// Requests are refused as not run; those that were admitted go on.
+    Refusing,
+    /// The listener and idle connections are closed.
+    Closing,
+    /// The process ends.
+    Ended,
+}
+
+/// What a stop waits for.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct OpenWork {
+    /// Requests from their first byte until their response is delivered.
+    pub requests: usize,
+    /// Connections of callers, and their listener.
+    pub sockets: usize,
+}
+
+/// Planned stop of an instance.
+#[derive(Clone, Copy, Debug)]
+pub struct StopPlan {
+    phase: StopPhase,
+    started: instant::MonotonicTime,
+    /// Time from the start until requests are refused.
+    serving_time: time::Duration,
+    /// Time from the start until the process ends, whatever is open.
+    max_time: time::Duration,
+}
+
+impl StopPlan {
+    /// Begins a stop of a process that is killed once `grace` has passed.
+    pub fn begin(now: instant::MonotonicTime, grace: time::Duration) -> Self {
+        let max_time = grace.saturating_sub(KILL_MARGIN);
+        let serving_time = LOAD_BALANCER_DELAY.min(max_time.mul_f64(MAX_SERVING_SHARE));
+        Self { phase: StopPhase::Serving, started: now, serving_time, max_time }
+    }
+
+    /// Returns the present phase.
+    pub fn phase(&self) -> StopPhase {
+        self.phase
+    }
+
+    /// Enters the next phase if it is due, one at a time: after a pause of the process, callers that
+    /// waited meanwhile are still refused before the end.
+    pub fn advance(&mut self, now: instant::MonotonicTime, open: OpenWork) -> StopPhase {
+        let elapsed = now.since(self.started);
+        let closes_at = self.max_time.saturating_sub(CLOSING_TIME);
+        self.phase = match self.phase {
+            StopPhase::Serving if elapsed >= self.serving_time => StopPhase::Refusing,
+            StopPhase::Refusing if open.requests == 0 || elapsed >= closes_at => StopPhase::Closing,
+            StopPhase::Closing if open.sockets == 0 || elapsed >= self.max_time => StopPhase::Ended,
+            phase => phase,
+        };
+        self.phase
+    }
+}
--- a/coltsfootd/src/gateway/callers.rs
+++ b/coltsfootd/src/gateway/callers.rs
@@ -1,7 +1,6 @@
 //! Listeners for callers, the load balancer's readiness checks and metrics.
 
 use std::sync;
-use std::sync::atomic;
 use std::time;
 
 use async_net::{TcpListener, TcpStream};
@@ -10,7 +9,7 @@
 use futures_lite::AsyncWriteExt as _;
 use site_platform::fields;
 
-use crate::gateway::{exchange, state};
+use crate::gateway::{exchange, state, stop};
 
 /// Limits until a configuration is known.
 const DEFAULT_LIMITS: rules::CallerLimits = rules::CallerLimits {
@@ -33,7 +32,8 @@
     while !state.is_rejecting() {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let task = serve_caller(sync::Arc::clone(&state), stream);
+                let open = state.stop.sockets.enter();
+                let task = serve_caller(sync::Arc::clone(&state), stream, open);
                 state.executor.spawn(task).detach();
             }
             Err(error) => {
@@ -49,7 +49,11 @@
     routes.as_ref().map_or(DEFAULT_LIMITS, |routes| routes.rules().limits)
 }
 
-async fn serve_caller(state: sync::Arc<state::GatewayState>, stream: TcpStream) {
+async fn serve_caller(
+    state: sync::Arc<state::GatewayState>,
+    stream: TcpStream,
+    _open: stop::OpenGuard,
+) {
     if let Err(error) = socket::enable_keepalive(&stream) {
         log::debug!("could not enable TCP keep-alive: {error}");
     }
@@ -58,6 +62,7 @@
         if !wait_request(&state, &mut caller).await {
             return;
         }
+        let _active = state.stop.requests.enter();
         let limits = limits(&state);
         let request = match read_request(&mut caller, &limits).await {
             Ok(request) => request,
@@ -70,10 +75,7 @@
             reject(&mut caller, 503).await;
             return;
         }
-        state.active_requests.fetch_add(1, atomic::Ordering::Relaxed);
-        let is_kept = serve_request(&state, &mut caller, request).await;
-        state.active_requests.fetch_sub(1, atomic::Ordering::Relaxed);
-        if !is_kept {
+        if !serve_request(&state, &mut caller, request).await {
             return;
         }
     }
--- a/coltsfootd/src/gateway/mod.rs
+++ b/coltsfootd/src/gateway/mod.rs
@@ -25,6 +25,7 @@
 mod request_log;
 mod run;
 mod state;
+mod stop;
 
 pub use run::{GatewayError, GatewaySignal, run, run_until_signal};
 
--- a/coltsfootd/src/gateway/run.rs
+++ b/coltsfootd/src/gateway/run.rs
@@ -3,28 +3,24 @@
 use std::io;
 use std::net;
 use std::sync;
-use std::sync::atomic;
 use std::thread;
 use std::time;
 
 use async_net::TcpListener;
-use coltsfoot_gateway::order_lease;
+use coltsfoot_gateway::{order_lease, stop_plan};
 use coltsfoot_http::pool;
 use site_platform::{settings, store};
 
 use crate::gateway::{
     callers, crashes, engines, fleet, follower, heartbeats, lease, metrics, news, pending_calls,
-    permits, reload, state,
+    permits, reload, state, stop,
 };
 use crate::{clock, event, metrics as registry};
 
-/// Time for the load balancer to notice that the instance isn't ready any more: two failed checks a
-/// second apart, and one more.
-const LOAD_BALANCER_DELAY: time::Duration = time::Duration::from_millis(2500);
-/// Time between the end of a graceful shutdown and the moment at which the process would be killed.
-const KILL_MARGIN: time::Duration = time::Duration::from_millis(500);
-/// Interval between checks whether all requests have ended.
+/// Interval between checks whether the next phase of a stop is due.
 const STOP_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(50);
+/// Time for the last log lines to be written before the process ends.
+const LOG_WRITE_TIME: time::Duration = time::Duration::from_millis(100);
 
 /// Errors that prevent the gateway from starting.
 #[derive(Debug, thiserror::Error)]
@@ -128,7 +124,7 @@
     executor.spawn(engines::poll_stale_engines(sync::Arc::clone(&state))).detach();
     executor.spawn(reload::watch(sync::Arc::clone(&state))).detach();
     wait_for_stop(&state, &signals).await;
-    stop(&state).await;
+    pass_stop_phases(&state).await;
     Ok(())
 }
 
@@ -144,27 +140,19 @@
     }
 }
 
-/// Waits for running requests to end. The lease is not released, so that the machine keeps its
+/// Goes through the phases of a stop. The lease is not released, so that the machine keeps its
 /// engines if the process restarts; otherwise it expires.
-async fn stop(state: &sync::Arc<state::GatewayState>) {
-    state.is_stopping.store(true, atomic::Ordering::Relaxed);
+async fn pass_stop_phases(state: &state::GatewayState) {
+    let mut plan = stop_plan::StopPlan::begin(state.now(), state.bounds.load().stop_grace);
+    state.stop.enter(plan.phase());
     log::info!(event = event::DRAINING.number; "draining");
-    let started = state.now();
-    let max_wait = state.bounds.load().stop_grace.saturating_sub(KILL_MARGIN);
-    loop {
+    while plan.phase() != stop_plan::StopPhase::Ended {
         async_io::Timer::after(STOP_CHECK_INTERVAL).await;
-        let elapsed = state.now().since(started);
-        if elapsed >= LOAD_BALANCER_DELAY {
-            state.is_rejecting.store(true, atomic::Ordering::Relaxed);
-        }
-        let is_idle = state.active_requests.load(atomic::Ordering::Relaxed) == 0;
-        if elapsed >= max_wait || (is_idle && elapsed >= LOAD_BALANCER_DELAY) {
-            let left = state.active_requests.load(atomic::Ordering::Relaxed);
-            log::info!(event = event::STOPPED.number, unfinished = left; "stopped");
-            async_io::Timer::after(STOP_CHECK_INTERVAL * 2).await;
-            return;
-        }
+        state.stop.enter(plan.advance(state.now(), state.stop.open_work()));
     }
+    let left = state.stop.open_work().requests;
+    log::info!(event = event::STOPPED.number, unfinished = left; "stopped");
+    async_io::Timer::after(LOG_WRITE_TIME).await;
 }
 
 async fn listen(
@@ -212,9 +200,7 @@
         upstream_records: sync::Mutex::default(),
         listed_peers: sync::Mutex::default(),
         zone_aggregator: sync::Mutex::default(),
-        active_requests: atomic::AtomicUsize::new(0),
-        is_stopping: atomic::AtomicBool::new(false),
-        is_rejecting: atomic::AtomicBool::new(false),
+        stop: stop::StopState::default(),
         bounds: arc_swap::ArcSwap::from_pointee(settings.bounds.clone()),
         settings,
     }))
--- a/coltsfootd/src/gateway/state.rs
+++ b/coltsfootd/src/gateway/state.rs
@@ -2,11 +2,10 @@
 
 use std::net;
 use std::sync;
-use std::sync::atomic;
 
 use coltsfoot_gateway::{
     fleet_view, order_lease, quota_ledger, reader_selection, rendezvous, route_table, rules,
-    zone_relay,
+    stop_plan, zone_relay,
 };
 use coltsfoot_http::pool;
 use coltsfoot_once::retry_budget;
@@ -15,7 +14,7 @@
 use rustc_hash::FxHashMap;
 use site_platform::{settings, store};
 
-use crate::gateway::{crashes, engines, metrics, news, pending_calls, permits};
+use crate::gateway::{crashes, engines, metrics, news, pending_calls, permits, stop};
 use crate::{clock, event};
 
 /// Fraction of the fleet's retry budget that is used, so that the bound holds while some instances
@@ -56,10 +55,7 @@
     pub listed_peers: sync::Mutex<Vec<fleet_view::zones::ListedInstance>>,
     /// Totals of this zone, sent to other zones while this instance is the zone's relay.
     pub zone_aggregator: sync::Mutex<zone_relay::ZoneAggregator>,
-    pub active_requests: atomic::AtomicUsize,
-    pub is_stopping: atomic::AtomicBool,
-    /// Whether new requests are refused, late in a graceful shutdown.
-    pub is_rejecting: atomic::AtomicBool,
+    pub stop: stop::StopState,
 }
 
 impl GatewayState {
@@ -110,12 +106,12 @@
 
     /// Returns whether a graceful shutdown has begun.
     pub fn is_stopping(&self) -> bool {
-        self.is_stopping.load(atomic::Ordering::Relaxed)
+        self.stop.phase() >= stop_plan::StopPhase::Serving
     }
 
     /// Returns whether new requests are refused.
     pub fn is_rejecting(&self) -> bool {
-        self.is_rejecting.load(atomic::Ordering::Relaxed)
+        self.stop.phase() >= stop_plan::StopPhase::Refusing
     }
 
     /// Returns the partition that an engine is hashed to.
--- /dev/null
+++ b/coltsfootd/src/gateway/stop.rs
@@ -0,0 +1,61 @@
+//! Phase of a planned stop, and the count of what it waits for.
+
+use std::sync;
+use std::sync::atomic;
+
+use coltsfoot_gateway::stop_plan;
+
+use crate::gateway::state;
+
+/// Phase of a planned stop, with the connections and requests of callers that are open.
+#[derive(Debug, Default)]
+pub(crate) struct StopState {
+    phase: sync::Mutex<stop_plan::StopPhase>,
+    /// Requests from their first byte until their response is delivered.
+    pub requests: OpenCounter,
+    /// Connections of callers.
+    pub sockets: OpenCounter,
+}
+
+impl StopState {
+    /// Returns the present phase.
+    pub fn phase(&self) -> stop_plan::StopPhase {
+        *state::lock(&self.phase)
+    }
+
+    /// Enters a phase.
+    pub fn enter(&self, phase: stop_plan::StopPhase) {
+        *state::lock(&self.phase) = phase;
+    }
+
+    /// Returns what is open.
+    pub fn open_work(&self) -> stop_plan::OpenWork {
+        stop_plan::OpenWork { requests: self.requests.count(), sockets: self.sockets.count() }
+    }
+}
+
+/// Number of guards that are held.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct OpenCounter(sync::Arc<atomic::AtomicUsize>);
+
+impl OpenCounter {
+    /// Counts one more until the guard is dropped, also by a cancellation or a panic.
+    pub fn enter(&self) -> OpenGuard {
+        self.0.fetch_add(1, atomic::Ordering::Relaxed);
+        OpenGuard(self.clone())
+    }
+
+    fn count(&self) -> usize {
+        self.0.load(atomic::Ordering::Relaxed)
+    }
+}
+
+/// Something open that is counted.
+#[derive(Debug)]
+pub(crate) struct OpenGuard(OpenCounter);
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.0.0.fetch_sub(1, atomic::Ordering::Relaxed);
+    }
+}
