Serve idle connections until the end of a planned stop

Idle connections were closed within 250 ms of SIGTERM, while the load balancer and the callers took the instance for ready for 2.5 s: a request that crossed the close was lost, without a line in the log.

A request that comes later is refused as not run, with its id, `Retry-After` and a `request_ended` line (reason `stopping`). Idle connections are closed at the end of the stop only, once they have been idle for 0.3 s, so that a caller that sends one request after the other is told first. The look at the socket precedes each look at a limit.

--- /dev/null
+++ b/coltsfoot-gateway/src/idle_connection.rs
@@ -0,0 +1,36 @@
+//! Time for which an idle connection of a caller is kept.
+
+use std::time;
+
+use coltsfoot_types::time as instant;
+
+/// Idle time after which a stop closes a connection: a caller that sends one request after the other
+/// is told instead.
+const MIN_IDLE_TIME: time::Duration = time::Duration::from_millis(300);
+
+/// A connection that waits for a request.
+#[derive(Clone, Copy, Debug)]
+pub struct IdleConnection {
+    since: instant::MonotonicTime,
+}
+
+impl IdleConnection {
+    /// Begins the idle time.
+    pub fn begin(now: instant::MonotonicTime) -> Self {
+        Self { since: now }
+    }
+
+    /// Returns the time until the connection is closed.
+    pub fn time_left(
+        &self,
+        now: instant::MonotonicTime,
+        idle_timeout: time::Duration,
+    ) -> time::Duration {
+        idle_timeout.saturating_sub(now.since(self.since))
+    }
+
+    /// Returns the time until the connection is closed in a stop.
+    pub fn time_left_in_stop(&self, now: instant::MonotonicTime) -> time::Duration {
+        MIN_IDLE_TIME.saturating_sub(now.since(self.since))
+    }
+}
--- a/coltsfoot-gateway/src/lib.rs
+++ b/coltsfoot-gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod fetch_limiter;
 pub mod fleet_view;
 pub mod heartbeat_plan;
+pub mod idle_connection;
 pub mod limit_table;
 pub mod order_lease;
 pub mod peer_slot;
--- a/coltsfoot-gateway/tests/stops.rs
+++ b/coltsfoot-gateway/tests/stops.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use coltsfoot_gateway::idle_connection::IdleConnection;
 use coltsfoot_gateway::stop_plan::{OpenWork, StopPhase, StopPlan};
 use coltsfoot_types::time as clock;
 use rstest::rstest;
@@ -58,3 +59,14 @@
     let expected = [StopPhase::Refusing, StopPhase::Closing, StopPhase::Ended, StopPhase::Ended];
     assert_eq!(phases, expected);
 }
+
+#[rstest]
+#[case::just_answered(0, 300)]
+#[case::idle_for_long(5000, 0)]
+fn stop_closes_a_connection_once_its_caller_had_time_for_a_next_request(
+    #[case] idle_ms: u64,
+    #[case] left_ms: u64,
+) {
+    let idle = IdleConnection::begin(at(0));
+    assert_eq!(idle.time_left_in_stop(at(idle_ms)), time::Duration::from_millis(left_ms));
+}
--- a/coltsfootd/src/gateway/callers.rs
+++ b/coltsfootd/src/gateway/callers.rs
@@ -4,9 +4,9 @@
 use std::time;
 
 use async_net::{TcpListener, TcpStream};
-use coltsfoot_gateway::rules;
+use coltsfoot_gateway::{idle_connection, rules};
 use coltsfoot_http::{body, header, message, socket};
-use futures_lite::AsyncWriteExt as _;
+use futures_lite::{AsyncWriteExt as _, future};
 use site_platform::fields;
 
 use crate::gateway::{exchange, state, stop};
@@ -24,8 +24,8 @@
 const LINGER_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 /// Delay after a failed `accept`, usually for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(20);
-/// Interval at which idle connections check for a graceful shutdown.
-const STOP_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(250);
+/// Interval at which idle connections check whether their limit has changed.
+const LIMIT_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(250);
 
 /// Accepts callers until the instance rejects new requests.
 pub(crate) async fn accept(state: sync::Arc<state::GatewayState>, listener: TcpListener) {
@@ -71,10 +71,6 @@
                 return;
             }
         };
-        if state.is_rejecting() {
-            reject(&mut caller, 503).await;
-            return;
-        }
         if !serve_request(&state, &mut caller, request).await {
             return;
         }
@@ -83,16 +79,31 @@
 
 /// Waits for the first byte of a request; returns false if the connection should be closed instead.
 async fn wait_request(state: &state::GatewayState, caller: &mut message::MessageStream) -> bool {
-    let started = state.now();
+    let idle = idle_connection::IdleConnection::begin(state.now());
     loop {
-        if state.now().since(started) >= limits(state).idle_timeout {
-            return false;
+        let is_closing = state.stop.is_closing();
+        let left = match is_closing {
+            true => idle.time_left_in_stop(state.now()),
+            false => idle.time_left(state.now(), limits(state).idle_timeout),
+        };
+        let wait = async { Some(matches!(caller.wait_message().await, Ok(true))) };
+        let expire = async {
+            async_io::Timer::after(left.min(LIMIT_CHECK_INTERVAL)).await;
+            None
+        };
+        let begin_closing = async {
+            if is_closing {
+                future::pending::<()>().await;
+            }
+            state.stop.wait_closing().await;
+            None
+        };
+        // The socket is looked at first: a request that waits there is read before any limit counts.
+        if let Some(has_request) = future::or(wait, future::or(expire, begin_closing)).await {
+            return has_request;
         }
-        match message::with_timeout(STOP_CHECK_INTERVAL, caller.wait_message()).await {
-            Some(Ok(true)) => return true,
-            Some(Ok(false) | Err(_)) => return false,
-            None if state.is_stopping() => return false,
-            None => {}
+        if left.is_zero() {
+            return false;
         }
     }
 }
@@ -169,7 +180,7 @@
         caller.wait_closed().await;
         None
     };
-    match futures_lite::future::or(serve, disconnect).await {
+    match future::or(serve, disconnect).await {
         Some(exchange::ConnectionUse::Keep) => true,
         Some(exchange::ConnectionUse::Close) => {
             linger(caller).await;
--- a/coltsfootd/src/gateway/exchange.rs
+++ b/coltsfootd/src/gateway/exchange.rs
@@ -100,6 +100,9 @@
 
     /// Authorizes the request and charges its customer's quota, or returns why it is refused.
     fn admit(&self, log: &mut request_log::RequestLog) -> Result<AdmittedRequest, LocalReply> {
+        if self.state.is_rejecting() {
+            return Err(LocalReply::unavailable("stopping", upstream_search::RETRY_PAUSE));
+        }
         let Some(routes) = self.state.routes.load_full() else {
             return Err(LocalReply::unavailable("no_configuration", upstream_search::RETRY_PAUSE));
         };
--- a/coltsfootd/src/gateway/stop.rs
+++ b/coltsfootd/src/gateway/stop.rs
@@ -11,6 +11,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct StopState {
     phase: sync::Mutex<stop_plan::StopPhase>,
+    phase_entered: event_listener::Event,
     /// Requests from their first byte until their response is delivered.
     pub requests: OpenCounter,
     /// Connections of callers.
@@ -26,6 +27,22 @@
     /// Enters a phase.
     pub fn enter(&self, phase: stop_plan::StopPhase) {
         *state::lock(&self.phase) = phase;
+        self.phase_entered.notify(usize::MAX);
+    }
+
+    /// Returns whether idle connections are closed.
+    pub fn is_closing(&self) -> bool {
+        self.phase() >= stop_plan::StopPhase::Closing
+    }
+
+    /// Waits until idle connections are closed.
+    pub async fn wait_closing(&self) {
+        while !self.is_closing() {
+            let entered = self.phase_entered.listen();
+            if !self.is_closing() {
+                entered.await;
+            }
+        }
     }
 
     /// Returns what is open.
