Accept and refuse the callers that wait when a stop closes the listener

The listener took one more connection after the instance had begun to refuse requests, and was then dropped: all others in its queue were reset, also while the stop waited seconds for the last requests.

It now accepts until the stop closes it, takes those that wait by then, and counts as open, so that the process does not end before.

--- a/coltsfootd/src/gateway/callers.rs
+++ b/coltsfootd/src/gateway/callers.rs
@@ -27,10 +27,21 @@
 /// Interval at which idle connections check whether their limit has changed.
 const LIMIT_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(250);
 
-/// Accepts callers until the instance rejects new requests.
-pub(crate) async fn accept(state: sync::Arc<state::GatewayState>, listener: TcpListener) {
-    while !state.is_rejecting() {
-        match listener.accept().await {
+/// Accepts callers until a stop closes the listener. Those that wait in its queue by then are accepted
+/// first, so that they are refused and not reset.
+pub(crate) async fn accept(
+    state: sync::Arc<state::GatewayState>,
+    listener: TcpListener,
+    _open: stop::OpenGuard,
+) {
+    loop {
+        let accept = async { Some(listener.accept().await) };
+        let close = async {
+            state.stop.wait_closing().await;
+            None
+        };
+        let Some(accepted) = future::or(accept, close).await else { return };
+        match accepted {
             Ok((stream, _)) => {
                 let open = state.stop.sockets.enter();
                 let task = serve_caller(sync::Arc::clone(&state), stream, open);
--- a/coltsfootd/src/gateway/run.rs
+++ b/coltsfootd/src/gateway/run.rs
@@ -110,7 +110,8 @@
     let name = &state.settings.instance;
     log::info!(event = event::STARTED.number, instance = name.to_string(); "started");
     let executor = &state.executor;
-    executor.spawn(callers::accept(sync::Arc::clone(&state), callers)).detach();
+    let open = state.stop.sockets.enter();
+    executor.spawn(callers::accept(sync::Arc::clone(&state), callers, open)).detach();
     executor.spawn(callers::serve_readiness(sync::Arc::clone(&state), readiness)).detach();
     executor.spawn(callers::serve_metrics(sync::Arc::clone(&state), scrapes)).detach();
     executor.spawn(follower::follow_operator(sync::Arc::clone(&state))).detach();
--- a/coltsfootd/src/gateway/stop.rs
+++ b/coltsfootd/src/gateway/stop.rs
@@ -14,7 +14,7 @@
     phase_entered: event_listener::Event,
     /// Requests from their first byte until their response is delivered.
     pub requests: OpenCounter,
-    /// Connections of callers.
+    /// Connections of callers, and their listener.
     pub sockets: OpenCounter,
 }
 
