Keep an idle connection for the limit under which it became idle

The idle limit was read again every 250 ms, so a configuration that lowered it closed connections that callers might still use: they reuse one that was idle for up to four fifths of the limit. A request that crossed the close was lost, without a line in the log.

A connection is now kept for the larger of the limit when it became idle and the present one, and looks at the limit when it is due instead of four times a second. That a request that waits in the socket is read before the limit counts holds since idle connections are served in a stop; no test could make the earlier order of the two looks lose a request.

--- a/coltsfoot-gateway/src/idle_connection.rs
+++ b/coltsfoot-gateway/src/idle_connection.rs
@@ -12,21 +12,24 @@
 #[derive(Clone, Copy, Debug)]
 pub struct IdleConnection {
     since: instant::MonotonicTime,
+    /// Longest idle time when the connection became idle. Its caller may rely on it.
+    promised: time::Duration,
 }
 
 impl IdleConnection {
-    /// Begins the idle time.
-    pub fn begin(now: instant::MonotonicTime) -> Self {
-        Self { since: now }
+    /// Begins the idle time under the present limit.
+    pub fn begin(now: instant::MonotonicTime, idle_timeout: time::Duration) -> Self {
+        Self { since: now, promised: idle_timeout }
     }
 
-    /// Returns the time until the connection is closed.
+    /// Returns the time until the connection is closed; a limit that was lowered meanwhile does not
+    /// shorten it.
     pub fn time_left(
         &self,
         now: instant::MonotonicTime,
         idle_timeout: time::Duration,
     ) -> time::Duration {
-        idle_timeout.saturating_sub(now.since(self.since))
+        self.promised.max(idle_timeout).saturating_sub(now.since(self.since))
     }
 
     /// Returns the time until the connection is closed in a stop.
--- a/coltsfoot-gateway/tests/stops.rs
+++ b/coltsfoot-gateway/tests/stops.rs
@@ -67,6 +67,22 @@
     #[case] idle_ms: u64,
     #[case] left_ms: u64,
 ) {
-    let idle = IdleConnection::begin(at(0));
+    let idle = IdleConnection::begin(at(0), time::Duration::from_secs(15));
     assert_eq!(idle.time_left_in_stop(at(idle_ms)), time::Duration::from_millis(left_ms));
 }
+
+#[rstest]
+#[case::unchanged(3000, 3000, 1000, 2000)]
+#[case::lowered_limit_binds_the_next_idle_time_only(15_000, 3000, 12_000, 3000)]
+#[case::raised_limit_binds_at_once(3000, 15_000, 4000, 11_000)]
+#[case::over(3000, 3000, 3000, 0)]
+fn idle_connection_is_kept_as_long_as_its_caller_may_use_it(
+    #[case] limit_before_ms: u64,
+    #[case] limit_ms: u64,
+    #[case] idle_ms: u64,
+    #[case] left_ms: u64,
+) {
+    let idle = IdleConnection::begin(at(0), time::Duration::from_millis(limit_before_ms));
+    let left = idle.time_left(at(idle_ms), time::Duration::from_millis(limit_ms));
+    assert_eq!(left, time::Duration::from_millis(left_ms));
+}
--- a/coltsfootd/src/gateway/callers.rs
+++ b/coltsfootd/src/gateway/callers.rs
@@ -24,8 +24,6 @@
 const LINGER_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 /// Delay after a failed `accept`, usually for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(20);
-/// Interval at which idle connections check whether their limit has changed.
-const LIMIT_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(250);
 
 /// Accepts callers until a stop closes the listener. Those that wait in its queue by then are accepted
 /// first, so that they are refused and not reset.
@@ -90,7 +88,7 @@
 
 /// Waits for the first byte of a request; returns false if the connection should be closed instead.
 async fn wait_request(state: &state::GatewayState, caller: &mut message::MessageStream) -> bool {
-    let idle = idle_connection::IdleConnection::begin(state.now());
+    let idle = idle_connection::IdleConnection::begin(state.now(), limits(state).idle_timeout);
     loop {
         let is_closing = state.stop.is_closing();
         let left = match is_closing {
@@ -99,7 +97,7 @@
         };
         let wait = async { Some(matches!(caller.wait_message().await, Ok(true))) };
         let expire = async {
-            async_io::Timer::after(left.min(LIMIT_CHECK_INTERVAL)).await;
+            async_io::Timer::after(left).await;
             None
         };
         let begin_closing = async {
