Keep a silent upstream until the other one's response is sure to go on

A request was handed over at the head of the other upstream's response: if that was a failure of its own, or its stream broke off before an event, the caller got 500 or a cut stream although the first engine went on.

A failed response of the other upstream now keeps the present attempt, and a stream is handed over at its first event, at most 300 ms after its head.

--- a/coltsfoot-gateway/src/event_stream.rs
+++ b/coltsfoot-gateway/src/event_stream.rs
@@ -26,11 +26,20 @@
 
     /// Removes and returns the next complete event.
     pub fn next_event(&mut self) -> Option<StreamEvent> {
-        let end = self.buffer.windows(2).position(|pair| pair == b"\n\n")? + 2;
+        let end = self.event_end()?;
         let bytes: Vec<u8> = self.buffer.drain(..end).collect();
         Some(StreamEvent { id: event_id(&bytes), bytes })
     }
 
+    fn event_end(&self) -> Option<usize> {
+        self.buffer.windows(2).position(|pair| pair == b"\n\n").map(|start| start + 2)
+    }
+
+    /// Returns whether a complete event is buffered.
+    pub fn has_event(&self) -> bool {
+        self.event_end().is_some()
+    }
+
     /// Returns whether bytes of an incomplete event are buffered.
     pub fn has_partial(&self) -> bool {
         !self.buffer.is_empty()
--- a/coltsfootd/src/gateway/failover.rs
+++ b/coltsfootd/src/gateway/failover.rs
@@ -7,16 +7,17 @@
 use std::sync;
 use std::time;
 
-use coltsfoot_gateway::{engine_choice, failover_timer, rules, upstream_search};
+use coltsfoot_gateway::{attempt_plan, engine_choice, failover_timer, rules, upstream_search};
+use futures_lite::future;
 use smallvec::SmallVec;
 
 use crate::event;
-use crate::gateway::{attempt, forwarding, upstream_attempt};
+use crate::gateway::{forwarding, relay, upstream_attempt};
 
 /// Interval between checks whether an upstream is silent.
 const SILENCE_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(100);
-/// Time after which an engine that has not rejected a request counts as running it, if its response begins
-/// only once it is complete. The earlier attempt ends then: the platform bounds the time for which two
+/// Time after which the other upstream counts as running the request, from the head of its stream, or from
+/// sending the request if a response begins only once it is complete. The earlier attempt ends then: the platform bounds the time for which two
 /// engines work on a request at 400 ms.
 const HANDOVER_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 
@@ -30,13 +31,30 @@
     Unavailable,
 }
 
-/// What happened first after a request was sent to another upstream.
-enum HandoverEvent<T> {
+/// What happened first while two upstreams had the request.
+enum HandoverEvent<T, U> {
+    /// The present upstream went on, or its attempt failed.
     Progress(T),
-    Response(Box<Result<attempt::OpenResponse, attempt::AttemptError>>),
+    /// The other upstream responded.
+    Response(U),
     TimedOut,
 }
 
+/// Waits until one of two upstreams goes on, at most for a time if there is a limit.
+async fn first_event<T, U>(
+    progress: impl Future<Output = T>,
+    response: impl Future<Output = U>,
+    limit: Option<time::Duration>,
+) -> HandoverEvent<T, U> {
+    let progress = async { HandoverEvent::Progress(progress.await) };
+    let respond = async { HandoverEvent::Response(response.await) };
+    let timeout = async {
+        async_io::Timer::after(limit.unwrap_or(time::Duration::MAX)).await;
+        HandoverEvent::TimedOut
+    };
+    future::or(progress, future::or(respond, timeout)).await
+}
+
 impl<'b> forwarding::Forwarding<'_, 'b> {
     /// Waits until the timer is due; forever if the request may not be retried.
     pub(super) async fn wait_until_overdue(
@@ -75,7 +93,7 @@
     ) -> FailoverResult<'b, T, E> {
         let mut progress = pin::pin!(progress);
         let prepare = async { Err(self.prepare_failover(present).await) };
-        let prepared = futures_lite::future::or(async { Ok((&mut progress).await) }, prepare);
+        let prepared = future::or(async { Ok((&mut progress).await) }, prepare);
         let (chosen, endpoint) = match prepared.await {
             Ok(result) => {
                 self.log_failover(present, "resumed");
@@ -115,52 +133,90 @@
     async fn hand_over<T, E>(
         &mut self,
         present: &sync::Arc<str>,
-        progress: pin::Pin<&mut impl Future<Output = Result<T, E>>>,
+        mut progress: pin::Pin<&mut impl Future<Output = Result<T, E>>>,
         mut pending: upstream_attempt::PendingAttempt<'b>,
     ) -> FailoverResult<'b, T, E> {
         let shows_begin = self.admitted.demand.is_none()
             || self.admitted.route.kind == rules::RouteKind::Streaming;
-        let timeout = async {
-            if shows_begin {
-                std::future::pending::<()>().await;
+        let limit = (!shows_begin).then_some(HANDOVER_TIMEOUT);
+        let error = match first_event(progress.as_mut(), &mut pending.response, limit).await {
+            HandoverEvent::Response(response) => {
+                return match self.accept(pending.attempt, response).await {
+                    Ok(open) => self.confirm_response(present, progress, open).await,
+                    Err(failed) => self.keep_present(present, &failed),
+                };
             }
-            async_io::Timer::after(HANDOVER_TIMEOUT).await;
-            HandoverEvent::TimedOut
-        };
-        let respond = async { HandoverEvent::Response(Box::new((&mut pending.response).await)) };
-        let progress = async { HandoverEvent::Progress(progress.await) };
-        let first = futures_lite::future::or(progress, futures_lite::future::or(respond, timeout));
-        match first.await {
             HandoverEvent::Progress(Ok(progress)) => {
-                self.record_attempt(&pending.attempt.cancel(), "kept");
-                self.log_failover(present, "resumed");
-                FailoverResult::Progress(Ok(progress))
-            }
-            HandoverEvent::Progress(Err(error)) => {
-                self.log_failover(present, "moved");
-                FailoverResult::Moved(
-                    forwarding::AttemptStage::Pending(Box::new(pending)),
-                    Some(error),
-                )
+                return self.resume_present(present, pending.attempt, progress);
             }
-            HandoverEvent::TimedOut => {
-                self.log_failover(present, "moved");
-                FailoverResult::Moved(forwarding::AttemptStage::Pending(Box::new(pending)), None)
-            }
-            HandoverEvent::Response(response) => {
-                match self.accept(pending.attempt, *response).await {
-                    Ok(open) => {
-                        self.log_failover(present, "moved");
-                        FailoverResult::Moved(forwarding::AttemptStage::Open(Box::new(open)), None)
-                    }
-                    Err(failed) => {
-                        self.record_attempt(&failed, "kept");
-                        self.log_failover(present, failed.detail);
-                        FailoverResult::Unavailable
-                    }
+            HandoverEvent::Progress(Err(error)) => Some(error),
+            HandoverEvent::TimedOut => None,
+        };
+        self.move_on(present, forwarding::AttemptStage::Pending(Box::new(pending)), error)
+    }
+
+    /// Waits for the first event of the other upstream's stream. The present attempt is kept if the other
+    /// upstream fails or breaks off before.
+    async fn confirm_response<T, E>(
+        &mut self,
+        present: &sync::Arc<str>,
+        progress: pin::Pin<&mut impl Future<Output = Result<T, E>>>,
+        mut open: upstream_attempt::OpenAttempt<'b>,
+    ) -> FailoverResult<'b, T, E> {
+        let state = self.exchange.state;
+        let other = sync::Arc::clone(&open.attempt.chosen.id);
+        if open.response.head.status >= 500 {
+            state.view().record_outcome(state.now(), &other, true);
+            let failed = open.attempt.fail(attempt_plan::AttemptEnd::Failed, "failed");
+            return self.keep_present(present, &failed);
+        }
+        let mut error = None;
+        if self.is_stream(&open) {
+            let read = relay::read_event(state, &other, &mut open.response, &mut open.splitter);
+            match first_event(progress, read, Some(HANDOVER_TIMEOUT)).await {
+                HandoverEvent::Response(Err(detail)) => {
+                    let failed = self.fail_broken(open.attempt, detail);
+                    return self.keep_present(present, &failed);
                 }
+                HandoverEvent::Progress(Ok(progress)) => {
+                    return self.resume_present(present, open.attempt, progress);
+                }
+                HandoverEvent::Progress(Err(present_error)) => error = Some(present_error),
+                HandoverEvent::Response(Ok(_)) | HandoverEvent::TimedOut => {}
             }
         }
+        self.move_on(present, forwarding::AttemptStage::Open(Box::new(open)), error)
+    }
+
+    fn move_on<T, E>(
+        &self,
+        present: &sync::Arc<str>,
+        stage: forwarding::AttemptStage<'b>,
+        error: Option<E>,
+    ) -> FailoverResult<'b, T, E> {
+        self.log_failover(present, "moved");
+        FailoverResult::Moved(stage, error)
+    }
+
+    fn keep_present<T, E>(
+        &mut self,
+        present: &sync::Arc<str>,
+        failed: &upstream_attempt::FailedAttempt,
+    ) -> FailoverResult<'b, T, E> {
+        self.record_attempt(failed, "kept");
+        self.log_failover(present, failed.detail);
+        FailoverResult::Unavailable
+    }
+
+    fn resume_present<T, E>(
+        &mut self,
+        present: &sync::Arc<str>,
+        other: upstream_attempt::UpstreamAttempt<'_>,
+        progress: T,
+    ) -> FailoverResult<'b, T, E> {
+        self.record_attempt(&other.cancel(), "kept");
+        self.log_failover(present, "resumed");
+        FailoverResult::Progress(Ok(progress))
     }
 
     fn log_failover(&self, upstream: &sync::Arc<str>, verdict: &'static str) {
--- a/coltsfootd/src/gateway/forwarding.rs
+++ b/coltsfootd/src/gateway/forwarding.rs
@@ -337,12 +337,16 @@
         }
     }
 
+    /// Returns whether a response is forwarded event by event.
+    pub(super) fn is_stream(&self, open: &upstream_attempt::OpenAttempt<'_>) -> bool {
+        self.admitted.route.kind == rules::RouteKind::Streaming && open.response.head.status == 200
+    }
+
     async fn forward_response(
         &mut self,
         open: upstream_attempt::OpenAttempt<'b>,
     ) -> AttemptProgress<'b> {
-        let is_stream = self.admitted.route.kind == rules::RouteKind::Streaming;
-        if is_stream && open.response.head.status == 200 {
+        if self.is_stream(&open) {
             self.relay(open).await
         } else {
             self.read_full_response(open).await
@@ -355,7 +359,7 @@
         &mut self,
         open: upstream_attempt::OpenAttempt<'b>,
     ) -> AttemptProgress<'b> {
-        let upstream_attempt::OpenAttempt { attempt, mut response } = open;
+        let upstream_attempt::OpenAttempt { attempt, mut response, .. } = open;
         let framing = response.framing;
         let Ok(body) = response.stream.read_body(framing, MAX_RESPONSE_BYTES).await else {
             return AttemptProgress::Failed(self.fail_broken(attempt, "answer_broke_off"));
--- a/coltsfootd/src/gateway/relay.rs
+++ b/coltsfootd/src/gateway/relay.rs
@@ -30,9 +30,8 @@
         &mut self,
         open: upstream_attempt::OpenAttempt<'b>,
     ) -> forwarding::AttemptProgress<'b> {
-        let upstream_attempt::OpenAttempt { mut attempt, mut response } = open;
+        let upstream_attempt::OpenAttempt { mut attempt, mut response, mut splitter } = open;
         let upstream = sync::Arc::clone(&attempt.chosen.id);
-        let mut splitter = event_stream::EventSplitter::default();
         let mut has_event = false;
         let received = self.state.now();
         let mut timer =
@@ -173,16 +172,27 @@
     response: &mut attempt::OpenResponse,
     splitter: &mut event_stream::EventSplitter,
 ) -> Result<Option<EventBatch>, &'static str> {
+    let has_event = read_event(state, upstream, response, splitter).await?;
+    Ok(has_event.then(|| std::iter::from_fn(|| splitter.next_event()).collect()))
+}
+
+/// Reads until the splitter holds a complete event; returns false at the end of the stream, or why the
+/// stream failed. Cancelling it loses nothing.
+pub(super) async fn read_event(
+    state: &state::GatewayState,
+    upstream: &str,
+    response: &mut attempt::OpenResponse,
+    splitter: &mut event_stream::EventSplitter,
+) -> Result<bool, &'static str> {
     loop {
-        let events: EventBatch = std::iter::from_fn(|| splitter.next_event()).collect();
-        if !events.is_empty() {
-            return Ok(Some(events));
+        if splitter.has_event() {
+            return Ok(true);
         }
         if splitter.is_overlong() {
             return Err("stream_garbled");
         }
         let part = response.stream.read_part(&mut response.framing).await;
-        let Some(part) = part.map_err(|_| "stream_broke_off")? else { return Ok(None) };
+        let Some(part) = part.map_err(|_| "stream_broke_off")? else { return Ok(false) };
         state.view().record_activity(state.now(), upstream);
         splitter.push(&part);
     }
--- a/coltsfootd/src/gateway/upstream_attempt.rs
+++ b/coltsfootd/src/gateway/upstream_attempt.rs
@@ -5,7 +5,7 @@
 use std::sync;
 use std::time;
 
-use coltsfoot_gateway::{attempt_plan, engine_choice};
+use coltsfoot_gateway::{attempt_plan, engine_choice, event_stream};
 use coltsfoot_http::{body, message};
 use coltsfoot_types::time as instant;
 use site_platform::fields;
@@ -45,6 +45,8 @@
 pub(super) struct OpenAttempt<'a> {
     pub(super) attempt: UpstreamAttempt<'a>,
     pub(super) response: attempt::OpenResponse,
+    /// Bytes of a stream that were received and not yet forwarded.
+    pub(super) splitter: event_stream::EventSplitter,
 }
 
 /// An attempt that brought no complete response.
@@ -150,7 +152,7 @@
         if !response.fields.is_signed || response.fields.is_encoded {
             return Err(self.fail_broken(attempt, "unsigned_answer"));
         }
-        Ok(OpenAttempt { attempt, response })
+        Ok(OpenAttempt { attempt, response, splitter: event_stream::EventSplitter::default() })
     }
 
     /// Ends an attempt without a complete response as a failure of the upstream.
