--- a/coltsfootd/src/gateway/metrics.rs
+++ b/coltsfootd/src/gateway/metrics.rs
@@ -11,7 +11,9 @@
 pub(crate) struct GatewayMetrics {
     registry: registry::MeterRegistry,
     requests: metrics::Counter<u64>,
+    connections: metrics::Counter<u64>,
     attempts: metrics::Counter<u64>,
+    failovers: metrics::Counter<u64>,
     loads: metrics::Counter<u64>,
     orders: metrics::Counter<u64>,
     reports: metrics::Counter<u64>,
@@ -28,8 +30,16 @@
         let registry = registry::MeterRegistry::new()?;
         Ok(Self {
             requests: registry.counter("coltsfoot_gateway_requests", "Requests, by how they ended"),
+            connections: registry.counter(
+                "coltsfoot_gateway_connections_ended",
+                "Connections of callers that ended, by reason",
+            ),
             attempts: registry
                 .counter("coltsfoot_gateway_attempts", "Attempts without an answer, by reason"),
+            failovers: registry.counter(
+                "coltsfoot_gateway_failovers",
+                "Searches for another upstream while one is silent, by result",
+            ),
             loads: registry
                 .counter("coltsfoot_gateway_loads", "Waits for an adapter, by how they ended"),
             orders: registry
@@ -61,11 +71,21 @@
         self.duration.record(duration.as_secs_f64(), &labels);
     }
 
+    /// Counts a connection of a caller that ended, by reason.
+    pub fn count_connection(&self, reason: &'static str) {
+        self.connections.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Counts an attempt without a response for the caller, by reason.
     pub fn count_attempt(&self, detail: &'static str) {
         self.attempts.add(1, &[KeyValue::new("reason", detail)]);
     }
 
+    /// Counts a search for another upstream while one is silent, by result.
+    pub fn count_failover(&self, verdict: &'static str) {
+        self.failovers.add(1, &[KeyValue::new("verdict", verdict)]);
+    }
+
     /// Counts a wait for an adapter load, by result, and records its duration.
     pub fn count_load(&self, verdict: &'static str, wait: time::Duration) {
         self.loads.add(1, &[KeyValue::new("verdict", verdict)]);
