--- a/coltsfootd/src/gateway/mod.rs
+++ b/coltsfootd/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 mod request_log;
 mod run;
 mod state;
+mod stop;
 mod upstream_attempt;
 
 pub use run::{GatewayError, GatewaySignal, run, run_until_signal};
