--- a/coltsfootd/src/gateway/callers.rs
+++ b/coltsfootd/src/gateway/callers.rs
@@ -9,7 +9,8 @@
 use futures_lite::{AsyncWriteExt as _, future};
 use site_platform::fields;
 
-use crate::gateway::{exchange, state, stop};
+use crate::event;
+use crate::gateway::{exchange, request_log, state, stop};
 
 /// Limits until a configuration is known.
 const DEFAULT_LIMITS: rules::CallerLimits = rules::CallerLimits {
@@ -68,15 +69,16 @@
     }
     let mut caller = message::MessageStream::new(stream);
     loop {
-        if !wait_request(&state, &mut caller).await {
+        if let Err(end) = wait_request(&state, &mut caller).await {
+            log_idle_end(&state, end);
             return;
         }
         let _active = state.stop.requests.enter();
         let limits = limits(&state);
         let request = match read_request(&mut caller, &limits).await {
             Ok(request) => request,
-            Err(status) => {
-                reject(&mut caller, status).await;
+            Err(rejection) => {
+                reject(&state, &mut caller, &rejection).await;
                 return;
             }
         };
@@ -86,8 +88,19 @@
     }
 }
 
-/// Waits for the first byte of a request; returns false if the connection should be closed instead.
-async fn wait_request(state: &state::GatewayState, caller: &mut message::MessageStream) -> bool {
+/// Logs the end of a connection without a request in progress; ends by the caller are only counted.
+fn log_idle_end(state: &state::GatewayState, reason: &'static str) {
+    state.metrics.count_connection(reason);
+    if matches!(reason, "idle" | "stopping") {
+        log::info!(event = event::CONNECTION_CLOSED.number, reason = reason; "connection_closed");
+    }
+}
+
+/// Waits for the first byte of a request, or returns why the connection should be closed instead.
+async fn wait_request(
+    state: &state::GatewayState,
+    caller: &mut message::MessageStream,
+) -> Result<(), &'static str> {
     let idle = idle_connection::IdleConnection::begin(state.now(), limits(state).idle_timeout);
     loop {
         let is_closing = state.stop.is_closing();
@@ -95,7 +108,13 @@
             true => idle.time_left_in_stop(state.now()),
             false => idle.time_left(state.now(), limits(state).idle_timeout),
         };
-        let wait = async { Some(matches!(caller.wait_message().await, Ok(true))) };
+        let wait = async {
+            Some(match caller.wait_message().await {
+                Ok(true) => Ok(()),
+                Ok(false) => Err(request_log::end_code(message::PeerEnd::Closed)),
+                Err(_) => Err(request_log::end_code(message::PeerEnd::Failed)),
+            })
+        };
         let expire = async {
             async_io::Timer::after(left).await;
             None
@@ -108,11 +127,11 @@
             None
         };
         // The socket is looked at first: a request that waits there is read before any limit counts.
-        if let Some(has_request) = future::or(wait, future::or(expire, begin_closing)).await {
-            return has_request;
+        if let Some(end) = future::or(wait, future::or(expire, begin_closing)).await {
+            return end;
         }
         if left.is_zero() {
-            return false;
+            return Err(if is_closing { "stopping" } else { "idle" });
         }
     }
 }
@@ -123,46 +142,73 @@
     pub body: Vec<u8>,
 }
 
-/// Reads a request, or returns the HTTP status to reject it with.
+/// Why a request is rejected before it was read completely.
+#[derive(Clone, Copy, Debug)]
+struct Rejection {
+    status: u16,
+    /// Reason for the log.
+    reason: &'static str,
+}
+
+/// Reads a request, or returns why it is rejected.
 async fn read_request(
     caller: &mut message::MessageStream,
     limits: &rules::CallerLimits,
-) -> Result<ReceivedRequest, u16> {
+) -> Result<ReceivedRequest, Rejection> {
+    const HEAD_TIMEOUT: Rejection = Rejection { status: 408, reason: "head_timeout" };
+    const BODY_TIMEOUT_PASSED: Rejection = Rejection { status: 408, reason: "body_timeout" };
+
     let read = caller.read_request(limits.max_head_bytes);
     let head = match message::with_timeout(limits.head_timeout, read).await {
-        None => return Err(408),
-        Some(Err(error)) => return Err(rejection_status(&error)),
+        None => return Err(HEAD_TIMEOUT),
+        Some(Err(error)) => return Err(rejection_of(&error)),
         Some(Ok(head)) => head,
     };
     if head.minor_version == 0 {
-        return Err(505);
+        return Err(Rejection { status: 505, reason: "http_version" });
     }
-    let framing = body::BodyFraming::of_request(&head.headers).map_err(|_| 400_u16)?;
+    let framing = body::BodyFraming::of_request(&head.headers)
+        .map_err(|_| Rejection { status: 400, reason: "ambiguous_framing" })?;
     if head.headers.contains_token("expect", "100-continue") && framing != body::BodyFraming::Done {
         let interim = header::ResponseHead::new(100).encode();
-        caller.write(&interim).await.map_err(|_| 400_u16)?;
+        let written = caller.write(&interim).await;
+        written.map_err(|_| Rejection { status: 400, reason: "caller_reset" })?;
     }
     let read = caller.read_body(framing, limits.max_body_bytes);
     match message::with_timeout(BODY_TIMEOUT, read).await {
-        None => Err(408),
-        Some(Err(error)) => Err(rejection_status(&error)),
+        None => Err(BODY_TIMEOUT_PASSED),
+        Some(Err(error)) => Err(rejection_of(&error)),
         Some(Ok(body)) => Ok(ReceivedRequest { head, body }),
     }
 }
 
-fn rejection_status(error: &message::ReadError) -> u16 {
-    match error {
-        message::ReadError::HeadTooLong(_) => 431,
-        message::ReadError::BodyTooLong(_) => 413,
-        _ => 400,
-    }
+fn rejection_of(error: &message::ReadError) -> Rejection {
+    let (status, reason) = match error {
+        message::ReadError::HeadTooLong(_) => (431, "head_too_long"),
+        message::ReadError::BodyTooLong(_) => (413, "body_too_long"),
+        message::ReadError::Closed => (400, request_log::end_code(message::PeerEnd::Closed)),
+        message::ReadError::Io(_) => (400, request_log::end_code(message::PeerEnd::Failed)),
+        message::ReadError::Malformed(_) | message::ReadError::Framing(_) => (400, "malformed"),
+    };
+    Rejection { status, reason }
 }
 
-async fn reject(caller: &mut message::MessageStream, status: u16) {
-    let mut head = fields::local_reply(status, None, None);
+async fn reject(
+    state: &state::GatewayState,
+    caller: &mut message::MessageStream,
+    rejection: &Rejection,
+) {
+    let mut head = fields::local_reply(rejection.status, None, None);
     head.headers.push("Content-Length", "0");
     head.headers.push("Connection", "close");
-    if caller.write(&head.encode()).await.is_ok() {
+    let is_written = caller.write(&head.encode()).await.is_ok();
+    state.metrics.count_connection(rejection.reason);
+    log::info!(
+        event = event::REQUEST_REJECTED.number, status = rejection.status,
+        reason = rejection.reason, delivered = is_written;
+        "request_rejected"
+    );
+    if is_written {
         linger(caller).await;
     }
 }
@@ -184,19 +230,24 @@
 ) -> bool {
     let mut writer = caller.writer();
     let exchange = exchange::CallerExchange::new(state, request);
-    let serve = async { Some(exchange.serve(&mut writer).await) };
-    let disconnect = async {
-        caller.wait_closed().await;
-        None
+    let mut log = request_log::RequestLog::begin(&exchange);
+    let serve = async { Ok(exchange.serve(&mut writer, &mut log).await) };
+    let disconnect = async { Err(caller.wait_closed().await) };
+    let served = future::or(serve, disconnect).await;
+    let end = match served {
+        Ok(exchange::ConnectionUse::Keep) => "kept",
+        Ok(exchange::ConnectionUse::Close) => "closed",
+        Ok(exchange::ConnectionUse::Abort) => "aborted",
+        Err(end) => request_log::end_code(end),
     };
-    match future::or(serve, disconnect).await {
-        Some(exchange::ConnectionUse::Keep) => true,
-        Some(exchange::ConnectionUse::Close) => {
-            linger(caller).await;
-            false
-        }
-        Some(exchange::ConnectionUse::Abort) | None => false,
+    log.write(end);
+    if end != "kept" {
+        state.metrics.count_connection(end);
+    }
+    if served == Ok(exchange::ConnectionUse::Close) {
+        linger(caller).await;
     }
+    served == Ok(exchange::ConnectionUse::Keep)
 }
 
 /// Responds to the load balancer's readiness checks; never returns.
