--- a/coltsfootd/src/gateway/callers.rs
+++ b/coltsfootd/src/gateway/callers.rs
@@ -127,8 +127,8 @@
             None
         };
         // The socket is looked at first: a request that waits there is read before any limit counts.
-        if let Some(end) = future::or(wait, future::or(expire, begin_closing)).await {
-            return end;
+        if let Some(waited) = future::or(wait, future::or(expire, begin_closing)).await {
+            return waited;
         }
         if left.is_zero() {
             return Err(if is_closing { "stopping" } else { "idle" });
