Let refused callers not put off the end of a stop

Every request that was open held a stop in the phase in which requests are refused, also those that were about to be refused themselves: callers that go on pressing kept the process until 1.1 s before the kill.

Only requests that began before the refusals count there. The connection of a refused one is still waited for, so that its answer is delivered.

--- a/coltsfoot-gateway/src/stop_plan.rs
+++ b/coltsfoot-gateway/src/stop_plan.rs
@@ -33,7 +33,8 @@
 /// What a stop waits for.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct OpenWork {
-    /// Requests from their first byte until their response is delivered.
+    /// Requests that began before they were refused, from their first byte until their response is
+    /// delivered.
     pub requests: usize,
     /// Connections of callers, and their listener.
     pub sockets: usize,
--- a/coltsfootd/src/gateway/callers.rs
+++ b/coltsfootd/src/gateway/callers.rs
@@ -73,7 +73,8 @@
             log_idle_end(&state, end);
             return;
         }
-        let _active = state.stop.requests.enter();
+        // A request that will be refused does not put off the end; its connection is waited for.
+        let _active = (!state.is_rejecting()).then(|| state.stop.requests.enter());
         let limits = limits(&state);
         let request = match read_request(&mut caller, &limits).await {
             Ok(request) => request,
--- a/coltsfootd/src/gateway/stop.rs
+++ b/coltsfootd/src/gateway/stop.rs
@@ -12,7 +12,8 @@
 pub(crate) struct StopState {
     phase: sync::Mutex<stop_plan::StopPhase>,
     phase_entered: event_listener::Event,
-    /// Requests from their first byte until their response is delivered.
+    /// Requests that began before they were refused, from their first byte until their response is
+    /// delivered.
     pub requests: OpenCounter,
     /// Connections of callers, and their listener.
     pub sockets: OpenCounter,
