--- /dev/null
+++ b/coltsfoot-gateway/tests/stops.rs
@@ -0,0 +1,88 @@
+//! Planned stops, and how long connections of callers may be idle.
+
+use std::time;
+
+use coltsfoot_gateway::idle_connection::IdleConnection;
+use coltsfoot_gateway::stop_plan::{OpenWork, StopPhase, StopPlan};
+use coltsfoot_types::time as clock;
+use rstest::rstest;
+
+/// Time of the runtime clock at which the stops begin.
+const START_MS: u64 = 70_000;
+/// Interval between checks of a stop.
+const STEP_MS: u64 = 50;
+
+fn at(ms: u64) -> clock::MonotonicTime {
+    clock::MonotonicTime((START_MS + ms) * 1000)
+}
+
+/// Runs a stop whose requests and idle connections are open until the given times, and returns when it
+/// entered each phase.
+fn phase_times(grace_ms: u64, requests_until: u64, idle_until: u64) -> [u64; 3] {
+    let mut plan = StopPlan::begin(at(0), time::Duration::from_millis(grace_ms));
+    let mut entered = [0; 3];
+    for ms in (STEP_MS..grace_ms).step_by(STEP_MS as usize) {
+        let before = plan.phase();
+        let requests = usize::from(ms < requests_until);
+        let is_idle_open = before < StopPhase::Closing || ms < idle_until;
+        let sockets = requests + usize::from(is_idle_open);
+        let phase = plan.advance(at(ms), OpenWork { requests, sockets });
+        let phases = [StopPhase::Refusing, StopPhase::Closing, StopPhase::Ended];
+        let index = phases.iter().position(|other| *other == phase);
+        if let Some(index) = index.filter(|_| phase != before) {
+            entered[index] = ms;
+        }
+    }
+    entered
+}
+
+#[rstest]
+#[case::nothing_open(8000, 0, 0, [2500, 2550, 2600])]
+#[case::a_request_is_open(8000, 5000, 0, [2500, 5000, 5050])]
+#[case::an_idle_connection_is_told(8000, 0, 2900, [2500, 2550, 2900])]
+#[case::a_request_does_not_end(8000, 9000, 0, [2500, 6900, 7500])]
+#[case::an_idle_connection_does_not_end(8000, 0, 9000, [2500, 2550, 7500])]
+#[case::short_grace(3000, 9000, 0, [1250, 1900, 2500])]
+fn stop_serves_refuses_and_closes_and_takes_no_longer_than_needed(
+    #[case] grace_ms: u64,
+    #[case] requests_until: u64,
+    #[case] idle_until: u64,
+    #[case] expected: [u64; 3],
+) {
+    assert_eq!(phase_times(grace_ms, requests_until, idle_until), expected);
+}
+
+#[test]
+fn pause_of_the_process_in_a_stop_skips_no_phase() {
+    let mut plan = StopPlan::begin(at(0), time::Duration::from_secs(8));
+    let phases = [(); 4].map(|()| plan.advance(at(60_000), OpenWork { requests: 1, sockets: 1 }));
+    let expected = [StopPhase::Refusing, StopPhase::Closing, StopPhase::Ended, StopPhase::Ended];
+    assert_eq!(phases, expected);
+}
+
+#[rstest]
+#[case::just_answered(0, 300)]
+#[case::idle_for_long(5000, 0)]
+fn stop_closes_a_connection_once_its_caller_had_time_for_a_next_request(
+    #[case] idle_ms: u64,
+    #[case] left_ms: u64,
+) {
+    let idle = IdleConnection::begin(at(0), time::Duration::from_secs(15));
+    assert_eq!(idle.time_left_in_stop(at(idle_ms)), time::Duration::from_millis(left_ms));
+}
+
+#[rstest]
+#[case::unchanged(3000, 3000, 1000, 2000)]
+#[case::lowered_limit_binds_the_next_idle_time_only(15_000, 3000, 12_000, 3000)]
+#[case::raised_limit_binds_at_once(3000, 15_000, 4000, 11_000)]
+#[case::over(3000, 3000, 3000, 0)]
+fn idle_connection_is_kept_as_long_as_its_caller_may_use_it(
+    #[case] limit_before_ms: u64,
+    #[case] limit_ms: u64,
+    #[case] idle_ms: u64,
+    #[case] left_ms: u64,
+) {
+    let idle = IdleConnection::begin(at(0), time::Duration::from_millis(limit_before_ms));
+    let left = idle.time_left(at(idle_ms), time::Duration::from_millis(limit_ms));
+    assert_eq!(left, time::Duration::from_millis(left_ms));
+}
--- a/coltsfootd/src/gateway/callers.rs
+++ b/coltsfootd/src/gateway/callers.rs
@@ -1,17 +1,16 @@
 //! Listeners for callers, the load balancer's readiness checks and metrics.
 
 use std::sync;
-use std::sync::atomic;
 use std::time;
 
 use async_net::{TcpListener, TcpStream};
-use coltsfoot_gateway::rules;
+use coltsfoot_gateway::{idle_connection, rules};
 use coltsfoot_http::{body, header, message, socket};
-use futures_lite::AsyncWriteExt as _;
+use futures_lite::{AsyncWriteExt as _, future};
 use site_platform::fields;
 
 use crate::event;
-use crate::gateway::{exchange, request_log, state};
+use crate::gateway::{exchange, request_log, state, stop};
 
 /// Limits until a configuration is known.
 const DEFAULT_LIMITS: rules::CallerLimits = rules::CallerLimits {
@@ -26,15 +25,25 @@
 const LINGER_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 /// Delay after a failed `accept`, usually for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(20);
-/// Interval at which idle connections check for a graceful shutdown.
-const STOP_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(250);
 
-/// Accepts callers until the instance rejects new requests.
-pub(crate) async fn accept(state: sync::Arc<state::GatewayState>, listener: TcpListener) {
-    while !state.is_rejecting() {
-        match listener.accept().await {
+/// Accepts callers until a stop closes the listener. Those that wait in its queue by then are accepted
+/// first, so that they are refused and not reset.
+pub(crate) async fn accept(
+    state: sync::Arc<state::GatewayState>,
+    listener: TcpListener,
+    _open: stop::OpenGuard,
+) {
+    loop {
+        let accept = async { Some(listener.accept().await) };
+        let close = async {
+            state.stop.wait_closing().await;
+            None
+        };
+        let Some(accepted) = future::or(accept, close).await else { return };
+        match accepted {
             Ok((stream, _)) => {
-                let task = serve_caller(sync::Arc::clone(&state), stream);
+                let open = state.stop.sockets.enter();
+                let task = serve_caller(sync::Arc::clone(&state), stream, open);
                 state.executor.spawn(task).detach();
             }
             Err(error) => {
@@ -50,7 +59,11 @@
     routes.as_ref().map_or(DEFAULT_LIMITS, |routes| routes.rules().limits)
 }
 
-async fn serve_caller(state: sync::Arc<state::GatewayState>, stream: TcpStream) {
+async fn serve_caller(
+    state: sync::Arc<state::GatewayState>,
+    stream: TcpStream,
+    _open: stop::OpenGuard,
+) {
     if let Err(error) = socket::enable_keepalive(&stream) {
         log::debug!("could not enable TCP keep-alive: {error}");
     }
@@ -60,6 +73,7 @@
             log_idle_end(&state, end);
             return;
         }
+        let _active = state.stop.requests.enter();
         let limits = limits(&state);
         let request = match read_request(&mut caller, &limits).await {
             Ok(request) => request,
@@ -68,14 +82,7 @@
                 return;
             }
         };
-        if state.is_rejecting() {
-            reject(&state, &mut caller, &Rejection { status: 503, reason: "stopping" }).await;
-            return;
-        }
-        state.active_requests.fetch_add(1, atomic::Ordering::Relaxed);
-        let is_kept = serve_request(&state, &mut caller, request).await;
-        state.active_requests.fetch_sub(1, atomic::Ordering::Relaxed);
-        if !is_kept {
+        if !serve_request(&state, &mut caller, request).await {
             return;
         }
     }
@@ -94,17 +101,37 @@
     state: &state::GatewayState,
     caller: &mut message::MessageStream,
 ) -> Result<(), &'static str> {
-    let started = state.now();
+    let idle = idle_connection::IdleConnection::begin(state.now(), limits(state).idle_timeout);
     loop {
-        if state.now().since(started) >= limits(state).idle_timeout {
-            return Err("idle");
+        let is_closing = state.stop.is_closing();
+        let left = match is_closing {
+            true => idle.time_left_in_stop(state.now()),
+            false => idle.time_left(state.now(), limits(state).idle_timeout),
+        };
+        let wait = async {
+            Some(match caller.wait_message().await {
+                Ok(true) => Ok(()),
+                Ok(false) => Err(request_log::end_code(message::PeerEnd::Closed)),
+                Err(_) => Err(request_log::end_code(message::PeerEnd::Failed)),
+            })
+        };
+        let expire = async {
+            async_io::Timer::after(left).await;
+            None
+        };
+        let begin_closing = async {
+            if is_closing {
+                future::pending::<()>().await;
+            }
+            state.stop.wait_closing().await;
+            None
+        };
+        // The socket is looked at first: a request that waits there is read before any limit counts.
+        if let Some(waited) = future::or(wait, future::or(expire, begin_closing)).await {
+            return waited;
         }
-        match message::with_timeout(STOP_CHECK_INTERVAL, caller.wait_message()).await {
-            Some(Ok(true)) => return Ok(()),
-            Some(Ok(false)) => return Err(request_log::end_code(message::PeerEnd::Closed)),
-            Some(Err(_)) => return Err(request_log::end_code(message::PeerEnd::Failed)),
-            None if state.is_stopping() => return Err("stopping"),
-            None => {}
+        if left.is_zero() {
+            return Err(if is_closing { "stopping" } else { "idle" });
         }
     }
 }
@@ -206,7 +233,7 @@
     let mut log = request_log::RequestLog::begin(&exchange);
     let serve = async { Ok(exchange.serve(&mut writer, &mut log).await) };
     let disconnect = async { Err(caller.wait_closed().await) };
-    let served = futures_lite::future::or(serve, disconnect).await;
+    let served = future::or(serve, disconnect).await;
     let end = match served {
         Ok(exchange::ConnectionUse::Keep) => "kept",
         Ok(exchange::ConnectionUse::Close) => "closed",
