Keep the other upstream's attempt if the silent one comes back with a rejection

A silent upstream that then rejected the request, failed or sent an unsigned response counted as going on: the attempt at the other upstream, which was about to serve the request, was cancelled, and the caller got 502. Only a usable response counts as progress now; anything else ends the silent attempt while the other one goes on.

--- a/coltsfootd/src/gateway/forwarding.rs
+++ b/coltsfootd/src/gateway/forwarding.rs
@@ -321,11 +321,18 @@
             if let Some(received) = futures_lite::future::or(receive, overdue).await {
                 break received;
             }
-            match self.fail_over(&upstream, &mut response).await {
-                failover::FailoverResult::Progress(received) => break received,
-                failover::FailoverResult::Moved(stage, error) => {
-                    let detail = if error.is_some() { "no_answer" } else { "silent" };
-                    self.record_attempt(&self.fail_broken(attempt, detail), "moved");
+            let receive = async { upstream_attempt::require_usable((&mut response).await) };
+            match self.fail_over(&upstream, receive).await {
+                failover::FailoverResult::Progress(Ok(open)) => break Ok(open),
+                failover::FailoverResult::Progress(Err(received)) => break *received,
+                failover::FailoverResult::Moved(stage, None) => {
+                    self.record_attempt(&self.fail_broken(attempt, "silent"), "moved");
+                    return AttemptProgress::Next(stage);
+                }
+                failover::FailoverResult::Moved(stage, Some(received)) => {
+                    if let Err(failed) = self.accept(attempt, *received).await {
+                        self.record_attempt(&failed, "moved");
+                    }
                     return AttemptProgress::Next(stage);
                 }
                 failover::FailoverResult::Unavailable => timer.search_failed(self.state.now()),
--- a/coltsfootd/src/gateway/upstream_attempt.rs
+++ b/coltsfootd/src/gateway/upstream_attempt.rs
@@ -15,9 +15,7 @@
 /// Time to read the body of a rejection; after it the connection is closed instead of reused.
 const REJECTION_READ_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 
-type ResponseFuture<'a> = pin::Pin<
-    Box<dyn Future<Output = Result<attempt::OpenResponse, attempt::AttemptError>> + Send + 'a>,
->;
+type ResponseFuture<'a> = pin::Pin<Box<dyn Future<Output = ReceivedResponse> + Send + 'a>>;
 
 /// A request at an upstream, as long as it counts towards the upstream's load.
 pub(super) struct UpstreamAttempt<'a> {
@@ -58,6 +56,19 @@
     pub(super) detail: &'static str,
 }
 
+/// Result of sending a request and receiving the head of the response.
+type ReceivedResponse = Result<attempt::OpenResponse, attempt::AttemptError>;
+
+/// Returns a response that can be forwarded as a success; anything else as an error.
+pub(super) fn require_usable(
+    received: ReceivedResponse,
+) -> Result<attempt::OpenResponse, Box<ReceivedResponse>> {
+    match received {
+        Ok(response) if response.fields.is_signed && response.head.status < 500 => Ok(response),
+        received => Err(Box::new(received)),
+    }
+}
+
 impl UpstreamAttempt<'_> {
     /// Ends an attempt without a complete response.
     pub(super) fn fail(self, end: attempt_plan::AttemptEnd, detail: &'static str) -> FailedAttempt {
@@ -128,7 +139,7 @@
     pub(super) async fn accept(
         &mut self,
         attempt: UpstreamAttempt<'b>,
-        response: Result<attempt::OpenResponse, attempt::AttemptError>,
+        response: ReceivedResponse,
     ) -> Result<OpenAttempt<'b>, FailedAttempt> {
         let response = match response {
             Ok(response) => response,
