Bound and space the offers of a silent upstream's request to others

Each 300 ms a search found the same engine that lacked the adapter: 13 offers in 6 s where four are allowed elsewhere, each of them a retry of the budget. An engine that had rejected the request once, on the other hand, was never asked again, so that a stream whose own engine had failed for good was cut at its deadline although there was room by then.

The limits on rejections of a request hold for failovers too, the pause between searches doubles up to 2.4 s, and an upstream that was tried is chosen if there is no other.

--- a/coltsfoot-gateway/src/attempt_plan.rs
+++ b/coltsfoot-gateway/src/attempt_plan.rs
@@ -99,9 +99,13 @@
         self.runs > 0
     }
 
-    /// Returns whether the request may be retried if the current attempt fails after running it.
-    pub fn may_retry_run(&self) -> bool {
-        self.may_retry && self.runs + 1 < self.max_runs
+    /// Returns whether the request may be sent to another upstream while the current attempt runs.
+    pub fn may_fail_over(&self) -> bool {
+        self.may_retry && self.runs + 1 < self.max_runs && self.is_within_limits()
+    }
+
+    fn is_within_limits(&self) -> bool {
+        self.rejections < MAX_REJECTIONS && self.unsent_attempts < MAX_UNSENT_ATTEMPTS
     }
 
     /// Returns the upstreams to avoid at the next attempt.
@@ -120,9 +124,7 @@
             AttemptEnd::Failed | AttemptEnd::Broken => self.runs += 1,
         }
         let may_run_again = !self.may_have_run() || (self.may_retry && self.runs < self.max_runs);
-        let is_within_limits =
-            self.rejections < MAX_REJECTIONS && self.unsent_attempts < MAX_UNSENT_ATTEMPTS;
-        if may_run_again && is_within_limits {
+        if may_run_again && self.is_within_limits() {
             return NextStep::Retry;
         }
         self.final_step()
--- a/coltsfoot-gateway/src/failover_timer.rs
+++ b/coltsfoot-gateway/src/failover_timer.rs
@@ -14,6 +14,8 @@
 /// Time without a complete event after which another upstream is sought. Callers give up after two
 /// seconds.
 const MAX_STREAM_SILENCE: time::Duration = time::Duration::from_millis(1500);
+/// Number of times that the pause between searches is doubled.
+const MAX_DOUBLINGS: u32 = 3;
 
 /// Time since the last progress of an attempt, and when to seek another upstream.
 #[derive(Clone, Copy, Debug)]
@@ -25,6 +27,8 @@
     min_silence: time::Duration,
     /// No search before this time.
     postponed_until: clock::MonotonicTime,
+    /// Searches without success since the last progress.
+    failed_searches: u32,
 }
 
 impl FailoverTimer {
@@ -39,6 +43,7 @@
             max_silence,
             min_silence: route.target_latency.min(max_silence),
             postponed_until: sent,
+            failed_searches: 0,
         }
     }
 
@@ -56,12 +61,16 @@
             max_silence: MAX_STREAM_SILENCE,
             min_silence: MAX_STREAM_SILENCE,
             postponed_until: now,
+            failed_searches: 0,
         };
     }
 
-    /// Postpones the next search after one that found no upstream to take the request.
+    /// Postpones the next search after one that found no upstream to take the request, each time for twice
+    /// as long.
     pub fn search_failed(&mut self, now: clock::MonotonicTime) {
-        self.postponed_until = now + upstream_search::RETRY_PAUSE;
+        let factor = 1 << self.failed_searches.min(MAX_DOUBLINGS);
+        self.postponed_until = now + upstream_search::RETRY_PAUSE * factor;
+        self.failed_searches += 1;
     }
 
     /// Returns the time until [`Self::is_due`] may become true.
--- a/coltsfoot-gateway/src/upstream_search.rs
+++ b/coltsfoot-gateway/src/upstream_search.rs
@@ -5,7 +5,7 @@
 use std::time;
 
 use coltsfoot_types::time as clock;
-use smallvec::SmallVec;
+use smallvec::{SmallVec, smallvec};
 
 use crate::{engine_choice, fleet_view};
 
@@ -63,10 +63,9 @@
         }
     }
 
-    /// Creates a search that does not wait and never chooses the `excluded` upstreams.
-    pub fn without_wait(now: clock::MonotonicTime, excluded: &[sync::Arc<str>]) -> Self {
-        let without_slot = excluded.iter().cloned().collect();
-        Self { wait_until: now, without_slot, failed_loads: 0 }
+    /// Creates a search that does not wait and never chooses the `excluded` upstream.
+    pub fn without_wait(now: clock::MonotonicTime, excluded: sync::Arc<str>) -> Self {
+        Self { wait_until: now, without_slot: smallvec![excluded], failed_loads: 0 }
     }
 
     /// Returns the next step. Upstreams in `request.tried` are chosen only if there is no other.
--- a/coltsfootd/src/gateway/failover.rs
+++ b/coltsfootd/src/gateway/failover.rs
@@ -9,7 +9,6 @@
 
 use coltsfoot_gateway::{attempt_plan, engine_choice, failover_timer, rules, upstream_search};
 use futures_lite::future;
-use smallvec::SmallVec;
 
 use crate::event;
 use crate::gateway::{forwarding, relay, upstream_attempt};
@@ -62,7 +61,7 @@
         upstream: &sync::Arc<str>,
         timer: &failover_timer::FailoverTimer,
     ) {
-        if !self.plan.may_retry_run() {
+        if !self.plan.may_fail_over() {
             return std::future::pending().await;
         }
         loop {
@@ -96,7 +95,8 @@
         let prepared = future::or(async { Ok((&mut progress).await) }, prepare);
         let (chosen, endpoint) = match prepared.await {
             Ok(result) => {
-                self.log_failover(present, "resumed");
+                let verdict = if result.is_ok() { "resumed" } else { "failed" };
+                self.log_failover(present, verdict);
                 return FailoverResult::Progress(result);
             }
             Err(Ok(prepared)) => prepared,
@@ -109,7 +109,7 @@
         self.hand_over(present, progress, pending).await
     }
 
-    /// Finds an upstream that is not the present one and was not tried, and withdraws a retry.
+    /// Finds an upstream other than the present one, and withdraws a retry.
     async fn prepare_failover(
         &mut self,
         present: &sync::Arc<str>,
@@ -118,9 +118,8 @@
         if !self.has_retry() {
             return Err("no_budget");
         }
-        let tried: SmallVec<[sync::Arc<str>; 4]> =
-            self.plan.tried().iter().chain([present]).cloned().collect();
-        let search = upstream_search::UpstreamSearch::without_wait(self.state.now(), &tried);
+        let now = self.state.now();
+        let search = upstream_search::UpstreamSearch::without_wait(now, sync::Arc::clone(present));
         let chosen = self.search_upstream(search).await.map_err(|refusal| refusal.reason)?;
         let endpoint = self.locate(&chosen.id)?;
         match self.withdraw_retry() {
