--- a/coltsfootd/src/gateway/failover.rs
+++ b/coltsfootd/src/gateway/failover.rs
@@ -15,9 +15,9 @@
 
 /// Interval between checks whether an upstream is silent.
 const SILENCE_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(100);
-/// Time after which the other upstream counts as running the request, from the head of its stream, or from
-/// sending the request if a response begins only once it is complete. The earlier attempt ends then: the platform bounds the time for which two
-/// engines work on a request at 400 ms.
+/// Time after which the other upstream counts as running the request: from the head of its stream, or from
+/// sending the request if a response begins only once it is complete. The earlier attempt ends then, as
+/// two engines may work on a request for 400 ms at most.
 const HANDOVER_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 
 /// Result of a search for another upstream while the present one is silent.
@@ -40,7 +40,7 @@
 }
 
 /// Waits until one of two upstreams goes on, at most for a time if there is a limit.
-async fn first_event<T, U>(
+async fn first_to_progress<T, U>(
     progress: impl Future<Output = T>,
     response: impl Future<Output = U>,
     limit: Option<time::Duration>,
@@ -55,7 +55,7 @@
 }
 
 impl<'b> forwarding::Forwarding<'_, 'b> {
-    /// Waits until the timer is due; forever if the request may not be retried.
+    /// Waits until the timer is due; forever if the request may not be sent elsewhere.
     pub(super) async fn wait_until_overdue(
         &self,
         upstream: &sync::Arc<str>,
@@ -138,7 +138,7 @@
         let shows_begin = self.admitted.demand.is_none()
             || self.admitted.route.kind == rules::RouteKind::Streaming;
         let limit = (!shows_begin).then_some(HANDOVER_TIMEOUT);
-        let error = match first_event(progress.as_mut(), &mut pending.response, limit).await {
+        let error = match first_to_progress(progress.as_mut(), &mut pending.response, limit).await {
             HandoverEvent::Response(response) => {
                 return match self.accept(pending.attempt, response).await {
                     Ok(open) => self.confirm_response(present, progress, open).await,
@@ -172,7 +172,7 @@
         let mut error = None;
         if self.is_stream(&open) {
             let read = relay::read_event(state, &other, &mut open.response, &mut open.splitter);
-            match first_event(progress, read, Some(HANDOVER_TIMEOUT)).await {
+            match first_to_progress(progress, read, Some(HANDOVER_TIMEOUT)).await {
                 HandoverEvent::Response(Err(detail)) => {
                     let failed = self.fail_broken(open.attempt, detail);
                     return self.keep_present(present, &failed);
