Close the listener and idle connections once the load balancer has noticed a stop

A caller whose connection is closed, or not accepted, goes to another instance at once.

Refusals and closing are one phase now: the queue of the listener is accepted and refused, then the listener and idle connections close; requests that were begun go on.

--- a/coltsfoot-gateway/src/stop_plan.rs
+++ b/coltsfoot-gateway/src/stop_plan.rs
@@ -9,8 +9,6 @@
 const LOAD_BALANCER_DELAY: time::Duration = time::Duration::from_millis(2500);
 /// Time between the end of a stop and the moment at which the process would be killed.
 const KILL_MARGIN: time::Duration = time::Duration::from_millis(500);
-/// Time to refuse the callers that wait and to close idle connections before a stop must end.
-const CLOSING_TIME: time::Duration = time::Duration::from_millis(600);
 /// Share of a short stop in which requests are served.
 const MAX_SERVING_SHARE: f64 = 0.5;
 
@@ -22,30 +20,19 @@
     Running,
     /// Requests are served, and each response announces the end of its connection.
     Serving,
-    /// Requests are refused as not run; those that were admitted go on.
-    Refusing,
-    /// The listener and idle connections are closed.
+    /// The listener and idle connections are closed, and new requests are refused as not run; those that
+    /// were admitted go on.
     Closing,
     /// The process ends.
     Ended,
 }
 
-/// What a stop waits for.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct OpenWork {
-    /// Requests that began before they were refused, from their first byte until their response is
-    /// delivered.
-    pub requests: usize,
-    /// Connections of callers, and their listener.
-    pub sockets: usize,
-}
-
 /// Planned stop of an instance.
 #[derive(Clone, Copy, Debug)]
 pub struct StopPlan {
     phase: StopPhase,
     started: instant::MonotonicTime,
-    /// Time from the start until requests are refused.
+    /// Time from the start until callers are turned away.
     serving_time: time::Duration,
     /// Time from the start until the process ends, whatever is open.
     max_time: time::Duration,
@@ -64,15 +51,14 @@
         self.phase
     }
 
-    /// Enters the next phase if it is due, one at a time: after a pause of the process, callers that
-    /// waited meanwhile are still refused before the end.
-    pub fn advance(&mut self, now: instant::MonotonicTime, open: OpenWork) -> StopPhase {
+    /// Enters the next phase if it is due; `open_sockets` counts connections of callers and their
+    /// listener. One phase at a time: after a pause of the process, callers that waited meanwhile are
+    /// still refused before the end.
+    pub fn advance(&mut self, now: instant::MonotonicTime, open_sockets: usize) -> StopPhase {
         let elapsed = now.since(self.started);
-        let closes_at = self.max_time.saturating_sub(CLOSING_TIME);
         self.phase = match self.phase {
-            StopPhase::Serving if elapsed >= self.serving_time => StopPhase::Refusing,
-            StopPhase::Refusing if open.requests == 0 || elapsed >= closes_at => StopPhase::Closing,
-            StopPhase::Closing if open.sockets == 0 || elapsed >= self.max_time => StopPhase::Ended,
+            StopPhase::Serving if elapsed >= self.serving_time => StopPhase::Closing,
+            StopPhase::Closing if open_sockets == 0 || elapsed >= self.max_time => StopPhase::Ended,
             phase => phase,
         };
         self.phase
--- a/coltsfootd/src/gateway/callers.rs
+++ b/coltsfootd/src/gateway/callers.rs
@@ -4,7 +4,7 @@
 use std::time;
 
 use async_net::{TcpListener, TcpStream};
-use coltsfoot_gateway::{idle_connection, rules};
+use coltsfoot_gateway::{idle_connection, rules, stop_plan};
 use coltsfoot_http::{body, header, message, socket};
 use futures_lite::{AsyncWriteExt as _, future};
 use site_platform::fields;
@@ -36,7 +36,7 @@
     loop {
         let accept = async { Some(listener.accept().await) };
         let close = async {
-            state.stop.wait_closing().await;
+            state.stop.wait_for(stop_plan::StopPhase::Closing).await;
             None
         };
         let Some(accepted) = future::or(accept, close).await else { return };
@@ -73,8 +73,7 @@
             log_idle_end(&state, end);
             return;
         }
-        // A request that will be refused does not put off the end; its connection is waited for.
-        let _active = (!state.is_rejecting()).then(|| state.stop.requests.enter());
+        let _active = state.stop.requests.enter();
         let limits = limits(&state);
         let request = match read_request(&mut caller, &limits).await {
             Ok(request) => request,
@@ -124,7 +123,7 @@
             if is_closing {
                 future::pending::<()>().await;
             }
-            state.stop.wait_closing().await;
+            state.stop.wait_for(stop_plan::StopPhase::Closing).await;
             None
         };
         // The socket is looked at first: a request that waits there is read before any limit counts.
--- a/coltsfootd/src/gateway/run.rs
+++ b/coltsfootd/src/gateway/run.rs
@@ -149,9 +149,9 @@
     log::info!(event = event::DRAINING.number; "draining");
     while plan.phase() != stop_plan::StopPhase::Ended {
         async_io::Timer::after(STOP_CHECK_INTERVAL).await;
-        state.stop.enter(plan.advance(state.now(), state.stop.open_work()));
+        state.stop.enter(plan.advance(state.now(), state.stop.sockets.count()));
     }
-    let left = state.stop.open_work().requests;
+    let left = state.stop.requests.count();
     log::info!(event = event::STOPPED.number, unfinished = left; "stopped");
     async_io::Timer::after(LOG_WRITE_TIME).await;
 }
--- a/coltsfootd/src/gateway/state.rs
+++ b/coltsfootd/src/gateway/state.rs
@@ -111,7 +111,7 @@
 
     /// Returns whether new requests are refused.
     pub fn is_rejecting(&self) -> bool {
-        self.stop.phase() >= stop_plan::StopPhase::Refusing
+        self.stop.phase() >= stop_plan::StopPhase::Closing
     }
 
     /// Returns the partition that an engine is hashed to.
--- a/coltsfootd/src/gateway/stop.rs
+++ b/coltsfootd/src/gateway/stop.rs
@@ -12,8 +12,7 @@
 pub(crate) struct StopState {
     phase: sync::Mutex<stop_plan::StopPhase>,
     phase_entered: event_listener::Event,
-    /// Requests that began before they were refused, from their first byte until their response is
-    /// delivered.
+    /// Requests from their first byte until their response is delivered.
     pub requests: OpenCounter,
     /// Connections of callers, and their listener.
     pub sockets: OpenCounter,
@@ -31,25 +30,20 @@
         self.phase_entered.notify(usize::MAX);
     }
 
-    /// Returns whether idle connections are closed.
+    /// Returns whether idle connections are closed and new requests refused.
     pub fn is_closing(&self) -> bool {
         self.phase() >= stop_plan::StopPhase::Closing
     }
 
-    /// Waits until idle connections are closed.
-    pub async fn wait_closing(&self) {
-        while !self.is_closing() {
+    /// Waits until a phase or a later one is entered.
+    pub async fn wait_for(&self, phase: stop_plan::StopPhase) {
+        while self.phase() < phase {
             let entered = self.phase_entered.listen();
-            if !self.is_closing() {
+            if self.phase() < phase {
                 entered.await;
             }
         }
     }
-
-    /// Returns what is open.
-    pub fn open_work(&self) -> stop_plan::OpenWork {
-        stop_plan::OpenWork { requests: self.requests.count(), sockets: self.sockets.count() }
-    }
 }
 
 /// Number of guards that are held.
@@ -63,7 +57,8 @@
         OpenGuard(self.clone())
     }
 
-    fn count(&self) -> usize {
+    /// Returns the number of guards that are held.
+    pub fn count(&self) -> usize {
         self.0.load(atomic::Ordering::Relaxed)
     }
 }
