Never write the head of another response into a stream that has begun

An engine to which a stream was handed over, and that answered with a signed status other than 200 and below 500, had its head and body written into the caller's stream, and the connection was kept; before the first event, a silent engine that would have gone on was given up for that answer. The engine's status was compared with 500 only.

Only a 2xx response takes a request over from a silent upstream, and nothing but a stream follows a response that has begun. The quarantine is also looked at again after the search, which may wait for a load.

--- a/coltsfootd/src/gateway/failover.rs
+++ b/coltsfootd/src/gateway/failover.rs
@@ -121,6 +121,7 @@
         let now = self.state.now();
         let search = upstream_search::UpstreamSearch::without_wait(now, sync::Arc::clone(present));
         let chosen = self.search_upstream(search).await.map_err(|refusal| refusal.reason)?;
+        self.exchange.check_quarantine(&self.admitted.digest).map_err(|refusal| refusal.reason)?;
         let endpoint = self.locate(&chosen.id)?;
         match self.withdraw_retry() {
             true => Ok((chosen, endpoint)),
@@ -164,7 +165,7 @@
     ) -> FailoverResult<'b, T, E> {
         let state = self.exchange.state;
         let other = sync::Arc::clone(&open.attempt.chosen.id);
-        if open.response.head.status >= 500 {
+        if !(200..300).contains(&open.response.head.status) {
             state.view().record_outcome(state.now(), &other, true);
             let failed = open.attempt.fail(attempt_plan::AttemptEnd::Failed, "failed");
             return self.keep_present(present, &failed);
--- a/coltsfootd/src/gateway/forwarding.rs
+++ b/coltsfootd/src/gateway/forwarding.rs
@@ -378,7 +378,8 @@
         };
         let head = response.head.clone();
         response.release(&self.state.pool);
-        let has_failed = head.status >= 500;
+        // Nothing but the rest of its stream can follow a response that has begun.
+        let has_failed = head.status >= 500 || self.is_response_started;
         self.state.view().record_outcome(self.state.now(), &attempt.chosen.id, has_failed);
         if !has_failed {
             attempt.complete();
