Log requests that are still open when a stop ends

They end with the stop now, while the log is written. The line also names the upstream that goes on when a failover is called off, not the one that was asked.

--- a/coltsfootd/src/gateway/callers.rs
+++ b/coltsfootd/src/gateway/callers.rs
@@ -232,13 +232,17 @@
     let exchange = exchange::CallerExchange::new(state, request);
     let mut log = request_log::RequestLog::begin(&exchange);
     let serve = async { Ok(exchange.serve(&mut writer, &mut log).await) };
-    let disconnect = async { Err(caller.wait_closed().await) };
-    let served = future::or(serve, disconnect).await;
+    let disconnect = async { Err(request_log::end_code(caller.wait_closed().await)) };
+    let end_process = async {
+        state.stop.wait_for(stop_plan::StopPhase::Ended).await;
+        Err(request_log::DROPPED)
+    };
+    let served = future::or(serve, future::or(disconnect, end_process)).await;
     let end = match served {
         Ok(exchange::ConnectionUse::Keep) => "kept",
         Ok(exchange::ConnectionUse::Close) => "closed",
         Ok(exchange::ConnectionUse::Abort) => "aborted",
-        Err(end) => request_log::end_code(end),
+        Err(end) => end,
     };
     log.write(end);
     if end != "kept" {
--- a/coltsfootd/src/gateway/failover.rs
+++ b/coltsfootd/src/gateway/failover.rs
@@ -203,6 +203,7 @@
         present: &sync::Arc<str>,
         failed: &upstream_attempt::FailedAttempt,
     ) -> FailoverResult<'b, T, E> {
+        self.log.upstream = Some(sync::Arc::clone(present));
         self.record_attempt(failed, "kept");
         self.log_failover(present, failed.detail);
         FailoverResult::Unavailable
@@ -214,6 +215,7 @@
         other: upstream_attempt::UpstreamAttempt<'_>,
         progress: T,
     ) -> FailoverResult<'b, T, E> {
+        self.log.upstream = Some(sync::Arc::clone(present));
         self.record_attempt(&other.cancel(), "kept");
         self.log_failover(present, "resumed");
         FailoverResult::Progress(Ok(progress))
--- a/coltsfootd/src/gateway/request_log.rs
+++ b/coltsfootd/src/gateway/request_log.rs
@@ -9,6 +9,9 @@
 use crate::event;
 use crate::gateway::{exchange, state};
 
+/// What became of the connection of a request that the instance gave up.
+pub(super) const DROPPED: &str = "dropped";
+
 /// Fields of a request's log line, filled in while it is served. The line is written once, also if
 /// serving the request is cancelled.
 pub(super) struct RequestLog<'a> {
@@ -100,7 +103,7 @@
 impl Drop for RequestLog<'_> {
     fn drop(&mut self) {
         if !self.is_written {
-            self.write("dropped");
+            self.write(DROPPED);
         }
     }
 }
