--- a/coltsfoot-system/tests/path.rs
+++ b/coltsfoot-system/tests/path.rs
@@ -23,6 +23,16 @@
     cluster
 }
 
+#[test]
+fn daemon_serves_on_after_sighup() {
+    let cluster = start();
+    let korrigan = caller::HttpCaller::new(Some(&sample::key_of("korrigan")));
+    cluster.wait_until_serving(&korrigan, "korrigan-drafting");
+    check_answers(&korrigan, cluster.instances[0].caller_address);
+    cluster.instances[0].program.signal("HUP");
+    check_answers(&korrigan, cluster.instances[0].caller_address);
+}
+
 #[test]
 fn requests_are_served_through_crashes_of_a_daemon_and_an_engine() {
     let mut cluster = start();
--- a/coltsfootd/src/daemon.rs
+++ b/coltsfootd/src/daemon.rs
@@ -170,12 +170,18 @@
     let mut signals = signal_hook::iterator::Signals::new([
         signal_hook::consts::SIGTERM,
         signal_hook::consts::SIGINT,
+        signal_hook::consts::SIGHUP,
     ])?;
     daemon.print_addresses();
     let events = daemon.events.clone();
     spawn("signals", move || {
-        for _ in signals.forever() {
-            events.send(control::ControlEvent::Drain);
+        for signal in signals.forever() {
+            if signal == signal_hook::consts::SIGHUP {
+                let details = format_args!("settings are read at the start only; restart to apply");
+                event::emit(event::RELOAD_FAILED, details);
+            } else {
+                events.send(control::ControlEvent::Drain);
+            }
         }
     })?;
     async_io::block_on(daemon.wait_drained());
