Merge records of the store by offset, whatever the order of arrival

Callers were sent to an upstream that had left: a read that the store had answered before the leave and that was handled after a peer's push of it made the draining entry ready again, until the next read.

Cause: records were applied in the order of arrival. The copy of a topic is now a TopicReplica: the newest record of each key by offset, and the offset up to which every record is known, so that a deleted key needs no record of its own. Whatever comes, from a read, a push or a peer's response, goes through it, and only what is newer is applied. The operator's topic takes the same way.

--- a/coltsfoot-gateway/src/lib.rs
+++ b/coltsfoot-gateway/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod rules;
 pub mod send_permits;
 pub mod stop_plan;
+pub mod topic_replica;
 pub mod upstream;
 pub mod upstream_search;
 pub mod upstream_slot;
--- a/coltsfootd/src/gateway/follower.rs
+++ b/coltsfootd/src/gateway/follower.rs
@@ -3,10 +3,10 @@
 use std::sync;
 use std::time;
 
-use coltsfoot_gateway::{peer_slot, reader_selection, upstream};
+use coltsfoot_gateway::topic_replica::KeyedRecord;
+use coltsfoot_gateway::{peer_slot, reader_selection, topic_replica, upstream};
 use coltsfoot_types::time as instant;
 use coltsfoot_wire::fleet as wire;
-use rustc_hash::FxHashMap;
 use site_platform::{entry, rules, store};
 
 use crate::event;
@@ -43,12 +43,9 @@
     retry_interval: time::Duration,
 }
 
-/// Records that a read returned.
-enum TopicUpdate {
-    /// The newest record of each key.
-    Snapshot(Vec<store::KeyedRecord>),
-    /// Records since the last read.
-    Incremental(Vec<store::KeyedRecord>),
+/// Records that a read brought and that were not known to be older than others.
+struct TopicNews {
+    records: Vec<KeyedRecord>,
 }
 
 impl TopicFollower {
@@ -58,28 +55,38 @@
         Self { topic, wait, next: None, is_reachable, may_be_missing, retry_interval }
     }
 
-    async fn read(&mut self, store: &store::StoreClient) -> Result<TopicUpdate, store::StoreError> {
-        let Some(next) = self.next else {
+    async fn read(
+        &mut self,
+        store: &store::StoreClient,
+        replica: &sync::Mutex<topic_replica::TopicReplica>,
+    ) -> Result<TopicNews, store::StoreError> {
+        let Some(from) = self.next else {
             let newest = match store.read_latest(self.topic).await {
                 Err(store::StoreError::Refused(404)) if self.may_be_missing => {
                     async_io::Timer::after(RETRY_INTERVAL).await;
-                    return Ok(TopicUpdate::Incremental(Vec::new()));
+                    return Ok(TopicNews { records: Vec::new() });
                 }
                 newest => newest?,
             };
             self.may_be_missing = false;
             self.next = Some(newest.next);
-            return Ok(TopicUpdate::Snapshot(newest.records));
+            let records = state::lock(replica).merge_snapshot(newest.records, newest.next);
+            return Ok(TopicNews { records });
         };
-        let read = store.read(self.topic, next, self.wait).await?;
+        let read = store.read(self.topic, from, self.wait).await?;
         self.next = Some(read.next);
-        Ok(TopicUpdate::Incremental(read.records))
+        let records = state::lock(replica).merge_read(read.records, from, read.next);
+        Ok(TopicNews { records })
     }
 
     /// Reads once and logs when the store becomes unreachable or reachable. After an error, returns
     /// `None` once the retry delay has passed.
-    async fn poll(&mut self, store: &store::StoreClient) -> Option<TopicUpdate> {
-        match self.read(store).await {
+    async fn poll(
+        &mut self,
+        state: &state::GatewayState,
+        topic: wire::StoreTopic,
+    ) -> Option<TopicNews> {
+        match self.read(&state.store, state.replica(topic)).await {
             Ok(update) => {
                 self.retry_interval = RETRY_INTERVAL;
                 if !self.is_reachable {
@@ -140,14 +147,12 @@
             wait_until_read_needed(&state, own_digest, |peer| peer.operator).await;
         }
         let started = state.now();
-        let update = follower.poll(&state.store).await;
-        let is_whole = matches!(update, Some(TopicUpdate::Snapshot(_)));
-        if let Some(TopicUpdate::Snapshot(records) | TopicUpdate::Incremental(records)) = update {
+        if let Some(TopicNews { records }) = follower.poll(&state, wire::StoreTopic::Operator).await
+        {
             *state::lock(&state.operator_read_at) = Some(state.now());
             for record in &records {
                 apply_operator_record(&state, record);
             }
-            news::cache(&state, wire::StoreTopic::Operator, &records, is_whole);
             if !records.is_empty() {
                 if is_known {
                     news::push(&state, wire::StoreTopic::Operator, &records);
@@ -162,7 +167,7 @@
 }
 
 /// Applies a record of the operator: a configuration or an adapter version.
-pub(crate) fn apply_operator_record(state: &state::GatewayState, record: &store::KeyedRecord) {
+pub(crate) fn apply_operator_record(state: &state::GatewayState, record: &KeyedRecord) {
     let Some(value) = &record.value else { return };
     if record.key == rules::RULES_KEY {
         match rules::decode_rules(value) {
@@ -200,15 +205,22 @@
     }
 }
 
+/// Removal of an upstream whose entry has expired.
+pub(crate) struct PendingRemoval {
+    remove_at: instant::MonotonicTime,
+    /// Offset of the record that ended the entry.
+    offset: u64,
+}
+
 /// Follows the upstreams' entries, which expire unless the upstreams renew them.
 pub(crate) async fn follow_upstreams(state: sync::Arc<state::GatewayState>) {
     let mut follower = TopicFollower::new(store::UPSTREAM_TOPIC, time::Duration::ZERO);
-    let mut expired: FxHashMap<String, instant::MonotonicTime> = FxHashMap::default();
     let mut lost_at: Option<instant::MonotonicTime> = None;
     let mut last_digest: Option<u64> = None;
     let mut recovered_at: Option<instant::MonotonicTime> = None;
     loop {
-        if follower.next.is_some() && expired.is_empty() && lost_at.is_none() {
+        let has_removals = !state::lock(&state.removals).is_empty();
+        if follower.next.is_some() && !has_removals && lost_at.is_none() {
             let own_digest = state::GatewayState::own_upstream_digest;
             wait_until_read_needed(&state, own_digest, |peer| peer.upstreams).await;
             let last = *state::lock(&state.upstreams_read_at);
@@ -217,7 +229,7 @@
                 follower.next = None;
             }
         }
-        let update = follower.poll(&state.store).await;
+        let update = follower.poll(&state, wire::StoreTopic::Upstreams).await;
         let now = state.now();
         if !follower.is_reachable {
             lost_at = Some(now);
@@ -226,23 +238,15 @@
         if lost_at.take().is_some() {
             recovered_at = Some(now);
         }
+        let Some(TopicNews { records }) = update else { continue };
         let grace_end = recovered_at.map(|recovered| recovered + RECOVERY_GRACE);
-        let remove_at = grace_end.filter(|end| *end > now).unwrap_or(now);
+        let remove_at = grace_end.unwrap_or(now);
         let is_first = state::lock(&state.upstreams_read_at).is_none();
-        let mut changed = match update {
-            Some(TopicUpdate::Snapshot(records)) => {
-                news::cache(&state, wire::StoreTopic::Upstreams, &records, true);
-                expire_missing(&state, &records, remove_at, &mut expired);
-                apply_entries(&state, records, remove_at, &mut expired)
-            }
-            Some(TopicUpdate::Incremental(records)) => {
-                news::cache(&state, wire::StoreTopic::Upstreams, &records, false);
-                apply_entries(&state, records, remove_at, &mut expired)
-            }
-            None => continue,
-        };
-        let read_to = follower.next.unwrap_or_default();
-        changed.extend(remove_expired(&state, now, read_to, &mut expired));
+        let mut changed: Vec<KeyedRecord> = records
+            .into_iter()
+            .filter(|record| apply_upstream_record(&state, record, remove_at))
+            .collect();
+        changed.extend(remove_expired(&state, now));
         if !is_first && is_reader(&state) {
             // Peers that are not readers get the changes here instead of reading.
             news::push(&state, wire::StoreTopic::Upstreams, &changed);
@@ -256,53 +260,14 @@
     }
 }
 
-fn expire_missing(
-    state: &state::GatewayState,
-    records: &[store::KeyedRecord],
-    remove_at: instant::MonotonicTime,
-    expired: &mut FxHashMap<String, instant::MonotonicTime>,
-) {
-    let view = state.view();
-    for slot in view.upstreams() {
-        let id = &*slot.entry.id;
-        if !records.iter().any(|record| record.key == id && record.value.is_some()) {
-            expired.entry(id.to_owned()).or_insert(remove_at);
-        }
-    }
-}
-
 /// Returns whether this instance is one of those that read the upstreams' entries for the fleet.
 fn is_reader(state: &state::GatewayState) -> bool {
     let peers = state.view().topic_digests(|peer| peer.upstreams);
     reader_selection::is_reader(state.now(), state.incarnation, &peers)
 }
 
-/// Applies upstreams' entries; returns the records that changed anything.
-fn apply_entries(
-    state: &state::GatewayState,
-    records: Vec<store::KeyedRecord>,
-    remove_at: instant::MonotonicTime,
-    expired: &mut FxHashMap<String, instant::MonotonicTime>,
-) -> Vec<store::KeyedRecord> {
-    let mut changed = Vec::new();
-    for record in records {
-        match decode_entry(&record) {
-            Some(entry) => {
-                expired.remove(&record.key);
-                if apply_entry(state, entry) {
-                    changed.push(record);
-                }
-            }
-            None => {
-                expired.entry(record.key).or_insert(remove_at);
-            }
-        }
-    }
-    changed
-}
-
 /// Decodes an upstream's entry; `None` if it was withdrawn or is malformed.
-fn decode_entry(record: &store::KeyedRecord) -> Option<upstream::UpstreamEntry> {
+fn decode_entry(record: &KeyedRecord) -> Option<upstream::UpstreamEntry> {
     let value = record.value.as_ref()?;
     let decoded = entry::decode_entry(&record.key, value);
     if let Err(error) = &decoded {
@@ -314,14 +279,24 @@
     decoded.ok()
 }
 
-/// Applies a record that another instance forwarded: an upstream's entry, or its removal if it has
-/// no value.
-pub(crate) fn apply_upstream_record(state: &state::GatewayState, record: &store::KeyedRecord) {
-    if record.value.is_none() {
-        remove_upstream(state, &record.key);
-    } else if let Some(entry) = decode_entry(record) {
-        apply_entry(state, entry);
+/// Applies a record of the upstreams' topic that is newer than those known; returns whether it changed
+/// anything. Without a readable entry the upstream is removed at `remove_at`, at once if that has passed.
+pub(crate) fn apply_upstream_record(
+    state: &state::GatewayState,
+    record: &KeyedRecord,
+    remove_at: instant::MonotonicTime,
+) -> bool {
+    if let Some(entry) = decode_entry(record) {
+        state::lock(&state.removals).remove(&record.key);
+        return apply_entry(state, entry);
+    }
+    if state.now() < remove_at {
+        let removal = PendingRemoval { remove_at, offset: record.offset };
+        state::lock(&state.removals).insert(record.key.clone(), removal);
+        return false;
     }
+    state::lock(&state.removals).remove(&record.key);
+    remove_upstream(state, &record.key)
 }
 
 /// Applies an upstream's entry; returns whether it is new or its state changed.
@@ -353,24 +328,12 @@
 }
 
 /// Removes upstreams whose entries have expired and whose grace period is over. Returns a removal
-/// record for each, with the offset up to which the topic was read.
-fn remove_expired(
-    state: &state::GatewayState,
-    now: instant::MonotonicTime,
-    read_to: u64,
-    expired: &mut FxHashMap<String, instant::MonotonicTime>,
-) -> Vec<store::KeyedRecord> {
-    let mut removed = Vec::new();
-    expired.retain(|id, remove_at| {
-        if now < *remove_at {
-            return true;
-        }
-        if remove_upstream(state, id) {
-            removed.push(store::KeyedRecord { key: id.clone(), value: None, offset: read_to });
-        }
-        false
-    });
-    removed
+/// record for each.
+fn remove_expired(state: &state::GatewayState, now: instant::MonotonicTime) -> Vec<KeyedRecord> {
+    let due: Vec<(String, PendingRemoval)> =
+        state::lock(&state.removals).extract_if(|_, removal| removal.remove_at <= now).collect();
+    let removed = due.into_iter().filter(|(id, _)| remove_upstream(state, id));
+    removed.map(|(key, removal)| KeyedRecord { key, value: None, offset: removal.offset }).collect()
 }
 
 /// Removes an upstream and its pooled connections; returns whether it was known.
--- a/coltsfootd/src/gateway/news.rs
+++ b/coltsfootd/src/gateway/news.rs
@@ -2,15 +2,14 @@
 //! operator, and entries of upstreams that changed anything (each is rewritten with every renewal).
 //! An instance that can't read the store requests all records.
 
-use std::collections;
 use std::net;
 use std::sync;
 use std::time;
 
+use coltsfoot_gateway::topic_replica::KeyedRecord;
 use coltsfoot_gateway::{peer_slot, reader_selection};
 use coltsfoot_types::time as instant;
 use coltsfoot_wire::fleet as wire;
-use site_platform::store;
 
 use crate::event;
 use crate::gateway::{fleet, follower, state};
@@ -24,47 +23,9 @@
 /// Number of consecutive checks with newer records at a peer before one is asked for them.
 const CHECKS_BEFORE_REQUEST: u32 = 2;
 
-/// Newest record of each key of a topic.
-#[derive(Default)]
-pub(crate) struct RecordCache {
-    records: collections::BTreeMap<String, store::KeyedRecord>,
-}
-
-impl RecordCache {
-    /// Inserts a record; returns false if a newer one of its key is known.
-    fn insert(&mut self, record: &store::KeyedRecord) -> bool {
-        let known = self.records.get(&record.key);
-        if known.is_some_and(|known| known.offset > record.offset) {
-            return false;
-        }
-        self.records.insert(record.key.clone(), record.clone());
-        true
-    }
-}
-
-/// Caches records that were read from the store; with `is_whole` they replace all others.
-pub(crate) fn cache(
-    state: &state::GatewayState,
-    topic: wire::StoreTopic,
-    records: &[store::KeyedRecord],
-    is_whole: bool,
-) {
-    let mut cached = state::lock(state.record_cache(topic));
-    if is_whole {
-        cached.records.clear();
-    }
-    for record in records {
-        cached.insert(record);
-    }
-}
-
 /// Pushes small records to all instances; a record without a value removes its key.
-pub(crate) fn push(
-    state: &state::GatewayState,
-    topic: wire::StoreTopic,
-    records: &[store::KeyedRecord],
-) {
-    let length = |record: &store::KeyedRecord| record.value.as_ref().map_or(0, Vec::len);
+pub(crate) fn push(state: &state::GatewayState, topic: wire::StoreTopic, records: &[KeyedRecord]) {
+    let length = |record: &KeyedRecord| record.value.as_ref().map_or(0, Vec::len);
     let small = records.iter().filter(|record| length(record) <= MAX_PUSHED_BYTES);
     let addresses = state.view().peer_addresses();
     for record in small {
@@ -74,7 +35,7 @@
     }
 }
 
-fn encode(record: &store::KeyedRecord) -> wire::StoreRecord {
+fn encode(record: &KeyedRecord) -> wire::StoreRecord {
     let value = record.value.clone().unwrap_or_default();
     wire::StoreRecord { key: record.key.clone(), offset: record.offset, value }
 }
@@ -82,8 +43,8 @@
 /// Sends all records of a topic to an instance that requested them.
 pub(crate) fn respond(state: &state::GatewayState, request: &wire::RecordsRequest) {
     let records: Vec<wire::StoreRecord> = {
-        let cached = state::lock(state.record_cache(request.topic));
-        cached.records.values().filter(|record| record.value.is_some()).map(encode).collect()
+        let replica = state::lock(state.replica(request.topic));
+        replica.records().map(encode).collect()
     };
     let mut batch: Vec<wire::StoreRecord> = Vec::new();
     let mut size = 0;
@@ -111,13 +72,26 @@
 pub(crate) fn apply(state: &state::GatewayState, topic_records: wire::TopicRecords) {
     for record in topic_records.records {
         let value = (!record.value.is_empty()).then_some(record.value);
-        let record = store::KeyedRecord { key: record.key, value, offset: record.offset };
-        if !state::lock(state.record_cache(topic_records.topic)).insert(&record) {
+        let record = KeyedRecord { key: record.key, value, offset: record.offset };
+        if !state::lock(state.replica(topic_records.topic)).merge(&record) {
             continue;
         }
-        match topic_records.topic {
-            wire::StoreTopic::Operator => follower::apply_operator_record(state, &record),
-            wire::StoreTopic::Upstreams => follower::apply_upstream_record(state, &record),
+        apply_record(state, topic_records.topic, &record, state.now());
+    }
+}
+
+/// Applies a record that is newer than those known; an upstream without an entry is removed at
+/// `remove_at`.
+fn apply_record(
+    state: &state::GatewayState,
+    topic: wire::StoreTopic,
+    record: &KeyedRecord,
+    remove_at: instant::MonotonicTime,
+) {
+    match topic {
+        wire::StoreTopic::Operator => follower::apply_operator_record(state, record),
+        wire::StoreTopic::Upstreams => {
+            follower::apply_upstream_record(state, record, remove_at);
         }
     }
 }
--- a/coltsfootd/src/gateway/state.rs
+++ b/coltsfootd/src/gateway/state.rs
@@ -5,7 +5,7 @@
 
 use coltsfoot_gateway::{
     fleet_view, order_lease, quota_ledger, reader_selection, rendezvous, route_table, rules,
-    stop_plan, zone_relay,
+    stop_plan, topic_replica, zone_relay,
 };
 use coltsfoot_http::pool;
 use coltsfoot_once::retry_budget;
@@ -14,7 +14,7 @@
 use rustc_hash::FxHashMap;
 use site_platform::{settings, store};
 
-use crate::gateway::{crashes, engines, metrics, news, pending_calls, permits, stop};
+use crate::gateway::{crashes, engines, follower, metrics, pending_calls, permits, stop};
 use crate::{clock, event};
 
 /// Fraction of the fleet's retry budget that is used, so that the bound holds while some instances
@@ -48,9 +48,11 @@
     /// Time of the last successful read of the operator's records and of the upstreams' entries.
     pub operator_read_at: sync::Mutex<Option<instant::MonotonicTime>>,
     pub upstreams_read_at: sync::Mutex<Option<instant::MonotonicTime>>,
-    /// Newest records of the store, kept for peers that can't read it.
-    pub operator_records: sync::Mutex<news::RecordCache>,
-    pub upstream_records: sync::Mutex<news::RecordCache>,
+    /// Copies of the store's topics, also for peers that can't read it.
+    pub operator_replica: sync::Mutex<topic_replica::TopicReplica>,
+    pub upstream_replica: sync::Mutex<topic_replica::TopicReplica>,
+    /// Upstreams whose entries have expired and that are still used, by id.
+    pub removals: sync::Mutex<FxHashMap<String, follower::PendingRemoval>>,
     /// Other instances that are registered in the store.
     pub listed_peers: sync::Mutex<Vec<fleet_view::zones::ListedInstance>>,
     /// Totals of this zone, sent to other zones while this instance is the zone's relay.
@@ -64,11 +66,11 @@
         self.clock.now()
     }
 
-    /// Returns the cached records of a topic.
-    pub fn record_cache(&self, topic: fleet::StoreTopic) -> &sync::Mutex<news::RecordCache> {
+    /// Returns the copy of a topic.
+    pub fn replica(&self, topic: fleet::StoreTopic) -> &sync::Mutex<topic_replica::TopicReplica> {
         match topic {
-            fleet::StoreTopic::Operator => &self.operator_records,
-            fleet::StoreTopic::Upstreams => &self.upstream_records,
+            fleet::StoreTopic::Operator => &self.operator_replica,
+            fleet::StoreTopic::Upstreams => &self.upstream_replica,
         }
     }
 
