Send what was deleted along with the records that an instance asks for

Callers were sent to an upstream that had gone, by an instance that could not read the store: the push of a removal is one datagram of a reader, and an instance that missed it and asked got the records that exist, so that it kept the upstream until it could read again. All such instances asked the one peer that had read last, which answered with datagrams of 16 KB.

Cause: a list of records can't tell that a key is missing. The response is now made of pages that cover all keys and name the offset up to which they are complete; a known key without a record in its page has been deleted. Each page fits one packet and stands on its own, so that a lost one costs its keys only. The peer is chosen at random among those that have the copy of the most recent read. Upstreams that are due for removal are removed while the store can't be read, too.

--- a/coltsfoot-gateway/src/reader_selection.rs
+++ b/coltsfoot-gateway/src/reader_selection.rs
@@ -31,6 +31,11 @@
 }
 
 impl PeerDigest {
+    /// Returns when the instance last read the topic.
+    fn read_at(&self) -> clock::MonotonicTime {
+        self.received - self.read_age
+    }
+
     fn is_live(&self, now: clock::MonotonicTime) -> bool {
         let is_recent = now.since(self.received) < MAX_HEARTBEAT_AGE.max(self.interval * 2);
         is_recent && self.read_age < MAX_READ_AGE + self.interval
@@ -61,10 +66,11 @@
     better.count() < READERS
 }
 
-/// Returns the digest of the most recent read.
-pub fn newest_digest(now: clock::MonotonicTime, peers: &[PeerDigest]) -> Option<&PeerDigest> {
-    let fresh = peers.iter().filter(|peer| peer.is_fresh(now));
-    fresh.max_by_key(|peer| peer.received - peer.read_age)
+/// Returns the instances that have the copy of the most recent read.
+pub fn current_peers(now: clock::MonotonicTime, peers: &[PeerDigest]) -> Vec<u64> {
+    let fresh = || peers.iter().filter(|peer| peer.is_fresh(now));
+    let Some(newest) = fresh().max_by_key(|peer| peer.read_at()) else { return Vec::new() };
+    fresh().filter(|peer| peer.digest == newest.digest).map(|peer| peer.id).collect()
 }
 
 /// The instance's own copy of a topic.
@@ -89,8 +95,7 @@
         return DigestStatus::Unknown;
     }
     let differs = |peer: &PeerDigest| {
-        let read_at = peer.received - peer.read_age;
-        peer.digest != own.digest && own.read_at.is_none_or(|own| read_at > own)
+        peer.digest != own.digest && own.read_at.is_none_or(|own| peer.read_at() > own)
     };
     if fresh.any(differs) { DigestStatus::Differs } else { DigestStatus::Confirmed }
 }
--- a/coltsfoot-gateway/src/topic_replica.rs
+++ b/coltsfoot-gateway/src/topic_replica.rs
@@ -69,11 +69,6 @@
         self.records.get(key).filter(|record| record.value.is_some())
     }
 
-    /// Returns all records that have a value, by key.
-    pub fn records(&self) -> impl Iterator<Item = &KeyedRecord> {
-        self.records.values().filter(|record| record.value.is_some())
-    }
-
     /// Merges a single record. Returns false if the same or a newer one of its key is known.
     pub fn merge(&mut self, record: &KeyedRecord) -> bool {
         let is_known = match self.records.get(&record.key) {
--- a/coltsfoot-gateway/tests/readers.rs
+++ b/coltsfoot-gateway/tests/readers.rs
@@ -62,3 +62,10 @@
     assert_eq!(status(2900, &behind), DigestStatus::Confirmed);
     assert_eq!(status(2840, &behind), DigestStatus::Differs);
 }
+
+#[test]
+fn records_are_asked_of_instances_with_the_most_recent_copy() {
+    let peers = [peer(2, 2950, 400, 8), peer(3, 2950, 200, 9), peer(4, 2900, 900, 9)];
+    assert_eq!(reader_selection::current_peers(at(3000), &peers), [3, 4]);
+    assert!(reader_selection::current_peers(at(9000), &peers).is_empty());
+}
--- a/coltsfoot-wire/src/fleet.rs
+++ b/coltsfoot-wire/src/fleet.rs
@@ -293,6 +293,24 @@
     pub records: Vec<StoreRecord>,
 }
 
+/// All records of a range of a topic's keys, so that a key without a record has been deleted.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TopicPage {
+    /// The topic.
+    pub topic: StoreTopic,
+    /// Key before the first one of the range; empty for the first page.
+    pub after: String,
+    /// Last key of the range; `None` for the last page.
+    pub through: Option<String>,
+    /// Offset up to which the sender knows every record.
+    pub next: u64,
+    /// Time after which the sender removes upstreams whose entries expired in an outage of the store, in
+    /// milliseconds; zero if there was none.
+    pub grace_ms: u32,
+    /// The newest record of each key.
+    pub records: Vec<StoreRecord>,
+}
+
 /// Asks for the newest record of each key of a topic.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RecordsRequest {
@@ -377,6 +395,8 @@
     PermitRequest(PermitRequest),
     /// Response to a permit request.
     PermitResponse(PermitResponse),
+    /// Response to a request for records: one of several pages.
+    TopicPage(TopicPage),
 }
 
 impl FleetMessage {
--- a/coltsfootd/src/gateway/fleet.rs
+++ b/coltsfootd/src/gateway/fleet.rs
@@ -91,6 +91,7 @@
                 state.loads.complete(response.correlation_id, response.decision);
             }
             Ok(wire::FleetMessage::Records(records)) => news::apply(&state, records),
+            Ok(wire::FleetMessage::TopicPage(page)) => news::apply_page(&state, page),
             Ok(wire::FleetMessage::RecordsRequest(request)) => news::respond(&state, &request),
             Ok(wire::FleetMessage::ZoneHeartbeat(heartbeat)) => apply_zone(&state, heartbeat),
             Ok(wire::FleetMessage::CrashNotice(notice)) => crashes::handle_notice(&state, &notice),
--- a/coltsfootd/src/gateway/follower.rs
+++ b/coltsfootd/src/gateway/follower.rs
@@ -217,7 +217,6 @@
     let mut follower = TopicFollower::new(store::UPSTREAM_TOPIC, time::Duration::ZERO);
     let mut lost_at: Option<instant::MonotonicTime> = None;
     let mut last_digest: Option<u64> = None;
-    let mut recovered_at: Option<instant::MonotonicTime> = None;
     loop {
         let has_removals = !state::lock(&state.removals).is_empty();
         if follower.next.is_some() && !has_removals && lost_at.is_none() {
@@ -236,21 +235,19 @@
             continue;
         }
         if lost_at.take().is_some() {
-            recovered_at = Some(now);
+            *state::lock(&state.recovery_grace_end) = Some(now + RECOVERY_GRACE);
         }
         let Some(TopicNews { records }) = update else { continue };
-        let grace_end = recovered_at.map(|recovered| recovered + RECOVERY_GRACE);
-        let remove_at = grace_end.unwrap_or(now);
+        let remove_at = state.removal_time(now);
         let is_first = state::lock(&state.upstreams_read_at).is_none();
-        let mut changed: Vec<KeyedRecord> = records
+        let changed: Vec<KeyedRecord> = records
             .into_iter()
             .filter(|record| apply_upstream_record(&state, record, remove_at))
             .collect();
-        changed.extend(remove_expired(&state, now));
-        if !is_first && is_reader(&state) {
-            // Peers that are not readers get the changes here instead of reading.
-            news::push(&state, wire::StoreTopic::Upstreams, &changed);
+        if !is_first {
+            push_changes(&state, &changed);
         }
+        remove_expired(&state);
         *state::lock(&state.upstreams_read_at) = Some(now);
         let digest = state.view().upstream_digest();
         if last_digest.replace(digest) != Some(digest) {
@@ -327,13 +324,23 @@
     has_changed
 }
 
-/// Removes upstreams whose entries have expired and whose grace period is over. Returns a removal
-/// record for each.
-fn remove_expired(state: &state::GatewayState, now: instant::MonotonicTime) -> Vec<KeyedRecord> {
+/// Removes upstreams whose entries have expired and whose grace period is over.
+pub(crate) fn remove_expired(state: &state::GatewayState) {
+    let now = state.now();
     let due: Vec<(String, PendingRemoval)> =
         state::lock(&state.removals).extract_if(|_, removal| removal.remove_at <= now).collect();
     let removed = due.into_iter().filter(|(id, _)| remove_upstream(state, id));
-    removed.map(|(key, removal)| KeyedRecord { key, value: None, offset: removal.offset }).collect()
+    let records: Vec<KeyedRecord> = removed
+        .map(|(key, removal)| KeyedRecord { key, value: None, offset: removal.offset })
+        .collect();
+    push_changes(state, &records);
+}
+
+/// Pushes changes of upstreams to the peers that don't read them, if this instance is a reader.
+fn push_changes(state: &state::GatewayState, changed: &[KeyedRecord]) {
+    if !changed.is_empty() && is_reader(state) {
+        news::push(state, wire::StoreTopic::Upstreams, changed);
+    }
 }
 
 /// Removes an upstream and its pooled connections; returns whether it was known.
--- a/coltsfootd/src/gateway/news.rs
+++ b/coltsfootd/src/gateway/news.rs
@@ -6,7 +6,7 @@
 use std::sync;
 use std::time;
 
-use coltsfoot_gateway::topic_replica::KeyedRecord;
+use coltsfoot_gateway::topic_replica::{KeyRange, KeyedRecord, ReplicaPage};
 use coltsfoot_gateway::{peer_slot, reader_selection};
 use coltsfoot_types::time as instant;
 use coltsfoot_wire::fleet as wire;
@@ -14,10 +14,8 @@
 use crate::event;
 use crate::gateway::{fleet, follower, state};
 
-/// Maximum size of a pushed record, in bytes: a datagram that fits one packet.
+/// Maximum size of a pushed record or of a page of records, in bytes: a datagram that fits one packet.
 const MAX_PUSHED_BYTES: usize = 1_200;
-/// Size of the records in one datagram, in bytes, unless a single one is larger.
-const MAX_BATCH_BYTES: usize = 16 * 1024;
 /// Interval between checks whether peers have newer records.
 const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(400);
 /// Number of consecutive checks with newer records at a peer before one is asked for them.
@@ -40,39 +38,46 @@
     wire::StoreRecord { key: record.key.clone(), offset: record.offset, value }
 }
 
-/// Sends all records of a topic to an instance that requested them.
+fn decode(record: wire::StoreRecord) -> KeyedRecord {
+    let value = (!record.value.is_empty()).then_some(record.value);
+    KeyedRecord { key: record.key, value, offset: record.offset }
+}
+
+/// Sends all records of a topic to an instance that requested them, in pages that fit one packet each.
 pub(crate) fn respond(state: &state::GatewayState, request: &wire::RecordsRequest) {
-    let records: Vec<wire::StoreRecord> = {
-        let replica = state::lock(state.replica(request.topic));
-        replica.records().map(encode).collect()
-    };
-    let mut batch: Vec<wire::StoreRecord> = Vec::new();
-    let mut size = 0;
-    for record in records {
-        if size + record.value.len() > MAX_BATCH_BYTES && !batch.is_empty() {
-            send_batch(state, request, std::mem::take(&mut batch));
-            size = 0;
-        }
-        size += record.value.len() + record.key.len();
-        batch.push(record);
+    let topic = request.topic;
+    let pages = state::lock(state.replica(topic)).pages(MAX_PUSHED_BYTES);
+    let now = state.now();
+    let grace = state.removal_time(now).since(now);
+    let grace_ms = u32::try_from(grace.as_millis()).unwrap_or(u32::MAX);
+    for page in pages {
+        let KeyRange { after, through } = page.range;
+        let records = page.records.iter().map(encode).collect();
+        let page = wire::TopicPage { topic, after, through, next: page.next, grace_ms, records };
+        fleet::send(state, [request.reply_to], &wire::FleetMessage::TopicPage(page));
     }
-    send_batch(state, request, batch);
 }
 
-fn send_batch(
-    state: &state::GatewayState,
-    request: &wire::RecordsRequest,
-    records: Vec<wire::StoreRecord>,
-) {
-    let topic_records = wire::TopicRecords { topic: request.topic, records };
-    fleet::send(state, [request.reply_to], &wire::FleetMessage::Records(topic_records));
+/// Applies a page of records from another instance: those that are newer, and removals of keys that it
+/// lacks.
+pub(crate) fn apply_page(state: &state::GatewayState, page: wire::TopicPage) {
+    let topic = page.topic;
+    let remove_at = state.now() + time::Duration::from_millis(u64::from(page.grace_ms));
+    let page = ReplicaPage {
+        range: KeyRange { after: page.after, through: page.through },
+        next: page.next,
+        records: page.records.into_iter().map(decode).collect(),
+    };
+    let news = state::lock(state.replica(topic)).merge_page(page);
+    for record in &news {
+        apply_record(state, topic, record, remove_at);
+    }
 }
 
 /// Applies records from another instance unless newer ones are known.
 pub(crate) fn apply(state: &state::GatewayState, topic_records: wire::TopicRecords) {
     for record in topic_records.records {
-        let value = (!record.value.is_empty()).then_some(record.value);
-        let record = KeyedRecord { key: record.key, value, offset: record.offset };
+        let record = decode(record);
         if !state::lock(state.replica(topic_records.topic)).merge(&record) {
             continue;
         }
@@ -102,12 +107,13 @@
     let mut newer_checks = [0; 2];
     loop {
         async_io::Timer::after(CHECK_INTERVAL).await;
+        follower::remove_expired(&state);
         let topics = [
             (wire::StoreTopic::Operator, state.own_operator_digest()),
             (wire::StoreTopic::Upstreams, state.own_upstream_digest()),
         ];
         for (checks, (topic, own_digest)) in newer_checks.iter_mut().zip(topics) {
-            let source = most_current_peer(&state, topic, own_digest);
+            let source = current_peer(&state, topic, own_digest);
             *checks = if source.is_some() { *checks + 1 } else { 0 };
             if let Some(address) = source.filter(|_| *checks >= CHECKS_BEFORE_REQUEST) {
                 *checks = 0;
@@ -123,9 +129,9 @@
     }
 }
 
-/// Returns the address of the peer that read a topic last, if its digest differs from this
-/// instance's.
-fn most_current_peer(
+/// Returns the address of a random one of the peers with the most recent copy of a topic, if that
+/// differs from this instance's. They share the load of instances that can't read the store.
+fn current_peer(
     state: &state::GatewayState,
     topic: wire::StoreTopic,
     own_digest: reader_selection::OwnDigest,
@@ -135,13 +141,14 @@
         wire::StoreTopic::Upstreams => peer.upstreams,
     };
     let view = state.view();
-    let now: instant::MonotonicTime = state.now();
+    let now = state.now();
     let digests = view.topic_digests(topic_digest);
     if reader_selection::digest_status(now, own_digest, &digests)
         != reader_selection::DigestStatus::Differs
     {
         return None;
     }
-    let newest = reader_selection::newest_digest(now, &digests)?;
-    view.peer(newest.id).map(|peer| peer.address)
+    let current = reader_selection::current_peers(now, &digests);
+    let id = rand::seq::IndexedRandom::choose(&*current, &mut rand::rng())?;
+    view.peer(*id).map(|peer| peer.address)
 }
--- a/coltsfootd/src/gateway/run.rs
+++ b/coltsfootd/src/gateway/run.rs
@@ -200,6 +200,7 @@
         operator_replica: sync::Mutex::default(),
         upstream_replica: sync::Mutex::default(),
         removals: sync::Mutex::default(),
+        recovery_grace_end: sync::Mutex::default(),
         listed_peers: sync::Mutex::default(),
         zone_aggregator: sync::Mutex::default(),
         stop: stop::StopState::default(),
--- a/coltsfootd/src/gateway/state.rs
+++ b/coltsfootd/src/gateway/state.rs
@@ -53,6 +53,8 @@
     pub upstream_replica: sync::Mutex<topic_replica::TopicReplica>,
     /// Upstreams whose entries have expired and that are still used, by id.
     pub removals: sync::Mutex<FxHashMap<String, follower::PendingRemoval>>,
+    /// End of the time after an outage of the store in which they are.
+    pub recovery_grace_end: sync::Mutex<Option<instant::MonotonicTime>>,
     /// Other instances that are registered in the store.
     pub listed_peers: sync::Mutex<Vec<fleet_view::zones::ListedInstance>>,
     /// Totals of this zone, sent to other zones while this instance is the zone's relay.
@@ -74,6 +76,11 @@
         }
     }
 
+    /// Returns when upstreams without an entry are removed: now, or after the grace period of an outage.
+    pub fn removal_time(&self, now: instant::MonotonicTime) -> instant::MonotonicTime {
+        lock(&self.recovery_grace_end).map_or(now, |end| end.max(now))
+    }
+
     /// Locks this instance's view of the fleet.
     pub fn view(&self) -> sync::MutexGuard<'_, fleet_view::FleetView> {
         lock(&self.view)
