Keep missing entries after an outage of the store only

Callers were sent to an upstream whose entry was gone for up to 2.2 s after their instance had read so, if a call of that instance had failed before: a 429, a reset or a timeout was taken for an outage in which entries expire that come back, though other instances had read the store all along.

Cause: an instance took its own trouble for the store's. OutageTracker looks at the reads of all instances, which digests tell: only if nobody has read for as long as it takes an entry to expire, missing entries are kept. Time in which the process itself was suspended tells nothing and counts as no outage. The grace period begins with the first read of any instance.

--- a/coltsfoot-gateway/src/reader_selection.rs
+++ b/coltsfoot-gateway/src/reader_selection.rs
@@ -66,6 +66,11 @@
     better.count() < READERS
 }
 
+/// Returns when the topic was last read by one of the instances.
+pub fn newest_read(peers: &[PeerDigest]) -> Option<clock::MonotonicTime> {
+    peers.iter().map(PeerDigest::read_at).max()
+}
+
 /// Returns the instances that have the copy of the most recent read.
 pub fn current_peers(now: clock::MonotonicTime, peers: &[PeerDigest]) -> Vec<u64> {
     let fresh = || peers.iter().filter(|peer| peer.is_fresh(now));
--- a/coltsfootd/src/gateway/follower.rs
+++ b/coltsfootd/src/gateway/follower.rs
@@ -27,8 +27,6 @@
 /// each failure, since refused calls are charged too and peers forward what they read.
 const RETRY_INTERVAL: time::Duration = time::Duration::from_millis(400);
 const MAX_RETRY_INTERVAL: time::Duration = time::Duration::from_millis(1600);
-/// Time after the store's recovery before entries that expired during the outage are removed.
-const RECOVERY_GRACE: time::Duration = time::Duration::from_millis(2200);
 
 /// Read position and retry state of one topic.
 struct TopicFollower {
@@ -215,11 +213,10 @@
 /// Follows the upstreams' entries, which expire unless the upstreams renew them.
 pub(crate) async fn follow_upstreams(state: sync::Arc<state::GatewayState>) {
     let mut follower = TopicFollower::new(store::UPSTREAM_TOPIC, time::Duration::ZERO);
-    let mut lost_at: Option<instant::MonotonicTime> = None;
     let mut last_digest: Option<u64> = None;
     loop {
         let has_removals = !state::lock(&state.removals).is_empty();
-        if follower.next.is_some() && !has_removals && lost_at.is_none() {
+        if follower.next.is_some() && !has_removals && follower.is_reachable {
             let own_digest = state::GatewayState::own_upstream_digest;
             wait_until_read_needed(&state, own_digest, |peer| peer.upstreams).await;
             let last = *state::lock(&state.upstreams_read_at);
@@ -230,14 +227,8 @@
         }
         let update = follower.poll(&state, wire::StoreTopic::Upstreams).await;
         let now = state.now();
-        if !follower.is_reachable {
-            lost_at = Some(now);
-            continue;
-        }
-        if lost_at.take().is_some() {
-            *state::lock(&state.recovery_grace_end) = Some(now + RECOVERY_GRACE);
-        }
         let Some(TopicNews { records }) = update else { continue };
+        state::lock(&state.outages).record_read(now);
         let remove_at = state.removal_time(now);
         let is_first = state::lock(&state.upstreams_read_at).is_none();
         let changed: Vec<KeyedRecord> = records
@@ -257,6 +248,13 @@
     }
 }
 
+/// Notes when the upstreams' entries were last read, by whichever instance.
+pub(crate) fn check_reads(state: &state::GatewayState) {
+    let peers = state.view().topic_digests(|peer| peer.upstreams);
+    let newest = reader_selection::newest_read(&peers);
+    state::lock(&state.outages).check(state.now(), newest);
+}
+
 /// Returns whether this instance is one of those that read the upstreams' entries for the fleet.
 fn is_reader(state: &state::GatewayState) -> bool {
     let peers = state.view().topic_digests(|peer| peer.upstreams);
--- a/coltsfootd/src/gateway/news.rs
+++ b/coltsfootd/src/gateway/news.rs
@@ -107,6 +107,7 @@
     let mut newer_checks = [0; 2];
     loop {
         async_io::Timer::after(CHECK_INTERVAL).await;
+        follower::check_reads(&state);
         follower::remove_expired(&state);
         let topics = [
             (wire::StoreTopic::Operator, state.own_operator_digest()),
--- a/coltsfootd/src/gateway/run.rs
+++ b/coltsfootd/src/gateway/run.rs
@@ -7,7 +7,7 @@
 use std::time;
 
 use async_net::TcpListener;
-use coltsfoot_gateway::{order_lease, stop_plan};
+use coltsfoot_gateway::{order_lease, outage_tracker, stop_plan};
 use coltsfoot_http::pool;
 use site_platform::{settings, store};
 
@@ -200,7 +200,7 @@
         operator_replica: sync::Mutex::default(),
         upstream_replica: sync::Mutex::default(),
         removals: sync::Mutex::default(),
-        recovery_grace_end: sync::Mutex::default(),
+        outages: sync::Mutex::new(outage_tracker::OutageTracker::new(settings.heartbeat)),
         listed_peers: sync::Mutex::default(),
         zone_aggregator: sync::Mutex::default(),
         stop: stop::StopState::default(),
--- a/coltsfootd/src/gateway/state.rs
+++ b/coltsfootd/src/gateway/state.rs
@@ -4,8 +4,8 @@
 use std::sync;
 
 use coltsfoot_gateway::{
-    fleet_view, order_lease, quota_ledger, reader_selection, rendezvous, route_table, rules,
-    stop_plan, topic_replica, zone_relay,
+    fleet_view, order_lease, outage_tracker, quota_ledger, reader_selection, rendezvous,
+    route_table, rules, stop_plan, topic_replica, zone_relay,
 };
 use coltsfoot_http::pool;
 use coltsfoot_once::retry_budget;
@@ -53,8 +53,8 @@
     pub upstream_replica: sync::Mutex<topic_replica::TopicReplica>,
     /// Upstreams whose entries have expired and that are still used, by id.
     pub removals: sync::Mutex<FxHashMap<String, follower::PendingRemoval>>,
-    /// End of the time after an outage of the store in which they are.
-    pub recovery_grace_end: sync::Mutex<Option<instant::MonotonicTime>>,
+    /// Outages of the store, after which they are.
+    pub outages: sync::Mutex<outage_tracker::OutageTracker>,
     /// Other instances that are registered in the store.
     pub listed_peers: sync::Mutex<Vec<fleet_view::zones::ListedInstance>>,
     /// Totals of this zone, sent to other zones while this instance is the zone's relay.
@@ -78,7 +78,7 @@
 
     /// Returns when upstreams without an entry are removed: now, or after the grace period of an outage.
     pub fn removal_time(&self, now: instant::MonotonicTime) -> instant::MonotonicTime {
-        lock(&self.recovery_grace_end).map_or(now, |end| end.max(now))
+        lock(&self.outages).remove_at(now)
     }
 
     /// Locks this instance's view of the fleet.
