Count a copy of the store's topics as read when the read was sent

An instance that relied on a peer's copy could rely on one that was older than it said by as long as the peer's read had taken, up to 1.2 s: the age counted from the response. The instance sent callers to upstreams that had left meanwhile, and the copies that it compared were dated wrongly.

A copy now counts from the request, of a long poll from the end of its wait at most. The next read follows 850 ms after the request of the last, so that a slow response does not make reads rarer.

--- a/coltsfootd/src/gateway/follower.rs
+++ b/coltsfootd/src/gateway/follower.rs
@@ -21,7 +21,7 @@
 const MAX_INCREMENTAL_AGE: time::Duration = time::Duration::from_millis(2000);
 /// Interval between checks of the readers' digests.
 const DIGEST_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(100);
-/// Minimum interval between reads of the operator's records, for long polls that return at once.
+/// Minimum pause between reads of a topic, for long polls that return at once and for slow responses.
 const MIN_READ_INTERVAL: time::Duration = time::Duration::from_millis(30);
 /// Initial delay before a retry while the store is unavailable, and its maximum. It doubles with
 /// each failure, since refused calls are charged too and peers forward what they read.
@@ -41,9 +41,11 @@
     retry_interval: time::Duration,
 }
 
-/// Records that a read brought and that were not known to be older than others.
+/// Records that a read brought and that are newer than those known.
 struct TopicNews {
     records: Vec<KeyedRecord>,
+    /// Time whose state of the topic the copy reflects at least.
+    read_at: instant::MonotonicTime,
 }
 
 impl TopicFollower {
@@ -57,24 +59,22 @@
         &mut self,
         store: &store::StoreClient,
         replica: &sync::Mutex<topic_replica::TopicReplica>,
-    ) -> Result<TopicNews, store::StoreError> {
+    ) -> Result<Vec<KeyedRecord>, store::StoreError> {
         let Some(from) = self.next else {
             let newest = match store.read_latest(self.topic).await {
                 Err(store::StoreError::Refused(404)) if self.may_be_missing => {
                     async_io::Timer::after(RETRY_INTERVAL).await;
-                    return Ok(TopicNews { records: Vec::new() });
+                    return Ok(Vec::new());
                 }
                 newest => newest?,
             };
             self.may_be_missing = false;
             self.next = Some(newest.next);
-            let records = state::lock(replica).merge_snapshot(newest.records, newest.next);
-            return Ok(TopicNews { records });
+            return Ok(state::lock(replica).merge_snapshot(newest.records, newest.next));
         };
         let read = store.read(self.topic, from, self.wait).await?;
         self.next = Some(read.next);
-        let records = state::lock(replica).merge_read(read.records, from, read.next);
-        Ok(TopicNews { records })
+        Ok(state::lock(replica).merge_read(read.records, from, read.next))
     }
 
     /// Reads once and logs when the store becomes unreachable or reachable. After an error, returns
@@ -84,14 +84,18 @@
         state: &state::GatewayState,
         topic: wire::StoreTopic,
     ) -> Option<TopicNews> {
+        let sent = state.now();
         match self.read(&state.store, state.replica(topic)).await {
-            Ok(update) => {
+            Ok(records) => {
                 self.retry_interval = RETRY_INTERVAL;
                 if !self.is_reachable {
                     self.is_reachable = true;
                     log::info!(event = event::LOG_REACHABLE.number, topic = self.topic; "log_reachable");
                 }
-                Some(update)
+                // The store answers a read once it has records or the wait is over; a response may
+                // be late by any time after that.
+                let read_at = state.now().min(sent + self.wait);
+                Some(TopicNews { records, read_at })
             }
             Err(store::StoreError::Trimmed) => {
                 log::info!(event = event::HISTORY_TRIMMED.number, topic = self.topic; "history_trimmed");
@@ -145,9 +149,9 @@
             wait_until_read_needed(&state, own_digest, |peer| peer.operator).await;
         }
         let started = state.now();
-        if let Some(TopicNews { records }) = follower.poll(&state, wire::StoreTopic::Operator).await
-        {
-            *state::lock(&state.operator_read_at) = Some(state.now());
+        let news = follower.poll(&state, wire::StoreTopic::Operator).await;
+        if let Some(TopicNews { records, read_at }) = news {
+            *state::lock(&state.operator_read_at) = Some(read_at);
             for record in &records {
                 apply_operator_record(&state, record);
             }
@@ -226,10 +230,9 @@
             }
         }
         let update = follower.poll(&state, wire::StoreTopic::Upstreams).await;
-        let now = state.now();
-        let Some(TopicNews { records }) = update else { continue };
-        state::lock(&state.outages).record_read(now);
-        let remove_at = state.removal_time(now);
+        let Some(TopicNews { records, read_at }) = update else { continue };
+        state::lock(&state.outages).record_read(read_at);
+        let remove_at = state.removal_time(state.now());
         let is_first = state::lock(&state.upstreams_read_at).is_none();
         let changed: Vec<KeyedRecord> = records
             .into_iter()
@@ -239,12 +242,14 @@
             push_changes(&state, &changed);
         }
         remove_expired(&state);
-        *state::lock(&state.upstreams_read_at) = Some(now);
+        *state::lock(&state.upstreams_read_at) = Some(read_at);
         let digest = state.view().upstream_digest();
         if last_digest.replace(digest) != Some(digest) {
             heartbeats::publish_digests(&state);
         }
-        async_io::Timer::after(UPSTREAM_INTERVAL).await;
+        let elapsed = state.now().since(read_at);
+        async_io::Timer::after(UPSTREAM_INTERVAL.saturating_sub(elapsed).max(MIN_READ_INTERVAL))
+            .await;
     }
 }
 
