Check that an upstream has not left right before a request is sent there

Between the choice of an engine and the request lie the load of an adapter (up to 900 ms) and a permit; an engine whose entry turned draining meanwhile got the request all the same, as only what responses had announced was looked at again. sendable_upstream asks for the entry too; retries and failover take the same way (locate).

--- a/coltsfoot-gateway/src/fleet_view.rs
+++ b/coltsfoot-gateway/src/fleet_view.rs
@@ -153,6 +153,23 @@
         })
     }
 
+    /// Returns an upstream to which a request may be sent now, or the reason code why none may. What
+    /// was chosen may have left while an adapter was loaded or a permit awaited.
+    pub fn sendable_upstream(
+        &self,
+        now: clock::MonotonicTime,
+        id: &str,
+    ) -> Result<&upstream_slot::UpstreamSlot, &'static str> {
+        let slot = self.upstream(id).ok_or("upstream_gone")?;
+        if slot.entry.state == upstream::UpstreamState::Draining {
+            return Err("upstream_draining");
+        }
+        match self.availability.status(now, slot.number) {
+            availability_table::UpstreamAvailability::Available => Ok(slot),
+            _ => Err("upstream_closed"),
+        }
+    }
+
     /// Returns the upstreams of a service whose entries say that they are ready.
     fn listed_upstreams<'a>(
         &'a self,
--- a/coltsfoot-gateway/tests/availability.rs
+++ b/coltsfoot-gateway/tests/availability.rs
@@ -7,6 +7,7 @@
 
 use coltsfoot_gateway::availability_table::{self, UpstreamAvailability};
 use coltsfoot_gateway::fleet_view;
+use coltsfoot_gateway::upstream;
 use coltsfoot_gateway::upstream_search::SearchStep;
 use fleet_fixture::{at, entry, fleet, prompt, report_adapters, sends_to, service, step};
 use rstest::rstest;
@@ -15,6 +16,25 @@
     view.upstream(id).expect("known").number
 }
 
+/// Between the choice of an engine and the request lie the load of an adapter and a permit.
+#[test]
+fn upstream_that_leaves_after_it_was_chosen_gets_no_request() {
+    let mut view = fleet(&[("a", "z")]);
+    report_adapters(&mut view, "a", &["x"], 0);
+    assert!(sends_to(&step(0, &view), "a"));
+    assert!(view.sendable_upstream(at(0), "a").is_ok());
+    let mut draining = entry("a", "z");
+    draining.state = upstream::UpstreamState::Draining;
+    view.put_upstream(draining);
+    assert_eq!(view.sendable_upstream(at(1), "a").err(), Some("upstream_draining"));
+    view.put_upstream(entry("a", "z"));
+    let number = number(&view, "a");
+    view.availability_mut().mark_draining(at(2), number);
+    assert_eq!(view.sendable_upstream(at(2), "a").err(), Some("upstream_closed"));
+    view.remove_upstream("a");
+    assert_eq!(view.sendable_upstream(at(3), "a").err(), Some("upstream_gone"));
+}
+
 #[test]
 fn a_draining_incarnation_stays_unavailable_whatever_its_entry_says() {
     let mut view = fleet(&[("a", "z"), ("b", "z")]);
--- a/coltsfootd/src/gateway/intake.rs
+++ b/coltsfootd/src/gateway/intake.rs
@@ -88,11 +88,6 @@
     }
 }
 
-/// Returns whether an upstream accepts requests.
-pub(super) fn is_available(state: &state::GatewayState, number: u32) -> bool {
-    state.view().availability().status(state.now(), number) == UpstreamAvailability::Available
-}
-
 /// Sends an instance the upstreams that are draining.
 pub(super) fn send_known(state: &state::GatewayState, address: std::net::SocketAddr) {
     let draining = state.view().availability().draining_to_resend(state.now());
--- a/coltsfootd/src/gateway/upstream_attempt.rs
+++ b/coltsfootd/src/gateway/upstream_attempt.rs
@@ -91,16 +91,9 @@
 impl<'b> forwarding::Forwarding<'_, 'b> {
     /// Returns where an upstream can be reached, or why nothing may be sent there.
     pub(super) fn locate(&self, upstream: &str) -> Result<UpstreamEndpoint, &'static str> {
-        let endpoint = self
-            .state
-            .view()
-            .upstream(upstream)
-            .map(|slot| UpstreamEndpoint { address: slot.entry.address, number: slot.number });
-        let endpoint = endpoint.ok_or("upstream_gone")?;
-        match intake::is_available(self.state, endpoint.number) {
-            true => Ok(endpoint),
-            false => Err("upstream_closed"),
-        }
+        let view = self.state.view();
+        let slot = view.sendable_upstream(self.state.now(), upstream)?;
+        Ok(UpstreamEndpoint { address: slot.entry.address, number: slot.number })
     }
 
     /// Prepares to send the request to an upstream; it is sent once the response is polled.
