Log where an instance's knowledge of an upstream comes from

upstream_changed and upstream_gone told that, but not how, an instance learned of a change, so that the hypotheses of the DRAIN incident could be told apart by other instances' lines only. They name the offset of the record and the time since the instance's own last read now; upstream_missing tells of the grace period after an outage.

--- a/coltsfootd/src/event.rs
+++ b/coltsfootd/src/event.rs
@@ -77,6 +77,8 @@
     LIMITED_SEND = 219, "limited_send", Info;
     /// The rate limit in an upstream's response could not be parsed.
     LIMIT_UNREADABLE = 220, "limit_unreadable", Warn;
+    /// An upstream's entry expired in an outage of the store; the upstream is used for a while.
+    UPSTREAM_MISSING = 221, "upstream_missing", Info;
     /// An instance joined or left the zone's view.
     VIEW_CHANGED = 300, "view_changed", Info;
     /// A peer can't be reached.
--- a/coltsfootd/src/gateway/follower.rs
+++ b/coltsfootd/src/gateway/follower.rs
@@ -288,19 +288,26 @@
 ) -> bool {
     if let Some(entry) = decode_entry(record) {
         state::lock(&state.removals).remove(&record.key);
-        return apply_entry(state, entry);
+        return apply_entry(state, entry, record.offset);
     }
     if state.now() < remove_at {
         let removal = PendingRemoval { remove_at, offset: record.offset };
+        if state.view().upstream(&record.key).is_some() {
+            log::info!(
+                event = event::UPSTREAM_MISSING.number, upstream = record.key.as_str(),
+                offset = record.offset, grace_ms = remove_at.since(state.now()).as_millis() as u64;
+                "upstream_missing"
+            );
+        }
         state::lock(&state.removals).insert(record.key.clone(), removal);
         return false;
     }
     state::lock(&state.removals).remove(&record.key);
-    remove_upstream(state, &record.key)
+    remove_upstream(state, &record.key, record.offset)
 }
 
 /// Applies an upstream's entry; returns whether it is new or its state changed.
-fn apply_entry(state: &state::GatewayState, entry: upstream::UpstreamEntry) -> bool {
+fn apply_entry(state: &state::GatewayState, entry: upstream::UpstreamEntry, offset: u64) -> bool {
     let (id, address) = (entry.id.to_string(), entry.address);
     let is_ready = entry.state == upstream::UpstreamState::Ready;
     let mut view = state.view();
@@ -320,7 +327,8 @@
     if has_changed {
         log::info!(
             event = event::UPSTREAM_CHANGED.number, upstream = id,
-            address = address.to_string(), ready = is_ready, new = is_new; "upstream_changed"
+            address = address.to_string(), ready = is_ready, new = is_new,
+            offset = offset, read_age_ms = read_age_ms(state); "upstream_changed"
         );
         state.controllers.wake_all();
     }
@@ -332,7 +340,8 @@
     let now = state.now();
     let due: Vec<(String, PendingRemoval)> =
         state::lock(&state.removals).extract_if(|_, removal| removal.remove_at <= now).collect();
-    let removed = due.into_iter().filter(|(id, _)| remove_upstream(state, id));
+    let removed =
+        due.into_iter().filter(|(id, removal)| remove_upstream(state, id, removal.offset));
     let records: Vec<KeyedRecord> = removed
         .map(|(key, removal)| KeyedRecord { key, value: None, offset: removal.offset })
         .collect();
@@ -347,12 +356,21 @@
 }
 
 /// Removes an upstream and its pooled connections; returns whether it was known.
-fn remove_upstream(state: &state::GatewayState, id: &str) -> bool {
+fn remove_upstream(state: &state::GatewayState, id: &str, offset: u64) -> bool {
     let Some(entry) = state.view().remove_upstream(id) else { return false };
     state.pool.close_idle(entry.address);
     if entry.state == upstream::UpstreamState::Ready {
         crashes::record_removal(state, id);
     }
-    log::info!(event = event::UPSTREAM_GONE.number, upstream = id; "upstream_gone");
+    log::info!(
+        event = event::UPSTREAM_GONE.number, upstream = id, offset = offset,
+        read_age_ms = read_age_ms(state); "upstream_gone"
+    );
     true
 }
+
+/// Returns the age of this instance's last read, for logs: a record that is newer came from a peer.
+fn read_age_ms(state: &state::GatewayState) -> Option<u64> {
+    let read_at = *state::lock(&state.upstreams_read_at);
+    read_at.map(|read_at| state.now().since(read_at).as_millis() as u64)
+}
