Quarantine prompt parts that crash engines

Callers whose prompts shared nothing with each other but one part crashed one engine after the other, and took all streams at them along: the quarantine knows whole requests only, of which no two are alike.

A crash now makes suspects of the shared parts of all prompts that had no lasting response yet, at all instances, which tell each other. A response that lasts 200 ms clears the parts of its prompt. A part that stays suspected through three separate crashes, more than any other one, while other prompts are served, is quarantined for an hour, at all instances and those that start later; the crashes that it explains do not count against other parts. A response that lasts after all ends a quarantine. Prompts with such a part are refused at once, before quota is charged, and are not retried elsewhere.

--- a/coltsfoot-gateway/src/lib.rs
+++ b/coltsfoot-gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod limit_table;
 pub mod order_lease;
 pub mod outage_tracker;
+pub mod part_ledger;
 pub mod peer_slot;
 pub mod quota_ledger;
 pub mod reader_selection;
--- a/coltsfoot-wire/src/fleet.rs
+++ b/coltsfoot-wire/src/fleet.rs
@@ -366,6 +366,37 @@
     pub decision: PermitDecision,
 }
 
+/// Crash of an engine and the shared parts of the sender's prompts that had no lasting response.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PartCrash {
+    /// Number that stands for the engine's id.
+    pub engine: u64,
+    /// Time since the connections broke, in milliseconds.
+    pub age_ms: u32,
+    /// Numbers of the parts.
+    pub parts: Vec<u64>,
+}
+
+/// Parts of a prompt whose response lasted, so that they crash no engine.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PartsCleared {
+    /// Numbers of the parts.
+    pub parts: Vec<u64>,
+    /// Time since then, in milliseconds.
+    pub age_ms: u32,
+}
+
+/// A part that crashes each engine which begins a response to a prompt with it.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct QuarantinedPart {
+    /// Number of the part.
+    pub part: u64,
+    /// Time since its last known crash, in milliseconds.
+    pub crash_age_ms: u32,
+    /// Time until the quarantine ends, in milliseconds.
+    pub left_ms: u32,
+}
+
 /// A datagram between instances.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum FleetMessage {
@@ -397,6 +428,12 @@
     PermitResponse(PermitResponse),
     /// Response to a request for records: one of several pages.
     TopicPage(TopicPage),
+    /// Parts of prompts that ran at an engine when it crashed.
+    PartCrash(PartCrash),
+    /// Suspected parts of a prompt that was served.
+    PartsCleared(PartsCleared),
+    /// Parts that no instance may send to an engine.
+    QuarantinedParts(Vec<QuarantinedPart>),
 }
 
 impl FleetMessage {
--- a/coltsfootd/src/event.rs
+++ b/coltsfootd/src/event.rs
@@ -125,6 +125,12 @@
     CONNECTION_CLOSED = 507, "connection_closed", Info;
     /// Another upstream was sought for a request whose upstream is silent, with the result.
     FAILOVER_DECIDED = 508, "failover_decided", Info;
+    /// A prompt part crashed several engines and is quarantined.
+    PART_QUARANTINED = 509, "part_quarantined", Warn;
+    /// A quarantined part was served by another instance and is not quarantined any more.
+    PART_CLEARED = 510, "part_cleared", Info;
+    /// A request was refused for a quarantined part of its prompt.
+    PART_REFUSED = 511, "part_refused", Info;
 }
 
 /// Logs an event as `NAME: DETAILS`, with its number as a field.
--- a/coltsfootd/src/gateway/crashes.rs
+++ b/coltsfootd/src/gateway/crashes.rs
@@ -6,14 +6,14 @@
 use std::sync;
 use std::time;
 
-use coltsfoot_gateway::{attempt_plan, crash_ledger};
+use coltsfoot_gateway::{attempt_plan, crash_ledger, part_ledger};
 use coltsfoot_http::{message, socket};
 use coltsfoot_once::crash_suspects::RunEnd;
 use coltsfoot_types::id;
 use coltsfoot_wire::{fleet as wire, once};
 use rustc_hash::FxHashSet;
 
-use crate::gateway::{fleet, state};
+use crate::gateway::{fleet, parts, state};
 use crate::{clock, event};
 
 /// Connect timeout of a probe.
@@ -47,6 +47,7 @@
     upstream: sync::Arc<str>,
     digest: once::RequestDigest,
     attempt: id::AttemptId,
+    part_run: Option<part_ledger::RunId>,
     end: RunEnd,
 }
 
@@ -56,10 +57,19 @@
         state: &'a sync::Arc<state::GatewayState>,
         upstream: &sync::Arc<str>,
         digest: once::RequestDigest,
+        shared_parts: &part_ledger::PartList,
     ) -> Self {
         let attempt = state.crashes.ledger().begin(upstream, digest);
+        let part_run = parts::begin(state, upstream, shared_parts);
         let upstream = sync::Arc::clone(upstream);
-        Self { state, upstream, digest, attempt, end: RunEnd::Abandoned }
+        Self { state, upstream, digest, attempt, part_run, end: RunEnd::Abandoned }
+    }
+
+    /// Records an event of the response.
+    pub(super) fn event_received(&self) {
+        if let Some(run) = self.part_run {
+            parts::event_received(self.state, run);
+        }
     }
 
     /// Records that the attempt brought no complete response; probes the upstream if its connection
@@ -80,6 +90,12 @@
 impl Drop for RunningRequest<'_> {
     fn drop(&mut self) {
         let now = self.state.now();
+        match (self.part_run, self.end) {
+            (None, _) => {}
+            (Some(run), RunEnd::Completed) => parts::complete(self.state, run),
+            (Some(run), RunEnd::ConnectionLost) => self.state.part_ledger().lose(now, run),
+            (Some(run), RunEnd::Abandoned) => self.state.part_ledger().abandon(run),
+        }
         let cleared = self.state.crashes.ledger().end(
             now,
             &self.upstream,
@@ -117,7 +133,10 @@
                 state.view().connect_failed(state.now(), &upstream);
                 record_crash(&state, &upstream);
             }
-            ProbeResult::Alive => state.crashes.ledger().confirm_alive(&upstream),
+            ProbeResult::Alive => {
+                state.crashes.ledger().confirm_alive(&upstream);
+                state.part_ledger().confirm_alive(&upstream);
+            }
             ProbeResult::Unknown => {}
         }
     };
@@ -158,6 +177,7 @@
 fn record_crash(state: &state::GatewayState, upstream: &str) {
     let notices = state.crashes.ledger().record_crash(state.now(), upstream, clock::wall_time().0);
     report_crash(state, upstream, notices);
+    parts::record_crash(state, upstream, false);
 }
 
 /// Records that the entry of a ready upstream was removed or replaced by that of a new incarnation.
@@ -165,6 +185,7 @@
     let notices =
         state.crashes.ledger().record_departure(state.now(), upstream, clock::wall_time().0);
     report_crash(state, upstream, notices);
+    parts::record_crash(state, upstream, true);
 }
 
 /// Logs the requests that were running at a crash, and notifies other instances.
--- a/coltsfootd/src/gateway/exchange.rs
+++ b/coltsfootd/src/gateway/exchange.rs
@@ -4,13 +4,14 @@
 use std::time;
 
 use async_net::TcpStream;
-use coltsfoot_gateway::{demand, quota_ledger, route_table, rules, upstream_search};
+use coltsfoot_gateway::{demand, part_ledger, quota_ledger, route_table, rules, upstream_search};
 use coltsfoot_http::header;
 use coltsfoot_types::time as instant;
 use coltsfoot_wire::once;
 use futures_lite::AsyncWriteExt as _;
 use site_platform::fields;
 
+use crate::event;
 use crate::gateway::{callers, forwarding, request_log, state};
 use crate::request_digest;
 
@@ -123,7 +124,9 @@
         log.customer = granted.customer.as_ref().map(|customer| sync::Arc::clone(&customer.name));
         let digest = self.digest(granted.customer.as_deref());
         log.digest = Some(digest);
-        self.check_quarantine(&digest)?;
+        let parts = self.fields.demand.as_ref().map(demand::PromptDemand::shared_parts);
+        let parts = parts.unwrap_or_default();
+        self.check_quarantine(&digest, &parts)?;
         let service = route_table::pick_service(&granted.route, &request_id)
             .and_then(|name| routes.service(&name).cloned())
             .ok_or(LocalReply::unavailable("no_service", upstream_search::RETRY_PAUSE))?;
@@ -143,15 +146,31 @@
             customer: granted.customer,
             service,
             demand,
+            parts,
             deadline,
             tokens,
         })
     }
 
-    /// Refuses a request that is quarantined because upstreams crashed while running it.
-    pub(super) fn check_quarantine(&self, digest: &once::RequestDigest) -> Result<(), LocalReply> {
-        let refusal = self.state.crashes.ledger().quarantine_left(self.state.now(), digest);
-        refusal.map_or(Ok(()), |time_left| Err(LocalReply::unavailable("quarantined", time_left)))
+    /// Refuses a request that is quarantined, itself or a part of its prompt, because upstreams crashed
+    /// while running it.
+    pub(super) fn check_quarantine(
+        &self,
+        digest: &once::RequestDigest,
+        parts: &[part_ledger::PartKey],
+    ) -> Result<(), LocalReply> {
+        let now = self.state.now();
+        if let Some(time_left) = self.state.crashes.ledger().quarantine_left(now, digest) {
+            return Err(LocalReply::unavailable("quarantined", time_left));
+        }
+        let Some((part, time_left)) = self.state.part_ledger().quarantine_left(now, parts) else {
+            return Ok(());
+        };
+        log::info!(
+            event = event::PART_REFUSED.number, request = self.fields.request_id.as_deref(),
+            digest = digest.short(), part = part.to_string(); "part_refused"
+        );
+        Err(LocalReply::unavailable("part_quarantined", time_left))
     }
 
     /// Returns the digest that is the same for retries of the request: of method, target, customer
@@ -230,6 +249,8 @@
     pub(super) customer: Option<sync::Arc<rules::CustomerRule>>,
     pub(super) service: sync::Arc<rules::ServiceRule>,
     pub(super) demand: Option<demand::PromptDemand>,
+    /// Parts of the prompt that other prompts share.
+    pub(super) parts: part_ledger::PartList,
     pub(super) deadline: instant::MonotonicTime,
     pub(super) tokens: u64,
 }
--- a/coltsfootd/src/gateway/failover.rs
+++ b/coltsfootd/src/gateway/failover.rs
@@ -80,7 +80,7 @@
             view.upstream(upstream).is_none_or(|slot| slot.is_silent(now))
         };
         timer.is_due(now, is_upstream_silent)
-            && self.exchange.check_quarantine(&self.admitted.digest).is_ok()
+            && self.exchange.check_quarantine(&self.admitted.digest, &self.admitted.parts).is_ok()
     }
 
     /// Seeks another upstream for the request and sends it there, while `progress` of the present attempt
@@ -121,7 +121,9 @@
         let now = self.state.now();
         let search = upstream_search::UpstreamSearch::without_wait(now, sync::Arc::clone(present));
         let chosen = self.search_upstream(search).await.map_err(|refusal| refusal.reason)?;
-        self.exchange.check_quarantine(&self.admitted.digest).map_err(|refusal| refusal.reason)?;
+        self.exchange
+            .check_quarantine(&self.admitted.digest, &self.admitted.parts)
+            .map_err(|refusal| refusal.reason)?;
         let endpoint = self.locate(&chosen.id)?;
         match self.withdraw_retry() {
             true => Ok((chosen, endpoint)),
--- a/coltsfootd/src/gateway/fleet.rs
+++ b/coltsfootd/src/gateway/fleet.rs
@@ -10,7 +10,7 @@
 use coltsfoot_wire::fleet as wire;
 
 use crate::event;
-use crate::gateway::{crashes, engines, heartbeats, intake, news, permits, state};
+use crate::gateway::{crashes, engines, heartbeats, intake, news, parts, permits, state};
 
 /// Keyed topic in which instances register the addresses at which they receive messages.
 const INSTANCE_TOPIC: &str = "keyed.coltsfoot-instances";
@@ -110,6 +110,13 @@
             Ok(wire::FleetMessage::PermitResponse(response)) => {
                 state.permits.calls.complete(response.correlation_id, response.decision);
             }
+            Ok(wire::FleetMessage::PartCrash(report)) => parts::handle_crash(&state, &report),
+            Ok(wire::FleetMessage::PartsCleared(cleared)) => {
+                parts::handle_cleared(&state, &cleared);
+            }
+            Ok(wire::FleetMessage::QuarantinedParts(listed)) => {
+                parts::handle_quarantined(&state, &listed);
+            }
             Err(error) => log::warn!(
                 event = event::PEER_MESSAGE_REFUSED.number; "peer_message_refused: {error}"
             ),
@@ -146,6 +153,7 @@
 /// Sends an instance all crash notices, draining upstreams and rate limits that are in force.
 fn send_known(state: &state::GatewayState, address: net::SocketAddr) {
     crashes::send_known(state, address);
+    parts::send_known(state, address);
     intake::send_known(state, address);
     permits::send_known(state, address);
 }
--- a/coltsfootd/src/gateway/forwarding.rs
+++ b/coltsfootd/src/gateway/forwarding.rs
@@ -118,7 +118,7 @@
         let target = self.admitted.route.target_latency;
         let search = upstream_search::UpstreamSearch::new(self.exchange.received, target);
         let chosen = self.search_upstream(search).await?;
-        self.exchange.check_quarantine(&self.admitted.digest)?;
+        self.exchange.check_quarantine(&self.admitted.digest, &self.admitted.parts)?;
         Ok(match self.locate(&chosen.id) {
             Ok(endpoint) => {
                 AttemptProgress::Next(AttemptStage::Pending(Box::new(self.send(chosen, endpoint))))
--- a/coltsfootd/src/gateway/relay.rs
+++ b/coltsfootd/src/gateway/relay.rs
@@ -51,6 +51,7 @@
                 }
             };
             timer.event_received(self.state.now());
+            attempt.event_received();
             if !std::mem::replace(&mut has_event, true) {
                 attempt.in_flight.finish_prefill();
                 self.record_first_event_time(&attempt.chosen, attempt.sent);
--- a/coltsfootd/src/gateway/run.rs
+++ b/coltsfootd/src/gateway/run.rs
@@ -194,6 +194,7 @@
         loads: pending_calls::PendingCalls::default(),
         permits: permits::PermitState::default(),
         crashes: crashes::CrashState::default(),
+        parts: sync::Mutex::default(),
         fleet_socket,
         operator_read_at: sync::Mutex::default(),
         upstreams_read_at: sync::Mutex::default(),
--- a/coltsfootd/src/gateway/state.rs
+++ b/coltsfootd/src/gateway/state.rs
@@ -4,8 +4,8 @@
 use std::sync;
 
 use coltsfoot_gateway::{
-    fleet_view, order_lease, outage_tracker, quota_ledger, reader_selection, rendezvous,
-    route_table, rules, stop_plan, topic_replica, zone_relay,
+    fleet_view, order_lease, outage_tracker, part_ledger, quota_ledger, reader_selection,
+    rendezvous, route_table, rules, stop_plan, topic_replica, zone_relay,
 };
 use coltsfoot_http::pool;
 use coltsfoot_once::retry_budget;
@@ -44,6 +44,8 @@
     pub loads: pending_calls::PendingCalls<fleet::LoadDecision>,
     pub permits: permits::PermitState,
     pub crashes: crashes::CrashState,
+    /// Prompt parts that crash engines.
+    pub parts: sync::Mutex<part_ledger::PartLedger>,
     pub fleet_socket: async_io::Async<net::UdpSocket>,
     /// Time of the last successful read of the operator's records and of the upstreams' entries.
     pub operator_read_at: sync::Mutex<Option<instant::MonotonicTime>>,
@@ -86,6 +88,11 @@
         lock(&self.view)
     }
 
+    /// Locks the ledger of prompt parts that crash engines.
+    pub fn part_ledger(&self) -> sync::MutexGuard<'_, part_ledger::PartLedger> {
+        lock(&self.parts)
+    }
+
     /// Locks the lease on this instance's partitions.
     pub fn lease(&self) -> sync::MutexGuard<'_, order_lease::OrderLease> {
         lock(&self.lease)
--- a/coltsfootd/src/gateway/upstream_attempt.rs
+++ b/coltsfootd/src/gateway/upstream_attempt.rs
@@ -82,6 +82,11 @@
         FailedAttempt { upstream: self.chosen.id, end, detail: "cancelled" }
     }
 
+    /// Records an event of the response.
+    pub(super) fn event_received(&self) {
+        self.running.event_received();
+    }
+
     /// Ends an attempt whose response was received completely.
     pub(super) fn complete(self) {
         self.running.complete();
@@ -109,7 +114,8 @@
         self.log.sends += 1;
         let sent = state.now();
         self.log.placed_us.get_or_insert(sent.since(self.exchange.received).as_micros());
-        let running = crashes::RunningRequest::begin(state, &chosen.id, admitted.digest);
+        let running =
+            crashes::RunningRequest::begin(state, &chosen.id, admitted.digest, &admitted.parts);
         let demand = admitted.demand.as_ref();
         let in_flight = in_flight::InFlightRequest::begin(state, &chosen.id, demand);
         let head = self.encode(&chosen.id);
