Send an instance only what its copy of a topic lacks

A request now carries a digest of each of 256 buckets of keys; the response holds the buckets that differ, at most 48 from a random one on, complete with what was deleted. Renewals do not change a digest.

--- a/coltsfoot-gateway/src/fleet_view.rs
+++ b/coltsfoot-gateway/src/fleet_view.rs
@@ -461,11 +461,7 @@
 
     /// Returns a digest of the known upstreams, the same at all instances that know the same ones.
     pub fn upstream_digest(&self) -> u64 {
-        let digests = self.upstreams.values().map(|slot| {
-            let is_ready = slot.entry.state == upstream::UpstreamState::Ready;
-            let entry = &slot.entry;
-            rendezvous::hash_of(&(&*entry.id, entry.born_ms, entry.address, is_ready))
-        });
+        let digests = self.upstreams.values().map(|slot| slot.entry.digest());
         digests.fold(0, u64::wrapping_add)
     }
 
--- a/coltsfoot-gateway/src/topic_replica.rs
+++ b/coltsfoot-gateway/src/topic_replica.rs
@@ -2,7 +2,8 @@
 //! from what other instances send. Offsets decide which of two records is newer, not the order of arrival.
 
 use std::collections;
-use std::ops;
+
+use crate::rendezvous;
 
 /// Maximum number of deleted keys that are remembered while the store can't be read.
 const MAX_DELETED: usize = 4096;
@@ -18,41 +19,43 @@
     pub offset: u64,
 }
 
-/// Keys that a page covers.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct KeyRange {
-    /// Key before the first one; empty for the first page.
-    pub after: String,
-    /// Last key; `None` for the last page.
-    pub through: Option<String>,
-}
-
-impl KeyRange {
-    fn bounds(&self) -> (ops::Bound<&str>, ops::Bound<&str>) {
-        let after = match &*self.after {
-            "" => ops::Bound::Unbounded,
-            after => ops::Bound::Excluded(after),
-        };
-        (after, self.through.as_deref().map_or(ops::Bound::Unbounded, ops::Bound::Included))
-    }
-
-    /// Returns whether no key can lie in the range.
-    fn is_empty(&self) -> bool {
-        self.through.as_ref().is_some_and(|through| *through <= self.after)
-    }
-}
+/// Number of buckets into which the keys of a topic are divided by hash.
+pub const BUCKETS: usize = 256;
 
-/// All records of a range of keys, as another instance knows them.
+/// All records of a bucket, as another instance knows them.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct ReplicaPage {
-    /// The keys that it covers.
-    pub range: KeyRange,
+pub struct BucketPage {
+    /// The bucket.
+    pub bucket: u8,
     /// Offset up to which the sender knows every record.
     pub next: u64,
     /// The newest record of each key that has a value.
     pub records: Vec<KeyedRecord>,
 }
 
+/// Returns the bucket of a key, the same at all instances.
+pub fn bucket_of(key: &str) -> u8 {
+    rendezvous::hash_of(&key) as u8
+}
+
+/// Returns a digest of each bucket, from the keys and the digests of their content.
+pub fn bucket_digests<'a>(contents: impl Iterator<Item = (&'a str, u64)>) -> Vec<u32> {
+    let mut digests = vec![0_u32; BUCKETS];
+    for (key, digest) in contents {
+        let bucket = &mut digests[usize::from(bucket_of(key))];
+        *bucket = bucket.wrapping_add(digest as u32);
+    }
+    digests
+}
+
+/// Returns the buckets whose digests differ, at most `limit`, from bucket `first` on; if there are more,
+/// another call with another first one brings the others.
+pub fn differing_buckets(own: &[u32], other: &[u32], first: u8, limit: usize) -> Vec<u8> {
+    let ordered = (0..=u8::MAX).map(|bucket| bucket.wrapping_add(first));
+    let differs = |bucket: &u8| own.get(usize::from(*bucket)) != other.get(usize::from(*bucket));
+    ordered.filter(differs).take(limit).collect()
+}
+
 /// Newest record of each key.
 #[derive(Clone, Debug, Default)]
 pub struct TopicReplica {
@@ -100,61 +103,53 @@
     /// Merges the newest record of each key as of offset `next`; returns those that are news, with a
     /// record without a value for each key that was deleted.
     pub fn merge_snapshot(&mut self, records: Vec<KeyedRecord>, next: u64) -> Vec<KeyedRecord> {
-        let news = self.merge_page(ReplicaPage { range: KeyRange::default(), next, records });
+        let news = self.merge_all(records, next, |_| true);
         self.advance(next);
         news
     }
 
-    /// Merges the newest record of each key of a range as of the page's offset; returns the news as
+    /// Merges the newest record of each key of a bucket; returns the news as
     /// [`TopicReplica::merge_snapshot`] does.
-    pub fn merge_page(&mut self, page: ReplicaPage) -> Vec<KeyedRecord> {
-        if page.range.is_empty() {
-            return Vec::new();
-        }
-        let is_newer = page.next > self.next;
+    pub fn merge_bucket(&mut self, page: BucketPage) -> Vec<KeyedRecord> {
+        let BucketPage { bucket, next, records } = page;
+        self.merge_all(records, next, |key| bucket_of(key) == bucket)
+    }
+
+    /// Returns the records that have a value.
+    pub fn records(&self) -> impl Iterator<Item = &KeyedRecord> {
+        self.records.values().filter(|record| record.value.is_some())
+    }
+
+    /// Returns all records of a bucket.
+    pub fn bucket(&self, bucket: u8) -> BucketPage {
+        let records = self.records().filter(|record| bucket_of(&record.key) == bucket);
+        BucketPage { bucket, next: self.next, records: records.cloned().collect() }
+    }
+
+    /// Merges all records of the keys that `covers` selects, as of offset `next`.
+    fn merge_all(
+        &mut self,
+        records: Vec<KeyedRecord>,
+        next: u64,
+        covers: impl Fn(&str) -> bool,
+    ) -> Vec<KeyedRecord> {
         let listed: collections::BTreeSet<&str> =
-            page.records.iter().map(|record| &*record.key).collect();
-        let known = self.records.range::<str, _>(page.range.bounds());
+            records.iter().map(|record| &*record.key).collect();
+        let is_newer = next > self.next;
+        let known = self.records().filter(|known| {
+            let is_listed = listed.contains(&*known.key);
+            is_newer && known.offset < next && !is_listed && covers(&known.key)
+        });
         let deleted: Vec<KeyedRecord> = known
-            .filter(|(key, known)| {
-                let is_deleted = known.offset < page.next && !listed.contains(&***key);
-                is_newer && known.value.is_some() && is_deleted
-            })
-            .map(|(key, _)| KeyedRecord { key: key.clone(), value: None, offset: page.next - 1 })
+            .map(|known| KeyedRecord { key: known.key.clone(), value: None, offset: next - 1 })
             .collect();
         for record in &deleted {
             self.records.insert(record.key.clone(), record.clone());
         }
-        let newer = page.records.into_iter().filter(|record| self.merge(record));
+        let newer = records.into_iter().filter(|record| self.merge(record));
         deleted.iter().cloned().chain(newer).collect()
     }
 
-    /// Returns all records in pages of about `max_bytes`, each with one record at least.
-    pub fn pages(&self, max_bytes: usize) -> Vec<ReplicaPage> {
-        let mut pages = Vec::new();
-        let mut page =
-            ReplicaPage { range: KeyRange::default(), next: self.next, records: Vec::new() };
-        let mut size = 0;
-        for (key, record) in &self.records {
-            let Some(value) = &record.value else { continue };
-            let length = key.len() + value.len();
-            if size + length > max_bytes
-                && let Some(last) = page.records.last()
-            {
-                let through = last.key.clone();
-                let range = KeyRange { after: through.clone(), through: None };
-                let following = ReplicaPage { range, next: self.next, records: Vec::new() };
-                page.range.through = Some(through);
-                pages.push(std::mem::replace(&mut page, following));
-                size = 0;
-            }
-            size += length;
-            page.records.push(record.clone());
-        }
-        pages.push(page);
-        pages
-    }
-
     fn advance(&mut self, next: u64) {
         self.next = self.next.max(next);
         let next = self.next;
--- a/coltsfoot-gateway/src/upstream.rs
+++ b/coltsfoot-gateway/src/upstream.rs
@@ -4,7 +4,7 @@
 use std::sync;
 use std::time;
 
-use crate::demand;
+use crate::{demand, rendezvous};
 
 /// Whether an upstream accepts new requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -50,6 +50,12 @@
 }
 
 impl UpstreamEntry {
+    /// Returns a digest that renewals leave as it is, the same at all instances.
+    pub fn digest(&self) -> u64 {
+        let is_ready = self.state == UpstreamState::Ready;
+        rendezvous::hash_of(&(&*self.id, self.born_ms, self.address, is_ready))
+    }
+
     /// Returns whether two entries belong to the same incarnation of an upstream.
     pub fn is_same_incarnation(&self, other: &Self) -> bool {
         self.id == other.id && self.born_ms == other.born_ms && self.address == other.address
--- a/coltsfoot-wire/src/fleet.rs
+++ b/coltsfoot-wire/src/fleet.rs
@@ -293,15 +293,13 @@
     pub records: Vec<StoreRecord>,
 }
 
-/// All records of a range of a topic's keys, so that a key without a record has been deleted.
+/// All records of a bucket of a topic's keys, so that a key without a record has been deleted.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TopicPage {
     /// The topic.
     pub topic: StoreTopic,
-    /// Key before the first one of the range; empty for the first page.
-    pub after: String,
-    /// Last key of the range; `None` for the last page.
-    pub through: Option<String>,
+    /// The bucket: the lowest byte of the hash of the keys.
+    pub bucket: u8,
     /// Offset up to which the sender knows every record.
     pub next: u64,
     /// Time after which the sender removes upstreams whose entries expired in an outage of the store, in
@@ -311,13 +309,15 @@
     pub records: Vec<StoreRecord>,
 }
 
-/// Asks for the newest record of each key of a topic.
+/// Asks for the newest record of each key of a topic, as far as the sender's copy differs.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RecordsRequest {
     /// The topic.
     pub topic: StoreTopic,
     /// Address to which the records are sent.
     pub reply_to: net::SocketAddr,
+    /// Digest of each bucket of the sender's copy.
+    pub digests: Vec<u32>,
 }
 
 /// The rate limit for all instances together that an upstream announced last.
--- a/coltsfootd/src/gateway/news.rs
+++ b/coltsfootd/src/gateway/news.rs
@@ -6,16 +6,18 @@
 use std::sync;
 use std::time;
 
-use coltsfoot_gateway::topic_replica::{KeyRange, KeyedRecord, ReplicaPage};
-use coltsfoot_gateway::{peer_slot, reader_selection};
+use coltsfoot_gateway::topic_replica::{BucketPage, KeyedRecord};
+use coltsfoot_gateway::{peer_slot, reader_selection, rendezvous, topic_replica};
 use coltsfoot_types::time as instant;
 use coltsfoot_wire::fleet as wire;
 
 use crate::event;
 use crate::gateway::{fleet, follower, state};
 
-/// Maximum size of a pushed record or of a page of records, in bytes: a datagram that fits one packet.
+/// Maximum size of a pushed record, in bytes: a datagram that fits one packet.
 const MAX_PUSHED_BYTES: usize = 1_200;
+/// Maximum number of buckets in the response to one request.
+const MAX_PAGES: usize = 48;
 /// Interval between checks whether peers have newer records.
 const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(400);
 /// Number of consecutive checks with newer records at a peer before one is asked for them.
@@ -43,32 +45,53 @@
     KeyedRecord { key: record.key, value, offset: record.offset }
 }
 
-/// Sends all records of a topic to an instance that requested them, in pages that fit one packet each.
+/// Sends an instance the buckets of a topic in which its copy differs, some at a time: a burst of datagrams
+/// would overflow the queue of a slow link.
 pub(crate) fn respond(state: &state::GatewayState, request: &wire::RecordsRequest) {
     let topic = request.topic;
-    let pages = state::lock(state.replica(topic)).pages(MAX_PUSHED_BYTES);
+    let own = bucket_digests(state, topic);
+    let buckets =
+        topic_replica::differing_buckets(&own, &request.digests, rand::random(), MAX_PAGES);
     let now = state.now();
     let grace = state.removal_time(now).since(now);
     let grace_ms = u32::try_from(grace.as_millis()).unwrap_or(u32::MAX);
-    for page in pages {
-        let KeyRange { after, through } = page.range;
-        let records = page.records.iter().map(encode).collect();
-        let page = wire::TopicPage { topic, after, through, next: page.next, grace_ms, records };
+    for bucket in buckets {
+        let BucketPage { bucket, next, records } = state::lock(state.replica(topic)).bucket(bucket);
+        let records = records.iter().map(encode).collect();
+        let page = wire::TopicPage { topic, bucket, next, grace_ms, records };
         fleet::send(state, [request.reply_to], &wire::FleetMessage::TopicPage(page));
     }
 }
 
+/// Returns digests of the buckets of this instance's copy of a topic. Renewals of upstreams' entries leave
+/// them as they are.
+fn bucket_digests(state: &state::GatewayState, topic: wire::StoreTopic) -> Vec<u32> {
+    match topic {
+        wire::StoreTopic::Upstreams => {
+            let view = state.view();
+            let slots = view.upstreams();
+            topic_replica::bucket_digests(slots.map(|slot| (&*slot.entry.id, slot.entry.digest())))
+        }
+        wire::StoreTopic::Operator => {
+            let replica = state::lock(state.replica(topic));
+            let digest = |record: &KeyedRecord| rendezvous::hash_of(&record.value);
+            let contents = replica.records().map(|record| (&*record.key, digest(record)));
+            topic_replica::bucket_digests(contents)
+        }
+    }
+}
+
 /// Applies a page of records from another instance: those that are newer, and removals of keys that it
 /// lacks.
 pub(crate) fn apply_page(state: &state::GatewayState, page: wire::TopicPage) {
     let topic = page.topic;
     let remove_at = state.now() + time::Duration::from_millis(u64::from(page.grace_ms));
-    let page = ReplicaPage {
-        range: KeyRange { after: page.after, through: page.through },
+    let page = BucketPage {
+        bucket: page.bucket,
         next: page.next,
         records: page.records.into_iter().map(decode).collect(),
     };
-    let news = state::lock(state.replica(topic)).merge_page(page);
+    let news = state::lock(state.replica(topic)).merge_bucket(page);
     for record in &news {
         apply_record(state, topic, record, remove_at);
     }
@@ -122,8 +145,11 @@
                     event = event::NEWS_ASKED.number, address = address.to_string(),
                     read_age_ms = state.to_topic_digest(own_digest).age_ms; "news_asked: {topic:?}"
                 );
-                let request =
-                    wire::RecordsRequest { topic, reply_to: state.settings.fleet_address() };
+                let request = wire::RecordsRequest {
+                    topic,
+                    reply_to: state.settings.fleet_address(),
+                    digests: bucket_digests(&state, topic),
+                };
                 fleet::send(&state, [address], &wire::FleetMessage::RecordsRequest(request));
             }
         }
