Keep odd entries of other writers away from the others

A record whose value is no base64, without key or offset, or with bytes that are no UTF-8, made the whole page of the newest records unreadable, so that an instance that starts, or that reads anew, stopped following the upstreams or the configuration. A key with a line break was sent in the header field that names the expected instance, and an entry with an instance's own address was used as an upstream, whose requests came back: callers got 502.

Records are now decoded one by one; what names no record is counted and logged, and a value that can't be read is refused as an entry.

Shown not to happen, the cases passed before: entries nested 200,000 deep, 1e400, a port of 70,000, slots of 2^32, durations that are negative or text.

--- a/coltsfootd/src/gateway/follower.rs
+++ b/coltsfootd/src/gateway/follower.rs
@@ -70,10 +70,12 @@
             };
             self.may_be_missing = false;
             self.next = Some(newest.next);
+            log_unreadable(self.topic, newest.unreadable);
             return Ok(state::lock(replica).merge_snapshot(newest.records, newest.next));
         };
         let read = store.read(self.topic, from, self.wait).await?;
         self.next = Some(read.next);
+        log_unreadable(self.topic, read.unreadable);
         Ok(state::lock(replica).merge_read(read.records, from, read.next))
     }
 
@@ -118,6 +120,15 @@
     }
 }
 
+fn log_unreadable(topic: &str, count: usize) {
+    if count > 0 {
+        log::warn!(
+            event = event::ENTRY_REJECTED.number, topic = topic, count = count;
+            "entry_rejected: records without a readable key or offset"
+        );
+    }
+}
+
 /// Waits until this instance needs to read a topic: a reader returns at once, others when the
 /// readers' digest differs from theirs or no reader is heard.
 async fn wait_until_read_needed(
@@ -267,16 +278,23 @@
 }
 
 /// Decodes an upstream's entry; `None` if it was withdrawn or is malformed.
-fn decode_entry(record: &KeyedRecord) -> Option<upstream::UpstreamEntry> {
+fn decode_entry(
+    state: &state::GatewayState,
+    record: &KeyedRecord,
+) -> Option<upstream::UpstreamEntry> {
     let value = record.value.as_ref()?;
-    let decoded = entry::decode_entry(&record.key, value);
-    if let Err(error) = &decoded {
+    let decoded = entry::decode_entry(&record.key, value).map_err(|error| error.to_string());
+    let checked = decoded.and_then(|entry| match state.is_instance_address(entry.address) {
+        true => Err(format!("{} is an instance's address", entry.address)),
+        false => Ok(entry),
+    });
+    if let Err(error) = &checked {
         log::warn!(
             event = event::ENTRY_REJECTED.number, upstream = record.key.as_str(),
             offset = record.offset; "entry_rejected: {error}"
         );
     }
-    decoded.ok()
+    checked.ok()
 }
 
 /// Applies a record of the upstreams' topic that is newer than those known; returns whether it changed
@@ -286,7 +304,7 @@
     record: &KeyedRecord,
     remove_at: instant::MonotonicTime,
 ) -> bool {
-    if let Some(entry) = decode_entry(record) {
+    if let Some(entry) = decode_entry(state, record) {
         state::lock(&state.removals).remove(&record.key);
         return apply_entry(state, entry, record.offset);
     }
--- a/coltsfootd/src/gateway/state.rs
+++ b/coltsfootd/src/gateway/state.rs
@@ -120,6 +120,18 @@
         }
     }
 
+    /// Returns whether an address is that of an instance, which would forward a request back: one of its
+    /// own, or the same port at another instance.
+    pub fn is_instance_address(&self, address: net::SocketAddr) -> bool {
+        let listen = &self.settings.listen;
+        let fleet = self.settings.fleet_address();
+        let own = [listen.callers, listen.readiness, fleet];
+        let has_own_port = own.iter().any(|own| own.port() == address.port());
+        has_own_port
+            && (own.contains(&address)
+                || lock(&self.listed_peers).iter().any(|peer| peer.address.ip() == address.ip()))
+    }
+
     /// Returns whether a graceful shutdown has begun.
     pub fn is_stopping(&self) -> bool {
         self.stop.phase() >= stop_plan::StopPhase::Serving
