Close the connection of a rejection instead of using it again

A faulty upstream that sends an earlier rejection once more on a kept connection made a request that it ran count as not run: a request that must not be repeated ran twice, and callers could be told to come back for what had run. A rejection need not name its request (X-Request-Id), so nothing told the repeated one from that of the next request; what is unread when a connection is taken from the pool was looked for already.

A connection that carried a rejection of a request, an order or a report is closed. The body of the rejection need not be read any more.

--- a/coltsfoot-http/src/client.rs
+++ b/coltsfoot-http/src/client.rs
@@ -10,6 +10,10 @@
 /// Longest idle time of a pooled connection; below the idle timeouts of common servers.
 const MAX_IDLE_TIME: time::Duration = time::Duration::from_secs(4);
 
+/// Statuses that reject a call. A connection that carried one is not reused: a rejection that is sent again
+/// would reject whatever follows.
+const REJECTIONS: [u16; 3] = [421, 429, 503];
+
 /// Failure of a call, by whether the server may have carried it out.
 #[derive(Debug, thiserror::Error)]
 pub enum CallError {
@@ -64,7 +68,8 @@
         let mut stream = connected.map_err(|source| CallError::Connect { address, source })?;
         let response = send_and_read(&mut stream, head, content, max_body).await;
         let response = response.map_err(|source| CallError::NoResponse { address, source })?;
-        if response.head.keeps_connection() && !stream.has_buffered() {
+        let is_reusable = !REJECTIONS.contains(&response.head.status);
+        if is_reusable && response.head.keeps_connection() && !stream.has_buffered() {
             pool.put(address, stream, MAX_IDLE_TIME);
         }
         Ok(response)
--- a/coltsfootd/src/gateway/attempt.rs
+++ b/coltsfootd/src/gateway/attempt.rs
@@ -36,11 +36,14 @@
 }
 
 impl OpenResponse {
-    /// Returns the connection to the pool if it can carry further requests.
+    /// Returns the connection to the pool if it can carry further requests. One that carried a rejection is
+    /// closed: a rejection need not name its request, so that a repeated one would reject the next request
+    /// although that runs.
     pub fn release(self, pool: &pool::ConnectionPool) {
         let is_reusable = self.framing == body::BodyFraming::Done
             && self.is_sent
             && !self.has_skipped_stale
+            && !self.fields.is_not_run
             && self.head.keeps_connection()
             && !self.stream.has_buffered();
         if is_reusable {
--- a/coltsfootd/src/gateway/failover.rs
+++ b/coltsfootd/src/gateway/failover.rs
@@ -143,7 +143,7 @@
         let limit = (!shows_begin).then_some(HANDOVER_TIMEOUT);
         let error = match first_to_progress(progress.as_mut(), &mut pending.response, limit).await {
             HandoverEvent::Response(response) => {
-                return match self.accept(pending.attempt, response).await {
+                return match self.accept(pending.attempt, response) {
                     Ok(open) => self.confirm_response(present, progress, open).await,
                     Err(failed) => self.keep_present(present, &failed),
                 };
--- a/coltsfootd/src/gateway/forwarding.rs
+++ b/coltsfootd/src/gateway/forwarding.rs
@@ -330,7 +330,7 @@
                     return AttemptProgress::Next(stage);
                 }
                 failover::FailoverResult::Moved(stage, Some(received)) => {
-                    if let Err(failed) = self.accept(attempt, *received).await {
+                    if let Err(failed) = self.accept(attempt, *received) {
                         self.record_attempt(&failed, "moved");
                     }
                     return AttemptProgress::Next(stage);
@@ -338,7 +338,7 @@
                 failover::FailoverResult::Unavailable => timer.search_failed(self.state.now()),
             }
         };
-        match self.accept(attempt, received).await {
+        match self.accept(attempt, received) {
             Ok(open) => AttemptProgress::Next(AttemptStage::Open(Box::new(open))),
             Err(failed) => AttemptProgress::Failed(failed),
         }
--- a/coltsfootd/src/gateway/upstream_attempt.rs
+++ b/coltsfootd/src/gateway/upstream_attempt.rs
@@ -3,18 +3,13 @@
 use std::net;
 use std::pin;
 use std::sync;
-use std::time;
 
 use coltsfoot_gateway::{attempt_plan, engine_choice, event_stream};
-use coltsfoot_http::{body, message};
 use coltsfoot_types::time as instant;
 use site_platform::fields;
 
 use crate::gateway::{attempt, crashes, forwarding, in_flight, intake};
 
-/// Time to read the body of a rejection; after it the connection is closed instead of reused.
-const REJECTION_READ_TIMEOUT: time::Duration = time::Duration::from_millis(300);
-
 type ResponseFuture<'a> = pin::Pin<Box<dyn Future<Output = ReceivedResponse> + Send + 'a>>;
 
 /// A request at an upstream, as long as it counts towards the upstream's load.
@@ -135,7 +130,7 @@
     }
 
     /// Checks the head of a response, or what came in its place.
-    pub(super) async fn accept(
+    pub(super) fn accept(
         &mut self,
         attempt: UpstreamAttempt<'b>,
         response: ReceivedResponse,
@@ -157,7 +152,7 @@
         let context = self.send_context(&attempt.chosen.id, attempt.endpoint.number);
         intake::record_response(self.state, &context, attempt.sent, &response.fields);
         if response.fields.is_not_run && !response.fields.is_signed {
-            return Err(self.handle_not_run(attempt, response).await);
+            return Err(self.handle_not_run(attempt, &response));
         }
         if !response.fields.is_signed || response.fields.is_encoded {
             return Err(self.fail_broken(attempt, "unsigned_answer"));
@@ -191,10 +186,10 @@
     }
 
     /// Handles a response which states that the request was not executed.
-    async fn handle_not_run(
+    fn handle_not_run(
         &mut self,
         attempt: UpstreamAttempt<'_>,
-        mut response: attempt::OpenResponse,
+        response: &attempt::OpenResponse,
     ) -> FailedAttempt {
         let upstream = &attempt.chosen.id;
         let is_misdirected = response.head.status == 421;
@@ -210,14 +205,6 @@
                 self.missing_adapter_at = Some(sync::Arc::clone(upstream));
             }
         }
-        let read = response.stream.read_body(response.framing, forwarding::MAX_RESPONSE_BYTES);
-        if message::with_timeout(REJECTION_READ_TIMEOUT, read)
-            .await
-            .is_some_and(|read| read.is_ok())
-        {
-            response.framing = body::BodyFraming::Done;
-            response.release(&self.state.pool);
-        }
         match is_misdirected {
             true => attempt.fail(attempt_plan::AttemptEnd::Misdirected, "misdirected"),
             false => attempt.fail(attempt_plan::AttemptEnd::Rejected, "rejected"),
