Keep events without an id out of a stream that another engine continues

A stream had begun and broke off; the next engine answered with status 200 and an error as text or as an event. Callers found its text in the middle of their stream, which then ended as if it were complete, since an event without an id was forwarded wherever it came. A stream without ids that broke off was even continued from its beginning.

Once a caller has events, those of another run are forwarded only if their ids follow; otherwise the stream is cut. An id of u64::MAX no longer overflows.

--- a/coltsfoot-gateway/src/event_stream.rs
+++ b/coltsfoot-gateway/src/event_stream.rs
@@ -73,12 +73,14 @@
 pub struct StreamPosition {
     last: Option<u64>,
     forwarded: u64,
+    /// Whether the events come from another run than those already forwarded.
+    is_resumed: bool,
 }
 
 impl StreamPosition {
     /// Creates a position after the last event that the caller has.
     pub fn after(last: Option<u64>) -> Self {
-        Self { last, forwarded: 0 }
+        Self { last, forwarded: 0, is_resumed: false }
     }
 
     /// Returns the id of the last event that the caller has.
@@ -91,15 +93,19 @@
         self.forwarded
     }
 
+    /// Records that the following events are those of another run. Once the caller has events, only an id
+    /// tells where one of that run belongs, and whether it is one at all.
+    pub fn begin_run(&mut self) {
+        self.is_resumed = self.forwarded > 0;
+    }
+
     /// Checks an event, and moves past it if it is to be forwarded.
     pub fn advance(&mut self, event: &StreamEvent) -> EventDecision {
-        if let (Some(id), Some(last)) = (event.id, self.last) {
-            if id <= last {
-                return EventDecision::Duplicate;
-            }
-            if id > last + 1 {
-                return EventDecision::Gap;
-            }
+        match (event.id, self.last) {
+            (Some(id), Some(last)) if id <= last => return EventDecision::Duplicate,
+            (Some(id), Some(last)) if id - last > 1 => return EventDecision::Gap,
+            (None, _) | (_, None) if self.is_resumed => return EventDecision::Gap,
+            _ => {}
         }
         self.last = event.id.or(self.last);
         self.forwarded += 1;
--- a/coltsfoot-gateway/tests/streams.rs
+++ b/coltsfoot-gateway/tests/streams.rs
@@ -35,3 +35,27 @@
     assert_eq!(position.last(), Some(5));
     assert_eq!(position.forwarded(), 1);
 }
+
+#[test]
+fn event_of_another_run_is_forwarded_only_if_its_id_follows() {
+    let event = |id| event_stream::StreamEvent { id, bytes: Vec::new() };
+    let mut position = event_stream::StreamPosition::after(None);
+    position.begin_run();
+    assert_eq!(position.advance(&event(None)), EventDecision::Forward, "of the first run");
+    assert_eq!(position.advance(&event(Some(0))), EventDecision::Forward);
+    position.begin_run();
+    assert_eq!(position.advance(&event(None)), EventDecision::Gap);
+    assert_eq!(position.advance(&event(Some(1))), EventDecision::Forward);
+    let mut without_ids = event_stream::StreamPosition::after(None);
+    without_ids.advance(&event(None));
+    without_ids.begin_run();
+    assert_eq!(without_ids.advance(&event(Some(0))), EventDecision::Gap);
+}
+
+#[test]
+fn largest_event_id_is_no_fault() {
+    let event = |id| event_stream::StreamEvent { id: Some(id), bytes: Vec::new() };
+    let mut position = event_stream::StreamPosition::after(Some(u64::MAX));
+    assert_eq!(position.advance(&event(u64::MAX)), EventDecision::Duplicate);
+    assert_eq!(position.advance(&event(3)), EventDecision::Duplicate);
+}
--- a/coltsfootd/src/gateway/relay.rs
+++ b/coltsfootd/src/gateway/relay.rs
@@ -32,6 +32,7 @@
     ) -> forwarding::AttemptProgress<'b> {
         let upstream_attempt::OpenAttempt { mut attempt, mut response, mut splitter } = open;
         let upstream = sync::Arc::clone(&attempt.chosen.id);
+        self.position.begin_run();
         let mut has_event = false;
         let received = self.state.now();
         let mut timer =
