Demand more evidence against a part that was served before

A part that responses lasted with is quarantined from the fourth separate crash instead of the third, and yields to one that was never served.

--- a/coltsfoot-gateway/src/part_ledger.rs
+++ b/coltsfoot-gateway/src/part_ledger.rs
@@ -14,8 +14,10 @@
 
 use crate::{demand, rendezvous};
 
-/// Separate crashes from which a part is quarantined.
+/// Separate crashes from which a part is quarantined that was never served as far as known.
 const QUARANTINE_CRASHES: usize = 3;
+/// Separate crashes from which a part is quarantined that was served before.
+const SERVED_PART_CRASHES: usize = 4;
 /// Engines that crash within this time count as one crash, for example those of a zone.
 const SEPARATION: time::Duration = time::Duration::from_millis(250);
 /// Reports of crashes of an engine within this time are of one crash: a restart takes longer.
@@ -273,13 +275,15 @@
         }
     }
 
-    /// Returns the parts with the most crashes. Of several that are alike, one may be innocent: the next
-    /// crash tells.
+    /// Returns the parts with the most crashes, of these the ones that were never served. Of several that
+    /// are alike, one may be innocent: the next crash tells.
     fn find_culprits(&self) -> PartList {
         let ranked = self.suspected.iter().filter_map(|(part, crashes)| {
             let count = separate_crashes(crashes);
-            let is_enough = count >= QUARANTINE_CRASHES && self.are_others_served(*part, crashes);
-            is_enough.then_some(((count, crashes.len()), *part))
+            let was_served = self.cleared.contains_key(part);
+            let needed = if was_served { SERVED_PART_CRASHES } else { QUARANTINE_CRASHES };
+            let is_enough = count >= needed && self.are_others_served(*part, crashes);
+            is_enough.then_some(((count, crashes.len(), !was_served), *part))
         });
         let ranked: SmallVec<[_; 4]> = ranked.collect();
         let Some(best) = ranked.iter().map(|(rank, _)| *rank).max() else {
--- a/coltsfoot-gateway/tests/part_world/mod.rs
+++ b/coltsfoot-gateway/tests/part_world/mod.rs
@@ -39,6 +39,8 @@
     pub rate: f64,
     /// Share of the prompts with the deadly part, from 4 s to 26 s.
     pub deadly_share: f64,
+    /// Whether prompts with that part are served before 4 s.
+    pub was_sound: bool,
     /// Times of crashes of a third of the engines for other causes.
     pub other_crashes: &'static [u64],
     /// Bound of the time in which all instances must know of a crash.
@@ -142,7 +144,8 @@
         let is_deadly = route == 0
             && (4_000..26_000).contains(&self.now)
             && self.random.random_bool(self.settings.deadly_share);
-        let document = match is_deadly {
+        let was_sound = self.settings.was_sound && self.now < 4_000;
+        let document = match is_deadly || (was_sound && self.random.random_bool(0.05)) {
             true => DEADLY,
             false => PartKey(1_000 + self.random.random_range(0..60)),
         };
@@ -200,7 +203,7 @@
             run.streamed += TICK_MS;
             let ledger = &mut self.ledgers[run.instance];
             told.push((run.instance, ledger.event_received(now, run.run)));
-            is_fatal |= run.prompt.is_deadly() && run.streamed > FATAL_MS;
+            is_fatal |= run.prompt.is_deadly() && run.streamed > FATAL_MS && self.now >= 4_000;
             if run.streamed >= RESPONSE_MS {
                 told.push((run.instance, ledger.complete(now, run.run)));
             }
--- a/coltsfoot-gateway/tests/parts.rs
+++ b/coltsfoot-gateway/tests/parts.rs
@@ -17,6 +17,7 @@
     engines: 12,
     rate: 45.0,
     deadly_share: 0.05,
+    was_sound: false,
     other_crashes: &[],
     contact_ms: 3_000,
 };
@@ -34,6 +35,7 @@
 #[case::small_with_crashes_of_other_causes(
     WorldSettings { other_crashes: &[5_000, 6_000, 7_000, 7_300, 7_600, 14_000], ..SMALL }, 40)]
 #[case::few_deadly_prompts(WorldSettings { deadly_share: 0.01, ..SMALL }, 20)]
+#[case::part_that_was_served_before(WorldSettings { was_sound: true, ..SMALL }, 60)]
 #[case::large(LARGE, 2)]
 #[case::large_with_crashes_of_other_causes(
     WorldSettings { other_crashes: &[5_000, 5_400, 5_800, 6_200], ..LARGE }, 2)]
