--- a/coltsfoot-gateway/tests/part_world/mod.rs
+++ b/coltsfoot-gateway/tests/part_world/mod.rs
@@ -27,7 +27,7 @@
 /// Attempts of a prompt.
 const MAX_ATTEMPTS: u32 = 2;
 /// The part that crashes engines.
-pub const DEADLY: PartKey = PartKey(666);
+pub const CRASHING_PART: PartKey = PartKey(666);
 
 /// Figures of a deployment and a load.
 #[derive(Clone, Copy, Debug)]
@@ -37,8 +37,8 @@
     pub engines: usize,
     /// Prompts per second.
     pub rate: f64,
-    /// Share of the prompts with the deadly part, from 4 s to 26 s.
-    pub deadly_share: f64,
+    /// Share of the prompts with the crashing part, from 4 s to 26 s.
+    pub crashing_share: f64,
     /// Whether prompts with that part are served before 4 s.
     pub was_sound: bool,
     /// Times of crashes of a third of the engines for other causes.
@@ -50,9 +50,9 @@
 /// What happened.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct WorldOutcome {
-    /// Crashes that the deadly part caused.
+    /// Crashes that the crashing part caused.
     pub crashes: usize,
-    /// Deadly prompts sent to engines later than the contact time after the fifth crash.
+    /// Crashing prompts sent to engines later than the contact time after the fifth crash.
     pub late_sends: usize,
     /// Sound prompts that arrived, and those that were refused for a part.
     pub sound: usize,
@@ -74,8 +74,8 @@
 }
 
 impl Prompt {
-    fn is_deadly(&self) -> bool {
-        self.parts.contains(&DEADLY)
+    fn is_crashing(&self) -> bool {
+        self.parts.contains(&CRASHING_PART)
     }
 }
 
@@ -141,12 +141,12 @@
     fn prompt(&mut self) -> Prompt {
         let route = [0, 0, 0, 1, 2][self.random.random_range(0..5)];
         let customer = self.random.random_range(0..5_u64);
-        let is_deadly = route == 0
+        let is_crashing = route == 0
             && (4_000..26_000).contains(&self.now)
-            && self.random.random_bool(self.settings.deadly_share);
+            && self.random.random_bool(self.settings.crashing_share);
         let was_sound = self.settings.was_sound && self.now < 4_000;
-        let document = match is_deadly || (was_sound && self.random.random_bool(0.05)) {
-            true => DEADLY,
+        let document = match is_crashing || (was_sound && self.random.random_bool(0.05)) {
+            true => CRASHING_PART,
             false => PartKey(1_000 + self.random.random_range(0..60)),
         };
         let parts = [PartKey(route), PartKey(100 + route * 10 + customer), document];
@@ -158,7 +158,7 @@
         let count = expected as usize + usize::from(self.random.random_bool(expected.fract()));
         for _ in 0..count {
             let prompt = self.prompt();
-            self.outcome.sound += usize::from(!prompt.is_deadly());
+            self.outcome.sound += usize::from(!prompt.is_crashing());
             let instance = self.random.random_range(0..self.settings.instances);
             self.send(instance, prompt);
         }
@@ -167,7 +167,7 @@
     /// Sends a prompt to the engine with the least work of a few.
     fn send(&mut self, instance: usize, mut prompt: Prompt) {
         if self.ledgers[instance].quarantine_left(at(self.now), &prompt.parts).is_some() {
-            self.outcome.sound_refused += usize::from(!prompt.is_deadly());
+            self.outcome.sound_refused += usize::from(!prompt.is_crashing());
             return;
         }
         let sample: Vec<usize> =
@@ -175,7 +175,7 @@
         let up = sample.into_iter().filter(|engine| self.engines[*engine].down_until <= self.now);
         let Some(engine) = up.min_by_key(|engine| self.engines[*engine].runs.len()) else { return };
         prompt.attempts += 1;
-        if prompt.is_deadly()
+        if prompt.is_crashing()
             && self.fifth_crash.is_some_and(|fifth| self.now > fifth + self.settings.contact_ms)
         {
             self.outcome.late_sends += 1;
@@ -203,7 +203,7 @@
             run.streamed += TICK_MS;
             let ledger = &mut self.ledgers[run.instance];
             told.push((run.instance, ledger.event_received(now, run.run)));
-            is_fatal |= run.prompt.is_deadly() && run.streamed > FATAL_MS && self.now >= 4_000;
+            is_fatal |= run.prompt.is_crashing() && run.streamed > FATAL_MS && self.now >= 4_000;
             if run.streamed >= RESPONSE_MS {
                 told.push((run.instance, ledger.complete(now, run.run)));
             }
--- a/coltsfoot-gateway/tests/parts.rs
+++ b/coltsfoot-gateway/tests/parts.rs
@@ -16,7 +16,7 @@
     instances: 6,
     engines: 12,
     rate: 45.0,
-    deadly_share: 0.05,
+    crashing_share: 0.05,
     was_sound: false,
     other_crashes: &[],
     contact_ms: 3_000,
@@ -34,12 +34,12 @@
 #[case::small(SMALL, 40)]
 #[case::small_with_crashes_of_other_causes(
     WorldSettings { other_crashes: &[5_000, 6_000, 7_000, 7_300, 7_600, 14_000], ..SMALL }, 40)]
-#[case::few_deadly_prompts(WorldSettings { deadly_share: 0.01, ..SMALL }, 20)]
+#[case::few_crashing_prompts(WorldSettings { crashing_share: 0.01, ..SMALL }, 20)]
 #[case::part_that_was_served_before(WorldSettings { was_sound: true, ..SMALL }, 60)]
 #[case::large(LARGE, 2)]
 #[case::large_with_crashes_of_other_causes(
     WorldSettings { other_crashes: &[5_000, 5_400, 5_800, 6_200], ..LARGE }, 2)]
-fn deadly_part_is_found_and_sound_prompts_are_served(
+fn crashing_part_is_found_and_sound_prompts_are_served(
     #[case] settings: WorldSettings,
     #[case] seeds: u64,
 ) {
@@ -54,10 +54,10 @@
 #[rstest]
 #[case::small(SMALL, 20)]
 #[case::large(LARGE, 1)]
-fn crashes_of_other_causes_condemn_no_part(#[case] settings: WorldSettings, #[case] seeds: u64) {
+fn crashes_of_other_causes_quarantine_no_part(#[case] settings: WorldSettings, #[case] seeds: u64) {
     for seed in 0..seeds {
         let other_crashes = &[2_000, 2_500, 3_000, 3_500, 4_000, 9_000, 9_300, 9_600, 20_000];
-        let settings = WorldSettings { seed, deadly_share: 0.0, other_crashes, ..settings };
+        let settings = WorldSettings { seed, crashing_share: 0.0, other_crashes, ..settings };
         let outcome = World::new(settings).run();
         assert_eq!(outcome.crashes, 0);
         check(outcome, settings);
