--- a/coltsfootd/src/gateway/news.rs
+++ b/coltsfootd/src/gateway/news.rs
@@ -1,6 +1,6 @@
 //! Records of the store that instances forward to each other. A reader pushes small records of the
 //! operator, and entries of upstreams that changed anything (each is rewritten with every renewal).
-//! An instance that can't read the store requests all records.
+//! An instance that can't read the store requests what its copy lacks.
 
 use std::net;
 use std::sync;
