Weigh the evidence against prompt parts in one place

- PartLedger weighs the evidence when a response lasts and returns what that shows (ServedOutcome).
The gateway asked for it at every event of every stream, and the model of tests/parts.rs did not ask at all, so that the model differed from the product.
- A quarantine that ends by a response of this instance is logged, as one that ends by another's was.
- part_refused was logged at each check whether a silent request may go elsewhere, ten times a second, though nothing was refused.
- merge_report asks once whether a reported part is quarantined.
- The parts that prompts share are computed in demand.rs only; three places did so.
Unused functions are gone, and deleted keys are counted only when one is added.

--- a/coltsfoot-gateway/src/demand.rs
+++ b/coltsfoot-gateway/src/demand.rs
@@ -51,16 +51,19 @@
 }
 
 impl PromptDemand {
+    /// Returns the parts that other requests may share: all but the last.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
     /// Returns the length of the parts shared with other requests, in tokens.
     pub fn shared_tokens(&self) -> u32 {
-        let shared = self.parts.len().saturating_sub(1);
-        self.parts[..shared].iter().map(|part| part.tokens).sum()
+        self.shared_parts().iter().map(|part| part.tokens).sum()
     }
 
     /// Returns the id of the last shared part, which identifies the shared prefix; 0 if there is none.
     pub fn prefix_key(&self) -> u64 {
-        let shared = self.parts.len().saturating_sub(1);
-        self.parts[..shared].last().map_or(0, |part| part.id)
+        self.shared_parts().last().map_or(0, |part| part.id)
     }
 
     /// Returns a hash of the adapter, or of the model without one, for rendezvous hashing.
--- a/coltsfoot-gateway/src/part_ledger.rs
+++ b/coltsfoot-gateway/src/part_ledger.rs
@@ -61,13 +61,10 @@
 /// Parts of one prompt.
 pub type PartList = SmallVec<[PartKey; 4]>;
 
-impl demand::PromptDemand {
-    /// Returns the parts of the prompt that others may share: all but the last.
-    pub fn shared_parts(&self) -> PartList {
-        let shared = self.parts.len().saturating_sub(1);
-        let parts = self.parts[..shared].iter();
-        parts.map(|part| PartKey(rendezvous::hash_of(&(&*self.model, part.id)))).collect()
-    }
+/// Returns the keys of the parts of a prompt that others may share.
+pub fn shared_keys(demand: &demand::PromptDemand) -> PartList {
+    let key = |part: &demand::PromptPart| rendezvous::hash_of(&(&*demand.model, part.id));
+    demand.shared_parts().iter().map(|part| PartKey(key(part))).collect()
 }
 
 /// A run of a prompt at an engine.
@@ -119,6 +116,17 @@
     pub until: clock::MonotonicTime,
 }
 
+/// What a response that lasted shows.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct ServedOutcome {
+    /// Cleared parts that other instances may suspect.
+    pub cleared: PartList,
+    /// Cleared parts whose quarantine this ends.
+    pub lifted: PartList,
+    /// Parts that are quarantined now, as another prompt was served without them.
+    pub quarantined: Vec<QuarantinedPart>,
+}
+
 type CrashList = SmallVec<[EngineCrash; 4]>;
 
 /// Prompts at engines, and parts that are suspected or quarantined.
@@ -158,26 +166,26 @@
         RunId(self.last_run)
     }
 
-    /// Records an event of a response. Returns the parts that this clears and that other instances may
-    /// suspect.
-    pub fn event_received(&mut self, now: clock::MonotonicTime, run: RunId) -> PartList {
-        let Some(run) = self.runs.get_mut(&run.0) else { return PartList::new() };
+    /// Records an event of a response. Returns what it shows if the response lasts since.
+    pub fn event_received(
+        &mut self,
+        now: clock::MonotonicTime,
+        run: RunId,
+    ) -> Option<ServedOutcome> {
+        let run = self.runs.get_mut(&run.0)?;
         let first = *run.first_event.get_or_insert(now);
         if run.has_lasted || now.since(first) < LASTING_TIME {
-            return PartList::new();
+            return None;
         }
         run.has_lasted = true;
         let parts = run.parts.clone();
-        self.record_served(now, parts)
+        Some(self.record_served(now, parts))
     }
 
-    /// Records that a response was received completely. Returns the parts that this clears and that other
-    /// instances may suspect.
-    pub fn complete(&mut self, now: clock::MonotonicTime, run: RunId) -> PartList {
-        match self.runs.remove(&run.0) {
-            Some(run) if !run.has_lasted => self.record_served(now, run.parts),
-            _ => PartList::new(),
-        }
+    /// Records that a response was received completely. Returns what it shows unless it lasted before.
+    pub fn complete(&mut self, now: clock::MonotonicTime, run: RunId) -> Option<ServedOutcome> {
+        let run = self.runs.remove(&run.0).filter(|run| !run.has_lasted)?;
+        Some(self.record_served(now, run.parts))
     }
 
     /// Records that the connection of a run was lost; a crash of its engine may be confirmed later.
@@ -234,16 +242,12 @@
         let crash = report.crash;
         let is_culprit = |part: &&PartKey| self.quarantined.contains_key(part);
         let culprits: PartList = report.parts.iter().filter(is_culprit).copied().collect();
-        let mut renewed = Vec::new();
-        for part in culprits {
-            renewed.extend(self.renew(now, part, crash.at));
-        }
-        if !renewed.is_empty() || report.parts.iter().any(|part| self.is_active(now, part)) {
+        if !culprits.is_empty() {
             self.explain(crash);
-            return renewed;
+            return culprits.iter().filter_map(|part| self.renew(now, *part, crash.at)).collect();
         }
         if self.explained.iter().any(|known| known.is_same(&crash)) {
-            return renewed;
+            return Vec::new();
         }
         for part in &report.parts {
             if self.cleared.get(part).is_some_and(|cleared| *cleared >= crash.at) {
@@ -259,7 +263,7 @@
     }
 
     /// Quarantines the parts that explain the crashes best, as far as the evidence suffices. Returns them.
-    pub fn quarantine_culprits(&mut self, now: clock::MonotonicTime) -> Vec<QuarantinedPart> {
+    fn quarantine_culprits(&mut self, now: clock::MonotonicTime) -> Vec<QuarantinedPart> {
         let mut culprits = Vec::new();
         loop {
             let found = self.find_culprits();
@@ -347,30 +351,20 @@
         self.quarantined.values().copied().filter(move |listed| now < listed.until)
     }
 
-    /// Returns the number of separate crashes that a part is suspected of.
-    pub fn crash_count(&self, part: PartKey) -> usize {
-        self.suspected.get(&part).map_or(0, |crashes| separate_crashes(crashes))
-    }
-
-    /// Returns the numbers of suspected parts, for metrics.
-    pub fn suspected_count(&self) -> usize {
-        self.suspected.len()
-    }
-
-    fn record_served(&mut self, now: clock::MonotonicTime, parts: PartList) -> PartList {
+    fn record_served(&mut self, now: clock::MonotonicTime, parts: PartList) -> ServedOutcome {
         // Others suspect a part only if they have a report that this instance has, too.
         let is_worth_telling = |part: &&PartKey| {
-            self.crash_count(**part) + 1 >= QUARANTINE_CRASHES
-                || self.quarantined.contains_key(part)
+            let crashes = self.suspected.get(part).map_or(0, |crashes| separate_crashes(crashes));
+            crashes + 1 >= QUARANTINE_CRASHES || self.quarantined.contains_key(part)
         };
-        let told = parts.iter().filter(is_worth_telling).copied().collect();
-        self.clear(&parts, now);
+        let cleared = parts.iter().filter(is_worth_telling).copied().collect();
+        let lifted = self.clear(&parts, now);
         self.served.retain(|(at, _)| now.since(*at) < MEMORY_TIME);
         if self.served.len() >= MAX_SERVED {
             self.served.remove(0);
         }
         self.served.push((now, parts));
-        told
+        ServedOutcome { cleared, lifted, quarantined: self.quarantine_culprits(now) }
     }
 
     fn is_active(&self, now: clock::MonotonicTime, part: &PartKey) -> bool {
--- a/coltsfoot-gateway/src/topic_replica.rs
+++ b/coltsfoot-gateway/src/topic_replica.rs
@@ -81,7 +81,9 @@
         };
         if !is_known {
             self.records.insert(record.key.clone(), record.clone());
-            self.forget_deleted();
+            if record.value.is_none() {
+                self.forget_deleted();
+            }
         }
         !is_known
     }
--- a/coltsfoot-gateway/src/upstream_slot.rs
+++ b/coltsfoot-gateway/src/upstream_slot.rs
@@ -190,8 +190,7 @@
     /// Returns the number of tokens at the start of a prompt that are probably in the prefix cache.
     pub fn cached_tokens(&self, demand: &demand::PromptDemand) -> u32 {
         let weights = demand.weights_key();
-        let shared = demand.parts.len().saturating_sub(1);
-        let parts = demand.parts[..shared].iter();
+        let parts = demand.shared_parts().iter();
         let cached = parts.take_while(|part| self.cached_parts.contains_key(&(weights, part.id)));
         cached.map(|part| part.tokens).sum()
     }
--- a/coltsfoot-gateway/tests/part_world/mod.rs
+++ b/coltsfoot-gateway/tests/part_world/mod.rs
@@ -202,15 +202,20 @@
         for run in runs.iter_mut().filter(|run| run.prefill_left == 0) {
             run.streamed += TICK_MS;
             let ledger = &mut self.ledgers[run.instance];
-            told.push((run.instance, ledger.event_received(now, run.run)));
+            told.extend(ledger.event_received(now, run.run).map(|shown| (run.instance, shown)));
             is_fatal |= run.prompt.is_crashing() && run.streamed > FATAL_MS && self.now >= 4_000;
             if run.streamed >= RESPONSE_MS {
-                told.push((run.instance, ledger.complete(now, run.run)));
+                told.extend(ledger.complete(now, run.run).map(|shown| (run.instance, shown)));
             }
         }
         runs.retain(|run| run.streamed < RESPONSE_MS);
-        for (instance, parts) in told.into_iter().filter(|(_, parts)| !parts.is_empty()) {
-            self.broadcast(instance, |now| Message::Cleared(parts.clone(), now));
+        for (instance, shown) in told {
+            if !shown.cleared.is_empty() {
+                self.broadcast(instance, |now| Message::Cleared(shown.cleared.clone(), now));
+            }
+            for listed in shown.quarantined {
+                self.broadcast(instance, |_| Message::Quarantined(listed));
+            }
         }
         if is_fatal {
             self.outcome.crashes += 1;
--- a/coltsfootd/src/gateway/exchange.rs
+++ b/coltsfootd/src/gateway/exchange.rs
@@ -124,7 +124,7 @@
         log.customer = granted.customer.as_ref().map(|customer| sync::Arc::clone(&customer.name));
         let digest = self.digest(granted.customer.as_deref());
         log.digest = Some(digest);
-        let parts = self.fields.demand.as_ref().map(demand::PromptDemand::shared_parts);
+        let parts = self.fields.demand.as_ref().map(part_ledger::shared_keys);
         let parts = parts.unwrap_or_default();
         self.check_quarantine(&digest, &parts)?;
         let service = route_table::pick_service(&granted.route, &request_id)
@@ -173,6 +173,13 @@
         Err(LocalReply::unavailable("part_quarantined", time_left))
     }
 
+    /// Returns whether [`CallerExchange::check_quarantine`] would refuse an admitted request.
+    pub(super) fn is_quarantined(&self, admitted: &AdmittedRequest) -> bool {
+        let now = self.state.now();
+        self.state.crashes.ledger().quarantine_left(now, &admitted.digest).is_some()
+            || self.state.part_ledger().quarantine_left(now, &admitted.parts).is_some()
+    }
+
     /// Returns the digest that is the same for retries of the request: of method, target, customer
     /// and body. Other fields of the head may differ between retries.
     fn digest(&self, customer: Option<&rules::CustomerRule>) -> once::RequestDigest {
--- a/coltsfootd/src/gateway/failover.rs
+++ b/coltsfootd/src/gateway/failover.rs
@@ -79,8 +79,7 @@
             let view = self.state.view();
             view.upstream(upstream).is_none_or(|slot| slot.is_silent(now))
         };
-        timer.is_due(now, is_upstream_silent)
-            && self.exchange.check_quarantine(&self.admitted.digest, &self.admitted.parts).is_ok()
+        timer.is_due(now, is_upstream_silent) && !self.exchange.is_quarantined(self.admitted)
     }
 
     /// Seeks another upstream for the request and sends it there, while `progress` of the present attempt
--- a/coltsfootd/src/gateway/parts.rs
+++ b/coltsfootd/src/gateway/parts.rs
@@ -4,7 +4,7 @@
 use std::time;
 
 use coltsfoot_gateway::part_ledger::{
-    CrashReport, EngineCrash, PartKey, PartList, QuarantinedPart, RunId,
+    CrashReport, EngineCrash, PartKey, PartList, QuarantinedPart, RunId, ServedOutcome,
 };
 use coltsfoot_types::time as instant;
 use coltsfoot_wire::fleet as wire;
@@ -23,17 +23,26 @@
 /// Records an event of a response.
 pub(super) fn event_received(state: &state::GatewayState, run: RunId) {
     let now = state.now();
-    let cleared = state.part_ledger().event_received(now, run);
-    publish_cleared(state, &cleared);
-    publish_culprits(state, now);
+    let outcome = state.part_ledger().event_received(now, run);
+    publish_served(state, now, outcome);
 }
 
 /// Records that a response was received completely.
 pub(super) fn complete(state: &state::GatewayState, run: RunId) {
     let now = state.now();
-    let cleared = state.part_ledger().complete(now, run);
+    let outcome = state.part_ledger().complete(now, run);
+    publish_served(state, now, outcome);
+}
+
+fn publish_served(
+    state: &state::GatewayState,
+    now: instant::MonotonicTime,
+    outcome: Option<ServedOutcome>,
+) {
+    let Some(ServedOutcome { cleared, lifted, quarantined }) = outcome else { return };
     publish_cleared(state, &cleared);
-    publish_culprits(state, now);
+    log_lifted(&lifted);
+    publish_quarantined(state, now, &quarantined);
 }
 
 /// Records the crash of an engine, with the prompts at this instance as suspects; with `only_lost` those
@@ -67,12 +76,6 @@
     publish_quarantined(state, now, &listed);
 }
 
-/// Looks whether the evidence suffices now that another prompt was served.
-fn publish_culprits(state: &state::GatewayState, now: instant::MonotonicTime) {
-    let listed = state.part_ledger().quarantine_culprits(now);
-    publish_quarantined(state, now, &listed);
-}
-
 fn publish_quarantined(
     state: &state::GatewayState,
     now: instant::MonotonicTime,
@@ -116,6 +119,10 @@
     let served_at = state.now() - time::Duration::from_millis(u64::from(message.age_ms));
     let parts: PartList = message.parts.iter().copied().map(PartKey).collect();
     let lifted = state.part_ledger().clear(&parts, served_at);
+    log_lifted(&lifted);
+}
+
+fn log_lifted(lifted: &PartList) {
     for part in lifted {
         log::info!(
             event = event::PART_CLEARED.number, part = part.to_string(); "part_cleared"
