Order what the store holds by era and offset

Callers got 404 for routes that had been added, and were served by older versions, for good: after the store came back from an older copy no change was taken. Copies of its topics compared offsets, which a restored store gives out again, so that newer records counted as known; a read position that existed again missed what lay before it.

A position is now an era and an offset. A response of another era is not used, the topic is read anew. Across eras the value's own revision decides, so that no configuration, key, version or leave goes back. Generations and holders of the lease are of an era, too, and so are fencing numbers; instances register again.

--- a/coltsfoot-gateway/src/order_lease.rs
+++ b/coltsfoot-gateway/src/order_lease.rs
@@ -11,6 +11,7 @@
 use std::time;
 
 use coltsfoot_types::time as clock;
+use coltsfoot_wire::fleet::TopicPosition;
 use rustc_hash::FxHashMap;
 
 /// Durations that govern a lease.
@@ -53,6 +54,26 @@
     pub partitions: Vec<u32>,
 }
 
+/// Number of low bits of a fencing number that hold the generation; the era is above.
+const GENERATION_BITS: u32 = 32;
+
+/// Generation of a group. Numbers only increase within an era of the store: one that is restored from an older
+/// copy assigns some of them again.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct GroupGeneration {
+    /// How often the store was restored.
+    pub era: u64,
+    /// Increases with each change of the group's membership.
+    pub number: u64,
+}
+
+impl GroupGeneration {
+    /// Returns the fencing number of a holder since this generation, which rises from era to era as well.
+    fn fence(self) -> u64 {
+        (self.era << GENERATION_BITS) | self.number
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct HeldPartition {
     fence: u64,
@@ -63,10 +84,18 @@
     first_looked_up: Option<LastHolder>,
 }
 
+impl HeldPartition {
+    /// Returns whether orders may be sent, now or after a pause.
+    fn is_settled(&self) -> bool {
+        matches!(self.permission, OrderPermission::AllowedFrom(_))
+    }
+}
+
 /// The last holder of a partition, as recorded in the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct LastHolder {
-    /// Whether the last holder is this machine.
+    /// Whether the last holder is this machine, recorded in the store's present era: a restored store may
+    /// have lost the record of a later holder.
     pub is_this_machine: bool,
     /// Offset of the record; `None` if there is none.
     pub offset: Option<u64>,
@@ -79,9 +108,9 @@
     /// The last holder has not been looked up.
     Unknown,
     /// This machine is the last holder and must be recorded again.
-    Own { list_end: u64 },
+    Own { list_end: TopicPosition },
     /// Another machine may have held the partition.
-    Foreign { list_end: u64 },
+    Foreign { list_end: TopicPosition },
     /// This machine is recorded as the holder; a renewal sent at `by` or later must confirm it.
     Recorded { by: clock::MonotonicTime },
     /// Orders may be sent from this time on.
@@ -93,7 +122,7 @@
 pub struct OrderLease {
     settings: LeaseSettings,
     held: FxHashMap<u32, HeldPartition>,
-    generation: u64,
+    generation: GroupGeneration,
     renewed: clock::MonotonicTime,
     paused_until: clock::MonotonicTime,
 }
@@ -104,14 +133,14 @@
         Self {
             settings,
             held: FxHashMap::default(),
-            generation: 0,
+            generation: GroupGeneration::default(),
             renewed: clock::MonotonicTime::default(),
             paused_until: clock::MonotonicTime::default(),
         }
     }
 
     /// Returns the latest known generation of the group.
-    pub fn generation(&self) -> u64 {
+    pub fn generation(&self) -> GroupGeneration {
         self.generation
     }
 
@@ -125,16 +154,21 @@
         &mut self,
         sent: clock::MonotonicTime,
         now: clock::MonotonicTime,
-        generation: u64,
+        generation: GroupGeneration,
         partitions: &[u32],
     ) -> bool {
         if generation < self.generation {
             return false;
         }
+        let is_restored = generation.era != self.generation.era;
         self.generation = generation;
         self.renewed = sent;
         let count_before = self.held.len();
-        self.held.retain(|partition, _| partitions.contains(partition));
+        self.held.retain(|partition, held| {
+            // What was looked up or recorded before the restore may be lost.
+            let is_current = !is_restored || held.is_settled();
+            is_current && partitions.contains(partition)
+        });
         let mut has_changed = self.held.len() != count_before;
         let valid_until = sent + self.settings.validity;
         // Another machine may have held a partition since its lease expired here.
@@ -143,7 +177,7 @@
             let held = self.held.entry(*partition).or_insert_with(|| {
                 has_changed = true;
                 HeldPartition {
-                    fence: generation,
+                    fence: generation.fence(),
                     acquired: now,
                     valid_until,
                     permission: OrderPermission::Unknown,
@@ -175,9 +209,10 @@
     /// Sets the last holder of a partition and the end of the list of holders, both read after the
     /// partition was assigned to this instance. If the record has changed since the first lookup, another
     /// machine held the partition in between; the partition is acquired anew at the next renewal.
-    pub fn set_last_holder(&mut self, partition: u32, holder: LastHolder, list_end: u64) {
+    pub fn set_last_holder(&mut self, partition: u32, holder: LastHolder, list_end: TopicPosition) {
         let Some(held) = self.held.get_mut(&partition) else { return };
-        if held.permission != OrderPermission::Unknown {
+        let is_current = list_end.era == self.generation.era;
+        if held.permission != OrderPermission::Unknown || !is_current {
             return;
         }
         if *held.first_looked_up.get_or_insert(holder) != holder {
@@ -192,7 +227,7 @@
 
     /// Returns the partitions for which this machine must be recorded as the holder now, with the end
     /// that the list of holders must still have.
-    pub fn pending_records(&self, now: clock::MonotonicTime) -> Vec<(u32, u64)> {
+    pub fn pending_records(&self, now: clock::MonotonicTime) -> Vec<(u32, TopicPosition)> {
         let due = self.held.iter().filter_map(|(partition, held)| match held.permission {
             OrderPermission::Own { list_end } => Some((*partition, list_end)),
             OrderPermission::Foreign { list_end } => {
@@ -211,9 +246,13 @@
         &mut self,
         now: clock::MonotonicTime,
         partition: u32,
-        before: u64,
-        after: u64,
+        before: TopicPosition,
+        after: TopicPosition,
     ) {
+        if before.era != after.era {
+            self.holder_record_failed(partition);
+            return;
+        }
         for (other, held) in &mut self.held {
             match &mut held.permission {
                 OrderPermission::Own { .. } if *other == partition => {
--- a/coltsfoot-gateway/src/outage_tracker.rs
+++ b/coltsfoot-gateway/src/outage_tracker.rs
@@ -58,7 +58,13 @@
         self.last_read = Some(read_at);
     }
 
-    /// Returns when entries that are missing since an outage count as gone; `now` if there was none.
+    /// Records that a read at this time found the store restored from an older copy, which lacks entries
+    /// that upstreams write again.
+    pub fn record_restore(&mut self, read_at: clock::MonotonicTime) {
+        self.grace_end = Some(read_at + RECOVERY_GRACE);
+    }
+
+    /// Returns when entries that are missing since an outage or a restore count as gone; `now` if there was none.
     pub fn remove_at(&self, now: clock::MonotonicTime) -> clock::MonotonicTime {
         self.grace_end.map_or(now, |end| end.max(now))
     }
--- a/coltsfoot-gateway/tests/lease_model.rs
+++ b/coltsfoot-gateway/tests/lease_model.rs
@@ -2,13 +2,17 @@
 //! each other; the store is down or slow, loses answers, executes calls late and reassigns all
 //! partitions. Orders of two machines must be separated in time and fencing numbers must rise.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time;
 
 use coltsfoot_gateway::{order_lease, rendezvous};
 use coltsfoot_types::time as clock;
+use coltsfoot_wire::fleet::TopicPosition;
 
 const MACHINES: usize = 3;
+/// Kinds of faults, the last of which restores the store from an older copy.
+const FAULTS: u64 = 9;
+const FAULTS_WITH_RESTORE: u64 = 10;
 const PARTITIONS: u32 = 4;
 const TICK_MS: u64 = 50;
 const RUN_MS: u64 = 60_000;
@@ -16,6 +20,8 @@
 const HEARTBEAT_MS: u64 = 150;
 const MEMBER_LIFETIME_MS: u64 = 2500;
 const SEPARATION_MS: u64 = 3000;
+/// Age of the oldest copy that a store goes back to.
+const MAX_LOSS_S: usize = 10;
 
 fn at(ms: u64) -> clock::MonotonicTime {
     clock::MonotonicTime(ms * 1000)
@@ -42,21 +48,52 @@
     }
 }
 
-#[derive(Default)]
-struct Store {
+/// What a restored store loses.
+#[derive(Clone, Default)]
+struct StoreData {
     generation: u64,
     /// Members with the time of their last renewal.
     members: BTreeMap<usize, u64>,
     owners: BTreeMap<u32, usize>,
     targets: BTreeMap<u32, usize>,
-    /// The last holder of each partition, with the offset of its record.
-    holders: BTreeMap<u32, (usize, u64)>,
+    /// The last holder of each partition.
+    holders: BTreeMap<u32, HolderRecord>,
     /// Records in the list of holders.
     list_end: u64,
+}
+
+#[derive(Clone, Copy)]
+struct HolderRecord {
+    machine: usize,
+    /// Era that the machine named in the record.
+    era: u64,
+    offset: u64,
+}
+
+#[derive(Default)]
+struct Store {
+    data: StoreData,
+    era: u64,
+    /// Copies of the last seconds, one a second.
+    backups: VecDeque<StoreData>,
     down_until: u64,
     expires_members: bool,
 }
 
+impl std::ops::Deref for Store {
+    type Target = StoreData;
+
+    fn deref(&self) -> &StoreData {
+        &self.data
+    }
+}
+
+impl std::ops::DerefMut for Store {
+    fn deref_mut(&mut self) -> &mut StoreData {
+        &mut self.data
+    }
+}
+
 impl Store {
     fn rebalance(&mut self, rng: &mut SeededRng) {
         self.generation += 1;
@@ -73,7 +110,7 @@
 
     fn expire(&mut self, now: u64, rng: &mut SeededRng) {
         if now < self.down_until && !self.expires_members {
-            for joined in self.members.values_mut() {
+            for joined in self.data.members.values_mut() {
                 *joined += TICK_MS;
             }
             return;
@@ -81,8 +118,8 @@
         let before = self.members.len();
         self.members.retain(|_, joined| now < *joined + MEMBER_LIFETIME_MS);
         if self.members.len() != before {
-            let members = &self.members;
-            self.owners.retain(|_, owner| members.contains_key(owner));
+            let StoreData { members, owners, .. } = &mut self.data;
+            owners.retain(|_, owner| members.contains_key(owner));
             self.rebalance(rng);
         }
     }
@@ -93,14 +130,15 @@
             self.rebalance(rng);
         }
         if generation >= self.generation {
-            let targets = &self.targets;
-            self.owners.retain(|partition, owner| {
+            let StoreData { targets, owners, .. } = &mut self.data;
+            owners.retain(|partition, owner| {
                 *owner != member || targets.get(partition) == Some(&member)
             });
         }
-        for (partition, target) in &self.targets {
-            if *target == member && !self.owners.contains_key(partition) {
-                self.owners.insert(*partition, member);
+        let StoreData { targets, owners, .. } = &mut self.data;
+        for (partition, target) in &*targets {
+            if *target == member && !owners.contains_key(partition) {
+                owners.insert(*partition, member);
             }
         }
         let held = self.owners.iter().filter(|(partition, owner)| {
@@ -109,6 +147,27 @@
         held.map(|(partition, _)| *partition).collect()
     }
 
+    fn back_up(&mut self, now: u64) {
+        if now.is_multiple_of(1000) {
+            self.backups.push_back(self.data.clone());
+            if self.backups.len() > MAX_LOSS_S {
+                self.backups.pop_front();
+            }
+        }
+    }
+
+    /// Goes back to a copy some seconds old.
+    fn restore(&mut self, now: u64, rng: &mut SeededRng) {
+        let Some(last) = self.backups.len().checked_sub(1) else { return };
+        let copy = rng.below(last as u64 + 1) as usize;
+        self.backups.truncate(copy + 1);
+        self.data = self.backups[copy].clone();
+        for joined in self.data.members.values_mut() {
+            *joined = now;
+        }
+        self.era += 1;
+    }
+
     /// Reassigns all partitions at once.
     fn reassign(&mut self, rng: &mut SeededRng) {
         self.rebalance(rng);
@@ -117,15 +176,15 @@
 }
 
 enum Call {
-    Join { generation: u64 },
+    Join { generation: order_lease::GroupGeneration },
     Holders,
-    Record { partition: u32, list_end: u64 },
+    Record { partition: u32, list_end: TopicPosition },
 }
 
 enum Answer {
-    Joined { sent: u64, generation: u64, partitions: Vec<u32> },
-    Holders { holders: BTreeMap<u32, (usize, u64)>, list_end: u64 },
-    Recorded { partition: u32, ends: Option<(u64, u64)> },
+    Joined { sent: u64, generation: order_lease::GroupGeneration, partitions: Vec<u32> },
+    Holders { holders: BTreeMap<u32, HolderRecord>, list_end: TopicPosition },
+    Recorded { partition: u32, ends: Option<(TopicPosition, TopicPosition)> },
 }
 
 struct Machine {
@@ -148,6 +207,8 @@
 
 struct Simulation {
     rng: SeededRng,
+    /// Number of kinds of faults.
+    faults: u64,
     now: u64,
     separation_ms: u64,
     store: Store,
@@ -164,6 +225,7 @@
         let machines = (0..MACHINES).map(|_| Machine::started(0, separation_ms)).collect();
         Self {
             rng: SeededRng(seed),
+            faults: FAULTS,
             now: 0,
             separation_ms,
             store: Store::default(),
@@ -190,7 +252,7 @@
         let machine = self.rng.below(MACHINES as u64) as usize;
         let length = 200 + self.rng.below(9000);
         let until = self.now + length;
-        match self.rng.below(9) {
+        match self.rng.below(self.faults) {
             0 => self.machines[machine].awake_at = until,
             1 => {
                 let down = self.now + 300 + self.rng.below(4000);
@@ -208,10 +270,14 @@
                 self.machines[machine].store_cut_until = until;
                 self.store.reassign(&mut self.rng);
             }
-            _ => {
+            8 => {
                 self.machines[machine].store_cut_until = until;
                 self.machines[machine].peers_cut_until = until;
             }
+            _ => {
+                self.store.down_until = self.now + self.rng.below(3000);
+                self.store.restore(self.now, &mut self.rng);
+            }
         }
     }
 
@@ -221,6 +287,7 @@
             self.inject_fault();
         }
         self.store.expire(self.now, &mut self.rng);
+        self.store.back_up(self.now);
         self.execute_calls();
         self.deliver_answers();
         for machine in 0..MACHINES {
@@ -240,22 +307,29 @@
             if now < self.store.down_until {
                 continue;
             }
+            let era = self.store.era;
+            let list_position = |offset| TopicPosition { era, offset };
             let answer = match call {
                 Call::Join { generation } => {
-                    let partitions = self.store.join(now, machine, generation, &mut self.rng);
-                    Answer::Joined { sent, generation: self.store.generation, partitions }
+                    let partitions =
+                        self.store.join(now, machine, generation.number, &mut self.rng);
+                    let number = self.store.generation;
+                    let generation = order_lease::GroupGeneration { era, number };
+                    Answer::Joined { sent, generation, partitions }
                 }
                 Call::Holders => {
                     let holders = self.store.holders.clone();
-                    Answer::Holders { holders, list_end: self.store.list_end }
+                    Answer::Holders { holders, list_end: list_position(self.store.list_end) }
                 }
                 Call::Record { partition, list_end } => {
-                    let is_current = list_end == self.store.list_end;
+                    let offset = self.store.list_end;
+                    let is_current = list_end.offset == offset;
                     if is_current {
-                        self.store.holders.insert(partition, (machine, list_end));
+                        let record = HolderRecord { machine, era: list_end.era, offset };
+                        self.store.holders.insert(partition, record);
                         self.store.list_end += 1;
                     }
-                    let ends = is_current.then_some((list_end, list_end + 1));
+                    let ends = is_current.then_some((list_end, list_position(offset + 1)));
                     Answer::Recorded { partition, ends }
                 }
             };
@@ -287,8 +361,10 @@
                     for partition in to.lease.unknown_holders() {
                         let record = holders.get(&partition);
                         let holder = order_lease::LastHolder {
-                            is_this_machine: record.is_some_and(|(holder, _)| *holder == machine),
-                            offset: record.map(|(_, offset)| *offset),
+                            is_this_machine: record.is_some_and(|record| {
+                                record.machine == machine && record.era == list_end.era
+                            }),
+                            offset: record.map(|record| record.offset),
                         };
                         to.lease.set_last_holder(partition, holder, list_end);
                     }
@@ -392,7 +468,11 @@
 }
 
 fn simulate(seed: u64, separation_ms: u64) -> Result<(u64, u64), String> {
-    let mut simulation = Simulation::new(seed, separation_ms);
+    simulate_faults(seed, separation_ms, FAULTS)
+}
+
+fn simulate_faults(seed: u64, separation_ms: u64, faults: u64) -> Result<(u64, u64), String> {
+    let mut simulation = Simulation { faults, ..Simulation::new(seed, separation_ms) };
     while simulation.now < RUN_MS {
         simulation.step().map_err(|error| format!("seed {seed}: {error}"))?;
     }
@@ -413,6 +493,16 @@
     assert!(sums.1 > 1_000, "only {} orders were sent while the store was down", sums.1);
 }
 
+#[test]
+fn orders_of_two_machines_are_separated_when_the_store_is_restored() {
+    let mut orders = 0;
+    for seed in 0..400 {
+        orders +=
+            simulate_faults(seed, SEPARATION_MS, FAULTS_WITH_RESTORE).expect("no violation").0;
+    }
+    assert!(orders > 50_000, "only {orders} orders were sent");
+}
+
 #[test]
 fn the_simulation_detects_a_new_holder_that_does_not_wait() {
     let found = (0..400).filter(|seed| simulate(*seed, 0).is_err()).count();
--- a/coltsfoot-gateway/tests/outages.rs
+++ b/coltsfoot-gateway/tests/outages.rs
@@ -31,6 +31,18 @@
     assert_eq!(tracker.remove_at(at(now)), at(expected));
 }
 
+/// A restore may take less time than a missed renewal.
+#[test]
+fn missing_entries_are_kept_after_a_restore() {
+    let mut tracker = OutageTracker::new(RENEWAL_INTERVAL);
+    for read_at in [1000, 1850] {
+        tracker.record_read(at(read_at));
+    }
+    tracker.record_restore(at(1850));
+    assert_eq!(tracker.remove_at(at(1900)), at(4050));
+    assert_eq!(tracker.remove_at(at(5000)), at(5000));
+}
+
 #[test]
 fn time_in_which_the_process_was_suspended_is_no_outage() {
     let mut tracker = OutageTracker::new(RENEWAL_INTERVAL);
--- a/coltsfoot-wire/src/fleet.rs
+++ b/coltsfoot-wire/src/fleet.rs
@@ -273,13 +273,23 @@
     Upstreams,
 }
 
+/// Position in a store topic. Offsets are only comparable within an era: a store that is restored from an
+/// older copy assigns some of them again.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct TopicPosition {
+    /// How often the store was restored.
+    pub era: u64,
+    /// Offset in the topic, from 0.
+    pub offset: u64,
+}
+
 /// A record of a store topic.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct StoreRecord {
     /// Key.
     pub key: String,
-    /// Offset in the topic.
-    pub offset: u64,
+    /// Position in the topic.
+    pub position: TopicPosition,
     /// Encoded value.
     pub value: Vec<u8>,
 }
@@ -300,8 +310,8 @@
     pub topic: StoreTopic,
     /// The bucket: the lowest byte of the hash of the keys.
     pub bucket: u8,
-    /// Offset up to which the sender knows every record.
-    pub next: u64,
+    /// Position up to which the sender knows every record.
+    pub next: TopicPosition,
     /// Time after which the sender removes upstreams whose entries expired in an outage of the store, in
     /// milliseconds; zero if there was none.
     pub grace_ms: u32,
--- a/coltsfootd/src/event.rs
+++ b/coltsfootd/src/event.rs
@@ -49,6 +49,8 @@
     LOG_REACHABLE = 203, "log_reachable", Info;
     /// The log dropped records before this instance read them.
     HISTORY_TRIMMED = 205, "history_trimmed", Info;
+    /// The store came back from an older copy.
+    STORE_RESTORED = 222, "store_restored", Warn;
     /// The instance has restored the configuration.
     RESTORED = 204, "restored", Info;
     /// The instance list can't be read.
--- a/coltsfootd/src/gateway/fleet.rs
+++ b/coltsfootd/src/gateway/fleet.rs
@@ -238,18 +238,18 @@
         address: state.settings.fleet_address(),
         zone: sync::Arc::clone(&state.settings.zone),
     };
-    let mut is_registered = false;
+    let mut registered_era = None;
     loop {
-        if !is_registered {
+        if registered_era.is_none() {
             let key = state.settings.ip.to_string();
-            is_registered = state
-                .store
-                .put(INSTANCE_TOPIC, &key, encode_instance(&own).as_bytes())
-                .await
-                .is_ok();
+            let registered =
+                state.store.put(INSTANCE_TOPIC, &key, encode_instance(&own).as_bytes()).await;
+            registered_era = registered.ok();
         }
         let pause = match state.store.read_latest(INSTANCE_TOPIC).await {
             Ok(newest) => {
+                // A restored store may have lost the registration.
+                registered_era = registered_era.filter(|era| *era == newest.next.era);
                 let values = newest.records.iter().filter_map(|record| record.value.as_deref());
                 let texts = values.filter_map(|value| str::from_utf8(value).ok());
                 let others: Vec<_> = texts
@@ -259,7 +259,10 @@
                 let same_zone = others.iter().filter(|peer| peer.zone == own.zone).count();
                 state.view().set_listed_peers(same_zone, others.len() - same_zone);
                 *state::lock(&state.listed_peers) = others;
-                if is_registered { DISCOVERY_INTERVAL } else { DISCOVERY_RETRY_INTERVAL }
+                match registered_era {
+                    Some(_) => DISCOVERY_INTERVAL,
+                    None => DISCOVERY_RETRY_INTERVAL,
+                }
             }
             Err(error) => {
                 log::warn!(
@@ -269,6 +272,18 @@
                 DISCOVERY_RETRY_INTERVAL
             }
         };
-        async_io::Timer::after(pause).await;
+        wait_for_discovery(&state, pause, registered_era).await;
+    }
+}
+
+/// Waits until the list of instances is read again: for a time, or until the store is restored.
+async fn wait_for_discovery(
+    state: &state::GatewayState,
+    pause: time::Duration,
+    registered_era: Option<u64>,
+) {
+    let end = state.now() + pause;
+    while state.now() < end && registered_era.is_none_or(|era| era == state.store.era()) {
+        async_io::Timer::after(end.since(state.now()).min(DISCOVERY_RETRY_INTERVAL)).await;
     }
 }
--- a/coltsfootd/src/gateway/follower.rs
+++ b/coltsfootd/src/gateway/follower.rs
@@ -32,8 +32,10 @@
 struct TopicFollower {
     topic: &'static str,
     wait: time::Duration,
-    /// Offset to read from; `None` to begin with the newest record of each key.
-    next: Option<u64>,
+    /// Position to read from; `None` to begin with the newest record of each key.
+    next: Option<wire::TopicPosition>,
+    /// Era of the last read; `None` before the first one.
+    era: Option<u64>,
     is_reachable: bool,
     /// Whether the topic may not exist yet. Before the operator's first record it counts as empty,
     /// not as an error that every instance retries.
@@ -46,13 +48,15 @@
     records: Vec<KeyedRecord>,
     /// Time whose state of the topic the copy reflects at least.
     read_at: instant::MonotonicTime,
+    /// Whether the store was restored from an older copy since the last read.
+    is_restored: bool,
 }
 
 impl TopicFollower {
     fn new(topic: &'static str, wait: time::Duration) -> Self {
         let retry_interval = RETRY_INTERVAL;
         let (is_reachable, may_be_missing) = (true, topic == store::OPERATOR_TOPIC);
-        Self { topic, wait, next: None, is_reachable, may_be_missing, retry_interval }
+        Self { topic, wait, next: None, era: None, is_reachable, may_be_missing, retry_interval }
     }
 
     async fn read(
@@ -69,6 +73,7 @@
                 newest => newest?,
             };
             self.may_be_missing = false;
+            self.era = Some(newest.next.era);
             self.next = Some(newest.next);
             log_unreadable(self.topic, newest.unreadable);
             return Ok(state::lock(replica).merge_snapshot(newest.records, newest.next));
@@ -87,9 +92,14 @@
         topic: wire::StoreTopic,
     ) -> Option<TopicNews> {
         let sent = state.now();
+        let last_era = self.era;
         match self.read(&state.store, state.replica(topic)).await {
             Ok(records) => {
                 self.retry_interval = RETRY_INTERVAL;
+                let is_restored = last_era.is_some() && self.era != last_era;
+                if is_restored {
+                    self.log_restored(last_era);
+                }
                 if !self.is_reachable {
                     self.is_reachable = true;
                     log::info!(event = event::LOG_REACHABLE.number, topic = self.topic; "log_reachable");
@@ -97,7 +107,11 @@
                 // The store answers a read once it has records or the wait is over; a response may
                 // be late by any time after that.
                 let read_at = state.now().min(sent + self.wait);
-                Some(TopicNews { records, read_at })
+                Some(TopicNews { records, read_at, is_restored })
+            }
+            Err(store::StoreError::Restored(_)) => {
+                self.next = None;
+                None
             }
             Err(store::StoreError::Trimmed) => {
                 log::info!(event = event::HISTORY_TRIMMED.number, topic = self.topic; "history_trimmed");
@@ -120,6 +134,15 @@
     }
 }
 
+impl TopicFollower {
+    fn log_restored(&self, last_era: Option<u64>) {
+        log::warn!(
+            event = event::STORE_RESTORED.number, topic = self.topic, last_era = last_era,
+            era = self.era, end = self.next.map(|next| next.offset); "store_restored"
+        );
+    }
+}
+
 fn log_unreadable(topic: &str, count: usize) {
     if count > 0 {
         log::warn!(
@@ -161,7 +184,7 @@
         }
         let started = state.now();
         let news = follower.poll(&state, wire::StoreTopic::Operator).await;
-        if let Some(TopicNews { records, read_at }) = news {
+        if let Some(TopicNews { records, read_at, .. }) = news {
             *state::lock(&state.operator_read_at) = Some(read_at);
             for record in &records {
                 apply_operator_record(&state, record);
@@ -189,12 +212,12 @@
                 if state.apply_rules(rules) {
                     log::info!(
                         event = event::CHANGE_ACCEPTED.number, version = version,
-                        offset = record.offset; "change_accepted"
+                        era = record.position.era, offset = record.position.offset; "change_accepted"
                     );
                 }
             }
             Err(error) => log::warn!(
-                event = event::CHANGE_REJECTED.number, offset = record.offset;
+                event = event::CHANGE_REJECTED.number, offset = record.position.offset;
                 "change_rejected: {error}"
             ),
         }
@@ -211,7 +234,7 @@
                 }
             }
             Err(error) => log::warn!(
-                event = event::CHANGE_REJECTED.number, offset = record.offset;
+                event = event::CHANGE_REJECTED.number, offset = record.position.offset;
                 "change_rejected: {error}"
             ),
         }
@@ -221,8 +244,8 @@
 /// Removal of an upstream whose entry has expired.
 pub(crate) struct PendingRemoval {
     remove_at: instant::MonotonicTime,
-    /// Offset of the record that ended the entry.
-    offset: u64,
+    /// Position of the record that ended the entry.
+    position: wire::TopicPosition,
 }
 
 /// Follows the upstreams' entries, which expire unless the upstreams renew them.
@@ -241,8 +264,11 @@
             }
         }
         let update = follower.poll(&state, wire::StoreTopic::Upstreams).await;
-        let Some(TopicNews { records, read_at }) = update else { continue };
+        let Some(TopicNews { records, read_at, is_restored }) = update else { continue };
         state::lock(&state.outages).record_read(read_at);
+        if is_restored {
+            state::lock(&state.outages).record_restore(read_at);
+        }
         let remove_at = state.removal_time(state.now());
         let is_first = state::lock(&state.upstreams_read_at).is_none();
         let changed: Vec<KeyedRecord> = records
@@ -291,7 +317,7 @@
     if let Err(error) = &checked {
         log::warn!(
             event = event::ENTRY_REJECTED.number, upstream = record.key.as_str(),
-            offset = record.offset; "entry_rejected: {error}"
+            offset = record.position.offset; "entry_rejected: {error}"
         );
     }
     checked.ok()
@@ -306,14 +332,14 @@
 ) -> bool {
     if let Some(entry) = decode_entry(state, record) {
         state::lock(&state.removals).remove(&record.key);
-        return apply_entry(state, entry, record.offset);
+        return apply_entry(state, entry, record.position);
     }
     if state.now() < remove_at {
-        let removal = PendingRemoval { remove_at, offset: record.offset };
+        let removal = PendingRemoval { remove_at, position: record.position };
         if state.view().upstream(&record.key).is_some() {
             log::info!(
                 event = event::UPSTREAM_MISSING.number, upstream = record.key.as_str(),
-                offset = record.offset, grace_ms = remove_at.since(state.now()).as_millis() as u64;
+                offset = record.position.offset, grace_ms = remove_at.since(state.now()).as_millis() as u64;
                 "upstream_missing"
             );
         }
@@ -321,11 +347,15 @@
         return false;
     }
     state::lock(&state.removals).remove(&record.key);
-    remove_upstream(state, &record.key, record.offset)
+    remove_upstream(state, &record.key, record.position)
 }
 
 /// Applies an upstream's entry; returns whether it is new or its state changed.
-fn apply_entry(state: &state::GatewayState, entry: upstream::UpstreamEntry, offset: u64) -> bool {
+fn apply_entry(
+    state: &state::GatewayState,
+    entry: upstream::UpstreamEntry,
+    position: wire::TopicPosition,
+) -> bool {
     let (id, address) = (entry.id.to_string(), entry.address);
     let is_ready = entry.state == upstream::UpstreamState::Ready;
     let mut view = state.view();
@@ -346,7 +376,7 @@
         log::info!(
             event = event::UPSTREAM_CHANGED.number, upstream = id,
             address = address.to_string(), ready = is_ready, new = is_new,
-            offset = offset, read_age_ms = read_age_ms(state); "upstream_changed"
+            offset = position.offset, read_age_ms = read_age_ms(state); "upstream_changed"
         );
         state.controllers.wake_all();
     }
@@ -359,9 +389,9 @@
     let due: Vec<(String, PendingRemoval)> =
         state::lock(&state.removals).extract_if(|_, removal| removal.remove_at <= now).collect();
     let removed =
-        due.into_iter().filter(|(id, removal)| remove_upstream(state, id, removal.offset));
+        due.into_iter().filter(|(id, removal)| remove_upstream(state, id, removal.position));
     let records: Vec<KeyedRecord> = removed
-        .map(|(key, removal)| KeyedRecord { key, value: None, offset: removal.offset })
+        .map(|(key, removal)| KeyedRecord { key, value: None, position: removal.position })
         .collect();
     push_changes(state, &records);
 }
@@ -374,14 +404,14 @@
 }
 
 /// Removes an upstream and its pooled connections; returns whether it was known.
-fn remove_upstream(state: &state::GatewayState, id: &str, offset: u64) -> bool {
+fn remove_upstream(state: &state::GatewayState, id: &str, position: wire::TopicPosition) -> bool {
     let Some(entry) = state.view().remove_upstream(id) else { return false };
     state.pool.close_idle(entry.address);
     if entry.state == upstream::UpstreamState::Ready {
         crashes::record_removal(state, id);
     }
     log::info!(
-        event = event::UPSTREAM_GONE.number, upstream = id, offset = offset,
+        event = event::UPSTREAM_GONE.number, upstream = id, offset = position.offset,
         read_age_ms = read_age_ms(state); "upstream_gone"
     );
     true
--- a/coltsfootd/src/gateway/lease.rs
+++ b/coltsfootd/src/gateway/lease.rs
@@ -4,6 +4,7 @@
 use std::time;
 
 use coltsfoot_gateway::order_lease;
+use coltsfoot_wire::fleet::TopicPosition;
 use site_platform::store;
 
 use crate::event;
@@ -58,6 +59,12 @@
         store::GroupName { group: &self.group, topic: &self.topic, member: &self.member }
     }
 
+    /// Returns the value that records this machine as a holder. One that was written in an earlier era doesn't
+    /// prove that nobody held the partition since.
+    fn holder_value(&self, era: u64) -> String {
+        format!("{} {era}", self.member)
+    }
+
     /// Returns the key of a partition in the holders topic.
     fn holder_key(partition: u32) -> String {
         partition.to_string()
@@ -81,7 +88,7 @@
                     state.lease().renew(sent, now, share.generation, &share.partitions);
                 if has_changed || !is_reachable {
                     log::info!(
-                        event = event::LEASE_CHANGED.number, generation = share.generation,
+                        event = event::LEASE_CHANGED.number, era = share.generation.era, generation = share.generation.number,
                         partitions = share.partitions.len(); "lease_changed"
                     );
                 }
@@ -126,8 +133,10 @@
         let due = state.lease().pending_records(state.now()).first().copied();
         let Some((partition, list_end)) = due else { return };
         let key = ZoneGroup::holder_key(partition);
-        let value = group.member.as_bytes();
-        match state.store.put_at(&group.holders, &key, value, list_end).await {
+        let value = group.holder_value(list_end.era);
+        let recorded =
+            state.store.put_at(&group.holders, &key, value.as_bytes(), list_end.offset).await;
+        match recorded {
             Ok(end) => state.lease().holder_recorded(state.now(), partition, list_end, end),
             Err(error) => {
                 state.lease().holder_record_failed(partition);
@@ -160,7 +169,10 @@
     }
     let newest = match state.store.read_latest(&group.holders).await {
         // The topic is created with its first record.
-        Err(store::StoreError::Refused(404)) => store::KeyedRecords::default(),
+        Err(store::StoreError::Refused(404)) => {
+            let next = TopicPosition { era: state.lease().generation().era, offset: 0 };
+            store::KeyedRecords { next, ..store::KeyedRecords::default() }
+        }
         newest => newest?,
     };
     for partition in unknown {
@@ -168,8 +180,8 @@
         let record = newest.records.iter().find(|record| record.key == key);
         let holder = record.and_then(|record| record.value.as_deref());
         let holder = order_lease::LastHolder {
-            is_this_machine: holder == Some(group.member.as_bytes()),
-            offset: record.map(|record| record.offset),
+            is_this_machine: holder == Some(group.holder_value(newest.next.era).as_bytes()),
+            offset: record.map(|record| record.position.offset),
         };
         state.lease().set_last_holder(partition, holder, newest.next);
     }
--- a/coltsfootd/src/gateway/news.rs
+++ b/coltsfootd/src/gateway/news.rs
@@ -37,12 +37,12 @@
 
 fn encode(record: &KeyedRecord) -> wire::StoreRecord {
     let value = record.value.clone().unwrap_or_default();
-    wire::StoreRecord { key: record.key.clone(), offset: record.offset, value }
+    wire::StoreRecord { key: record.key.clone(), position: record.position, value }
 }
 
 fn decode(record: wire::StoreRecord) -> KeyedRecord {
     let value = (!record.value.is_empty()).then_some(record.value);
-    KeyedRecord { key: record.key, value, offset: record.offset }
+    KeyedRecord { key: record.key, value, position: record.position }
 }
 
 /// Sends an instance the buckets of a topic in which its copy differs, some at a time: a burst of datagrams
--- a/coltsfootd/src/gateway/run.rs
+++ b/coltsfootd/src/gateway/run.rs
@@ -7,9 +7,9 @@
 use std::time;
 
 use async_net::TcpListener;
-use coltsfoot_gateway::{order_lease, outage_tracker, stop_plan};
+use coltsfoot_gateway::{order_lease, outage_tracker, stop_plan, topic_replica};
 use coltsfoot_http::pool;
-use site_platform::{settings, store};
+use site_platform::{entry, rules, settings, store};
 
 use crate::gateway::{
     callers, crashes, engines, fleet, follower, heartbeats, lease, metrics, news, pending_calls,
@@ -22,6 +22,13 @@
 /// Time for the last log lines to be written before the process ends.
 const LOG_WRITE_TIME: time::Duration = time::Duration::from_millis(100);
 
+/// What the operator published stays in force until something newer is published.
+const OPERATOR_POLICY: topic_replica::EraPolicy =
+    topic_replica::EraPolicy { revision: rules::revision, keeps_lost: true };
+/// Entries expire unless their upstreams renew them, so that those a restored store lacks have to come back.
+const UPSTREAM_POLICY: topic_replica::EraPolicy =
+    topic_replica::EraPolicy { revision: entry::revision, keeps_lost: false };
+
 /// Errors that prevent the gateway from starting.
 #[derive(Debug, thiserror::Error)]
 pub enum GatewayError {
@@ -198,8 +205,8 @@
         fleet_socket,
         operator_read_at: sync::Mutex::default(),
         upstreams_read_at: sync::Mutex::default(),
-        operator_replica: sync::Mutex::default(),
-        upstream_replica: sync::Mutex::default(),
+        operator_replica: sync::Mutex::new(topic_replica::TopicReplica::new(OPERATOR_POLICY)),
+        upstream_replica: sync::Mutex::new(topic_replica::TopicReplica::new(UPSTREAM_POLICY)),
         removals: sync::Mutex::default(),
         outages: sync::Mutex::new(outage_tracker::OutageTracker::new(settings.heartbeat)),
         listed_peers: sync::Mutex::default(),
