Continue streams only at the software version that began them

Callers got texts joined from two versions of an engine's software: in one response, and when they took a stream up, most often after all instances had been killed. Placing did not know versions, and what began a stream was known only to the instance that had it.

The version is part of placing once a caller has events. Instances remember which version began each stream; while several versions serve they tell each other in heartbeats, and one of each zone records them in the store. A stream that nobody knows is refused at once as not run, unless a single version can have begun it.

--- a/coltsfoot-gateway/src/engine_choice.rs
+++ b/coltsfoot-gateway/src/engine_choice.rs
@@ -5,7 +5,7 @@
 
 use coltsfoot_types::time as clock;
 
-use crate::{demand, fleet_view, rendezvous, rules, send_permits, upstream_slot};
+use crate::{demand, fleet_view, rendezvous, rules, send_permits, upstream, upstream_slot};
 
 /// Prompt tokens that an engine prefills per millisecond while it serves its running requests.
 pub const PREFILL_TOKENS_PER_MS: f64 = 33.0;
@@ -51,6 +51,8 @@
     pub expected_ms: f64,
     /// Whether the engine must load the adapter first.
     pub needs_load: bool,
+    /// Version of its software.
+    pub build: upstream::BuildKey,
 }
 
 /// A request that needs an upstream.
@@ -64,6 +66,8 @@
     pub zone: &'a str,
     /// Ids of upstreams to exclude.
     pub tried: &'a [sync::Arc<str>],
+    /// The only version of software that may be chosen; `None` if any may.
+    pub build: Option<upstream::BuildKey>,
 }
 
 /// Chooses the upstream with the lowest expected time; `None` if no upstream can be used.
@@ -74,8 +78,10 @@
 ) -> Option<ChosenUpstream> {
     let suspects = view.suspect_zones(now);
     let ready = view.ready_upstreams(now, &request.service.name);
-    let candidates: Vec<&upstream_slot::UpstreamSlot> =
-        ready.filter(|slot| !request.tried.contains(&slot.entry.id)).collect();
+    let candidates: Vec<&upstream_slot::UpstreamSlot> = ready
+        .filter(|slot| request.build.is_none_or(|build| slot.build == build))
+        .filter(|slot| !request.tried.contains(&slot.entry.id))
+        .collect();
     match request.demand {
         Some(demand) => choose_engine(now, view, request, demand, &candidates, &suspects),
         None => choose_plain(now, request, &candidates, &suspects),
@@ -113,7 +119,8 @@
     });
     let (cost, slot) = costs.min_by(|(one, _), (other, _)| one.total_cmp(other))?;
     let id = sync::Arc::clone(&slot.entry.id);
-    Some(ChosenUpstream { id, expected_ms: cost + PLAIN_REQUEST_MS, needs_load: false })
+    let expected_ms = cost + PLAIN_REQUEST_MS;
+    Some(ChosenUpstream { id, expected_ms, needs_load: false, build: slot.build })
 }
 
 fn choose_engine(
@@ -146,7 +153,8 @@
     });
     let best = costs.min_by(|(one, ..), (other, ..)| one.total_cmp(other));
     let (expected_ms, slot, needs_load) = best?;
-    Some(ChosenUpstream { id: sync::Arc::clone(&slot.entry.id), expected_ms, needs_load })
+    let id = sync::Arc::clone(&slot.entry.id);
+    Some(ChosenUpstream { id, expected_ms, needs_load, build: slot.build })
 }
 
 /// An adapter that may have to be loaded, with what all engines have in common for it.
--- a/coltsfoot-gateway/src/fleet_view.rs
+++ b/coltsfoot-gateway/src/fleet_view.rs
@@ -180,6 +180,16 @@
         })
     }
 
+    /// Returns the versions of software of all listed upstreams.
+    pub fn builds(&self) -> impl Iterator<Item = upstream::BuildKey> {
+        self.upstreams.values().map(|slot| slot.build)
+    }
+
+    /// Returns whether an upstream of a service has this version and accepts requests, now or later.
+    pub fn is_build_ready(&self, service: &str, build: upstream::BuildKey) -> bool {
+        self.listed_upstreams(service).any(|slot| slot.build == build)
+    }
+
     /// Returns when the first upstream of a service becomes available; `None` if one is available
     /// now or all are draining.
     pub fn next_available(
--- a/coltsfoot-gateway/src/lib.rs
+++ b/coltsfoot-gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod idle_connection;
 pub mod limit_table;
 pub mod order_lease;
+pub mod origin_ledger;
 pub mod outage_tracker;
 pub mod part_ledger;
 pub mod peer_slot;
--- a/coltsfoot-gateway/src/upstream_slot.rs
+++ b/coltsfoot-gateway/src/upstream_slot.rs
@@ -89,6 +89,8 @@
     pub entry: upstream::UpstreamEntry,
     /// Number that stands for its incarnation in messages.
     pub number: u32,
+    /// Version of its software.
+    pub build: upstream::BuildKey,
     /// Its model and adapters.
     pub residency: Residency,
     /// Increases whenever a report changes the residency.
@@ -121,6 +123,7 @@
             entry.adapters.iter().map(|held| (held.name.key(), held.version)).collect();
         Self {
             number: upstream_number(&entry),
+            build: entry.build(),
             residency,
             revision: 0,
             local: WorkLoad::default(),
--- a/coltsfoot-gateway/tests/choice.rs
+++ b/coltsfoot-gateway/tests/choice.rs
@@ -5,7 +5,7 @@
 use std::sync;
 use std::time;
 
-use coltsfoot_gateway::{demand, engine_choice, fleet_view};
+use coltsfoot_gateway::{demand, engine_choice, fleet_view, upstream};
 use coltsfoot_wire::fleet;
 use fleet_fixture::{
     at, fleet, owned_engine, prompt, report_adapters, report_pending, sample_heartbeat, service,
@@ -22,6 +22,7 @@
         demand: Some(demand),
         zone: "a",
         tried: &[],
+        build: None,
     };
     engine_choice::choose(at(now), view, &request)
 }
@@ -247,3 +248,43 @@
     report_adapters(&mut view, &home, &[], 8);
     assert_eq!(choose(&view, 0, &demand).expect("an upstream").id, second);
 }
+
+/// Load pattern: a stream broke off at a busy engine, while engines of another version are idle and hold
+/// its adapter.
+#[test]
+fn stream_waits_for_its_version_rather_than_going_on_at_an_idle_engine_of_another() {
+    let mut view = fleet_view::FleetView::default();
+    for (id, version) in [("1", "v1"), ("2", "v1"), ("3", "v2")] {
+        let entry = upstream::UpstreamEntry {
+            version: Some(version.into()),
+            ..fleet_fixture::entry(id, "a")
+        };
+        view.put_upstream(entry);
+    }
+    report_adapters(&mut view, "1", &["a1"], 0);
+    report_adapters(&mut view, "3", &["a1"], 0);
+    let demand = prompt("a1", 1);
+    for number in 0..20 {
+        view.request_sent(at(1), "1", Some(&prompt("a1", 10 + number)));
+    }
+    let build = upstream::BuildKey::new("llm", Some("v1"));
+    let service = service();
+    let place = |tried: &[sync::Arc<str>], build| {
+        let request = engine_choice::PlacedRequest {
+            service: &service,
+            demand: Some(&demand),
+            zone: "a",
+            tried,
+            build,
+        };
+        engine_choice::choose(at(2), &view, &request).map(|chosen| (chosen.id, chosen.build))
+    };
+    assert_eq!(place(&[], None).expect("an upstream").0, "3".into());
+    assert_eq!(place(&[], Some(build)), Some(("1".into(), build)));
+    assert_eq!(place(&["1".into(), "2".into()], Some(build)), None);
+    assert!(view.is_build_ready("llm", build));
+    for id in ["1", "2"] {
+        view.remove_upstream(id);
+    }
+    assert!(!view.is_build_ready("llm", build), "its version has left");
+}
--- a/coltsfoot-gateway/tests/fleet_fixture/mod.rs
+++ b/coltsfoot-gateway/tests/fleet_fixture/mod.rs
@@ -20,6 +20,7 @@
         id: id.into(),
         born_ms: Some(1),
         service: "llm".into(),
+        version: None,
         address: "10.0.0.1:1".parse().expect("an address"),
         zone: zone.into(),
         slots: 64,
@@ -89,6 +90,7 @@
         adapter_usage,
         engines: None,
         quota_usage: Vec::new(),
+        origins: Vec::new(),
     }
 }
 
@@ -159,6 +161,7 @@
         demand: Some(&demand),
         zone: "a",
         tried: &[],
+        build: None,
     };
     search.next_step(at(now), view, &request)
 }
--- a/coltsfoot-measure/src/burst/world.rs
+++ b/coltsfoot-measure/src/burst/world.rs
@@ -400,6 +400,7 @@
             demand: Some(&state.request.demand),
             zone: &instance.zone,
             tried: &[],
+            build: None,
         };
         state.search.next_step(at(now), &instance.view, &request)
     }
@@ -413,7 +414,8 @@
         let slot = view.upstream(id).expect("known");
         let needs_load = !view.has_usable_adapter(at(now), slot, key);
         let id = sync::Arc::clone(id);
-        let chosen = engine_choice::ChosenUpstream { id, expected_ms: 0.0, needs_load };
+        let chosen =
+            engine_choice::ChosenUpstream { id, expected_ms: 0.0, needs_load, build: slot.build };
         if now >= state.request.arrival_ms + TARGET_MS {
             return upstream_search::SearchStep::Refuse("late");
         }
--- a/coltsfoot-measure/src/fleet_model.rs
+++ b/coltsfoot-measure/src/fleet_model.rs
@@ -52,6 +52,7 @@
         adapter_usage: Vec::new(),
         engines: None,
         quota_usage: Vec::new(),
+        origins: Vec::new(),
     }
 }
 
@@ -61,6 +62,7 @@
         id: sync::Arc::clone(id),
         born_ms: Some(1),
         service: "llm".into(),
+        version: None,
         address: address(1),
         zone: zone.into(),
         slots: 64,
--- a/coltsfoot-wire/src/fleet.rs
+++ b/coltsfoot-wire/src/fleet.rs
@@ -85,6 +85,38 @@
     pub digest: u64,
 }
 
+/// The version of software that began a stream.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StreamOrigin {
+    /// Number of the stream.
+    pub stream: u64,
+    /// Number of the version.
+    pub build: u64,
+    /// Time since the stream's first event was forwarded, in milliseconds.
+    pub age_ms: u32,
+}
+
+/// Record of the store with streams of a zone.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct OriginBatch {
+    /// When the record was written, in milliseconds since the Unix epoch.
+    pub written_ms: u64,
+    /// The streams.
+    pub origins: Vec<StreamOrigin>,
+}
+
+impl OriginBatch {
+    /// Encodes the batch as one record.
+    pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
+        postcard::to_stdvec(self)
+    }
+
+    /// Decodes a record.
+    pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        postcard::from_bytes(bytes)
+    }
+}
+
 /// Periodic state of one instance.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct FleetHeartbeat {
@@ -129,6 +161,8 @@
     pub engines: Option<Vec<OwnedEngine>>,
     /// Quota usage of each customer.
     pub quota_usage: Vec<CustomerUsage>,
+    /// Recent streams that the sender began, while several versions of software serve.
+    pub origins: Vec<StreamOrigin>,
 }
 
 /// An instance of a zone, as the zone's relay lists it to other zones.
--- a/coltsfootd/src/event.rs
+++ b/coltsfootd/src/event.rs
@@ -133,6 +133,8 @@
     PART_CLEARED = 510, "part_cleared", Info;
     /// A request was refused for a quarantined part of its prompt.
     PART_REFUSED = 511, "part_refused", Info;
+    /// A caller takes a stream up; which software version began it, and whether it goes on.
+    STREAM_TAKEN_UP = 512, "stream_taken_up", Info;
 }
 
 /// Logs an event as `NAME: DETAILS`, with its number as a field.
--- a/coltsfootd/src/gateway/exchange.rs
+++ b/coltsfootd/src/gateway/exchange.rs
@@ -127,7 +127,9 @@
         let parts = self.fields.demand.as_ref().map(part_ledger::shared_keys);
         let parts = parts.unwrap_or_default();
         self.check_quarantine(&digest, &parts)?;
-        let service = route_table::pick_service(&granted.route, &request_id)
+        // A stream that is taken up stays at the service that began it.
+        let first_id = self.fields.resumes.as_deref().filter(|_| granted.route.is_resumable);
+        let service = route_table::pick_service(&granted.route, first_id.unwrap_or(&request_id))
             .and_then(|name| routes.service(&name).cloned())
             .ok_or(LocalReply::unavailable("no_service", upstream_search::RETRY_PAUSE))?;
         let timeout = self.fields.max_wait.unwrap_or(granted.route.timeout);
--- a/coltsfootd/src/gateway/fleet.rs
+++ b/coltsfootd/src/gateway/fleet.rs
@@ -10,7 +10,7 @@
 use coltsfoot_wire::fleet as wire;
 
 use crate::event;
-use crate::gateway::{crashes, engines, heartbeats, intake, news, parts, permits, state};
+use crate::gateway::{crashes, engines, heartbeats, intake, news, origins, parts, permits, state};
 
 /// Keyed topic in which instances register the addresses at which they receive messages.
 const INSTANCE_TOPIC: &str = "keyed.coltsfoot-instances";
@@ -131,6 +131,7 @@
     let now = state.now();
     let is_new = state.view().apply_heartbeat(now, heartbeat);
     state.controllers.touch(now, &heartbeat.adapter_usage);
+    origins::handle_heartbeat(state, heartbeat);
     if *heartbeat.zone == *state.settings.zone {
         state::lock(&state.zone_aggregator).record_usage(
             heartbeat.sender,
--- a/coltsfootd/src/gateway/follower.rs
+++ b/coltsfootd/src/gateway/follower.rs
@@ -113,7 +113,7 @@
                 self.next = None;
                 None
             }
-            Err(store::StoreError::Trimmed) => {
+            Err(store::StoreError::Trimmed(_)) => {
                 log::info!(event = event::HISTORY_TRIMMED.number, topic = self.topic; "history_trimmed");
                 self.next = None;
                 None
@@ -357,6 +357,7 @@
     position: wire::TopicPosition,
 ) -> bool {
     let (id, address) = (entry.id.to_string(), entry.address);
+    let build = entry.build().to_string();
     let is_ready = entry.state == upstream::UpstreamState::Ready;
     let mut view = state.view();
     let previous = view.upstream(&id).map(|slot| (slot.entry.born_ms, slot.entry.state));
@@ -375,7 +376,7 @@
     if has_changed {
         log::info!(
             event = event::UPSTREAM_CHANGED.number, upstream = id,
-            address = address.to_string(), ready = is_ready, new = is_new,
+            address = address.to_string(), ready = is_ready, new = is_new, build = build,
             offset = position.offset, read_age_ms = read_age_ms(state); "upstream_changed"
         );
         state.controllers.wake_all();
--- a/coltsfootd/src/gateway/forwarding.rs
+++ b/coltsfootd/src/gateway/forwarding.rs
@@ -5,13 +5,16 @@
 
 use async_net::TcpStream;
 use coltsfoot_gateway::{
-    attempt_plan, engine_choice, event_stream, failover_timer, limit_table, rules, upstream_search,
+    attempt_plan, engine_choice, event_stream, failover_timer, limit_table, rules, upstream,
+    upstream_search,
 };
 use coltsfoot_http::{body, header, message};
 use coltsfoot_wire::fleet as wire;
 
 use crate::event;
-use crate::gateway::{exchange, failover, loads, permits, request_log, state, upstream_attempt};
+use crate::gateway::{
+    exchange, failover, loads, origins, permits, request_log, state, upstream_attempt,
+};
 
 /// Maximum body size of a response that is not streamed, in bytes.
 pub(super) const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
@@ -47,6 +50,8 @@
     /// The engine that rejected the request for want of its adapter although it was listed as
     /// resident.
     pub(super) missing_adapter_at: Option<sync::Arc<str>>,
+    /// The only version of software that may go on with the response; `None` as long as any may.
+    pub(super) build: Option<upstream::BuildKey>,
     /// Whether a retry was withdrawn from the budget for an attempt that was not sent.
     has_reserved_retry: bool,
     /// The last 5xx response of an upstream, returned to the caller if no attempt succeeds.
@@ -70,6 +75,7 @@
             position: event_stream::StreamPosition::after(exchange.fields.last_event),
             is_response_started: false,
             missing_adapter_at: None,
+            build: None,
             has_reserved_retry: false,
             failed_response: None,
         }
@@ -91,6 +97,10 @@
 
     async fn run(&mut self) -> exchange::Outcome {
         self.state.deposit_retry(&self.admitted.service.name);
+        match origins::find_build(self.state, &self.exchange.fields, self.admitted).await {
+            Ok(build) => self.build = build,
+            Err(refusal) => return self.give_up(refusal),
+        }
         let mut next = None;
         loop {
             let progress = match next.take() {
@@ -237,6 +247,7 @@
             demand: self.admitted.demand.as_ref(),
             zone: &self.state.settings.zone,
             tried,
+            build: self.build,
         }
     }
 
--- a/coltsfootd/src/gateway/heartbeats.rs
+++ b/coltsfootd/src/gateway/heartbeats.rs
@@ -11,7 +11,7 @@
 use coltsfoot_wire::fleet as wire;
 use rustc_hash::{FxHashMap, FxHashSet};
 
-use crate::gateway::{fleet, state};
+use crate::gateway::{fleet, origins, state};
 
 /// Every how many heartbeats the full list of owned engines is included.
 const HEARTBEATS_PER_ENGINE_LIST: u64 = 4;
@@ -114,6 +114,7 @@
     addresses: impl IntoIterator<Item = net::SocketAddr>,
 ) {
     heartbeat.interval_ms = u32::try_from(interval.as_millis()).unwrap_or(u32::MAX);
+    heartbeat.origins = origins::to_share(state, interval);
     fleet::send(state, addresses, &wire::FleetMessage::Heartbeat(heartbeat.clone()));
 }
 
@@ -174,6 +175,7 @@
         adapter_usage,
         engines,
         quota_usage,
+        origins: Vec::new(),
     }
 }
 
--- a/coltsfootd/src/gateway/mod.rs
+++ b/coltsfootd/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod loads;
 mod metrics;
 mod news;
+mod origins;
 mod parts;
 mod pending_calls;
 mod permits;
--- a/coltsfootd/src/gateway/relay.rs
+++ b/coltsfootd/src/gateway/relay.rs
@@ -2,14 +2,14 @@
 
 use std::sync;
 
-use coltsfoot_gateway::{engine_choice, event_stream, failover_timer};
+use coltsfoot_gateway::{engine_choice, event_stream, failover_timer, upstream};
 use coltsfoot_http::{body, header};
 use coltsfoot_types::time as instant;
 use futures_lite::AsyncWriteExt as _;
 use site_platform::fields;
 use smallvec::SmallVec;
 
-use crate::gateway::{attempt, exchange, failover, forwarding, state, upstream_attempt};
+use crate::gateway::{attempt, exchange, failover, forwarding, origins, state, upstream_attempt};
 
 /// Complete events that arrived together.
 type EventBatch = SmallVec<[event_stream::StreamEvent; 2]>;
@@ -69,6 +69,9 @@
                 }
             }
             self.log.events = self.position.forwarded();
+            if !output.is_empty() {
+                self.keep_build(attempt.chosen.build);
+            }
             if !output.is_empty() && !self.write_events(&response.head, &output).await {
                 let outcome = exchange::Outcome::Aborted("caller_gone");
                 return forwarding::AttemptProgress::Done(outcome);
@@ -124,6 +127,14 @@
         }
     }
 
+    /// Binds the response to the version whose events the caller gets.
+    fn keep_build(&mut self, build: upstream::BuildKey) {
+        if !self.is_response_started {
+            self.build = Some(build);
+            origins::record_begin(self.state, &self.exchange.fields, self.admitted, build);
+        }
+    }
+
     fn record_first_event_time(
         &mut self,
         chosen: &engine_choice::ChosenUpstream,
--- a/coltsfootd/src/gateway/run.rs
+++ b/coltsfootd/src/gateway/run.rs
@@ -7,13 +7,13 @@
 use std::time;
 
 use async_net::TcpListener;
-use coltsfoot_gateway::{order_lease, outage_tracker, stop_plan, topic_replica};
+use coltsfoot_gateway::{order_lease, origin_ledger, outage_tracker, stop_plan, topic_replica};
 use coltsfoot_http::pool;
 use site_platform::{entry, rules, settings, store};
 
 use crate::gateway::{
-    callers, crashes, engines, fleet, follower, heartbeats, lease, metrics, news, pending_calls,
-    permits, reload, state, stop,
+    callers, crashes, engines, fleet, follower, heartbeats, lease, metrics, news, origins,
+    pending_calls, permits, reload, state, stop,
 };
 use crate::{clock, event, metrics as registry};
 
@@ -130,6 +130,7 @@
     executor.spawn(fleet::resend_known(sync::Arc::clone(&state))).detach();
     executor.spawn(lease::maintain(sync::Arc::clone(&state))).detach();
     executor.spawn(engines::poll_stale_engines(sync::Arc::clone(&state))).detach();
+    executor.spawn(origins::maintain(sync::Arc::clone(&state))).detach();
     executor.spawn(reload::watch(sync::Arc::clone(&state))).detach();
     wait_for_stop(&state, &signals).await;
     pass_stop_phases(&state).await;
@@ -180,13 +181,15 @@
     let fleet_socket =
         bound.map_err(|source| GatewayError::Listen { purpose: "instances", address, source })?;
     let pool = sync::Arc::new(pool::ConnectionPool::default());
+    let clock = clock::RuntimeClock::since_boot();
     let lease_settings = order_lease::LeaseSettings {
         validity: lease::VALIDITY,
         separation: settings.bounds.order_separation,
         thaw_pause: settings.bounds.thaw_pause,
     };
     Ok(sync::Arc::new(state::GatewayState {
-        clock: clock::RuntimeClock::since_boot(),
+        origins: sync::Mutex::new(origin_ledger::OriginLedger::new(clock.now())),
+        clock,
         incarnation: rand::random(),
         executor,
         metrics: metrics::GatewayMetrics::new()?,
@@ -202,6 +205,7 @@
         permits: permits::PermitState::default(),
         crashes: crashes::CrashState::default(),
         parts: sync::Mutex::default(),
+        origin_reader: async_lock::Mutex::default(),
         fleet_socket,
         operator_read_at: sync::Mutex::default(),
         upstreams_read_at: sync::Mutex::default(),
--- a/coltsfootd/src/gateway/state.rs
+++ b/coltsfootd/src/gateway/state.rs
@@ -2,10 +2,11 @@
 
 use std::net;
 use std::sync;
+use std::time;
 
 use coltsfoot_gateway::{
-    fleet_view, order_lease, outage_tracker, part_ledger, quota_ledger, reader_selection,
-    rendezvous, route_table, rules, stop_plan, topic_replica, zone_relay,
+    fleet_view, order_lease, origin_ledger, outage_tracker, part_ledger, quota_ledger,
+    reader_selection, rendezvous, route_table, rules, stop_plan, topic_replica, zone_relay,
 };
 use coltsfoot_http::pool;
 use coltsfoot_once::retry_budget;
@@ -14,12 +15,15 @@
 use rustc_hash::FxHashMap;
 use site_platform::{settings, store};
 
-use crate::gateway::{crashes, engines, follower, metrics, pending_calls, permits, stop};
+use crate::gateway::{crashes, engines, follower, metrics, origins, pending_calls, permits, stop};
 use crate::{clock, event};
 
 /// Fraction of the fleet's retry budget that is used, so that the bound holds while some instances
 /// do not know of each other.
 const RETRY_SHARE_USED: f64 = 0.8;
+/// Bounds of the time for which it is remembered which version began a stream.
+const MIN_TAKE_UP_WINDOW: time::Duration = time::Duration::from_secs(10);
+const MAX_TAKE_UP_WINDOW: time::Duration = time::Duration::from_secs(60);
 /// Minimum number of instances that the reserve of the retry budget is divided among.
 const MIN_BUDGET_INSTANCES: usize = 6;
 
@@ -46,6 +50,9 @@
     pub crashes: crashes::CrashState,
     /// Prompt parts that crash engines.
     pub parts: sync::Mutex<part_ledger::PartLedger>,
+    /// Versions of software that began streams.
+    pub origins: sync::Mutex<origin_ledger::OriginLedger>,
+    pub origin_reader: async_lock::Mutex<origins::OriginReader>,
     pub fleet_socket: async_io::Async<net::UdpSocket>,
     /// Time of the last successful read of the operator's records and of the upstreams' entries.
     pub operator_read_at: sync::Mutex<Option<instant::MonotonicTime>>,
@@ -93,6 +100,11 @@
         lock(&self.parts)
     }
 
+    /// Locks the ledger of the versions that began streams.
+    pub fn origin_ledger(&self) -> sync::MutexGuard<'_, origin_ledger::OriginLedger> {
+        lock(&self.origins)
+    }
+
     /// Locks the lease on this instance's partitions.
     pub fn lease(&self) -> sync::MutexGuard<'_, order_lease::OrderLease> {
         lock(&self.lease)
@@ -212,6 +224,7 @@
             return false;
         }
         let now = self.now();
+        self.origin_ledger().set_window(take_up_window(&rules));
         {
             let mut quota = lock(&self.quota);
             for customer in &rules.customers {
@@ -232,6 +245,14 @@
     }
 }
 
+/// Returns the longest time from the first event of a stream until its caller takes it up: two attempts, each
+/// up to its route's timeout.
+fn take_up_window(rules: &rules::GatewayRules) -> time::Duration {
+    let resumable = rules.routes.iter().filter(|route| route.is_resumable);
+    let longest = resumable.map(|route| route.timeout).max().unwrap_or_default();
+    (longest * 2).clamp(MIN_TAKE_UP_WINDOW, MAX_TAKE_UP_WINDOW)
+}
+
 /// Locks a mutex, also one poisoned by a panic in another task.
 pub(crate) fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
