Take a success without framing whose body never begins for broken off

An operator of a system like ours reported that an engine stopped in its answer's head, and callers got a 200 with an empty body, framed as whole. Each cut of a response was tried, with a close and a reset, with a length, chunks and neither, on plain and streaming routes. Heads that are cut are errors here.

--- a/coltsfoot-http/src/body.rs
+++ b/coltsfoot-http/src/body.rs
@@ -33,6 +33,9 @@
     Trailer,
     /// The body ends when its sender closes the connection.
     UntilClose,
+    /// The same for a body of which nothing has arrived: without a byte of it, nothing tells a complete
+    /// response from one that broke off.
+    NonEmptyUntilClose,
 }
 
 impl BodyFraming {
@@ -47,7 +50,11 @@
         if has_no_body {
             return Ok(Self::Done);
         }
-        Ok(declared_framing(&head.headers)?.unwrap_or(Self::UntilClose))
+        let until_close = match head.status {
+            200..=299 => Self::NonEmptyUntilClose,
+            _ => Self::UntilClose,
+        };
+        Ok(declared_framing(&head.headers)?.unwrap_or(until_close))
     }
 }
 
--- a/coltsfoot-http/src/message.rs
+++ b/coltsfoot-http/src/message.rs
@@ -232,6 +232,12 @@
                         *framing = body::BodyFraming::Done;
                     }
                 }
+                body::BodyFraming::NonEmptyUntilClose => {
+                    if self.buffer.is_empty() && self.fill_and_yield().await? == 0 {
+                        return Err(ReadError::Closed);
+                    }
+                    *framing = body::BodyFraming::UntilClose;
+                }
                 body::BodyFraming::UntilClose => {
                     if self.buffer.is_empty() && self.fill_and_yield().await? == 0 {
                         *framing = body::BodyFraming::Done;
--- a/coltsfoot-http/tests/framing.rs
+++ b/coltsfoot-http/tests/framing.rs
@@ -38,7 +38,8 @@
 }
 
 #[rstest]
-#[case::no_length(200, "GET", &[], BodyFraming::UntilClose)]
+#[case::no_length(200, "GET", &[], BodyFraming::NonEmptyUntilClose)]
+#[case::failure_without_length(500, "GET", &[], BodyFraming::UntilClose)]
 #[case::to_head(200, "HEAD", &[("Content-Length", "9")], BodyFraming::Done)]
 #[case::no_content(204, "GET", &[], BodyFraming::Done)]
 #[case::sized(503, "POST", &[("Content-Length", "9")], BodyFraming::Sized(9))]
--- a/coltsfootd/src/gateway/forwarding.rs
+++ b/coltsfootd/src/gateway/forwarding.rs
@@ -384,7 +384,7 @@
         };
         response.framing = match framing {
             // The body was delimited by the end of the connection, which can't be reused.
-            body::BodyFraming::UntilClose => body::BodyFraming::UntilClose,
+            body::BodyFraming::UntilClose | body::BodyFraming::NonEmptyUntilClose => framing,
             _ => body::BodyFraming::Done,
         };
         let head = response.head.clone();
