Refuse in a planned stop what may not be repeated and would be cut

An operator of a system like ours reported that requests which came late in a planned stop were passed on and cut at the end of the grace. An instance serves for 2.5 s of a stop and ends 7.5 s after its beginning, while a long stream at a slow engine takes 12 s.

The duration of requests that may not be repeated is estimated by route and tokens of output. In a stop, one that probably takes longer than what is left is refused as not run, before and after the wait for an adapter, and told to come back once the load balancer has noticed.

--- a/coltsfoot-gateway/src/lib.rs
+++ b/coltsfoot-gateway/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod availability_table;
 pub mod crash_ledger;
 pub mod demand;
+pub mod duration_estimate;
 pub mod engine_choice;
 pub mod engine_controller;
 pub mod engine_order;
--- a/coltsfoot-gateway/src/stop_plan.rs
+++ b/coltsfoot-gateway/src/stop_plan.rs
@@ -51,6 +51,29 @@
         self.phase
     }
 
+    /// Returns when new requests begin to be refused.
+    pub fn closes_at(&self) -> instant::MonotonicTime {
+        self.started + self.serving_time
+    }
+
+    /// Returns when the process ends at the latest.
+    pub fn ends_at(&self) -> instant::MonotonicTime {
+        self.started + self.max_time
+    }
+
+    /// Returns whether a request whose caller waits until `deadline` may be begun: one that may not be
+    /// repeated only if it probably ends before the process. `expected` is its expected duration.
+    pub fn may_begin(
+        &self,
+        now: instant::MonotonicTime,
+        deadline: instant::MonotonicTime,
+        may_retry: bool,
+        expected: Option<time::Duration>,
+    ) -> bool {
+        let end = expected.map_or(now, |expected| now + expected);
+        may_retry || end.min(deadline) <= self.ends_at()
+    }
+
     /// Enters the next phase if it is due; `open_sockets` counts connections of callers and their
     /// listener. One phase at a time: after a pause of the process, callers that waited meanwhile are
     /// still refused before the end.
--- a/coltsfoot-gateway/tests/stops.rs
+++ b/coltsfoot-gateway/tests/stops.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use coltsfoot_gateway::duration_estimate::DurationEstimate;
 use coltsfoot_gateway::idle_connection::IdleConnection;
 use coltsfoot_gateway::stop_plan::{StopPhase, StopPlan};
 use coltsfoot_types::time as clock;
@@ -83,3 +84,40 @@
     let left = idle.time_left(at(idle_ms), time::Duration::from_millis(limit_ms));
     assert_eq!(left, time::Duration::from_millis(left_ms));
 }
+
+/// Load pattern: a stop with 7.5 s for what runs, and requests at different moments of it.
+#[rstest]
+#[case::fits(1000, 15_000, false, Some(6000), true)]
+#[case::does_not_fit(2000, 15_000, false, Some(6000), false)]
+#[case::deadline_comes_first(2000, 7000, false, Some(6000), true)]
+#[case::may_be_repeated(2000, 15_000, true, Some(6000), true)]
+#[case::nothing_is_known(2000, 15_000, false, None, true)]
+fn request_is_begun_in_a_stop_only_if_it_can_end(
+    #[case] now: u64,
+    #[case] deadline: u64,
+    #[case] may_retry: bool,
+    #[case] expected_ms: Option<u64>,
+    #[case] may_begin: bool,
+) {
+    let plan = StopPlan::begin(at(0), time::Duration::from_secs(8));
+    assert_eq!((plan.closes_at(), plan.ends_at()), (at(2500), at(7500)));
+    let expected = expected_ms.map(time::Duration::from_millis);
+    assert_eq!(plan.may_begin(at(now), at(deadline), may_retry, expected), may_begin);
+}
+
+/// Load pattern: streams of 20 to 200 tokens at engines of two speeds, then all slow down.
+#[test]
+fn expected_duration_follows_the_work_and_the_speed() {
+    let mut estimate = DurationEstimate::default();
+    assert_eq!(estimate.expected(100), None);
+    let mut record = |round: u64, ms_per_token: u64| {
+        let work = 20 + (round * 37 % 180) as u32;
+        estimate.record(time::Duration::from_millis(ms_per_token * u64::from(work)), work);
+        estimate.expected(100).expect("known")
+    };
+    let mixed: Vec<_> = (0..200).map(|round| record(round, 6 + round % 2 * 4)).collect();
+    let steady = &mixed[50..];
+    assert!(steady.iter().all(|expected| (1000..1400).contains(&expected.as_millis())));
+    let slow: Vec<_> = (0..20).map(|round| record(round, 30)).collect();
+    assert!(slow[10..].iter().all(|expected| expected.as_millis() >= 2800), "{slow:?}");
+}
--- a/coltsfootd/src/gateway/exchange.rs
+++ b/coltsfootd/src/gateway/exchange.rs
@@ -94,6 +94,10 @@
                 let outcome = forwarding.run_until_deadline().await;
                 let may_have_run = forwarding.plan.may_have_run();
                 admitted.settle_quota(self.state, &outcome, may_have_run);
+                let has_response = matches!(outcome, Outcome::Buffered(..) | Outcome::Streamed);
+                if has_response && !admitted.route.may_retry() {
+                    admitted.record_duration(self.state, self.received);
+                }
                 outcome
             }
         };
@@ -175,6 +179,21 @@
         Err(LocalReply::unavailable("part_quarantined", time_left))
     }
 
+    /// Refuses a request that may not be repeated and would probably be cut by the end of this process.
+    /// Its caller is served elsewhere once the load balancer has noticed the stop.
+    pub(super) fn check_stop(&self, admitted: &AdmittedRequest) -> Result<(), LocalReply> {
+        let Some(plan) = self.state.stop.plan() else { return Ok(()) };
+        let now = self.state.now();
+        let expected = state::lock(&self.state.durations)
+            .get(&admitted.route.name)
+            .and_then(|estimate| estimate.expected(admitted.work()));
+        if plan.may_begin(now, admitted.deadline, admitted.route.may_retry(), expected) {
+            return Ok(());
+        }
+        let wait = plan.closes_at().since(now).max(upstream_search::RETRY_PAUSE);
+        Err(LocalReply::unavailable("stop_too_short", wait))
+    }
+
     /// Returns whether [`CallerExchange::check_quarantine`] would refuse an admitted request.
     pub(super) fn is_quarantined(&self, admitted: &AdmittedRequest) -> bool {
         let now = self.state.now();
@@ -276,6 +295,18 @@
         }
     }
 
+    /// Returns the units of work by which its duration is estimated: tokens of output of a prompt.
+    fn work(&self) -> u32 {
+        self.demand.as_ref().map_or(1, |demand| demand.max_output_tokens)
+    }
+
+    /// Records how long the request took.
+    fn record_duration(&self, state: &state::GatewayState, received: instant::MonotonicTime) {
+        let mut durations = state::lock(&state.durations);
+        let estimate = durations.entry(sync::Arc::clone(&self.route.name)).or_default();
+        estimate.record(state.now().since(received), self.work());
+    }
+
     pub(super) fn urgency(&self) -> u8 {
         rules::urgency(&self.route, self.customer.as_deref())
     }
--- a/coltsfootd/src/gateway/forwarding.rs
+++ b/coltsfootd/src/gateway/forwarding.rs
@@ -125,10 +125,13 @@
 
     /// Sends the request to the upstream that is expected to serve it first.
     async fn start_attempt(&mut self) -> Result<AttemptProgress<'b>, exchange::LocalReply> {
+        self.exchange.check_stop(self.admitted)?;
         let target = self.admitted.route.target_latency;
         let search = upstream_search::UpstreamSearch::new(self.exchange.received, target);
         let chosen = self.search_upstream(search).await?;
         self.exchange.check_quarantine(&self.admitted.digest, &self.admitted.parts)?;
+        // The search may have waited for an adapter.
+        self.exchange.check_stop(self.admitted)?;
         Ok(match self.locate(&chosen.id) {
             Ok(endpoint) => {
                 AttemptProgress::Next(AttemptStage::Pending(Box::new(self.send(chosen, endpoint))))
--- a/coltsfootd/src/gateway/run.rs
+++ b/coltsfootd/src/gateway/run.rs
@@ -153,7 +153,7 @@
 /// engines if the process restarts; otherwise it expires.
 async fn pass_stop_phases(state: &state::GatewayState) {
     let mut plan = stop_plan::StopPlan::begin(state.now(), state.bounds.load().stop_grace);
-    state.stop.enter(plan.phase());
+    state.stop.begin(plan);
     log::info!(event = event::DRAINING.number; "draining");
     while plan.phase() != stop_plan::StopPhase::Ended {
         async_io::Timer::after(STOP_CHECK_INTERVAL).await;
@@ -199,6 +199,7 @@
         view: sync::Mutex::default(),
         quota: sync::Mutex::default(),
         retries: sync::Mutex::default(),
+        durations: sync::Mutex::default(),
         lease: sync::Mutex::new(order_lease::OrderLease::new(lease_settings)),
         controllers: engines::ControllerTable::default(),
         loads: pending_calls::PendingCalls::default(),
--- a/coltsfootd/src/gateway/state.rs
+++ b/coltsfootd/src/gateway/state.rs
@@ -5,8 +5,9 @@
 use std::time;
 
 use coltsfoot_gateway::{
-    fleet_view, order_lease, origin_ledger, outage_tracker, part_ledger, quota_ledger,
-    reader_selection, rendezvous, route_table, rules, stop_plan, topic_replica, zone_relay,
+    duration_estimate, fleet_view, order_lease, origin_ledger, outage_tracker, part_ledger,
+    quota_ledger, reader_selection, rendezvous, route_table, rules, stop_plan, topic_replica,
+    zone_relay,
 };
 use coltsfoot_http::pool;
 use coltsfoot_once::retry_budget;
@@ -43,6 +44,8 @@
     pub view: sync::Mutex<fleet_view::FleetView>,
     pub quota: sync::Mutex<quota_ledger::QuotaLedger>,
     pub retries: sync::Mutex<FxHashMap<sync::Arc<str>, retry_budget::RetryBudget>>,
+    /// Durations of requests that may not be repeated, by route.
+    pub durations: sync::Mutex<FxHashMap<sync::Arc<str>, duration_estimate::DurationEstimate>>,
     pub lease: sync::Mutex<order_lease::OrderLease>,
     pub controllers: engines::ControllerTable,
     pub loads: pending_calls::PendingCalls<fleet::LoadDecision>,
--- a/coltsfootd/src/gateway/stop.rs
+++ b/coltsfootd/src/gateway/stop.rs
@@ -11,6 +11,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct StopState {
     phase: sync::Mutex<stop_plan::StopPhase>,
+    /// The stop, once it has begun.
+    plan: sync::OnceLock<stop_plan::StopPlan>,
     phase_entered: event_listener::Event,
     /// Requests from their first byte until their response is delivered.
     pub requests: OpenCounter,
@@ -24,6 +26,18 @@
         *state::lock(&self.phase)
     }
 
+    /// Begins a stop.
+    pub fn begin(&self, plan: stop_plan::StopPlan) {
+        // A process stops once.
+        let plan = self.plan.get_or_init(|| plan);
+        self.enter(plan.phase());
+    }
+
+    /// Returns the stop as it began, `None` if none has.
+    pub fn plan(&self) -> Option<&stop_plan::StopPlan> {
+        self.plan.get()
+    }
+
     /// Enters a phase.
     pub fn enter(&self, phase: stop_plan::StopPhase) {
         *state::lock(&self.phase) = phase;
