Bound what instances tell and record of streams, and what a take-up waits for the store

A heartbeat tells of 1,024 streams at most, so that it fits a datagram, and a record holds 4,096. A read of the records ends after 0.5 s and isn't repeated for 1.5 s after a failure, as take-ups wait for it one after another and refused calls are charged; so are failed records. A read that finds the store restored is repeated from the beginning.

--- a/coltsfoot-gateway/src/origin_ledger.rs
+++ b/coltsfoot-gateway/src/origin_ledger.rs
@@ -18,6 +18,10 @@
 const DEFAULT_WINDOW: time::Duration = time::Duration::from_secs(30);
 /// Maximum number of streams that are remembered.
 const MAX_ORIGINS: usize = 16_384;
+/// Maximum number of streams that are told at once: a heartbeat has to fit a datagram.
+const MAX_SHARED: usize = 1024;
+/// Maximum number of streams in a record of the store.
+const MAX_RECORDED: usize = 4096;
 /// Time after which the instance of the zone that records streams counts as having recorded one.
 const WRITER_SILENCE: time::Duration = time::Duration::from_secs(3);
 
@@ -222,15 +226,17 @@
     }
 
     /// Returns the streams that this instance tells others: those that it began in the last `period`, all
-    /// when several versions have begun to serve since, and none while there is only one.
+    /// when several versions have begun to serve since, and none while there is only one. If there are many,
+    /// the newest are told.
     pub fn to_share(&self, now: clock::MonotonicTime, period: time::Duration) -> Vec<StreamOrigin> {
         let Some(mixed_since) = self.mixed_since else { return Vec::new() };
         let shares_all = now.since(mixed_since) < period;
         let newest = self.own.iter().rev();
-        newest.take_while(|origin| shares_all || now.since(origin.at) < period).copied().collect()
+        let shared = newest.take_while(|origin| shares_all || now.since(origin.at) < period);
+        shared.take(MAX_SHARED).copied().collect()
     }
 
-    /// Returns the streams to record in the store, if this instance is the one of its zone that does so.
+    /// Returns the next streams to record in the store, if this instance is the one of its zone that does so.
     /// The others keep what that one may not have recorded, should it be gone.
     pub fn take_unwritten(
         &mut self,
@@ -238,7 +244,8 @@
         is_writer: bool,
     ) -> Vec<StreamOrigin> {
         if is_writer {
-            return self.unwritten.drain(..).collect();
+            let count = self.unwritten.len().min(MAX_RECORDED);
+            return self.unwritten.drain(..count).collect();
         }
         self.unwritten.retain(|origin| now.since(origin.at) < WRITER_SILENCE);
         Vec::new()
--- a/coltsfoot-gateway/tests/origins.rs
+++ b/coltsfoot-gateway/tests/origins.rs
@@ -174,7 +174,10 @@
     }
     assert_eq!(verdict(&ledger, 400, 39_999), OriginVerdict::Build(build("v1")));
     assert_eq!(verdict(&ledger, 400, 0), OriginVerdict::Unknown, "the oldest go first");
-    assert!(ledger.to_share(at(400), time::Duration::from_secs(9)).len() <= 16_384 + 1);
+    let shared = ledger.to_share(at(400), time::Duration::from_secs(9));
+    assert_eq!((shared.len(), shared[0]), (1024, origin(39_999, "v1", 399)), "the newest");
+    let written = [(); 6].map(|()| ledger.take_unwritten(at(400), true).len());
+    assert!(written.iter().all(|count| *count <= 4096) && written[5] == 0, "{written:?}");
 }
 
 /// Replays a minute of streams at six instances, two versions of which serve; heartbeats are lost, and
--- a/coltsfootd/src/gateway/follower.rs
+++ b/coltsfootd/src/gateway/follower.rs
@@ -132,9 +132,7 @@
             }
         }
     }
-}
 
-impl TopicFollower {
     fn log_restored(&self, last_era: Option<u64>) {
         log::warn!(
             event = event::STORE_RESTORED.number, topic = self.topic, last_era = last_era,
--- a/coltsfootd/src/gateway/origins.rs
+++ b/coltsfootd/src/gateway/origins.rs
@@ -7,9 +7,11 @@
 use coltsfoot_gateway::origin_ledger::{OriginSource, OriginVerdict, StreamKey, StreamOrigin};
 use coltsfoot_gateway::upstream::BuildKey;
 use coltsfoot_gateway::{rules, upstream_search};
+use coltsfoot_http::message;
 use coltsfoot_types::time as instant;
 use coltsfoot_wire::fleet as wire;
 use jiff::Timestamp;
+use site_platform::store::StoreError;
 use site_platform::{fields, store};
 
 use crate::event;
@@ -19,15 +21,26 @@
 const ORIGIN_TOPIC: &str = "coltsfoot-stream-origins";
 /// Interval between records of a zone's streams.
 const WRITE_INTERVAL: time::Duration = time::Duration::from_millis(300);
+/// Time limit of a read, as a caller waits for it.
+const READ_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+/// Pause after a failed read or record, as refused calls are charged too.
+const RETRY_INTERVAL: time::Duration = time::Duration::from_millis(1500);
 /// Maximum number of records that are read at a start: a minute's, of five zones.
 const MAX_HISTORY: u64 = 1024;
 
+/// Number of heartbeats that tell of a stream.
+const HEARTBEATS_PER_ORIGIN: u32 = 3;
+/// Bytes of a caller's id that are logged.
+const MAX_LOGGED_ID: usize = 64;
+
 /// Progress of reading other instances' records.
 #[derive(Debug, Default)]
 pub(crate) struct OriginReader {
     next: Option<wire::TopicPosition>,
     /// When the last successful read was sent.
     read_at: Option<instant::MonotonicTime>,
+    /// When the last read failed.
+    failed_at: Option<instant::MonotonicTime>,
 }
 
 /// Returns the stream that a caller takes up, `None` if it names none.
@@ -98,9 +111,6 @@
     }
 }
 
-/// Bytes of a caller's id that are logged.
-const MAX_LOGGED_ID: usize = 64;
-
 fn find_verdict(
     state: &state::GatewayState,
     service: &rules::ServiceRule,
@@ -116,24 +126,29 @@
     state.origin_ledger().see_builds(now, builds);
 }
 
-/// Reads what other instances have recorded, unless a read that was sent at `needed_at` or later has done so.
+/// Reads what other instances have recorded, unless a read that was sent at `needed_at` or later has done so, or
+/// one has failed just before.
 async fn read_history(state: &state::GatewayState, needed_at: instant::MonotonicTime) {
     let mut reader = state.origin_reader.lock().await;
-    if reader.read_at.is_some_and(|read_at| read_at >= needed_at) {
+    let sent = state.now();
+    let has_failed = reader.failed_at.is_some_and(|failed| sent.since(failed) < RETRY_INTERVAL);
+    if has_failed || reader.read_at.is_some_and(|read_at| read_at >= needed_at) {
         return;
     }
-    let sent = state.now();
-    match state.store.read_log(ORIGIN_TOPIC, reader.next, MAX_HISTORY).await {
+    let mut read = read_log(state, reader.next).await;
+    if reader.next.is_some()
+        && matches!(read, Err(ReadError::Store(StoreError::Restored(_) | StoreError::Trimmed(_))))
+    {
+        read = read_log(state, None).await;
+    }
+    match read {
         Ok(read) => {
-            reader.next = read.next;
-            reader.read_at = Some(sent);
+            *reader = OriginReader { next: read.next, read_at: Some(sent), failed_at: None };
             read.records.iter().for_each(|record| apply_record(state, record));
             state.origin_ledger().history_read();
         }
         Err(error) => {
-            if matches!(error, store::StoreError::Restored(_) | store::StoreError::Trimmed(_)) {
-                reader.next = None;
-            }
+            reader.failed_at = Some(sent);
             log::warn!(
                 event = event::LOG_UNREACHABLE.number, topic = ORIGIN_TOPIC;
                 "could not read which versions began streams: {error}"
@@ -142,6 +157,23 @@
     }
 }
 
+/// Failure to read what other instances have recorded.
+#[derive(Debug, thiserror::Error)]
+enum ReadError {
+    #[error(transparent)]
+    Store(#[from] StoreError),
+    #[error("no response within {READ_TIMEOUT:?}; look at the store")]
+    TimedOut,
+}
+
+async fn read_log(
+    state: &state::GatewayState,
+    from: Option<wire::TopicPosition>,
+) -> Result<store::LogRecords, ReadError> {
+    let read = state.store.read_log(ORIGIN_TOPIC, from, MAX_HISTORY);
+    Ok(message::with_timeout(READ_TIMEOUT, read).await.ok_or(ReadError::TimedOut)??)
+}
+
 fn apply_record(state: &state::GatewayState, record: &[u8]) {
     match wire::OriginBatch::decode(record) {
         Ok(batch) => {
@@ -199,9 +231,6 @@
     origins.into_iter().map(|origin| encode(now, origin)).collect()
 }
 
-/// Number of heartbeats that tell of a stream.
-const HEARTBEATS_PER_ORIGIN: u32 = 3;
-
 fn encode(now: instant::MonotonicTime, origin: StreamOrigin) -> wire::StreamOrigin {
     wire::StreamOrigin {
         stream: origin.stream.0,
@@ -220,29 +249,32 @@
         if !has_history {
             read_history(&state, now).await;
         }
-        write_origins(&state).await;
-        async_io::Timer::after(WRITE_INTERVAL).await;
+        let is_written = write_origins(&state).await;
+        let pause = if is_written { WRITE_INTERVAL } else { RETRY_INTERVAL };
+        async_io::Timer::after(pause).await;
     }
 }
 
-async fn write_origins(state: &state::GatewayState) {
+/// Records the streams of the zone if this instance is the one that does so; returns false if that failed.
+async fn write_origins(state: &state::GatewayState) -> bool {
     let now = state.now();
     let is_writer = state.view().is_relay(now, &state.settings.zone, state.own_member());
     let origins = state.origin_ledger().take_unwritten(now, is_writer);
     if origins.is_empty() {
-        return;
+        return true;
     }
     let encoded = origins.iter().map(|origin| encode(now, *origin)).collect();
     let batch = wire::OriginBatch { written_ms: unix_ms(), origins: encoded };
     let written = match batch.encode() {
         Ok(record) => state.store.append_log(ORIGIN_TOPIC, &record).await,
-        Err(_) => Err(store::StoreError::Malformed("streams")),
+        Err(_) => Err(StoreError::Malformed("streams")),
     };
-    if let Err(error) = written {
+    if let Err(error) = &written {
         log::warn!(
             event = event::LOG_UNREACHABLE.number, topic = ORIGIN_TOPIC, streams = origins.len();
             "could not record which versions began streams, retrying: {error}"
         );
         state.origin_ledger().write_failed(origins);
     }
+    written.is_ok()
 }
