--- a/coltsfootd/src/gateway/origins.rs
+++ b/coltsfootd/src/gateway/origins.rs
@@ -86,7 +86,8 @@
     let stream = stream_key(fields, admitted.customer.as_deref());
     let mut verdict = find_verdict(state, &admitted.service, stream);
     if verdict == OriginVerdict::Unknown {
-        read_history(state, state.now()).await;
+        // Boxed, as few requests need it and all would hold the space.
+        Box::pin(read_history(state, state.now())).await;
         verdict = find_verdict(state, &admitted.service, stream);
     }
     let (build, refusal) = match verdict {
