--- a/coltsfoot-gateway/src/outage_tracker.rs
+++ b/coltsfoot-gateway/src/outage_tracker.rs
@@ -64,7 +64,8 @@
         self.grace_end = Some(read_at + RECOVERY_GRACE);
     }
 
-    /// Returns when entries that are missing since an outage or a restore count as gone; `now` if there was none.
+    /// Returns when entries that are missing since an outage or a restore count as gone; `now` if there was
+    /// none.
     pub fn remove_at(&self, now: clock::MonotonicTime) -> clock::MonotonicTime {
         self.grace_end.map_or(now, |end| end.max(now))
     }
--- a/coltsfootd/src/gateway/follower.rs
+++ b/coltsfootd/src/gateway/follower.rs
@@ -337,7 +337,8 @@
         if state.view().upstream(&record.key).is_some() {
             log::info!(
                 event = event::UPSTREAM_MISSING.number, upstream = record.key.as_str(),
-                offset = record.position.offset, grace_ms = remove_at.since(state.now()).as_millis() as u64;
+                offset = record.position.offset,
+                grace_ms = remove_at.since(state.now()).as_millis() as u64;
                 "upstream_missing"
             );
         }
--- a/coltsfootd/src/gateway/lease.rs
+++ b/coltsfootd/src/gateway/lease.rs
@@ -88,7 +88,8 @@
                     state.lease().renew(sent, now, share.generation, &share.partitions);
                 if has_changed || !is_reachable {
                     log::info!(
-                        event = event::LEASE_CHANGED.number, era = share.generation.era, generation = share.generation.number,
+                        event = event::LEASE_CHANGED.number, era = share.generation.era,
+                        generation = share.generation.number,
                         partitions = share.partitions.len(); "lease_changed"
                     );
                 }
--- a/coltsfootd/src/gateway/origins.rs
+++ b/coltsfootd/src/gateway/origins.rs
@@ -127,8 +127,8 @@
     state.origin_ledger().see_builds(now, builds);
 }
 
-/// Reads what other instances have recorded, unless a read that was sent at `needed_at` or later has done so, or
-/// one has failed just before.
+/// Reads what other instances have recorded, unless a read that was sent at `needed_at` or later has done so,
+/// or one has failed just before.
 async fn read_history(state: &state::GatewayState, needed_at: instant::MonotonicTime) {
     let mut reader = state.origin_reader.lock().await;
     let sent = state.now();
@@ -221,8 +221,8 @@
     merge(state, &heartbeat.origins, time::Duration::ZERO, source);
 }
 
-/// Returns the streams that a heartbeat tells, with heartbeats at this interval. Each stream is told in several,
-/// as one may be lost.
+/// Returns the streams that a heartbeat tells, with heartbeats at this interval. Each stream is told in
+/// several, as one may be lost.
 pub(super) fn to_share(
     state: &state::GatewayState,
     interval: time::Duration,
