--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for case in limit; do
+for case in limit poison herd; do
     rustc --edition 2024 -O -o "target/review/$case" "review/standins/$case.rs"
 done
