--- a/coltsfoot-gateway/src/engine_controller.rs
+++ b/coltsfoot-gateway/src/engine_controller.rs
@@ -100,6 +100,7 @@
     placed: FxHashMap<demand::AdapterKey, PlacedAdapter>,
     warm: collections::VecDeque<demand::AdapterKey>,
     load_requests: collections::VecDeque<LoadRequest<A>>,
+    /// An order whose outcome is unknown. A report with a newer order count settles it.
     unanswered: Option<engine_order::EngineOrder>,
     /// An adapter that the engine unloads as soon as its requests have ended.
     unloading: Option<demand::AdapterName>,
@@ -142,6 +143,11 @@
         self.has_model || self.model_ready_at.is_some_and(|ready| now >= ready)
     }
 
+    /// Returns whether a report of the engine has arrived; nothing is known of it before.
+    pub fn has_report(&self) -> bool {
+        self.reported.is_some()
+    }
+
     /// Returns the adapters that are ready, with their versions.
     pub fn ready(
         &self,
@@ -288,6 +294,14 @@
         std::mem::take(&mut self.replies)
     }
 
+    /// Removes all load requests and returns negative replies to them, for a controller whose lease has ended.
+    pub fn refuse_requests(&mut self) -> Vec<LoadReply<A>> {
+        let requests = std::mem::take(&mut self.load_requests);
+        let waiters = requests.into_iter().flat_map(|request| request.waiters);
+        self.replies.extend(waiters.map(|waiter| LoadReply { waiter, is_ready: false }));
+        std::mem::take(&mut self.replies)
+    }
+
     /// Returns what to do next. `in_use` returns whether requests run on an adapter at the engine,
     /// `newest` the version that an adapter should have.
     pub fn next_step(
--- a/coltsfoot-gateway/src/engine_controller/orders.rs
+++ b/coltsfoot-gateway/src/engine_controller/orders.rs
@@ -18,7 +18,9 @@
         in_use: impl Fn(demand::AdapterKey) -> bool,
         newest: impl Fn(demand::AdapterKey) -> Option<u64>,
     ) -> Option<engine_order::EngineOrder> {
-        if let Some(order) = &self.unanswered {
+        if let Some(order) = &self.unanswered
+            && !is_outdated(order, &newest)
+        {
             return Some(order.clone());
         }
         if now < self.blocked_until {
@@ -33,7 +35,7 @@
         if loading >= MAX_CONCURRENT_LOADS {
             return None;
         }
-        self.order_for_request(now, constraints, &in_use)
+        self.order_for_request(now, constraints, &in_use, &newest)
             .or_else(|| self.order_for_version(now, &newest))
     }
 
@@ -42,6 +44,7 @@
         now: clock::MonotonicTime,
         constraints: engine_order::OrderConstraints,
         in_use: &impl Fn(demand::AdapterKey) -> bool,
+        newest: &impl Fn(demand::AdapterKey) -> Option<u64>,
     ) -> Option<engine_order::EngineOrder> {
         for request in &self.load_requests {
             let held = self.placed.get(&request.name.key());
@@ -52,7 +55,10 @@
                 continue;
             }
             if held.is_some() || self.placed.len() < self.capacity {
-                let (name, version) = (request.name.clone(), request.version);
+                let name = request.name.clone();
+                // A newer version may have been published while the request waited.
+                let version =
+                    request.version.map(|version| version.max(newest(name.key()).unwrap_or(0)));
                 return Some(engine_order::EngineOrder::LoadAdapter { name, version });
             }
             if let Some(victim) = self.victim(now, in_use) {
@@ -187,3 +193,16 @@
         }
     }
 }
+
+/// Returns whether an order names an older version of an adapter than the newest.
+fn is_outdated(
+    order: &engine_order::EngineOrder,
+    newest: &impl Fn(demand::AdapterKey) -> Option<u64>,
+) -> bool {
+    match order {
+        engine_order::EngineOrder::LoadAdapter { name, version: Some(version) } => {
+            newest(name.key()).is_some_and(|newest| newest > *version)
+        }
+        _ => false,
+    }
+}
--- a/coltsfoot-gateway/src/engine_controller/reports.rs
+++ b/coltsfoot-gateway/src/engine_controller/reports.rs
@@ -51,6 +51,9 @@
 
     fn replace_residents(&mut self, now: clock::MonotonicTime, report: &upstream::EngineReport) {
         self.has_changed = true;
+        // Done or void by now: the engine rejects it, as its order count has changed since. Repeated with the
+        // new count, an old decision would be carried out on a new state.
+        self.unanswered = None;
         let before = std::mem::take(&mut self.placed);
         self.unloading = None;
         let ready = report.adapters.iter().map(|held| (held, now));
--- a/coltsfoot-gateway/src/order_lease.rs
+++ b/coltsfoot-gateway/src/order_lease.rs
@@ -74,8 +74,14 @@
     }
 }
 
+/// One uninterrupted holding of a partition. What was learned or decided in it is void once it has ended,
+/// since another machine may have acted in between, even if the partition is assigned to this one again.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LeaseTenure(u64);
+
 #[derive(Clone, Copy, Debug)]
 struct HeldPartition {
+    tenure: LeaseTenure,
     fence: u64,
     acquired: clock::MonotonicTime,
     valid_until: clock::MonotonicTime,
@@ -122,6 +128,8 @@
 pub struct OrderLease {
     settings: LeaseSettings,
     held: FxHashMap<u32, HeldPartition>,
+    /// Tenures begun so far.
+    tenure_count: u64,
     generation: GroupGeneration,
     renewed: clock::MonotonicTime,
     paused_until: clock::MonotonicTime,
@@ -133,6 +141,7 @@
         Self {
             settings,
             held: FxHashMap::default(),
+            tenure_count: 0,
             generation: GroupGeneration::default(),
             renewed: clock::MonotonicTime::default(),
             paused_until: clock::MonotonicTime::default(),
@@ -176,7 +185,9 @@
         for partition in partitions {
             let held = self.held.entry(*partition).or_insert_with(|| {
                 has_changed = true;
+                self.tenure_count += 1;
                 HeldPartition {
+                    tenure: LeaseTenure(self.tenure_count),
                     fence: generation.fence(),
                     acquired: now,
                     valid_until,
@@ -309,6 +320,11 @@
         self.held.get(&partition).map(|held| held.fence)
     }
 
+    /// Returns the tenure in which a partition is held.
+    pub fn tenure(&self, partition: u32) -> Option<LeaseTenure> {
+        self.held.get(&partition).map(|held| held.tenure)
+    }
+
     /// Extends the lease during an outage of the store, if the reports of all other known instances allow
     /// it. An expired lease is not extended: another machine may have held the partition since.
     pub fn extend(&mut self, now: clock::MonotonicTime, peers: &[PeerLease]) {
@@ -327,9 +343,14 @@
         }
     }
 
-    /// Returns the fencing number for an order if one may be sent now.
-    pub fn order_fence(&self, now: clock::MonotonicTime, partition: u32) -> Option<u64> {
-        let held = self.held.get(&partition)?;
+    /// Returns the fencing number for an order that was decided on in a tenure, if one may be sent now.
+    pub fn order_fence(
+        &self,
+        now: clock::MonotonicTime,
+        partition: u32,
+        tenure: LeaseTenure,
+    ) -> Option<u64> {
+        let held = self.held.get(&partition).filter(|held| held.tenure == tenure)?;
         let OrderPermission::AllowedFrom(from) = held.permission else { return None };
         let is_valid = now < held.valid_until;
         (now >= from && now >= self.paused_until && is_valid).then_some(held.fence)
--- a/coltsfoot-gateway/tests/lease_model.rs
+++ b/coltsfoot-gateway/tests/lease_model.rs
@@ -429,7 +429,8 @@
         self.machines[machine].lease.extend(at(now), &peers);
         for partition in 0..PARTITIONS {
             let lease = &self.machines[machine].lease;
-            let Some(fence) = lease.order_fence(at(now), partition) else { continue };
+            let Some(tenure) = lease.tenure(partition) else { continue };
+            let Some(fence) = lease.order_fence(at(now), partition, tenure) else { continue };
             let arrival = now + self.rng.below(200);
             self.orders += 1;
             self.outage_orders += u64::from(now < self.store.down_until);
--- a/coltsfootd/src/event.rs
+++ b/coltsfootd/src/event.rs
@@ -109,6 +109,8 @@
     REPORT_FAILED = 404, "report_failed", Warn;
     /// The limit on concurrent fetches from the weight store was adjusted.
     FETCH_PACE_LEARNED = 405, "fetch_pace_learned", Info;
+    /// A tenure of an engine has ended, and with it what was ordered and requested in it.
+    CONTROLLER_RETIRED = 406, "controller_retired", Info;
     /// An upstream's response was for another adapter, version or request.
     WRONG_ANSWER = 500, "wrong_answer", Error;
     /// An attempt at an upstream failed.
--- a/coltsfootd/src/gateway/engines.rs
+++ b/coltsfootd/src/gateway/engines.rs
@@ -43,11 +43,29 @@
     Peer(net::SocketAddr, u64),
 }
 
-/// An engine's controller and the event that wakes its task.
-struct ControllerSlot {
+/// An engine as it is owned in one tenure of its partition.
+#[derive(Clone)]
+struct EngineTenure {
     id: sync::Arc<str>,
     number: u32,
     partition: u32,
+    tenure: order_lease::LeaseTenure,
+}
+
+impl EngineTenure {
+    /// Returns whether the partition is still held in this tenure.
+    fn is_current(&self, lease: &order_lease::OrderLease) -> bool {
+        lease.tenure(self.partition) == Some(self.tenure)
+    }
+
+    fn send_context(&self, purpose: limit_table::SendPurpose) -> permits::SendContext<'_> {
+        send_context(&self.id, self.number, purpose)
+    }
+}
+
+/// An engine's controller and the event that wakes its task.
+struct ControllerSlot {
+    owned: EngineTenure,
     controller: engine_controller::EngineController<LoadWaiter>,
     wake: sync::Arc<event_listener::Event>,
 }
@@ -78,14 +96,16 @@
     ) -> bool {
         let now = state.now();
         let view = state.view();
+        let lease = state.lease();
         let mut slots = state::lock(&self.slots);
-        let Some(slot) = slots.values_mut().find(|slot| slot.number == number) else {
+        let mut current = slots.values_mut().filter(|slot| slot.owned.is_current(&lease));
+        let Some(slot) = current.find(|slot| slot.owned.number == number) else {
             return false;
         };
         if was_missing {
             slot.controller.found_missing(now, name.key());
         }
-        let upstream = view.upstream(&slot.id);
+        let upstream = view.upstream(&slot.owned.id);
         let in_use = |key| upstream.is_some_and(|upstream| upstream.is_in_use(now, key));
         slot.controller.request_load(now, name, version, waiter, in_use);
         slot.wake.notify(usize::MAX);
@@ -96,16 +116,46 @@
     pub fn touch(&self, now: instant::MonotonicTime, usage: &[wire::AdapterUsage]) {
         let mut slots = state::lock(&self.slots);
         for used in usage {
-            if let Some(slot) = slots.values_mut().find(|slot| slot.number == used.upstream) {
+            let slot = slots.values_mut().find(|slot| slot.owned.number == used.upstream);
+            if let Some(slot) = slot {
                 slot.controller.touch(now, demand::AdapterKey(used.adapter));
             }
         }
     }
 
-    /// Sends an engine neither orders nor report requests until then.
-    fn pause(&self, id: &str, until: instant::MonotonicTime) {
-        if let Some(slot) = state::lock(&self.slots).get_mut(id) {
-            slot.controller.pause(until);
+    /// Calls a function with the controller of an engine; `None` if its tenure has been retired.
+    fn with_controller<T>(
+        &self,
+        owned: &EngineTenure,
+        call: impl FnOnce(&mut engine_controller::EngineController<LoadWaiter>) -> T,
+    ) -> Option<T> {
+        let mut slots = state::lock(&self.slots);
+        let slot = slots.get_mut(&owned.id)?;
+        let is_same = slot.owned.tenure == owned.tenure && slot.owned.number == owned.number;
+        is_same.then(|| call(&mut slot.controller))
+    }
+
+    /// Removes the controllers of ended tenures and of engines that are gone, wakes their tasks, which end
+    /// then, and refuses the load requests that still wait for them.
+    fn retire_ended(&self, state: &state::GatewayState) {
+        let retired: Vec<ControllerSlot> = {
+            let view = state.view();
+            let lease = state.lease();
+            let mut slots = state::lock(&self.slots);
+            let ended = slots.extract_if(|id, slot| {
+                let upstream = view.upstream(id);
+                let is_present = upstream.is_some_and(|known| known.number == slot.owned.number);
+                !is_present || !slot.owned.is_current(&lease)
+            });
+            ended.map(|(_, slot)| slot).collect()
+        };
+        for mut slot in retired {
+            log::info!(
+                event = event::CONTROLLER_RETIRED.number, upstream = slot.owned.id.to_string(),
+                partition = slot.owned.partition; "controller_retired"
+            );
+            slot.wake.notify(usize::MAX);
+            send_replies(state, slot.controller.refuse_requests());
         }
     }
 
@@ -127,7 +177,7 @@
         slots.values().filter_map(|slot| slot.describe(state.now(), &view, &lease)).collect()
     }
 
-    /// Returns the same of one engine; `None` if this instance does not own it.
+    /// Returns the same of one engine; `None` if this instance does not own it or has no report of it.
     pub fn owned_engine(&self, state: &state::GatewayState, id: &str) -> Option<wire::OwnedEngine> {
         let view = state.view();
         let lease = state.lease();
@@ -142,28 +192,35 @@
         view: &fleet_view::FleetView,
         lease: &order_lease::OrderLease,
     ) -> Option<wire::OwnedEngine> {
-        let fence = lease.fence(self.partition)?;
-        let upstream = view.upstream(&self.id);
+        if !self.controller.has_report() {
+            return None;
+        }
+        let EngineTenure { id, number, partition, tenure } = &self.owned;
+        let fence = lease.fence(*partition).filter(|_| self.owned.is_current(lease))?;
+        let upstream = view.upstream(id);
         let in_use = |key| upstream.is_some_and(|upstream| upstream.is_in_use(now, key));
         let is_available =
-            view.availability().status(now, self.number) == UpstreamAvailability::Available;
-        let takes_orders = is_available && lease.order_fence(now, self.partition).is_some();
+            view.availability().status(now, *number) == UpstreamAvailability::Available;
+        let takes_orders = is_available && lease.order_fence(now, *partition, *tenure).is_some();
         let fetches = view.fetch_load(view.fetch_backlog());
-        Some(self.controller.describe(now, self.number, fence, takes_orders, fetches, in_use))
+        Some(self.controller.describe(now, *number, fence, takes_orders, fetches, in_use))
     }
 }
 
-/// Starts a task for each engine of the zone in a partition that this instance newly holds.
+/// Ends what was begun in ended tenures, and starts a task for each engine of the zone in a partition that
+/// this instance newly holds.
 pub(crate) fn start_owned_engines(state: &sync::Arc<state::GatewayState>) {
+    state.controllers.retire_ended(state);
     let Some(routes) = state.routes.load_full() else { return };
-    let held: Vec<u32> = state.lease().partitions().collect();
     let view = state.view();
+    let lease = state.lease();
     let mut slots = state::lock(&state.controllers.slots);
     for upstream in view.upstreams() {
         let id = &upstream.entry.id;
         let partition = state.partition_of(id);
         let is_same_zone = upstream.entry.zone == state.settings.zone;
-        if !is_same_zone || !held.contains(&partition) || slots.contains_key(id) {
+        let Some(tenure) = lease.tenure(partition).filter(|_| is_same_zone) else { continue };
+        if slots.contains_key(id) {
             continue;
         }
         let Some(service) = routes.service(&upstream.entry.service) else { continue };
@@ -173,54 +230,44 @@
         let controller = engine_controller::EngineController::new(model, rule.adapter_capacity());
         let wake = sync::Arc::new(event_listener::Event::new());
         let number = upstream.number;
-        let slot = ControllerSlot {
-            id: sync::Arc::clone(id),
-            number,
-            partition,
-            controller,
-            wake: sync::Arc::clone(&wake),
-        };
+        let owned = EngineTenure { id: sync::Arc::clone(id), number, partition, tenure };
+        let slot =
+            ControllerSlot { owned: owned.clone(), controller, wake: sync::Arc::clone(&wake) };
         slots.insert(sync::Arc::clone(id), slot);
-        let task =
-            run_engine(sync::Arc::clone(state), sync::Arc::clone(id), number, partition, wake);
-        state.executor.spawn(task).detach();
+        state.executor.spawn(run_engine(sync::Arc::clone(state), owned, wake)).detach();
     }
 }
 
-/// Runs one engine's controller until the engine is removed or another instance owns it.
+/// Runs one engine's controller until the engine is removed or the tenure ends.
 async fn run_engine(
     state: sync::Arc<state::GatewayState>,
-    id: sync::Arc<str>,
-    number: u32,
-    partition: u32,
+    owned: EngineTenure,
     wake: sync::Arc<event_listener::Event>,
 ) {
     loop {
         let listener = wake.listen();
-        let Some(address) = owned_address(&state, &id, number, partition) else {
-            state::lock(&state.controllers.slots).remove(&id);
+        let Some(address) = owned_address(&state, &owned) else {
+            state.controllers.retire_ended(&state);
             return;
         };
-        if let Some(until) = intake::unavailable_until(&state, number) {
-            flush_results(&state, &id);
+        if let Some(until) = intake::unavailable_until(&state, owned.number) {
+            flush_results(&state, &owned);
             let wait = until.since(state.now()).min(BACKOFF_CHECK_INTERVAL);
             async_io::Timer::after(wait).await;
             continue;
         }
-        let step = next_step(&state, &id, partition);
-        flush_results(&state, &id);
+        let step = next_step(&state, &owned);
+        flush_results(&state, &owned);
         match step {
             None => return,
             Some(engine_order::ControllerStep::Order { order, expected_count }) => {
-                let context = send_context(&id, number, limit_table::SendPurpose::Order);
-                if acquire_permit(&state, context).await {
-                    send_order(&state, context, address, partition, order, expected_count).await;
+                if acquire_permit(&state, &owned, limit_table::SendPurpose::Order).await {
+                    send_order(&state, &owned, address, order, expected_count).await;
                 }
             }
             Some(engine_order::ControllerStep::Report) => {
-                let context = send_context(&id, number, limit_table::SendPurpose::Report);
-                if acquire_permit(&state, context).await {
-                    fetch_report(&state, context, address).await;
+                if acquire_permit(&state, &owned, limit_table::SendPurpose::Report).await {
+                    fetch_report(&state, &owned, address).await;
                 }
             }
             Some(engine_order::ControllerStep::Wait(due)) => {
@@ -231,33 +278,27 @@
                 futures_lite::future::or(sleep, listener).await;
             }
         }
-        flush_results(&state, &id);
+        flush_results(&state, &owned);
     }
 }
 
-fn owned_address(
-    state: &state::GatewayState,
-    id: &str,
-    number: u32,
-    partition: u32,
-) -> Option<net::SocketAddr> {
-    state.lease().fence(partition)?;
+/// Returns the address of an engine; `None` once it is gone or the tenure has ended.
+fn owned_address(state: &state::GatewayState, owned: &EngineTenure) -> Option<net::SocketAddr> {
     let view = state.view();
-    let slot = view.upstream(id).filter(|slot| slot.number == number)?;
-    Some(slot.entry.address)
+    let slot = view.upstream(&owned.id).filter(|slot| slot.number == owned.number)?;
+    owned.is_current(&state.lease()).then_some(slot.entry.address)
 }
 
 fn next_step(
     state: &state::GatewayState,
-    id: &str,
-    partition: u32,
+    owned: &EngineTenure,
 ) -> Option<engine_order::ControllerStep> {
     let now = state.now();
-    let fence = state.order_fence(partition);
+    let fence = state.order_fence(owned.partition, owned.tenure);
     let own_fetches = state.controllers.fetching(now);
     let view = state.view();
     let may_fetch = view.fetch_load(own_fetches + view.fetching()).may_fetch(own_fetches);
-    let upstream = view.upstream(id)?;
+    let upstream = view.upstream(&owned.id)?;
     let is_available =
         view.availability().status(now, upstream.number) == UpstreamAvailability::Available;
     let limit = view.limits().limit(now, upstream.number);
@@ -266,27 +307,33 @@
         may_fetch,
         min_report_interval: limit.map_or(time::Duration::ZERO, send_permits::report_interval),
     };
-    let mut slots = state::lock(&state.controllers.slots);
-    let controller = &mut slots.get_mut(id)?.controller;
     let in_use = |key| upstream.is_in_use(now, key);
-    Some(controller.next_step(now, constraints, in_use, |key| view.newest_version(key)))
+    state.controllers.with_controller(owned, |controller| {
+        controller.next_step(now, constraints, in_use, |key| view.newest_version(key))
+    })
 }
 
 /// Replies to completed load requests, records fetch times and publishes the engine if it changed.
-fn flush_results(state: &sync::Arc<state::GatewayState>, id: &str) {
+fn flush_results(state: &sync::Arc<state::GatewayState>, owned: &EngineTenure) {
     let now = state.now();
-    let (replies, samples, has_changed) = {
-        let mut slots = state::lock(&state.controllers.slots);
-        let Some(slot) = slots.get_mut(id) else { return };
-        let controller = &mut slot.controller;
+    let results = state.controllers.with_controller(owned, |controller| {
         (controller.take_replies(now), controller.take_samples(now), controller.take_changed())
-    };
+    });
+    let Some((replies, samples, has_changed)) = results else { return };
     if !samples.is_empty() {
         record_fetch_samples(state, now, &samples);
     }
     if has_changed {
-        heartbeats::publish_engine(state, id);
+        heartbeats::publish_engine(state, &owned.id);
     }
+    send_replies(state, replies);
+}
+
+/// Tells those who wait for a load whether the adapter is ready.
+fn send_replies(
+    state: &state::GatewayState,
+    replies: Vec<engine_controller::LoadReply<LoadWaiter>>,
+) {
     for reply in replies {
         let decision =
             if reply.is_ready { wire::LoadDecision::Ready } else { wire::LoadDecision::Full };
@@ -327,11 +374,16 @@
 
 /// Acquires a permit for an order or a report request; pauses the engine's controller if it is
 /// denied.
-async fn acquire_permit(state: &state::GatewayState, context: permits::SendContext<'_>) -> bool {
-    match permits::acquire(state, context).await {
+async fn acquire_permit(
+    state: &state::GatewayState,
+    owned: &EngineTenure,
+    purpose: limit_table::SendPurpose,
+) -> bool {
+    match permits::acquire(state, owned.send_context(purpose)).await {
         Ok(()) => true,
         Err(pause) => {
-            state.controllers.pause(context.upstream, state.now() + pause);
+            let until = state.now() + pause;
+            state.controllers.with_controller(owned, |controller| controller.pause(until));
             false
         }
     }
@@ -339,13 +391,14 @@
 
 async fn send_order(
     state: &sync::Arc<state::GatewayState>,
-    context: permits::SendContext<'_>,
+    owned: &EngineTenure,
     address: net::SocketAddr,
-    partition: u32,
     order: engine_order::EngineOrder,
     expected_count: u64,
 ) {
-    let Some(fence) = state.order_fence(partition) else { return };
+    // The tenure may have ended since the order was decided on, even if the partition is held again.
+    let Some(fence) = state.order_fence(owned.partition, owned.tenure) else { return };
+    let context = owned.send_context(limit_table::SendPurpose::Order);
     let id = context.upstream;
     let holder = &state.settings.instance;
     let authority = engine::OrderAuthority { holder, fence, engine: id };
@@ -375,12 +428,11 @@
     {
         let own_fetches = state.controllers.fetching(now);
         let view = state.view();
-        let mut slots = state::lock(&state.controllers.slots);
-        if let Some(slot) = slots.get_mut(id) {
-            let newest = |key| view.newest_version(key);
-            let fetches = view.fetch_load(own_fetches + view.fetching());
-            slot.controller.order_ended(now, &order, answer, fetches, newest);
-        }
+        let newest = |key| view.newest_version(key);
+        let fetches = view.fetch_load(own_fetches + view.fetching());
+        state.controllers.with_controller(owned, |controller| {
+            controller.order_ended(now, &order, answer, fetches, newest);
+        });
     }
     if !matches!(answer, engine_order::OrderAnswer::Accepted | engine_order::OrderAnswer::Holds) {
         async_io::Timer::after(ORDER_RETRY_PAUSE).await;
@@ -389,16 +441,16 @@
 
 async fn fetch_report(
     state: &sync::Arc<state::GatewayState>,
-    context: permits::SendContext<'_>,
+    owned: &EngineTenure,
     address: net::SocketAddr,
 ) {
+    let context = owned.send_context(limit_table::SendPurpose::Report);
     let report = call_report(state, context, address).await;
     state.metrics.count_report(report.is_some());
     let now = state.now();
-    let mut slots = state::lock(&state.controllers.slots);
-    if let Some(slot) = slots.get_mut(context.upstream) {
-        slot.controller.report_ended(now, report.as_ref());
-    }
+    state.controllers.with_controller(owned, |controller| {
+        controller.report_ended(now, report.as_ref());
+    });
 }
 
 /// Fetches a report; logs the reason if that fails.
--- a/coltsfootd/src/gateway/state.rs
+++ b/coltsfootd/src/gateway/state.rs
@@ -113,10 +113,11 @@
         lock(&self.lease)
     }
 
-    /// Returns the fencing number for an order to an engine of a partition, if one may be given.
-    pub fn order_fence(&self, partition: u32) -> Option<u64> {
+    /// Returns the fencing number for an order to an engine of a partition that was decided on in a tenure,
+    /// if one may be given.
+    pub fn order_fence(&self, partition: u32, tenure: order_lease::LeaseTenure) -> Option<u64> {
         self.extend_lease();
-        self.lease().order_fence(self.now(), partition)
+        self.lease().order_fence(self.now(), partition, tenure)
     }
 
     /// Extends the lease during a store outage, if all other instances of the zone report it and
