--- a/coltsfoot-gateway/src/crash_ledger.rs
+++ b/coltsfoot-gateway/src/crash_ledger.rs
@@ -11,7 +11,7 @@
 
 /// Crashes without a completed run in between after which a request is quarantined. Every request that a
 /// crash interrupts is suspected, so an innocent one would have to meet that many crashes in a row.
-const QUARANTINE_CRASHES: u32 = 3;
+pub const QUARANTINE_CRASHES: u32 = 3;
 /// Time for which a request is quarantined after its last crash: callers may retry it for long, and each
 /// further crash interrupts all requests at the upstream.
 const QUARANTINE_LIFETIME: time::Duration = time::Duration::from_secs(24 * 3600);
@@ -20,7 +20,7 @@
 const SUSPICION_LIFETIME: time::Duration = time::Duration::from_secs(3600);
 /// Reports of crashes within this time are of one crash, in milliseconds: lost connections are noticed at
 /// once, and a restart takes longer.
-const SAME_CRASH_SPAN_MS: u64 = 1_000;
+pub const SAME_CRASH_SPAN_MS: u64 = 1_000;
 /// Crashes after which notices of a request go to all instances, and not only to its collectors.
 const BROADCAST_CRASHES: usize = 2;
 /// Maximum number of notices that are resent at once.
@@ -166,9 +166,33 @@
         })
     }
 
-    /// Clears a request that completed at another instance.
-    pub fn clear_request(&mut self, now: clock::MonotonicTime, digest: &once::RequestDigest) {
+    /// Clears a request that completed at another instance. Returns the audience of its notices if that ends
+    /// a suspicion.
+    pub fn clear_request(
+        &mut self,
+        now: clock::MonotonicTime,
+        digest: &once::RequestDigest,
+    ) -> Option<NoticeAudience> {
+        let crashes = self.table.crashes(now, digest);
         self.table.clear_suspect(now, digest);
+        let is_cleared = crashes > 0 && self.table.crashes(now, digest) == 0;
+        is_cleared.then(|| audience(crashes as usize))
+    }
+
+    /// Returns the notice of a request if all instances should hold it.
+    pub fn shared_notice(
+        &self,
+        now: clock::MonotonicTime,
+        digest: once::RequestDigest,
+    ) -> Option<once::CrashNotice> {
+        let is_shared = self.table.crashes(now, &digest) as usize >= BROADCAST_CRASHES;
+        is_shared.then(|| self.table.notice(now, digest))
+    }
+
+    /// Returns the requests whose notices all instances should hold.
+    pub fn shared_digests(&self, now: clock::MonotonicTime) -> Vec<once::RequestDigest> {
+        let notices = self.table.notices(now, BROADCAST_CRASHES);
+        notices.into_iter().map(|notice| notice.digest).collect()
     }
 
     /// Returns the notices to resend to an instance that may have missed them or has just started: those
--- a/coltsfoot-gateway/src/fleet_view/peers.rs
+++ b/coltsfoot-gateway/src/fleet_view/peers.rs
@@ -83,6 +83,13 @@
         all.into_iter().take(COLLECTORS).filter_map(|(_, address)| address).collect()
     }
 
+    /// Returns whether the instance `own` is among those that collect what is told of a number's subject.
+    pub fn is_collector(&self, own: u64, number: u64) -> bool {
+        let own_weight = rendezvous::weight(number, own);
+        let before = self.peers.keys().filter(|id| rendezvous::weight(number, **id) > own_weight);
+        before.count() < COLLECTORS
+    }
+
     /// Returns the addresses at which the other instances of a zone receive messages.
     pub fn zone_addresses(&self, zone: &str) -> Vec<std::net::SocketAddr> {
         let same_zone = self.peers.values().filter(|peer| &*peer.zone == zone);
--- a/coltsfoot-gateway/src/lib.rs
+++ b/coltsfoot-gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod outage_tracker;
 pub mod part_ledger;
 pub mod peer_slot;
+pub mod quarantine_archive;
 pub mod quota_ledger;
 pub mod reader_selection;
 pub mod rendezvous;
--- a/coltsfoot-gateway/src/part_ledger.rs
+++ b/coltsfoot-gateway/src/part_ledger.rs
@@ -28,7 +28,7 @@
 /// Prompts without the part that must be served since its first crash, as evidence that engines work.
 const MIN_SERVED: usize = 3;
 /// Time for which a part is quarantined.
-const QUARANTINE_TIME: time::Duration = time::Duration::from_secs(3600);
+pub const QUARANTINE_TIME: time::Duration = time::Duration::from_secs(3600);
 /// Time after a quarantine in which a single crash renews it.
 const PROBATION_TIME: time::Duration = time::Duration::from_secs(24 * 3600);
 /// Time after its last crash for which a part is suspected.
--- a/coltsfoot-wire/src/once.rs
+++ b/coltsfoot-wire/src/once.rs
@@ -87,6 +87,48 @@
     NotRun,
 }
 
+/// Record of the store with what is known of a request or prompt part that crashes upstreams.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub enum QuarantineRecord {
+    /// A request, suspected or under quarantine.
+    Request {
+        /// Digest of the request.
+        digest: RequestDigest,
+        /// Crashes that happened while it ran.
+        crashes: Vec<CrashId>,
+        /// End of the suspicion or quarantine, in milliseconds since the Unix epoch.
+        until_ms: u64,
+    },
+    /// A prompt part under quarantine.
+    Part {
+        /// Number of the part.
+        part: u64,
+        /// Its last crash, in milliseconds since the Unix epoch.
+        last_crash_ms: u64,
+        /// End of the quarantine, in milliseconds since the Unix epoch.
+        until_ms: u64,
+    },
+}
+
+impl QuarantineRecord {
+    /// Returns the end of the quarantine, in milliseconds since the Unix epoch.
+    pub fn until_ms(&self) -> u64 {
+        match self {
+            Self::Request { until_ms, .. } | Self::Part { until_ms, .. } => *until_ms,
+        }
+    }
+
+    /// Encodes the record.
+    pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
+        postcard::to_stdvec(self)
+    }
+
+    /// Decodes a record.
+    pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        postcard::from_bytes(bytes)
+    }
+}
+
 /// Outcome of a claimed call.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct OutcomeEntry {
--- a/coltsfootd/src/event.rs
+++ b/coltsfootd/src/event.rs
@@ -137,6 +137,8 @@
     PART_REFUSED = 511, "part_refused", Info;
     /// A caller takes a stream up; which software version began it, and whether it goes on.
     STREAM_TAKEN_UP = 512, "stream_taken_up", Info;
+    /// A quarantine was recorded in the store, or its record deleted.
+    QUARANTINE_RECORDED = 513, "quarantine_recorded", Info;
 }
 
 /// Logs an event as `NAME: DETAILS`, with its number as a field.
--- a/coltsfootd/src/gateway/crashes.rs
+++ b/coltsfootd/src/gateway/crashes.rs
@@ -6,6 +6,7 @@
 use std::sync;
 use std::time;
 
+use coltsfoot_gateway::quarantine_archive::ArchiveSubject;
 use coltsfoot_gateway::{attempt_plan, crash_ledger, part_ledger};
 use coltsfoot_http::{message, socket};
 use coltsfoot_once::crash_suspects::RunEnd;
@@ -13,7 +14,7 @@
 use coltsfoot_wire::{fleet as wire, once};
 use rustc_hash::FxHashSet;
 
-use crate::gateway::{fleet, parts, state};
+use crate::gateway::{archive, fleet, parts, state};
 use crate::{clock, event};
 
 /// Connect timeout of a probe.
@@ -104,6 +105,7 @@
             self.end,
         );
         if let Some(audience) = cleared {
+            clear_record(self.state, audience, self.digest, true);
             send_to_audience(
                 self.state,
                 audience,
@@ -200,10 +202,30 @@
         if state.crashes.ledger().quarantine_left(state.now(), &notice.digest).is_some() {
             log_quarantine(&notice);
         }
+        record_suspicion(state, &notice, true);
         send_notice(state, notice);
     }
 }
 
+/// Schedules the record of a request whose notices go to all instances.
+fn record_suspicion(state: &state::GatewayState, notice: &once::CrashNotice, is_own: bool) {
+    if crash_ledger::audience(notice.crashes.len()) == crash_ledger::NoticeAudience::All {
+        archive::update(state, ArchiveSubject::Request(notice.digest), is_own);
+    }
+}
+
+/// Schedules the deletion of the record of a cleared request.
+fn clear_record(
+    state: &state::GatewayState,
+    audience: crash_ledger::NoticeAudience,
+    digest: once::RequestDigest,
+    is_own: bool,
+) {
+    if audience == crash_ledger::NoticeAudience::All {
+        archive::clear(state, ArchiveSubject::Request(digest), is_own);
+    }
+}
+
 fn log_quarantine(notice: &once::CrashNotice) {
     log::warn!(
         event = event::REQUEST_QUARANTINED.number, digest = notice.digest.short(),
@@ -244,14 +266,26 @@
     if outcome.is_quarantined {
         log_quarantine(merged);
     }
+    record_suspicion(state, merged, outcome.merged.is_some());
     if let Some(merged) = outcome.merged {
         send_notice(state, merged);
     }
 }
 
+/// Merges what the store has recorded of a request.
+pub(super) fn adopt(state: &state::GatewayState, notice: &once::CrashNotice) {
+    let outcome = state.crashes.ledger().merge_notice(state.now(), notice);
+    if outcome.is_some_and(|outcome| outcome.is_quarantined) {
+        log_quarantine(notice);
+    }
+}
+
 /// Clears a request that another instance has seen complete.
 pub(crate) fn handle_clearance(state: &state::GatewayState, digest: &once::RequestDigest) {
-    state.crashes.ledger().clear_request(state.now(), digest);
+    let cleared = state.crashes.ledger().clear_request(state.now(), digest);
+    if let Some(audience) = cleared {
+        clear_record(state, audience, *digest, false);
+    }
 }
 
 /// Resends an instance the notices that all instances should hold.
--- a/coltsfootd/src/gateway/exchange.rs
+++ b/coltsfootd/src/gateway/exchange.rs
@@ -12,7 +12,7 @@
 use site_platform::fields;
 
 use crate::event;
-use crate::gateway::{callers, forwarding, request_log, state};
+use crate::gateway::{archive, callers, forwarding, request_log, state};
 use crate::request_digest;
 
 /// What happens to the caller's connection after a response.
@@ -86,6 +86,7 @@
         writer: &mut TcpStream,
         log: &mut request_log::RequestLog<'a>,
     ) -> ConnectionUse {
+        archive::wait_until_open(self.state).await;
         let outcome = match self.admit(log) {
             Err(reply) => Outcome::Local(reply),
             Ok(admitted) => {
--- a/coltsfootd/src/gateway/parts.rs
+++ b/coltsfootd/src/gateway/parts.rs
@@ -6,11 +6,12 @@
 use coltsfoot_gateway::part_ledger::{
     CrashReport, EngineCrash, PartKey, PartList, QuarantinedPart, RunId, ServedOutcome,
 };
+use coltsfoot_gateway::quarantine_archive::ArchiveSubject;
 use coltsfoot_types::time as instant;
 use coltsfoot_wire::fleet as wire;
 
 use crate::event;
-use crate::gateway::{fleet, state};
+use crate::gateway::{archive, fleet, state};
 
 /// Maximum number of quarantined parts in one datagram.
 const MAX_PARTS_PER_MESSAGE: usize = 32;
@@ -41,8 +42,8 @@
 ) {
     let Some(ServedOutcome { cleared, lifted, quarantined }) = outcome else { return };
     publish_cleared(state, &cleared);
-    log_lifted(&lifted);
-    publish_quarantined(state, now, &quarantined);
+    end_lifted(state, &lifted, true);
+    publish_quarantined(state, now, &quarantined, true);
 }
 
 /// Records the crash of an engine, with the prompts at this instance as suspects; with `only_lost` those
@@ -57,7 +58,7 @@
         parts: report.parts.iter().map(|part| part.0).collect(),
     };
     fleet::send(state, state.view().peer_addresses(), &wire::FleetMessage::PartCrash(message));
-    merge_report(state, now, &report);
+    merge_report(state, now, &report, true);
 }
 
 /// Merges another instance's report of a crash.
@@ -68,23 +69,32 @@
         crash: EngineCrash { engine: message.engine, at },
         parts: message.parts.iter().copied().map(PartKey).collect(),
     };
-    merge_report(state, now, &report);
+    merge_report(state, now, &report, false);
 }
 
-fn merge_report(state: &state::GatewayState, now: instant::MonotonicTime, report: &CrashReport) {
+fn merge_report(
+    state: &state::GatewayState,
+    now: instant::MonotonicTime,
+    report: &CrashReport,
+    is_own: bool,
+) {
     let listed = state.part_ledger().merge_report(now, report);
-    publish_quarantined(state, now, &listed);
+    publish_quarantined(state, now, &listed, is_own);
 }
 
 fn publish_quarantined(
     state: &state::GatewayState,
     now: instant::MonotonicTime,
     listed: &[QuarantinedPart],
+    is_own: bool,
 ) {
     if listed.is_empty() {
         return;
     }
-    listed.iter().for_each(|listed| log_quarantined(now, listed, "crashes"));
+    for listed in listed {
+        log_quarantined(now, listed, "crashes");
+        archive::update(state, ArchiveSubject::Part(listed.part), is_own);
+    }
     send_quarantined(state, now, listed, &state.view().peer_addresses());
 }
 
@@ -119,11 +129,12 @@
     let served_at = state.now() - time::Duration::from_millis(u64::from(message.age_ms));
     let parts: PartList = message.parts.iter().copied().map(PartKey).collect();
     let lifted = state.part_ledger().clear(&parts, served_at);
-    log_lifted(&lifted);
+    end_lifted(state, &lifted, false);
 }
 
-fn log_lifted(lifted: &PartList) {
+fn end_lifted(state: &state::GatewayState, lifted: &PartList, is_own: bool) {
     for part in lifted {
+        archive::clear(state, ArchiveSubject::Part(*part), is_own);
         log::info!(
             event = event::PART_CLEARED.number, part = part.to_string(); "part_cleared"
         );
@@ -139,12 +150,23 @@
             last_crash: now - time::Duration::from_millis(u64::from(listed.crash_age_ms)),
             until: now + time::Duration::from_millis(u64::from(listed.left_ms)),
         };
-        if state.part_ledger().adopt(now, listed) {
+        let is_new = state.part_ledger().adopt(now, listed);
+        if is_new {
             log_quarantined(now, &listed, "told");
+            archive::update(state, ArchiveSubject::Part(listed.part), false);
         }
     }
 }
 
+/// Adopts a quarantine that the store has recorded.
+pub(super) fn adopt(state: &state::GatewayState, listed: QuarantinedPart) {
+    let now = state.now();
+    let is_new = state.part_ledger().adopt(now, listed);
+    if is_new {
+        log_quarantined(now, &listed, "store");
+    }
+}
+
 /// Sends an instance the quarantines that are in force.
 pub(super) fn send_known(state: &state::GatewayState, address: net::SocketAddr) {
     let now = state.now();
--- a/coltsfootd/src/gateway/run.rs
+++ b/coltsfootd/src/gateway/run.rs
@@ -7,12 +7,14 @@
 use std::time;
 
 use async_net::TcpListener;
-use coltsfoot_gateway::{order_lease, origin_ledger, outage_tracker, stop_plan, topic_replica};
+use coltsfoot_gateway::{
+    order_lease, origin_ledger, outage_tracker, quarantine_archive, stop_plan, topic_replica,
+};
 use coltsfoot_http::pool;
 use site_platform::{entry, rules, settings, store};
 
 use crate::gateway::{
-    callers, crashes, engines, fleet, follower, heartbeats, lease, metrics, news, origins,
+    archive, callers, crashes, engines, fleet, follower, heartbeats, lease, metrics, news, origins,
     pending_calls, permits, reload, state, stop,
 };
 use crate::{clock, event, metrics as registry};
@@ -131,6 +133,7 @@
     executor.spawn(lease::maintain(sync::Arc::clone(&state))).detach();
     executor.spawn(engines::poll_stale_engines(sync::Arc::clone(&state))).detach();
     executor.spawn(origins::maintain(sync::Arc::clone(&state))).detach();
+    executor.spawn(archive::maintain(sync::Arc::clone(&state))).detach();
     executor.spawn(reload::watch(sync::Arc::clone(&state))).detach();
     wait_for_stop(&state, &signals).await;
     pass_stop_phases(&state).await;
@@ -189,6 +192,7 @@
     };
     Ok(sync::Arc::new(state::GatewayState {
         origins: sync::Mutex::new(origin_ledger::OriginLedger::new(clock.now())),
+        archive: sync::Mutex::new(quarantine_archive::QuarantineArchive::new(clock.now())),
         clock,
         incarnation: rand::random(),
         executor,
--- a/coltsfootd/src/gateway/state.rs
+++ b/coltsfootd/src/gateway/state.rs
@@ -6,8 +6,8 @@
 
 use coltsfoot_gateway::{
     duration_estimate, fleet_view, order_lease, origin_ledger, outage_tracker, part_ledger,
-    quota_ledger, reader_selection, rendezvous, route_table, rules, stop_plan, topic_replica,
-    zone_relay,
+    quarantine_archive, quota_ledger, reader_selection, rendezvous, route_table, rules, stop_plan,
+    topic_replica, zone_relay,
 };
 use coltsfoot_http::pool;
 use coltsfoot_once::retry_budget;
@@ -53,6 +53,8 @@
     pub crashes: crashes::CrashState,
     /// Prompt parts that crash engines.
     pub parts: sync::Mutex<part_ledger::PartLedger>,
+    /// Updates of the store's records of quarantines.
+    pub archive: sync::Mutex<quarantine_archive::QuarantineArchive>,
     /// Versions of software that began streams.
     pub origins: sync::Mutex<origin_ledger::OriginLedger>,
     pub origin_reader: async_lock::Mutex<origins::OriginReader>,
@@ -103,6 +105,11 @@
         lock(&self.parts)
     }
 
+    /// Locks the updates of the store's records of quarantines.
+    pub fn archive(&self) -> sync::MutexGuard<'_, quarantine_archive::QuarantineArchive> {
+        lock(&self.archive)
+    }
+
     /// Locks the ledger of the versions that began streams.
     pub fn origin_ledger(&self) -> sync::MutexGuard<'_, origin_ledger::OriginLedger> {
         lock(&self.origins)
