Divide a customer's quota among instances that do not hear each other (QUOTA)

No caller saw anything wrong: a customer got more than its rate and burst. A zone is cut off and the customer sends 7.5 times its usual on both sides; both served it as if the other went on as before.

Cause: the usage of a silent instance was extrapolated at its average of the last 1.5 s, so that a quiet one counted as quiet for the whole cut, and after 12 s as nothing. Nothing bounded what both sides admit together.

From three missed heartbeats on, a silent instance's share of what is left, of the rate and of the capacity is held for it, half by number of instances and half by recent usage, for up to 30 s; what it has used replaces that once it is heard. The shares of all add up to one.

--- a/coltsfoot-gateway/src/fleet_view/peers.rs
+++ b/coltsfoot-gateway/src/fleet_view/peers.rs
@@ -64,6 +64,13 @@
         self.peers.iter().map(|(id, peer)| (*id, peer))
     }
 
+    /// Returns the earlier incarnations of an instance, by its address.
+    pub fn former_incarnations(&self, present: u64, address: std::net::SocketAddr) -> Vec<u64> {
+        let same =
+            self.peers.iter().filter(|(id, peer)| **id != present && peer.address == address);
+        same.map(|(id, _)| *id).collect()
+    }
+
     /// Returns the addresses at which the other instances receive messages.
     pub fn peer_addresses(&self) -> Vec<std::net::SocketAddr> {
         self.peers.values().map(|peer| peer.address).collect()
--- a/coltsfoot-gateway/tests/fleet_fixture/mod.rs
+++ b/coltsfoot-gateway/tests/fleet_fixture/mod.rs
@@ -91,6 +91,7 @@
         engines: None,
         quota_usage: Vec::new(),
         origins: Vec::new(),
+        silent: Vec::new(),
     }
 }
 
--- a/coltsfoot-gateway/tests/quota.rs
+++ b/coltsfoot-gateway/tests/quota.rs
@@ -1,6 +1,7 @@
 //! Customers' quotas over all instances.
 
 use std::sync;
+use std::time;
 
 use coltsfoot_gateway::quota_ledger::{self, QuotaClass};
 use coltsfoot_types::time as clock;
@@ -20,6 +21,11 @@
     (ledger, customer)
 }
 
+fn report(total: u64) -> quota_ledger::UsageReport {
+    let interval = time::Duration::from_millis(150);
+    quota_ledger::UsageReport { total, instances: 1, interval, is_deaf: false }
+}
+
 /// Simulates instances with equal demand that exchange their totals every 150 ms, where `hears` allows.
 /// Returns the tokens admitted per second.
 fn admitted_per_s(instances: usize, hears: impl Fn(u64, usize, usize) -> bool) -> f64 {
@@ -40,7 +46,7 @@
             for (reader, ledger) in ledgers.iter_mut().enumerate() {
                 for (peer, total) in totals.iter().enumerate() {
                     if peer != reader && hears(step, reader, peer) {
-                        ledger.record_peer_total(now, peer as u64, "clinic", *total);
+                        ledger.record_peer_report(now, peer as u64, "clinic", report(*total));
                     }
                 }
             }
--- a/coltsfoot-gateway/tests/zones.rs
+++ b/coltsfoot-gateway/tests/zones.rs
@@ -4,7 +4,7 @@
 use std::time;
 
 use coltsfoot_gateway::fleet_view::{FleetView, zones};
-use coltsfoot_gateway::quota_ledger::{QuotaClass, QuotaLedger, QuotaLimit};
+use coltsfoot_gateway::quota_ledger::{QuotaClass, QuotaLedger, QuotaLimit, UsageReport};
 use coltsfoot_gateway::zone_relay;
 use coltsfoot_types::time as clock;
 use coltsfoot_wire::fleet;
@@ -141,6 +141,11 @@
     assert!(second[0].is_multiple_of(10));
 }
 
+fn usage_report(total: u64) -> UsageReport {
+    let interval = std::time::Duration::from_millis(150);
+    UsageReport { total, instances: 1, interval, is_deaf: false }
+}
+
 /// A customer's usage is counted once while its source changes from the instances themselves to a
 /// relay and to the next relay, and while an instance restarts.
 #[test]
@@ -170,15 +175,15 @@
         sent = relay_total(&mut aggregators, 0);
     }
     assert_eq!(sent, 300);
-    ledger.record_peer_total(at(1), 1, &customer, 0);
-    ledger.record_peer_total(at(2), 1, &customer, sent);
+    ledger.record_peer_report(at(1), 1, &customer, usage_report(0));
+    ledger.record_peer_report(at(2), 1, &customer, usage_report(sent));
     // The next relay aggregated the same usage; its first total is only a starting point.
     ledger.forget_peer(1);
-    ledger.record_peer_total(at(3), 2, &customer, relay_total(&mut aggregators, 1));
+    ledger.record_peer_report(at(3), 2, &customer, usage_report(relay_total(&mut aggregators, 1)));
     for aggregator in &mut aggregators {
         aggregator.record_usage(8, &used(250), &[]);
     }
-    ledger.record_peer_total(at(4), 2, &customer, relay_total(&mut aggregators, 1));
+    ledger.record_peer_report(at(4), 2, &customer, usage_report(relay_total(&mut aggregators, 1)));
     // A tenth of the burst is available at the start: 1,000 less 350.
     assert!(ledger.admit(at(5), &customer, 649, QuotaClass::Plain).is_ok());
     assert!(ledger.admit(at(5), &customer, 1, QuotaClass::Plain).is_ok());
--- a/coltsfoot-measure/src/fleet_model.rs
+++ b/coltsfoot-measure/src/fleet_model.rs
@@ -53,6 +53,7 @@
         engines: None,
         quota_usage: Vec::new(),
         origins: Vec::new(),
+        silent: Vec::new(),
     }
 }
 
--- a/coltsfoot-wire/src/fleet.rs
+++ b/coltsfoot-wire/src/fleet.rs
@@ -163,6 +163,8 @@
     pub quota_usage: Vec<CustomerUsage>,
     /// Recent streams that the sender began, while several versions of software serve.
     pub origins: Vec<StreamOrigin>,
+    /// Incarnations that the sender hears no more, though they may run: it keeps to its share of the quotas.
+    pub silent: Vec<u64>,
 }
 
 /// An instance of a zone, as the zone's relay lists it to other zones.
--- a/coltsfootd/src/event.rs
+++ b/coltsfootd/src/event.rs
@@ -59,6 +59,8 @@
     LIST_REACHABLE = 211, "list_reachable", Info;
     /// A customer's quota is in force.
     QUOTA_SET = 207, "quota_set", Info;
+    /// The number of instances whose shares of the quotas are held for them has changed.
+    QUOTA_DIVIDED = 208, "quota_divided", Info;
     /// The operator published a new version of an adapter.
     VERSION_NAMED = 206, "version_named", Info;
     /// An upstream's entry is new or changed its state.
--- a/coltsfootd/src/gateway/fleet.rs
+++ b/coltsfootd/src/gateway/fleet.rs
@@ -5,7 +5,7 @@
 use std::time;
 
 use coltsfoot_gateway::fleet_view::zones;
-use coltsfoot_gateway::{demand, fleet_view};
+use coltsfoot_gateway::{demand, fleet_view, quota_ledger};
 use coltsfoot_types::time as instant;
 use coltsfoot_wire::fleet as wire;
 
@@ -140,9 +140,19 @@
         );
     }
     if !state.view().is_zone_relayed(now, &heartbeat.zone) {
-        apply_quotas(state, now, heartbeat.sender, &heartbeat.quota_usage);
+        let reporter = quota_ledger::UsageReport {
+            total: 0,
+            instances: u32::from(!heartbeat.is_draining),
+            interval: time::Duration::from_millis(u64::from(heartbeat.interval_ms)),
+            is_deaf: heartbeat.silent.contains(&state.incarnation),
+        };
+        apply_quotas(state, now, heartbeat.sender, reporter, &heartbeat.quota_usage);
     }
     if is_new {
+        let former = state.view().former_incarnations(heartbeat.sender, heartbeat.address);
+        for incarnation in former {
+            state::lock(&state.quota).forget_peer(incarnation);
+        }
         log::info!(
             event = event::PEER_FOUND.number, address = heartbeat.address.to_string(); "peer_found"
         );
@@ -193,7 +203,15 @@
     for reporter in update.replaced {
         state::lock(&state.quota).forget_peer(reporter);
     }
-    apply_quotas(state, now, heartbeat.sender, &heartbeat.quota_usage);
+    let reporter = quota_ledger::UsageReport {
+        total: 0,
+        instances: u32::try_from(state.view().zone_members(now, &heartbeat.zone).len())
+            .unwrap_or(u32::MAX),
+        // A heartbeat takes two hops: the relay and the forwarding instance.
+        interval: time::Duration::from_millis(u64::from(heartbeat.interval_ms)) * 2,
+        is_deaf: false,
+    };
+    apply_quotas(state, now, heartbeat.sender, reporter, &heartbeat.quota_usage);
     state.controllers.touch(now, &heartbeat.adapter_usage);
     if !heartbeat.is_forwarded {
         heartbeat.is_forwarded = true;
@@ -202,10 +220,12 @@
     }
 }
 
+/// Records the usage of all customers that an instance or a zone reports.
 fn apply_quotas(
     state: &state::GatewayState,
     now: instant::MonotonicTime,
-    reporter: u64,
+    sender: u64,
+    reporter: quota_ledger::UsageReport,
     quotas: &[wire::CustomerUsage],
 ) {
     let Some(routes) = state.routes.load_full() else { return };
@@ -213,7 +233,8 @@
     for customer in &routes.rules().customers {
         let number = fleet_view::customer_number(&customer.name);
         if let Some(used) = quotas.iter().find(|used| used.customer == number) {
-            quota.record_peer_total(now, reporter, &customer.name, used.total);
+            let report = quota_ledger::UsageReport { total: used.total, ..reporter };
+            quota.record_peer_report(now, sender, &customer.name, report);
         }
     }
 }
--- a/coltsfootd/src/gateway/heartbeats.rs
+++ b/coltsfootd/src/gateway/heartbeats.rs
@@ -11,10 +11,13 @@
 use coltsfoot_wire::fleet as wire;
 use rustc_hash::{FxHashMap, FxHashSet};
 
+use crate::event;
 use crate::gateway::{fleet, origins, state};
 
 /// Every how many heartbeats the full list of owned engines is included.
 const HEARTBEATS_PER_ENGINE_LIST: u64 = 4;
+/// Time after the start within which a registered instance that was not heard from may run behind a partition.
+const MAX_UNHEARD_TIME: time::Duration = time::Duration::from_secs(12);
 /// Interval of heartbeats to a registered instance that was not heard from.
 const UNHEARD_INTERVAL: time::Duration = time::Duration::from_millis(1000);
 
@@ -126,13 +129,14 @@
     forget_usage: bool,
 ) -> wire::FleetHeartbeat {
     let now = state.now();
-    let quota_usage = state::lock(&state.quota)
-        .totals()
-        .map(|(customer, total)| wire::CustomerUsage {
+    let (quota_usage, silent) = {
+        let quota = state::lock(&state.quota);
+        let usage = quota.totals().map(|(customer, total)| wire::CustomerUsage {
             customer: fleet_view::customer_number(customer),
             total,
-        })
-        .collect();
+        });
+        (usage.collect(), quota.silent_peers(now))
+    };
     let (renewed, partitions) = {
         let lease = state.lease();
         (lease.renewed(), lease.partitions().collect())
@@ -176,6 +180,7 @@
         engines,
         quota_usage,
         origins: Vec::new(),
+        silent,
     }
 }
 
@@ -260,10 +265,20 @@
     let mut contacted = FxHashMap::default();
     let mut same_zone = HeartbeatTimer::default();
     let mut cross_zone = HeartbeatTimer::default();
+    let started = state.now();
+    let mut held = HeldShares::default();
     loop {
         async_io::Timer::after(heartbeat_plan::SHORTEST_INTERVAL).await;
         state.extend_lease();
         let now = state.now();
+        let present = hold_shares(&state, now, started);
+        if held != present {
+            log::info!(
+                event = event::QUOTA_DIVIDED.number, silent = present.silent,
+                unheard = present.unheard; "quota_divided"
+            );
+            held = present;
+        }
         let plan = {
             let mut view = state.view();
             view.expire(now);
@@ -288,6 +303,29 @@
     }
 }
 
+/// Numbers of instances whose shares of the quotas are held for them.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+struct HeldShares {
+    silent: usize,
+    unheard: u32,
+}
+
+/// Holds the shares of instances that have not been heard since the start, beside those that have fallen silent.
+/// Later on, instances that are registered and not heard are gone.
+fn hold_shares(
+    state: &state::GatewayState,
+    now: instant::MonotonicTime,
+    started: instant::MonotonicTime,
+) -> HeldShares {
+    let is_new = now.since(started) < MAX_UNHEARD_TIME;
+    let listed = if is_new { state::lock(&state.listed_peers).len() } else { 0 };
+    let heard = state.view().peers().count();
+    let unheard = u32::try_from(listed.saturating_sub(heard)).unwrap_or(u32::MAX);
+    let mut quota = state::lock(&state.quota);
+    quota.set_unheard(now, unheard);
+    HeldShares { silent: quota.silent_peers(now).len(), unheard }
+}
+
 /// Schedule of the heartbeats to one group of peers.
 #[derive(Default)]
 struct HeartbeatTimer {
