Refuse unknown streams while an instance is out of step (ORDER)

Reported by operators of another system: an instance was cut off or stood still while upstreams of a new version joined; streams that had begun there through others were taken up at it and went on at another version.

It can happen here: a take-up that is not known goes on at the only version that the instance has seen in the window, and how old that view is was no input.

An instance now tracks whether its copy of the entries is confirmed by a recent read, whether others are heard and whether it has stood still. Out of step, only streams that it knows go on; back in step it reads the records before it takes one version for granted. An outage of the store for all changes nothing as long as all others are heard.

--- a/coltsfoot-gateway/src/lib.rs
+++ b/coltsfoot-gateway/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod route_table;
 pub mod rules;
 pub mod send_permits;
+pub mod step_tracker;
 pub mod stop_plan;
 pub mod topic_replica;
 pub mod upstream;
--- a/coltsfoot-gateway/src/origin_ledger.rs
+++ b/coltsfoot-gateway/src/origin_ledger.rs
@@ -83,10 +83,11 @@
 /// Versions that began recent streams.
 #[derive(Clone, Debug)]
 pub struct OriginLedger {
-    started: clock::MonotonicTime,
+    /// Since when the instance has been in step with the others without interruption.
+    in_step_since: Option<clock::MonotonicTime>,
     /// Time for which streams are remembered, and for which a version that has left counts.
     window: time::Duration,
-    /// Whether it is known what served before this instance started.
+    /// Whether it is known what served before this instance started, or was out of step.
     has_history: bool,
     /// Since when several versions of a service count; `None` if there are none.
     mixed_since: Option<clock::MonotonicTime>,
@@ -105,7 +106,7 @@
     /// Creates the ledger of an instance that starts now.
     pub fn new(now: clock::MonotonicTime) -> Self {
         Self {
-            started: now,
+            in_step_since: Some(now),
             window: DEFAULT_WINDOW,
             has_history: false,
             mixed_since: None,
@@ -122,10 +123,21 @@
         self.window = window;
     }
 
-    /// Returns whether the streams that began before this instance started are known, as far as others
-    /// have recorded them.
+    /// Notes whether the instance is in step with the others. While it is not, others may begin streams on
+    /// versions that it has not seen. Returns whether that has changed.
+    pub fn set_in_step(&mut self, now: clock::MonotonicTime, is_in_step: bool) -> bool {
+        if is_in_step == self.in_step_since.is_some() {
+            return false;
+        }
+        self.in_step_since = is_in_step.then_some(now);
+        self.has_history = false;
+        true
+    }
+
+    /// Returns whether the streams that began before this instance started, or while it was out of step, are
+    /// known, as far as others have recorded them.
     pub fn has_history(&self, now: clock::MonotonicTime) -> bool {
-        self.has_history || now.since(self.started) >= self.window
+        self.in_step_since.is_some_and(|since| self.has_history || now.since(since) >= self.window)
     }
 
     /// Notes that the records of other instances have been read.
--- a/coltsfoot-gateway/src/reader_selection.rs
+++ b/coltsfoot-gateway/src/reader_selection.rs
@@ -99,8 +99,11 @@
     if fresh.peek().is_none() && !is_recent {
         return DigestStatus::Unknown;
     }
-    let differs = |peer: &PeerDigest| {
-        peer.digest != own.digest && own.read_at.is_none_or(|own| peer.read_at() > own)
-    };
-    if fresh.any(differs) { DigestStatus::Differs } else { DigestStatus::Confirmed }
+    let differs = fresh.any(|peer| is_newer(own, peer));
+    if differs { DigestStatus::Differs } else { DigestStatus::Confirmed }
+}
+
+/// Returns whether another instance has read something different since.
+pub fn is_newer(own: OwnDigest, peer: &PeerDigest) -> bool {
+    peer.digest != own.digest && own.read_at.is_none_or(|own| peer.read_at() > own)
 }
--- a/coltsfootd/src/event.rs
+++ b/coltsfootd/src/event.rs
@@ -141,6 +141,8 @@
     STREAM_TAKEN_UP = 512, "stream_taken_up", Info;
     /// A quarantine was recorded in the store, or its record deleted.
     QUARANTINE_RECORDED = 513, "quarantine_recorded", Info;
+    /// The instance is in step with the others again, or no longer.
+    STEP_CHANGED = 514, "step_changed", Info;
 }
 
 /// Logs an event as `NAME: DETAILS`, with its number as a field.
--- a/coltsfootd/src/gateway/heartbeats.rs
+++ b/coltsfootd/src/gateway/heartbeats.rs
@@ -271,6 +271,7 @@
         async_io::Timer::after(heartbeat_plan::SHORTEST_INTERVAL).await;
         state.extend_lease();
         let now = state.now();
+        state::lock(&state.steps).tick(now);
         let present = hold_shares(&state, now, started);
         if held != present {
             log::info!(
--- a/coltsfootd/src/gateway/origins.rs
+++ b/coltsfootd/src/gateway/origins.rs
@@ -23,6 +23,10 @@
 const WRITE_INTERVAL: time::Duration = time::Duration::from_millis(300);
 /// Time limit of a read, as a caller waits for it.
 const READ_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+/// Longest wait for this instance to be in step again, as a caller waits for it.
+const MAX_STEP_WAIT: time::Duration = time::Duration::from_millis(300);
+/// Interval between checks whether it is.
+const STEP_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(20);
 /// Pause after a failed read or record, as refused calls are charged too.
 const RETRY_INTERVAL: time::Duration = time::Duration::from_millis(1500);
 /// Maximum number of records that are read at a start: a minute's, of five zones.
@@ -87,7 +91,7 @@
     let mut verdict = find_verdict(state, &admitted.service, stream);
     if verdict == OriginVerdict::Unknown {
         // Boxed, as few requests need it and all would hold the space.
-        Box::pin(read_history(state, state.now())).await;
+        Box::pin(catch_up(state)).await;
         verdict = find_verdict(state, &admitted.service, stream);
     }
     let (build, refusal) = match verdict {
@@ -118,10 +122,36 @@
     stream: Option<StreamKey>,
 ) -> OriginVerdict {
     let now = state.now();
+    check_step(state, now);
     see_builds(state, now);
     state.origin_ledger().verdict(now, &service.name, stream)
 }
 
+/// Waits until this instance is in step with the others, and reads what they have recorded.
+async fn catch_up(state: &state::GatewayState) {
+    let end = state.now() + MAX_STEP_WAIT;
+    while !check_step(state, state.now()) && state.now() < end {
+        async_io::Timer::after(STEP_CHECK_INTERVAL).await;
+    }
+    read_history(state, state.now()).await;
+}
+
+/// Notes and returns whether this instance is in step with the others; logs a change.
+fn check_step(state: &state::GatewayState, now: instant::MonotonicTime) -> bool {
+    let own = state.own_upstream_digest();
+    let peers = state.view().topic_digests(|peer| peer.upstreams);
+    let is_in_step = state::lock(&state.steps).is_in_step(now, own, &peers);
+    let has_changed = state.origin_ledger().set_in_step(now, is_in_step);
+    if has_changed {
+        let read_age_ms = own.read_at.map(|read_at| now.since(read_at).as_millis() as u64);
+        log::info!(
+            event = event::STEP_CHANGED.number, in_step = is_in_step, read_age_ms = read_age_ms,
+            peers = peers.len(); "step_changed"
+        );
+    }
+    is_in_step
+}
+
 fn see_builds(state: &state::GatewayState, now: instant::MonotonicTime) {
     let builds: Vec<BuildKey> = state.view().builds().collect();
     state.origin_ledger().see_builds(now, builds);
@@ -245,6 +275,7 @@
 pub(crate) async fn maintain(state: sync::Arc<state::GatewayState>) {
     loop {
         let now = state.now();
+        check_step(&state, now);
         see_builds(&state, now);
         let has_history = state.origin_ledger().has_history(now);
         if !has_history {
--- a/coltsfootd/src/gateway/run.rs
+++ b/coltsfootd/src/gateway/run.rs
@@ -210,6 +210,7 @@
         permits: permits::PermitState::default(),
         crashes: crashes::CrashState::default(),
         parts: sync::Mutex::default(),
+        steps: sync::Mutex::default(),
         origin_reader: async_lock::Mutex::default(),
         fleet_socket,
         operator_read_at: sync::Mutex::default(),
--- a/coltsfootd/src/gateway/state.rs
+++ b/coltsfootd/src/gateway/state.rs
@@ -6,8 +6,8 @@
 
 use coltsfoot_gateway::{
     duration_estimate, fleet_view, order_lease, origin_ledger, outage_tracker, part_ledger,
-    quarantine_archive, quota_ledger, reader_selection, rendezvous, route_table, rules, stop_plan,
-    topic_replica, zone_relay,
+    quarantine_archive, quota_ledger, reader_selection, rendezvous, route_table, rules,
+    step_tracker, stop_plan, topic_replica, zone_relay,
 };
 use coltsfoot_http::pool;
 use coltsfoot_once::retry_budget;
@@ -57,6 +57,8 @@
     pub archive: sync::Mutex<quarantine_archive::QuarantineArchive>,
     /// Versions of software that began streams.
     pub origins: sync::Mutex<origin_ledger::OriginLedger>,
+    /// Whether this instance is in step with the others.
+    pub steps: sync::Mutex<step_tracker::StepTracker>,
     pub origin_reader: async_lock::Mutex<origins::OriginReader>,
     pub fleet_socket: async_io::Async<net::UdpSocket>,
     /// Time of the last successful read of the operator's records and of the upstreams' entries.
