--- a/coltsfoot-gateway/src/event_stream.rs
+++ b/coltsfoot-gateway/src/event_stream.rs
@@ -1,7 +1,7 @@
 //! Forwarding of server-sent events: complete, once, and in order.
 
 /// Maximum size of an event, in bytes.
-const MAX_EVENT_BYTES: usize = 1024 * 1024;
+const MAX_EVENT_BYTES: usize = 64 * 1024;
 
 /// A server-sent event, in its wire form.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -16,28 +16,41 @@
 #[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
     buffer: Vec<u8>,
+    /// Length of the beginning of the buffer in which no event ends.
+    searched: usize,
+    /// End of the first event, if it is known.
+    first_end: Option<usize>,
 }
 
 impl EventSplitter {
     /// Appends received bytes.
     pub fn push(&mut self, bytes: &[u8]) {
         self.buffer.extend_from_slice(bytes);
+        if self.first_end.is_none() {
+            self.search();
+        }
     }
 
     /// Removes and returns the next complete event.
     pub fn next_event(&mut self) -> Option<StreamEvent> {
-        let end = self.event_end()?;
+        let end = self.first_end.take()?;
         let bytes: Vec<u8> = self.buffer.drain(..end).collect();
+        self.searched = 0;
+        self.search();
         Some(StreamEvent { id: event_id(&bytes), bytes })
     }
 
-    fn event_end(&self) -> Option<usize> {
-        self.buffer.windows(2).position(|pair| pair == b"\n\n").map(|start| start + 2)
+    /// Searches what was not searched before, so that many short reads of a long event cost no more.
+    fn search(&mut self) {
+        let rest = &self.buffer[self.searched..];
+        let end = rest.windows(2).position(|pair| pair == b"\n\n");
+        self.first_end = end.map(|start| self.searched + start + 2);
+        self.searched = self.buffer.len().saturating_sub(1);
     }
 
     /// Returns whether a complete event is buffered.
     pub fn has_event(&self) -> bool {
-        self.event_end().is_some()
+        self.first_end.is_some()
     }
 
     /// Returns whether bytes of an incomplete event are buffered.
--- a/coltsfoot-http/src/lib.rs
+++ b/coltsfoot-http/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod body;
 pub mod client;
 pub mod header;
+pub mod memory;
 pub mod message;
 pub mod pool;
 pub mod socket;
--- a/coltsfoot-http/src/message.rs
+++ b/coltsfoot-http/src/message.rs
@@ -6,7 +6,7 @@
 use async_net::TcpStream;
 use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _, future};
 
-use crate::{body, header};
+use crate::{body, header, memory};
 
 /// Size of one read from the socket, in bytes.
 const READ_BYTES: usize = 16 * 1024;
@@ -17,6 +17,8 @@
 
 /// Largest number of interim (1xx) responses before the final one.
 const MAX_INTERIM_RESPONSES: usize = 16;
+/// Part of its length by which the buffer of a body grows.
+const GROWTH_DIVISOR: usize = 4;
 /// Largest size of chunk extensions and trailer fields in one body; both are ignored.
 const MAX_CHUNK_EXTRA_BYTES: usize = 16 * 1024;
 /// Reads after which the task yields: reads from a peer that sends faster than it is read never wait, which
@@ -44,6 +46,9 @@
     /// The body exceeds a limit in bytes.
     #[error("the body is longer than {0} bytes; send less")]
     BodyTooLong(usize),
+    /// The memory for messages is in use.
+    #[error("no memory is left for the message; send it again later")]
+    NoMemory,
 }
 
 /// How a peer ended a connection.
@@ -251,9 +256,19 @@
 
     /// Reads a whole body of at most `max_bytes`.
     pub async fn read_body(
+        &mut self,
+        framing: body::BodyFraming,
+        max_bytes: usize,
+    ) -> Result<Vec<u8>, ReadError> {
+        self.read_body_within(framing, max_bytes, &mut memory::MemoryLease::unlimited()).await
+    }
+
+    /// Reads a whole body of at most `max_bytes`, as far as the lease can be extended to it.
+    pub async fn read_body_within(
         &mut self,
         mut framing: body::BodyFraming,
         max_bytes: usize,
+        lease: &mut memory::MemoryLease,
     ) -> Result<Vec<u8>, ReadError> {
         if matches!(framing, body::BodyFraming::Sized(size) if size > max_bytes as u64) {
             return Err(ReadError::BodyTooLong(max_bytes));
@@ -263,11 +278,34 @@
             if whole.len() + part.len() > max_bytes {
                 return Err(ReadError::BodyTooLong(max_bytes));
             }
+            if !lease.grow_to(whole.len() + part.len()) {
+                return Err(ReadError::NoMemory);
+            }
+            if whole.capacity() - whole.len() < part.len() {
+                // Doubling would hold twice as much as is counted.
+                whole.reserve_exact(part.len().max(whole.len() / GROWTH_DIVISOR));
+            }
             whole.extend_from_slice(&part);
         }
         Ok(whole)
     }
 
+    /// Reads a whole body of at most `max_bytes` and drops it.
+    pub async fn skip_body(
+        &mut self,
+        mut framing: body::BodyFraming,
+        max_bytes: usize,
+    ) -> Result<(), ReadError> {
+        let mut skipped = 0;
+        while let Some(part) = self.read_part(&mut framing).await? {
+            skipped += part.len();
+            if skipped > max_bytes {
+                return Err(ReadError::BodyTooLong(max_bytes));
+            }
+        }
+        Ok(())
+    }
+
     fn count_extra_bytes(&mut self, bytes: usize) -> Result<(), ReadError> {
         self.chunk_extra_bytes += bytes;
         if self.chunk_extra_bytes > MAX_CHUNK_EXTRA_BYTES {
--- a/coltsfootd/src/gateway/attempt.rs
+++ b/coltsfootd/src/gateway/attempt.rs
@@ -116,7 +116,7 @@
         if fields.request_id.as_deref().is_none_or(|id| id == request.request_id) {
             return Ok((head, fields, framing, skipped > 0));
         }
-        stream.read_body(framing, MAX_STALE_BYTES).await?;
+        stream.skip_body(framing, MAX_STALE_BYTES).await?;
     }
     Err(AttemptError::Mismatched)
 }
--- a/coltsfootd/src/gateway/callers.rs
+++ b/coltsfootd/src/gateway/callers.rs
@@ -4,8 +4,8 @@
 use std::time;
 
 use async_net::{TcpListener, TcpStream};
-use coltsfoot_gateway::{idle_connection, rules, stop_plan};
-use coltsfoot_http::{body, header, message, socket};
+use coltsfoot_gateway::{idle_connection, rules, stop_plan, upstream_search};
+use coltsfoot_http::{body, header, memory, message, socket};
 use futures_lite::{AsyncWriteExt as _, future};
 use site_platform::fields;
 
@@ -75,7 +75,7 @@
         }
         let _active = state.stop.requests.enter();
         let limits = limits(&state);
-        let request = match read_request(&mut caller, &limits).await {
+        let request = match read_request(&mut caller, &limits, state.memory.request_lease()).await {
             Ok(request) => request,
             Err(rejection) => {
                 reject(&state, &mut caller, &rejection).await;
@@ -140,6 +140,8 @@
 pub(crate) struct ReceivedRequest {
     pub head: header::RequestHead,
     pub body: Vec<u8>,
+    /// What the body holds of the memory for requests.
+    _lease: memory::MemoryLease,
 }
 
 /// Why a request is rejected before it was read completely.
@@ -154,6 +156,7 @@
 async fn read_request(
     caller: &mut message::MessageStream,
     limits: &rules::CallerLimits,
+    mut lease: memory::MemoryLease,
 ) -> Result<ReceivedRequest, Rejection> {
     const HEAD_TIMEOUT: Rejection = Rejection { status: 408, reason: "head_timeout" };
     const BODY_TIMEOUT_PASSED: Rejection = Rejection { status: 408, reason: "body_timeout" };
@@ -174,11 +177,11 @@
         let written = caller.write(&interim).await;
         written.map_err(|_| Rejection { status: 400, reason: "caller_reset" })?;
     }
-    let read = caller.read_body(framing, limits.max_body_bytes);
+    let read = caller.read_body_within(framing, limits.max_body_bytes, &mut lease);
     match message::with_timeout(BODY_TIMEOUT, read).await {
         None => Err(BODY_TIMEOUT_PASSED),
         Some(Err(error)) => Err(rejection_of(&error)),
-        Some(Ok(body)) => Ok(ReceivedRequest { head, body }),
+        Some(Ok(body)) => Ok(ReceivedRequest { head, body, _lease: lease }),
     }
 }
 
@@ -186,6 +189,7 @@
     let (status, reason) = match error {
         message::ReadError::HeadTooLong(_) => (431, "head_too_long"),
         message::ReadError::BodyTooLong(_) => (413, "body_too_long"),
+        message::ReadError::NoMemory => (503, "no_memory"),
         message::ReadError::Closed => (400, request_log::end_code(message::PeerEnd::Closed)),
         message::ReadError::Io(_) => (400, request_log::end_code(message::PeerEnd::Failed)),
         message::ReadError::Malformed(_) | message::ReadError::Framing(_) => (400, "malformed"),
@@ -198,7 +202,8 @@
     caller: &mut message::MessageStream,
     rejection: &Rejection,
 ) {
-    let mut head = fields::local_reply(rejection.status, None, None);
+    let retry_after = (rejection.status == 503).then_some(upstream_search::RETRY_PAUSE);
+    let mut head = fields::local_reply(rejection.status, None, retry_after);
     head.headers.push("Content-Length", "0");
     head.headers.push("Connection", "close");
     let is_written = caller.write(&head.encode()).await.is_ok();
--- a/coltsfootd/src/gateway/exchange.rs
+++ b/coltsfootd/src/gateway/exchange.rs
@@ -5,7 +5,7 @@
 
 use async_net::TcpStream;
 use coltsfoot_gateway::{demand, part_ledger, quota_ledger, route_table, rules, upstream_search};
-use coltsfoot_http::header;
+use coltsfoot_http::{header, memory};
 use coltsfoot_types::time as instant;
 use coltsfoot_wire::once;
 use futures_lite::AsyncWriteExt as _;
@@ -15,6 +15,9 @@
 use crate::gateway::{archive, callers, forwarding, request_log, state};
 use crate::request_digest;
 
+/// Maximum number of a body's bytes that are written together with the head.
+const MAX_JOINED_BYTES: usize = 64 * 1024;
+
 /// What happens to the caller's connection after a response.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum ConnectionUse {
@@ -26,11 +29,18 @@
     Abort,
 }
 
+/// Body of a response, with what it holds of the memory for responses until it is written.
+#[derive(Debug)]
+pub(super) struct BufferedBody {
+    pub(super) bytes: Vec<u8>,
+    pub(super) _lease: memory::MemoryLease,
+}
+
 /// How a request ended.
 #[derive(Debug)]
 pub(super) enum Outcome {
     /// An upstream's response, read completely before any of it is written.
-    Buffered(header::ResponseHead, Vec<u8>),
+    Buffered(header::ResponseHead, BufferedBody),
     /// A stream that was forwarded to its end.
     Streamed,
     /// A response that was cut off, with the reason.
@@ -233,13 +243,16 @@
     }
 
     async fn write_response(&self, writer: &mut TcpStream, outcome: Outcome) -> ConnectionUse {
-        let (mut head, body) = match outcome {
+        let (mut head, body, _lease) = match outcome {
             Outcome::Streamed => return self.connection_use(),
             Outcome::Aborted(_) => return ConnectionUse::Abort,
-            Outcome::Buffered(head, body) => (fields::encode_response(&head), body),
+            Outcome::Buffered(head, BufferedBody { bytes, _lease: lease }) => {
+                (fields::encode_response(&head), bytes, lease)
+            }
             Outcome::Local(reply) => {
                 let id = self.fields.request_id.as_deref();
-                (fields::local_reply(reply.status, id, reply.retry_after), Vec::new())
+                let head = fields::local_reply(reply.status, id, reply.retry_after);
+                (head, Vec::new(), memory::MemoryLease::unlimited())
             }
         };
         let has_body = !matches!(head.status, 204 | 304);
@@ -251,12 +264,18 @@
             head.headers.push("Connection", "close");
         }
         let mut bytes = head.encode();
-        if has_body && self.request.head.method != "HEAD" {
-            bytes.extend_from_slice(&body);
+        let body = if self.request.head.method == "HEAD" { &[][..] } else { &body };
+        // Small ones go out with the head; a large one is not copied.
+        let (joined, rest) = body.split_at(body.len().min(MAX_JOINED_BYTES));
+        if has_body {
+            bytes.extend_from_slice(joined);
+        }
+        if writer.write_all(&bytes).await.is_err() {
+            return ConnectionUse::Abort;
         }
-        match writer.write_all(&bytes).await {
-            Ok(()) => end,
-            Err(_) => ConnectionUse::Abort,
+        match has_body && writer.write_all(rest).await.is_err() {
+            true => ConnectionUse::Abort,
+            false => end,
         }
     }
 
--- a/coltsfootd/src/gateway/forwarding.rs
+++ b/coltsfootd/src/gateway/forwarding.rs
@@ -55,7 +55,7 @@
     /// Whether a retry was withdrawn from the budget for an attempt that was not sent.
     has_reserved_retry: bool,
     /// The last 5xx response of an upstream, returned to the caller if no attempt succeeds.
-    pub(super) failed_response: Option<(header::ResponseHead, Vec<u8>)>,
+    pub(super) failed_response: Option<(header::ResponseHead, exchange::BufferedBody)>,
 }
 
 impl<'a, 'b> Forwarding<'a, 'b> {
@@ -382,9 +382,21 @@
     ) -> AttemptProgress<'b> {
         let upstream_attempt::OpenAttempt { attempt, mut response, .. } = open;
         let framing = response.framing;
-        let Ok(body) = response.stream.read_body(framing, MAX_RESPONSE_BYTES).await else {
-            return AttemptProgress::Failed(self.fail_broken(attempt, "answer_broke_off"));
+        let mut lease = self.state.memory.response_lease(&attempt.chosen.id);
+        let stream = &mut response.stream;
+        let read = stream.read_body_within(framing, MAX_RESPONSE_BYTES, &mut lease).await;
+        let bytes = match read {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                let detail = match error {
+                    message::ReadError::BodyTooLong(_) => "answer_too_long",
+                    message::ReadError::NoMemory => "no_memory",
+                    _ => "answer_broke_off",
+                };
+                return AttemptProgress::Failed(self.fail_broken(attempt, detail));
+            }
         };
+        let body = exchange::BufferedBody { bytes, _lease: lease };
         response.framing = match framing {
             // The body was delimited by the end of the connection, which can't be reused.
             body::BodyFraming::UntilClose | body::BodyFraming::NonEmptyUntilClose => framing,
--- a/coltsfootd/src/gateway/mod.rs
+++ b/coltsfootd/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 mod intake;
 mod lease;
 mod loads;
+mod memory;
 mod metrics;
 mod news;
 mod origins;
--- a/coltsfootd/src/gateway/run.rs
+++ b/coltsfootd/src/gateway/run.rs
@@ -14,8 +14,8 @@
 use site_platform::{entry, rules, settings, store};
 
 use crate::gateway::{
-    archive, callers, crashes, engines, fleet, follower, heartbeats, lease, metrics, news, origins,
-    pending_calls, permits, reload, state, stop,
+    archive, callers, crashes, engines, fleet, follower, heartbeats, lease, memory, metrics, news,
+    origins, pending_calls, permits, reload, state, stop,
 };
 use crate::{clock, event, metrics as registry};
 
@@ -199,6 +199,7 @@
         metrics: metrics::GatewayMetrics::new()?,
         store: store::StoreClient::new(settings.store.address, sync::Arc::clone(&pool)),
         pool,
+        memory: memory::MessageMemory::new(settings.memory_bytes()),
         routes: arc_swap::ArcSwapOption::empty(),
         view: sync::Mutex::default(),
         quota: sync::Mutex::default(),
--- a/coltsfootd/src/gateway/state.rs
+++ b/coltsfootd/src/gateway/state.rs
@@ -16,7 +16,9 @@
 use rustc_hash::FxHashMap;
 use site_platform::{settings, store};
 
-use crate::gateway::{crashes, engines, follower, metrics, origins, pending_calls, permits, stop};
+use crate::gateway::{
+    crashes, engines, follower, memory, metrics, origins, pending_calls, permits, stop,
+};
 use crate::{clock, event};
 
 /// Fraction of the fleet's retry budget that is used, so that the bound holds while some instances
@@ -40,6 +42,8 @@
     pub metrics: metrics::GatewayMetrics,
     pub pool: sync::Arc<pool::ConnectionPool>,
     pub store: store::StoreClient,
+    /// Memory that messages may hold.
+    pub memory: memory::MessageMemory,
     pub routes: arc_swap::ArcSwapOption<route_table::RouteTable>,
     pub view: sync::Mutex<fleet_view::FleetView>,
     pub quota: sync::Mutex<quota_ledger::QuotaLedger>,
