--- a/coltsfootd/src/gateway/archive.rs
+++ b/coltsfootd/src/gateway/archive.rs
@@ -22,9 +22,10 @@
 /// Maximum jitter of an update by an instance that was told of a crash.
 const MAX_JITTER: time::Duration = time::Duration::from_millis(400);
 
-/// Waits until the quarantines have been read after a start, or could not be in time.
+/// Waits until the quarantines have been read after a start, or could not be in time. Without a configuration
+/// a request is refused anyway, so that it does not wait.
 pub(crate) async fn wait_until_open(state: &state::GatewayState) {
-    while !state.archive().is_open(state.now()) {
+    while state.routes.load().is_some() && !state.archive().is_open(state.now()) {
         async_io::Timer::after(START_CHECK_INTERVAL).await;
     }
 }
