--- a/coltsfoot-gateway/src/quota_ledger.rs
+++ b/coltsfoot-gateway/src/quota_ledger.rs
@@ -193,13 +193,12 @@
         self.update_own_rate(now);
         self.hold_shares(now);
         let refilled = self.level + elapsed * self.limit.rate_per_s * (1.0 - self.unheard_share());
-        self.level = refilled.min(self.capacity().max(self.level));
+        self.level = refilled.min(self.capacity());
         for usage in self.peers.values_mut() {
             let assumed = usage.assumed_usage(now, updated, self.limit);
             usage.assumed += assumed;
             self.level -= assumed;
         }
-        self.level = self.level.min(self.capacity());
     }
 
     fn update_own_rate(&mut self, now: clock::MonotonicTime) {
--- a/coltsfoot-gateway/src/upstream_slot.rs
+++ b/coltsfoot-gateway/src/upstream_slot.rs
@@ -210,6 +210,11 @@
         }
     }
 
+    /// Returns when the upstream last sent something.
+    pub fn last_seen(&self) -> clock::MonotonicTime {
+        self.last_seen
+    }
+
     /// Applies an owner's report of the engine, unless its fencing number is stale.
     pub(crate) fn apply_residency(
         &mut self,
--- a/coltsfoot-once/src/crash_suspects.rs
+++ b/coltsfoot-once/src/crash_suspects.rs
@@ -109,17 +109,25 @@
     }
 
     /// Records that an upstream is gone. It may have shut down in an orderly way, so only requests
-    /// with lost connections are suspected. Returns the notices for the other instances.
+    /// with lost connections are suspected; the others may run at the next incarnation, which can serve before
+    /// it is known. Returns the notices for the other instances.
     pub fn record_departure(
         &mut self,
         now: clock::MonotonicTime,
         crash: &once::CrashId,
         table: &mut quarantine::QuarantineTable,
     ) -> SmallVec<[once::CrashNotice; 4]> {
-        if let Some(runs) = self.runs.get_mut(&crash.upstream) {
-            runs.retain(|run| run.lost_at.is_some());
+        let runs = self.runs.remove(&crash.upstream).unwrap_or_default();
+        let (lost, running): (Vec<_>, Vec<_>) =
+            runs.into_iter().partition(|run| run.lost_at.is_some());
+        if !lost.is_empty() {
+            self.runs.insert(crash.upstream.clone(), lost);
+        }
+        let notices = self.record_crash(now, crash, table);
+        if !running.is_empty() {
+            self.runs.insert(crash.upstream.clone(), running);
         }
-        self.record_crash(now, crash, table)
+        notices
     }
 
     /// Records that an upstream is still running, so that earlier connection losses are not
--- a/coltsfootd/src/gateway/crashes.rs
+++ b/coltsfootd/src/gateway/crashes.rs
@@ -10,7 +10,7 @@
 use coltsfoot_gateway::{attempt_plan, crash_ledger, part_ledger};
 use coltsfoot_http::{message, socket};
 use coltsfoot_once::crash_suspects::RunEnd;
-use coltsfoot_types::id;
+use coltsfoot_types::{id, time as instant};
 use coltsfoot_wire::{fleet as wire, once};
 use rustc_hash::FxHashSet;
 
@@ -22,6 +22,8 @@
 /// Time for which the probe's connection must stay open: a process that exits closes its listening
 /// port slightly after its connections.
 const PROBE_OPEN_TIME: time::Duration = time::Duration::from_millis(50);
+/// Silence of an upstream after which it may have gone dark: several times a step of an engine.
+const DARK_SILENCE: time::Duration = time::Duration::from_millis(500);
 /// Maximum number of probes while each connection is closed at once.
 const MAX_PROBES: usize = 3;
 /// Time for which the probe's connection stays in the pool.
@@ -49,7 +51,10 @@
     digest: once::RequestDigest,
     attempt: id::AttemptId,
     part_run: Option<part_ledger::RunId>,
-    end: RunEnd,
+    address: net::SocketAddr,
+    sent: instant::MonotonicTime,
+    /// How the run ended; `None` if its attempt was dropped, for example at the request's deadline.
+    end: Option<RunEnd>,
 }
 
 impl<'a> RunningRequest<'a> {
@@ -57,13 +62,15 @@
     pub(super) fn begin(
         state: &'a sync::Arc<state::GatewayState>,
         upstream: &sync::Arc<str>,
+        address: net::SocketAddr,
         digest: once::RequestDigest,
         shared_parts: &part_ledger::PartList,
     ) -> Self {
         let attempt = state.crashes.ledger().begin(upstream, digest);
         let part_run = parts::begin(state, upstream, shared_parts);
         let upstream = sync::Arc::clone(upstream);
-        Self { state, upstream, digest, attempt, part_run, end: RunEnd::Abandoned }
+        let sent = state.now();
+        Self { state, upstream, digest, attempt, part_run, address, sent, end: None }
     }
 
     /// Records an event of the response.
@@ -75,35 +82,45 @@
 
     /// Records that the attempt brought no complete response; probes the upstream if its connection
     /// broke.
-    pub(super) fn fail(mut self, end: attempt_plan::AttemptEnd, address: net::SocketAddr) {
-        if end == attempt_plan::AttemptEnd::Broken {
-            probe_once(self.state, &self.upstream, address);
-            self.end = RunEnd::ConnectionLost;
-        }
+    pub(super) fn fail(mut self, end: attempt_plan::AttemptEnd) {
+        self.end = Some(match end {
+            attempt_plan::AttemptEnd::Broken => RunEnd::ConnectionLost,
+            _ => RunEnd::Abandoned,
+        });
     }
 
     /// Records that the response was received completely.
     pub(super) fn complete(mut self) {
-        self.end = RunEnd::Completed;
+        self.end = Some(RunEnd::Completed);
+    }
+
+    /// Returns how a run ended whose attempt was dropped. An upstream that went dark breaks no connection: if it
+    /// has been silent, the run counts as lost until a probe shows that the upstream is alive.
+    fn end_of_dropped(&self, now: instant::MonotonicTime) -> RunEnd {
+        let last_seen = self.state.view().upstream(&self.upstream).map(|slot| slot.last_seen());
+        let last_seen = last_seen.unwrap_or_default().max(self.sent);
+        match now.since(last_seen) >= DARK_SILENCE {
+            true => RunEnd::ConnectionLost,
+            false => RunEnd::Abandoned,
+        }
     }
 }
 
 impl Drop for RunningRequest<'_> {
     fn drop(&mut self) {
         let now = self.state.now();
-        match (self.part_run, self.end) {
+        let end = self.end.unwrap_or_else(|| self.end_of_dropped(now));
+        if end == RunEnd::ConnectionLost {
+            probe_once(self.state, &self.upstream, self.address);
+        }
+        match (self.part_run, end) {
             (None, _) => {}
             (Some(run), RunEnd::Completed) => parts::complete(self.state, run),
             (Some(run), RunEnd::ConnectionLost) => self.state.part_ledger().lose(now, run),
             (Some(run), RunEnd::Abandoned) => self.state.part_ledger().abandon(run),
         }
-        let cleared = self.state.crashes.ledger().end(
-            now,
-            &self.upstream,
-            self.attempt,
-            &self.digest,
-            self.end,
-        );
+        let cleared =
+            self.state.crashes.ledger().end(now, &self.upstream, self.attempt, &self.digest, end);
         if let Some(audience) = cleared {
             clear_record(self.state, audience, self.digest, true);
             send_to_audience(
@@ -136,7 +153,6 @@
                 record_crash(&state, &upstream);
             }
             ProbeResult::Alive => {
-                state.crashes.ledger().confirm_alive(&upstream);
                 state.part_ledger().confirm_alive(&upstream);
             }
             ProbeResult::Unknown => {}
--- a/coltsfootd/src/gateway/upstream_attempt.rs
+++ b/coltsfootd/src/gateway/upstream_attempt.rs
@@ -67,7 +67,7 @@
 impl UpstreamAttempt<'_> {
     /// Ends an attempt without a complete response.
     pub(super) fn fail(self, end: attempt_plan::AttemptEnd, detail: &'static str) -> FailedAttempt {
-        self.running.fail(end, self.endpoint.address);
+        self.running.fail(end);
         FailedAttempt { upstream: self.chosen.id, end, detail }
     }
 
@@ -109,8 +109,13 @@
         self.log.sends += 1;
         let sent = state.now();
         self.log.placed_us.get_or_insert(sent.since(self.exchange.received).as_micros());
-        let running =
-            crashes::RunningRequest::begin(state, &chosen.id, admitted.digest, &admitted.parts);
+        let running = crashes::RunningRequest::begin(
+            state,
+            &chosen.id,
+            endpoint.address,
+            admitted.digest,
+            &admitted.parts,
+        );
         let demand = admitted.demand.as_ref();
         let in_flight = in_flight::InFlightRequest::begin(state, &chosen.id, demand);
         let head = self.encode(&chosen.id);
