--- a/coltsfoot-gateway/tests/tenures.rs
+++ b/coltsfoot-gateway/tests/tenures.rs
@@ -9,6 +9,7 @@
 use coltsfoot_gateway::{demand, engine_order, order_lease, rendezvous, upstream};
 use coltsfoot_types::time as clock;
 use coltsfoot_wire::fleet::TopicPosition;
+use rstest::rstest;
 
 const PARTITION: u32 = 3;
 const SLOTS: usize = 8;
@@ -112,30 +113,24 @@
     }
 }
 
-/// The version that an order without an answer names is old by the time at which it would be repeated.
-#[test]
-fn an_unanswered_load_of_an_older_version_is_not_repeated() {
+/// A newer version is published after an order for the adapter was sent without an answer, or while its load
+/// request waits: the older one is not ordered any more.
+#[rstest]
+#[case::unanswered(true)]
+#[case::waiting(false)]
+fn an_adapter_is_ordered_in_the_newest_version(#[case] is_sent: bool) {
     let mut engine = ModelEngine::default();
     let mut controller = controller();
     step(&mut controller, &mut engine, 0, true);
     controller.request_load(at(10), &adapter(1), Some(3), 1, |_| false);
-    step(&mut controller, &mut engine, 10, false);
+    if is_sent {
+        step(&mut controller, &mut engine, 10, false);
+    }
     let next = controller.next_step(at(400), NO_CONSTRAINTS, |_| false, |_| Some(4));
     let order = EngineOrder::LoadAdapter { name: adapter(1), version: Some(4) };
     assert_eq!(next, ControllerStep::Order { order, expected_count: 0 });
 }
 
-#[test]
-fn a_load_request_is_ordered_in_the_newest_version() {
-    let mut engine = ModelEngine::default();
-    let mut controller = controller();
-    step(&mut controller, &mut engine, 0, true);
-    controller.request_load(at(10), &adapter(1), Some(3), 1, |_| false);
-    let next = controller.next_step(at(10), NO_CONSTRAINTS, |_| false, |_| Some(4));
-    let order = EngineOrder::LoadAdapter { name: adapter(1), version: Some(4) };
-    assert_eq!(next, ControllerStep::Order { order, expected_count: 0 });
-}
-
 #[test]
 fn load_requests_are_refused_at_the_end_of_a_tenure() {
     let mut controller = controller();
