Take an instance whose news is on its way for in step

Cause, by reading: an instance counted as out of step whenever another had a newer copy of the entries, which is so after each change, and in a large fleet always. Out of step it read the records of streams every 0.3 s, and once more after each time; unknown streams were refused meanwhile.

An old copy that keeps changing is news on its way: only one that has stayed as it is for a second is out of step. Records are read in step only.

Evidence: news_that_is_on_its_way_changes_nothing (a change every 0.3 s) and a_copy_that_stays_old_makes_streams_unknown_and_nothing_is_read_meanwhile in tests/steps.rs; the nine tests before are unchanged.

--- a/coltsfoot-gateway/src/origin_ledger.rs
+++ b/coltsfoot-gateway/src/origin_ledger.rs
@@ -140,6 +140,12 @@
         self.in_step_since.is_some_and(|since| self.has_history || now.since(since) >= self.window)
     }
 
+    /// Returns whether the records of other instances must be read. An instance out of step waits until it is in
+    /// step again.
+    pub fn needs_history(&self, now: clock::MonotonicTime) -> bool {
+        self.in_step_since.is_some() && !self.has_history(now)
+    }
+
     /// Notes that the records of other instances have been read.
     pub fn history_read(&mut self) {
         self.has_history = true;
--- a/coltsfoot-gateway/src/step_tracker.rs
+++ b/coltsfoot-gateway/src/step_tracker.rs
@@ -15,12 +15,23 @@
 const MAX_SILENCE: time::Duration = time::Duration::from_millis(600);
 const MAX_LOST_HEARTBEATS: u32 = 3;
 
-/// Tracks suspensions of the process.
+/// Longest time that news of the entries takes to reach an instance that is in step.
+const MAX_NEWS_DELAY: time::Duration = time::Duration::from_millis(1000);
+
+/// A copy of the entries that is older than another instance's.
+#[derive(Clone, Copy, Debug)]
+struct OldCopy {
+    digest: u64,
+    since: clock::MonotonicTime,
+}
+
+/// Tracks suspensions of the process, and how long its copy of the entries has been old.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct StepTracker {
     last_tick: Option<clock::MonotonicTime>,
     /// End of the last suspension.
     resumed: Option<clock::MonotonicTime>,
+    old_copy: Option<OldCopy>,
 }
 
 impl StepTracker {
@@ -34,8 +45,9 @@
 
     /// Returns whether the instance is in step, given its own copy of the entries and those that others report.
     ///
-    /// It is if the copy is confirmed by a recent read, its own or one that another reports. While the store is
-    /// out for all, it is as long as all others are heard and none has a newer copy.
+    /// It is if the copy is confirmed by a recent read, its own or one that another reports, or has been old for
+    /// a moment only, as after each change of an entry. While the store is out for all, it is as long as all
+    /// others are heard and none has a newer copy.
     pub fn is_in_step(
         &mut self,
         now: clock::MonotonicTime,
@@ -55,8 +67,12 @@
         if heard == 0 && !peers.is_empty() {
             return false;
         }
-        match reader_selection::digest_status(now, own, peers) {
-            reader_selection::DigestStatus::Differs => false,
+        let status = reader_selection::digest_status(now, own, peers);
+        if status != reader_selection::DigestStatus::Differs {
+            self.old_copy = None;
+        }
+        match status {
+            reader_selection::DigestStatus::Differs => self.is_news_on_its_way(now, own.digest),
             reader_selection::DigestStatus::Confirmed => true,
             reader_selection::DigestStatus::Unknown => {
                 let is_newer = |peer| reader_selection::is_newer(own, peer);
@@ -64,4 +80,11 @@
             }
         }
     }
+
+    /// Returns whether a copy that is old has changed just before: in a large fleet there is always some news.
+    fn is_news_on_its_way(&mut self, now: clock::MonotonicTime, digest: u64) -> bool {
+        let known = self.old_copy.filter(|copy| copy.digest == digest);
+        let old_copy = *self.old_copy.insert(known.unwrap_or(OldCopy { digest, since: now }));
+        now.since(old_copy.since) < MAX_NEWS_DELAY
+    }
 }
--- a/coltsfoot-gateway/tests/steps.rs
+++ b/coltsfoot-gateway/tests/steps.rs
@@ -178,6 +178,35 @@
     }
 }
 
+/// Each change of an entry reaches the instances one after the other; in a large fleet there is always one on its
+/// way. None of them reads all records for it, or refuses a stream.
+#[test]
+fn news_that_is_on_its_way_changes_nothing() {
+    let mut observed = Observed::new();
+    observed.run(0, 8_000, u64::MAX, Trouble::None);
+    for (change, now) in (8_000..20_000).step_by(300).enumerate() {
+        observed.hear(now, 0, 0);
+        observed.peers.iter_mut().for_each(|peer| peer.digest = 100 + change as u64);
+        assert_eq!(observed.take_up(now, 1), OriginVerdict::Build(build(0)), "{now} ms");
+        observed.own = OwnDigest { digest: 100 + change as u64, read_at: Some(at(now - 50)) };
+        assert!(!observed.ledger.needs_history(at(now)));
+        observed.steps.tick(at(now));
+    }
+}
+
+/// The news does not come: the instance reaches neither the store nor an instance that passes it on.
+#[test]
+fn a_copy_that_stays_old_makes_streams_unknown_and_nothing_is_read_meanwhile() {
+    let mut observed = Observed::new();
+    observed.run(0, 8_000, u64::MAX, Trouble::None);
+    observed.run(8_000, 12_000, 8_000, Trouble::StoreCut);
+    assert_eq!(observed.take_up(12_000, 1), OriginVerdict::Unknown);
+    assert!(!observed.ledger.needs_history(at(12_000)), "nothing is read out of step");
+    observed.read(12_100, 1);
+    observed.check(12_100);
+    assert!(observed.ledger.needs_history(at(12_100)));
+}
+
 #[test]
 fn a_lost_heartbeat_or_a_late_read_changes_nothing() {
     let mut observed = Observed::new();
--- a/coltsfootd/src/gateway/origins.rs
+++ b/coltsfootd/src/gateway/origins.rs
@@ -277,8 +277,8 @@
         let now = state.now();
         check_step(&state, now);
         see_builds(&state, now);
-        let has_history = state.origin_ledger().has_history(now);
-        if !has_history {
+        let needs_history = state.origin_ledger().needs_history(now);
+        if needs_history {
             read_history(&state, now).await;
         }
         let is_written = write_origins(&state).await;
