Reset connections to upstreams whose exchange is abandoned (GONE)

Callers saw nothing; upstreams got requests seconds after their callers had left. An abandoned attempt closed its connection in order, so that the system went on to deliver what a cut or a silent upstream still held up, the request first and the close behind it. The same holds for orders, reports and calls of the store that were given up.

A connection taken from the pool is reset when it is dropped before its exchange has ended; what is held up is then discarded. A response that was read completely ends the exchange, and its connection is closed in order.

--- a/coltsfoot-http/src/client.rs
+++ b/coltsfoot-http/src/client.rs
@@ -68,6 +68,7 @@
         let mut stream = connected.map_err(|source| CallError::Connect { address, source })?;
         let response = send_and_read(&mut stream, head, content, max_body).await;
         let response = response.map_err(|source| CallError::NoResponse { address, source })?;
+        stream.end_exchange();
         let is_reusable = !REJECTIONS.contains(&response.head.status);
         if is_reusable && response.head.keeps_connection() && !stream.has_buffered() {
             pool.put(address, stream, MAX_IDLE_TIME);
--- a/coltsfoot-http/src/message.rs
+++ b/coltsfoot-http/src/message.rs
@@ -66,6 +66,8 @@
     stream: TcpStream,
     buffer: Vec<u8>,
     is_ended: bool,
+    /// Whether a request was begun on it whose response is not complete.
+    is_in_exchange: bool,
     reads: usize,
     /// Bytes of chunk extensions and trailer fields of the current message.
     chunk_extra_bytes: usize,
@@ -74,7 +76,25 @@
 impl MessageStream {
     /// Wraps a connected stream, with an empty buffer.
     pub fn new(stream: TcpStream) -> Self {
-        Self { stream, buffer: Vec::new(), is_ended: false, reads: 0, chunk_extra_bytes: 0 }
+        Self {
+            stream,
+            buffer: Vec::new(),
+            is_ended: false,
+            is_in_exchange: false,
+            reads: 0,
+            chunk_extra_bytes: 0,
+        }
+    }
+
+    /// Makes a drop of the stream reset the connection instead of closing it, until [`Self::end_exchange`]:
+    /// the system would go on to deliver a request that nobody waits for any more.
+    pub fn begin_exchange(&mut self) {
+        self.is_in_exchange = true;
+    }
+
+    /// Ends an exchange whose response was read completely.
+    pub fn end_exchange(&mut self) {
+        self.is_in_exchange = false;
     }
 
     /// Returns a second handle to the socket, to write while this one reads.
@@ -347,6 +367,17 @@
     }
 }
 
+impl Drop for MessageStream {
+    fn drop(&mut self) {
+        if self.is_in_exchange
+            && let Err(error) =
+                socket2::SockRef::from(&self.stream).set_linger(Some(time::Duration::ZERO))
+        {
+            log::debug!("could not reset an abandoned connection: {error}");
+        }
+    }
+}
+
 /// Parses a request's head and returns its length in bytes; `None` if it is incomplete.
 pub fn parse_request(bytes: &[u8]) -> Result<Option<(header::RequestHead, usize)>, ReadError> {
     let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
--- a/coltsfoot-http/src/pool.rs
+++ b/coltsfoot-http/src/pool.rs
@@ -50,17 +50,19 @@
         }
     }
 
-    /// Takes an idle connection, or opens one within a time limit.
+    /// Takes an idle connection, or opens one within a time limit, to begin an exchange on it.
     pub async fn take_or_connect(
         &self,
         address: net::SocketAddr,
         max_idle: time::Duration,
         limit: time::Duration,
     ) -> io::Result<message::MessageStream> {
-        match self.take(address, max_idle).await {
-            Some(stream) => Ok(stream),
-            None => Ok(message::MessageStream::new(socket::connect(address, limit).await?)),
-        }
+        let mut stream = match self.take(address, max_idle).await {
+            Some(stream) => stream,
+            None => message::MessageStream::new(socket::connect(address, limit).await?),
+        };
+        stream.begin_exchange();
+        Ok(stream)
     }
 
     fn pop(&self, address: net::SocketAddr) -> Option<IdleConnection> {
@@ -68,13 +70,15 @@
         idle.get_mut(&address)?.pop()
     }
 
-    /// Returns a connection to the pool for a time of at most an hour; closes it if the address has 32 already.
+    /// Returns a connection whose exchange has ended to the pool for a time of at most an hour; closes it if the
+    /// address has 32 already.
     pub fn put(
         &self,
         address: net::SocketAddr,
-        stream: message::MessageStream,
+        mut stream: message::MessageStream,
         lifetime: time::Duration,
     ) {
+        stream.end_exchange();
         let now = time::Instant::now();
         let expires = now + lifetime.min(MAX_LIFETIME);
         let connection = IdleConnection { stream, idle_since: now, expires };
--- a/coltsfoot-http/tests/connections.rs
+++ b/coltsfoot-http/tests/connections.rs
@@ -106,6 +106,26 @@
     });
 }
 
+#[rstest]
+#[case::in_exchange(false)]
+#[case::after_the_exchange(true)]
+fn abandoned_exchange_resets_its_connection(#[case] is_ended: bool) {
+    async_io::block_on(async {
+        let (local, remote, _) = connected_pair().await;
+        let mut stream = message::MessageStream::new(local);
+        stream.begin_exchange();
+        stream.write(b"request").await.expect("written");
+        let mut remote = message::MessageStream::new(remote);
+        remote.wait_message().await.expect("a request");
+        if is_ended {
+            stream.end_exchange();
+        }
+        drop(stream);
+        let expected = if is_ended { message::PeerEnd::Closed } else { message::PeerEnd::Failed };
+        assert_eq!(remote.wait_closed().await, expected);
+    });
+}
+
 #[test]
 fn connection_with_unlimited_lifetime_is_pooled() {
     async_io::block_on(async {
--- a/coltsfootd/src/gateway/attempt.rs
+++ b/coltsfootd/src/gateway/attempt.rs
@@ -36,10 +36,13 @@
 }
 
 impl OpenResponse {
-    /// Returns the connection to the pool if it can carry further requests. One that carried a rejection is
+    /// Returns the connection to the pool if it can carry further requests, else closes it. One that carried a rejection is
     /// closed: a rejection need not name its request, so that a repeated one would reject the next request
     /// although that runs.
-    pub fn release(self, pool: &pool::ConnectionPool) {
+    pub fn release(mut self, pool: &pool::ConnectionPool) {
+        if self.framing == body::BodyFraming::Done && self.is_sent {
+            self.stream.end_exchange();
+        }
         let is_reusable = self.framing == body::BodyFraming::Done
             && self.is_sent
             && !self.has_skipped_stale
