Look at the caller's end before its request is forwarded (GONE)

A caller that gave up because its request was not read leaves the request and its end in the socket. An instance that read it late forwarded it in its first poll, on an idle connection, before it looked at the caller's end.

Evidence: stopped_instance::request_whose_caller_left_before_it_was_read_... stops an instance (SIGSTOP), lets eight callers send and leave, and goes on: one request had been sent on before the change, none is now (3 of 3 runs).

--- a/coltsfootd/src/gateway/callers.rs
+++ b/coltsfootd/src/gateway/callers.rs
@@ -242,7 +242,8 @@
         state.stop.wait_for(stop_plan::StopPhase::Ended).await;
         Err(request_log::DROPPED)
     };
-    let served = future::or(serve, future::or(disconnect, end_process)).await;
+    // The caller's end is looked at first: it may lie behind the request when that is read late.
+    let served = future::or(disconnect, future::or(serve, end_process)).await;
     let end = match served {
         Ok(exchange::ConnectionUse::Keep) => "kept",
         Ok(exchange::ConnectionUse::Close) => "closed",
