Count the pause after a failed read of the store from its beginning (CONFIG)

An instance whose connections to the store had gone silent could serve by an older configuration for longer than the bound, though the store was sound: its long poll hung for 2.2 s and was followed by a pause of up to 1.6 s, which grows with each failure. Two such faults in a row, beside a restart of the instance that could have told it, left an acknowledged version out of force.

The pause is now counted from the beginning of the failed call (RetryPace).

Evidence: config_model simulates copies, digests and readers under restores, cuts, freezes, restarts and silent connections.

--- a/coltsfoot-gateway/src/lib.rs
+++ b/coltsfoot-gateway/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod quota_ledger;
 pub mod reader_selection;
 pub mod rendezvous;
+pub mod retry_pace;
 pub mod route_table;
 pub mod rules;
 pub mod send_permits;
--- a/coltsfootd/src/gateway/follower.rs
+++ b/coltsfootd/src/gateway/follower.rs
@@ -3,8 +3,9 @@
 use std::sync;
 use std::time;
 
+use coltsfoot_gateway::retry_pace::MIN_READ_INTERVAL;
 use coltsfoot_gateway::topic_replica::KeyedRecord;
-use coltsfoot_gateway::{peer_slot, reader_selection, topic_replica, upstream};
+use coltsfoot_gateway::{peer_slot, reader_selection, retry_pace, topic_replica, upstream};
 use coltsfoot_types::time as instant;
 use coltsfoot_wire::fleet as wire;
 use site_platform::{entry, rules, store};
@@ -17,17 +18,12 @@
 /// Interval between reads of the upstreams' entries. Well within the time in which a draining
 /// upstream must stop receiving work.
 const UPSTREAM_INTERVAL: time::Duration = time::Duration::from_millis(850);
+/// Interval between looks for a topic that does not exist yet.
+const MISSING_TOPIC_INTERVAL: time::Duration = time::Duration::from_millis(400);
 /// Time since the last read beyond which the topic is read anew instead of the records since.
 const MAX_INCREMENTAL_AGE: time::Duration = time::Duration::from_millis(2000);
 /// Interval between checks of the readers' digests.
 const DIGEST_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(100);
-/// Minimum pause between reads of a topic, for long polls that return at once and for slow responses.
-const MIN_READ_INTERVAL: time::Duration = time::Duration::from_millis(30);
-/// Initial delay before a retry while the store is unavailable, and its maximum. It doubles with
-/// each failure, since refused calls are charged too and peers forward what they read.
-const RETRY_INTERVAL: time::Duration = time::Duration::from_millis(400);
-const MAX_RETRY_INTERVAL: time::Duration = time::Duration::from_millis(1600);
-
 /// Read position and retry state of one topic.
 struct TopicFollower {
     topic: &'static str,
@@ -40,7 +36,7 @@
     /// Whether the topic may not exist yet. Before the operator's first record it counts as empty,
     /// not as an error that every instance retries.
     may_be_missing: bool,
-    retry_interval: time::Duration,
+    pace: retry_pace::RetryPace,
 }
 
 /// Records that a read brought and that are newer than those known.
@@ -54,9 +50,9 @@
 
 impl TopicFollower {
     fn new(topic: &'static str, wait: time::Duration) -> Self {
-        let retry_interval = RETRY_INTERVAL;
+        let pace = retry_pace::RetryPace::default();
         let (is_reachable, may_be_missing) = (true, topic == store::OPERATOR_TOPIC);
-        Self { topic, wait, next: None, era: None, is_reachable, may_be_missing, retry_interval }
+        Self { topic, wait, next: None, era: None, is_reachable, may_be_missing, pace }
     }
 
     async fn read(
@@ -67,7 +63,7 @@
         let Some(from) = self.next else {
             let newest = match store.read_latest(self.topic).await {
                 Err(store::StoreError::Refused(404)) if self.may_be_missing => {
-                    async_io::Timer::after(RETRY_INTERVAL).await;
+                    async_io::Timer::after(MISSING_TOPIC_INTERVAL).await;
                     return Ok(Vec::new());
                 }
                 newest => newest?,
@@ -95,7 +91,7 @@
         let last_era = self.era;
         match self.read(&state.store, state.replica(topic)).await {
             Ok(records) => {
-                self.retry_interval = RETRY_INTERVAL;
+                self.pace.record_success();
                 let is_restored = last_era.is_some() && self.era != last_era;
                 if is_restored {
                     self.log_restored(last_era);
@@ -126,8 +122,7 @@
                         "log_unreachable: {error}"
                     );
                 }
-                async_io::Timer::after(self.retry_interval).await;
-                self.retry_interval = (self.retry_interval * 2).min(MAX_RETRY_INTERVAL);
+                async_io::Timer::after(self.pace.record_failure(state.now(), sent)).await;
                 None
             }
         }
