--- a/coltsfoot-gateway/src/engine_choice.rs
+++ b/coltsfoot-gateway/src/engine_choice.rs
@@ -5,7 +5,9 @@
 
 use coltsfoot_types::time as clock;
 
-use crate::{demand, fleet_view, rendezvous, rules, send_permits, upstream, upstream_slot};
+use crate::{
+    demand, fleet_view, path_table, rendezvous, rules, send_permits, upstream, upstream_slot,
+};
 
 /// Prompt tokens that an engine prefills per millisecond while it serves its running requests.
 pub const PREFILL_TOKENS_PER_MS: f64 = 33.0;
@@ -35,6 +37,8 @@
 const QUEUED_REQUEST_COST_MS: f64 = 40.0;
 /// Cost of an upstream to which connections failed recently, in milliseconds.
 const AVOIDED_COST_MS: f64 = 5_000.0;
+/// Cost of an upstream that is reached through another instance, in milliseconds.
+const TUNNEL_COST_MS: f64 = 8.0;
 /// Cost of an upstream that has running requests and sends nothing, in milliseconds.
 const SILENT_COST_MS: f64 = 1500.0;
 /// Share of the shared prompt tokens that the preferred engine of a prefix is expected to have cached.
@@ -84,12 +88,13 @@
         .collect();
     match request.demand {
         Some(demand) => choose_engine(now, view, request, demand, &candidates, &suspects),
-        None => choose_plain(now, request, &candidates, &suspects),
+        None => choose_plain(now, view, request, &candidates, &suspects),
     }
 }
 
 fn common_cost(
     now: clock::MonotonicTime,
+    view: &fleet_view::FleetView,
     request: &PlacedRequest<'_>,
     slot: &upstream_slot::UpstreamSlot,
     suspects: &[&str],
@@ -101,12 +106,18 @@
         false => CROSS_ZONE_COST_MS,
     };
     let avoided = if slot.is_avoided(now) { AVOIDED_COST_MS } else { 0.0 };
+    let path = match view.path_to(slot) {
+        path_table::UpstreamPath::Direct => 0.0,
+        path_table::UpstreamPath::Lost(_) if view.has_carrier(now, slot.number) => TUNNEL_COST_MS,
+        path_table::UpstreamPath::Lost(_) => AVOIDED_COST_MS,
+    };
     let silent = if slot.is_silent(now) { SILENT_COST_MS } else { 0.0 };
-    zone + avoided + silent + slot.failure_rate(now) * FAILURE_COST_MS
+    zone + avoided + path + silent + slot.failure_rate(now) * FAILURE_COST_MS
 }
 
 fn choose_plain(
     now: clock::MonotonicTime,
+    view: &fleet_view::FleetView,
     request: &PlacedRequest<'_>,
     candidates: &[&upstream_slot::UpstreamSlot],
     suspects: &[&str],
@@ -115,7 +126,7 @@
         let work = slot.work(now);
         let slots = slot.entry.slots.max(1);
         let rounds = f64::from(work.running) / f64::from(slots);
-        (rounds * PLAIN_REQUEST_MS + common_cost(now, request, slot, suspects), slot)
+        (rounds * PLAIN_REQUEST_MS + common_cost(now, view, request, slot, suspects), slot)
     });
     let (cost, slot) = costs.min_by(|(one, _), (other, _)| one.total_cmp(other))?;
     let id = sync::Arc::clone(&slot.entry.id);
@@ -149,7 +160,7 @@
             _ => 0.0,
         };
         let wait = engine_wait(now, slot, demand, preferred == Some(slot.number));
-        Some((wait + load + common_cost(now, request, slot, suspects), slot, !is_held))
+        Some((wait + load + common_cost(now, view, request, slot, suspects), slot, !is_held))
     });
     let best = costs.min_by(|(one, ..), (other, ..)| one.total_cmp(other));
     let (expected_ms, slot, needs_load) = best?;
--- a/coltsfoot-gateway/src/fleet_view.rs
+++ b/coltsfoot-gateway/src/fleet_view.rs
@@ -1,6 +1,7 @@
 //! An instance's view of the fleet: upstreams, other instances, and the requests of all instances
 //! in flight at each upstream.
 
+pub mod paths;
 pub mod peers;
 pub mod permit_issuers;
 pub mod zones;
@@ -14,7 +15,7 @@
 
 use crate::{
     availability_table, demand, engine_controller, engine_order, fetch_limiter, limit_table,
-    peer_slot, rendezvous, upstream, upstream_slot,
+    path_table, peer_slot, rendezvous, upstream, upstream_slot,
 };
 
 /// Heartbeats of an instance that may be lost before its state counts as stale.
@@ -58,6 +59,7 @@
     zones: FxHashMap<sync::Arc<str>, zones::RelayedZone>,
     availability: availability_table::AvailabilityTable,
     limits: limit_table::LimitTable,
+    paths: path_table::PathTable,
     fetch_limiter: fetch_limiter::FetchLimiter,
     /// Adapter fetches queued or in progress at the engines of this instance.
     own_backlog: u32,
--- a/coltsfoot-gateway/src/lib.rs
+++ b/coltsfoot-gateway/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod origin_ledger;
 pub mod outage_tracker;
 pub mod part_ledger;
+pub mod path_table;
 pub mod peer_slot;
 pub mod quarantine_archive;
 pub mod quota_ledger;
--- a/coltsfoot-gateway/src/peer_slot.rs
+++ b/coltsfoot-gateway/src/peer_slot.rs
@@ -11,6 +11,9 @@
 /// Topic digest of an instance that does not poll the store.
 pub(crate) const NO_DIGEST: fleet::TopicDigest = fleet::TopicDigest { age_ms: u32::MAX, digest: 0 };
 
+/// Time for which the upstreams that an instance does not reach are remembered.
+const UNREACHED_LIFETIME: time::Duration = time::Duration::from_millis(800);
+
 /// State of another instance.
 #[derive(Clone, Debug)]
 pub struct PeerSlot {
@@ -42,6 +45,9 @@
     pub fetching: u32,
     /// Adapter fetches that wait for capacity of the weight store.
     pub queued_fetches: u32,
+    /// Upstreams that it does not reach, by number, and when it said so.
+    pub(crate) unreached: Vec<u32>,
+    pub(crate) unreached_at: clock::MonotonicTime,
 }
 
 impl PeerSlot {
@@ -93,9 +99,17 @@
             },
             fetching: 0,
             queued_fetches: 0,
+            unreached: Vec::new(),
+            unreached_at: now,
         }
     }
 
+    /// Returns whether it probably reaches an upstream: it repeats what it does not reach.
+    pub(crate) fn reaches(&self, now: clock::MonotonicTime, number: u32) -> bool {
+        let lifetime = UNREACHED_LIFETIME.max(self.interval * fleet_view::MAX_LOST_HEARTBEATS);
+        now.since(self.unreached_at) >= lifetime || !self.unreached.contains(&number)
+    }
+
     /// Returns whether its last heartbeat is recent, given the interval between them.
     pub(crate) fn is_live(&self, now: clock::MonotonicTime) -> bool {
         let longest = fleet_view::PEER_SILENCE.max(self.interval * fleet_view::MAX_LOST_HEARTBEATS);
--- a/coltsfoot-http/src/message.rs
+++ b/coltsfoot-http/src/message.rs
@@ -6,7 +6,7 @@
 use async_net::TcpStream;
 use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _, future};
 
-use crate::{body, header, memory};
+use crate::{body, header, memory, socket};
 
 /// Size of one read from the socket, in bytes.
 const READ_BYTES: usize = 16 * 1024;
@@ -370,8 +370,7 @@
 impl Drop for MessageStream {
     fn drop(&mut self) {
         if self.is_in_exchange
-            && let Err(error) =
-                socket2::SockRef::from(&self.stream).set_linger(Some(time::Duration::ZERO))
+            && let Err(error) = socket::set_reset_on_close(&self.stream, true)
         {
             log::debug!("could not reset an abandoned connection: {error}");
         }
--- a/coltsfoot-http/src/socket.rs
+++ b/coltsfoot-http/src/socket.rs
@@ -36,3 +36,9 @@
         .with_retries(MAX_PROBES);
     socket.set_tcp_keepalive(&keepalive)
 }
+
+/// Sets whether the end of the socket resets its connection, which discards what was not delivered yet, or closes
+/// it in order.
+pub fn set_reset_on_close(stream: &TcpStream, resets: bool) -> io::Result<()> {
+    socket2::SockRef::from(stream).set_linger(resets.then_some(time::Duration::ZERO))
+}
--- a/coltsfoot-wire/src/fleet.rs
+++ b/coltsfoot-wire/src/fleet.rs
@@ -443,6 +443,15 @@
     pub left_ms: u32,
 }
 
+/// Upstreams that the sender does not reach itself, so that it can't reach them for others either.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct UnreachedUpstreams {
+    /// Incarnation of the sender.
+    pub sender: u64,
+    /// Numbers of the upstreams.
+    pub upstreams: Vec<u32>,
+}
+
 /// A datagram between instances.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum FleetMessage {
@@ -480,6 +489,8 @@
     PartsCleared(PartsCleared),
     /// Parts that no instance may send to an engine.
     QuarantinedParts(Vec<QuarantinedPart>),
+    /// Upstreams that the sender does not reach.
+    Unreached(UnreachedUpstreams),
 }
 
 impl FleetMessage {
--- a/coltsfoot-wire/src/lib.rs
+++ b/coltsfoot-wire/src/lib.rs
@@ -13,3 +13,4 @@
 pub mod peer;
 pub mod placement;
 pub mod quota;
+pub mod tunnel;
--- a/coltsfootd/src/event.rs
+++ b/coltsfootd/src/event.rs
@@ -143,6 +143,14 @@
     QUARANTINE_RECORDED = 513, "quarantine_recorded", Info;
     /// The instance is in step with the others again, or no longer.
     STEP_CHANGED = 514, "step_changed", Info;
+    /// An upstream accepts no connection of this instance.
+    PATH_LOST = 515, "path_lost", Info;
+    /// An upstream that was lost accepts connections of this instance again.
+    PATH_REGAINED = 516, "path_regained", Info;
+    /// Another instance was asked for a tunnel to an upstream, with its answer.
+    TUNNEL_ASKED = 517, "tunnel_asked", Info;
+    /// This instance was asked for a tunnel to an upstream, with its answer.
+    TUNNEL_SERVED = 518, "tunnel_served", Info;
 }
 
 /// Logs an event as `NAME: DETAILS`, with its number as a field.
--- a/coltsfootd/src/gateway/attempt.rs
+++ b/coltsfootd/src/gateway/attempt.rs
@@ -8,13 +8,13 @@
 use futures_lite::AsyncWriteExt as _;
 use site_platform::fields;
 
-/// Timeout for connecting.
-const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(250);
+use crate::gateway::paths;
+
 /// Maximum idle time of a pooled connection that carries a request which must not be retried: if
 /// the upstream closes the connection at the same moment, it is unknown whether the request ran.
-const MAX_IDLE_NON_IDEMPOTENT: time::Duration = time::Duration::from_millis(1500);
+pub(super) const MAX_IDLE_NON_IDEMPOTENT: time::Duration = time::Duration::from_millis(1500);
 /// Maximum idle time of a pooled connection for other requests.
-const MAX_IDLE: time::Duration = time::Duration::from_millis(3500);
+pub(super) const MAX_IDLE: time::Duration = time::Duration::from_millis(3500);
 /// Time for which a connection stays in the pool if the upstream names no keep-alive timeout.
 const DEFAULT_KEEP_ALIVE: time::Duration = time::Duration::from_millis(3500);
 /// How long before the upstream's keep-alive timeout a connection is dropped from the pool.
@@ -30,12 +30,18 @@
     pub fields: fields::UpstreamFields,
     pub framing: body::BodyFraming,
     pub stream: message::MessageStream,
-    address: net::SocketAddr,
+    /// Address in the pool; `None` for a tunnel.
+    pool_address: Option<net::SocketAddr>,
     is_sent: bool,
     has_skipped_stale: bool,
 }
 
 impl OpenResponse {
+    /// Returns whether the response comes on a connection of this instance.
+    pub fn is_direct(&self) -> bool {
+        self.pool_address.is_some()
+    }
+
     /// Returns the connection to the pool if it can carry further requests, else closes it. One that carried a rejection is
     /// closed: a rejection need not name its request, so that a repeated one would reject the next request
     /// although that runs.
@@ -49,10 +55,10 @@
             && !self.fields.is_not_run
             && self.head.keeps_connection()
             && !self.stream.has_buffered();
-        if is_reusable {
+        if let Some(address) = self.pool_address.filter(|_| is_reusable) {
             let keep_alive =
                 self.fields.keep_alive.map(|keep| keep.saturating_sub(KEEP_ALIVE_MARGIN));
-            pool.put(self.address, self.stream, keep_alive.unwrap_or(DEFAULT_KEEP_ALIVE));
+            pool.put(address, self.stream, keep_alive.unwrap_or(DEFAULT_KEEP_ALIVE));
         }
     }
 }
@@ -73,21 +79,17 @@
 
 /// A request to send, encoded for its upstream.
 pub(crate) struct AttemptRequest<'a> {
-    pub address: net::SocketAddr,
     pub request_id: &'a str,
     pub head: &'a header::RequestHead,
     pub body: &'a [u8],
-    pub may_repeat: bool,
 }
 
-/// Sends a request on a pooled or new connection and reads the head of the response.
+/// Sends a request on a connection and reads the head of the response.
 pub(crate) async fn send(
-    pool: &pool::ConnectionPool,
+    connection: paths::UpstreamConnection,
     request: &AttemptRequest<'_>,
 ) -> Result<OpenResponse, AttemptError> {
-    let max_idle = if request.may_repeat { MAX_IDLE } else { MAX_IDLE_NON_IDEMPOTENT };
-    let connected = pool.take_or_connect(request.address, max_idle, CONNECT_TIMEOUT).await;
-    let mut stream = connected.map_err(AttemptError::NotSent)?;
+    let paths::UpstreamConnection { mut stream, pool_address } = connection;
     let mut bytes = request.head.encode();
     bytes.extend_from_slice(request.body);
     let is_sent = atomic::AtomicBool::new(false);
@@ -100,8 +102,8 @@
     };
     let read = read_response_head(&mut stream, request);
     let (head, fields, framing, has_skipped_stale) = futures_lite::future::or(read, write).await?;
-    let (address, is_sent) = (request.address, is_sent.load(atomic::Ordering::Relaxed));
-    Ok(OpenResponse { head, fields, framing, stream, address, is_sent, has_skipped_stale })
+    let is_sent = is_sent.load(atomic::Ordering::Relaxed);
+    Ok(OpenResponse { head, fields, framing, stream, pool_address, is_sent, has_skipped_stale })
 }
 
 type DecodedHead = (header::ResponseHead, fields::UpstreamFields, body::BodyFraming, bool);
--- a/coltsfootd/src/gateway/crashes.rs
+++ b/coltsfootd/src/gateway/crashes.rs
@@ -14,7 +14,7 @@
 use coltsfoot_wire::{fleet as wire, once};
 use rustc_hash::FxHashSet;
 
-use crate::gateway::{archive, fleet, parts, state};
+use crate::gateway::{archive, fleet, parts, paths, state, tunnels};
 use crate::{clock, event};
 
 /// Connect timeout of a probe.
@@ -145,7 +145,7 @@
     let executor = sync::Arc::clone(&state.executor);
     let (state, upstream) = (sync::Arc::clone(state), sync::Arc::clone(upstream));
     let task = async move {
-        let result = probe(&state, address).await;
+        let result = probe(&state, &upstream, address).await;
         state::lock(&state.crashes.probing).remove(&upstream);
         match result {
             ProbeResult::PortClosed => {
@@ -171,12 +171,20 @@
     Unknown,
 }
 
-async fn probe(state: &state::GatewayState, address: net::SocketAddr) -> ProbeResult {
+async fn probe(
+    state: &state::GatewayState,
+    upstream: &str,
+    address: net::SocketAddr,
+) -> ProbeResult {
     for _ in 0..MAX_PROBES {
         let connected = match socket::connect(address, PROBE_TIMEOUT).await {
             Ok(connected) => connected,
             Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
-                return ProbeResult::PortClosed;
+                paths::record_failure(state, upstream, address, &error);
+                return match tunnels::is_reached(state, upstream, address).await {
+                    true => ProbeResult::Alive,
+                    false => ProbeResult::PortClosed,
+                };
             }
             // The port was closed after the kernel had accepted the connection.
             Err(error) if error.kind() == io::ErrorKind::ConnectionReset => continue,
--- a/coltsfootd/src/gateway/engines.rs
+++ b/coltsfootd/src/gateway/engines.rs
@@ -6,6 +6,7 @@
 use std::time;
 
 use coltsfoot_gateway::availability_table::UpstreamAvailability;
+use coltsfoot_gateway::path_table::UpstreamPath;
 use coltsfoot_gateway::{
     demand, engine_controller, engine_order, fetch_limiter, fleet_view, limit_table, order_lease,
     send_permits, upstream,
@@ -201,7 +202,10 @@
         let in_use = |key| upstream.is_some_and(|upstream| upstream.is_in_use(now, key));
         let is_available =
             view.availability().status(now, *number) == UpstreamAvailability::Available;
-        let takes_orders = is_available && lease.order_fence(now, *partition, *tenure).is_some();
+        // Orders are not sent through other instances: they would count as orders of another holder.
+        let is_reached = upstream.is_some_and(|slot| view.path_to(slot) == UpstreamPath::Direct);
+        let may_order = lease.order_fence(now, *partition, *tenure).is_some();
+        let takes_orders = is_available && is_reached && may_order;
         let fetches = view.fetch_load(view.fetch_backlog());
         Some(self.controller.describe(now, *number, fence, takes_orders, fetches, in_use))
     }
--- a/coltsfootd/src/gateway/fleet.rs
+++ b/coltsfootd/src/gateway/fleet.rs
@@ -117,6 +117,9 @@
             Ok(wire::FleetMessage::QuarantinedParts(listed)) => {
                 parts::handle_quarantined(&state, &listed);
             }
+            Ok(wire::FleetMessage::Unreached(unreached)) => {
+                state.view().apply_unreached(state.now(), &unreached);
+            }
             Err(error) => log::warn!(
                 event = event::PEER_MESSAGE_REFUSED.number; "peer_message_refused: {error}"
             ),
--- a/coltsfootd/src/gateway/heartbeats.rs
+++ b/coltsfootd/src/gateway/heartbeats.rs
@@ -99,12 +99,9 @@
             };
             if is_sent {
                 let addresses = peers.iter().filter(|(same_zone, _)| *same_zone == is_same_zone);
-                send_heartbeat(
-                    state,
-                    &mut heartbeat,
-                    interval,
-                    addresses.map(|(_, address)| *address),
-                );
+                let addresses: Vec<_> = addresses.map(|(_, address)| *address).collect();
+                send_heartbeat(state, &mut heartbeat, interval, addresses.iter().copied());
+                send_unreached(state, &addresses);
             }
         }
     }
@@ -121,6 +118,16 @@
     fleet::send(state, addresses, &wire::FleetMessage::Heartbeat(heartbeat.clone()));
 }
 
+/// Tells instances what this one does not reach, so that none asks it for a tunnel there.
+fn send_unreached(state: &state::GatewayState, addresses: &[net::SocketAddr]) {
+    let upstreams = state.view().unreached();
+    if !upstreams.is_empty() {
+        let unreached = wire::UnreachedUpstreams { sender: state.incarnation, upstreams };
+        let message = wire::FleetMessage::Unreached(unreached);
+        fleet::send(state, addresses.iter().copied(), &message);
+    }
+}
+
 /// Builds a heartbeat. Ended uses of adapters are included in each one up to the first with
 /// `forget_usage`.
 fn build_heartbeat(
--- a/coltsfootd/src/gateway/metrics.rs
+++ b/coltsfootd/src/gateway/metrics.rs
@@ -18,6 +18,7 @@
     orders: metrics::Counter<u64>,
     reports: metrics::Counter<u64>,
     permits: metrics::Counter<u64>,
+    tunnels: metrics::Counter<u64>,
     crash_suspects: metrics::Counter<u64>,
     duration: metrics::Histogram<f64>,
     first_event: metrics::Histogram<f64>,
@@ -50,6 +51,10 @@
                 "coltsfoot_gateway_permits",
                 "Questions for leave to send to upstreams that named a limit, by answer and purpose",
             ),
+            tunnels: registry.counter(
+                "coltsfoot_gateway_tunnels",
+                "Questions for a tunnel to an upstream through another instance, by answer",
+            ),
             crash_suspects: registry.counter(
                 "coltsfoot_gateway_crash_suspects",
                 "Requests that were at an upstream when it crashed",
@@ -108,6 +113,11 @@
         self.permits.add(1, &labels);
     }
 
+    /// Counts a question for a tunnel, by its answer.
+    pub fn count_tunnel(&self, verdict: &'static str) {
+        self.tunnels.add(1, &[KeyValue::new("verdict", verdict)]);
+    }
+
     /// Counts requests that were running at an upstream when it crashed.
     pub fn count_crash_suspects(&self, requests: usize) {
         self.crash_suspects.add(requests as u64, &[]);
--- a/coltsfootd/src/gateway/mod.rs
+++ b/coltsfootd/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 mod news;
 mod origins;
 mod parts;
+mod paths;
 mod pending_calls;
 mod permits;
 mod relay;
@@ -31,6 +32,7 @@
 mod run;
 mod state;
 mod stop;
+mod tunnels;
 mod upstream_attempt;
 
 pub use run::{GatewayError, GatewaySignal, run, run_until_signal};
--- /dev/null
+++ b/coltsfootd/src/gateway/paths.rs
@@ -0,0 +1,125 @@
+//! Connections to upstreams: direct ones, or tunnels through another instance where this one has lost its path.
+
+use std::io;
+use std::net;
+use std::sync;
+use std::time;
+
+use coltsfoot_gateway::path_table::{PathFailure, UpstreamPath};
+use coltsfoot_http::{message, socket};
+
+use crate::event;
+use crate::gateway::{state, tunnels};
+
+/// Timeout for connecting.
+pub(super) const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(250);
+/// Interval between looks for upstreams to probe.
+const PROBE_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(100);
+/// Time for which the connection of a probe stays in the pool.
+const PROBE_KEEP_ALIVE: time::Duration = time::Duration::from_millis(1500);
+
+/// A connection to an upstream, on which an exchange has begun.
+pub(super) struct UpstreamConnection {
+    pub(super) stream: message::MessageStream,
+    /// Address in the pool; `None` for a tunnel, which serves one exchange.
+    pub(super) pool_address: Option<net::SocketAddr>,
+}
+
+/// Where a request is to be sent.
+pub(super) struct PathTarget<'a> {
+    pub(super) upstream: &'a str,
+    pub(super) number: u32,
+    pub(super) address: net::SocketAddr,
+    /// Longest time for which the connection may have been idle.
+    pub(super) max_idle: time::Duration,
+    /// Id of the request, for logs.
+    pub(super) request: &'a str,
+}
+
+/// Takes an idle connection to an upstream, or opens one, through another instance if need be.
+pub(super) async fn connect(
+    state: &state::GatewayState,
+    target: &PathTarget<'_>,
+) -> io::Result<UpstreamConnection> {
+    let path = current_path(state, target.upstream);
+    let is_idle_usable = path != UpstreamPath::Lost(PathFailure::Silent);
+    if is_idle_usable
+        && let Some(mut stream) = state.pool.take(target.address, target.max_idle).await
+    {
+        stream.begin_exchange();
+        return Ok(UpstreamConnection { stream, pool_address: Some(target.address) });
+    }
+    let error = match path {
+        UpstreamPath::Direct => match socket::connect(target.address, CONNECT_TIMEOUT).await {
+            Ok(connected) => {
+                record_contact(state, target.upstream);
+                let mut stream = message::MessageStream::new(connected);
+                stream.begin_exchange();
+                return Ok(UpstreamConnection { stream, pool_address: Some(target.address) });
+            }
+            Err(error) => {
+                record_failure(state, target.upstream, target.address, &error);
+                error
+            }
+        },
+        UpstreamPath::Lost(_) => io::Error::new(io::ErrorKind::NetworkUnreachable, "path lost"),
+    };
+    let tunnel = tunnels::open(state, target).await;
+    let stream = tunnel.ok_or(error)?;
+    Ok(UpstreamConnection { stream, pool_address: None })
+}
+
+fn current_path(state: &state::GatewayState, upstream: &str) -> UpstreamPath {
+    let view = state.view();
+    view.upstream(upstream).map_or(UpstreamPath::Direct, |slot| view.path_to(slot))
+}
+
+/// Records that an upstream accepted a direct connection or sent something on one.
+pub(super) fn record_contact(state: &state::GatewayState, upstream: &str) {
+    if state.view().record_contact(state.now(), upstream) {
+        log::info!(event = event::PATH_REGAINED.number, upstream = upstream; "path_regained");
+    }
+}
+
+/// Records that an upstream accepted no direct connection.
+pub(super) fn record_failure(
+    state: &state::GatewayState,
+    upstream: &str,
+    address: net::SocketAddr,
+    error: &io::Error,
+) {
+    let failure = match error.kind() {
+        io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset => PathFailure::Refused,
+        _ => PathFailure::Silent,
+    };
+    let is_new = state.view().record_path_failure(state.now(), upstream, failure);
+    if failure == PathFailure::Silent {
+        state.pool.close_idle(address);
+    }
+    if is_new {
+        log::info!(event = event::PATH_LOST.number, upstream = upstream; "path_lost: {error}");
+    }
+}
+
+/// Probes lost and silent upstreams; never returns.
+pub(crate) async fn probe_lost(state: sync::Arc<state::GatewayState>) {
+    loop {
+        async_io::Timer::after(PROBE_CHECK_INTERVAL).await;
+        let probes = state.view().start_probes(state.now());
+        for (upstream, address) in probes {
+            let state = sync::Arc::clone(&state);
+            let executor = sync::Arc::clone(&state.executor);
+            executor.spawn(async move { probe(&state, &upstream, address).await }).detach();
+        }
+    }
+}
+
+async fn probe(state: &state::GatewayState, upstream: &str, address: net::SocketAddr) {
+    match socket::connect(address, CONNECT_TIMEOUT).await {
+        Ok(connected) => {
+            record_contact(state, upstream);
+            state.pool.put(address, message::MessageStream::new(connected), PROBE_KEEP_ALIVE);
+        }
+        Err(error) => record_failure(state, upstream, address, &error),
+    }
+}
--- a/coltsfootd/src/gateway/relay.rs
+++ b/coltsfootd/src/gateway/relay.rs
@@ -9,7 +9,9 @@
 use site_platform::fields;
 use smallvec::SmallVec;
 
-use crate::gateway::{attempt, exchange, failover, forwarding, origins, state, upstream_attempt};
+use crate::gateway::{
+    attempt, exchange, failover, forwarding, origins, paths, state, upstream_attempt,
+};
 
 /// Complete events that arrived together.
 type EventBatch = SmallVec<[event_stream::StreamEvent; 2]>;
@@ -207,6 +209,9 @@
         let part = response.stream.read_part(&mut response.framing).await;
         let Some(part) = part.map_err(|_| "stream_broke_off")? else { return Ok(false) };
         state.view().record_activity(state.now(), upstream);
+        if response.is_direct() {
+            paths::record_contact(state, upstream);
+        }
         splitter.push(&part);
     }
 }
--- a/coltsfootd/src/gateway/run.rs
+++ b/coltsfootd/src/gateway/run.rs
@@ -15,7 +15,7 @@
 
 use crate::gateway::{
     archive, callers, crashes, engines, fleet, follower, heartbeats, lease, memory, metrics, news,
-    origins, pending_calls, permits, reload, state, stop,
+    origins, paths, pending_calls, permits, reload, state, stop, tunnels,
 };
 use crate::{clock, event, metrics as registry};
 
@@ -115,6 +115,7 @@
     let readiness = listen("readiness", settings.listen.readiness).await?;
     let metrics_address = net::SocketAddr::new(settings.ip, metrics_port);
     let scrapes = listen("metrics", metrics_address).await?;
+    let tunnels = listen("tunnels", settings.fleet_address()).await?;
     let state = build_state(settings, executor).await?;
     let name = &state.settings.instance;
     log::info!(event = event::STARTED.number, instance = name.to_string(); "started");
@@ -125,6 +126,8 @@
     executor.spawn(callers::serve_metrics(sync::Arc::clone(&state), scrapes)).detach();
     executor.spawn(follower::follow_operator(sync::Arc::clone(&state))).detach();
     executor.spawn(follower::follow_upstreams(sync::Arc::clone(&state))).detach();
+    executor.spawn(tunnels::accept(sync::Arc::clone(&state), tunnels)).detach();
+    executor.spawn(paths::probe_lost(sync::Arc::clone(&state))).detach();
     executor.spawn(fleet::receive(sync::Arc::clone(&state))).detach();
     executor.spawn(heartbeats::send_heartbeats(sync::Arc::clone(&state))).detach();
     executor.spawn(news::request_when_behind(sync::Arc::clone(&state))).detach();
@@ -223,6 +226,7 @@
         listed_peers: sync::Mutex::default(),
         zone_aggregator: sync::Mutex::default(),
         stop: stop::StopState::default(),
+        tunnels: stop::OpenCounter::default(),
         bounds: arc_swap::ArcSwap::from_pointee(settings.bounds.clone()),
         settings,
     }))
--- a/coltsfootd/src/gateway/state.rs
+++ b/coltsfootd/src/gateway/state.rs
@@ -80,6 +80,8 @@
     /// Totals of this zone, sent to other zones while this instance is the zone's relay.
     pub zone_aggregator: sync::Mutex<zone_relay::ZoneAggregator>,
     pub stop: stop::StopState,
+    /// Tunnels of other instances that this one serves.
+    pub tunnels: stop::OpenCounter,
 }
 
 impl GatewayState {
--- a/coltsfootd/src/gateway/upstream_attempt.rs
+++ b/coltsfootd/src/gateway/upstream_attempt.rs
@@ -8,7 +8,7 @@
 use coltsfoot_types::time as instant;
 use site_platform::fields;
 
-use crate::gateway::{attempt, crashes, forwarding, in_flight, intake};
+use crate::gateway::{attempt, crashes, forwarding, in_flight, intake, paths};
 
 type ResponseFuture<'a> = pin::Pin<Box<dyn Future<Output = ReceivedResponse> + Send + 'a>>;
 
@@ -120,15 +120,24 @@
         let in_flight = in_flight::InFlightRequest::begin(state, &chosen.id, demand);
         let head = self.encode(&chosen.id);
         let body = &self.exchange.request.body;
+        let upstream = sync::Arc::clone(&chosen.id);
         let response = Box::pin(async move {
-            let request = attempt::AttemptRequest {
+            let max_idle = match admitted.route.may_retry() {
+                true => attempt::MAX_IDLE,
+                false => attempt::MAX_IDLE_NON_IDEMPOTENT,
+            };
+            let target = paths::PathTarget {
+                upstream: &upstream,
+                number: endpoint.number,
                 address: endpoint.address,
-                request_id: &admitted.request_id,
-                head: &head,
-                body,
-                may_repeat: admitted.route.may_retry(),
+                max_idle,
+                request: &admitted.request_id,
             };
-            attempt::send(&state.pool, &request).await
+            let connected = paths::connect(state, &target).await;
+            let connection = connected.map_err(attempt::AttemptError::NotSent)?;
+            let request_id = &admitted.request_id;
+            let request = attempt::AttemptRequest { request_id, head: &head, body };
+            attempt::send(connection, &request).await
         });
         let attempt = UpstreamAttempt { chosen, sent, in_flight, running, endpoint };
         PendingAttempt { attempt, response }
@@ -154,6 +163,9 @@
             }
         };
         self.state.view().record_activity(self.state.now(), &attempt.chosen.id);
+        if response.is_direct() {
+            paths::record_contact(self.state, &attempt.chosen.id);
+        }
         let context = self.send_context(&attempt.chosen.id, attempt.endpoint.number);
         intake::record_response(self.state, &context, attempt.sent, &response.fields);
         if response.fields.is_not_run && !response.fields.is_signed {
