--- a/coltsfoot-gateway/src/fleet_view/paths.rs
+++ b/coltsfoot-gateway/src/fleet_view/paths.rs
@@ -1,13 +1,14 @@
 //! Paths to the upstreams: which this instance has lost, and which other instances reach them.
 
 use std::net;
+use std::sync;
 
 use coltsfoot_types::time as clock;
 use coltsfoot_wire::fleet;
 use smallvec::SmallVec;
 
 use crate::path_table::{PathFailure, ProbeCandidate, UpstreamPath};
-use crate::upstream_slot;
+use crate::{peer_slot, upstream_slot};
 
 use super::FleetView;
 
@@ -45,7 +46,7 @@
     pub fn start_probes(
         &mut self,
         now: clock::MonotonicTime,
-    ) -> Vec<(std::sync::Arc<str>, net::SocketAddr)> {
+    ) -> Vec<(sync::Arc<str>, net::SocketAddr)> {
         let is_calm =
             self.paths.is_whole() && !self.upstreams.values().any(|slot| slot.is_silent(now));
         if is_calm {
@@ -55,7 +56,7 @@
             .upstreams
             .values()
             .map(|slot| ProbeCandidate {
-                service: std::sync::Arc::clone(&slot.entry.service),
+                service: sync::Arc::clone(&slot.entry.service),
                 number: slot.number,
                 is_silent: slot.is_silent(now),
             })
@@ -63,7 +64,7 @@
         let probes = self.paths.start_probes(now, &candidates);
         let ids = probes.iter().filter_map(|number| self.numbers.get(number));
         let slots = ids.filter_map(|id| self.upstreams.get(id));
-        slots.map(|slot| (std::sync::Arc::clone(&slot.entry.id), slot.entry.address)).collect()
+        slots.map(|slot| (sync::Arc::clone(&slot.entry.id), slot.entry.address)).collect()
     }
 
     /// Returns the numbers of the upstreams that this instance does not reach itself.
@@ -95,21 +96,25 @@
         number: u32,
         zone: &str,
     ) -> (CarrierList, CarrierList) {
-        let able = self
-            .peers
-            .values()
-            .filter(|peer| !peer.is_draining && peer.is_live(now) && peer.reaches(now, number));
+        let able = self.able_peers(now, number);
         let (same_zone, cross_zone): (Vec<_>, Vec<_>) = able.partition(|peer| &*peer.zone == zone);
-        let addresses = |peers: Vec<&crate::peer_slot::PeerSlot>| {
-            peers.into_iter().map(|peer| peer.address).collect()
-        };
+        let addresses =
+            |peers: Vec<&peer_slot::PeerSlot>| peers.into_iter().map(|peer| peer.address).collect();
         (addresses(same_zone), addresses(cross_zone))
     }
 
     /// Returns whether another instance probably reaches an upstream.
     pub fn has_carrier(&self, now: clock::MonotonicTime, number: u32) -> bool {
-        self.peers
-            .values()
-            .any(|peer| !peer.is_draining && peer.is_live(now) && peer.reaches(now, number))
+        self.able_peers(now, number).next().is_some()
+    }
+
+    fn able_peers(
+        &self,
+        now: clock::MonotonicTime,
+        number: u32,
+    ) -> impl Iterator<Item = &peer_slot::PeerSlot> {
+        let peers = self.peers.values();
+        peers
+            .filter(move |peer| !peer.is_draining && peer.is_live(now) && peer.reaches(now, number))
     }
 }
