Keep connections through a pause of their peer of two seconds

An upstream that is sound may be silent for a second or so and go on. With TCP_USER_TIMEOUT of 2 s, which overrides the count of probes, a connection was given up at the first probe after 2 s, so that a silence of a second at the wrong moment ended a response. Both are 4 s now: any pause below 3 s leaves a probe that is answered.

Evidence: connection_outlives_a_pause_of_its_peer computes the end from the options of a socket by the kernel's rule; it failed before (2 s).

--- a/coltsfoot-http/src/socket.rs
+++ b/coltsfoot-http/src/socket.rs
@@ -8,12 +8,13 @@
 
 use crate::message;
 
-/// `TCP_USER_TIMEOUT`: the connection fails if sent bytes stay unacknowledged for this time.
-const USER_TIMEOUT: time::Duration = time::Duration::from_millis(2000);
+/// `TCP_USER_TIMEOUT`: the connection fails if sent bytes or keep-alive probes stay unacknowledged for this time.
+/// It also overrides the count of probes, and it must be longer than sound peers pause.
+const USER_TIMEOUT: time::Duration = time::Duration::from_millis(4000);
 /// Idle time before the first keep-alive probe, and between probes.
 const PROBE_INTERVAL: time::Duration = time::Duration::from_secs(1);
 /// Unanswered keep-alive probes after which the connection fails.
-const MAX_PROBES: u32 = 2;
+const MAX_PROBES: u32 = 4;
 
 /// Connects within a time limit and enables keep-alive.
 pub async fn connect(address: net::SocketAddr, limit: time::Duration) -> io::Result<TcpStream> {
--- a/coltsfoot-http/tests/connections.rs
+++ b/coltsfoot-http/tests/connections.rs
@@ -4,7 +4,7 @@
 use std::time;
 
 use async_net::{TcpListener, TcpStream};
-use coltsfoot_http::{body, message, pool};
+use coltsfoot_http::{body, message, pool, socket};
 use futures_lite::{AsyncWriteExt as _, future};
 use rstest::rstest;
 
@@ -106,6 +106,35 @@
     });
 }
 
+/// Returns when the kernel gives up a connection without unacknowledged bytes whose peer is silent since time
+/// zero: at a probe, once the user timeout has passed, whatever the count of probes is.
+fn keepalive_end(socket: &socket2::SockRef<'_>) -> time::Duration {
+    let first_probe = socket.tcp_keepalive_time().expect("an option");
+    let interval = socket.tcp_keepalive_interval().expect("an option");
+    let retries = socket.tcp_keepalive_retries().expect("an option");
+    let timer = |unanswered| first_probe + interval * unanswered;
+    match socket.tcp_user_timeout().expect("an option") {
+        None => timer(retries),
+        Some(limit) => (1..).map(timer).find(|elapsed| *elapsed >= limit).expect("finite"),
+    }
+}
+
+/// A peer that pauses for two seconds and goes on must not lose its connection, whenever the pause begins.
+#[test]
+fn connection_outlives_a_pause_of_its_peer() {
+    const LONGEST_PAUSE: time::Duration = time::Duration::from_secs(2);
+    async_io::block_on(async {
+        let (local, _remote, _) = connected_pair().await;
+        socket::enable_keepalive(&local).expect("options of the system");
+        let socket = socket2::SockRef::from(&local);
+        let interval = socket.tcp_keepalive_interval().expect("an option");
+        // A probe after the pause has to be answered before the end.
+        assert!(keepalive_end(&socket) >= LONGEST_PAUSE + interval);
+        let user_timeout = socket.tcp_user_timeout().expect("an option");
+        assert!(user_timeout.is_none_or(|limit| limit >= LONGEST_PAUSE + interval));
+    });
+}
+
 #[rstest]
 #[case::in_exchange(false)]
 #[case::after_the_exchange(true)]
