Keep brittle upstreams from rejecting more than they bear (LIMIT)

Upstreams may state that they fall over if they have to reject more than N requests a second for want of room (Server-Brittle). As long as a service says so, an instance sends an upstream no more than its share of the slots, or more while most are free, and pauses after a rejection for as long as all instances together stay below N.

--- a/coltsfoot-gateway/src/engine_choice.rs
+++ b/coltsfoot-gateway/src/engine_choice.rs
@@ -85,6 +85,7 @@
     let candidates: Vec<&upstream_slot::UpstreamSlot> = ready
         .filter(|slot| request.build.is_none_or(|build| slot.build == build))
         .filter(|slot| !request.tried.contains(&slot.entry.id))
+        .filter(|slot| view.may_send(now, slot))
         .collect();
     match request.demand {
         Some(demand) => choose_engine(now, view, request, demand, &candidates, &suspects),
--- a/coltsfoot-gateway/src/fleet_view.rs
+++ b/coltsfoot-gateway/src/fleet_view.rs
@@ -1,6 +1,7 @@
 //! An instance's view of the fleet: upstreams, other instances, and the requests of all instances
 //! in flight at each upstream.
 
+pub mod brittle;
 pub mod paths;
 pub mod peers;
 pub mod permit_issuers;
@@ -14,8 +15,8 @@
 use rustc_hash::FxHashMap;
 
 use crate::{
-    availability_table, demand, engine_controller, engine_order, fetch_limiter, limit_table,
-    path_table, peer_slot, rendezvous, upstream, upstream_slot,
+    availability_table, brittle_table, demand, engine_controller, engine_order, fetch_limiter,
+    limit_table, path_table, peer_slot, rendezvous, upstream, upstream_slot,
 };
 
 /// Heartbeats of an instance that may be lost before its state counts as stale.
@@ -60,6 +61,7 @@
     availability: availability_table::AvailabilityTable,
     limits: limit_table::LimitTable,
     paths: path_table::PathTable,
+    brittle: brittle_table::BrittleTable,
     fetch_limiter: fetch_limiter::FetchLimiter,
     /// Adapter fetches queued or in progress at the engines of this instance.
     own_backlog: u32,
--- a/coltsfootd/src/event.rs
+++ b/coltsfootd/src/event.rs
@@ -83,6 +83,8 @@
     LIMIT_UNREADABLE = 220, "limit_unreadable", Warn;
     /// An upstream's entry expired in an outage of the store; the upstream is used for a while.
     UPSTREAM_MISSING = 221, "upstream_missing", Info;
+    /// A service stated that its upstreams fall over if they have to reject too many requests.
+    SERVICE_BRITTLE = 223, "service_brittle", Info;
     /// An instance joined or left the zone's view.
     VIEW_CHANGED = 300, "view_changed", Info;
     /// A peer can't be reached.
--- a/coltsfootd/src/gateway/intake.rs
+++ b/coltsfootd/src/gateway/intake.rs
@@ -22,6 +22,9 @@
     }
     let now = state.now();
     record_limit(state, context, sent, response);
+    if response.is_signed || response.rejections_per_s.is_some() {
+        record_brittleness(state, upstream, response.rejections_per_s);
+    }
     match response.backoff {
         Some(backoff) => {
             state.view().availability_mut().back_off(now, number, backoff);
@@ -39,6 +42,17 @@
     }
 }
 
+/// Records whether a response states that its upstream is brittle.
+fn record_brittleness(state: &state::GatewayState, upstream: &str, rejections_per_s: Option<f64>) {
+    let is_new = state.view().record_brittleness(state.now(), upstream, rejections_per_s);
+    if is_new {
+        log::info!(
+            event = event::SERVICE_BRITTLE.number, upstream = upstream,
+            rejections_per_s = rejections_per_s.unwrap_or_default(); "service_brittle"
+        );
+    }
+}
+
 /// Records the rate limit that a response states. Only a response to an executed request proves
 /// that there is none; others may come from a proxy in front of the upstream.
 fn record_limit(
--- a/coltsfootd/src/gateway/upstream_attempt.rs
+++ b/coltsfootd/src/gateway/upstream_attempt.rs
@@ -222,6 +222,9 @@
                 self.missing_adapter_at = Some(sync::Arc::clone(upstream));
             }
         }
+        if !is_misdirected {
+            self.state.view().pause_rejected(self.state.now(), upstream);
+        }
         match is_misdirected {
             true => attempt.fail(attempt_plan::AttemptEnd::Misdirected, "misdirected"),
             false => attempt.fail(attempt_plan::AttemptEnd::Rejected, "rejected"),
