Read over the second way: one place that opens connections, tests of carriers and brittle upstreams

No change of behaviour but one: the pause after a rejection by a brittle upstream may be up to 10 s, as it has to grow with the instances.

--- a/coltsfoot-gateway/src/brittle_table.rs
+++ b/coltsfoot-gateway/src/brittle_table.rs
@@ -12,7 +12,7 @@
 const MAX_DISORDER: time::Duration = time::Duration::from_millis(500);
 /// Bounds of the time for which an instance that was rejected sends the upstream nothing.
 const MIN_PAUSE: time::Duration = time::Duration::from_millis(250);
-const MAX_PAUSE: time::Duration = time::Duration::from_secs(3);
+const MAX_PAUSE: time::Duration = time::Duration::from_secs(10);
 /// Part of an upstream's slots that must be free for an instance to use more than its share.
 const SPARE_DIVISOR: u32 = 2;
 
@@ -89,8 +89,8 @@
         self.rejections_per_s(now, service).is_none() || room.is_open()
     }
 
-    /// Returns for how long an instance that a brittle upstream has rejected sends it nothing, so that all
-    /// instances together stay below what it bears.
+    /// Returns for how long an instance that a brittle upstream has rejected sends it nothing: the more instances
+    /// there are, the longer, as the upstream counts the rejections of all.
     pub fn rejection_pause(
         &self,
         now: clock::MonotonicTime,
--- a/coltsfoot-gateway/tests/paths.rs
+++ b/coltsfoot-gateway/tests/paths.rs
@@ -1,10 +1,15 @@
 //! Which upstreams an instance takes for lost, by what it meets when it connects.
 
+mod fleet_fixture;
+
 use std::collections::BTreeSet;
+use std::net;
 use std::sync;
 
 use coltsfoot_gateway::path_table::{PathFailure, PathTable, ProbeCandidate, UpstreamPath};
 use coltsfoot_types::time as clock;
+use coltsfoot_wire::fleet;
+use fleet_fixture::{fleet as fleet_of, sample_heartbeat};
 use rstest::rstest;
 
 const SERVICE: &str = "llm";
@@ -143,3 +148,34 @@
     }
     assert!(probed.probes <= 70, "{} probes", probed.probes);
 }
+
+fn peer(number: u64) -> (u64, net::SocketAddr) {
+    (number, net::SocketAddr::from(([10, 0, 0, number as u8], 7600)))
+}
+
+fn heartbeat_of(number: u64, zone: &str) -> fleet::FleetHeartbeat {
+    let (sender, address) = peer(number);
+    let zone = zone.to_owned();
+    fleet::FleetHeartbeat { sender, address, zone, ..sample_heartbeat(1, Vec::new()) }
+}
+
+#[test]
+fn instances_that_reach_an_upstream_are_told_from_others_as_long_as_they_say_so() {
+    let mut view = fleet_of(&[("e", "a")]);
+    let number = view.upstream("e").expect("known").number;
+    view.apply_heartbeat(at(0), &heartbeat_of(1, "a"));
+    view.apply_heartbeat(at(0), &heartbeat_of(2, "a"));
+    view.apply_heartbeat(at(0), &heartbeat_of(3, "b"));
+    view.apply_heartbeat(
+        at(0),
+        &fleet::FleetHeartbeat { is_draining: true, ..heartbeat_of(4, "a") },
+    );
+    let unreached = fleet::UnreachedUpstreams { sender: 2, upstreams: vec![number] };
+    view.apply_unreached(at(0), &unreached);
+    let (same_zone, cross_zone) = view.carriers(at(100), number, "a");
+    assert_eq!((&*same_zone, &*cross_zone), (&[peer(1).1][..], &[peer(3).1][..]));
+    let next = fleet::FleetHeartbeat { sequence: 2, ..heartbeat_of(2, "a") };
+    view.apply_heartbeat(at(900), &next);
+    let (same_zone, cross_zone) = view.carriers(at(900), number, "a");
+    assert_eq!((&*same_zone, &*cross_zone), (&[peer(2).1][..], &[][..]));
+}
--- a/coltsfootd/src/gateway/attempt.rs
+++ b/coltsfootd/src/gateway/attempt.rs
@@ -42,9 +42,9 @@
         self.pool_address.is_some()
     }
 
-    /// Returns the connection to the pool if it can carry further requests, else closes it. One that carried a rejection is
-    /// closed: a rejection need not name its request, so that a repeated one would reject the next request
-    /// although that runs.
+    /// Returns the connection to the pool if it can carry further requests, else closes it. One that carried a
+    /// rejection is closed: a rejection need not name its request, so that a repeated one would reject the next
+    /// request although that runs.
     pub fn release(mut self, pool: &pool::ConnectionPool) {
         if self.framing == body::BodyFraming::Done && self.is_sent {
             self.stream.end_exchange();
--- a/coltsfootd/src/gateway/follower.rs
+++ b/coltsfootd/src/gateway/follower.rs
@@ -3,7 +3,6 @@
 use std::sync;
 use std::time;
 
-use coltsfoot_gateway::retry_pace::MIN_READ_INTERVAL;
 use coltsfoot_gateway::topic_replica::KeyedRecord;
 use coltsfoot_gateway::{peer_slot, reader_selection, retry_pace, topic_replica, upstream};
 use coltsfoot_types::time as instant;
@@ -189,8 +188,8 @@
                 heartbeats::publish_digests(&state);
             }
         }
-        if state.now().since(started) < MIN_READ_INTERVAL {
-            async_io::Timer::after(MIN_READ_INTERVAL).await;
+        if state.now().since(started) < retry_pace::MIN_READ_INTERVAL {
+            async_io::Timer::after(retry_pace::MIN_READ_INTERVAL).await;
         }
     }
 }
@@ -278,8 +277,10 @@
             heartbeats::publish_digests(&state);
         }
         let elapsed = state.now().since(read_at);
-        async_io::Timer::after(UPSTREAM_INTERVAL.saturating_sub(elapsed).max(MIN_READ_INTERVAL))
-            .await;
+        async_io::Timer::after(
+            UPSTREAM_INTERVAL.saturating_sub(elapsed).max(retry_pace::MIN_READ_INTERVAL),
+        )
+        .await;
     }
 }
 
--- a/coltsfootd/src/gateway/paths.rs
+++ b/coltsfootd/src/gateway/paths.rs
@@ -41,32 +41,37 @@
     state: &state::GatewayState,
     target: &PathTarget<'_>,
 ) -> io::Result<UpstreamConnection> {
+    let (mut stream, pool_address) = match open_direct(state, target).await {
+        Ok(stream) => (stream, Some(target.address)),
+        Err(error) => (tunnels::open(state, target).await.ok_or(error)?, None),
+    };
+    stream.begin_exchange();
+    Ok(UpstreamConnection { stream, pool_address })
+}
+
+async fn open_direct(
+    state: &state::GatewayState,
+    target: &PathTarget<'_>,
+) -> io::Result<message::MessageStream> {
     let path = current_path(state, target.upstream);
-    let is_idle_usable = path != UpstreamPath::Lost(PathFailure::Silent);
-    if is_idle_usable
-        && let Some(mut stream) = state.pool.take(target.address, target.max_idle).await
+    if path != UpstreamPath::Lost(PathFailure::Silent)
+        && let Some(idle) = state.pool.take(target.address, target.max_idle).await
     {
-        stream.begin_exchange();
-        return Ok(UpstreamConnection { stream, pool_address: Some(target.address) });
+        return Ok(idle);
+    }
+    if path != UpstreamPath::Direct {
+        return Err(io::Error::new(io::ErrorKind::NetworkUnreachable, "the path is lost"));
+    }
+    match socket::connect(target.address, CONNECT_TIMEOUT).await {
+        Ok(connected) => {
+            record_contact(state, target.upstream);
+            Ok(message::MessageStream::new(connected))
+        }
+        Err(error) => {
+            record_failure(state, target.upstream, target.address, &error);
+            Err(error)
+        }
     }
-    let error = match path {
-        UpstreamPath::Direct => match socket::connect(target.address, CONNECT_TIMEOUT).await {
-            Ok(connected) => {
-                record_contact(state, target.upstream);
-                let mut stream = message::MessageStream::new(connected);
-                stream.begin_exchange();
-                return Ok(UpstreamConnection { stream, pool_address: Some(target.address) });
-            }
-            Err(error) => {
-                record_failure(state, target.upstream, target.address, &error);
-                error
-            }
-        },
-        UpstreamPath::Lost(_) => io::Error::new(io::ErrorKind::NetworkUnreachable, "path lost"),
-    };
-    let tunnel = tunnels::open(state, target).await;
-    let stream = tunnel.ok_or(error)?;
-    Ok(UpstreamConnection { stream, pool_address: None })
 }
 
 fn current_path(state: &state::GatewayState, upstream: &str) -> UpstreamPath {
--- a/coltsfootd/src/gateway/tunnels.rs
+++ b/coltsfootd/src/gateway/tunnels.rs
@@ -33,7 +33,7 @@
 const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(20);
 
 /// Opens a tunnel to an upstream through one of the instances that probably reach it, of the own zone if there
-/// is one. Returns a stream on which an exchange has begun.
+/// is one.
 pub(super) async fn open(
     state: &state::GatewayState,
     target: &paths::PathTarget<'_>,
@@ -53,10 +53,8 @@
             upstream = target.upstream, carrier = carrier.to_string(), verdict = code,
             ms = state.now().since(begun).as_millis() as u64; "tunnel_asked"
         );
-        if let Some(stream) = stream {
-            let mut stream = message::MessageStream::new(stream);
-            stream.begin_exchange();
-            return Some(stream);
+        if stream.is_some() {
+            return stream.map(message::MessageStream::new);
         }
     }
     None
@@ -72,8 +70,7 @@
     let Some(number) = number else { return false };
     let max_idle = time::Duration::ZERO;
     let target = paths::PathTarget { upstream, number, address, max_idle, request: "" };
-    let tunnel = open(state, &target).await;
-    tunnel.map(|mut stream| stream.end_exchange()).is_some()
+    open(state, &target).await.is_some()
 }
 
 /// Returns instances to ask for a tunnel, in random order within a zone, so that they share the load.
