Bound what lost paths cost in a large fleet

In a cut of a zone each instance of a large fleet has a hundred lost upstreams. Each choice looked for an instance that reaches each of them, over all instances and what they list, and up to 80 probes a second were started. Which lost upstreams another instance reaches is now found ten times a second, and two probes are started together until a path is regained.

Costs in a large fleet are computed, not measured.

--- a/coltsfoot-gateway/src/engine_choice.rs
+++ b/coltsfoot-gateway/src/engine_choice.rs
@@ -109,7 +109,7 @@
     let avoided = if slot.is_avoided(now) { AVOIDED_COST_MS } else { 0.0 };
     let path = match view.path_to(slot) {
         path_table::UpstreamPath::Direct => 0.0,
-        path_table::UpstreamPath::Lost(_) if view.has_carrier(now, slot.number) => TUNNEL_COST_MS,
+        path_table::UpstreamPath::Lost(_) if view.has_carrier(slot.number) => TUNNEL_COST_MS,
         path_table::UpstreamPath::Lost(_) => AVOIDED_COST_MS,
     };
     let silent = if slot.is_silent(now) { SILENT_COST_MS } else { 0.0 };
--- a/coltsfoot-gateway/src/fleet_view.rs
+++ b/coltsfoot-gateway/src/fleet_view.rs
@@ -12,7 +12,7 @@
 
 use coltsfoot_types::time as clock;
 use coltsfoot_wire::fleet;
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::{
     availability_table, brittle_table, demand, engine_controller, engine_order, fetch_limiter,
@@ -61,6 +61,8 @@
     availability: availability_table::AvailabilityTable,
     limits: limit_table::LimitTable,
     paths: path_table::PathTable,
+    /// Upstreams that this instance does not reach and another one probably does, by number.
+    carried: FxHashSet<u32>,
     brittle: brittle_table::BrittleTable,
     fetch_limiter: fetch_limiter::FetchLimiter,
     /// Adapter fetches queued or in progress at the engines of this instance.
--- a/coltsfoot-gateway/src/fleet_view/paths.rs
+++ b/coltsfoot-gateway/src/fleet_view/paths.rs
@@ -42,7 +42,8 @@
         self.paths.record_failure(now, &slot.entry.service, slot.number, failure)
     }
 
-    /// Returns the ids and addresses of the upstreams to probe now, and notes that they are.
+    /// Returns the ids and addresses of the upstreams to probe now, and notes that they are. To be called several
+    /// times a second.
     pub fn start_probes(
         &mut self,
         now: clock::MonotonicTime,
@@ -62,6 +63,10 @@
             })
             .collect();
         let probes = self.paths.start_probes(now, &candidates);
+        let unreached = self.unreached();
+        let carried = unreached.into_iter();
+        self.carried =
+            carried.filter(|number| self.able_peers(now, *number).next().is_some()).collect();
         let ids = probes.iter().filter_map(|number| self.numbers.get(number));
         let slots = ids.filter_map(|id| self.upstreams.get(id));
         slots.map(|slot| (sync::Arc::clone(&slot.entry.id), slot.entry.address)).collect()
@@ -84,7 +89,7 @@
         unreached: &fleet::UnreachedUpstreams,
     ) {
         if let Some(peer) = self.peers.get_mut(&unreached.sender) {
-            peer.unreached.clone_from(&unreached.upstreams);
+            peer.unreached = unreached.upstreams.iter().copied().collect();
             peer.unreached_at = now;
         }
     }
@@ -103,9 +108,10 @@
         (addresses(same_zone), addresses(cross_zone))
     }
 
-    /// Returns whether another instance probably reaches an upstream.
-    pub fn has_carrier(&self, now: clock::MonotonicTime, number: u32) -> bool {
-        self.able_peers(now, number).next().is_some()
+    /// Returns whether another instance probably reaches an upstream that this one does not, as of the last call
+    /// of [`Self::start_probes`].
+    pub fn has_carrier(&self, number: u32) -> bool {
+        self.carried.contains(&number)
     }
 
     fn able_peers(
--- a/coltsfoot-gateway/src/path_table.rs
+++ b/coltsfoot-gateway/src/path_table.rs
@@ -18,8 +18,12 @@
 const OTHER_PROBE_INTERVAL: time::Duration = time::Duration::from_secs(1);
 /// Interval between probes of any such upstreams.
 const OTHER_PROBE_PAUSE: time::Duration = time::Duration::from_millis(150);
-/// Probes that run at the same time.
+/// Most probes that are started together: few while the paths are probably still lost, as a large fleet would
+/// send very many, and more once one was regained.
 const MAX_PROBES: usize = 8;
+const MAX_PROBES_WHILE_LOST: usize = 2;
+/// Time after a path was regained in which others probably are as well.
+const REGAIN_TIME: time::Duration = time::Duration::from_millis(500);
 
 /// How an attempt to connect failed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -83,6 +87,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct PathTable {
     services: FxHashMap<sync::Arc<str>, LostService>,
+    /// When a lost upstream was last reached again.
+    regained: Option<clock::MonotonicTime>,
     /// Times of the last probes of upstreams that have not failed themselves.
     other_probes: FxHashMap<u32, clock::MonotonicTime>,
 }
@@ -114,6 +120,9 @@
         if lost.upstreams.is_empty() {
             self.services.remove(service);
         }
+        if was_lost {
+            self.regained = Some(now);
+        }
         was_lost
     }
 
@@ -146,17 +155,17 @@
             due.extend(waiting.map(|(number, lost)| (lost.probed, *number)));
         }
         due.sort_unstable();
+        let is_regaining = self.regained.is_some_and(|regained| now < regained + REGAIN_TIME);
+        let limit = if is_regaining { MAX_PROBES } else { MAX_PROBES_WHILE_LOST };
         let mut probes: SmallVec<[u32; MAX_PROBES]> =
-            due.into_iter().map(|(_, number)| number).take(MAX_PROBES).collect();
+            due.into_iter().map(|(_, number)| number).take(limit).collect();
         for lost in self.services.values_mut() {
             for (_, lost) in lost.upstreams.iter_mut().filter(|(number, _)| probes.contains(number))
             {
                 lost.probed = now;
             }
         }
-        if probes.len() < MAX_PROBES {
-            probes.extend(self.start_other_probe(now, listed));
-        }
+        probes.extend(self.start_other_probe(now, listed));
         probes
     }
 
--- a/coltsfoot-gateway/src/peer_slot.rs
+++ b/coltsfoot-gateway/src/peer_slot.rs
@@ -5,6 +5,7 @@
 
 use coltsfoot_types::time as clock;
 use coltsfoot_wire::fleet;
+use rustc_hash::FxHashSet;
 
 use crate::{fleet_view, order_lease};
 
@@ -46,7 +47,7 @@
     /// Adapter fetches that wait for capacity of the weight store.
     pub queued_fetches: u32,
     /// Upstreams that it does not reach, by number, and when it said so.
-    pub(crate) unreached: Vec<u32>,
+    pub(crate) unreached: FxHashSet<u32>,
     pub(crate) unreached_at: clock::MonotonicTime,
 }
 
@@ -99,7 +100,7 @@
             },
             fetching: 0,
             queued_fetches: 0,
-            unreached: Vec::new(),
+            unreached: FxHashSet::default(),
             unreached_at: now,
         }
     }
--- a/coltsfoot-gateway/tests/paths.rs
+++ b/coltsfoot-gateway/tests/paths.rs
@@ -138,6 +138,21 @@
     assert_eq!(table.path(SERVICE, 7), UpstreamPath::Direct);
 }
 
+/// Load pattern: an availability zone is cut off from the many upstreams of the others.
+#[test]
+fn many_lost_upstreams_are_probed_at_a_bounded_rate() {
+    let mut table = PathTable::default();
+    let listed: Vec<ProbeCandidate> = (0..160)
+        .map(|number| ProbeCandidate { service: name(SERVICE), number, is_silent: false })
+        .collect();
+    for candidate in &listed {
+        table.record_failure(at(0), &name(SERVICE), candidate.number, PathFailure::Silent);
+    }
+    let probes = (0..5_000).step_by(100).map(|now| table.start_probes(at(now), &listed).len());
+    let probes: usize = probes.sum();
+    assert!((50..=150).contains(&probes), "{probes} probes in 5 s");
+}
+
 /// Load pattern: engines are slow for seconds, but accept connections.
 #[test]
 fn silent_upstreams_that_accept_connections_are_probed_rarely_and_used() {
