Connect to upstreams and record their paths in one place

Three places connected to an upstream and recorded whether its path is lost; they call connect_directly. Activity and contact are recorded under one lock, as each event of a stream does both. Tunnels take the number and ids that they use instead of a whole target, a brittle service is looked up once for each choice, and release works out once whether a response was whole.

No change of behaviour.

--- a/coltsfoot-gateway/src/brittle_table.rs
+++ b/coltsfoot-gateway/src/brittle_table.rs
@@ -85,8 +85,13 @@
     }
 
     /// Returns whether an upstream may be sent another request.
-    pub fn may_send(&self, now: clock::MonotonicTime, service: &str, room: UpstreamRoom) -> bool {
-        self.rejections_per_s(now, service).is_none() || room.is_open()
+    pub fn may_send(
+        &self,
+        now: clock::MonotonicTime,
+        service: &str,
+        room: impl FnOnce() -> UpstreamRoom,
+    ) -> bool {
+        self.rejections_per_s(now, service).is_none() || room().is_open()
     }
 
     /// Returns for how long an instance that a brittle upstream has rejected sends it nothing: the more instances
--- a/coltsfoot-gateway/src/fleet_view/brittle.rs
+++ b/coltsfoot-gateway/src/fleet_view/brittle.rs
@@ -1,7 +1,5 @@
 //! Upstreams that fall over if they have to reject too many requests.
 
-use std::time;
-
 use coltsfoot_types::time as clock;
 
 use crate::{brittle_table, upstream_slot};
@@ -23,10 +21,7 @@
 
     /// Returns whether an upstream may be sent another request: always, unless it is brittle and has no room.
     pub fn may_send(&self, now: clock::MonotonicTime, slot: &upstream_slot::UpstreamSlot) -> bool {
-        if self.brittle.rejections_per_s(now, &slot.entry.service).is_none() {
-            return true;
-        }
-        let room = brittle_table::UpstreamRoom {
+        let room = || brittle_table::UpstreamRoom {
             slots: slot.entry.slots,
             running: slot.work(now).running,
             local: slot.local.running,
@@ -39,9 +34,7 @@
     pub fn pause_rejected(&mut self, now: clock::MonotonicTime, id: &str) {
         let Some(slot) = self.upstreams.get(id) else { return };
         let instances = self.live_instances(now);
-        let pause: Option<time::Duration> =
-            self.brittle.rejection_pause(now, &slot.entry.service, instances);
-        if let Some(pause) = pause {
+        if let Some(pause) = self.brittle.rejection_pause(now, &slot.entry.service, instances) {
             self.availability.hold(now, slot.number, pause);
         }
     }
--- a/coltsfoot-gateway/tests/brittle.rs
+++ b/coltsfoot-gateway/tests/brittle.rs
@@ -37,8 +37,8 @@
     #[case] expected: bool,
 ) {
     let room = UpstreamRoom { slots, running, local, instances };
-    assert_eq!(brittle().may_send(at(0), "desk", room), expected);
-    assert!(BrittleTable::default().may_send(at(0), "desk", room));
+    assert_eq!(brittle().may_send(at(0), "desk", || room), expected);
+    assert!(BrittleTable::default().may_send(at(0), "desk", || room));
 }
 
 #[test]
--- a/coltsfootd/src/gateway/attempt.rs
+++ b/coltsfootd/src/gateway/attempt.rs
@@ -46,11 +46,11 @@
     /// rejection is closed: a rejection need not name its request, so that a repeated one would reject the next
     /// request although that runs.
     pub fn release(mut self, pool: &pool::ConnectionPool) {
-        if self.framing == body::BodyFraming::Done && self.is_sent {
+        let is_whole = self.framing == body::BodyFraming::Done && self.is_sent;
+        if is_whole {
             self.stream.end_exchange();
         }
-        let is_reusable = self.framing == body::BodyFraming::Done
-            && self.is_sent
+        let is_reusable = is_whole
             && !self.has_skipped_stale
             && !self.fields.is_not_run
             && self.head.keeps_connection()
--- a/coltsfootd/src/gateway/crashes.rs
+++ b/coltsfootd/src/gateway/crashes.rs
@@ -181,7 +181,7 @@
             Ok(connected) => connected,
             Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
                 paths::record_failure(state, upstream, address, &error);
-                return match tunnels::is_reached(state, upstream, address).await {
+                return match tunnels::is_reached(state, upstream).await {
                     true => ProbeResult::Alive,
                     false => ProbeResult::PortClosed,
                 };
--- a/coltsfootd/src/gateway/paths.rs
+++ b/coltsfootd/src/gateway/paths.rs
@@ -5,6 +5,7 @@
 use std::sync;
 use std::time;
 
+use async_net::TcpStream;
 use coltsfoot_gateway::path_table::{PathFailure, UpstreamPath};
 use coltsfoot_http::{message, socket};
 
@@ -43,7 +44,10 @@
 ) -> io::Result<UpstreamConnection> {
     let (mut stream, pool_address) = match open_direct(state, target).await {
         Ok(stream) => (stream, Some(target.address)),
-        Err(error) => (tunnels::open(state, target).await.ok_or(error)?, None),
+        Err(error) => {
+            let tunnel = tunnels::open(state, target.upstream, target.number, target.request).await;
+            (tunnel.ok_or(error)?, None)
+        }
     };
     stream.begin_exchange();
     Ok(UpstreamConnection { stream, pool_address })
@@ -62,16 +66,25 @@
     if path != UpstreamPath::Direct {
         return Err(io::Error::new(io::ErrorKind::NetworkUnreachable, "the path is lost"));
     }
-    match socket::connect(target.address, CONNECT_TIMEOUT).await {
-        Ok(connected) => {
-            record_contact(state, target.upstream);
-            Ok(message::MessageStream::new(connected))
-        }
-        Err(error) => {
-            record_failure(state, target.upstream, target.address, &error);
-            Err(error)
+    let connected = connect_directly(state, target.upstream, target.address).await;
+    connected.map(message::MessageStream::new)
+}
+
+/// Opens a connection of this instance to an upstream, and records whether its path is lost.
+pub(super) async fn connect_directly(
+    state: &state::GatewayState,
+    upstream: &str,
+    address: net::SocketAddr,
+) -> io::Result<TcpStream> {
+    let connected = socket::connect(address, CONNECT_TIMEOUT).await;
+    match &connected {
+        Ok(_) => {
+            let was_lost = state.view().record_contact(state.now(), upstream);
+            log_contact(upstream, was_lost);
         }
+        Err(error) => record_failure(state, upstream, address, error),
     }
+    connected
 }
 
 fn current_path(state: &state::GatewayState, upstream: &str) -> UpstreamPath {
@@ -79,9 +92,19 @@
     view.upstream(upstream).map_or(UpstreamPath::Direct, |slot| view.path_to(slot))
 }
 
-/// Records that an upstream accepted a direct connection or sent something on one.
-pub(super) fn record_contact(state: &state::GatewayState, upstream: &str) {
-    if state.view().record_contact(state.now(), upstream) {
+/// Records that an upstream sent something, on a connection of this instance or through a tunnel.
+pub(super) fn record_activity(state: &state::GatewayState, upstream: &str, is_direct: bool) {
+    let was_lost = {
+        let now = state.now();
+        let mut view = state.view();
+        view.record_activity(now, upstream);
+        is_direct && view.record_contact(now, upstream)
+    };
+    log_contact(upstream, was_lost);
+}
+
+fn log_contact(upstream: &str, was_lost: bool) {
+    if was_lost {
         log::info!(event = event::PATH_REGAINED.number, upstream = upstream; "path_regained");
     }
 }
@@ -120,11 +143,7 @@
 }
 
 async fn probe(state: &state::GatewayState, upstream: &str, address: net::SocketAddr) {
-    match socket::connect(address, CONNECT_TIMEOUT).await {
-        Ok(connected) => {
-            record_contact(state, upstream);
-            state.pool.put(address, message::MessageStream::new(connected), PROBE_KEEP_ALIVE);
-        }
-        Err(error) => record_failure(state, upstream, address, &error),
+    if let Ok(connected) = connect_directly(state, upstream, address).await {
+        state.pool.put(address, message::MessageStream::new(connected), PROBE_KEEP_ALIVE);
     }
 }
--- a/coltsfootd/src/gateway/relay.rs
+++ b/coltsfootd/src/gateway/relay.rs
@@ -208,10 +208,7 @@
         }
         let part = response.stream.read_part(&mut response.framing).await;
         let Some(part) = part.map_err(|_| "stream_broke_off")? else { return Ok(false) };
-        state.view().record_activity(state.now(), upstream);
-        if response.is_direct() {
-            paths::record_contact(state, upstream);
-        }
+        paths::record_activity(state, upstream, response.is_direct());
         splitter.push(&part);
     }
 }
--- a/coltsfootd/src/gateway/tunnels.rs
+++ b/coltsfootd/src/gateway/tunnels.rs
@@ -36,11 +36,13 @@
 /// is one.
 pub(super) async fn open(
     state: &state::GatewayState,
-    target: &paths::PathTarget<'_>,
+    upstream: &str,
+    number: u32,
+    request_id: &str,
 ) -> Option<message::MessageStream> {
-    for carrier in choose_carriers(state, target.number) {
+    for carrier in choose_carriers(state, number) {
         let begun = state.now();
-        let asked = ask_carrier(carrier, target);
+        let asked = ask_carrier(carrier, number, request_id);
         let result = message::with_timeout(OPEN_TIMEOUT, asked).await;
         let (code, stream) = match result {
             Some(Ok((TunnelResponse::Connected, stream))) => ("connected", Some(stream)),
@@ -49,8 +51,8 @@
         };
         state.metrics.count_tunnel(code);
         log::info!(
-            event = event::TUNNEL_ASKED.number, request = target.request,
-            upstream = target.upstream, carrier = carrier.to_string(), verdict = code,
+            event = event::TUNNEL_ASKED.number, request = request_id,
+            upstream = upstream, carrier = carrier.to_string(), verdict = code,
             ms = state.now().since(begun).as_millis() as u64; "tunnel_asked"
         );
         if stream.is_some() {
@@ -61,16 +63,10 @@
 }
 
 /// Returns whether another instance connects to an upstream that refuses this one.
-pub(super) async fn is_reached(
-    state: &state::GatewayState,
-    upstream: &str,
-    address: net::SocketAddr,
-) -> bool {
+pub(super) async fn is_reached(state: &state::GatewayState, upstream: &str) -> bool {
     let number = state.view().upstream(upstream).map(|slot| slot.number);
     let Some(number) = number else { return false };
-    let max_idle = time::Duration::ZERO;
-    let target = paths::PathTarget { upstream, number, address, max_idle, request: "" };
-    open(state, &target).await.is_some()
+    open(state, upstream, number, "").await.is_some()
 }
 
 /// Returns instances to ask for a tunnel, in random order within a zone, so that they share the load.
@@ -84,11 +80,11 @@
 
 async fn ask_carrier(
     carrier: net::SocketAddr,
-    target: &paths::PathTarget<'_>,
+    number: u32,
+    request_id: &str,
 ) -> io::Result<(TunnelResponse, TcpStream)> {
-    let id = target.request;
-    let id = id.get(..id.len().min(MAX_ID_BYTES)).unwrap_or_default();
-    let request = TunnelRequest { upstream: target.number, request: id.to_owned() };
+    let id = request_id.get(..request_id.len().min(MAX_ID_BYTES)).unwrap_or_default();
+    let request = TunnelRequest { upstream: number, request: id.to_owned() };
     let mut stream = socket::connect(carrier, paths::CONNECT_TIMEOUT).await?;
     write_message(&mut stream, &request).await?;
     let response = read_message(&mut stream).await?;
@@ -175,16 +171,8 @@
         }
         (sync::Arc::clone(id), slot.entry.address)
     };
-    match socket::connect(address, paths::CONNECT_TIMEOUT).await {
-        Ok(far) => {
-            paths::record_contact(state, &id);
-            Ok(far)
-        }
-        Err(error) => {
-            paths::record_failure(state, &id, address, &error);
-            Err(TunnelResponse::Unreached)
-        }
-    }
+    let connected = paths::connect_directly(state, &id, address).await;
+    connected.map_err(|_| TunnelResponse::Unreached)
 }
 
 /// Passes bytes on in both directions until one connection ends. Unless it ends in order, both are reset, also
--- a/coltsfootd/src/gateway/upstream_attempt.rs
+++ b/coltsfootd/src/gateway/upstream_attempt.rs
@@ -162,10 +162,7 @@
                 return Err(self.fail_broken(attempt, "no_answer"));
             }
         };
-        self.state.view().record_activity(self.state.now(), &attempt.chosen.id);
-        if response.is_direct() {
-            paths::record_contact(self.state, &attempt.chosen.id);
-        }
+        paths::record_activity(self.state, &attempt.chosen.id, response.is_direct());
         let context = self.send_context(&attempt.chosen.id, attempt.endpoint.number);
         intake::record_response(self.state, &context, attempt.sent, &response.fields);
         if response.fields.is_not_run && !response.fields.is_signed {
