Connect directly where no other instance opens a tunnel

Since tunnels came, callers were refused with 503 for up to half a second after an upstream was back, or after a single failed connection to it, if no other instance reached it: a lost path was not tried again until a probe succeeded. Before, each attempt connected.

A lost path still asks another instance first; without a tunnel the upstream is connected to directly.

Evidence: lost_upstream_that_no_other_instance_reaches_... failed before (503) and passes now.

--- a/coltsfootd/src/gateway/paths.rs
+++ b/coltsfootd/src/gateway/paths.rs
@@ -37,37 +37,57 @@
     pub(super) request: &'a str,
 }
 
-/// Takes an idle connection to an upstream, or opens one, through another instance if need be.
+/// Takes an idle connection to an upstream, or opens one: directly, then through another instance. If the path is
+/// lost, another instance is asked first.
 pub(super) async fn connect(
     state: &state::GatewayState,
     target: &PathTarget<'_>,
 ) -> io::Result<UpstreamConnection> {
-    let (mut stream, pool_address) = match open_direct(state, target).await {
-        Ok(stream) => (stream, Some(target.address)),
-        Err(error) => {
-            let tunnel = tunnels::open(state, target.upstream, target.number, target.request).await;
-            (tunnel.ok_or(error)?, None)
-        }
+    let path = current_path(state, target.upstream);
+    let (mut stream, pool_address) = match take_idle(state, target, path).await {
+        Some(idle) => (idle, Some(target.address)),
+        None => open(state, target, path).await?,
     };
     stream.begin_exchange();
     Ok(UpstreamConnection { stream, pool_address })
 }
 
-async fn open_direct(
+async fn take_idle(
     state: &state::GatewayState,
     target: &PathTarget<'_>,
-) -> io::Result<message::MessageStream> {
-    let path = current_path(state, target.upstream);
-    if path != UpstreamPath::Lost(PathFailure::Silent)
-        && let Some(idle) = state.pool.take(target.address, target.max_idle).await
-    {
-        return Ok(idle);
+    path: UpstreamPath,
+) -> Option<message::MessageStream> {
+    if path == UpstreamPath::Lost(PathFailure::Silent) {
+        return None;
     }
-    if path != UpstreamPath::Direct {
-        return Err(io::Error::new(io::ErrorKind::NetworkUnreachable, "the path is lost"));
+    state.pool.take(target.address, target.max_idle).await
+}
+
+/// Opens a connection; returns its address in the pool as well if it is direct.
+async fn open(
+    state: &state::GatewayState,
+    target: &PathTarget<'_>,
+    path: UpstreamPath,
+) -> io::Result<(message::MessageStream, Option<net::SocketAddr>)> {
+    let PathTarget { upstream, number, address, request, .. } = *target;
+    let direct = async {
+        let connected = connect_directly(state, upstream, address).await?;
+        Ok((message::MessageStream::new(connected), Some(address)))
+    };
+    let tunnel = async {
+        let stream = tunnels::open(state, upstream, number, request).await;
+        stream.map(|stream| (stream, None))
+    };
+    match path {
+        UpstreamPath::Direct => match direct.await {
+            Ok(opened) => Ok(opened),
+            Err(error) => tunnel.await.ok_or(error),
+        },
+        UpstreamPath::Lost(_) => match tunnel.await {
+            Some(opened) => Ok(opened),
+            None => direct.await,
+        },
     }
-    let connected = connect_directly(state, target.upstream, target.address).await;
-    connected.map(message::MessageStream::new)
 }
 
 /// Opens a connection of this instance to an upstream, and records whether its path is lost.
