Close evacuated zones

The operator's records of evacuated zones and their removal were not read: requests went on to a zone until it was taken back. A zone is now closed some time before the bound that the settings name, counted from the last moment at which the operator's records were known to be current, and its cost rises until then.

--- a/coltsfoot-gateway/src/engine_choice.rs
+++ b/coltsfoot-gateway/src/engine_choice.rs
@@ -113,7 +113,8 @@
         path_table::UpstreamPath::Lost(_) => AVOIDED_COST_MS,
     };
     let silent = if slot.is_silent(now) { SILENT_COST_MS } else { 0.0 };
-    zone + avoided + path + silent + slot.failure_rate(now) * FAILURE_COST_MS
+    let evacuated = view.evacuations().cost(now, &slot.entry.zone);
+    zone + evacuated + avoided + path + silent + slot.failure_rate(now) * FAILURE_COST_MS
 }
 
 fn choose_plain(
--- a/coltsfoot-gateway/src/fleet_view.rs
+++ b/coltsfoot-gateway/src/fleet_view.rs
@@ -2,6 +2,7 @@
 //! in flight at each upstream.
 
 pub mod brittle;
+pub mod evacuations;
 pub mod paths;
 pub mod peers;
 pub mod permit_issuers;
@@ -15,8 +16,8 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::{
-    availability_table, brittle_table, demand, engine_controller, engine_order, fetch_limiter,
-    limit_table, path_table, peer_slot, rendezvous, upstream, upstream_slot,
+    availability_table, brittle_table, demand, engine_controller, engine_order, evacuation_table,
+    fetch_limiter, limit_table, path_table, peer_slot, rendezvous, upstream, upstream_slot,
 };
 
 /// Heartbeats of an instance that may be lost before its state counts as stale.
@@ -64,6 +65,7 @@
     /// Upstreams that this instance does not reach and another one probably does, by number.
     carried: FxHashSet<u32>,
     brittle: brittle_table::BrittleTable,
+    evacuations: evacuation_table::EvacuationTable,
     fetch_limiter: fetch_limiter::FetchLimiter,
     /// Adapter fetches queued or in progress at the engines of this instance.
     own_backlog: u32,
@@ -170,6 +172,9 @@
         if slot.entry.state == upstream::UpstreamState::Draining {
             return Err("upstream_draining");
         }
+        if self.is_zone_closed(now, slot) {
+            return Err("zone_evacuated");
+        }
         match self.availability.status(now, slot.number) {
             availability_table::UpstreamAvailability::Available => Ok(slot),
             _ => Err("upstream_closed"),
@@ -197,14 +202,15 @@
     }
 
     /// Returns when the first upstream of a service becomes available; `None` if one is available
-    /// now or all are draining.
+    /// now or all are draining or in zones to which nothing may be sent.
     pub fn next_available(
         &self,
         now: clock::MonotonicTime,
         service: &str,
     ) -> Option<clock::MonotonicTime> {
         let mut first: Option<clock::MonotonicTime> = None;
-        for slot in self.listed_upstreams(service) {
+        let listed = self.listed_upstreams(service);
+        for slot in listed.filter(|slot| !self.is_zone_closed(now, slot)) {
             match self.availability.status(now, slot.number) {
                 availability_table::UpstreamAvailability::Available => return None,
                 availability_table::UpstreamAvailability::Draining => {}
--- a/coltsfoot-gateway/src/fleet_view/brittle.rs
+++ b/coltsfoot-gateway/src/fleet_view/brittle.rs
@@ -19,8 +19,12 @@
         self.brittle.record(now, &slot.entry.service, rejections_per_s)
     }
 
-    /// Returns whether an upstream may be sent another request: always, unless it is brittle and has no room.
+    /// Returns whether an upstream may be sent another request: always, unless its zone is evacuated, or it is
+    /// brittle and has no room.
     pub fn may_send(&self, now: clock::MonotonicTime, slot: &upstream_slot::UpstreamSlot) -> bool {
+        if self.is_zone_closed(now, slot) {
+            return false;
+        }
         let room = || brittle_table::UpstreamRoom {
             slots: slot.entry.slots,
             running: slot.work(now).running,
--- a/coltsfoot-gateway/src/lib.rs
+++ b/coltsfoot-gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod engine_choice;
 pub mod engine_controller;
 pub mod engine_order;
+pub mod evacuation_table;
 pub mod event_stream;
 pub mod failover_timer;
 pub mod fetch_limiter;
--- a/coltsfoot-gateway/src/reader_selection.rs
+++ b/coltsfoot-gateway/src/reader_selection.rs
@@ -71,6 +71,12 @@
     peers.iter().map(PeerDigest::read_at).max()
 }
 
+/// Returns when an instance last read exactly what the copy with this digest holds; `None` if none has.
+pub fn confirmed_at(digest: u64, peers: &[PeerDigest]) -> Option<clock::MonotonicTime> {
+    let same = peers.iter().filter(|peer| peer.digest == digest);
+    same.map(PeerDigest::read_at).max()
+}
+
 /// Returns the instances that have the copy of the most recent read.
 pub fn current_peers(now: clock::MonotonicTime, peers: &[PeerDigest]) -> Vec<u64> {
     let fresh = || peers.iter().filter(|peer| peer.is_fresh(now));
--- a/coltsfoot-gateway/src/upstream_search.rs
+++ b/coltsfoot-gateway/src/upstream_search.rs
@@ -19,6 +19,8 @@
 /// Default retry delay for callers: two heartbeats, after which this instance knows which slots the
 /// other instances have freed.
 pub const RETRY_PAUSE: time::Duration = time::Duration::from_millis(300);
+/// Retry delay for callers while all upstreams of a service are evacuated, which an operator decides.
+pub const EVACUATED_PAUSE: time::Duration = time::Duration::from_secs(2);
 
 /// Outcome of a load request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -91,6 +93,9 @@
         match choose(&excluded).or_else(choose_again) {
             Some(chosen) if chosen.needs_load => SearchStep::Load(chosen),
             Some(chosen) => SearchStep::Send(chosen),
+            None if view.is_service_evacuated(now, &request.service.name, request.build) => {
+                SearchStep::Refuse("upstreams_evacuated")
+            }
             None if now >= self.wait_until => SearchStep::Refuse("no_upstream"),
             None if view
                 .next_available(now, &request.service.name)
--- a/coltsfootd/src/event.rs
+++ b/coltsfootd/src/event.rs
@@ -85,6 +85,10 @@
     UPSTREAM_MISSING = 221, "upstream_missing", Info;
     /// A service stated that its upstreams fall over if they have to reject too many requests.
     SERVICE_BRITTLE = 223, "service_brittle", Info;
+    /// The operator wants nothing more sent to a zone.
+    ZONE_EVACUATED = 224, "zone_evacuated", Warn;
+    /// The operator has taken back a zone.
+    ZONE_RETURNED = 225, "zone_returned", Info;
     /// An instance joined or left the zone's view.
     VIEW_CHANGED = 300, "view_changed", Info;
     /// A peer can't be reached.
--- a/coltsfootd/src/gateway/engines.rs
+++ b/coltsfootd/src/gateway/engines.rs
@@ -205,7 +205,9 @@
         // Orders are not sent through other instances: they would count as orders of another holder.
         let is_reached = upstream.is_some_and(|slot| view.path_to(slot) == UpstreamPath::Direct);
         let may_order = lease.order_fence(now, *partition, *tenure).is_some();
-        let takes_orders = is_available && is_reached && may_order;
+        let is_evacuated =
+            upstream.is_some_and(|slot| view.evacuations().is_evacuated(&slot.entry.zone));
+        let takes_orders = is_available && is_reached && may_order && !is_evacuated;
         let fetches = view.fetch_load(view.fetch_backlog());
         Some(self.controller.describe(now, *number, fence, takes_orders, fetches, in_use))
     }
--- a/coltsfootd/src/gateway/follower.rs
+++ b/coltsfootd/src/gateway/follower.rs
@@ -181,6 +181,7 @@
             for record in &records {
                 apply_operator_record(&state, record);
             }
+            state.view().evacuations_mut().confirm(read_at);
             if !records.is_empty() {
                 if is_known {
                     news::push(&state, wire::StoreTopic::Operator, &records);
@@ -194,8 +195,12 @@
     }
 }
 
-/// Applies a record of the operator: a configuration or an adapter version.
+/// Applies a record of the operator: a configuration, an adapter version or an evacuated zone.
 pub(crate) fn apply_operator_record(state: &state::GatewayState, record: &KeyedRecord) {
+    if let Some(zone) = rules::evacuated_zone(&record.key) {
+        apply_evacuation(state, zone, record);
+        return;
+    }
     let Some(value) = &record.value else { return };
     if record.key == rules::RULES_KEY {
         match rules::decode_rules(value) {
@@ -233,6 +238,30 @@
     }
 }
 
+/// Applies the record of an evacuated zone, without a value once the zone is taken back.
+fn apply_evacuation(state: &state::GatewayState, zone: &str, record: &KeyedRecord) {
+    let now = state.now();
+    let offset = record.position.offset;
+    let mut view = state.view();
+    let evacuations = view.evacuations_mut();
+    if record.value.is_none() {
+        if evacuations.take_back(now, zone) {
+            log::info!(
+                event = event::ZONE_RETURNED.number, zone = zone, offset = offset; "zone_returned"
+            );
+        }
+    } else if let Some(closes) = evacuations.evacuate(now, zone, state.bounds.load().evacuation) {
+        log::warn!(
+            event = event::ZONE_EVACUATED.number, zone = zone, offset = offset,
+            closes_ms = closes.since(now).as_millis() as u64; "zone_evacuated"
+        );
+    }
+    let zones = evacuations.count();
+    drop(view);
+    state.metrics.record_evacuated_zones(zones);
+    state.controllers.wake_all();
+}
+
 /// Removal of an upstream whose entry has expired.
 pub(crate) struct PendingRemoval {
     remove_at: instant::MonotonicTime,
@@ -284,8 +313,13 @@
     }
 }
 
-/// Notes when the upstreams' entries were last read, by whichever instance.
+/// Notes when the store's topics were last read, by whichever instance.
 pub(crate) fn check_reads(state: &state::GatewayState) {
+    let own = state.own_operator_digest();
+    let peers = state.view().topic_digests(|peer| peer.operator);
+    if let Some(read_at) = reader_selection::confirmed_at(own.digest, &peers) {
+        state.view().evacuations_mut().confirm(read_at);
+    }
     let peers = state.view().topic_digests(|peer| peer.upstreams);
     let newest = reader_selection::newest_read(&peers);
     state::lock(&state.outages).check(state.now(), newest);
--- a/coltsfootd/src/gateway/forwarding.rs
+++ b/coltsfootd/src/gateway/forwarding.rs
@@ -286,8 +286,13 @@
     /// with jitter so that callers don't all return at once.
     fn retry_after(&self) -> time::Duration {
         let now = self.state.now();
-        let next = self.state.view().next_available(now, &self.admitted.service.name);
+        let service = &self.admitted.service.name;
         let spread = upstream_search::RETRY_PAUSE.mul_f64(rand::random());
+        let view = self.state.view();
+        if view.is_service_evacuated(now, service, self.build) {
+            return upstream_search::EVACUATED_PAUSE + spread;
+        }
+        let next = view.next_available(now, service);
         next.map_or(upstream_search::RETRY_PAUSE, |next| next.since(now) + spread)
     }
 
--- a/coltsfootd/src/gateway/state.rs
+++ b/coltsfootd/src/gateway/state.rs
@@ -219,7 +219,11 @@
     /// Returns digest and read time of the operator's records.
     pub fn own_operator_digest(&self) -> reader_selection::OwnDigest {
         let version = self.routes.load().as_ref().map_or(0, |routes| routes.rules().version);
-        let digest = self.view().version_digest().wrapping_add(rendezvous::hash_of(&version));
+        let view = self.view();
+        // Zero without evacuated zones: a build that does not know them agrees then.
+        let records = view.version_digest().wrapping_add(view.evacuations().digest());
+        drop(view);
+        let digest = records.wrapping_add(rendezvous::hash_of(&version));
         reader_selection::OwnDigest { digest, read_at: *lock(&self.operator_read_at) }
     }
 
--- a/coltsfootd/src/metrics.rs
+++ b/coltsfootd/src/metrics.rs
@@ -115,6 +115,15 @@
         self.meter.u64_counter(name).with_description(description).build()
     }
 
+    /// Creates a gauge.
+    pub(crate) fn gauge(
+        &self,
+        name: &'static str,
+        description: &'static str,
+    ) -> metrics::Gauge<u64> {
+        self.meter.u64_gauge(name).with_description(description).build()
+    }
+
     /// Creates a histogram of durations in seconds.
     pub(crate) fn seconds(
         &self,
