Bound the connections and bodies of callers by the settings' limits

A task that waited to read held an array of 16 KiB for each place that reads, so that a connection that had sent nothing took as much as a body. Nothing bounded the connections, and a body that stopped short kept its memory for ten seconds while others were refused. Each chunk of a chunked body moved all bytes that were buffered behind it.

- Reads go through one buffer of the thread; consumed bytes are skipped and given back before the next wait, not moved for each chunk.
- Connections are bounded by `Limits.MaxFds` and `Limits.MemoryMb`.
Beyond that one gives way to a new one: one that ends, a request that has been read for a second, the one idle longest, the request read longest.
- If the memory for bodies is in use, the body read longest gives way.
- A body over the limit is refused before 100 is sent.
What a refused caller still sends is dropped, up to 256 KiB, instead of kept.
- An attempt writes a body after the head and does not copy it.
- At most 16 KiB of a next request are kept while one is served.

--- a/coltsfoot-gateway/src/lib.rs
+++ b/coltsfoot-gateway/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod attempt_plan;
 pub mod availability_table;
 pub mod brittle_table;
+pub mod caller_ledger;
 pub mod crash_ledger;
 pub mod demand;
 pub mod duration_estimate;
--- a/coltsfoot-http/src/memory.rs
+++ b/coltsfoot-http/src/memory.rs
@@ -71,6 +71,11 @@
         Self::default()
     }
 
+    /// Returns the number of bytes that are counted.
+    pub fn counted(&self) -> usize {
+        self.counted
+    }
+
     /// Extends the lease to a message of `bytes`; returns false if the budget has not enough left.
     pub fn grow_to(&mut self, bytes: usize) -> bool {
         let missing = bytes.saturating_sub(UNCOUNTED_BYTES).saturating_sub(self.counted);
--- a/coltsfoot-http/src/message.rs
+++ b/coltsfoot-http/src/message.rs
@@ -1,10 +1,13 @@
 //! Buffered reading and writing of HTTP/1.1 messages on a TCP stream.
 
+use std::cell;
 use std::io;
+use std::ops;
+use std::pin;
 use std::time;
 
 use async_net::TcpStream;
-use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _, future};
+use futures_lite::{AsyncRead as _, AsyncWriteExt as _, future};
 
 use crate::{body, header, memory, socket};
 
@@ -13,7 +16,7 @@
 /// Largest number of header fields in a head.
 const MAX_FIELDS: usize = 100;
 /// Largest number of bytes buffered for the next message while an exchange is in flight.
-const MAX_EARLY_BYTES: usize = 64 * 1024;
+const MAX_EARLY_BYTES: usize = 16 * 1024;
 
 /// Largest number of interim (1xx) responses before the final one.
 const MAX_INTERIM_RESPONSES: usize = 16;
@@ -25,6 +28,12 @@
 /// would starve timers and other connections.
 const READS_PER_YIELD: usize = 8;
 
+thread_local! {
+    /// Destination of reads. An array in [`MessageStream::fill`] would be a part of every task that reads.
+    static READ_BUFFER: cell::RefCell<Box<[u8]>> =
+        cell::RefCell::new(vec![0; READ_BYTES].into_boxed_slice());
+}
+
 /// Failure to read a message.
 #[derive(Debug, thiserror::Error)]
 pub enum ReadError {
@@ -65,6 +74,8 @@
 pub struct MessageStream {
     stream: TcpStream,
     buffer: Vec<u8>,
+    /// Number of bytes of the buffer that were consumed.
+    consumed: usize,
     is_ended: bool,
     /// Whether a request was begun on it whose response is not complete.
     is_in_exchange: bool,
@@ -79,6 +90,7 @@
         Self {
             stream,
             buffer: Vec::new(),
+            consumed: 0,
             is_ended: false,
             is_in_exchange: false,
             reads: 0,
@@ -109,7 +121,11 @@
 
     /// Returns whether the buffer holds received bytes.
     pub fn has_buffered(&self) -> bool {
-        !self.buffer.is_empty()
+        !self.unread().is_empty()
+    }
+
+    fn unread(&self) -> &[u8] {
+        &self.buffer[self.consumed..]
     }
 
     /// Reads once from the socket into the buffer; returns the number of bytes, zero at the end.
@@ -117,13 +133,30 @@
         if self.is_ended {
             return Ok(0);
         }
-        let mut chunk = [0; READ_BYTES];
-        let count = self.stream.read(&mut chunk).await?;
+        self.release_consumed();
+        let Self { stream, buffer, .. } = self;
+        let read = future::poll_fn(|context| {
+            READ_BUFFER.with_borrow_mut(|bytes| {
+                let read = pin::Pin::new(&mut *stream).poll_read(context, bytes);
+                read.map_ok(|count| {
+                    buffer.extend_from_slice(&bytes[..count]);
+                    count
+                })
+            })
+        });
+        let count = read.await?;
         self.is_ended = count == 0;
-        self.buffer.extend_from_slice(&chunk[..count]);
         Ok(count)
     }
 
+    /// Gives back the memory of consumed bytes, before a wait that may be long.
+    fn release_consumed(&mut self) {
+        if self.consumed > 0 {
+            self.buffer = self.unread().to_vec();
+            self.consumed = 0;
+        }
+    }
+
     /// Reads once, and yields to other tasks every [`READS_PER_YIELD`] reads.
     async fn fill_and_yield(&mut self) -> io::Result<usize> {
         self.reads += 1;
@@ -137,7 +170,7 @@
     /// for the next message; with a full buffer it waits forever.
     pub async fn wait_closed(&mut self) -> PeerEnd {
         loop {
-            if self.buffer.len() >= MAX_EARLY_BYTES {
+            if self.unread().len() >= MAX_EARLY_BYTES {
                 return std::future::pending().await;
             }
             match self.fill().await {
@@ -148,9 +181,21 @@
         }
     }
 
+    /// Drops the bytes that arrive, at most about `max_bytes`, until the peer closes or resets the connection.
+    pub async fn discard_until_closed(&mut self, max_bytes: usize) {
+        let mut discarded = 0;
+        while discarded < max_bytes {
+            self.consumed = self.buffer.len();
+            match self.fill_and_yield().await {
+                Ok(0) | Err(_) => return,
+                Ok(count) => discarded += count,
+            }
+        }
+    }
+
     /// Waits for the first byte of a message; returns false if the connection ended.
     pub async fn wait_message(&mut self) -> io::Result<bool> {
-        while self.buffer.is_empty() {
+        while !self.has_buffered() {
             if self.fill_and_yield().await? == 0 {
                 return Ok(false);
             }
@@ -164,7 +209,7 @@
         max_bytes: usize,
     ) -> Result<header::RequestHead, ReadError> {
         loop {
-            if let Some((head, length)) = parse_request(&self.buffer)? {
+            if let Some((head, length)) = parse_request(self.unread())? {
                 if length > max_bytes {
                     return Err(ReadError::HeadTooLong(max_bytes));
                 }
@@ -183,7 +228,7 @@
     ) -> Result<header::ResponseHead, ReadError> {
         let mut interim_count = 0;
         loop {
-            if let Some((head, length)) = parse_response(&self.buffer)? {
+            if let Some((head, length)) = parse_response(self.unread())? {
                 self.consume(length);
                 if head.status >= 200 {
                     self.chunk_extra_bytes = 0;
@@ -200,7 +245,7 @@
     }
 
     async fn fill_head(&mut self, max_bytes: usize) -> Result<(), ReadError> {
-        if self.buffer.len() > max_bytes {
+        if self.unread().len() > max_bytes {
             return Err(ReadError::HeadTooLong(max_bytes));
         }
         match self.fill_and_yield().await? {
@@ -209,25 +254,44 @@
         }
     }
 
-    /// Reads the next part of a body; `None` at its end.
+    /// Reads the next part of a body; `None` at its end. Cancelling it loses nothing.
     pub async fn read_part(
         &mut self,
         framing: &mut body::BodyFraming,
     ) -> Result<Option<Vec<u8>>, ReadError> {
+        let Some(length) = self.wait_part(framing).await? else { return Ok(None) };
+        let part = match self.consumed == 0 && length == self.buffer.len() {
+            true => std::mem::take(&mut self.buffer),
+            false => {
+                let part = self.unread()[..length].to_vec();
+                self.consume(length);
+                part
+            }
+        };
+        advance(framing, length);
+        Ok(Some(part))
+    }
+
+    /// Waits until the buffer holds bytes of a body; returns their number, `None` at the body's end. The bytes
+    /// stay in the buffer.
+    async fn wait_part(
+        &mut self,
+        framing: &mut body::BodyFraming,
+    ) -> Result<Option<usize>, ReadError> {
         loop {
             match *framing {
                 body::BodyFraming::Done => return Ok(None),
-                body::BodyFraming::Sized(left) => {
-                    let part = self.take_up_to(left).await?;
-                    *framing = match left - part.len() as u64 {
-                        0 => body::BodyFraming::Done,
-                        left => body::BodyFraming::Sized(left),
-                    };
-                    return Ok(Some(part));
+                body::BodyFraming::Sized(left) | body::BodyFraming::ChunkData(left) => {
+                    if !self.has_buffered() && self.fill_and_yield().await? == 0 {
+                        return Err(ReadError::Closed);
+                    }
+                    let left = usize::try_from(left).unwrap_or(usize::MAX);
+                    return Ok(Some(self.unread().len().min(left)));
                 }
                 body::BodyFraming::ChunkSize => {
                     let line = self.read_line().await?;
-                    let size = body::parse_chunk_size(&line)
+                    let line = &self.buffer[line];
+                    let size = body::parse_chunk_size(line)
                         .ok_or(ReadError::Malformed("chunk size is not a hexadecimal number"))?;
                     let extension = line.iter().skip_while(|byte| **byte != b';').count();
                     self.count_extra_bytes(extension)?;
@@ -236,14 +300,6 @@
                         size => body::BodyFraming::ChunkData(size),
                     };
                 }
-                body::BodyFraming::ChunkData(left) => {
-                    let part = self.take_up_to(left).await?;
-                    *framing = match left - part.len() as u64 {
-                        0 => body::BodyFraming::ChunkEnd,
-                        left => body::BodyFraming::ChunkData(left),
-                    };
-                    return Ok(Some(part));
-                }
                 body::BodyFraming::ChunkEnd => {
                     if !self.read_line().await?.is_empty() {
                         return Err(ReadError::Malformed("chunk is longer than its size"));
@@ -258,17 +314,17 @@
                     }
                 }
                 body::BodyFraming::NonEmptyUntilClose => {
-                    if self.buffer.is_empty() && self.fill_and_yield().await? == 0 {
+                    if !self.has_buffered() && self.fill_and_yield().await? == 0 {
                         return Err(ReadError::Closed);
                     }
                     *framing = body::BodyFraming::UntilClose;
                 }
                 body::BodyFraming::UntilClose => {
-                    if self.buffer.is_empty() && self.fill_and_yield().await? == 0 {
+                    if !self.has_buffered() && self.fill_and_yield().await? == 0 {
                         *framing = body::BodyFraming::Done;
                         return Ok(None);
                     }
-                    return Ok(Some(std::mem::take(&mut self.buffer)));
+                    return Ok(Some(self.unread().len()));
                 }
             }
         }
@@ -286,28 +342,13 @@
     /// Reads a whole body of at most `max_bytes`, as far as the lease can be extended to it.
     pub async fn read_body_within(
         &mut self,
-        mut framing: body::BodyFraming,
+        framing: body::BodyFraming,
         max_bytes: usize,
         lease: &mut memory::MemoryLease,
     ) -> Result<Vec<u8>, ReadError> {
-        if matches!(framing, body::BodyFraming::Sized(size) if size > max_bytes as u64) {
-            return Err(ReadError::BodyTooLong(max_bytes));
-        }
-        let mut whole = Vec::new();
-        while let Some(part) = self.read_part(&mut framing).await? {
-            if whole.len() + part.len() > max_bytes {
-                return Err(ReadError::BodyTooLong(max_bytes));
-            }
-            if !lease.grow_to(whole.len() + part.len()) {
-                return Err(ReadError::NoMemory);
-            }
-            if whole.capacity() - whole.len() < part.len() {
-                // Doubling would hold twice as much as is counted.
-                whole.reserve_exact(part.len().max(whole.len() / GROWTH_DIVISOR));
-            }
-            whole.extend_from_slice(&part);
-        }
-        Ok(whole)
+        let mut reader = BodyReader::new(framing, max_bytes)?;
+        while !reader.read_some(self, lease).await? {}
+        Ok(reader.into_body())
     }
 
     /// Reads a whole body of at most `max_bytes` and drops it.
@@ -317,8 +358,10 @@
         max_bytes: usize,
     ) -> Result<(), ReadError> {
         let mut skipped = 0;
-        while let Some(part) = self.read_part(&mut framing).await? {
-            skipped += part.len();
+        while let Some(length) = self.wait_part(&mut framing).await? {
+            self.consume(length);
+            advance(&mut framing, length);
+            skipped += length;
             if skipped > max_bytes {
                 return Err(ReadError::BodyTooLong(max_bytes));
             }
@@ -334,26 +377,17 @@
         Ok(())
     }
 
-    async fn take_up_to(&mut self, left: u64) -> Result<Vec<u8>, ReadError> {
-        if self.buffer.is_empty() && self.fill_and_yield().await? == 0 {
-            return Err(ReadError::Closed);
-        }
-        let count = self.buffer.len().min(usize::try_from(left).unwrap_or(usize::MAX));
-        let rest = self.buffer.split_off(count);
-        Ok(std::mem::replace(&mut self.buffer, rest))
-    }
-
-    async fn read_line(&mut self) -> Result<Vec<u8>, ReadError> {
+    /// Reads a line; returns where it lies in the buffer, without its end, until the next read.
+    async fn read_line(&mut self) -> Result<ops::Range<usize>, ReadError> {
         loop {
-            if let Some(end) = self.buffer.iter().position(|byte| *byte == b'\n') {
-                let mut line = self.buffer[..end].to_vec();
-                self.consume(end + 1);
-                if line.pop() != Some(b'\r') {
-                    return Err(ReadError::Malformed("line does not end with CR LF"));
-                }
-                return Ok(line);
+            if let Some(length) = self.unread().iter().position(|byte| *byte == b'\n') {
+                let begin = self.consumed;
+                self.consume(length + 1);
+                let line = self.buffer[begin..begin + length].strip_suffix(b"\r");
+                let line = line.ok_or(ReadError::Malformed("line does not end with CR LF"))?;
+                return Ok(begin..begin + line.len());
             }
-            if self.buffer.len() > body::MAX_CHUNK_LINE {
+            if self.unread().len() > body::MAX_CHUNK_LINE {
                 return Err(ReadError::Malformed("chunk line is too long"));
             }
             if self.fill_and_yield().await? == 0 {
@@ -363,7 +397,67 @@
     }
 
     fn consume(&mut self, count: usize) {
-        self.buffer.drain(..count);
+        self.consumed += count;
+    }
+}
+
+/// Advances the framing of a body past bytes of it.
+fn advance(framing: &mut body::BodyFraming, length: usize) {
+    *framing = match *framing {
+        body::BodyFraming::Sized(left) if left == length as u64 => body::BodyFraming::Done,
+        body::BodyFraming::Sized(left) => body::BodyFraming::Sized(left - length as u64),
+        body::BodyFraming::ChunkData(left) if left == length as u64 => body::BodyFraming::ChunkEnd,
+        body::BodyFraming::ChunkData(left) => body::BodyFraming::ChunkData(left - length as u64),
+        other => other,
+    };
+}
+
+/// A body that is being read whole. A read that failed for lack of memory can be tried again.
+#[derive(Debug)]
+pub struct BodyReader {
+    framing: body::BodyFraming,
+    max_bytes: usize,
+    whole: Vec<u8>,
+}
+
+impl BodyReader {
+    /// Begins to read a body of at most `max_bytes`; fails if a longer one is announced.
+    pub fn new(framing: body::BodyFraming, max_bytes: usize) -> Result<Self, ReadError> {
+        if matches!(framing, body::BodyFraming::Sized(size) if size > max_bytes as u64) {
+            return Err(ReadError::BodyTooLong(max_bytes));
+        }
+        Ok(Self { framing, max_bytes, whole: Vec::new() })
+    }
+
+    /// Reads a part of the body, as far as the lease can be extended to it; returns whether the body is
+    /// complete. [`ReadError::NoMemory`] leaves the part in the stream.
+    pub async fn read_some(
+        &mut self,
+        stream: &mut MessageStream,
+        lease: &mut memory::MemoryLease,
+    ) -> Result<bool, ReadError> {
+        let Self { framing, max_bytes, whole } = self;
+        let Some(length) = stream.wait_part(framing).await? else { return Ok(true) };
+        let total = whole.len() + length;
+        if total > *max_bytes {
+            return Err(ReadError::BodyTooLong(*max_bytes));
+        }
+        if !lease.grow_to(total) {
+            return Err(ReadError::NoMemory);
+        }
+        if whole.capacity() < total {
+            // Doubling would hold twice as much as is counted.
+            whole.reserve_exact(length.max(whole.len() / GROWTH_DIVISOR));
+        }
+        whole.extend_from_slice(&stream.unread()[..length]);
+        stream.consume(length);
+        advance(framing, length);
+        Ok(*framing == body::BodyFraming::Done)
+    }
+
+    /// Returns the body, once it is complete.
+    pub fn into_body(self) -> Vec<u8> {
+        self.whole
     }
 }
 
--- a/coltsfootd/src/gateway/attempt.rs
+++ b/coltsfootd/src/gateway/attempt.rs
@@ -19,6 +19,8 @@
 const DEFAULT_KEEP_ALIVE: time::Duration = time::Duration::from_millis(3500);
 /// How long before the upstream's keep-alive timeout a connection is dropped from the pool.
 const KEEP_ALIVE_MARGIN: time::Duration = time::Duration::from_millis(800);
+/// Maximum number of a body's bytes that are written together with the head.
+const MAX_JOINED_BYTES: usize = 16 * 1024;
 /// Maximum number of responses to earlier requests that are skipped on a connection.
 const MAX_STALE_RESPONSES: usize = 3;
 /// Maximum body size of a skipped response, in bytes.
@@ -91,11 +93,16 @@
 ) -> Result<OpenResponse, AttemptError> {
     let paths::UpstreamConnection { mut stream, pool_address } = connection;
     let mut bytes = request.head.encode();
-    bytes.extend_from_slice(request.body);
+    // Small ones go out with the head; a large one is not copied.
+    let (joined, rest) = request.body.split_at(request.body.len().min(MAX_JOINED_BYTES));
+    bytes.extend_from_slice(joined);
     let is_sent = atomic::AtomicBool::new(false);
     let mut writer = stream.writer();
     let write = async {
-        let written = writer.write_all(&bytes).await;
+        let mut written = writer.write_all(&bytes).await;
+        if written.is_ok() {
+            written = writer.write_all(rest).await;
+        }
         is_sent.store(written.is_ok(), atomic::Ordering::Relaxed);
         // Never completes: the response, or the end of the connection, decides the outcome.
         std::future::pending().await
--- a/coltsfootd/src/gateway/callers.rs
+++ b/coltsfootd/src/gateway/callers.rs
@@ -4,13 +4,14 @@
 use std::time;
 
 use async_net::{TcpListener, TcpStream};
+use coltsfoot_gateway::caller_ledger::CallerPhase;
 use coltsfoot_gateway::{idle_connection, rules, stop_plan, upstream_search};
 use coltsfoot_http::{body, header, memory, message, socket};
 use futures_lite::{AsyncWriteExt as _, future};
 use site_platform::fields;
 
 use crate::event;
-use crate::gateway::{exchange, request_log, state, stop};
+use crate::gateway::{caller_table, exchange, request_log, state, stop};
 
 /// Limits until a configuration is known.
 const DEFAULT_LIMITS: rules::CallerLimits = rules::CallerLimits {
@@ -23,6 +24,8 @@
 const BODY_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 /// Time that a caller gets to read the last response before its connection is closed.
 const LINGER_TIMEOUT: time::Duration = time::Duration::from_millis(300);
+/// Maximum number of bytes that are read and dropped meanwhile.
+const MAX_LINGER_BYTES: usize = 256 * 1024;
 /// Delay after a failed `accept`, usually for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(20);
 
@@ -43,7 +46,8 @@
         match accepted {
             Ok((stream, _)) => {
                 let open = state.stop.sockets.enter();
-                let task = serve_caller(sync::Arc::clone(&state), stream, open);
+                let place = state.callers.open(|| state.now()).await;
+                let task = serve_caller(sync::Arc::clone(&state), stream, place, open);
                 state.executor.spawn(task).detach();
             }
             Err(error) => {
@@ -62,6 +66,7 @@
 async fn serve_caller(
     state: sync::Arc<state::GatewayState>,
     stream: TcpStream,
+    place: caller_table::CallerPlace,
     _open: stop::OpenGuard,
 ) {
     if let Err(error) = socket::enable_keepalive(&stream) {
@@ -69,21 +74,38 @@
     }
     let mut caller = message::MessageStream::new(stream);
     loop {
-        if let Err(end) = wait_request(&state, &mut caller).await {
+        place.enter(state.now(), CallerPhase::Idle);
+        let give_way = async { Err(place.wait_give_way().await) };
+        if let Err(end) = future::or(give_way, wait_request(&state, &mut caller)).await {
             log_idle_end(&state, end);
             return;
         }
         let _active = state.stop.requests.enter();
+        place.enter(state.now(), CallerPhase::Reading);
+        let give_way = async { Err(Rejection::unavailable(place.wait_give_way().await)) };
         let limits = limits(&state);
-        let request = match read_request(&mut caller, &limits, state.memory.request_lease()).await {
-            Ok(request) => request,
+        let read = read_request(&mut caller, &limits, &place, state.memory.request_lease());
+        let request = match future::or(give_way, read).await {
+            Ok(request) if place.enter(state.now(), CallerPhase::Serving) => Ok(request),
+            Ok(_) => Err(Rejection::unavailable(place.wait_give_way().await)),
+            Err(rejection) => Err(rejection),
+        };
+        let is_kept = match request {
+            Ok(request) => serve_request(&state, &mut caller, request).await,
             Err(rejection) => {
-                reject(&state, &mut caller, &rejection).await;
-                return;
+                // Its memory was given back, which others may wait for.
+                place.enter(state.now(), CallerPhase::Ending);
+                reject(&state, &mut caller, &rejection).await
             }
         };
-        if !serve_request(&state, &mut caller, request).await {
-            return;
+        match is_kept {
+            exchange::ConnectionUse::Keep => {}
+            exchange::ConnectionUse::Abort => return,
+            exchange::ConnectionUse::Close => {
+                place.enter(state.now(), CallerPhase::Ending);
+                let give_way = async { _ = place.wait_give_way().await };
+                return future::or(give_way, linger(&mut caller)).await;
+            }
         }
     }
 }
@@ -91,7 +113,7 @@
 /// Logs the end of a connection without a request in progress; ends by the caller are only counted.
 fn log_idle_end(state: &state::GatewayState, reason: &'static str) {
     state.metrics.count_connection(reason);
-    if matches!(reason, "idle" | "stopping") {
+    if matches!(reason, "idle" | "stopping" | "too_many_connections") {
         log::info!(event = event::CONNECTION_CLOSED.number, reason = reason; "connection_closed");
     }
 }
@@ -152,10 +174,17 @@
     reason: &'static str,
 }
 
+impl Rejection {
+    fn unavailable(reason: &'static str) -> Self {
+        Self { status: 503, reason }
+    }
+}
+
 /// Reads a request, or returns why it is rejected.
 async fn read_request(
     caller: &mut message::MessageStream,
     limits: &rules::CallerLimits,
+    place: &caller_table::CallerPlace,
     mut lease: memory::MemoryLease,
 ) -> Result<ReceivedRequest, Rejection> {
     const HEAD_TIMEOUT: Rejection = Rejection { status: 408, reason: "head_timeout" };
@@ -172,12 +201,14 @@
     }
     let framing = body::BodyFraming::of_request(&head.headers)
         .map_err(|_| Rejection { status: 400, reason: "ambiguous_framing" })?;
+    let reader = message::BodyReader::new(framing, limits.max_body_bytes);
+    let reader = reader.map_err(|error| rejection_of(&error))?;
     if head.headers.contains_token("expect", "100-continue") && framing != body::BodyFraming::Done {
         let interim = header::ResponseHead::new(100).encode();
         let written = caller.write(&interim).await;
         written.map_err(|_| Rejection { status: 400, reason: "caller_reset" })?;
     }
-    let read = caller.read_body_within(framing, limits.max_body_bytes, &mut lease);
+    let read = read_body(caller, reader, place, &mut lease);
     match message::with_timeout(BODY_TIMEOUT, read).await {
         None => Err(BODY_TIMEOUT_PASSED),
         Some(Err(error)) => Err(rejection_of(&error)),
@@ -185,6 +216,27 @@
     }
 }
 
+/// Reads a body. If the memory for bodies is in use, another one that is still being read gives way.
+async fn read_body(
+    caller: &mut message::MessageStream,
+    mut reader: message::BodyReader,
+    place: &caller_table::CallerPlace,
+    lease: &mut memory::MemoryLease,
+) -> Result<Vec<u8>, message::ReadError> {
+    loop {
+        let held = lease.counted();
+        match reader.read_some(caller, lease).await {
+            Ok(true) => return Ok(reader.into_body()),
+            Err(message::ReadError::NoMemory) if place.wait_memory().await => {}
+            Err(error) => return Err(error),
+            Ok(false) => {}
+        }
+        if lease.counted() != held {
+            place.hold(lease.counted());
+        }
+    }
+}
+
 fn rejection_of(error: &message::ReadError) -> Rejection {
     let (status, reason) = match error {
         message::ReadError::HeadTooLong(_) => (431, "head_too_long"),
@@ -201,7 +253,7 @@
     state: &state::GatewayState,
     caller: &mut message::MessageStream,
     rejection: &Rejection,
-) {
+) -> exchange::ConnectionUse {
     let retry_after = (rejection.status == 503).then_some(upstream_search::RETRY_PAUSE);
     let mut head = fields::local_reply(rejection.status, None, retry_after);
     head.headers.push("Content-Length", "0");
@@ -213,9 +265,7 @@
         reason = rejection.reason, delivered = is_written;
         "request_rejected"
     );
-    if is_written {
-        linger(caller).await;
-    }
+    if is_written { exchange::ConnectionUse::Close } else { exchange::ConnectionUse::Abort }
 }
 
 /// Waits for the caller to read the last response: closing with unread bytes would reset the
@@ -223,16 +273,16 @@
 async fn linger(caller: &mut message::MessageStream) {
     let mut writer = caller.writer();
     if writer.close().await.is_ok() {
-        message::with_timeout(LINGER_TIMEOUT, caller.wait_closed()).await;
+        message::with_timeout(LINGER_TIMEOUT, caller.discard_until_closed(MAX_LINGER_BYTES)).await;
     }
 }
 
-/// Serves one request; returns whether the connection stays open.
+/// Serves one request; returns what happens to the connection.
 async fn serve_request(
     state: &sync::Arc<state::GatewayState>,
     caller: &mut message::MessageStream,
     request: ReceivedRequest,
-) -> bool {
+) -> exchange::ConnectionUse {
     let mut writer = caller.writer();
     let exchange = exchange::CallerExchange::new(state, request);
     let mut log = request_log::RequestLog::begin(&exchange);
@@ -254,10 +304,7 @@
     if end != "kept" {
         state.metrics.count_connection(end);
     }
-    if served == Ok(exchange::ConnectionUse::Close) {
-        linger(caller).await;
-    }
-    served == Ok(exchange::ConnectionUse::Keep)
+    served.unwrap_or(exchange::ConnectionUse::Abort)
 }
 
 /// Responds to the load balancer's readiness checks; never returns.
--- a/coltsfootd/src/gateway/memory.rs
+++ b/coltsfootd/src/gateway/memory.rs
@@ -13,9 +13,14 @@
 const RESPONSE_DIVISOR: usize = 10;
 /// Part of the memory for responses that the responses of one upstream may hold.
 const UPSTREAM_DIVISOR: usize = 2;
-/// Part of the machine's memory for requests' bodies, of which each attempt makes a copy.
+/// Part of the machine's memory for requests' bodies.
 const REQUEST_DIVISOR: usize = 16;
 
+/// Returns the memory of the machine, in bytes, or the default if it is unknown.
+pub(crate) fn machine_bytes(known: usize) -> usize {
+    if known == 0 { DEFAULT_MEMORY } else { known }
+}
+
 /// Budgets of the process.
 #[derive(Debug)]
 pub(crate) struct MessageMemory {
@@ -29,7 +34,7 @@
 impl MessageMemory {
     /// Divides the memory of the machine, in bytes; zero if it is unknown.
     pub fn new(machine: usize) -> Self {
-        let machine = if machine == 0 { DEFAULT_MEMORY } else { machine };
+        let machine = machine_bytes(machine);
         let responses = machine / RESPONSE_DIVISOR;
         Self {
             requests: sync::Arc::new(MemoryBudget::new(machine / REQUEST_DIVISOR)),
--- a/coltsfootd/src/gateway/mod.rs
+++ b/coltsfootd/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 
 mod archive;
 mod attempt;
+mod caller_table;
 mod callers;
 mod crashes;
 mod engines;
--- a/coltsfootd/src/gateway/run.rs
+++ b/coltsfootd/src/gateway/run.rs
@@ -14,8 +14,8 @@
 use site_platform::{entry, rules, settings, store};
 
 use crate::gateway::{
-    archive, callers, crashes, engines, fleet, follower, heartbeats, lease, memory, metrics, news,
-    origins, paths, pending_calls, permits, reload, state, stop, tunnels,
+    archive, caller_table, callers, crashes, engines, fleet, follower, heartbeats, lease, memory,
+    metrics, news, origins, paths, pending_calls, permits, reload, state, stop, tunnels,
 };
 use crate::{clock, event, metrics as registry};
 
@@ -203,6 +203,10 @@
         store: store::StoreClient::new(settings.store.address, sync::Arc::clone(&pool)),
         pool,
         memory: memory::MessageMemory::new(settings.memory_bytes()),
+        callers: sync::Arc::new(caller_table::CallerTable::new(
+            settings.limits.max_descriptors,
+            memory::machine_bytes(settings.memory_bytes()),
+        )),
         routes: arc_swap::ArcSwapOption::empty(),
         view: sync::Mutex::default(),
         quota: sync::Mutex::default(),
--- a/coltsfootd/src/gateway/state.rs
+++ b/coltsfootd/src/gateway/state.rs
@@ -17,7 +17,8 @@
 use site_platform::{settings, store};
 
 use crate::gateway::{
-    crashes, engines, follower, memory, metrics, origins, pending_calls, permits, stop,
+    caller_table, crashes, engines, follower, memory, metrics, origins, pending_calls, permits,
+    stop,
 };
 use crate::{clock, event};
 
@@ -44,6 +45,8 @@
     pub store: store::StoreClient,
     /// Memory that messages may hold.
     pub memory: memory::MessageMemory,
+    /// Open connections of callers.
+    pub callers: sync::Arc<caller_table::CallerTable>,
     pub routes: arc_swap::ArcSwapOption<route_table::RouteTable>,
     pub view: sync::Mutex<fleet_view::FleetView>,
     pub quota: sync::Mutex<quota_ledger::QuotaLedger>,
