Take no cut answer for whole, and no number for a status that is none

An upstream that answered a long upload with 200 and no length, and reset the connection while the upload was being written, was taken for complete: the failing write takes the error from the socket, after which the read ends as after a close. Status 000 and 101 were skipped like an interim response, and what followed was read as the response's head.

A body without a length is now an error if its request was not written whole, and a response's status is 100 or 102 to 599, for all who read responses with coltsfoot-http.

Read, not tried: tunnels reset both sides if either direction fails; calls to the store and engines' orders fail when their write fails; the client of the other interface takes known statuses only.

--- a/coltsfoot-http/src/message.rs
+++ b/coltsfoot-http/src/message.rs
@@ -79,6 +79,8 @@
     is_ended: bool,
     /// Whether a request was begun on it whose response is not complete.
     is_in_exchange: bool,
+    /// Whether the request of the exchange was not written whole.
+    is_request_cut: bool,
     reads: usize,
     /// Bytes of chunk extensions and trailer fields of the current message.
     chunk_extra_bytes: usize,
@@ -93,6 +95,7 @@
             consumed: 0,
             is_ended: false,
             is_in_exchange: false,
+            is_request_cut: false,
             reads: 0,
             chunk_extra_bytes: 0,
         }
@@ -102,6 +105,13 @@
     /// the system would go on to deliver a request that nobody waits for any more.
     pub fn begin_exchange(&mut self) {
         self.is_in_exchange = true;
+        self.is_request_cut = false;
+    }
+
+    /// Records that the request of the exchange was not written whole. A body without a length is never complete
+    /// then: a write that fails takes the error from the socket, after which a reset reads like a close.
+    pub fn record_cut_request(&mut self) {
+        self.is_request_cut = true;
     }
 
     /// Ends an exchange whose response was read completely.
@@ -321,6 +331,9 @@
                 }
                 body::BodyFraming::UntilClose => {
                     if !self.has_buffered() && self.fill_and_yield().await? == 0 {
+                        if self.is_request_cut {
+                            return Err(ReadError::Closed);
+                        }
                         *framing = body::BodyFraming::Done;
                         return Ok(None);
                     }
@@ -489,7 +502,8 @@
     Ok(Some((head, length)))
 }
 
-/// Parses a response's head and returns its length in bytes; `None` if it is incomplete.
+/// Parses a response's head and returns its length in bytes; `None` if it is incomplete. Its status is 100 or 102 to
+/// 599, as nothing asks for another protocol.
 pub fn parse_response(bytes: &[u8]) -> Result<Option<(header::ResponseHead, usize)>, ReadError> {
     let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
     let mut response = httparse::Response::new(&mut fields);
@@ -498,8 +512,12 @@
     else {
         return Ok(None);
     };
+    let status = response.code.unwrap_or_default();
+    if !matches!(status, 100 | 102..=599) {
+        return Err(ReadError::Malformed("response status"));
+    }
     let head = header::ResponseHead {
-        status: response.code.unwrap_or_default(),
+        status,
         reason: response.reason.unwrap_or_default().to_owned(),
         minor_version: response.version.unwrap_or_default(),
         headers: to_header_list(response.headers),
--- a/coltsfootd/src/gateway/attempt.rs
+++ b/coltsfootd/src/gateway/attempt.rs
@@ -110,6 +110,9 @@
     let read = read_response_head(&mut stream, request);
     let (head, fields, framing, has_skipped_stale) = futures_lite::future::or(read, write).await?;
     let is_sent = is_sent.load(atomic::Ordering::Relaxed);
+    if !is_sent {
+        stream.record_cut_request();
+    }
     Ok(OpenResponse { head, fields, framing, stream, pool_address, is_sent, has_skipped_stale })
 }
 
