Limit requests to cold upstreams over all instances

Cause: an engine that has just started, or came back with its zone, got whatever the choice sent it. Change: ColdTable keeps which upstreams are cold, from entries, responses and messages (kind 18); send_limit and permit_limit join its limit with the one an upstream names, and permits are issued as before. Nothing changes where no service has ColdS and ColdPerS.

--- a/coltsfoot-gateway/src/engine_choice.rs
+++ b/coltsfoot-gateway/src/engine_choice.rs
@@ -113,7 +113,8 @@
         path_table::UpstreamPath::Lost(_) => AVOIDED_COST_MS,
     };
     let silent = if slot.is_silent(now) { SILENT_COST_MS } else { 0.0 };
-    zone + avoided + path + silent + slot.failure_rate(now) * FAILURE_COST_MS
+    let cold = view.permit_interval(now, slot).as_secs_f64() * 1000.0;
+    zone + avoided + path + silent + cold + slot.failure_rate(now) * FAILURE_COST_MS
 }
 
 fn choose_plain(
@@ -160,7 +161,9 @@
             Some(wanted) if !is_held => wanted.load_cost(now, view, slot, rank)?,
             _ => 0.0,
         };
-        let wait = engine_wait(now, slot, demand, preferred == Some(slot.number));
+        // The prefix cache of a cold engine is probably empty.
+        let is_preferred = preferred == Some(slot.number) && !view.is_cold(now, slot);
+        let wait = engine_wait(now, slot, demand, is_preferred);
         Some((wait + load + common_cost(now, view, request, slot, suspects), slot, !is_held))
     });
     let best = costs.min_by(|(one, ..), (other, ..)| one.total_cmp(other));
@@ -237,8 +240,8 @@
     view: &fleet_view::FleetView,
     slot: &upstream_slot::UpstreamSlot,
 ) -> f64 {
-    let limit = view.limits().limit(now, slot.number);
-    limit.map_or(0.0, |per_s| send_permits::order_interval(per_s).as_secs_f64() * 1000.0)
+    let limit = view.send_limit(now, slot.number);
+    limit.map_or(0.0, |limit| send_permits::order_interval(limit.per_s).as_secs_f64() * 1000.0)
 }
 
 /// Returns the holder preferred by requests with the same prompt prefix, so that the prefix stays cached
--- a/coltsfoot-gateway/src/fleet_view.rs
+++ b/coltsfoot-gateway/src/fleet_view.rs
@@ -2,6 +2,7 @@
 //! in flight at each upstream.
 
 pub mod brittle;
+pub mod cold;
 pub mod paths;
 pub mod peers;
 pub mod permit_issuers;
@@ -15,8 +16,9 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::{
-    availability_table, brittle_table, demand, engine_controller, engine_order, fetch_limiter,
-    limit_table, path_table, peer_slot, rendezvous, upstream, upstream_slot,
+    availability_table, brittle_table, cold_table, demand, engine_controller, engine_order,
+    fetch_limiter, limit_table, member_memory, path_table, peer_slot, rendezvous, upstream,
+    upstream_slot,
 };
 
 /// Heartbeats of an instance that may be lost before its state counts as stale.
@@ -64,6 +66,9 @@
     /// Upstreams that this instance does not reach and another one probably does, by number.
     carried: FxHashSet<u32>,
     brittle: brittle_table::BrittleTable,
+    cold: cold_table::ColdTable,
+    /// Instances that are not heard any more and may run behind a partition.
+    members: member_memory::MemberMemory,
     fetch_limiter: fetch_limiter::FetchLimiter,
     /// Adapter fetches queued or in progress at the engines of this instance.
     own_backlog: u32,
@@ -462,7 +467,12 @@
 
     /// Removes silent instances and zones, and expired requests in flight.
     pub fn expire(&mut self, now: clock::MonotonicTime) {
-        self.peers.retain(|_, peer| now.since(peer.last_seen) < PEER_LIFETIME);
+        for (_, peer) in self.peers.extract_if(|_, peer| now.since(peer.last_seen) >= PEER_LIFETIME)
+        {
+            if !peer.is_draining {
+                self.members.record_lost(now, peer.address);
+            }
+        }
         let is_relayed = |zone: &str| self.is_zone_relayed(now, zone);
         let silent: Vec<_> = self.zones.keys().filter(|zone| !is_relayed(zone)).cloned().collect();
         for zone in silent {
--- a/coltsfoot-gateway/src/fleet_view/paths.rs
+++ b/coltsfoot-gateway/src/fleet_view/paths.rs
@@ -28,6 +28,10 @@
             return false;
         }
         let Some(slot) = self.upstreams.get(id) else { return false };
+        if let Some(since) = self.paths.lost_since(&slot.entry.service, slot.number) {
+            // It may have become cold meanwhile.
+            self.cold.regained(now, &slot.entry.service, slot.number, since);
+        }
         self.paths.record_contact(now, &slot.entry.service, slot.number)
     }
 
--- a/coltsfoot-gateway/src/lib.rs
+++ b/coltsfoot-gateway/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod attempt_plan;
 pub mod availability_table;
 pub mod brittle_table;
+pub mod cold_table;
 pub mod crash_ledger;
 pub mod demand;
 pub mod duration_estimate;
@@ -18,6 +19,7 @@
 pub mod heartbeat_plan;
 pub mod idle_connection;
 pub mod limit_table;
+pub mod member_memory;
 pub mod order_lease;
 pub mod origin_ledger;
 pub mod outage_tracker;
--- a/coltsfoot-gateway/src/path_table.rs
+++ b/coltsfoot-gateway/src/path_table.rs
@@ -106,6 +106,11 @@
         own.or_else(|| lost.common_failure()).map_or(UpstreamPath::Direct, UpstreamPath::Lost)
     }
 
+    /// Returns since when an upstream has accepted no connection, if that is so.
+    pub fn lost_since(&self, service: &str, number: u32) -> Option<clock::MonotonicTime> {
+        Some(self.services.get(service)?.upstreams.get(&number)?.since)
+    }
+
     /// Records that an upstream accepted a connection of this instance or sent something on one. Returns
     /// whether it was lost.
     pub fn record_contact(
--- a/coltsfoot-gateway/src/rules.rs
+++ b/coltsfoot-gateway/src/rules.rs
@@ -104,8 +104,17 @@
     }
 }
 
+/// Requests that the upstreams of a service tolerate while they are cold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdRule {
+    /// Time for which an upstream is cold after its start.
+    pub duration: time::Duration,
+    /// Requests per second from all instances together that it tolerates meanwhile; above zero.
+    pub per_s: f64,
+}
+
 /// A service that requests are forwarded to.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, bon::Builder)]
 pub struct ServiceRule {
     /// Name of the service.
     pub name: sync::Arc<str>,
@@ -113,6 +122,8 @@
     pub max_connections: u32,
     /// Capacity of its engines, if it serves models.
     pub engine: Option<EngineRule>,
+    /// Limit on its cold upstreams, if it has one.
+    pub cold: Option<ColdRule>,
 }
 
 /// A customer with its keys and quota.
--- a/coltsfoot-gateway/src/send_permits.rs
+++ b/coltsfoot-gateway/src/send_permits.rs
@@ -11,6 +11,8 @@
 /// Over the 4 s window in which the platform counts, this is one request of the five allowed on top
 /// of a limit.
 const MIN_RATE: f64 = 0.25;
+/// Lower bound of the rate where the burst is given, which only keeps waits finite.
+const MIN_BOUNDED_RATE: f64 = 0.001;
 /// Burst of a bucket: the permits of this time, but at least one, plus `SPARE_PERMITS`, since
 /// callers arrive at random. An upstream thus gets at most 4.5 times its limit plus two in 4 s, or
 /// four times plus three, where six times plus five are allowed; the rest is for the time in which
@@ -47,6 +49,50 @@
     time::Duration::from_secs_f64(1.0 / (per_s.max(MIN_RATE) * CONTROL_SHARE))
 }
 
+/// Pause after a refusal of an issuer whose share of a limit is too small for one permit.
+const NO_SHARE_PAUSE: time::Duration = time::Duration::from_millis(500);
+
+/// How often something may be sent to an upstream.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SendLimit {
+    /// Permits per second.
+    pub per_s: f64,
+    /// Most permits at once; `None` if the rate tells. Below one, no permit is issued.
+    pub burst: Option<f64>,
+}
+
+impl From<f64> for SendLimit {
+    fn from(per_s: f64) -> Self {
+        Self { per_s, burst: None }
+    }
+}
+
+impl SendLimit {
+    /// Returns a part of the limit, from 0 to 1.
+    pub fn share(self, part: f64) -> Self {
+        Self { per_s: self.per_s * part, burst: self.burst.map(|burst| burst * part) }
+    }
+
+    /// Returns the limit that satisfies both.
+    pub fn strictest(self, other: Self) -> Self {
+        let burst = match (self.burst, other.burst) {
+            (Some(burst), Some(other)) => Some(burst.min(other)),
+            (burst, other) => burst.or(other),
+        };
+        Self { per_s: self.per_s.min(other.per_s), burst }
+    }
+
+    fn rate(self) -> f64 {
+        self.per_s.max(if self.burst.is_some() { MIN_BOUNDED_RATE } else { MIN_RATE })
+    }
+
+    /// Returns the burst of a bucket with a rate.
+    fn capacity(self, rate: f64) -> f64 {
+        let usual = (rate * BURST_TIME.as_secs_f64()).max(1.0) + SPARE_PERMITS;
+        self.burst.map_or(usual, |burst| burst.min(usual))
+    }
+}
+
 /// Token bucket of permits.
 #[derive(Clone, Copy, Debug)]
 struct PermitBucket {
@@ -61,9 +107,8 @@
     }
 
     /// Refills the bucket and returns the time until it holds one permit.
-    fn refill(&mut self, now: clock::MonotonicTime, rate: f64) -> time::Duration {
+    fn refill(&mut self, now: clock::MonotonicTime, rate: f64, capacity: f64) -> time::Duration {
         let earned = now.since(self.updated).as_secs_f64() * rate;
-        let capacity = (rate * BURST_TIME.as_secs_f64()).max(1.0) + SPARE_PERMITS;
         self.level = (self.level + earned).min(capacity);
         self.updated = self.updated.max(now);
         time::Duration::from_secs_f64((1.0 - self.level).max(0.0) / rate)
@@ -84,25 +129,30 @@
 }
 
 impl PermitLedger {
-    /// Takes one permit for an upstream with a limit of `per_s` requests per second; the error is
-    /// the time until one will be available.
+    /// Takes one permit for an upstream with this limit; the error is the time until one will be
+    /// available.
     pub fn acquire(
         &mut self,
         now: clock::MonotonicTime,
         number: u32,
-        per_s: f64,
+        limit: impl Into<SendLimit>,
         class: PermitClass,
     ) -> Result<(), time::Duration> {
-        let rate = per_s.max(MIN_RATE);
+        let limit = limit.into();
+        let rate = limit.rate();
         if rate.is_infinite() {
             return Ok(());
         }
+        if limit.burst.is_some_and(|burst| burst < 1.0) {
+            return Err(NO_SHARE_PAUSE);
+        }
         self.limits.retain(|_, buckets| now.since(buckets.all.updated) < BUCKET_LIFETIME);
         let empty = PermitBucket::empty(now);
         let buckets =
             self.limits.entry(number).or_insert(LimitBuckets { all: empty, control: empty });
-        let mut wait = buckets.all.refill(now, rate);
-        let control_wait = buckets.control.refill(now, rate * CONTROL_SHARE);
+        let mut wait = buckets.all.refill(now, rate, limit.capacity(rate));
+        let control_rate = rate * CONTROL_SHARE;
+        let control_wait = buckets.control.refill(now, control_rate, limit.capacity(control_rate));
         if class == PermitClass::Control {
             wait = wait.max(control_wait);
         }
--- a/coltsfoot-gateway/tests/fleet_fixture/mod.rs
+++ b/coltsfoot-gateway/tests/fleet_fixture/mod.rs
@@ -40,7 +40,7 @@
         adapter_slots: 8,
         models: vec![model],
     };
-    rules::ServiceRule { name: "llm".into(), max_connections: 100, engine: Some(engine) }
+    rules::ServiceRule::builder().name("llm".into()).max_connections(100).engine(engine).build()
 }
 
 pub fn prompt(adapter: &str, prefix_key: u64) -> demand::PromptDemand {
--- a/coltsfoot-measure/src/burst/world.rs
+++ b/coltsfoot-measure/src/burst/world.rs
@@ -493,5 +493,5 @@
         adapter_slots: engine::PLACES,
         models: vec![model],
     };
-    rules::ServiceRule { name: "llm".into(), max_connections: 360, engine: Some(engine) }
+    rules::ServiceRule::builder().name("llm".into()).max_connections(360).engine(engine).build()
 }
--- a/coltsfoot-wire/src/fleet.rs
+++ b/coltsfoot-wire/src/fleet.rs
@@ -452,6 +452,17 @@
     pub upstreams: Vec<u32>,
 }
 
+/// An upstream that is cold, so that it tolerates few requests.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ColdUpstream {
+    /// The upstream's number.
+    pub upstream: u32,
+    /// Time for which it stays cold, in milliseconds.
+    pub remaining_ms: u32,
+    /// How many instances have passed it on, the sender not included: zero if the upstream said so to the sender.
+    pub hops: u8,
+}
+
 /// A datagram between instances.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum FleetMessage {
@@ -491,6 +502,8 @@
     QuarantinedParts(Vec<QuarantinedPart>),
     /// Upstreams that the sender does not reach.
     Unreached(UnreachedUpstreams),
+    /// Upstreams that are cold.
+    ColdUpstreams(Vec<ColdUpstream>),
 }
 
 impl FleetMessage {
--- /dev/null
+++ b/coltsfoot-wire/tests/fleet.rs
@@ -0,0 +1,131 @@
+//! Messages between instances of different builds.
+
+use coltsfoot_wire::fleet;
+use rstest::rstest;
+
+/// Messages as the build at commit b0854fd encodes them, in hexadecimal.
+const HEARTBEAT: &str = "0081808080f0ddeff6fe01000a010019b03b0672656e6e6573fa01ac02960100281405ffffffff0f060c0300070b0102a001fa01014d03f0a204014d848688080201014d290101030184868808040109fa010108c0c407010102030104";
+const LOAD_REQUEST: &str = "026301fd000000000000000000000000000001b03b4d026d30036131370301";
+const ZONE_HEARTBEAT: &str = "060505627265737409ac0201010106000a01001ab03b78010601020304070050a002014d0100014d848688080201064d290101030184868808040109fa01010801";
+/// Number of the kinds of messages that this build knows.
+const KINDS: u8 = 19;
+
+fn bytes_of(text: &str) -> Vec<u8> {
+    let digits = text.as_bytes().chunks_exact(2);
+    let texts = digits.map(|pair| str::from_utf8(pair).expect("digits"));
+    texts.map(|pair| u8::from_str_radix(pair, 16).expect("a byte")).collect()
+}
+
+fn usage() -> Vec<fleet::AdapterUsage> {
+    vec![fleet::AdapterUsage { upstream: 77, adapter: 0x0102_0304, running: 2 }]
+}
+
+fn engine() -> fleet::OwnedEngine {
+    fleet::OwnedEngine {
+        upstream: 77,
+        fence: 41,
+        has_model: true,
+        takes_orders: true,
+        available_slots: 3,
+        adapters: vec![fleet::ResidentAdapter { adapter: 0x0102_0304, version: 4 }],
+        pending: vec![fleet::PendingAdapter { adapter: 9, ready_in_ms: 250 }],
+    }
+}
+
+fn heartbeat() -> fleet::FleetMessage {
+    fleet::FleetMessage::Heartbeat(fleet::FleetHeartbeat {
+        sender: 0xfeed_beef_0000_0001,
+        address: "10.1.0.25:7600".parse().expect("an address"),
+        zone: "rennes".to_owned(),
+        capacity: 250,
+        sequence: 300,
+        interval_ms: 150,
+        is_draining: false,
+        cross_zone_peers: 40,
+        operator: fleet::TopicDigest { age_ms: 20, digest: 5 },
+        upstreams: fleet::TopicDigest { age_ms: u32::MAX, digest: 6 },
+        store_age_ms: 12,
+        partitions: vec![0, 7, 11],
+        fetching: 1,
+        queued_fetches: 2,
+        fetch_limit_tenths: 160,
+        fetch_ms: 250,
+        work: vec![fleet::UpstreamWork { upstream: 77, running: 3, prefill_tokens: 70_000 }],
+        adapter_usage: usage(),
+        engines: Some(vec![engine()]),
+        quota_usage: vec![fleet::CustomerUsage { customer: 8, total: 123_456 }],
+        origins: vec![fleet::StreamOrigin { stream: 1, build: 2, age_ms: 3 }],
+        silent: vec![4],
+    })
+}
+
+fn load_request() -> fleet::FleetMessage {
+    fleet::FleetMessage::LoadRequest(fleet::LoadRequest {
+        correlation_id: 99,
+        reply_to: "[fd00::1]:7600".parse().expect("an address"),
+        upstream: 77,
+        model: "m0".to_owned(),
+        adapter: "a17".to_owned(),
+        version: 3,
+        was_missing: true,
+    })
+}
+
+fn zone_heartbeat() -> fleet::FleetMessage {
+    fleet::FleetMessage::ZoneHeartbeat(fleet::ZoneHeartbeat {
+        sender: 5,
+        zone: "brest".to_owned(),
+        sequence: 9,
+        interval_ms: 300,
+        is_forwarded: true,
+        members: Some(vec![fleet::ZoneMember {
+            id: 6,
+            address: "10.1.0.26:7600".parse().expect("an address"),
+            capacity: 120,
+        }]),
+        digests: vec![fleet::MemberDigests {
+            instance: 6,
+            operator: fleet::TopicDigest { age_ms: 1, digest: 2 },
+            upstreams: fleet::TopicDigest { age_ms: 3, digest: 4 },
+        }],
+        fetching: 7,
+        queued_fetches: 0,
+        fetch_limit_tenths: 80,
+        fetch_ms: 288,
+        work: vec![fleet::UpstreamWork { upstream: 77, running: 1, prefill_tokens: 0 }],
+        adapter_usage: usage(),
+        engines: vec![fleet::ZoneEngine { owner: 6, engine: engine() }],
+        quota_usage: vec![fleet::CustomerUsage { customer: 8, total: 1 }],
+    })
+}
+
+#[rstest]
+#[case::heartbeat(HEARTBEAT, heartbeat())]
+#[case::load_request(LOAD_REQUEST, load_request())]
+#[case::zone_heartbeat(ZONE_HEARTBEAT, zone_heartbeat())]
+fn a_message_is_the_same_as_in_the_build_before(
+    #[case] recorded: &str,
+    #[case] message: fleet::FleetMessage,
+) {
+    let recorded = bytes_of(recorded);
+    assert_eq!(fleet::FleetMessage::decode(&recorded), Ok(message.clone()));
+    assert_eq!(message.encode(), Ok(recorded));
+}
+
+#[test]
+fn cold_upstreams_have_the_agreed_number() {
+    let cold = fleet::ColdUpstream { upstream: 77, remaining_ms: 3_000, hops: 1 };
+    let message = fleet::FleetMessage::ColdUpstreams(vec![cold, cold]);
+    let bytes = message.encode().expect("encoded");
+    assert_eq!(bytes[0], 18);
+    assert_eq!(fleet::FleetMessage::decode(&bytes), Ok(message));
+}
+
+/// An instance drops what it can't decode.
+#[test]
+fn an_unknown_kind_of_a_later_build_is_an_error() {
+    for kind in KINDS..=u8::MAX / 2 {
+        let bytes = [&[kind][..], &[0; 64]].concat();
+        assert!(fleet::FleetMessage::decode(&bytes).is_err(), "{kind}");
+    }
+}
--- a/coltsfootd/src/event.rs
+++ b/coltsfootd/src/event.rs
@@ -85,6 +85,10 @@
     UPSTREAM_MISSING = 221, "upstream_missing", Info;
     /// A service stated that its upstreams fall over if they have to reject too many requests.
     SERVICE_BRITTLE = 223, "service_brittle", Info;
+    /// An upstream is cold and gets few requests.
+    UPSTREAM_COLD = 227, "upstream_cold", Info;
+    /// An upstream has warmed and gets requests without a limit.
+    UPSTREAM_WARM = 228, "upstream_warm", Info;
     /// An instance joined or left the zone's view.
     VIEW_CHANGED = 300, "view_changed", Info;
     /// A peer can't be reached.
--- a/coltsfootd/src/gateway/fleet.rs
+++ b/coltsfootd/src/gateway/fleet.rs
@@ -10,7 +10,9 @@
 use coltsfoot_wire::fleet as wire;
 
 use crate::event;
-use crate::gateway::{crashes, engines, heartbeats, intake, news, origins, parts, permits, state};
+use crate::gateway::{
+    cold, crashes, engines, heartbeats, intake, news, origins, parts, permits, state,
+};
 
 /// Keyed topic in which instances register the addresses at which they receive messages.
 const INSTANCE_TOPIC: &str = "keyed.coltsfoot-instances";
@@ -120,6 +122,9 @@
             Ok(wire::FleetMessage::Unreached(unreached)) => {
                 state.view().apply_unreached(state.now(), &unreached);
             }
+            Ok(wire::FleetMessage::ColdUpstreams(told)) => {
+                told.iter().for_each(|told| cold::handle_told(&state, told));
+            }
             Err(error) => log::warn!(
                 event = event::PEER_MESSAGE_REFUSED.number; "peer_message_refused: {error}"
             ),
@@ -170,12 +175,14 @@
     parts::send_known(state, address);
     intake::send_known(state, address);
     permits::send_known(state, address);
+    cold::send_known(state, address);
 }
 
 /// Resends the same to random peers, as some may have missed it or started since; never returns.
 pub(crate) async fn resend_known(state: sync::Arc<state::GatewayState>) {
     loop {
         async_io::Timer::after(RESEND_INTERVAL).await;
+        cold::log_warm(&state);
         let addresses = state.view().peer_addresses();
         if let Some(address) = rand::seq::IndexedRandom::choose(&*addresses, &mut rand::rng()) {
             send_known(&state, *address);
@@ -282,7 +289,11 @@
                     .filter(|peer| peer.address != own.address)
                     .collect();
                 let same_zone = others.iter().filter(|peer| peer.zone == own.zone).count();
-                state.view().set_listed_peers(same_zone, others.len() - same_zone);
+                {
+                    let mut view = state.view();
+                    view.set_listed_peers(same_zone, others.len() - same_zone);
+                    view.record_registered(state.now(), others.len());
+                }
                 *state::lock(&state.listed_peers) = others;
                 match registered_era {
                     Some(_) => DISCOVERY_INTERVAL,
--- a/coltsfootd/src/gateway/follower.rs
+++ b/coltsfootd/src/gateway/follower.rs
@@ -10,7 +10,7 @@
 use site_platform::{entry, rules, store};
 
 use crate::event;
-use crate::gateway::{crashes, heartbeats, news, state};
+use crate::gateway::{cold, crashes, heartbeats, news, state};
 
 /// Time that a long poll of the operator's records waits for new ones.
 const OPERATOR_POLL_WAIT: time::Duration = time::Duration::from_millis(1000);
@@ -362,8 +362,10 @@
     }
     let had_state = previous.map(|(_, state)| state);
     let new_state = entry.state;
+    let cold_remaining = entry.cold_remaining;
     let is_new = view.put_upstream(entry);
     drop(view);
+    let is_newly_cold = cold::record_entry(state, &id, cold_remaining);
     if is_new && previous.is_some() {
         crashes::record_removal(state, &id);
     }
@@ -376,7 +378,7 @@
         );
         state.controllers.wake_all();
     }
-    has_changed
+    has_changed || is_newly_cold
 }
 
 /// Removes upstreams whose entries have expired and whose grace period is over.
--- a/coltsfootd/src/gateway/intake.rs
+++ b/coltsfootd/src/gateway/intake.rs
@@ -7,7 +7,7 @@
 use site_platform::fields;
 
 use crate::event;
-use crate::gateway::{fleet, permits, state};
+use crate::gateway::{cold, fleet, permits, state};
 
 /// Records the availability that a response states. Ignores a response that names another upstream.
 pub(super) fn record_response(
@@ -25,6 +25,9 @@
     if response.is_signed || response.rejections_per_s.is_some() {
         record_brittleness(state, upstream, response.rejections_per_s);
     }
+    if let Some(remaining) = response.cold {
+        cold::record_response(state, context, sent, remaining);
+    }
     match response.backoff {
         Some(backoff) => {
             state.view().availability_mut().back_off(now, number, backoff);
--- a/coltsfootd/src/gateway/metrics.rs
+++ b/coltsfootd/src/gateway/metrics.rs
@@ -18,6 +18,7 @@
     orders: metrics::Counter<u64>,
     reports: metrics::Counter<u64>,
     permits: metrics::Counter<u64>,
+    cold_upstreams: metrics::Counter<u64>,
     tunnels: metrics::Counter<u64>,
     crash_suspects: metrics::Counter<u64>,
     duration: metrics::Histogram<f64>,
@@ -51,6 +52,10 @@
                 "coltsfoot_gateway_permits",
                 "Questions for leave to send to upstreams that named a limit, by answer and purpose",
             ),
+            cold_upstreams: registry.counter(
+                "coltsfoot_gateway_cold_upstreams",
+                "Upstreams that became cold, by what told so",
+            ),
             tunnels: registry.counter(
                 "coltsfoot_gateway_tunnels",
                 "Questions for a tunnel to an upstream through another instance, by answer",
@@ -113,6 +118,11 @@
         self.permits.add(1, &labels);
     }
 
+    /// Counts an upstream that became cold, by what told so.
+    pub fn count_cold(&self, source: &'static str) {
+        self.cold_upstreams.add(1, &[KeyValue::new("source", source)]);
+    }
+
     /// Counts a question for a tunnel, by its answer.
     pub fn count_tunnel(&self, verdict: &'static str) {
         self.tunnels.add(1, &[KeyValue::new("verdict", verdict)]);
--- a/coltsfootd/src/gateway/mod.rs
+++ b/coltsfootd/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod archive;
 mod attempt;
 mod callers;
+mod cold;
 mod crashes;
 mod engines;
 mod exchange;
--- a/coltsfootd/src/gateway/permits.rs
+++ b/coltsfootd/src/gateway/permits.rs
@@ -1,4 +1,4 @@
-//! Permits to send to an upstream that announced a rate limit. One instance issues them for the
+//! Permits to send to an upstream that announced a rate limit or is cold. One instance issues them for the
 //! whole fleet; this module requests and issues them.
 
 use std::net;
@@ -20,6 +20,8 @@
 /// Time for which an upstream is excluded if no issuer responds: one heartbeat interval, after
 /// which this instance may know the current issuer.
 const UNANSWERED_PAUSE: time::Duration = time::Duration::from_millis(150);
+/// Longest time from the preparation of a request to a cold upstream, at once after its permit, until it is sent.
+const MAX_SEND_DELAY: time::Duration = time::Duration::from_millis(150);
 /// Minimum time for which an upstream is excluded, so that a search does not retry at once.
 const MIN_PAUSE: time::Duration = time::Duration::from_millis(10);
 
@@ -42,14 +44,13 @@
     pub(super) request: &'a str,
 }
 
-/// Acquires a permit to send to an upstream now; without a known limit none is needed. If denied,
+/// Acquires a permit to send to an upstream now; without a limit none is needed. If denied,
 /// returns the time after which one may be available.
 pub(super) async fn acquire(
     state: &state::GatewayState,
     context: SendContext<'_>,
 ) -> Result<(), time::Duration> {
-    let limit = state.view().limits().limit_message(state.now(), context.number);
-    let Some(limit) = limit else { return Ok(()) };
+    let Some(limit) = current_limit(state, context) else { return Ok(()) };
     let decision = request_permit(state, limit, context.purpose.class()).await;
     let code = match decision {
         Some(wire::PermitDecision::Granted) => "granted",
@@ -59,8 +60,9 @@
     state.metrics.count_permit(code, context.purpose.code());
     log::info!(
         event = event::LIMITED_SEND.number, upstream = context.upstream, verdict = code,
-        limit_thousandths = limit.limit_thousandths.unwrap_or_default(),
-        limit_age_ms = limit.response_age_ms, purpose = context.purpose.code(),
+        limit_thousandths = limit.named.limit_thousandths.unwrap_or_default(),
+        limit_age_ms = limit.named.response_age_ms,
+        cold_ms = limit.cold.map(|cold| cold.remaining_ms), purpose = context.purpose.code(),
         request = context.request; "limited_send"
     );
     match decision {
@@ -72,16 +74,60 @@
     }
 }
 
+/// A limit, as messages carry it.
+#[derive(Clone, Copy, Debug)]
+struct LimitMessage {
+    /// The limit that the upstream named, or its absence.
+    named: wire::UpstreamLimit,
+    /// The upstream, if it is cold.
+    cold: Option<wire::ColdUpstream>,
+}
+
+/// Returns the limit that a send falls under. An upstream that is cold answers reports all the same.
+fn current_limit(state: &state::GatewayState, context: SendContext<'_>) -> Option<LimitMessage> {
+    let (now, number) = (state.now(), context.number);
+    let view = state.view();
+    let named = view.limits().limit_message(now, number);
+    let is_limited = match context.purpose {
+        limit_table::SendPurpose::Report => named.is_some(),
+        _ => view.send_limit(now, number).is_some(),
+    };
+    let cold = view.cold().message(now, number);
+    is_limited.then(|| LimitMessage { named: named.unwrap_or(unnamed_limit(number)), cold })
+}
+
+/// Returns the message about an upstream that named no limit, which is too old to end one that the receiver knows.
+fn unnamed_limit(upstream: u32) -> wire::UpstreamLimit {
+    wire::UpstreamLimit {
+        upstream,
+        limit_thousandths: None,
+        request_age_ms: u32::MAX,
+        response_age_ms: u32::MAX,
+    }
+}
+
+/// Returns whether a request that was prepared at `prepared` may no longer be sent: requests to a cold upstream that
+/// were held up would arrive together.
+pub(super) fn is_overdue(
+    state: &state::GatewayState,
+    number: u32,
+    prepared: instant::MonotonicTime,
+) -> bool {
+    let now = state.now();
+    now.since(prepared) > MAX_SEND_DELAY && state.view().cold().is_cold(now, number)
+}
+
 /// Asks the candidate issuers in rank order until one grants or denies the permit.
 async fn request_permit(
     state: &state::GatewayState,
-    limit: wire::UpstreamLimit,
+    limit: LimitMessage,
     class: PermitClass,
 ) -> Option<wire::PermitDecision> {
     let mut last = None;
-    for (rank, issuer) in candidate_issuers(state, limit.upstream).into_iter().enumerate() {
+    let number = limit.named.upstream;
+    for (rank, issuer) in candidate_issuers(state, number).into_iter().enumerate() {
         let decision = match issuer {
-            PermitIssuer::Own if rank == 0 => Some(grant(state, limit.upstream, class)),
+            PermitIssuer::Own if rank == 0 => Some(grant(state, number, class)),
             PermitIssuer::Own => Some(wire::PermitDecision::NotIssuer),
             PermitIssuer::Peer(address) => request_from_peer(state, address, limit, class).await,
         };
@@ -101,7 +147,7 @@
 async fn request_from_peer(
     state: &state::GatewayState,
     issuer: net::SocketAddr,
-    limit: wire::UpstreamLimit,
+    limit: LimitMessage,
     class: PermitClass,
 ) -> Option<wire::PermitDecision> {
     let call = state.permits.calls.register();
@@ -109,9 +155,13 @@
     let request = wire::PermitRequest {
         correlation_id: call.id,
         reply_to,
-        limit,
+        limit: limit.named,
         is_control: class == PermitClass::Control,
     };
+    if let Some(cold) = limit.cold {
+        // An issuer that does not know would not limit anything.
+        fleet::send(state, [issuer], &wire::FleetMessage::ColdUpstreams(vec![cold]));
+    }
     fleet::send(state, [issuer], &wire::FleetMessage::PermitRequest(request));
     message::with_timeout(RESPONSE_TIMEOUT, call.responses.recv()).await?.ok()
 }
@@ -119,10 +169,10 @@
 /// Issues a permit for one send, or returns the wait until one is available.
 fn grant(state: &state::GatewayState, number: u32, class: PermitClass) -> wire::PermitDecision {
     let now = state.now();
-    let Some(per_s) = state.view().permit_rate(now, number) else {
+    let Some(limit) = state.view().permit_limit(now, number) else {
         return wire::PermitDecision::Granted;
     };
-    match state::lock(&state.permits.ledger).acquire(now, number, per_s, class) {
+    match state::lock(&state.permits.ledger).acquire(now, number, limit, class) {
         Ok(()) => wire::PermitDecision::Granted,
         Err(wait) => {
             wire::PermitDecision::Denied(u32::try_from(wait.as_millis()).unwrap_or(u32::MAX))
--- a/coltsfootd/src/gateway/reload.rs
+++ b/coltsfootd/src/gateway/reload.rs
@@ -6,7 +6,7 @@
 use site_platform::settings;
 
 use crate::event;
-use crate::gateway::state;
+use crate::gateway::{cold, state};
 
 /// Interval between checks of the settings file.
 const CHECK_INTERVAL: time::Duration = time::Duration::from_secs(2);
@@ -31,6 +31,7 @@
         Ok(read) => {
             let needs_restart = state.settings.needs_restart(&read);
             let has_changed = **state.bounds.load() != read.bounds;
+            state.view().cold_mut().set_bounds(cold::bounds(&read.bounds));
             state.bounds.store(sync::Arc::new(read.bounds));
             if has_changed {
                 state::lock(&state.retries).clear();
--- a/coltsfootd/src/gateway/run.rs
+++ b/coltsfootd/src/gateway/run.rs
@@ -8,14 +8,15 @@
 
 use async_net::TcpListener;
 use coltsfoot_gateway::{
-    order_lease, origin_ledger, outage_tracker, quarantine_archive, stop_plan, topic_replica,
+    fleet_view, order_lease, origin_ledger, outage_tracker, quarantine_archive, stop_plan,
+    topic_replica,
 };
 use coltsfoot_http::pool;
 use site_platform::{entry, rules, settings, store};
 
 use crate::gateway::{
-    archive, callers, crashes, engines, fleet, follower, heartbeats, lease, memory, metrics, news,
-    origins, paths, pending_calls, permits, reload, state, stop, tunnels,
+    archive, callers, cold, crashes, engines, fleet, follower, heartbeats, lease, memory, metrics,
+    news, origins, paths, pending_calls, permits, reload, state, stop, tunnels,
 };
 use crate::{clock, event, metrics as registry};
 
@@ -193,6 +194,8 @@
         separation: settings.bounds.order_separation,
         thaw_pause: settings.bounds.thaw_pause,
     };
+    let mut view = fleet_view::FleetView::default();
+    view.cold_mut().set_bounds(cold::bounds(&settings.bounds));
     Ok(sync::Arc::new(state::GatewayState {
         origins: sync::Mutex::new(origin_ledger::OriginLedger::new(clock.now())),
         archive: sync::Mutex::new(quarantine_archive::QuarantineArchive::new(clock.now())),
@@ -204,7 +207,7 @@
         pool,
         memory: memory::MessageMemory::new(settings.memory_bytes()),
         routes: arc_swap::ArcSwapOption::empty(),
-        view: sync::Mutex::default(),
+        view: sync::Mutex::new(view),
         quota: sync::Mutex::default(),
         retries: sync::Mutex::default(),
         durations: sync::Mutex::default(),
--- a/coltsfootd/src/gateway/state.rs
+++ b/coltsfootd/src/gateway/state.rs
@@ -259,6 +259,7 @@
                 quota.set_limit(now, &customer.name, limit);
             }
         }
+        self.view().cold_mut().set_services(&rules.services);
         self.routes.store(Some(sync::Arc::new(route_table::RouteTable::new(rules))));
         true
     }
--- a/coltsfootd/src/gateway/upstream_attempt.rs
+++ b/coltsfootd/src/gateway/upstream_attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt of a request at an upstream, from sending it to the head of the response.
 
+use std::io;
 use std::net;
 use std::pin;
 use std::sync;
@@ -8,7 +9,7 @@
 use coltsfoot_types::time as instant;
 use site_platform::fields;
 
-use crate::gateway::{attempt, crashes, forwarding, in_flight, intake, paths};
+use crate::gateway::{attempt, crashes, forwarding, in_flight, intake, paths, permits};
 
 type ResponseFuture<'a> = pin::Pin<Box<dyn Future<Output = ReceivedResponse> + Send + 'a>>;
 
@@ -135,6 +136,10 @@
             };
             let connected = paths::connect(state, &target).await;
             let connection = connected.map_err(attempt::AttemptError::NotSent)?;
+            if permits::is_overdue(state, endpoint.number, sent) {
+                let error = io::Error::new(io::ErrorKind::TimedOut, "the permit is too old");
+                return Err(attempt::AttemptError::NotSent(error));
+            }
             let request_id = &admitted.request_id;
             let request = attempt::AttemptRequest { request_id, head: &head, body };
             attempt::send(connection, &request).await
