--- a/coltsfoot-gateway/src/cold_table.rs
+++ b/coltsfoot-gateway/src/cold_table.rs
@@ -159,15 +159,20 @@
     }
 
     /// Returns how often all instances together may send to an upstream that is cold or has just warmed. Once it has
-    /// warmed, the rate rises for as long as the upstream was cold and then ends.
+    /// warmed, the rate rises for as long as it is cold after a start, and the limit ends. Without `service`, the
+    /// upstream's entry is not known here yet, and the strictest limit of all services applies.
     pub fn limit(
         &self,
         now: clock::MonotonicTime,
-        service: &str,
+        service: Option<&str>,
         number: u32,
     ) -> Option<send_permits::SendLimit> {
         let until = self.until(number)?;
-        let rule = self.rules.get(service).copied()?;
+        let rule = match service {
+            Some(service) => self.rules.get(service),
+            None => self.rules.values().min_by(|one, other| one.per_s.total_cmp(&other.per_s)),
+        };
+        let rule = rule.copied()?;
         if now >= until + rule.duration {
             return None;
         }
@@ -183,9 +188,9 @@
     /// Returns the message about an upstream for the instance that issues its permits.
     pub fn message(&self, now: clock::MonotonicTime, number: u32) -> Option<fleet::ColdUpstream> {
         let until = self.until(number).filter(|until| now < *until)?;
-        // What is only suspected is not passed on.
+        // What is only suspected is not passed on by the receiver.
         let spell = self.spells.get(&number).filter(|spell| spell.until == until);
-        let hops = spell.map_or(LAST_HOP, |spell| spell.hops);
+        let hops = spell.map_or(LAST_HOP - 1, |spell| spell.hops);
         Some(to_message(now, number, until, hops))
     }
 
--- a/coltsfoot-gateway/src/fleet_view/cold.rs
+++ b/coltsfoot-gateway/src/fleet_view/cold.rs
@@ -71,7 +71,7 @@
         now: clock::MonotonicTime,
         slot: &upstream_slot::UpstreamSlot,
     ) -> time::Duration {
-        let limit = self.cold.limit(now, &slot.entry.service, slot.number);
+        let limit = self.cold.limit(now, Some(&slot.entry.service), slot.number);
         let interval = limit.map_or(0.0, |limit| 1.0 / limit.per_s);
         time::Duration::try_from_secs_f64(interval).unwrap_or(time::Duration::MAX)
     }
@@ -81,8 +81,9 @@
         now: clock::MonotonicTime,
         number: u32,
     ) -> Option<send_permits::SendLimit> {
-        let slot = self.upstreams.get(self.numbers.get(&number)?)?;
-        self.cold.limit(now, &slot.entry.service, number)
+        let id = self.numbers.get(&number);
+        let slot = id.and_then(|id| self.upstreams.get(id));
+        self.cold.limit(now, slot.map(|slot| &*slot.entry.service), number)
     }
 
     fn live_share(&self, now: clock::MonotonicTime) -> f64 {
