--- a/coltsfoot-gateway/tests/cold.rs
+++ b/coltsfoot-gateway/tests/cold.rs
@@ -336,15 +336,18 @@
     }
     let mut ledger = PermitLedger::default();
     let mut sent = Vec::new();
-    let mut running: Vec<(u64, String)> = Vec::new();
+    let mut running: Vec<(u64, String, u64)> = Vec::new();
     view.suspect_zone(at(10_000), "a");
     for now in (10_000..16_000).step_by(10) {
-        running.retain(|(end, id)| {
+        for (id, _) in engines {
+            view.record_activity(at(now), id);
+        }
+        running.retain(|(end, id, prefill_tokens)| {
             let is_running = *end > now;
             if !is_running {
                 let key = prompt("x", 1).adapter.expect("named").key();
                 view.request_ended(id, Some(key));
-                view.prefill_finished(id, 9_200);
+                view.prefill_finished(id, *prefill_tokens);
             }
             is_running
         });
@@ -361,8 +364,9 @@
                 view.availability_mut().hold(at(now), number, wait);
                 continue;
             }
-            view.request_sent(at(now), &id, Some(&prompt("x", now * 10_000)));
-            running.push((now + 800, id.clone()));
+            let demand = prompt("x", now * 10_000);
+            let prefill_tokens = view.request_sent(at(now), &id, Some(&demand));
+            running.push((now + 800, id.clone(), prefill_tokens));
             sent.push((now, id));
             break;
         }
