--- a/coltsfoot-gateway/src/engine_choice.rs
+++ b/coltsfoot-gateway/src/engine_choice.rs
@@ -114,7 +114,9 @@
     };
     let silent = if slot.is_silent(now) { SILENT_COST_MS } else { 0.0 };
     let evacuated = view.evacuations().cost(now, &slot.entry.zone);
-    zone + evacuated + avoided + path + silent + slot.failure_rate(now) * FAILURE_COST_MS
+    let cold = view.permit_interval(now, slot).as_secs_f64() * 1000.0;
+    let failures = slot.failure_rate(now) * FAILURE_COST_MS;
+    zone + evacuated + avoided + path + silent + cold + failures
 }
 
 fn choose_plain(
@@ -161,7 +163,9 @@
             Some(wanted) if !is_held => wanted.load_cost(now, view, slot, rank)?,
             _ => 0.0,
         };
-        let wait = engine_wait(now, slot, demand, preferred == Some(slot.number));
+        // The prefix cache of a cold engine is probably empty.
+        let is_preferred = preferred == Some(slot.number) && !view.is_cold(now, slot);
+        let wait = engine_wait(now, slot, demand, is_preferred);
         Some((wait + load + common_cost(now, view, request, slot, suspects), slot, !is_held))
     });
     let best = costs.min_by(|(one, ..), (other, ..)| one.total_cmp(other));
@@ -238,8 +242,8 @@
     view: &fleet_view::FleetView,
     slot: &upstream_slot::UpstreamSlot,
 ) -> f64 {
-    let limit = view.limits().limit(now, slot.number);
-    limit.map_or(0.0, |per_s| send_permits::order_interval(per_s).as_secs_f64() * 1000.0)
+    let limit = view.send_limit(now, slot.number);
+    limit.map_or(0.0, |limit| send_permits::order_interval(limit.per_s).as_secs_f64() * 1000.0)
 }
 
 /// Returns the holder preferred by requests with the same prompt prefix, so that the prefix stays cached
--- a/coltsfootd/src/event.rs
+++ b/coltsfootd/src/event.rs
@@ -89,6 +89,10 @@
     ZONE_EVACUATED = 224, "zone_evacuated", Warn;
     /// The operator has taken back a zone.
     ZONE_RETURNED = 225, "zone_returned", Info;
+    /// An upstream is cold and gets few requests.
+    UPSTREAM_COLD = 227, "upstream_cold", Info;
+    /// An upstream has warmed and gets requests without a limit.
+    UPSTREAM_WARM = 228, "upstream_warm", Info;
     /// An instance joined or left the zone's view.
     VIEW_CHANGED = 300, "view_changed", Info;
     /// A peer can't be reached.
--- a/coltsfootd/src/gateway/mod.rs
+++ b/coltsfootd/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod attempt;
 mod caller_table;
 mod callers;
+mod cold;
 mod crashes;
 mod engines;
 mod exchange;
