Keep the cost of an evacuated zone out of what an engine is measured by

The expected time of a chosen engine is what its speed is compared with; the cost of a zone that closes or returns would make it look faster.

--- a/coltsfoot-gateway/src/engine_choice.rs
+++ b/coltsfoot-gateway/src/engine_choice.rs
@@ -51,7 +51,7 @@
 pub struct ChosenUpstream {
     /// Id of the upstream.
     pub id: sync::Arc<str>,
-    /// Expected time to the first event plus costs, in milliseconds.
+    /// Expected time to the first event plus costs other than that of an evacuated zone, in milliseconds.
     pub expected_ms: f64,
     /// Whether the engine must load the adapter first.
     pub needs_load: bool,
@@ -87,10 +87,14 @@
         .filter(|slot| !request.tried.contains(&slot.entry.id))
         .filter(|slot| view.may_send(now, slot))
         .collect();
-    match request.demand {
+    let mut chosen = match request.demand {
         Some(demand) => choose_engine(now, view, request, demand, &candidates, &suspects),
         None => choose_plain(now, view, request, &candidates, &suspects),
-    }
+    }?;
+    // The cost of a zone is no time to the first event, by which the engine's speed is measured.
+    let zone = view.upstream(&chosen.id).map(|slot| &*slot.entry.zone);
+    chosen.expected_ms -= zone.map_or(0.0, |zone| view.evacuations().cost(now, zone));
+    Some(chosen)
 }
 
 fn common_cost(
--- a/coltsfoot-gateway/tests/evacuations.rs
+++ b/coltsfoot-gateway/tests/evacuations.rs
@@ -169,6 +169,21 @@
     assert_eq!(chosen(&search_step(&mut failover, 0, &view)), "c");
 }
 
+/// The speed of an engine is measured by the time that was expected.
+#[test]
+fn cost_of_a_zone_is_not_part_of_the_expected_time() {
+    let mut view = fleet(&[("a", "a")]);
+    report_adapters(&mut view, "a", &["x"], 0);
+    let usual = step(1_500, &view);
+    view.evacuations_mut().confirm(at(0));
+    view.evacuations_mut().evacuate(at(0), "a", BOUND);
+    assert!(view.evacuations().cost(at(1_500), "a") > 500.0);
+    let (SearchStep::Send(usual), SearchStep::Send(chosen)) = (usual, step(1_500, &view)) else {
+        panic!("not sent")
+    };
+    assert!((chosen.expected_ms - usual.expected_ms).abs() < 0.001);
+}
+
 #[test]
 fn two_zones_are_evacuated_and_taken_back_one_after_the_other() {
     let mut view = evacuated(&["a", "b"]);
--- a/coltsfoot-gateway/tests/readers.rs
+++ b/coltsfoot-gateway/tests/readers.rs
@@ -69,3 +69,14 @@
     assert_eq!(reader_selection::current_peers(at(3000), &peers), [3, 4]);
     assert!(reader_selection::current_peers(at(9000), &peers).is_empty());
 }
+
+#[rstest]
+#[case::none(&[], None)]
+#[case::others_differ(&[peer(1, 3000, 100, 8)], None)]
+#[case::newest_of_the_same(&[peer(1, 2900, 100, 7), peer(2, 2950, 400, 7), peer(3, 3000, 0, 8)], Some(2800))]
+fn copy_is_confirmed_by_the_newest_read_of_the_same(
+    #[case] peers: &[PeerDigest],
+    #[case] expected: Option<u64>,
+) {
+    assert_eq!(reader_selection::confirmed_at(7, peers), expected.map(at));
+}
