--- a/coltsfoot-gateway/tests/cold_model.rs
+++ b/coltsfoot-gateway/tests/cold_model.rs
@@ -216,7 +216,7 @@
 
     fn advance(&mut self, now: u64, requests_per_s: f64) {
         let size = self.instances.len();
-        if self.failure.has_restarts() && now >= START && now % 3_000 == 0 {
+        if self.failure.has_restarts() && now >= START && now.is_multiple_of(3_000) {
             let first = self.rng.random_range(0..5);
             for place in (first..size).step_by(5) {
                 let up_at = now + self.rng.random_range(200..1_500);
