Suspect the engines of a zone that is taken back to be cold

Nothing was sent to them while the zone was evacuated, so that no response could tell that they became cold. They are limited like cold ones until an entry or a response says otherwise.

--- a/coltsfootd/src/gateway/follower.rs
+++ b/coltsfootd/src/gateway/follower.rs
@@ -246,6 +246,7 @@
     let evacuations = view.evacuations_mut();
     if record.value.is_none() {
         if evacuations.take_back(now, zone) {
+            view.suspect_zone(now, zone);
             log::info!(
                 event = event::ZONE_RETURNED.number, zone = zone, offset = offset; "zone_returned"
             );
@@ -256,7 +257,7 @@
             closes_ms = closes.since(now).as_millis() as u64; "zone_evacuated"
         );
     }
-    let zones = evacuations.count();
+    let zones = view.evacuations().count();
     drop(view);
     state.metrics.record_evacuated_zones(zones);
     state.controllers.wake_all();
