--- a/coltsfoot-http/tests/memory.rs
+++ b/coltsfoot-http/tests/memory.rs
@@ -71,3 +71,61 @@
         assert_eq!(budget.used(), 0);
     });
 }
+
+async fn connected() -> (TcpStream, message::MessageStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+    let peer = TcpStream::connect(listener.local_addr().expect("bound")).await.expect("connected");
+    let (stream, _) = listener.accept().await.expect("accepted");
+    (peer, message::MessageStream::new(stream))
+}
+
+#[test]
+fn body_that_found_no_memory_can_be_read_on_once_there_is_some() {
+    async_io::block_on(async {
+        let (mut peer, mut stream) = connected().await;
+        let content = vec![b'c'; UNCOUNTED_BYTES + CAPACITY];
+        let mut sent = format!("{:x}\r\n", content.len()).into_bytes();
+        sent.extend_from_slice(&content);
+        sent.extend_from_slice(b"\r\n0\r\n\r\n");
+        let send = async move { peer.write_all(&sent).await.map(|()| peer) };
+        let budget = budget();
+        let mut other = MemoryLease::new(sync::Arc::clone(&budget));
+        assert!(other.grow_to(UNCOUNTED_BYTES + CAPACITY / 2));
+        let mut other = Some(other);
+        let mut lease = MemoryLease::new(budget);
+        let framing = body::BodyFraming::ChunkSize;
+        let mut reader = message::BodyReader::new(framing, 2 * CAPACITY).expect("short enough");
+        let read = async {
+            loop {
+                match reader.read_some(&mut stream, &mut lease).await {
+                    Ok(true) => return,
+                    Ok(false) => {}
+                    Err(message::ReadError::NoMemory) => drop(other.take().expect("once")),
+                    Err(error) => panic!("{error}"),
+                }
+            }
+        };
+        let (sent, ()) = futures_lite::future::zip(send, read).await;
+        sent.expect("written");
+        assert!(other.is_none(), "the memory was short");
+        assert!(reader.into_body() == content);
+    });
+}
+
+#[test]
+fn body_without_length_is_not_complete_if_its_request_was_cut() {
+    async_io::block_on(async {
+        for is_cut in [false, true] {
+            let (mut peer, mut stream) = connected().await;
+            stream.begin_exchange();
+            if is_cut {
+                stream.record_cut_request();
+            }
+            peer.write_all(b"a part").await.expect("written");
+            peer.close().await.expect("open");
+            let framing = body::BodyFraming::NonEmptyUntilClose;
+            let read = stream.read_body(framing, CAPACITY).await;
+            assert_eq!(read.is_err(), is_cut);
+        }
+    });
+}
