--- a/coltsfoot-gateway/tests/cold_model.rs
+++ b/coltsfoot-gateway/tests/cold_model.rs
@@ -289,7 +289,6 @@
         let most = most_within(arrivals.clone(), 1_000);
         assert!(most <= ALLOWED, "seed {seed}: {most} arrivals in a second");
         let mean = arrivals.len() as f64 / ((END - START) / 1_000) as f64;
-        println!("{size} {failure:?} {seed}: most {most}, mean {mean:.1}");
         assert!(mean >= 1.0, "seed {seed}: {mean} arrivals a second");
     }
 }
