Estimate upstreams by what they state, what is measured, and what instances tell

Cause: X-Instance-Load was read nowhere; the speed of an engine was learned by each instance alone from few responses, against an expectation that held that speed already, so that it settled at the square root (read in relay.rs and fleet_view.rs: twice as slow settles at 1.4); failures of an engine that looks well were found by each instance by its own losses.

Change: engine_estimate keeps load and pace as responses state them (worth less with age, bounded), speed measured against a prior without speed or costs and told as a multiple of the teller's own mean, own slowness that ages, and failures of all instances. Message UpstreamEstimates, in the zone; failures go to one instance of each other zone. Only services whose responses carry the header use it, apart from failures.

Not used: queued, running and memory_used of reports.

--- a/coltsfoot-gateway/src/engine_choice.rs
+++ b/coltsfoot-gateway/src/engine_choice.rs
@@ -2,6 +2,7 @@
 //! unit.
 
 use std::sync;
+use std::time;
 
 use coltsfoot_types::time as clock;
 
@@ -46,6 +47,14 @@
 /// Expected duration of a plain request, in milliseconds.
 const PLAIN_REQUEST_MS: f64 = 60.0;
 
+/// Most by which a wait counts as longer at random, as a share of it: instances that know the same would all send
+/// to the same upstream until they hear of each other's requests.
+const MAX_SPREAD: f64 = 0.3;
+
+/// Share of the logarithm of an upstream's speed that counts: instances hear late of each other's requests, and
+/// would send too many to the fastest.
+const SPEED_SHARE: f64 = 0.7;
+
 /// The upstream chosen for a request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ChosenUpstream {
@@ -53,6 +62,9 @@
     pub id: sync::Arc<str>,
     /// Expected time to the first event plus costs, in milliseconds.
     pub expected_ms: f64,
+    /// Time to the first event, or of a whole response, that is expected without any samples of the upstream's
+    /// speed and without costs, in milliseconds.
+    pub prior_ms: f64,
     /// Whether the engine must load the adapter first.
     pub needs_load: bool,
     /// Version of its software.
@@ -123,16 +135,17 @@
     candidates: &[&upstream_slot::UpstreamSlot],
     suspects: &[&str],
 ) -> Option<ChosenUpstream> {
+    let factor = view.service_factor(&request.service.name);
     let costs = candidates.iter().map(|slot| {
-        let work = slot.work(now);
-        let slots = slot.entry.slots.max(1);
-        let rounds = f64::from(work.running) / f64::from(slots);
-        (rounds * PLAIN_REQUEST_MS + common_cost(now, view, request, slot, suspects), slot)
+        let wait = plain_wait(now, slot, factor);
+        let cost = wait.expected_ms + common_cost(now, view, request, slot, suspects);
+        (cost + wait.spread_ms, cost, wait, slot)
     });
-    let (cost, slot) = costs.min_by(|(one, _), (other, _)| one.total_cmp(other))?;
+    let (_, expected_ms, wait, slot) =
+        costs.min_by(|(one, ..), (other, ..)| one.total_cmp(other))?;
     let id = sync::Arc::clone(&slot.entry.id);
-    let expected_ms = cost + PLAIN_REQUEST_MS;
-    Some(ChosenUpstream { id, expected_ms, needs_load: false, build: slot.build })
+    let prior_ms = wait.prior_ms;
+    Some(ChosenUpstream { id, expected_ms, prior_ms, needs_load: false, build: slot.build })
 }
 
 fn choose_engine(
@@ -154,19 +167,22 @@
     };
     let preferred = preferred_holder(demand, &ranked, &holds);
     let wanted = key.map(|key| WantedAdapter::new(now, view, &ranked, key));
+    let factor = view.service_factor(&request.service.name);
     let costs = ranked.iter().enumerate().filter_map(|(rank, slot)| {
         let is_held = holds(slot);
         let load = match &wanted {
             Some(wanted) if !is_held => wanted.load_cost(now, view, slot, rank)?,
             _ => 0.0,
         };
-        let wait = engine_wait(now, slot, demand, preferred == Some(slot.number));
-        Some((wait + load + common_cost(now, view, request, slot, suspects), slot, !is_held))
+        let wait = engine_wait(now, slot, demand, preferred == Some(slot.number), factor);
+        let cost = wait.expected_ms + load + common_cost(now, view, request, slot, suspects);
+        Some((cost + wait.spread_ms, cost, wait, slot, !is_held))
     });
     let best = costs.min_by(|(one, ..), (other, ..)| one.total_cmp(other));
-    let (expected_ms, slot, needs_load) = best?;
+    let (_, expected_ms, wait, slot, needs_load) = best?;
     let id = sync::Arc::clone(&slot.entry.id);
-    Some(ChosenUpstream { id, expected_ms, needs_load, build: slot.build })
+    let prior_ms = wait.prior_ms;
+    Some(ChosenUpstream { id, expected_ms, prior_ms, needs_load, build: slot.build })
 }
 
 /// An adapter that may have to be loaded, with what all engines have in common for it.
@@ -253,20 +269,87 @@
     holders.max_by_key(|number| rendezvous::weight(key, u64::from(*number)))
 }
 
-/// Returns the expected time to the first event at an engine that has the adapter, in milliseconds.
+/// Expected time at an upstream, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+struct ExpectedWait {
+    /// With everything that is known of its speed.
+    expected_ms: f64,
+    /// Without any samples of its speed.
+    prior_ms: f64,
+    /// Cost that spreads the requests of instances that know the same.
+    spread_ms: f64,
+}
+
+/// Returns the expected time to the first event at an engine that has the adapter. `factor` is the one of a
+/// service whose responses state their load.
 fn engine_wait(
     now: clock::MonotonicTime,
     slot: &upstream_slot::UpstreamSlot,
     demand: &demand::PromptDemand,
     is_preferred: bool,
-) -> f64 {
+    factor: Option<f64>,
+) -> ExpectedWait {
     let work = slot.work(now);
     let mut cached = f64::from(slot.cached_tokens(demand));
     if is_preferred {
         cached = cached.max(f64::from(demand.shared_tokens()) * AFFINITY_SHARE);
     }
     let prefill = work.prefill_tokens as f64 + (f64::from(demand.prompt_tokens) - cached).max(0.0);
-    let queued = f64::from(work.running.saturating_sub(slot.entry.slots));
-    (prefill / PREFILL_TOKENS_PER_MS + FIRST_EVENT_MS) * slot.slowness
-        + queued * QUEUED_REQUEST_COST_MS
+    let read_ms = prefill / PREFILL_TOKENS_PER_MS + FIRST_EVENT_MS;
+    let queue_ms =
+        |running: u32| f64::from(running.saturating_sub(slot.entry.slots)) * QUEUED_REQUEST_COST_MS;
+    let Some(factor) = factor else {
+        let queue_ms = queue_ms(work.running);
+        return ExpectedWait {
+            expected_ms: read_ms * slot.slowness + queue_ms,
+            prior_ms: read_ms + queue_ms,
+            spread_ms: 0.0,
+        };
+    };
+    let running = slot.estimate.running(now, work.running, slot.local.running, slot.entry.slots);
+    let prior_ms = read_ms + queue_ms(running);
+    estimated_wait(now, slot, prior_ms, factor)
+}
+
+/// Returns the expected time of a plain request. `factor` is the one of a service whose responses state their
+/// load.
+fn plain_wait(
+    now: clock::MonotonicTime,
+    slot: &upstream_slot::UpstreamSlot,
+    factor: Option<f64>,
+) -> ExpectedWait {
+    let known = slot.work(now).running;
+    let slots = slot.entry.slots.max(1);
+    let rounds = |running: u32| f64::from(running) / f64::from(slots);
+    let Some(factor) = factor else {
+        let wait_ms = (rounds(known) + 1.0) * PLAIN_REQUEST_MS;
+        return ExpectedWait { expected_ms: wait_ms, prior_ms: wait_ms, spread_ms: 0.0 };
+    };
+    let running = slot.estimate.running(now, known, slot.local.running, slots);
+    let wait = estimated_wait(now, slot, (rounds(running) + 1.0) * PLAIN_REQUEST_MS, factor);
+    // A free slot serves at once, however many others are in use.
+    let served = wait.prior_ms * (rounds(running + 1).max(1.0) / (rounds(running) + 1.0));
+    ExpectedWait { prior_ms: served, ..wait }
+}
+
+/// Returns the expected time of work that takes `prior_ms` without any samples: by the speed of the upstream and
+/// its pace at this moment.
+fn estimated_wait(
+    now: clock::MonotonicTime,
+    slot: &upstream_slot::UpstreamSlot,
+    prior_ms: f64,
+    factor: f64,
+) -> ExpectedWait {
+    let speed = slot.estimate.speed(now).powf(SPEED_SHARE);
+    let usual_ms = prior_ms * factor * speed * slot.estimate.slowness(now);
+    let horizon = time::Duration::try_from_secs_f64(usual_ms / 1000.0).unwrap_or_default();
+    let pace = slot.estimate.pace(now, horizon);
+    let expected_ms = usual_ms * pace;
+    // The microsecond of the choice differs between instances.
+    let draw = rendezvous::weight(now.0, u64::from(slot.number)) as f64 / u64::MAX as f64;
+    ExpectedWait {
+        expected_ms,
+        prior_ms: prior_ms * pace,
+        spread_ms: expected_ms * draw * MAX_SPREAD,
+    }
 }
--- a/coltsfoot-gateway/src/fleet_view.rs
+++ b/coltsfoot-gateway/src/fleet_view.rs
@@ -2,6 +2,7 @@
 //! in flight at each upstream.
 
 pub mod brittle;
+pub mod estimates;
 pub mod paths;
 pub mod peers;
 pub mod permit_issuers;
@@ -15,8 +16,8 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::{
-    availability_table, brittle_table, demand, engine_controller, engine_order, fetch_limiter,
-    limit_table, path_table, peer_slot, rendezvous, upstream, upstream_slot,
+    availability_table, brittle_table, demand, engine_controller, engine_estimate, engine_order,
+    fetch_limiter, limit_table, path_table, peer_slot, rendezvous, upstream, upstream_slot,
 };
 
 /// Heartbeats of an instance that may be lost before its state counts as stale.
@@ -31,8 +32,6 @@
 const CONNECT_PENALTY: time::Duration = time::Duration::from_millis(1500);
 /// Weight of the newest outcome in the failure rate.
 const FAILURE_WEIGHT: f64 = 0.2;
-/// Weight of the newest sample in the slowness of an engine.
-const SLOWNESS_WEIGHT: f64 = 0.25;
 /// Time for which an engine with an older adapter version still gets requests, while its owner
 /// replaces the version.
 const VERSION_GRACE: time::Duration = time::Duration::from_millis(2500);
@@ -64,6 +63,8 @@
     /// Upstreams that this instance does not reach and another one probably does, by number.
     carried: FxHashSet<u32>,
     brittle: brittle_table::BrittleTable,
+    /// Services whose responses state the load of their upstreams.
+    service_estimates: FxHashMap<sync::Arc<str>, engine_estimate::ServiceEstimate>,
     fetch_limiter: fetch_limiter::FetchLimiter,
     /// Adapter fetches queued or in progress at the engines of this instance.
     own_backlog: u32,
@@ -345,29 +346,28 @@
         }
     }
 
-    /// Records whether a request failed at an upstream, for its failure rate.
+    /// Records whether a request failed at an upstream, for its failure rate at this and other instances.
     pub fn record_outcome(&mut self, now: clock::MonotonicTime, id: &str, has_failed: bool) {
+        let Some(slot) = self.upstreams.get_mut(id) else { return };
+        slot.estimate.record_outcome(now, has_failed);
+        self.record_own_outcome(now, id, has_failed);
+    }
+
+    /// Records whether a request failed at an upstream, for its failure rate at this instance.
+    fn record_own_outcome(&mut self, now: clock::MonotonicTime, id: &str, has_failed: bool) {
         let Some(slot) = self.upstreams.get_mut(id) else { return };
         let newest = if has_failed { 1.0 } else { 0.0 };
-        let rate = slot.failure_rate(now);
+        let rate = slot.own_failure_rate(now);
         slot.failure_rate = rate + (newest - rate) * FAILURE_WEIGHT;
         slot.failure_updated = now;
     }
 
-    /// Records that no connection to an upstream could be made.
+    /// Records that no connection to an upstream could be made, which may be this instance's path alone.
     pub fn connect_failed(&mut self, now: clock::MonotonicTime, id: &str) {
         if let Some(slot) = self.upstreams.get_mut(id) {
             slot.avoid_until = now + CONNECT_PENALTY;
         }
-        self.record_outcome(now, id, true);
-    }
-
-    /// Records the time to the first event, as a multiple of the expected time.
-    pub fn first_event_timed(&mut self, id: &str, ratio: f64) {
-        if let Some(slot) = self.upstreams.get_mut(id) {
-            let ratio = ratio.clamp(0.5, 10.0);
-            slot.slowness += (ratio - slot.slowness) * SLOWNESS_WEIGHT;
-        }
+        self.record_own_outcome(now, id, true);
     }
 
     /// Records that a request found an adapter missing on an engine.
--- a/coltsfoot-gateway/src/lib.rs
+++ b/coltsfoot-gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod duration_estimate;
 pub mod engine_choice;
 pub mod engine_controller;
+pub mod engine_estimate;
 pub mod engine_order;
 pub mod event_stream;
 pub mod failover_timer;
--- a/coltsfoot-gateway/src/upstream_slot.rs
+++ b/coltsfoot-gateway/src/upstream_slot.rs
@@ -6,12 +6,14 @@
 use coltsfoot_wire::fleet;
 use rustc_hash::{FxHashMap, FxHashSet};
 
-use crate::{demand, engine_controller, rendezvous, upstream};
+use crate::{demand, engine_controller, engine_estimate, rendezvous, upstream};
 
 /// Age above which the requests in flight that an instance reported no longer count.
 pub(crate) const HEARTBEAT_LIFETIME: time::Duration = time::Duration::from_millis(1500);
 /// Time without data from an upstream with running requests after which it counts as silent.
 const MAX_SILENCE: time::Duration = time::Duration::from_millis(700);
+/// Weight of the newest sample in the slowness of an engine.
+const SLOWNESS_WEIGHT: f64 = 0.25;
 /// Half-life of the failure rate.
 const FAILURE_HALF_LIFE: time::Duration = time::Duration::from_secs(3);
 /// Time past an adapter's expected arrival for which a pending load request still counts.
@@ -99,6 +101,8 @@
     pub local: WorkLoad,
     /// Moving average of its time to the first event, as a multiple of the expected time.
     pub slowness: f64,
+    /// What is known of it beside the requests in flight.
+    pub estimate: engine_estimate::EngineEstimate,
     /// Requests of other instances and zones in flight, and when each report expires.
     pub(crate) remote: FxHashMap<u64, (WorkLoad, clock::MonotonicTime)>,
     pub(crate) last_seen: clock::MonotonicTime,
@@ -128,6 +132,7 @@
             revision: 0,
             local: WorkLoad::default(),
             slowness: 1.0,
+            estimate: engine_estimate::EngineEstimate::default(),
             remote: FxHashMap::default(),
             last_seen: clock::MonotonicTime::default(),
             avoid_until: clock::MonotonicTime::default(),
@@ -149,8 +154,18 @@
         recent.fold(self.local, |sum, (work, _)| sum.plus(*work))
     }
 
-    /// Returns the share of recent requests that failed.
+    /// Records a time to the first event, as a multiple of the expected time.
+    pub(crate) fn record_slowness(&mut self, ratio: f64) {
+        self.slowness += (ratio.clamp(0.5, 10.0) - self.slowness) * SLOWNESS_WEIGHT;
+    }
+
+    /// Returns the share of recent requests that failed, of this instance or of all, whichever is higher.
     pub fn failure_rate(&self, now: clock::MonotonicTime) -> f64 {
+        self.own_failure_rate(now).max(self.estimate.shared_failure_rate(now))
+    }
+
+    /// Returns the share of recent requests of this instance that failed.
+    pub(crate) fn own_failure_rate(&self, now: clock::MonotonicTime) -> f64 {
         let age = now.since(self.failure_updated).as_secs_f64();
         self.failure_rate * 0.5_f64.powf(age / FAILURE_HALF_LIFE.as_secs_f64())
     }
--- a/coltsfoot-measure/src/burst/world.rs
+++ b/coltsfoot-measure/src/burst/world.rs
@@ -414,8 +414,13 @@
         let slot = view.upstream(id).expect("known");
         let needs_load = !view.has_usable_adapter(at(now), slot, key);
         let id = sync::Arc::clone(id);
-        let chosen =
-            engine_choice::ChosenUpstream { id, expected_ms: 0.0, needs_load, build: slot.build };
+        let chosen = engine_choice::ChosenUpstream {
+            id,
+            expected_ms: 0.0,
+            prior_ms: 0.0,
+            needs_load,
+            build: slot.build,
+        };
         if now >= state.request.arrival_ms + TARGET_MS {
             return upstream_search::SearchStep::Refuse("late");
         }
--- a/coltsfoot-wire/src/fleet.rs
+++ b/coltsfoot-wire/src/fleet.rs
@@ -452,6 +452,32 @@
     pub upstreams: Vec<u32>,
 }
 
+/// What the sender has measured at an upstream.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct UpstreamEstimate {
+    /// The upstream's number.
+    pub upstream: u32,
+    /// Natural logarithm of its time as a multiple of the mean of its service at the sender, in hundredths.
+    pub log_hundredths: i16,
+    /// Number of recent samples behind it.
+    pub samples: u8,
+    /// Recent requests that ended, in tenths.
+    pub sent_tenths: u16,
+    /// How many of them failed, in tenths.
+    pub failed_tenths: u16,
+}
+
+/// Estimates of upstreams, which replace those that the sender told before.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct UpstreamEstimates {
+    /// Incarnation of the instance that measured.
+    pub sender: u64,
+    /// Whether the receiver forwards the message to the instances of its availability zone.
+    pub must_forward: bool,
+    /// The upstreams of which there is news.
+    pub estimates: Vec<UpstreamEstimate>,
+}
+
 /// A datagram between instances.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum FleetMessage {
@@ -491,6 +517,8 @@
     QuarantinedParts(Vec<QuarantinedPart>),
     /// Upstreams that the sender does not reach.
     Unreached(UnreachedUpstreams),
+    /// What the sender has measured at upstreams.
+    UpstreamEstimates(UpstreamEstimates),
 }
 
 impl FleetMessage {
--- a/coltsfootd/src/event.rs
+++ b/coltsfootd/src/event.rs
@@ -115,6 +115,10 @@
     FETCH_PACE_LEARNED = 405, "fetch_pace_learned", Info;
     /// A tenure of an engine has ended, and with it what was ordered and requested in it.
     CONTROLLER_RETIRED = 406, "controller_retired", Info;
+    /// Requests fail at an upstream at several instances.
+    UPSTREAM_FAILING = 410, "upstream_failing", Info;
+    /// A response states a load that can't be read.
+    LOAD_UNREADABLE = 411, "load_unreadable", Debug;
     /// An upstream's response was for another adapter, version or request.
     WRONG_ANSWER = 500, "wrong_answer", Error;
     /// An attempt at an upstream failed.
--- a/coltsfootd/src/gateway/fleet.rs
+++ b/coltsfootd/src/gateway/fleet.rs
@@ -10,7 +10,9 @@
 use coltsfoot_wire::fleet as wire;
 
 use crate::event;
-use crate::gateway::{crashes, engines, heartbeats, intake, news, origins, parts, permits, state};
+use crate::gateway::{
+    crashes, engines, estimates, heartbeats, intake, news, origins, parts, permits, state,
+};
 
 /// Keyed topic in which instances register the addresses at which they receive messages.
 const INSTANCE_TOPIC: &str = "keyed.coltsfoot-instances";
@@ -120,6 +122,7 @@
             Ok(wire::FleetMessage::Unreached(unreached)) => {
                 state.view().apply_unreached(state.now(), &unreached);
             }
+            Ok(wire::FleetMessage::UpstreamEstimates(told)) => estimates::handle(&state, told),
             Err(error) => log::warn!(
                 event = event::PEER_MESSAGE_REFUSED.number; "peer_message_refused: {error}"
             ),
--- a/coltsfootd/src/gateway/forwarding.rs
+++ b/coltsfootd/src/gateway/forwarding.rs
@@ -408,6 +408,11 @@
         let has_failed = head.status >= 500 || self.is_response_started;
         self.state.view().record_outcome(self.state.now(), &attempt.chosen.id, has_failed);
         if !has_failed {
+            if self.admitted.demand.is_none() {
+                let now = self.state.now();
+                let elapsed_ms = now.since(attempt.sent).as_secs_f64() * 1000.0;
+                self.state.view().response_timed(now, &attempt.chosen, elapsed_ms);
+            }
             attempt.complete();
             return AttemptProgress::Done(exchange::Outcome::Buffered(head, body));
         }
--- a/coltsfootd/src/gateway/intake.rs
+++ b/coltsfootd/src/gateway/intake.rs
@@ -7,7 +7,7 @@
 use site_platform::fields;
 
 use crate::event;
-use crate::gateway::{fleet, permits, state};
+use crate::gateway::{estimates, fleet, permits, state};
 
 /// Records the availability that a response states. Ignores a response that names another upstream.
 pub(super) fn record_response(
@@ -21,6 +21,7 @@
         return;
     }
     let now = state.now();
+    estimates::record_load(state, upstream, response.load);
     record_limit(state, context, sent, response);
     if response.is_signed || response.rejections_per_s.is_some() {
         record_brittleness(state, upstream, response.rejections_per_s);
--- a/coltsfootd/src/gateway/metrics.rs
+++ b/coltsfootd/src/gateway/metrics.rs
@@ -20,6 +20,7 @@
     permits: metrics::Counter<u64>,
     tunnels: metrics::Counter<u64>,
     crash_suspects: metrics::Counter<u64>,
+    estimates: metrics::Counter<u64>,
     duration: metrics::Histogram<f64>,
     first_event: metrics::Histogram<f64>,
     load_wait: metrics::Histogram<f64>,
@@ -59,6 +60,10 @@
                 "coltsfoot_gateway_crash_suspects",
                 "Requests that were at an upstream when it crashed",
             ),
+            estimates: registry.counter(
+                "coltsfoot_gateway_estimates",
+                "Loads that responses of upstreams stated, and messages on estimates, by kind",
+            ),
             duration: registry
                 .seconds("coltsfoot_gateway_request_seconds", "Time of a request, by outcome"),
             first_event: registry
@@ -123,6 +128,11 @@
         self.crash_suspects.add(requests as u64, &[]);
     }
 
+    /// Counts a load that a response stated, or a message on estimates, by kind.
+    pub fn count_estimate(&self, kind: &'static str) {
+        self.estimates.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
     /// Records the time from a request's arrival to its first event.
     pub fn record_first_event(&self, wait: time::Duration) {
         self.first_event.record(wait.as_secs_f64(), &[]);
--- a/coltsfootd/src/gateway/mod.rs
+++ b/coltsfootd/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod callers;
 mod crashes;
 mod engines;
+mod estimates;
 mod exchange;
 mod failover;
 mod fleet;
--- a/coltsfootd/src/gateway/relay.rs
+++ b/coltsfootd/src/gateway/relay.rs
@@ -149,8 +149,7 @@
             self.state.metrics.record_first_event(wait);
         }
         let elapsed = now.since(sent).as_secs_f64() * 1000.0;
-        let ratio = elapsed / chosen.expected_ms.max(engine_choice::FIRST_EVENT_MS);
-        self.state.view().first_event_timed(&chosen.id, ratio);
+        self.state.view().first_event_timed(now, chosen, elapsed);
     }
 
     /// Writes events to the caller, preceded by the response head if it was not written yet.
--- a/coltsfootd/src/gateway/run.rs
+++ b/coltsfootd/src/gateway/run.rs
@@ -14,8 +14,8 @@
 use site_platform::{entry, rules, settings, store};
 
 use crate::gateway::{
-    archive, callers, crashes, engines, fleet, follower, heartbeats, lease, memory, metrics, news,
-    origins, paths, pending_calls, permits, reload, state, stop, tunnels,
+    archive, callers, crashes, engines, estimates, fleet, follower, heartbeats, lease, memory,
+    metrics, news, origins, paths, pending_calls, permits, reload, state, stop, tunnels,
 };
 use crate::{clock, event, metrics as registry};
 
@@ -133,6 +133,7 @@
     executor.spawn(news::request_when_behind(sync::Arc::clone(&state))).detach();
     executor.spawn(fleet::discover_peers(sync::Arc::clone(&state))).detach();
     executor.spawn(fleet::resend_known(sync::Arc::clone(&state))).detach();
+    executor.spawn(estimates::tell(sync::Arc::clone(&state))).detach();
     executor.spawn(lease::maintain(sync::Arc::clone(&state))).detach();
     executor.spawn(engines::poll_stale_engines(sync::Arc::clone(&state))).detach();
     executor.spawn(origins::maintain(sync::Arc::clone(&state))).detach();
