--- a/coltsfoot-gateway/src/fleet_view.rs
+++ b/coltsfoot-gateway/src/fleet_view.rs
@@ -3,6 +3,7 @@
 
 pub mod brittle;
 pub mod cold;
+pub mod estimates;
 pub mod evacuations;
 pub mod paths;
 pub mod peers;
@@ -17,9 +18,9 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::{
-    availability_table, brittle_table, cold_table, demand, engine_controller, engine_order,
-    evacuation_table, fetch_limiter, limit_table, member_memory, path_table, peer_slot, rendezvous,
-    upstream, upstream_slot,
+    availability_table, brittle_table, cold_table, demand, engine_controller, engine_estimate,
+    engine_order, evacuation_table, fetch_limiter, limit_table, member_memory, path_table,
+    peer_slot, rendezvous, upstream, upstream_slot,
 };
 
 /// Heartbeats of an instance that may be lost before its state counts as stale.
@@ -34,8 +35,6 @@
 const CONNECT_PENALTY: time::Duration = time::Duration::from_millis(1500);
 /// Weight of the newest outcome in the failure rate.
 const FAILURE_WEIGHT: f64 = 0.2;
-/// Weight of the newest sample in the slowness of an engine.
-const SLOWNESS_WEIGHT: f64 = 0.25;
 /// Time for which an engine with an older adapter version still gets requests, while its owner
 /// replaces the version.
 const VERSION_GRACE: time::Duration = time::Duration::from_millis(2500);
@@ -71,6 +70,8 @@
     cold: cold_table::ColdTable,
     /// Instances that are not heard any more and may run behind a partition.
     members: member_memory::MemberMemory,
+    /// Services whose responses state the load of their upstreams.
+    service_estimates: FxHashMap<sync::Arc<str>, engine_estimate::ServiceEstimate>,
     fetch_limiter: fetch_limiter::FetchLimiter,
     /// Adapter fetches queued or in progress at the engines of this instance.
     own_backlog: u32,
@@ -356,29 +357,28 @@
         }
     }
 
-    /// Records whether a request failed at an upstream, for its failure rate.
+    /// Records whether a request failed at an upstream, for its failure rate at this and other instances.
     pub fn record_outcome(&mut self, now: clock::MonotonicTime, id: &str, has_failed: bool) {
+        let Some(slot) = self.upstreams.get_mut(id) else { return };
+        slot.estimate.record_outcome(now, has_failed);
+        self.record_own_outcome(now, id, has_failed);
+    }
+
+    /// Records whether a request failed at an upstream, for its failure rate at this instance.
+    fn record_own_outcome(&mut self, now: clock::MonotonicTime, id: &str, has_failed: bool) {
         let Some(slot) = self.upstreams.get_mut(id) else { return };
         let newest = if has_failed { 1.0 } else { 0.0 };
-        let rate = slot.failure_rate(now);
+        let rate = slot.own_failure_rate(now);
         slot.failure_rate = rate + (newest - rate) * FAILURE_WEIGHT;
         slot.failure_updated = now;
     }
 
-    /// Records that no connection to an upstream could be made.
+    /// Records that no connection to an upstream could be made, which may be this instance's path alone.
     pub fn connect_failed(&mut self, now: clock::MonotonicTime, id: &str) {
         if let Some(slot) = self.upstreams.get_mut(id) {
             slot.avoid_until = now + CONNECT_PENALTY;
         }
-        self.record_outcome(now, id, true);
-    }
-
-    /// Records the time to the first event, as a multiple of the expected time.
-    pub fn first_event_timed(&mut self, id: &str, ratio: f64) {
-        if let Some(slot) = self.upstreams.get_mut(id) {
-            let ratio = ratio.clamp(0.5, 10.0);
-            slot.slowness += (ratio - slot.slowness) * SLOWNESS_WEIGHT;
-        }
+        self.record_own_outcome(now, id, true);
     }
 
     /// Records that a request found an adapter missing on an engine.
--- a/coltsfoot-gateway/src/lib.rs
+++ b/coltsfoot-gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod duration_estimate;
 pub mod engine_choice;
 pub mod engine_controller;
+pub mod engine_estimate;
 pub mod engine_order;
 pub mod evacuation_table;
 pub mod event_stream;
--- a/coltsfoot-wire/tests/fleet.rs
+++ b/coltsfoot-wire/tests/fleet.rs
@@ -8,7 +8,7 @@
 const LOAD_REQUEST: &str = "026301fd000000000000000000000000000001b03b4d026d30036131370301";
 const ZONE_HEARTBEAT: &str = "060505627265737409ac0201010106000a01001ab03b78010601020304070050a002014d0100014d848688080201064d290101030184868808040109fa01010801";
 /// Number of the kinds of messages that this build knows.
-const KINDS: u8 = 19;
+const KINDS: u8 = 20;
 
 fn bytes_of(text: &str) -> Vec<u8> {
     let digits = text.as_bytes().chunks_exact(2);
--- a/coltsfootd/src/gateway/fleet.rs
+++ b/coltsfootd/src/gateway/fleet.rs
@@ -11,7 +11,7 @@
 
 use crate::event;
 use crate::gateway::{
-    cold, crashes, engines, heartbeats, intake, news, origins, parts, permits, state,
+    cold, crashes, engines, estimates, heartbeats, intake, news, origins, parts, permits, state,
 };
 
 /// Keyed topic in which instances register the addresses at which they receive messages.
@@ -125,6 +125,7 @@
             Ok(wire::FleetMessage::ColdUpstreams(told)) => {
                 told.iter().for_each(|told| cold::handle_told(&state, told));
             }
+            Ok(wire::FleetMessage::UpstreamEstimates(told)) => estimates::handle(&state, told),
             Err(error) => log::warn!(
                 event = event::PEER_MESSAGE_REFUSED.number; "peer_message_refused: {error}"
             ),
--- a/coltsfootd/src/gateway/mod.rs
+++ b/coltsfootd/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod cold;
 mod crashes;
 mod engines;
+mod estimates;
 mod exchange;
 mod failover;
 mod fleet;
