Send one request first when an adapter's load should have ended

Cause: a load counted as ready when its expected time had passed. All requests that waited for it, at all instances, were sent then, and all were rejected with 421 when it took longer. The fetch time was learned at low load only; as late fetches lowered the limit on concurrency to 4, no load was ever low, and 288 ms were never learned from the start value of 250.

Change: the owner tells one waiter first, and the others (and, by heartbeats, all other instances) 30 ms after it if no rejection of that one has arrived. A rejection extends the load by 60 ms, or by half of its lateness if that is more, and later fetches of the same engine with it. A fetch that is not known to have ended counts towards the four in transit. Late fetches raise the fetch time until one was in time; after that concurrency explains them. Instances that know nothing report the start value and are not averaged.

all_waiters_share_one_load_and_are_told_when_it_is_ready asserted that both waiters are told at once, which is what is mended; the new assertion names the time of each.

--- a/coltsfoot-gateway/src/engine_controller.rs
+++ b/coltsfoot-gateway/src/engine_controller.rs
@@ -25,8 +25,12 @@
 pub const WARM_ADAPTERS: usize = 48;
 /// Time after an order during which a missing adapter is assumed to be still loading.
 const MAX_LOAD_TIME: time::Duration = time::Duration::from_millis(1500);
-/// Extension of the expected load time of an adapter that is late.
+/// First extension of the expected load time of an adapter that is late. A further one is
+/// half of the time by which it is late, if that is longer.
 const LATE_LOAD_EXTENSION: time::Duration = time::Duration::from_millis(60);
+/// Time after the first request to a loaded adapter within which a rejection of it arrives: a message to
+/// the requesting instance, its send, the rejection and a message back.
+const PROBE_TIME: time::Duration = time::Duration::from_millis(30);
 /// Adapters that an engine may load concurrently.
 const MAX_CONCURRENT_LOADS: usize = 4;
 /// Longest age of a report on arrival.
@@ -54,6 +58,7 @@
     version: u64,
     ordered: clock::MonotonicTime,
     ready_at: clock::MonotonicTime,
+    readiness: AdapterReadiness,
     /// The fetch from the weight store, until its duration has been sampled.
     fetch: Option<PendingFetch>,
     /// Not evicted before: a request whose sender was told that the adapter is ready may be in transit.
@@ -61,6 +66,51 @@
     last_used: clock::MonotonicTime,
 }
 
+/// What is known of an adapter whose load is expected to have ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum AdapterReadiness {
+    /// Nothing, as no request was sent to it yet.
+    Expected,
+    /// The first request was sent to it then; the others wait for a rejection of that one.
+    Probed(clock::MonotonicTime),
+    /// A report lists it as loaded.
+    Reported,
+}
+
+impl PlacedAdapter {
+    /// Returns when all requests may be sent to the adapter, if nothing is heard until then.
+    fn usable_at(&self) -> clock::MonotonicTime {
+        match self.readiness {
+            AdapterReadiness::Expected => self.ready_at + PROBE_TIME,
+            AdapterReadiness::Probed(probed_at) => probed_at + PROBE_TIME,
+            AdapterReadiness::Reported => self.ready_at,
+        }
+    }
+
+    /// Returns whether all requests may be sent to the adapter.
+    fn is_usable(&self, now: clock::MonotonicTime) -> bool {
+        now >= self.usable_at()
+    }
+
+    /// Returns how many of the requests that wait for the adapter may be sent now.
+    fn release_count(&self, now: clock::MonotonicTime) -> usize {
+        match self.readiness {
+            AdapterReadiness::Expected if now >= self.ready_at => 1,
+            AdapterReadiness::Expected => 0,
+            _ if self.is_usable(now) => usize::MAX,
+            _ => 0,
+        }
+    }
+
+    /// Records that a request was told to use the adapter.
+    fn reserve(&mut self, now: clock::MonotonicTime) {
+        self.reserved_until = now + READY_RESERVATION;
+        if self.readiness == AdapterReadiness::Expected {
+            self.readiness = AdapterReadiness::Probed(now);
+        }
+    }
+}
+
 /// A fetch from the weight store whose duration is not sampled yet.
 #[derive(Clone, Copy, Debug)]
 struct PendingFetch {
@@ -148,12 +198,12 @@
         self.reported.is_some()
     }
 
-    /// Returns the adapters that are ready, with their versions.
+    /// Returns the adapters that all requests may use, with their versions.
     pub fn ready(
         &self,
         now: clock::MonotonicTime,
     ) -> impl Iterator<Item = (demand::AdapterKey, u64)> {
-        let ready = self.placed.iter().filter(move |(_, placed)| now >= placed.ready_at);
+        let ready = self.placed.iter().filter(move |(_, placed)| placed.is_usable(now));
         ready.map(|(key, placed)| (*key, placed.version))
     }
 
@@ -164,7 +214,7 @@
         now: clock::MonotonicTime,
         fetches: engine_order::FetchLoad,
     ) -> impl Iterator<Item = (demand::AdapterKey, clock::MonotonicTime)> {
-        let ordered = self.placed.iter().filter(move |(_, placed)| now < placed.ready_at);
+        let ordered = self.placed.iter().filter(move |(_, placed)| !placed.is_usable(now));
         let ordered = ordered.map(|(key, placed)| (*key, placed.ready_at));
         let requested = self.load_requests.iter().map(|request| request.name.key());
         let requested = requested.filter(|key| !self.placed.contains_key(key));
@@ -231,10 +281,10 @@
         let key = name.key();
         if let Some(placed) = self.placed.get_mut(&key)
             && placed.version >= version.unwrap_or(0)
-            && now >= placed.ready_at
+            && placed.release_count(now) > 0
         {
             placed.last_used = now;
-            placed.reserved_until = now + READY_RESERVATION;
+            placed.reserve(now);
             self.replies.push(LoadReply { waiter, is_ready: true });
             return;
         }
@@ -268,27 +318,32 @@
         }
     }
 
-    /// Removes and returns the replies that are due.
+    /// Removes and returns the replies that are due. When a load is expected to have ended, one of its
+    /// waiters is told first, and the others once no rejection of that one has arrived.
     pub fn take_replies(&mut self, now: clock::MonotonicTime) -> Vec<LoadReply<A>> {
         let placed = &mut self.placed;
         let replies = &mut self.replies;
         let mut any_ready = false;
-        self.load_requests.retain(|request| {
+        self.load_requests.retain_mut(|request| {
             let adapter = placed.get_mut(&request.name.key());
-            let mut matching =
+            let matching =
                 adapter.filter(|adapter| adapter.version >= request.version.unwrap_or(0));
-            let is_ready = matching.as_ref().is_some_and(|adapter| now >= adapter.ready_at);
-            if let Some(adapter) = matching.as_mut().filter(|_| is_ready) {
-                adapter.reserved_until = now + READY_RESERVATION;
-            }
-            let has_expired =
-                matching.is_none() && now.since(request.requested_at) >= MAX_SLOT_WAIT;
-            if is_ready || has_expired {
-                let waiters = request.waiters.iter().cloned();
-                replies.extend(waiters.map(|waiter| LoadReply { waiter, is_ready }));
-            }
-            any_ready |= is_ready;
-            !is_ready && !has_expired
+            let is_ready = matching.is_some();
+            let released = match matching {
+                Some(adapter) => {
+                    let released = adapter.release_count(now).min(request.waiters.len());
+                    if released > 0 {
+                        adapter.reserve(now);
+                        any_ready = true;
+                    }
+                    released
+                }
+                None if now.since(request.requested_at) >= MAX_SLOT_WAIT => request.waiters.len(),
+                None => 0,
+            };
+            let waiters = request.waiters.drain(..released);
+            replies.extend(waiters.map(|waiter| LoadReply { waiter, is_ready }));
+            !request.waiters.is_empty()
         });
         self.has_changed |= any_ready;
         std::mem::take(&mut self.replies)
@@ -345,8 +400,8 @@
         now: clock::MonotonicTime,
         report_due: clock::MonotonicTime,
     ) -> clock::MonotonicTime {
-        let pending =
-            self.placed.values().map(|placed| placed.ready_at).filter(|ready| *ready > now);
+        let usable = self.placed.values().map(PlacedAdapter::usable_at);
+        let pending = self.placed.values().map(|placed| placed.ready_at).chain(usable);
         let expiring =
             self.load_requests.front().map(|request| request.requested_at + MAX_SLOT_WAIT);
         let reservations = self.placed.values().map(|placed| placed.reserved_until);
--- a/coltsfoot-gateway/src/engine_controller/orders.rs
+++ b/coltsfoot-gateway/src/engine_controller/orders.rs
@@ -5,8 +5,8 @@
 use coltsfoot_types::time as clock;
 
 use crate::engine_controller::{
-    EngineController, LOAD_MARGIN, MAX_CONCURRENT_LOADS, MAX_REPORT_AGE, MODEL_LOAD_TIME,
-    PendingFetch, PlacedAdapter, UNLOAD_RETRY_INTERVAL, WARM_ADAPTERS, WARM_LOAD,
+    AdapterReadiness, EngineController, LOAD_MARGIN, MAX_CONCURRENT_LOADS, MAX_REPORT_AGE,
+    MODEL_LOAD_TIME, PendingFetch, PlacedAdapter, UNLOAD_RETRY_INTERVAL, WARM_ADAPTERS, WARM_LOAD,
 };
 use crate::{demand, engine_order};
 
@@ -31,7 +31,7 @@
             return (!is_coming)
                 .then(|| engine_order::EngineOrder::LoadModel(sync::Arc::clone(&self.model)));
         }
-        let loading = self.placed.values().filter(|placed| placed.ready_at > now).count();
+        let loading = self.placed.values().filter(|placed| !placed.is_usable(now)).count();
         if loading >= MAX_CONCURRENT_LOADS {
             return None;
         }
@@ -94,7 +94,7 @@
     ) -> Option<engine_order::EngineOrder> {
         self.placed.iter().find_map(|(key, placed)| {
             let version = newest(*key).filter(|newest| *newest > placed.version)?;
-            (now >= placed.ready_at).then(|| {
+            placed.is_usable(now).then(|| {
                 let name = placed.name.clone();
                 engine_order::EngineOrder::LoadAdapter { name, version: Some(version) }
             })
@@ -172,6 +172,7 @@
                     version,
                     ordered: now,
                     ready_at,
+                    readiness: AdapterReadiness::Expected,
                     fetch: (!is_warm).then_some(fetch),
                     reserved_until: ready_at,
                     last_used: now,
--- a/coltsfoot-gateway/src/engine_controller/reports.rs
+++ b/coltsfoot-gateway/src/engine_controller/reports.rs
@@ -1,10 +1,12 @@
 //! Updates the state of an engine from its reports and from requests that found an adapter missing.
 
+use std::time;
+
 use coltsfoot_types::time as clock;
 
 use crate::engine_controller::{
-    EngineController, LATE_LOAD_EXTENSION, MAX_LOAD_TIME, MAX_REPORT_AGE, PENDING_LOAD_TIME,
-    PlacedAdapter, REPORT_INTERVAL,
+    AdapterReadiness, EngineController, LATE_LOAD_EXTENSION, MAX_LOAD_TIME, MAX_REPORT_AGE,
+    PENDING_LOAD_TIME, PlacedAdapter, REPORT_INTERVAL,
 };
 use crate::{demand, upstream};
 
@@ -45,6 +47,7 @@
                 && now >= placed.ready_at
             {
                 placed.version = held.version.max(placed.version);
+                placed.readiness = AdapterReadiness::Reported;
             }
         }
     }
@@ -54,13 +57,24 @@
         // Done or void by now: the engine rejects it, as its order count has changed since. Repeated with the
         // new count, an old decision would be carried out on a new state.
         self.unanswered = None;
-        let before = std::mem::take(&mut self.placed);
+        let mut before = std::mem::take(&mut self.placed);
         self.unloading = None;
-        let ready = report.adapters.iter().map(|held| (held, now));
-        let pending = report.pending.iter().map(|held| (held, now + PENDING_LOAD_TIME));
-        for (held, ready_at) in pending.chain(ready) {
+        let ready = report.adapters.iter().map(|held| (held, now, AdapterReadiness::Reported));
+        let pending = report.pending.iter();
+        let pending =
+            pending.map(|held| (held, now + PENDING_LOAD_TIME, AdapterReadiness::Expected));
+        for (held, ready_at, readiness) in pending.chain(ready) {
             let key = held.name.key();
             let last_used = before.get(&key).map_or(now, |placed| placed.last_used);
+            // An adapter that was pending when the report was written may be loaded by now.
+            if let Some(placed) = before.remove(&key).filter(|placed| {
+                readiness == AdapterReadiness::Expected
+                    && placed.version == held.version
+                    && now < placed.ready_at + MAX_REPORT_AGE
+            }) {
+                self.placed.insert(key, placed);
+                continue;
+            }
             let name = held.name.clone();
             let version = held.version;
             let (ordered, fetch) = (now, None);
@@ -69,6 +83,7 @@
                 version,
                 ordered,
                 ready_at,
+                readiness,
                 fetch,
                 reserved_until: ready_at,
                 last_used,
@@ -79,20 +94,62 @@
     }
 
     /// Handles a request that found an adapter missing that should have been ready: either its load takes
-    /// longer, or the known state of the engine is wrong and a report is needed.
-    pub fn found_missing(&mut self, now: clock::MonotonicTime, key: demand::AdapterKey) {
-        let Some(placed) = self.placed.get_mut(&key) else { return };
+    /// longer, or the known state of the engine is wrong and a report is needed. Returns the time until the
+    /// load is expected to end now; `None` if that is no news, or if no load is in progress.
+    pub fn found_missing(
+        &mut self,
+        now: clock::MonotonicTime,
+        key: demand::AdapterKey,
+    ) -> Option<time::Duration> {
+        let placed = self.placed.get_mut(&key)?;
         if now < placed.ready_at {
-            return;
+            return None;
         }
-        if now.since(placed.ordered) < MAX_LOAD_TIME {
-            placed.ready_at = now + LATE_LOAD_EXTENSION;
-            if let Some(fetch) = &mut placed.fetch {
-                fetch.actual = placed.ready_at.since(placed.ordered);
+        self.has_changed = true;
+        let elapsed = now.since(placed.ordered);
+        if elapsed >= MAX_LOAD_TIME {
+            if self.order_count.is_some() {
+                self.resync(now);
             }
-        } else if self.order_count.is_some() {
-            self.resync(now);
+            return None;
+        }
+        let expected = placed.fetch.map_or(elapsed, |fetch| fetch.expected);
+        let extension = LATE_LOAD_EXTENSION.max(elapsed.saturating_sub(expected) / 2);
+        placed.extend_load(now + extension);
+        if placed.fetch.is_some() {
+            let (ordered, ready_at) = (placed.ordered, placed.ready_at);
+            self.extend_later_fetches(now, ordered, ready_at.since(ordered));
+        }
+        Some(extension)
+    }
+
+    /// Extends the fetches that started after one which is late: the weight store slows them down as well.
+    fn extend_later_fetches(
+        &mut self,
+        now: clock::MonotonicTime,
+        ordered: clock::MonotonicTime,
+        duration: time::Duration,
+    ) {
+        let later = self.placed.values_mut().filter(|placed| {
+            placed.fetch.is_some() && placed.ordered > ordered && now < placed.ready_at
+        });
+        for placed in later {
+            let ready_at = placed.ordered + duration;
+            if ready_at > placed.ready_at {
+                placed.extend_load(ready_at);
+            }
+        }
+    }
+}
+
+impl PlacedAdapter {
+    /// Records that the adapter is expected only at `ready_at`.
+    fn extend_load(&mut self, ready_at: clock::MonotonicTime) {
+        self.ready_at = ready_at;
+        self.readiness = AdapterReadiness::Expected;
+        self.reserved_until = self.reserved_until.max(ready_at);
+        if let Some(fetch) = &mut self.fetch {
+            fetch.actual = ready_at.since(self.ordered);
         }
-        self.has_changed = true;
     }
 }
--- a/coltsfoot-gateway/src/fetch_limiter.rs
+++ b/coltsfoot-gateway/src/fetch_limiter.rs
@@ -11,7 +11,8 @@
 
 use crate::engine_order;
 
-/// Limit before the first sample.
+/// Limit before the first sample, below which concurrency does not explain a late fetch as long as none was in
+/// time.
 const START_LIMIT: f64 = 8.0;
 /// Lowest and highest limit.
 const LIMIT_RANGE: (f64, f64) = (4.0, 1024.0);
@@ -35,6 +36,8 @@
 /// one fetch in fifty is late. The fetch time never falls below the documented one: otherwise all
 /// fetches would be late and the limit would fall without cause.
 const LATE_FACTOR: f64 = 1.05;
+/// Factor by which a late fetch raises the fetch time while no fetch was ever in time.
+const UNPROVEN_LATE_FACTOR: f64 = 1.1;
 const TIMELY_FACTOR: f64 = 0.999;
 
 /// Measured duration of one fetch.
@@ -57,12 +60,27 @@
     }
 }
 
+/// What supports the expected fetch time.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum FetchEvidence {
+    /// Nothing, it is the start value.
+    Nothing,
+    /// Late fetches or other instances; no fetch of this instance was in time since it rose.
+    Unproven,
+    /// A fetch of this instance was in time, so that concurrency explains a late one.
+    Proven,
+}
+
 /// An instance's estimate of the concurrency and the speed of the weight store.
 #[derive(Clone, Debug)]
 pub struct FetchLimiter {
     limit: f64,
     is_slow_start: bool,
     fetch_ms: f64,
+    evidence: FetchEvidence,
+    /// Whether any fetch was in time.
+    has_proof: bool,
+    raised: clock::MonotonicTime,
     backed_off: clock::MonotonicTime,
 }
 
@@ -72,6 +90,9 @@
             limit: START_LIMIT,
             is_slow_start: true,
             fetch_ms: START_FETCH_TIME.as_secs_f64() * 1000.0,
+            evidence: FetchEvidence::Nothing,
+            has_proof: false,
+            raised: clock::MonotonicTime::default(),
             backed_off: clock::MonotonicTime::default(),
         }
     }
@@ -89,6 +110,16 @@
         (self.limit * 10.0) as u16
     }
 
+    /// Returns the expected fetch time at full speed, in milliseconds, for messages: the start value only if
+    /// nothing supports it.
+    pub fn message_fetch_ms(&self) -> u16 {
+        let start_ms = START_FETCH_TIME.as_millis() as u16;
+        match self.evidence {
+            FetchEvidence::Nothing => start_ms,
+            _ => (self.fetch_ms.ceil() as u16).max(start_ms + 1),
+        }
+    }
+
     /// Returns the expected fetch time at full speed.
     pub fn fetch_time(&self) -> time::Duration {
         time::Duration::from_secs_f64(self.fetch_ms / 1000.0)
@@ -104,17 +135,47 @@
     pub fn record_sample(&mut self, now: clock::MonotonicTime, sample: FetchSample) {
         let concurrency = f64::from(sample.concurrency);
         let is_low_load = concurrency < self.limit * LOW_LOAD_SHARE;
-        if is_low_load {
-            let factor = if sample.is_late() { LATE_FACTOR } else { TIMELY_FACTOR };
-            self.fetch_ms = clamp_fetch_ms(self.fetch_ms * factor);
-        } else if sample.is_late() {
-            self.back_off(now, sample);
-        } else if concurrency >= self.limit * PROBE_SHARE {
-            self.limit += if self.is_slow_start { SLOW_START_STEP } else { STEP };
+        if sample.is_late() {
+            let is_proven = self.evidence == FetchEvidence::Proven;
+            if !is_proven && (is_low_load || concurrency <= START_LIMIT) {
+                self.raise_fetch_time(now, sample, UNPROVEN_LATE_FACTOR);
+            } else if is_low_load {
+                self.raise_fetch_time(now, sample, LATE_FACTOR);
+            } else {
+                self.back_off(now, sample);
+            }
+        } else {
+            self.prove();
+            if is_low_load {
+                self.fetch_ms = clamp_fetch_ms(self.fetch_ms * TIMELY_FACTOR);
+            } else if concurrency >= self.limit * PROBE_SHARE {
+                self.limit += if self.is_slow_start { SLOW_START_STEP } else { STEP };
+            }
         }
         self.limit = self.limit.clamp(LIMIT_RANGE.0, LIMIT_RANGE.1);
     }
 
+    /// Records that a fetch was in time. Late fetches before the first may have lowered the limit without
+    /// cause.
+    fn prove(&mut self) {
+        if !self.has_proof {
+            self.has_proof = true;
+            self.is_slow_start = true;
+            self.limit = self.limit.max(START_LIMIT);
+        }
+        self.evidence = FetchEvidence::Proven;
+    }
+
+    /// Raises the fetch time, at most once for all fetches that started before it was raised.
+    fn raise_fetch_time(&mut self, now: clock::MonotonicTime, sample: FetchSample, factor: f64) {
+        if sample.started < self.raised {
+            return;
+        }
+        self.raised = now;
+        self.fetch_ms = clamp_fetch_ms(self.fetch_ms * factor);
+        self.evidence = FetchEvidence::Unproven;
+    }
+
     /// Lowers the limit, at most once for all fetches that started before it was lowered.
     fn back_off(&mut self, now: clock::MonotonicTime, sample: FetchSample) {
         if sample.started < self.backed_off {
@@ -138,7 +199,17 @@
             true => self.limit.max(limit),
             false => self.limit + (limit - self.limit) * PEER_WEIGHT,
         };
-        self.fetch_ms += (clamp_fetch_ms(fetch_ms) - self.fetch_ms) * PEER_WEIGHT;
+        // An instance that knows nothing reports the start value.
+        if fetch_time == START_FETCH_TIME {
+            return;
+        }
+        match self.evidence {
+            FetchEvidence::Nothing => {
+                self.fetch_ms = clamp_fetch_ms(fetch_ms);
+                self.evidence = FetchEvidence::Unproven;
+            }
+            _ => self.fetch_ms += (clamp_fetch_ms(fetch_ms) - self.fetch_ms) * PEER_WEIGHT,
+        }
     }
 }
 
--- a/coltsfoot-gateway/src/zone_relay.rs
+++ b/coltsfoot-gateway/src/zone_relay.rs
@@ -105,7 +105,7 @@
             queued_fetches: u16::try_from(totals.queued_fetches + own.queued_fetches)
                 .unwrap_or(u16::MAX),
             fetch_limit_tenths: limiter.limit_tenths(),
-            fetch_ms: u16::try_from(limiter.fetch_time().as_millis()).unwrap_or(u16::MAX),
+            fetch_ms: limiter.message_fetch_ms(),
             work: totals.work,
             adapter_usage,
             engines,
--- a/coltsfoot-gateway/tests/controller.rs
+++ b/coltsfoot-gateway/tests/controller.rs
@@ -65,7 +65,7 @@
 }
 
 #[test]
-fn all_waiters_share_one_load_and_are_told_when_it_is_ready() {
+fn all_waiters_share_one_load_and_are_told_one_after_another_when_it_is_ready() {
     let mut controller = controller(&[]);
     controller.request_load(at(0), &adapter(1), None, 10, |_| false);
     controller.request_load(at(1), &adapter(1), None, 11, |_| false);
@@ -80,11 +80,13 @@
         "the load is not ordered twice"
     );
     assert!(controller.take_replies(at(200)).is_empty());
-    let replies = controller.take_replies(at(300));
-    assert_eq!(
-        replies.iter().map(|reply| (reply.waiter, reply.is_ready)).collect::<Vec<_>>(),
-        [(10, true), (11, true)]
-    );
+    let mut take = |now| {
+        let replies = controller.take_replies(at(now));
+        replies.iter().map(|reply| (reply.waiter, reply.is_ready)).collect::<Vec<_>>()
+    };
+    assert_eq!(take(300), [(10, true)], "the first shows whether the adapter is loaded");
+    assert_eq!(take(329), []);
+    assert_eq!(take(330), [(11, true)]);
 }
 
 #[test]
--- a/coltsfoot-measure/src/burst/instance.rs
+++ b/coltsfoot-measure/src/burst/instance.rs
@@ -49,7 +49,7 @@
             fetching: fetching as u16,
             queued_fetches: queued_fetches as u16,
             fetch_limit_tenths: pace.limit_tenths(),
-            fetch_ms: pace.fetch_time().as_millis() as u16,
+            fetch_ms: pace.message_fetch_ms(),
             work: self.view.local_work(),
             adapter_usage: self.view.adapter_usage(true),
             engines: Some(engines),
--- a/coltsfootd/src/gateway/heartbeats.rs
+++ b/coltsfootd/src/gateway/heartbeats.rs
@@ -181,7 +181,7 @@
         fetching: u16::try_from(fetching).unwrap_or(u16::MAX),
         queued_fetches: u16::try_from(queued_fetches).unwrap_or(u16::MAX),
         fetch_limit_tenths: limiter.limit_tenths(),
-        fetch_ms: u16::try_from(limiter.fetch_time().as_millis()).unwrap_or(u16::MAX),
+        fetch_ms: limiter.message_fetch_ms(),
         work,
         adapter_usage,
         engines,
