Tell the owner of an engine of every missing adapter

Cause: an owner heard of a rejection for want of an adapter only from a request that was sent again; one whose retry budget was empty ended silently, and the next requests met the same rejection.

Change: the instance tells the owner at once, with a load request that nobody waits for (correlation id 0). The build before answers it; the response is dropped. Event 407 load_late and a counter.

--- a/coltsfoot-wire/src/fleet.rs
+++ b/coltsfoot-wire/src/fleet.rs
@@ -247,7 +247,7 @@
 /// Asks the owner of an engine to load an adapter there.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LoadRequest {
-    /// Chosen by the sender and repeated in the response.
+    /// Chosen by the sender and repeated in the response; 0 if nobody waits for one.
     pub correlation_id: u64,
     /// Address to which the response is sent.
     pub reply_to: net::SocketAddr,
--- a/coltsfootd/src/event.rs
+++ b/coltsfootd/src/event.rs
@@ -115,6 +115,8 @@
     FETCH_PACE_LEARNED = 405, "fetch_pace_learned", Info;
     /// A tenure of an engine has ended, and with it what was ordered and requested in it.
     CONTROLLER_RETIRED = 406, "controller_retired", Info;
+    /// A request found an adapter missing whose load was expected to have ended.
+    LOAD_LATE = 407, "load_late", Info;
     /// An upstream's response was for another adapter, version or request.
     WRONG_ANSWER = 500, "wrong_answer", Error;
     /// An attempt at an upstream failed.
--- a/coltsfootd/src/gateway/engines.rs
+++ b/coltsfootd/src/gateway/engines.rs
@@ -104,7 +104,7 @@
             return false;
         };
         if was_missing {
-            slot.controller.found_missing(now, name.key());
+            slot.found_missing(state, now, name);
         }
         let upstream = view.upstream(&slot.owned.id);
         let in_use = |key| upstream.is_some_and(|upstream| upstream.is_in_use(now, key));
@@ -113,6 +113,25 @@
         true
     }
 
+    /// Records that a request found an adapter missing at an owned engine; returns false if this instance
+    /// does not own the engine.
+    pub fn found_missing(
+        &self,
+        state: &state::GatewayState,
+        number: u32,
+        name: &demand::AdapterName,
+    ) -> bool {
+        let lease = state.lease();
+        let mut slots = state::lock(&self.slots);
+        let mut current = slots.values_mut().filter(|slot| slot.owned.is_current(&lease));
+        let Some(slot) = current.find(|slot| slot.owned.number == number) else {
+            return false;
+        };
+        slot.found_missing(state, state.now(), name);
+        slot.wake.notify(usize::MAX);
+        true
+    }
+
     /// Records usage of adapters, which protects them from eviction for a while.
     pub fn touch(&self, now: instant::MonotonicTime, usage: &[wire::AdapterUsage]) {
         let mut slots = state::lock(&self.slots);
@@ -187,6 +206,23 @@
 }
 
 impl ControllerSlot {
+    /// Records that a request found an adapter missing; logs if its load is extended.
+    fn found_missing(
+        &mut self,
+        state: &state::GatewayState,
+        now: instant::MonotonicTime,
+        name: &demand::AdapterName,
+    ) {
+        if let Some(extension) = self.controller.found_missing(now, name.key()) {
+            state.metrics.count_late_load();
+            log::info!(
+                event = event::LOAD_LATE.number, upstream = self.owned.id.to_string(),
+                adapter = name.adapter.to_string(), extension_ms = extension.as_millis() as u64;
+                "load_late"
+            );
+        }
+    }
+
     fn describe(
         &self,
         now: instant::MonotonicTime,
--- a/coltsfootd/src/gateway/fleet.rs
+++ b/coltsfootd/src/gateway/fleet.rs
@@ -10,7 +10,9 @@
 use coltsfoot_wire::fleet as wire;
 
 use crate::event;
-use crate::gateway::{crashes, engines, heartbeats, intake, news, origins, parts, permits, state};
+use crate::gateway::{
+    crashes, engines, heartbeats, intake, loads, news, origins, parts, permits, state,
+};
 
 /// Keyed topic in which instances register the addresses at which they receive messages.
 const INSTANCE_TOPIC: &str = "keyed.coltsfoot-instances";
@@ -247,6 +249,10 @@
         model: request.model.as_str().into(),
         adapter: request.adapter.as_str().into(),
     };
+    if request.correlation_id == loads::NO_CALL {
+        state.controllers.found_missing(state, request.upstream, &name);
+        return;
+    }
     let version = (request.version > 0).then_some(request.version);
     let waiter = engines::LoadWaiter::Peer(request.reply_to, request.correlation_id);
     let missing = request.was_missing;
--- a/coltsfootd/src/gateway/loads.rs
+++ b/coltsfootd/src/gateway/loads.rs
@@ -14,6 +14,10 @@
 /// Number of load requests without a response after which the owner counts as unreachable.
 const MAX_SENDS: usize = 4;
 
+/// Correlation id of a load request that nobody waits for: the owner only learns that the adapter was
+/// missing. Instances of an older build answer it; the response is ignored.
+pub(crate) const NO_CALL: u64 = 0;
+
 /// Ends a load request in the fleet view on drop, also if the request's future is cancelled.
 struct RequestedAdapter<'a> {
     state: &'a state::GatewayState,
@@ -73,6 +77,35 @@
     wire::LoadDecision::NotOwner
 }
 
+/// Tells the owner of an engine that a request found an adapter missing, so that no further request is sent
+/// there too early, also if this one is not retried.
+pub(crate) fn report_missing(
+    state: &state::GatewayState,
+    upstream: &str,
+    name: &demand::AdapterName,
+) {
+    let (number, owner) = {
+        let view = state.view();
+        let Some(slot) = view.upstream(upstream) else { return };
+        let owner = slot.residency.owner.and_then(|id| view.peer(id)).map(|peer| peer.address);
+        (slot.number, owner)
+    };
+    if state.controllers.found_missing(state, number, name) {
+        return;
+    }
+    let Some(owner) = owner else { return };
+    let request = wire::LoadRequest {
+        correlation_id: NO_CALL,
+        reply_to: state.settings.fleet_address(),
+        upstream: number,
+        model: name.model.to_string(),
+        adapter: name.adapter.to_string(),
+        version: 0,
+        was_missing: true,
+    };
+    fleet::send(state, [owner], &wire::FleetMessage::LoadRequest(request));
+}
+
 async fn final_decision(
     receiver: &async_channel::Receiver<wire::LoadDecision>,
     limit: time::Duration,
--- a/coltsfootd/src/gateway/metrics.rs
+++ b/coltsfootd/src/gateway/metrics.rs
@@ -15,6 +15,7 @@
     attempts: metrics::Counter<u64>,
     failovers: metrics::Counter<u64>,
     loads: metrics::Counter<u64>,
+    late_loads: metrics::Counter<u64>,
     orders: metrics::Counter<u64>,
     reports: metrics::Counter<u64>,
     permits: metrics::Counter<u64>,
@@ -43,6 +44,10 @@
             ),
             loads: registry
                 .counter("coltsfoot_gateway_loads", "Waits for an adapter, by how they ended"),
+            late_loads: registry.counter(
+                "coltsfoot_gateway_late_loads",
+                "Loads at owned engines that had not ended when they were expected to",
+            ),
             orders: registry
                 .counter("coltsfoot_gateway_orders", "Orders to engines, by their answer"),
             reports: registry
@@ -97,6 +102,11 @@
         self.load_wait.record(wait.as_secs_f64(), &[]);
     }
 
+    /// Counts a load that had not ended when it was expected to.
+    pub fn count_late_load(&self) {
+        self.late_loads.add(1, &[]);
+    }
+
     /// Counts an order to an engine, by the engine's answer.
     pub fn count_order(&self, answer: &'static str) {
         self.orders.add(1, &[KeyValue::new("answer", answer)]);
--- a/coltsfootd/src/gateway/upstream_attempt.rs
+++ b/coltsfootd/src/gateway/upstream_attempt.rs
@@ -8,7 +8,7 @@
 use coltsfoot_types::time as instant;
 use site_platform::fields;
 
-use crate::gateway::{attempt, crashes, forwarding, in_flight, intake, paths};
+use crate::gateway::{attempt, crashes, forwarding, in_flight, intake, loads, paths};
 
 type ResponseFuture<'a> = pin::Pin<Box<dyn Future<Output = ReceivedResponse> + Send + 'a>>;
 
@@ -216,6 +216,7 @@
                 self.state.view().connect_failed(self.state.now(), upstream);
             } else if let Some(adapter) = adapter {
                 self.state.view().adapter_missing(upstream, adapter.key());
+                loads::report_missing(self.state, upstream, adapter);
                 self.missing_adapter_at = Some(sync::Arc::clone(upstream));
             }
         }
