--- a/coltsfoot-gateway/tests/adapter_loads.rs
+++ b/coltsfoot-gateway/tests/adapter_loads.rs
@@ -5,7 +5,9 @@
 use std::time;
 
 use coltsfoot_gateway::engine_controller::EngineController;
-use coltsfoot_gateway::engine_order::{ControllerStep, EngineOrder, OrderAnswer, OrderConstraints};
+use coltsfoot_gateway::engine_order::{
+    ControllerStep, EngineOrder, FetchLoad, OrderAnswer, OrderConstraints,
+};
 use coltsfoot_gateway::{demand, fetch_limiter, upstream};
 use coltsfoot_types::time as clock;
 use rustc_hash::FxHashMap;
@@ -267,3 +269,78 @@
     assert!(replay.rejections(0) <= 150, "{} rejections", replay.rejections(0));
     assert!(wait_ms < 400.0, "{wait_ms} ms");
 }
+
+/// Returns a controller without adapters, and the load of a weight store without other fetches.
+fn idle_controller(slots: usize) -> (EngineController<usize>, FetchLoad) {
+    let model: sync::Arc<str> = "m".into();
+    let mut controller = EngineController::new(sync::Arc::clone(&model), slots);
+    let report = upstream::EngineReport { models: vec![model], ..Default::default() };
+    controller.report_ended(at(0), Some(&report));
+    (controller, fetch_limiter::FetchLimiter::default().load(0))
+}
+
+fn step(controller: &mut EngineController<usize>, now: u64) -> ControllerStep {
+    let constraints = OrderConstraints {
+        may_order: true,
+        may_fetch: true,
+        min_report_interval: time::Duration::from_secs(60),
+    };
+    controller.next_step(at(now), constraints, |_| false, |_| None)
+}
+
+/// Orders what the controller wants to, and returns how many orders those were.
+fn order_all(controller: &mut EngineController<usize>, now: u64, fetches: FetchLoad) -> usize {
+    let mut count = 0;
+    while let ControllerStep::Order { order, .. } = step(controller, now) {
+        controller.order_ended(at(now), &order, OrderAnswer::Accepted, fetches, |_| None);
+        count += 1;
+    }
+    count
+}
+
+/// Load pattern: many rare adapters at one engine, whose fetches take longer than expected. A fifth load while
+/// four are in transit is rejected with 409.
+#[test]
+fn late_fetches_count_towards_those_in_transit() {
+    let (mut controller, fetches) = idle_controller(ADAPTER_SLOTS);
+    for number in 0..6 {
+        controller.request_load(at(0), &adapter(number), None, number, |_| false);
+    }
+    assert_eq!(order_all(&mut controller, 0, fetches), 4);
+    assert_eq!(controller.take_replies(at(260)).len(), 4);
+    assert_eq!(order_all(&mut controller, 262, fetches), 0, "no fetch is known to have ended");
+    for number in 0..4 {
+        controller.found_missing(at(268), adapter(number).key());
+    }
+    assert_eq!(order_all(&mut controller, 295, fetches), 0, "all four are late");
+    controller.request_load(at(295), &adapter(0), None, 0, |_| false);
+    assert_eq!(controller.take_replies(at(330)).len(), 1);
+    assert_eq!(order_all(&mut controller, 360, fetches), 2);
+}
+
+/// Load pattern: requests of several instances wait for one adapter while others want its slot.
+#[test]
+fn a_copy_is_kept_until_all_who_waited_were_told() {
+    let (mut controller, fetches) = idle_controller(1);
+    for waiter in 0..2 {
+        controller.request_load(at(0), &adapter(1), None, waiter, |_| false);
+    }
+    assert_eq!(order_all(&mut controller, 0, fetches), 1);
+    assert_eq!(controller.take_replies(at(260)).len(), 1);
+    controller.found_missing(at(268), adapter(1).key());
+    controller.request_load(at(269), &adapter(2), None, 9, |_| false);
+    assert_eq!(controller.take_replies(at(269)).len(), 1, "there is no slot for the other adapter");
+    assert_eq!(order_all(&mut controller, 270, fetches), 0);
+    let told = controller.take_replies(at(330));
+    assert_eq!(
+        told.iter().map(|reply| (reply.waiter, reply.is_ready)).collect::<Vec<_>>(),
+        [(1, true)]
+    );
+    controller.request_load(at(700), &adapter(2), None, 9, |_| false);
+    assert!(!controller.take_replies(at(700))[0].is_ready, "its request may be in transit");
+    controller.request_load(at(731), &adapter(2), None, 9, |_| false);
+    let ControllerStep::Order { order, .. } = step(&mut controller, 731) else {
+        panic!("no order")
+    };
+    assert_eq!(order, EngineOrder::UnloadAdapter(adapter(1)));
+}
