--- a/coltsfootd/src/event.rs
+++ b/coltsfootd/src/event.rs
@@ -123,6 +123,8 @@
     FETCH_PACE_LEARNED = 405, "fetch_pace_learned", Info;
     /// A tenure of an engine has ended, and with it what was ordered and requested in it.
     CONTROLLER_RETIRED = 406, "controller_retired", Info;
+    /// A request found an adapter missing whose load was expected to have ended.
+    LOAD_LATE = 407, "load_late", Info;
     /// Requests fail at an upstream at several instances.
     UPSTREAM_FAILING = 410, "upstream_failing", Info;
     /// A response states a load that can't be read.
