Use estimates only where upstreams state their pace, and sum what is told of failures once

Each choice went through what every instance told of each engine; the sums are kept now, which decay alike, and one power less is computed.

--- a/coltsfoot-gateway/src/engine_choice.rs
+++ b/coltsfoot-gateway/src/engine_choice.rs
@@ -290,7 +290,7 @@
 }
 
 /// Returns the expected time to the first event at an engine that has the adapter. `factor` is the one of a
-/// service whose responses state their load.
+/// service whose responses state their pace.
 fn engine_wait(
     now: clock::MonotonicTime,
     slot: &upstream_slot::UpstreamSlot,
@@ -321,7 +321,7 @@
 }
 
 /// Returns the expected time of a plain request. `factor` is the one of a service whose responses state their
-/// load.
+/// pace.
 fn plain_wait(
     now: clock::MonotonicTime,
     slot: &upstream_slot::UpstreamSlot,
@@ -349,7 +349,7 @@
     prior_ms: f64,
     factor: f64,
 ) -> ExpectedWait {
-    let speed = slot.estimate.speed(now).powf(SPEED_SHARE);
+    let speed = slot.estimate.speed_share(now, SPEED_SHARE);
     let usual_ms = prior_ms * factor * speed * slot.estimate.slowness(now);
     let horizon = time::Duration::try_from_secs_f64(usual_ms / 1000.0).unwrap_or_default();
     let pace = slot.estimate.pace(now, horizon);
--- a/coltsfoot-gateway/src/engine_estimate.rs
+++ b/coltsfoot-gateway/src/engine_estimate.rs
@@ -145,6 +145,10 @@
     excess_updated: clock::MonotonicTime,
     outcomes: OutcomeSums,
     heard: Vec<HeardEstimate>,
+    /// Sums of the outcomes that other instances told.
+    heard_outcomes: OutcomeSums,
+    /// Most failures that one of them told, at the same time.
+    most_heard_failed: f64,
     /// Logarithm of its time as a multiple of the mean of its service, over all sources.
     log_speed: f64,
     combined: clock::MonotonicTime,
@@ -192,7 +196,12 @@
 
     /// Returns its usual time as a multiple of the mean of its service.
     pub fn speed(&self, now: clock::MonotonicTime) -> f64 {
-        (self.log_speed * decay(now.since(self.combined), SPEED_HALF_LIFE)).exp()
+        self.speed_share(now, 1.0)
+    }
+
+    /// Returns the same with a share of the logarithm.
+    pub fn speed_share(&self, now: clock::MonotonicTime, share: f64) -> f64 {
+        (self.log_speed * share * decay(now.since(self.combined), SPEED_HALF_LIFE)).exp()
     }
 
     /// Returns this instance's recent times as a multiple of the expected ones. It covers requests that the
@@ -261,6 +270,20 @@
             };
             self.combine(now);
         }
+        self.sum_heard_outcomes(now);
+    }
+
+    /// Sums what the instances told, so that a choice among many upstreams need not. All of it loses its worth
+    /// at the same rate.
+    fn sum_heard_outcomes(&mut self, now: clock::MonotonicTime) {
+        let mut sums = OutcomeSums { updated: now, ..OutcomeSums::default() };
+        self.most_heard_failed = 0.0;
+        for heard in self.heard.iter().map(|heard| heard.outcomes.at(now)) {
+            sums.sent += heard.sent;
+            sums.failed += heard.failed;
+            self.most_heard_failed = self.most_heard_failed.max(heard.failed);
+        }
+        self.heard_outcomes = sums;
     }
 
     /// Combines the measured times of all instances. One instance among several can't move the result far: it
@@ -284,16 +307,14 @@
     /// Returns the share of recent requests of all instances that failed, zero if no other instance told of
     /// failures. The failures of one instance count for no more than one above those of all others together.
     pub fn shared_failure_rate(&self, now: clock::MonotonicTime) -> f64 {
-        if self.heard.iter().all(|heard| heard.outcomes.failed <= 0.0) {
+        if self.heard_outcomes.failed <= 0.0 {
             return 0.0;
         }
-        let heard = self.heard.iter().map(|heard| heard.outcomes);
-        let (mut sent, mut failed, mut most) = (0.0, 0.0, 0.0_f64);
-        for sums in heard.chain([self.outcomes]).map(|sums| sums.bounded(now)) {
-            sent += sums.sent;
-            failed += sums.failed;
-            most = most.max(sums.failed);
-        }
+        let left = decay(now.since(self.heard_outcomes.updated), OUTCOME_HALF_LIFE);
+        let own = self.outcomes.bounded(now);
+        let sent = self.heard_outcomes.sent * left + own.sent;
+        let failed = self.heard_outcomes.failed * left + own.failed;
+        let most = (self.most_heard_failed * left).max(own.failed);
         let others = failed - most;
         (others + most.min(others + 1.0)) / (sent + PRIOR_OUTCOMES)
     }
@@ -326,7 +347,7 @@
     }
 }
 
-/// Mean of the times measured at all upstreams of a service whose responses state their load.
+/// Mean of the times measured at all upstreams of a service whose responses state their pace.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ServiceEstimate {
     log: f64,
--- a/coltsfoot-gateway/src/fleet_view.rs
+++ b/coltsfoot-gateway/src/fleet_view.rs
@@ -70,7 +70,7 @@
     cold: cold_table::ColdTable,
     /// Instances that are not heard any more and may run behind a partition.
     members: member_memory::MemberMemory,
-    /// Services whose responses state the load of their upstreams.
+    /// Services whose responses state the pace of their upstreams.
     service_estimates: FxHashMap<sync::Arc<str>, engine_estimate::ServiceEstimate>,
     fetch_limiter: fetch_limiter::FetchLimiter,
     /// Adapter fetches queued or in progress at the engines of this instance.
--- a/coltsfoot-gateway/src/fleet_view/estimates.rs
+++ b/coltsfoot-gateway/src/fleet_view/estimates.rs
@@ -28,7 +28,8 @@
         load: engine_estimate::LoadStatement,
     ) {
         let Some(slot) = self.upstreams.get_mut(id) else { return };
-        if !self.service_estimates.contains_key(&slot.entry.service) {
+        // Without their pace, an upstream's own speed can't be told from spells in which its host is busy.
+        if load.pace.is_some() && !self.service_estimates.contains_key(&slot.entry.service) {
             let service = std::sync::Arc::clone(&slot.entry.service);
             self.service_estimates.insert(service, engine_estimate::ServiceEstimate::default());
         }
@@ -36,7 +37,7 @@
     }
 
     /// Returns the time of a service's upstreams as a multiple of the one expected without any samples; `None`
-    /// if their responses do not state their load.
+    /// if their responses do not state their pace.
     pub fn service_factor(&self, service: &str) -> Option<f64> {
         self.service_estimates.get(service).map(engine_estimate::ServiceEstimate::factor)
     }
@@ -59,7 +60,7 @@
     }
 
     /// Records the time in milliseconds to a whole response, or to the first event of a stream; returns false if
-    /// the service's responses do not state their load.
+    /// the service's responses do not state their pace.
     pub fn response_timed(
         &mut self,
         now: clock::MonotonicTime,
