Bound the memory of all requests at the own interface

Cause: each body and the number of connections were bounded, not what all bodies hold together: 1,024 connections with 256 KiB each, or 16 GiB with the largest body that the settings take. The new limits.max_memory_bytes (32 MiB) counts each request beyond its first 16 KiB, so that small requests are read whatever a crowd holds; what finds no memory is refused with 503 no_memory and Retry-After.

Test: 200 callers whose bodies of 1 MiB stop short and stay, bound 96 MB of resident memory, then one ordinary chat.

--- a/coltsfoot-system/src/process.rs
+++ b/coltsfoot-system/src/process.rs
@@ -49,6 +49,11 @@
         Self { child, output }
     }
 
+    /// Returns the id of its process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Returns the next line that the program prints.
     pub fn read_line(&mut self) -> String {
         let mut line = String::new();
--- a/coltsfoot-types/src/refusal.rs
+++ b/coltsfoot-types/src/refusal.rs
@@ -64,11 +64,13 @@
     Draining,
     /// An internal error of the instance.
     Internal,
+    /// The memory for requests is in use.
+    NoMemory,
 }
 
 impl RefusalReason {
     /// All reasons, in the order of their codes' documentation.
-    pub const ALL: [Self; 28] = [
+    pub const ALL: [Self; 29] = [
         Self::BadRequest,
         Self::TooLarge,
         Self::SlowSender,
@@ -97,6 +99,7 @@
         Self::StaleConfiguration,
         Self::Draining,
         Self::Internal,
+        Self::NoMemory,
     ];
 
     /// Returns the stable code used in answers and as the label of counters.
@@ -170,6 +173,7 @@
             }
             Self::Draining => ("draining", 503, "the instance is stopping; send it again"),
             Self::Internal => ("internal", 500, "internal error; report it to the operator"),
+            Self::NoMemory => ("no_memory", 503, "large requests fill the memory; come back later"),
         }
     }
 }
--- a/coltsfootd/src/caller_stream.rs
+++ b/coltsfootd/src/caller_stream.rs
@@ -8,6 +8,7 @@
 use std::time;
 
 use async_net::TcpStream;
+use coltsfoot_http::memory;
 use futures_lite::{AsyncRead, AsyncWrite, Future as _};
 
 use crate::settings;
@@ -22,6 +23,8 @@
     Size,
     /// The request was too slow.
     Time,
+    /// The memory for requests was in use.
+    Memory,
 }
 
 /// Limits and progress of the current request, shared by the clones of a stream.
@@ -31,6 +34,9 @@
     started: atomic::AtomicBool,
     exceeded: sync::Mutex<Option<ExceededLimit>>,
     max_bytes: usize,
+    /// What the request holds of the memory for requests.
+    lease: sync::Mutex<memory::MemoryLease>,
+    budget: sync::Arc<memory::MemoryBudget>,
     request_timeout: time::Duration,
     idle_timeout: time::Duration,
     write_timeout: time::Duration,
@@ -58,14 +64,20 @@
 }
 
 impl CallerStream {
-    /// Wraps a connection; clones share the state of the current request.
-    pub fn new(stream: TcpStream, limits: &settings::CallerLimits) -> Self {
+    /// Wraps a connection whose requests draw on a budget; clones share the state of the current request.
+    pub fn new(
+        stream: TcpStream,
+        limits: &settings::CallerLimits,
+        budget: &sync::Arc<memory::MemoryBudget>,
+    ) -> Self {
         let max_bytes = MAX_HEAD_BYTES + limits.max_body_bytes;
         let request = RequestState {
             bytes_left: atomic::AtomicUsize::new(max_bytes),
             started: atomic::AtomicBool::new(false),
             exceeded: sync::Mutex::new(None),
             max_bytes,
+            lease: sync::Mutex::new(memory::MemoryLease::new(sync::Arc::clone(budget))),
+            budget: sync::Arc::clone(budget),
             request_timeout: limits.request_timeout,
             idle_timeout: limits.idle_timeout,
             write_timeout: limits.write_timeout,
@@ -77,6 +89,7 @@
     pub fn reset(&mut self) {
         self.request.bytes_left.store(self.request.max_bytes, atomic::Ordering::Relaxed);
         self.request.started.store(false, atomic::Ordering::Relaxed);
+        *self.lease() = memory::MemoryLease::new(sync::Arc::clone(&self.request.budget));
         self.read_timer = None;
     }
 
@@ -96,6 +109,10 @@
         self.request.started.load(atomic::Ordering::Relaxed)
     }
 
+    fn lease(&self) -> sync::MutexGuard<'_, memory::MemoryLease> {
+        self.request.lease.lock().unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
     fn fail_exceeded(&self, limit: ExceededLimit) -> io::Error {
         let mut exceeded =
             self.request.exceeded.lock().unwrap_or_else(sync::PoisonError::into_inner);
@@ -103,6 +120,9 @@
         match limit {
             ExceededLimit::Size => io::Error::new(io::ErrorKind::InvalidData, "request too large"),
             ExceededLimit::Time => io::Error::new(io::ErrorKind::TimedOut, "request too slow"),
+            ExceededLimit::Memory => {
+                io::Error::new(io::ErrorKind::OutOfMemory, "no memory is left for the request")
+            }
         }
     }
 
@@ -131,6 +151,9 @@
         match pin::Pin::new(&mut self.stream).poll_read(context, &mut buffer[..length]) {
             task::Poll::Ready(Ok(count)) => {
                 self.request.bytes_left.fetch_sub(count, atomic::Ordering::Relaxed);
+                if !self.lease().grow_to(self.request.max_bytes - left + count) {
+                    return task::Poll::Ready(Err(self.fail_exceeded(ExceededLimit::Memory)));
+                }
                 if count > 0 && !self.request.started.swap(true, atomic::Ordering::Relaxed) {
                     self.read_timer = None;
                 }
--- a/coltsfootd/src/front/mod.rs
+++ b/coltsfootd/src/front/mod.rs
@@ -76,6 +76,10 @@
         Err(error) if error.kind() == std::io::ErrorKind::TimedOut => {
             Err(refuse(refusal::RefusalReason::SlowSender))
         }
+        Err(error) if error.kind() == std::io::ErrorKind::OutOfMemory => {
+            let refusal = refuse(refusal::RefusalReason::NoMemory);
+            Err(refusal.with_retry_after(std::time::Duration::from_secs(1)))
+        }
         Err(_) => Err(refuse(refusal::RefusalReason::BadRequest)),
         Ok(_) if bytes.len() > max_bytes => Err(refuse(refusal::RefusalReason::TooLarge)),
         Ok(_) if announced.is_some_and(|length| length != bytes.len()) => {
--- a/coltsfootd/src/server.rs
+++ b/coltsfootd/src/server.rs
@@ -8,6 +8,7 @@
 
 use async_h1::server;
 use async_net::{TcpListener, TcpStream};
+use coltsfoot_http::memory;
 use coltsfoot_types::refusal;
 use futures_lite::{AsyncReadExt as _, FutureExt as _, StreamExt as _};
 
@@ -70,6 +71,7 @@
     C: Fn(refusal::RefusalReason) + Send + Sync + 'static,
 {
     let count = sync::Arc::new(ConnectionCount::default());
+    let budget = sync::Arc::new(memory::MemoryBudget::new(service.limits.max_memory_bytes));
     let mut incoming = listener.incoming();
     while let Some(accepted) = incoming.next().await {
         let Ok(stream) = accepted else {
@@ -77,10 +79,11 @@
             continue;
         };
         let service = sync::Arc::clone(&service);
+        let budget = sync::Arc::clone(&budget);
         let connection = count.try_increment(service.limits.max_connections);
         let serving = async move {
             match connection {
-                Some(_connection) => serve_connection(stream, &service).await,
+                Some(_connection) => serve_connection(stream, &service, &budget).await,
                 None => {
                     let reason = refusal::RefusalReason::TooManyConnections;
                     (service.count_refusal)(reason);
@@ -92,14 +95,17 @@
     }
 }
 
-async fn serve_connection<R, F, C>(stream: TcpStream, service: &HttpService<R, C>)
-where
+async fn serve_connection<R, F, C>(
+    stream: TcpStream,
+    service: &HttpService<R, C>,
+    budget: &sync::Arc<memory::MemoryBudget>,
+) where
     R: Fn(http_types::Request) -> F,
     F: Future<Output = http_types::Response>,
     C: Fn(refusal::RefusalReason),
 {
     let _ = stream.set_nodelay(true);
-    let mut bounded = caller_stream::CallerStream::new(stream.clone(), &service.limits);
+    let mut bounded = caller_stream::CallerStream::new(stream.clone(), &service.limits, budget);
     let has_reached_handler = sync::Arc::new(atomic::AtomicBool::new(false));
     let endpoint_reached = sync::Arc::clone(&has_reached_handler);
     let endpoint = |request| {
@@ -132,6 +138,7 @@
     match bounded.exceeded_limit() {
         Some(caller_stream::ExceededLimit::Size) => refusal::RefusalReason::TooLarge,
         Some(caller_stream::ExceededLimit::Time) => refusal::RefusalReason::SlowSender,
+        Some(caller_stream::ExceededLimit::Memory) => refusal::RefusalReason::NoMemory,
         None if bounded.has_long_head() => refusal::RefusalReason::TooLarge,
         None => refusal::RefusalReason::BadRequest,
     }
--- a/coltsfootd/src/settings.rs
+++ b/coltsfootd/src/settings.rs
@@ -81,6 +81,8 @@
     pub max_connections: usize,
     /// Maximum size of a request's body, in bytes.
     pub max_body_bytes: usize,
+    /// Maximum size of all requests together, in bytes, beyond the first 16 KiB of each.
+    pub max_memory_bytes: usize,
     /// Timeout from a request's first byte to its last.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "request_timeout_ms")]
@@ -100,6 +102,7 @@
         Self {
             max_connections: 1_024,
             max_body_bytes: 256 * 1_024,
+            max_memory_bytes: 32 * 1_024 * 1_024,
             request_timeout: time::Duration::from_secs(10),
             idle_timeout: time::Duration::from_secs(60),
             write_timeout: time::Duration::from_secs(20),
@@ -255,6 +258,12 @@
                 is_valid: (1_024..=16 * 1_024 * 1_024).contains(&limits.max_body_bytes),
                 remedy: "use 1024 to 16777216",
             },
+            Check {
+                key: "limits.max_memory_bytes",
+                value: limits.max_memory_bytes.to_string(),
+                is_valid: limits.max_memory_bytes >= limits.max_body_bytes,
+                remedy: "use at least limits.max_body_bytes",
+            },
             Check {
                 key: "limits.request_timeout_ms",
                 value: limits.request_timeout.as_millis().to_string(),
