--- a/coltsfoot-gateway/src/fleet_view/estimates.rs
+++ b/coltsfoot-gateway/src/fleet_view/estimates.rs
@@ -1,5 +1,7 @@
 //! What upstreams state of themselves, what this instance measures, and what instances tell each other of it.
 
+use std::sync;
+
 use coltsfoot_types::time as clock;
 use coltsfoot_wire::fleet;
 
@@ -9,6 +11,8 @@
 
 /// Most upstreams in one message, so that it fits one packet.
 const MAX_TOLD_UPSTREAMS: usize = 64;
+/// Share of failed requests from which on an upstream counts as failing in the log.
+const FAILING_RATE: f64 = 0.2;
 
 /// Estimates to tell other instances.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -30,7 +34,7 @@
         let Some(slot) = self.upstreams.get_mut(id) else { return };
         // Without their pace, an upstream's own speed can't be told from spells in which its host is busy.
         if load.pace.is_some() && !self.service_estimates.contains_key(&slot.entry.service) {
-            let service = std::sync::Arc::clone(&slot.entry.service);
+            let service = sync::Arc::clone(&slot.entry.service);
             self.service_estimates.insert(service, engine_estimate::ServiceEstimate::default());
         }
         slot.estimate.record_statement(now, load, slot.local.running);
@@ -115,7 +119,7 @@
         &mut self,
         now: clock::MonotonicTime,
         told: &fleet::UpstreamEstimates,
-    ) -> Vec<std::sync::Arc<str>> {
+    ) -> Vec<sync::Arc<str>> {
         let mut failing = Vec::new();
         for estimate in told.estimates.iter().take(MAX_TOLD_UPSTREAMS) {
             let Some(slot) = self.slot_mut(estimate.upstream) else { continue };
@@ -123,12 +127,9 @@
             slot.estimate.record_heard(now, told.sender, estimate);
             let after = slot.estimate.shared_failure_rate(now);
             if before < FAILING_RATE && after >= FAILING_RATE {
-                failing.push(std::sync::Arc::clone(&slot.entry.id));
+                failing.push(sync::Arc::clone(&slot.entry.id));
             }
         }
         failing
     }
 }
-
-/// Share of failed requests from which on an upstream counts as failing in the log.
-const FAILING_RATE: f64 = 0.2;
