--- a/coltsfoot-gateway/src/caller_ledger.rs
+++ b/coltsfoot-gateway/src/caller_ledger.rs
@@ -9,22 +9,32 @@
 const DEFAULT_MAX_DESCRIPTORS: usize = 4096;
 /// Descriptors for files and listeners.
 const OTHER_DESCRIPTORS: usize = 200;
-/// Connections for which half of the memory must suffice: what a request may hold uncounted, with its task.
-const BYTES_PER_CONNECTION: usize = 32 * 1024;
+/// Connections to upstreams that a request may need while it is being served: its attempt, and another one
+/// while the first upstream is silent.
+const UPSTREAM_DESCRIPTORS: usize = 2;
 /// Time after which a request that is still being read gives way before idle connections. Ordinary ones have
 /// arrived by then.
 const SLOW_READ: time::Duration = time::Duration::from_secs(1);
 
-/// Returns the number of callers' connections of a process: three quarters of the descriptors that are left for
-/// sockets, as the others are for upstreams, as far as the memory suffices. Zero stands for an unknown number of
-/// descriptors.
-pub fn max_connections(max_descriptors: usize, memory_bytes: usize) -> usize {
+/// Returns the number of descriptors for callers' connections and those to upstreams that serve them: three
+/// quarters of what is left for sockets, as the others are for idle connections, tunnels, operators and the store.
+/// Zero stands for an unknown number of descriptors.
+pub fn caller_descriptors(max_descriptors: usize) -> usize {
+    (socket_descriptors(max_descriptors) / 4 * 3).max(1)
+}
+
+/// Returns the number of descriptors for idle connections to upstreams and the store: an eighth of those for
+/// sockets.
+pub fn idle_descriptors(max_descriptors: usize) -> usize {
+    socket_descriptors(max_descriptors) / 8
+}
+
+fn socket_descriptors(max_descriptors: usize) -> usize {
     let descriptors = match max_descriptors {
         0 => DEFAULT_MAX_DESCRIPTORS,
         known => known,
     };
-    let sockets = descriptors.saturating_sub(OTHER_DESCRIPTORS) / 4 * 3;
-    sockets.min(memory_bytes / 2 / BYTES_PER_CONNECTION).max(1)
+    descriptors.saturating_sub(OTHER_DESCRIPTORS)
 }
 
 /// Number of a connection in this process.
@@ -57,6 +67,8 @@
 pub struct CallerLedger {
     next_id: CallerId,
     callers: FxHashMap<CallerId, CallerEntry>,
+    /// Connections whose request is being served.
+    serving: usize,
 }
 
 impl CallerLedger {
@@ -71,7 +83,10 @@
 
     /// Removes a connection.
     pub fn close(&mut self, id: CallerId) {
-        self.callers.remove(&id);
+        let closed = self.callers.remove(&id);
+        if closed.is_some_and(|entry| entry.phase == CallerPhase::Serving) {
+            self.serving -= 1;
+        }
     }
 
     /// Returns the number of connections.
@@ -79,6 +94,16 @@
         self.callers.len()
     }
 
+    /// Returns the number of descriptors that the connections need, with those to upstreams that serve them.
+    pub fn descriptors(&self) -> usize {
+        self.callers.len() + self.serving * UPSTREAM_DESCRIPTORS
+    }
+
+    /// Returns whether a further request may be served with this number of descriptors.
+    pub fn may_serve(&self, max_descriptors: usize) -> bool {
+        self.descriptors() + UPSTREAM_DESCRIPTORS <= max_descriptors
+    }
+
     /// Enters a phase; what the connection holds is given back unless a request goes on from being read to being
     /// served. Returns false if the connection gives way and no request of it is to be served.
     pub fn enter(&mut self, now: instant::MonotonicTime, id: CallerId, phase: CallerPhase) -> bool {
@@ -86,10 +111,13 @@
         if entry.gives_way && phase == CallerPhase::Serving {
             return false;
         }
+        let was_serving = entry.phase == CallerPhase::Serving;
         (entry.phase, entry.since) = (phase, now);
         if phase != CallerPhase::Serving {
             entry.held = 0;
         }
+        self.serving += usize::from(phase == CallerPhase::Serving);
+        self.serving -= usize::from(was_serving);
         true
     }
 
@@ -100,20 +128,34 @@
         }
     }
 
-    /// Chooses the connection that gives way to the body of another: of the requests that hold memory and are
-    /// still being read, the one that began first. A request that is being served does not give way.
-    pub fn give_way_to_body(&mut self, of: CallerId) -> Option<CallerId> {
-        let reading = |id: &CallerId, entry: &CallerEntry| {
-            let is_older = *id != of && entry.phase == CallerPhase::Reading && entry.held > 0;
-            is_older.then_some((0, entry.since))
-        };
-        self.choose(reading)
+    /// Chooses the connection that gives way to the request of another, which needs memory or descriptors: a
+    /// request that holds memory and has been read for long, the connection that has been idle longest, and of
+    /// the other requests that hold memory and are still being read the one that began first, in this order. A
+    /// request that is being served does not give way.
+    pub fn give_way_to_request(
+        &mut self,
+        now: instant::MonotonicTime,
+        of: CallerId,
+    ) -> Option<CallerId> {
+        self.choose(|id, entry| {
+            let rank = match entry.phase {
+                _ if *id == of => return None,
+                CallerPhase::Reading if entry.held == 0 => return None,
+                CallerPhase::Reading if now.since(entry.since) >= SLOW_READ => 0,
+                CallerPhase::Idle => 1,
+                CallerPhase::Reading => 2,
+                CallerPhase::Serving | CallerPhase::Ending => return None,
+            };
+            Some((rank, entry.since))
+        })
     }
 
-    /// Returns whether a connection that gives way still holds memory.
-    pub fn awaits_memory(&self, of: CallerId) -> bool {
+    /// Returns whether a connection that gives way still holds what a request may need.
+    pub fn awaits_release(&self, of: CallerId) -> bool {
         let mut others = self.callers.iter().filter(|(id, _)| **id != of);
-        others.any(|(_, entry)| entry.gives_way && entry.held > 0)
+        others.any(|(_, entry)| {
+            entry.gives_way && (entry.held > 0 || entry.phase == CallerPhase::Idle)
+        })
     }
 
     /// Chooses the connection that gives way to a new one: one that ends, a request that has been read for long,
--- a/coltsfoot-gateway/src/event_stream.rs
+++ b/coltsfoot-gateway/src/event_stream.rs
@@ -53,6 +53,11 @@
         self.first_end.is_some()
     }
 
+    /// Returns the number of buffered bytes.
+    pub fn buffered(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Returns whether bytes of an incomplete event are buffered.
     pub fn has_partial(&self) -> bool {
         !self.buffer.is_empty()
--- a/coltsfoot-gateway/tests/callers.rs
+++ b/coltsfoot-gateway/tests/callers.rs
@@ -2,7 +2,9 @@
 
 use std::time;
 
-use coltsfoot_gateway::caller_ledger::{CallerLedger, CallerPhase, max_connections};
+use coltsfoot_gateway::caller_ledger::{
+    CallerLedger, CallerPhase, caller_descriptors, idle_descriptors,
+};
 use coltsfoot_types::time::MonotonicTime;
 
 fn at(ms: u64) -> MonotonicTime {
@@ -26,16 +28,54 @@
     for id in [old, young, own] {
         ledger.hold(id, 100);
     }
-    assert!(!ledger.awaits_memory(own));
-    assert_eq!(ledger.give_way_to_body(own), Some(old));
-    assert!(ledger.awaits_memory(own));
+    assert!(!ledger.awaits_release(own));
+    assert_eq!(ledger.give_way_to_request(at(7), own), Some(old));
+    assert!(ledger.awaits_release(own));
     assert!(!ledger.enter(at(7), old, CallerPhase::Serving), "it is refused");
-    assert_eq!(ledger.give_way_to_body(own), Some(young));
-    assert_eq!(ledger.give_way_to_body(own), None, "neither {small} nor {served}");
+    assert_eq!(ledger.give_way_to_request(at(7), own), Some(young));
+    assert_eq!(ledger.give_way_to_request(at(7), own), None, "neither {small} nor {served}");
     for id in [old, young] {
         ledger.enter(at(8), id, CallerPhase::Ending);
     }
-    assert!(!ledger.awaits_memory(own));
+    assert!(!ledger.awaits_release(own));
+}
+
+#[test]
+fn requests_replace_slow_ones_then_idle_connections_and_young_requests() {
+    let mut ledger = CallerLedger::default();
+    let served = open(&mut ledger, 0, CallerPhase::Serving);
+    let ending = open(&mut ledger, 5, CallerPhase::Ending);
+    let idle = [30, 20].map(|ms| open(&mut ledger, ms, CallerPhase::Idle));
+    let [slow, young, own] = [10, 1500, 1].map(|ms| open(&mut ledger, ms, CallerPhase::Reading));
+    for id in [slow, young, own] {
+        ledger.hold(id, 100);
+    }
+    let order: Vec<_> = std::iter::from_fn(|| ledger.give_way_to_request(at(1700), own)).collect();
+    assert_eq!(order, [slow, idle[1], idle[0], young], "neither {served} nor {ending}");
+    for id in [slow, young] {
+        ledger.close(id);
+    }
+    assert!(ledger.awaits_release(own), "an idle connection that is not closed yet");
+    for id in idle {
+        ledger.close(id);
+    }
+    assert!(!ledger.awaits_release(own));
+}
+
+#[test]
+fn requests_that_are_served_need_descriptors_for_two_upstreams() {
+    let mut ledger = CallerLedger::default();
+    let ids = [(); 3].map(|()| open(&mut ledger, 0, CallerPhase::Reading));
+    assert_eq!((ledger.descriptors(), ledger.may_serve(5)), (3, true));
+    assert!(ledger.enter(at(1), ids[0], CallerPhase::Serving));
+    assert_eq!((ledger.descriptors(), ledger.may_serve(6)), (5, false));
+    assert!(ledger.enter(at(1), ids[1], CallerPhase::Serving));
+    assert_eq!((ledger.descriptors(), ledger.may_serve(9)), (7, true));
+    ledger.enter(at(2), ids[0], CallerPhase::Idle);
+    assert_eq!(ledger.descriptors(), 5);
+    ledger.close(ids[1]);
+    ledger.close(ids[2]);
+    assert_eq!(ledger.descriptors(), 1);
 }
 
 #[test]
@@ -55,10 +95,9 @@
 }
 
 #[test]
-fn connections_leave_descriptors_and_memory_to_others() {
-    const MB: usize = 1024 * 1024;
-    assert_eq!(max_connections(4100, 260 * MB), 2925);
-    assert_eq!(max_connections(3075, 120 * MB), 1920);
-    assert_eq!(max_connections(0, 260 * MB), 2922);
-    assert_eq!(max_connections(100, 1), 1);
+fn connections_leave_descriptors_to_others() {
+    assert_eq!((caller_descriptors(4100), idle_descriptors(4100)), (2925, 487));
+    assert_eq!((caller_descriptors(3075), idle_descriptors(3075)), (2154, 359));
+    assert_eq!((caller_descriptors(0), idle_descriptors(0)), (2922, 487));
+    assert_eq!((caller_descriptors(100), idle_descriptors(100)), (1, 0));
 }
--- a/coltsfoot-http/src/header.rs
+++ b/coltsfoot-http/src/header.rs
@@ -16,6 +16,11 @@
 }
 
 impl HeaderList {
+    /// Creates an empty list with room for a number of fields.
+    pub fn with_capacity(fields: usize) -> Self {
+        Self { fields: Vec::with_capacity(fields) }
+    }
+
     /// Appends a field.
     pub fn push(&mut self, name: impl Into<String>, value: impl Into<Vec<u8>>) {
         self.fields.push(HeaderField { name: name.into(), value: value.into() });
@@ -87,9 +92,17 @@
         self.headers.contains_token("connection", "close")
     }
 
+    /// Returns the length of the encoded head, in bytes.
+    pub fn encoded_length(&self) -> usize {
+        const FRAME: usize = "  HTTP/1.1\r\n\r\n".len();
+        let fields = self.headers.iter();
+        let fields: usize = fields.map(|field| field.name.len() + field.value.len() + 4).sum();
+        self.method.len() + self.target.len() + FRAME + fields
+    }
+
     /// Encodes the head as HTTP/1.1, with the empty line at its end.
     pub fn encode(&self) -> Vec<u8> {
-        let mut bytes = Vec::with_capacity(512);
+        let mut bytes = Vec::with_capacity(self.encoded_length());
         for part in [self.method.as_str(), " ", self.target.as_str(), " HTTP/1.1\r\n"] {
             bytes.extend_from_slice(part.as_bytes());
         }
--- a/coltsfoot-http/src/memory.rs
+++ b/coltsfoot-http/src/memory.rs
@@ -1,13 +1,16 @@
-//! Memory for buffered messages, shared by all connections of a process: each message is bounded by itself, but
-//! a faulty peer may send many at once.
+//! An account of the memory that peers make a process hold. What is held is charged before, so that all peers
+//! together never hold more than the account has, whatever each of them may hold.
 
+use std::mem;
 use std::sync;
 use std::sync::atomic;
 
-/// Bytes of each message that are not counted, so that small messages are read whatever others hold.
-pub const UNCOUNTED_BYTES: usize = 16 * 1024;
+use crate::header;
 
-/// Number of bytes that messages may hold together.
+/// Memory of a field of a decoded head beyond its bytes: the entry of the list and two allocations.
+const FIELD_BYTES: usize = mem::size_of::<header::HeaderField>() + 2 * 16;
+
+/// Number of bytes that messages and connections may hold together.
 #[derive(Debug)]
 pub struct MemoryBudget {
     capacity: usize,
@@ -53,17 +56,24 @@
     }
 }
 
-/// Bytes that one message holds of a budget, given back on drop.
+/// Bytes that one message or connection holds of a budget, given back on drop.
 #[derive(Debug, Default)]
 pub struct MemoryLease {
     budget: Option<sync::Arc<MemoryBudget>>,
     counted: usize,
+    /// Bytes that are charged to another lease.
+    allowance: usize,
 }
 
 impl MemoryLease {
     /// Creates a lease of a budget, without bytes.
     pub fn new(budget: sync::Arc<MemoryBudget>) -> Self {
-        Self { budget: Some(budget), counted: 0 }
+        Self::with_allowance(budget, 0)
+    }
+
+    /// Creates a lease whose first bytes, the allowance, are charged to another lease.
+    pub fn with_allowance(budget: sync::Arc<MemoryBudget>, allowance: usize) -> Self {
+        Self { budget: Some(budget), counted: 0, allowance }
     }
 
     /// Creates a lease that counts nothing, for peers that are trusted.
@@ -76,21 +86,41 @@
         self.counted
     }
 
-    /// Extends the lease to a message of `bytes`; returns false if the budget has not enough left.
+    /// Returns the number of bytes that may be held.
+    pub fn held(&self) -> usize {
+        match self.budget {
+            Some(_) => self.allowance + self.counted,
+            None => usize::MAX,
+        }
+    }
+
+    /// Extends the lease to `bytes`; returns false if the budget has not enough left.
     pub fn grow_to(&mut self, bytes: usize) -> bool {
-        let missing = bytes.saturating_sub(UNCOUNTED_BYTES).saturating_sub(self.counted);
+        let missing = bytes.saturating_sub(self.allowance).saturating_sub(self.counted);
         let is_taken = self.budget.as_ref().is_none_or(|budget| budget.take(missing));
-        if is_taken {
+        if is_taken && self.budget.is_some() {
             self.counted += missing;
         }
         is_taken
     }
+
+    /// Gives back what the lease has beyond `bytes`.
+    pub fn shrink_to(&mut self, bytes: usize) {
+        let excess = self.counted.saturating_sub(bytes.saturating_sub(self.allowance));
+        if let Some(budget) = self.budget.as_ref().filter(|_| excess > 0) {
+            budget.give_back(excess);
+            self.counted -= excess;
+        }
+    }
 }
 
 impl Drop for MemoryLease {
     fn drop(&mut self) {
-        if let Some(budget) = &self.budget {
-            budget.give_back(self.counted);
-        }
+        self.shrink_to(0);
     }
 }
+
+/// Returns the memory of a head once it is decoded, from its length in bytes and its number of fields.
+pub fn decoded_head_bytes(length: usize, fields: usize) -> usize {
+    length + fields * FIELD_BYTES
+}
--- a/coltsfoot-http/src/message.rs
+++ b/coltsfoot-http/src/message.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::ops;
 use std::pin;
+use std::task;
 use std::time;
 
 use async_net::TcpStream;
@@ -42,7 +43,7 @@
     Closed,
     /// The connection failed.
     #[error("the connection failed: {0}; send the message again")]
-    Io(#[from] io::Error),
+    Io(#[source] io::Error),
     /// The head exceeds a limit in bytes.
     #[error("the head is longer than {0} bytes; send fewer fields")]
     HeadTooLong(usize),
@@ -60,6 +61,16 @@
     NoMemory,
 }
 
+impl From<io::Error> for ReadError {
+    /// [`MessageStream::fill`] states a lack of memory as an error of the system does.
+    fn from(error: io::Error) -> Self {
+        match error.kind() {
+            io::ErrorKind::OutOfMemory => Self::NoMemory,
+            _ => Self::Io(error),
+        }
+    }
+}
+
 /// How a peer ended a connection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum PeerEnd {
@@ -84,11 +95,18 @@
     reads: usize,
     /// Bytes of chunk extensions and trailer fields of the current message.
     chunk_extra_bytes: usize,
+    /// What the buffer holds.
+    lease: memory::MemoryLease,
 }
 
 impl MessageStream {
-    /// Wraps a connected stream, with an empty buffer.
+    /// Wraps a connected stream to a trusted peer, with an empty buffer.
     pub fn new(stream: TcpStream) -> Self {
+        Self::with_lease(stream, memory::MemoryLease::unlimited())
+    }
+
+    /// Wraps a connected stream whose buffer grows as far as the lease can be extended to it.
+    pub fn with_lease(stream: TcpStream, lease: memory::MemoryLease) -> Self {
         Self {
             stream,
             buffer: Vec::new(),
@@ -98,6 +116,7 @@
             is_request_cut: false,
             reads: 0,
             chunk_extra_bytes: 0,
+            lease,
         }
     }
 
@@ -134,24 +153,39 @@
         !self.unread().is_empty()
     }
 
+    /// Returns the number of bytes that the buffer holds of its budget.
+    pub fn counted(&self) -> usize {
+        self.lease.counted()
+    }
+
     fn unread(&self) -> &[u8] {
         &self.buffer[self.consumed..]
     }
 
-    /// Reads once from the socket into the buffer; returns the number of bytes, zero at the end.
+    /// Reads once from the socket into the buffer; returns the number of bytes, zero at the end. Without
+    /// memory for a whole read it reads what the lease still has room for, and fails with
+    /// [`io::ErrorKind::OutOfMemory`] if that is nothing; the bytes stay in the socket then.
     pub async fn fill(&mut self) -> io::Result<usize> {
         if self.is_ended {
             return Ok(0);
         }
         self.release_consumed();
-        let Self { stream, buffer, .. } = self;
+        let Self { stream, buffer, lease, .. } = self;
         let read = future::poll_fn(|context| {
             READ_BUFFER.with_borrow_mut(|bytes| {
-                let read = pin::Pin::new(&mut *stream).poll_read(context, bytes);
-                read.map_ok(|count| {
+                // Nothing is charged while the task waits.
+                lease.grow_to(buffer.len() + READ_BYTES);
+                let room = lease.held().saturating_sub(buffer.len()).min(READ_BYTES);
+                if room == 0 {
+                    return task::Poll::Ready(Err(io::ErrorKind::OutOfMemory.into()));
+                }
+                let read = pin::Pin::new(&mut *stream).poll_read(context, &mut bytes[..room]);
+                if let task::Poll::Ready(Ok(count)) = read {
+                    buffer.reserve_exact(count);
                     buffer.extend_from_slice(&bytes[..count]);
-                    count
-                })
+                }
+                lease.shrink_to(buffer.capacity());
+                read
             })
         });
         let count = read.await?;
@@ -159,11 +193,22 @@
         Ok(count)
     }
 
+    /// Reads once from the socket and drops what was read; returns the number of bytes, zero at the end.
+    async fn discard(&mut self) -> io::Result<usize> {
+        let stream = &mut self.stream;
+        future::poll_fn(|context| {
+            READ_BUFFER
+                .with_borrow_mut(|bytes| pin::Pin::new(&mut *stream).poll_read(context, bytes))
+        })
+        .await
+    }
+
     /// Gives back the memory of consumed bytes, before a wait that may be long.
     fn release_consumed(&mut self) {
         if self.consumed > 0 {
             self.buffer = self.unread().to_vec();
             self.consumed = 0;
+            self.lease.shrink_to(self.buffer.capacity());
         }
     }
 
@@ -177,7 +222,7 @@
     }
 
     /// Waits until the peer closes or resets the connection. Bytes that arrive meanwhile are buffered
-    /// for the next message; with a full buffer it waits forever.
+    /// for the next message; with a full buffer, or without memory for them, it waits forever.
     pub async fn wait_closed(&mut self) -> PeerEnd {
         loop {
             if self.unread().len() >= MAX_EARLY_BYTES {
@@ -185,6 +230,9 @@
             }
             match self.fill().await {
                 Ok(0) => return PeerEnd::Closed,
+                Err(error) if error.kind() == io::ErrorKind::OutOfMemory => {
+                    return std::future::pending().await;
+                }
                 Err(_) => return PeerEnd::Failed,
                 Ok(_) => {}
             }
@@ -193,13 +241,15 @@
 
     /// Drops the bytes that arrive, at most about `max_bytes`, until the peer closes or resets the connection.
     pub async fn discard_until_closed(&mut self, max_bytes: usize) {
+        self.consumed = self.buffer.len();
+        self.release_consumed();
         let mut discarded = 0;
-        while discarded < max_bytes {
-            self.consumed = self.buffer.len();
-            match self.fill_and_yield().await {
+        while discarded < max_bytes && !self.is_ended {
+            match self.discard().await {
                 Ok(0) | Err(_) => return,
                 Ok(count) => discarded += count,
             }
+            future::yield_now().await;
         }
     }
 
@@ -217,24 +267,57 @@
     pub async fn read_request(
         &mut self,
         max_bytes: usize,
+    ) -> Result<header::RequestHead, ReadError> {
+        self.read_request_within(max_bytes, &mut memory::MemoryLease::unlimited()).await
+    }
+
+    /// Reads the head of a request, at most `max_bytes` long, as far as the lease can be extended to its decoded
+    /// form.
+    pub async fn read_request_within(
+        &mut self,
+        max_bytes: usize,
+        lease: &mut memory::MemoryLease,
     ) -> Result<header::RequestHead, ReadError> {
         loop {
-            if let Some((head, length)) = parse_request(self.unread())? {
-                if length > max_bytes {
-                    return Err(ReadError::HeadTooLong(max_bytes));
-                }
-                self.consume(length);
-                self.chunk_extra_bytes = 0;
+            if let Some(head) = self.read_head_part(max_bytes, lease).await? {
                 return Ok(head);
             }
+        }
+    }
+
+    /// Reads a part of the head of a request; returns the head once it is complete. After
+    /// [`ReadError::NoMemory`] it can be tried again.
+    pub async fn read_head_part(
+        &mut self,
+        max_bytes: usize,
+        lease: &mut memory::MemoryLease,
+    ) -> Result<Option<header::RequestHead>, ReadError> {
+        let Some((head, length)) = parse_request_within(self.unread(), lease)? else {
             self.fill_head(max_bytes).await?;
+            return Ok(None);
+        };
+        if length > max_bytes {
+            return Err(ReadError::HeadTooLong(max_bytes));
         }
+        self.consume(length);
+        self.chunk_extra_bytes = 0;
+        Ok(Some(head))
     }
 
     /// Reads the head of a final response; interim responses are skipped.
     pub async fn read_response(
         &mut self,
         max_bytes: usize,
+    ) -> Result<header::ResponseHead, ReadError> {
+        self.read_response_within(max_bytes, &mut memory::MemoryLease::unlimited()).await
+    }
+
+    /// Reads the head of a final response, as far as the lease can be extended to it; interim responses are
+    /// skipped.
+    pub async fn read_response_within(
+        &mut self,
+        max_bytes: usize,
+        lease: &mut memory::MemoryLease,
     ) -> Result<header::ResponseHead, ReadError> {
         let mut interim_count = 0;
         loop {
@@ -250,6 +333,9 @@
                 }
                 continue;
             }
+            if !lease.grow_to(self.unread().len() + READ_BYTES) {
+                return Err(ReadError::NoMemory);
+            }
             self.fill_head(max_bytes).await?;
         }
     }
@@ -431,6 +517,8 @@
     framing: body::BodyFraming,
     max_bytes: usize,
     whole: Vec<u8>,
+    /// Bytes for which the lease was extended before.
+    held: usize,
 }
 
 impl BodyReader {
@@ -439,7 +527,12 @@
         if matches!(framing, body::BodyFraming::Sized(size) if size > max_bytes as u64) {
             return Err(ReadError::BodyTooLong(max_bytes));
         }
-        Ok(Self { framing, max_bytes, whole: Vec::new() })
+        Ok(Self { framing, max_bytes, whole: Vec::new(), held: 0 })
+    }
+
+    /// Sets the number of bytes, for example of the head, for which the lease was extended before.
+    pub fn behind(self, held: usize) -> Self {
+        Self { held, ..self }
     }
 
     /// Reads a part of the body, as far as the lease can be extended to it; returns whether the body is
@@ -449,18 +542,22 @@
         stream: &mut MessageStream,
         lease: &mut memory::MemoryLease,
     ) -> Result<bool, ReadError> {
-        let Self { framing, max_bytes, whole } = self;
+        let Self { framing, max_bytes, whole, held } = self;
+        let held = *held;
         let Some(length) = stream.wait_part(framing).await? else { return Ok(true) };
         let total = whole.len() + length;
         if total > *max_bytes {
             return Err(ReadError::BodyTooLong(*max_bytes));
         }
-        if !lease.grow_to(total) {
-            return Err(ReadError::NoMemory);
-        }
         if whole.capacity() < total {
-            // Doubling would hold twice as much as is counted.
-            whole.reserve_exact(length.max(whole.len() / GROWTH_DIVISOR));
+            // Doubling would hold twice as much as is needed.
+            let spare = total.max(whole.len() + whole.len() / GROWTH_DIVISOR).min(*max_bytes);
+            let Some(capacity) =
+                [spare, total].into_iter().find(|bytes| lease.grow_to(held + bytes))
+            else {
+                return Err(ReadError::NoMemory);
+            };
+            whole.reserve_exact(capacity - whole.len());
         }
         whole.extend_from_slice(&stream.unread()[..length]);
         stream.consume(length);
@@ -486,6 +583,13 @@
 
 /// Parses a request's head and returns its length in bytes; `None` if it is incomplete.
 pub fn parse_request(bytes: &[u8]) -> Result<Option<(header::RequestHead, usize)>, ReadError> {
+    parse_request_within(bytes, &mut memory::MemoryLease::unlimited())
+}
+
+fn parse_request_within(
+    bytes: &[u8],
+    lease: &mut memory::MemoryLease,
+) -> Result<Option<(header::RequestHead, usize)>, ReadError> {
     let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
     let mut request = httparse::Request::new(&mut fields);
     let httparse::Status::Complete(length) =
@@ -493,6 +597,9 @@
     else {
         return Ok(None);
     };
+    if !lease.grow_to(memory::decoded_head_bytes(length, request.headers.len())) {
+        return Err(ReadError::NoMemory);
+    }
     let head = header::RequestHead {
         method: request.method.unwrap_or_default().to_owned(),
         target: request.path.unwrap_or_default().to_owned(),
@@ -526,7 +633,7 @@
 }
 
 fn to_header_list(fields: &[httparse::Header<'_>]) -> header::HeaderList {
-    let mut headers = header::HeaderList::default();
+    let mut headers = header::HeaderList::with_capacity(fields.len());
     for field in fields {
         headers.push(field.name, field.value.trim_ascii());
     }
--- a/coltsfoot-http/src/pool.rs
+++ b/coltsfoot-http/src/pool.rs
@@ -25,12 +25,41 @@
 }
 
 /// Idle connections by address; the most recently used one is taken first.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ConnectionPool {
-    idle: sync::Mutex<collections::HashMap<net::SocketAddr, Vec<IdleConnection>>>,
+    max_idle: usize,
+    idle: sync::Mutex<IdleList>,
+}
+
+#[derive(Debug, Default)]
+struct IdleList {
+    by_address: collections::HashMap<net::SocketAddr, Vec<IdleConnection>>,
+    /// Connections of all addresses.
+    count: usize,
+}
+
+impl IdleList {
+    fn remove_expired(&mut self, now: time::Instant) {
+        self.by_address.retain(|_, connections| {
+            connections.retain(|pooled| now < pooled.expires);
+            !connections.is_empty()
+        });
+        self.count = self.by_address.values().map(Vec::len).sum();
+    }
+}
+
+impl Default for ConnectionPool {
+    fn default() -> Self {
+        Self::new(usize::MAX)
+    }
 }
 
 impl ConnectionPool {
+    /// Creates a pool of at most this number of connections.
+    pub fn new(max_idle: usize) -> Self {
+        Self { max_idle, idle: sync::Mutex::default() }
+    }
+
     /// Takes an idle connection that has been idle for at most `max_idle` and on which nothing arrived
     /// meanwhile; closes others that it finds on the way.
     pub async fn take(
@@ -66,12 +95,18 @@
     }
 
     fn pop(&self, address: net::SocketAddr) -> Option<IdleConnection> {
-        let mut idle = self.idle.lock().unwrap_or_else(sync::PoisonError::into_inner);
-        idle.get_mut(&address)?.pop()
+        let mut idle = self.idle();
+        let connection = idle.by_address.get_mut(&address)?.pop()?;
+        idle.count -= 1;
+        Some(connection)
+    }
+
+    fn idle(&self) -> sync::MutexGuard<'_, IdleList> {
+        self.idle.lock().unwrap_or_else(sync::PoisonError::into_inner)
     }
 
     /// Returns a connection whose exchange has ended to the pool for a time of at most an hour; closes it if the
-    /// address has 32 already.
+    /// address has 32 already, or if the pool is full.
     pub fn put(
         &self,
         address: net::SocketAddr,
@@ -82,17 +117,28 @@
         let now = time::Instant::now();
         let expires = now + lifetime.min(MAX_LIFETIME);
         let connection = IdleConnection { stream, idle_since: now, expires };
-        let mut idle = self.idle.lock().unwrap_or_else(sync::PoisonError::into_inner);
-        let connections = idle.entry(address).or_default();
+        let mut idle = self.idle();
+        if idle.count >= self.max_idle {
+            idle.remove_expired(now);
+        }
+        if idle.count >= self.max_idle {
+            return;
+        }
+        let connections = idle.by_address.entry(address).or_default();
+        let before = connections.len();
         connections.retain(|pooled| now < pooled.expires);
-        if connections.len() < MAX_IDLE_PER_ADDRESS {
+        let expired = before - connections.len();
+        let has_room = connections.len() < MAX_IDLE_PER_ADDRESS;
+        if has_room {
             connections.push(connection);
         }
+        idle.count = idle.count - expired + usize::from(has_room);
     }
 
     /// Closes all idle connections to an address.
     pub fn close_idle(&self, address: net::SocketAddr) {
-        let mut idle = self.idle.lock().unwrap_or_else(sync::PoisonError::into_inner);
-        idle.remove(&address);
+        let mut idle = self.idle();
+        let closed = idle.by_address.remove(&address);
+        idle.count -= closed.map_or(0, |connections| connections.len());
     }
 }
--- a/coltsfoot-http/tests/memory.rs
+++ b/coltsfoot-http/tests/memory.rs
@@ -3,31 +3,77 @@
 use std::sync;
 
 use async_net::{TcpListener, TcpStream};
-use coltsfoot_http::memory::{MemoryBudget, MemoryLease, UNCOUNTED_BYTES};
+use coltsfoot_http::memory::{MemoryBudget, MemoryLease};
 use coltsfoot_http::{body, message};
 use futures_lite::AsyncWriteExt as _;
 
 const CAPACITY: usize = 1024 * 1024;
+const ALLOWANCE: usize = 16 * 1024;
 
 fn budget() -> sync::Arc<MemoryBudget> {
     sync::Arc::new(MemoryBudget::new(CAPACITY))
 }
 
 #[test]
-fn a_lease_is_given_back_and_counts_only_what_is_beyond_a_small_message() {
-    let budget = budget();
-    let mut lease = MemoryLease::new(sync::Arc::clone(&budget));
-    assert!(lease.grow_to(UNCOUNTED_BYTES));
-    assert_eq!(budget.used(), 0);
-    assert!(lease.grow_to(UNCOUNTED_BYTES + CAPACITY));
-    assert!(!lease.grow_to(UNCOUNTED_BYTES + CAPACITY + 1));
-    assert!(lease.grow_to(10), "a lease does not shrink");
-    assert_eq!(budget.used(), CAPACITY);
-    let mut small = MemoryLease::new(sync::Arc::clone(&budget));
-    assert!(small.grow_to(UNCOUNTED_BYTES), "small messages are always read");
-    assert!(!small.grow_to(UNCOUNTED_BYTES + 1));
-    drop(lease);
-    assert_eq!(budget.used(), 0);
+fn a_lease_counts_every_byte_beyond_its_allowance_and_is_given_back() {
+    for allowance in [0, ALLOWANCE] {
+        let budget = budget();
+        let lease = || MemoryLease::with_allowance(sync::Arc::clone(&budget), allowance);
+        let mut large = lease();
+        assert!(large.grow_to(allowance));
+        assert_eq!((budget.used(), large.held()), (0, allowance));
+        assert!(large.grow_to(allowance + CAPACITY));
+        assert!(!large.grow_to(allowance + CAPACITY + 1));
+        assert!(large.grow_to(10), "growing does not shrink a lease");
+        assert_eq!(budget.used(), CAPACITY);
+        let mut small = lease();
+        assert!(small.grow_to(allowance), "what is charged elsewhere is always held");
+        assert!(!small.grow_to(allowance + 1));
+        large.shrink_to(allowance + 10);
+        assert_eq!((budget.used(), large.counted()), (10, 10));
+        assert!(small.grow_to(allowance + CAPACITY - 10));
+        drop((large, small));
+        assert_eq!(budget.used(), 0);
+    }
+}
+
+#[test]
+fn bytes_that_find_no_memory_stay_in_the_socket() {
+    async_io::block_on(async {
+        let (mut peer, stream) = connected_pair().await;
+        peer.write_all(b"POST / HTTP/1.1\r\nX-Note: some text\r\n\r\n").await.expect("written");
+        let budget = budget();
+        let mut other = MemoryLease::new(sync::Arc::clone(&budget));
+        assert!(other.grow_to(CAPACITY - 100));
+        let lease = MemoryLease::with_allowance(sync::Arc::clone(&budget), 10);
+        let mut stream = message::MessageStream::with_lease(stream, lease);
+        let mut head = MemoryLease::new(sync::Arc::clone(&budget));
+        assert_eq!(stream.fill().await.expect("room for the allowance"), 10);
+        let error = stream.fill().await.expect_err("no room");
+        assert_eq!(error.kind(), std::io::ErrorKind::OutOfMemory);
+        assert!(budget.used() <= CAPACITY);
+        drop(other);
+        let read = stream.read_request_within(1024, &mut head).await.expect("whole");
+        assert_eq!(read.headers.text("X-Note"), Some("some text"));
+        assert!(head.counted() >= read.encoded_length(), "a decoded head is charged");
+        drop((stream, head));
+        assert_eq!(budget.used(), 0);
+    });
+}
+
+#[test]
+fn bytes_that_are_dropped_need_no_memory() {
+    async_io::block_on(async {
+        let (mut peer, stream) = connected_pair().await;
+        peer.write_all(&[b'x'; 1000]).await.expect("written");
+        peer.close().await.expect("open");
+        let mut other = MemoryLease::new(budget());
+        assert!(other.grow_to(CAPACITY));
+        let lease = MemoryLease::new(budget());
+        let mut stream = message::MessageStream::with_lease(stream, lease);
+        stream.discard_until_closed(CAPACITY).await;
+        assert_eq!(stream.fill().await.expect("the end"), 0, "all was read");
+    });
 }
 
 #[test]
@@ -73,24 +119,29 @@
 }
 
 async fn connected() -> (TcpStream, message::MessageStream) {
+    let (peer, stream) = connected_pair().await;
+    (peer, message::MessageStream::new(stream))
+}
+
+async fn connected_pair() -> (TcpStream, TcpStream) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
     let peer = TcpStream::connect(listener.local_addr().expect("bound")).await.expect("connected");
     let (stream, _) = listener.accept().await.expect("accepted");
-    (peer, message::MessageStream::new(stream))
+    (peer, stream)
 }
 
 #[test]
 fn body_that_found_no_memory_can_be_read_on_once_there_is_some() {
     async_io::block_on(async {
         let (mut peer, mut stream) = connected().await;
-        let content = vec![b'c'; UNCOUNTED_BYTES + CAPACITY];
+        let content = vec![b'c'; CAPACITY];
         let mut sent = format!("{:x}\r\n", content.len()).into_bytes();
         sent.extend_from_slice(&content);
         sent.extend_from_slice(b"\r\n0\r\n\r\n");
         let send = async move { peer.write_all(&sent).await.map(|()| peer) };
         let budget = budget();
         let mut other = MemoryLease::new(sync::Arc::clone(&budget));
-        assert!(other.grow_to(UNCOUNTED_BYTES + CAPACITY / 2));
+        assert!(other.grow_to(CAPACITY / 2));
         let mut other = Some(other);
         let mut lease = MemoryLease::new(budget);
         let framing = body::BodyFraming::ChunkSize;
--- a/coltsfootd/src/gateway/attempt.rs
+++ b/coltsfootd/src/gateway/attempt.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic;
 use std::time;
 
-use coltsfoot_http::{body, client, header, message, pool};
+use coltsfoot_http::{body, client, header, memory, message, pool};
 use futures_lite::AsyncWriteExt as _;
 use site_platform::fields;
 
@@ -20,7 +20,7 @@
 /// How long before the upstream's keep-alive timeout a connection is dropped from the pool.
 const KEEP_ALIVE_MARGIN: time::Duration = time::Duration::from_millis(800);
 /// Maximum number of a body's bytes that are written together with the head.
-const MAX_JOINED_BYTES: usize = 16 * 1024;
+pub(super) const MAX_JOINED_BYTES: usize = 16 * 1024;
 /// Maximum number of responses to earlier requests that are skipped on a connection.
 const MAX_STALE_RESPONSES: usize = 3;
 /// Maximum body size of a skipped response, in bytes.
@@ -32,6 +32,8 @@
     pub fields: fields::UpstreamFields,
     pub framing: body::BodyFraming,
     pub stream: message::MessageStream,
+    /// What it holds of the memory for responses.
+    pub lease: memory::MemoryLease,
     /// Address in the pool; `None` for a tunnel.
     pool_address: Option<net::SocketAddr>,
     is_sent: bool,
@@ -82,24 +84,30 @@
 /// A request to send, encoded for its upstream.
 pub(crate) struct AttemptRequest<'a> {
     pub request_id: &'a str,
-    pub head: &'a header::RequestHead,
+    pub method: &'a str,
+    /// Encoded head.
+    pub head: Vec<u8>,
     pub body: &'a [u8],
 }
 
-/// Sends a request on a connection and reads the head of the response.
+/// Sends a request on a connection and reads the head of the response, which the lease is extended to.
 pub(crate) async fn send(
     connection: paths::UpstreamConnection,
-    request: &AttemptRequest<'_>,
+    request: AttemptRequest<'_>,
+    mut lease: memory::MemoryLease,
 ) -> Result<OpenResponse, AttemptError> {
     let paths::UpstreamConnection { mut stream, pool_address } = connection;
-    let mut bytes = request.head.encode();
+    let AttemptRequest { request_id, method, head: mut bytes, body } = request;
     // Small ones go out with the head; a large one is not copied.
-    let (joined, rest) = request.body.split_at(request.body.len().min(MAX_JOINED_BYTES));
+    let (joined, rest) = body.split_at(body.len().min(MAX_JOINED_BYTES));
+    bytes.reserve_exact(joined.len());
     bytes.extend_from_slice(joined);
     let is_sent = atomic::AtomicBool::new(false);
     let mut writer = stream.writer();
     let write = async {
         let mut written = writer.write_all(&bytes).await;
+        // The response may be long in coming.
+        drop(bytes);
         if written.is_ok() {
             written = writer.write_all(rest).await;
         }
@@ -107,13 +115,22 @@
         // Never completes: the response, or the end of the connection, decides the outcome.
         std::future::pending().await
     };
-    let read = read_response_head(&mut stream, request);
+    let read = read_response_head(&mut stream, request_id, method, &mut lease);
     let (head, fields, framing, has_skipped_stale) = futures_lite::future::or(read, write).await?;
     let is_sent = is_sent.load(atomic::Ordering::Relaxed);
     if !is_sent {
         stream.record_cut_request();
     }
-    Ok(OpenResponse { head, fields, framing, stream, pool_address, is_sent, has_skipped_stale })
+    Ok(OpenResponse {
+        head,
+        fields,
+        framing,
+        stream,
+        lease,
+        pool_address,
+        is_sent,
+        has_skipped_stale,
+    })
 }
 
 type DecodedHead = (header::ResponseHead, fields::UpstreamFields, body::BodyFraming, bool);
@@ -121,14 +138,16 @@
 /// Reads the head of the response to the request; skips responses to earlier ones.
 async fn read_response_head(
     stream: &mut message::MessageStream,
-    request: &AttemptRequest<'_>,
+    request_id: &str,
+    method: &str,
+    lease: &mut memory::MemoryLease,
 ) -> Result<DecodedHead, AttemptError> {
     for skipped in 0..=MAX_STALE_RESPONSES {
-        let head = stream.read_response(client::MAX_HEAD_BYTES).await?;
-        let framing = body::BodyFraming::of_response(&head, &request.head.method)
-            .map_err(message::ReadError::Framing)?;
+        let head = stream.read_response_within(client::MAX_HEAD_BYTES, lease).await?;
+        let framing =
+            body::BodyFraming::of_response(&head, method).map_err(message::ReadError::Framing)?;
         let fields = fields::decode_upstream(&head);
-        if fields.request_id.as_deref().is_none_or(|id| id == request.request_id) {
+        if fields.request_id.as_deref().is_none_or(|id| id == request_id) {
             return Ok((head, fields, framing, skipped > 0));
         }
         stream.skip_body(framing, MAX_STALE_BYTES).await?;
--- a/coltsfootd/src/gateway/caller_table.rs
+++ b/coltsfootd/src/gateway/caller_table.rs
@@ -3,21 +3,33 @@
 use std::sync;
 use std::sync::atomic;
 
-use coltsfoot_gateway::caller_ledger::{self, CallerId, CallerLedger, CallerPhase};
+use async_net::TcpStream;
+use coltsfoot_gateway::caller_ledger::{CallerId, CallerLedger, CallerPhase};
+use coltsfoot_http::{memory, message, socket};
 use coltsfoot_types::time as instant;
 use rustc_hash::FxHashMap;
 
 use crate::gateway::state;
 
+/// Bytes that a connection may read of a message before more is charged.
+const FIRST_READ_BYTES: usize = 4 * 1024;
+/// Memory of the task, the socket and the entries of a connection, in bytes.
+const TASK_BYTES: usize = 12 * 1024;
+/// Memory of a connection on which nothing is read yet.
+const CONNECTION_BYTES: usize = TASK_BYTES + FIRST_READ_BYTES + socket::UNREAD_BYTES;
+
 /// Connections of callers, with what tells them to give way.
 #[derive(Debug)]
 pub(crate) struct CallerTable {
-    max_connections: usize,
+    /// Descriptors of the connections, and of those to upstreams that serve their requests.
+    max_descriptors: usize,
+    /// Memory of the connections.
+    budget: sync::Arc<memory::MemoryBudget>,
     connections: sync::Mutex<ConnectionList>,
     /// A connection was closed.
     closed: event_listener::Event,
-    /// A connection gave memory back.
-    freed: event_listener::Event,
+    /// A connection gave memory or descriptors back.
+    released: event_listener::Event,
 }
 
 #[derive(Debug, Default)]
@@ -45,13 +57,14 @@
 }
 
 impl CallerTable {
-    /// Creates a table for a process with these limits, zero for an unknown number of descriptors.
-    pub fn new(max_descriptors: usize, memory_bytes: usize) -> Self {
+    /// Creates a table whose connections need at most this number of descriptors, and memory of a budget.
+    pub fn new(max_descriptors: usize, budget: sync::Arc<memory::MemoryBudget>) -> Self {
         Self {
-            max_connections: caller_ledger::max_connections(max_descriptors, memory_bytes),
+            max_descriptors,
+            budget,
             connections: sync::Mutex::default(),
             closed: event_listener::Event::new(),
-            freed: event_listener::Event::new(),
+            released: event_listener::Event::new(),
         }
     }
 
@@ -70,8 +83,11 @@
     }
 
     fn try_open(self: &sync::Arc<Self>, now: instant::MonotonicTime) -> Option<CallerPlace> {
+        let mut lease = memory::MemoryLease::new(sync::Arc::clone(&self.budget));
         let mut connections = state::lock(&self.connections);
-        if connections.ledger.open_connections() >= self.max_connections {
+        let has_room = connections.ledger.descriptors() < self.max_descriptors
+            && lease.grow_to(CONNECTION_BYTES);
+        if !has_room {
             if let Some(id) = connections.ledger.give_way_to_connection(now) {
                 connections.signal(id, "too_many_connections");
             }
@@ -80,7 +96,7 @@
         let id = connections.ledger.open(now);
         let signal = sync::Arc::<GiveWaySignal>::default();
         connections.signals.insert(id, sync::Arc::clone(&signal));
-        Some(CallerPlace { table: sync::Arc::clone(self), id, signal })
+        Some(CallerPlace { table: sync::Arc::clone(self), id, signal, lease })
     }
 }
 
@@ -90,14 +106,23 @@
     table: sync::Arc<CallerTable>,
     id: CallerId,
     signal: sync::Arc<GiveWaySignal>,
+    /// Memory of the connection itself.
+    lease: memory::MemoryLease,
 }
 
 impl CallerPlace {
+    /// Wraps the connection; what it reads beyond its own memory is charged.
+    pub fn wrap(&self, stream: TcpStream) -> message::MessageStream {
+        let budget = sync::Arc::clone(&self.table.budget);
+        let lease = memory::MemoryLease::with_allowance(budget, FIRST_READ_BYTES);
+        message::MessageStream::with_lease(stream, lease)
+    }
+
     /// Enters a phase, in which nothing of the previous request is held; returns false if the connection gives
     /// way and no request of it is to be served.
     pub fn enter(&self, now: instant::MonotonicTime, phase: CallerPhase) -> bool {
         let may_go_on = state::lock(&self.table.connections).ledger.enter(now, self.id, phase);
-        self.table.freed.notify(usize::MAX);
+        self.table.released.notify(usize::MAX);
         may_go_on
     }
 
@@ -117,17 +142,50 @@
         }
     }
 
-    /// Lets another connection give memory back; returns false if there is none.
-    pub async fn wait_memory(&self) -> bool {
-        let freed = self.table.freed.listen();
+    /// Begins to serve a request once there are descriptors for it; others give way. Returns false if there are
+    /// none, or if this connection gives way.
+    pub async fn begin_serving(&self, now: impl Fn() -> instant::MonotonicTime) -> bool {
+        loop {
+            {
+                let mut connections = state::lock(&self.table.connections);
+                if connections.ledger.may_serve(self.table.max_descriptors) {
+                    return connections.ledger.enter(now(), self.id, CallerPhase::Serving);
+                }
+            }
+            if !self.wait_release(now()).await {
+                return false;
+            }
+        }
+    }
+
+    /// Extends a lease, for which others give way; returns false if that is not enough.
+    pub async fn reserve(
+        &self,
+        now: impl Fn() -> instant::MonotonicTime,
+        lease: &mut memory::MemoryLease,
+        bytes: usize,
+    ) -> bool {
+        while !lease.grow_to(bytes) {
+            if !self.wait_release(now()).await {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Lets another connection give way to a request; returns false if there is none.
+    pub async fn wait_release(&self, now: instant::MonotonicTime) -> bool {
+        let released = self.table.released.listen();
         {
             let mut connections = state::lock(&self.table.connections);
-            if !connections.ledger.awaits_memory(self.id) {
-                let Some(id) = connections.ledger.give_way_to_body(self.id) else { return false };
+            if !connections.ledger.awaits_release(self.id) {
+                let Some(id) = connections.ledger.give_way_to_request(now, self.id) else {
+                    return false;
+                };
                 connections.signal(id, "no_memory");
             }
         }
-        freed.await;
+        released.await;
         true
     }
 }
@@ -138,7 +196,8 @@
         connections.ledger.close(self.id);
         connections.signals.remove(&self.id);
         drop(connections);
-        self.table.freed.notify(usize::MAX);
+        self.lease.shrink_to(0);
+        self.table.released.notify(usize::MAX);
         self.table.closed.notify(usize::MAX);
     }
 }
--- a/coltsfootd/src/gateway/callers.rs
+++ b/coltsfootd/src/gateway/callers.rs
@@ -11,7 +11,7 @@
 use site_platform::fields;
 
 use crate::event;
-use crate::gateway::{caller_table, exchange, request_log, state, stop};
+use crate::gateway::{caller_table, exchange, request_log, serving_memory, state, stop};
 
 /// Limits until a configuration is known.
 const DEFAULT_LIMITS: rules::CallerLimits = rules::CallerLimits {
@@ -72,7 +72,7 @@
     if let Err(error) = socket::enable_keepalive(&stream) {
         log::debug!("could not enable TCP keep-alive: {error}");
     }
-    let mut caller = message::MessageStream::new(stream);
+    let mut caller = place.wrap(stream);
     loop {
         place.enter(state.now(), CallerPhase::Idle);
         let give_way = async { Err(place.wait_give_way().await) };
@@ -84,12 +84,8 @@
         place.enter(state.now(), CallerPhase::Reading);
         let give_way = async { Err(Rejection::unavailable(place.wait_give_way().await)) };
         let limits = limits(&state);
-        let read = read_request(&mut caller, &limits, &place, state.memory.request_lease());
-        let request = match future::or(give_way, read).await {
-            Ok(request) if place.enter(state.now(), CallerPhase::Serving) => Ok(request),
-            Ok(_) => Err(Rejection::unavailable(place.wait_give_way().await)),
-            Err(rejection) => Err(rejection),
-        };
+        let take = take_request(&state, &mut caller, &limits, &place);
+        let request = future::or(give_way, take).await;
         let is_kept = match request {
             Ok(request) => serve_request(&state, &mut caller, request).await,
             Err(rejection) => {
@@ -162,10 +158,17 @@
 pub(crate) struct ReceivedRequest {
     pub head: header::RequestHead,
     pub body: Vec<u8>,
-    /// What the body holds of the memory for requests.
+    /// The memory that it may need until it is served.
     _lease: memory::MemoryLease,
 }
 
+impl ReceivedRequest {
+    /// Returns the memory of an attempt beside the one that is charged with the request.
+    pub fn attempt_bytes(&self) -> usize {
+        serving_memory::attempt_bytes(&self.head, self.body.len())
+    }
+}
+
 /// Why a request is rejected before it was read completely.
 #[derive(Clone, Copy, Debug)]
 struct Rejection {
@@ -180,59 +183,111 @@
     }
 }
 
-/// Reads a request, or returns why it is rejected.
-async fn read_request(
+/// Reads a request and takes what it needs to be served, or returns why it is rejected.
+async fn take_request(
+    state: &state::GatewayState,
     caller: &mut message::MessageStream,
     limits: &rules::CallerLimits,
     place: &caller_table::CallerPlace,
-    mut lease: memory::MemoryLease,
 ) -> Result<ReceivedRequest, Rejection> {
-    const HEAD_TIMEOUT: Rejection = Rejection { status: 408, reason: "head_timeout" };
-    const BODY_TIMEOUT_PASSED: Rejection = Rejection { status: 408, reason: "body_timeout" };
-
-    let read = caller.read_request(limits.max_head_bytes);
-    let head = match message::with_timeout(limits.head_timeout, read).await {
-        None => return Err(HEAD_TIMEOUT),
-        Some(Err(error)) => return Err(rejection_of(&error)),
-        Some(Ok(head)) => head,
-    };
-    if head.minor_version == 0 {
-        return Err(Rejection { status: 505, reason: "http_version" });
-    }
-    let framing = body::BodyFraming::of_request(&head.headers)
-        .map_err(|_| Rejection { status: 400, reason: "ambiguous_framing" })?;
-    let reader = message::BodyReader::new(framing, limits.max_body_bytes);
-    let reader = reader.map_err(|error| rejection_of(&error))?;
-    if head.headers.contains_token("expect", "100-continue") && framing != body::BodyFraming::Done {
-        let interim = header::ResponseHead::new(100).encode();
-        let written = caller.write(&interim).await;
-        written.map_err(|_| Rejection { status: 400, reason: "caller_reset" })?;
+    let mut reader = RequestReader { state, place, lease: state.memory.request_lease() };
+    let (head, body) = reader.read(caller, limits).await?;
+    let held = memory::decoded_head_bytes(head.encoded_length(), head.headers.iter().count());
+    let needed = held + body.capacity() + serving_memory::needed_bytes(&head, body.len());
+    let mut lease = reader.lease;
+    if !place.reserve(|| state.now(), &mut lease, needed).await {
+        return Err(Rejection::unavailable("no_memory"));
     }
-    let read = read_body(caller, reader, place, &mut lease);
-    match message::with_timeout(BODY_TIMEOUT, read).await {
-        None => Err(BODY_TIMEOUT_PASSED),
-        Some(Err(error)) => Err(rejection_of(&error)),
-        Some(Ok(body)) => Ok(ReceivedRequest { head, body, _lease: lease }),
+    if !place.begin_serving(|| state.now()).await {
+        return Err(Rejection::unavailable("too_many_connections"));
     }
+    Ok(ReceivedRequest { head, body, _lease: lease })
 }
 
-/// Reads a body. If the memory for bodies is in use, another one that is still being read gives way.
-async fn read_body(
-    caller: &mut message::MessageStream,
-    mut reader: message::BodyReader,
-    place: &caller_table::CallerPlace,
-    lease: &mut memory::MemoryLease,
-) -> Result<Vec<u8>, message::ReadError> {
-    loop {
-        let held = lease.counted();
-        match reader.read_some(caller, lease).await {
-            Ok(true) => return Ok(reader.into_body()),
-            Err(message::ReadError::NoMemory) if place.wait_memory().await => {}
-            Err(error) => return Err(error),
-            Ok(false) => {}
+/// Reads a request into memory that is charged before. If there is none, other connections give way.
+struct RequestReader<'a> {
+    state: &'a state::GatewayState,
+    place: &'a caller_table::CallerPlace,
+    lease: memory::MemoryLease,
+}
+
+impl RequestReader<'_> {
+    /// Reads a request, or returns why it is rejected.
+    async fn read(
+        &mut self,
+        caller: &mut message::MessageStream,
+        limits: &rules::CallerLimits,
+    ) -> Result<(header::RequestHead, Vec<u8>), Rejection> {
+        const HEAD_TIMEOUT: Rejection = Rejection { status: 408, reason: "head_timeout" };
+        const BODY_TIMEOUT_PASSED: Rejection = Rejection { status: 408, reason: "body_timeout" };
+
+        let read = self.read_head(caller, limits.max_head_bytes);
+        let head = match message::with_timeout(limits.head_timeout, read).await {
+            None => return Err(HEAD_TIMEOUT),
+            Some(Err(error)) => return Err(rejection_of(&error)),
+            Some(Ok(head)) => head,
+        };
+        if head.minor_version == 0 {
+            return Err(Rejection { status: 505, reason: "http_version" });
         }
-        if lease.counted() != held {
-            place.hold(lease.counted());
+        let framing = body::BodyFraming::of_request(&head.headers)
+            .map_err(|_| Rejection { status: 400, reason: "ambiguous_framing" })?;
+        let reader = message::BodyReader::new(framing, limits.max_body_bytes);
+        let reader = reader.map_err(|error| rejection_of(&error))?;
+        let expects_continue = head.headers.contains_token("expect", "100-continue");
+        if expects_continue && framing != body::BodyFraming::Done {
+            let interim = header::ResponseHead::new(100).encode();
+            let written = caller.write(&interim).await;
+            written.map_err(|_| Rejection { status: 400, reason: "caller_reset" })?;
+        }
+        let read = self.read_body(caller, reader.behind(self.lease.counted()));
+        match message::with_timeout(BODY_TIMEOUT, read).await {
+            None => Err(BODY_TIMEOUT_PASSED),
+            Some(Err(error)) => Err(rejection_of(&error)),
+            Some(Ok(body)) => Ok((head, body)),
+        }
+    }
+
+    async fn read_head(
+        &mut self,
+        caller: &mut message::MessageStream,
+        max_bytes: usize,
+    ) -> Result<header::RequestHead, message::ReadError> {
+        loop {
+            let read = caller.read_head_part(max_bytes, &mut self.lease).await;
+            match read {
+                Ok(Some(head)) => return Ok(head),
+                Ok(None) => self.record_held(caller),
+                Err(error) => self.release_or(error).await?,
+            }
+        }
+    }
+
+    async fn read_body(
+        &mut self,
+        caller: &mut message::MessageStream,
+        mut reader: message::BodyReader,
+    ) -> Result<Vec<u8>, message::ReadError> {
+        loop {
+            match reader.read_some(caller, &mut self.lease).await {
+                Ok(true) => return Ok(reader.into_body()),
+                Ok(false) => self.record_held(caller),
+                Err(error) => self.release_or(error).await?,
+            }
+        }
+    }
+
+    fn record_held(&self, caller: &message::MessageStream) {
+        self.place.hold(caller.counted() + self.lease.counted());
+    }
+
+    /// Waits until another connection gave way if memory was short; returns the error if none does, or if it
+    /// is another one.
+    async fn release_or(&self, error: message::ReadError) -> Result<(), message::ReadError> {
+        let is_short = matches!(error, message::ReadError::NoMemory);
+        match is_short && self.place.wait_release(self.state.now()).await {
+            true => Ok(()),
+            false => Err(error),
         }
     }
 }
--- a/coltsfootd/src/gateway/failover.rs
+++ b/coltsfootd/src/gateway/failover.rs
@@ -104,6 +104,12 @@
                 return FailoverResult::Unavailable;
             }
         };
+        let mut lease = self.state.memory.request_lease();
+        if !lease.grow_to(self.exchange.request.attempt_bytes()) {
+            self.has_reserved_retry = true;
+            self.log_failover(present, "no_memory");
+            return FailoverResult::Unavailable;
+        }
         let pending = self.send(chosen, endpoint);
         self.hand_over(present, progress, pending).await
     }
--- a/coltsfootd/src/gateway/forwarding.rs
+++ b/coltsfootd/src/gateway/forwarding.rs
@@ -13,7 +13,7 @@
 
 use crate::event;
 use crate::gateway::{
-    exchange, failover, loads, origins, permits, request_log, state, upstream_attempt,
+    attempt, exchange, failover, loads, origins, permits, request_log, state, upstream_attempt,
 };
 
 /// Maximum body size of a response that is not streamed, in bytes.
@@ -53,7 +53,7 @@
     /// The only version of software that may go on with the response; `None` as long as any may.
     pub(super) build: Option<upstream::BuildKey>,
     /// Whether a retry was withdrawn from the budget for an attempt that was not sent.
-    has_reserved_retry: bool,
+    pub(super) has_reserved_retry: bool,
     /// The last 5xx response of an upstream, returned to the caller if no attempt succeeds.
     pub(super) failed_response: Option<(header::ResponseHead, exchange::BufferedBody)>,
 }
@@ -387,9 +387,8 @@
     ) -> AttemptProgress<'b> {
         let upstream_attempt::OpenAttempt { attempt, mut response, .. } = open;
         let framing = response.framing;
-        let mut lease = self.state.memory.response_lease(&attempt.chosen.id);
-        let stream = &mut response.stream;
-        let read = stream.read_body_within(framing, MAX_RESPONSE_BYTES, &mut lease).await;
+        let attempt::OpenResponse { stream, lease, .. } = &mut response;
+        let read = stream.read_body_within(framing, MAX_RESPONSE_BYTES, lease).await;
         let bytes = match read {
             Ok(bytes) => bytes,
             Err(error) => {
@@ -401,6 +400,7 @@
                 return AttemptProgress::Failed(self.fail_broken(attempt, detail));
             }
         };
+        let lease = std::mem::take(lease);
         let body = exchange::BufferedBody { bytes, _lease: lease };
         response.framing = match framing {
             // The body was delimited by the end of the connection, which can't be reused.
--- a/coltsfootd/src/gateway/memory.rs
+++ b/coltsfootd/src/gateway/memory.rs
@@ -1,27 +1,28 @@
-//! Memory that the messages of callers and upstreams may hold in this process.
+//! The account of the memory that callers and upstreams may make this process hold.
 
 use std::sync;
 
 use coltsfoot_http::memory::{MemoryBudget, MemoryLease};
 use rustc_hash::FxHashMap;
 
-use crate::gateway::state;
+use crate::gateway::{serving_memory, state};
 
 /// Memory of the machine if the settings do not name it, in bytes.
 const DEFAULT_MEMORY: usize = 256 * 1024 * 1024;
-/// Part of the machine's memory for responses that are read whole.
+/// Part of the machine's memory that callers and upstreams may make the process hold.
+const ACCOUNT_DIVISOR: usize = 2;
+/// Part of the machine's memory for responses.
 const RESPONSE_DIVISOR: usize = 10;
 /// Part of the memory for responses that the responses of one upstream may hold.
 const UPSTREAM_DIVISOR: usize = 2;
-/// Part of the machine's memory for requests' bodies.
-const REQUEST_DIVISOR: usize = 16;
 
 /// Returns the memory of the machine, in bytes, or the default if it is unknown.
-pub(crate) fn machine_bytes(known: usize) -> usize {
+fn machine_bytes(known: usize) -> usize {
     if known == 0 { DEFAULT_MEMORY } else { known }
 }
 
-/// Budgets of the process.
+/// The account of the process, with its parts. Requests have one and responses have one, so that requests which
+/// are read leave those that are served the memory for their responses.
 #[derive(Debug)]
 pub(crate) struct MessageMemory {
     requests: sync::Arc<MemoryBudget>,
@@ -35,21 +36,29 @@
     /// Divides the memory of the machine, in bytes; zero if it is unknown.
     pub fn new(machine: usize) -> Self {
         let machine = machine_bytes(machine);
+        let capacity = machine / ACCOUNT_DIVISOR;
         let responses = machine / RESPONSE_DIVISOR;
+        let account = sync::Arc::new(MemoryBudget::new(capacity));
+        let part = |bytes| sync::Arc::new(MemoryBudget::part_of(&account, bytes));
         Self {
-            requests: sync::Arc::new(MemoryBudget::new(machine / REQUEST_DIVISOR)),
-            responses: sync::Arc::new(MemoryBudget::new(responses)),
+            requests: part(capacity - responses),
+            responses: part(responses),
             upstream_capacity: responses / UPSTREAM_DIVISOR,
             upstreams: sync::Mutex::default(),
         }
     }
 
+    /// Returns the budget of callers' connections and requests.
+    pub fn requests(&self) -> sync::Arc<MemoryBudget> {
+        sync::Arc::clone(&self.requests)
+    }
+
     /// Returns a lease for a caller's request.
     pub fn request_lease(&self) -> MemoryLease {
-        MemoryLease::new(sync::Arc::clone(&self.requests))
+        MemoryLease::new(self.requests())
     }
 
-    /// Returns a lease for a response of an upstream.
+    /// Returns a lease for a response of an upstream, beyond what is charged with its request.
     pub fn response_lease(&self, upstream: &sync::Arc<str>) -> MemoryLease {
         let mut upstreams = state::lock(&self.upstreams);
         let known = upstreams.get(upstream).and_then(sync::Weak::upgrade);
@@ -60,6 +69,6 @@
             upstreams.insert(sync::Arc::clone(upstream), sync::Arc::downgrade(&budget));
             budget
         });
-        MemoryLease::new(budget)
+        MemoryLease::with_allowance(budget, serving_memory::RESPONSE_BYTES)
     }
 }
--- a/coltsfootd/src/gateway/mod.rs
+++ b/coltsfootd/src/gateway/mod.rs
@@ -33,6 +33,7 @@
 mod reload;
 mod request_log;
 mod run;
+mod serving_memory;
 mod state;
 mod stop;
 mod tunnels;
--- a/coltsfootd/src/gateway/paths.rs
+++ b/coltsfootd/src/gateway/paths.rs
@@ -96,7 +96,7 @@
     upstream: &str,
     address: net::SocketAddr,
 ) -> io::Result<TcpStream> {
-    let connected = socket::connect(address, CONNECT_TIMEOUT).await;
+    let connected = socket::connect_bounded(address, CONNECT_TIMEOUT).await;
     match &connected {
         Ok(_) => {
             let was_lost = state.view().record_contact(state.now(), upstream);
--- a/coltsfootd/src/gateway/relay.rs
+++ b/coltsfootd/src/gateway/relay.rs
@@ -16,6 +16,9 @@
 /// Complete events that arrived together.
 type EventBatch = SmallVec<[event_stream::StreamEvent; 2]>;
 
+/// Copies of an event on its way: as received, split off, joined with others, and encoded as a chunk.
+const EVENT_COPIES: usize = 4;
+
 /// Result of waiting for events.
 enum ReadResult<'a> {
     /// Events, or `None` at the end of the stream.
@@ -208,6 +211,9 @@
         let part = response.stream.read_part(&mut response.framing).await;
         let Some(part) = part.map_err(|_| "stream_broke_off")? else { return Ok(false) };
         paths::record_activity(state, upstream, response.is_direct());
+        if !response.lease.grow_to(EVENT_COPIES * (splitter.buffered() + part.len())) {
+            return Err("no_memory");
+        }
         splitter.push(&part);
     }
 }
--- a/coltsfootd/src/gateway/run.rs
+++ b/coltsfootd/src/gateway/run.rs
@@ -8,10 +8,10 @@
 
 use async_net::TcpListener;
 use coltsfoot_gateway::{
-    fleet_view, order_lease, origin_ledger, outage_tracker, quarantine_archive, stop_plan,
-    topic_replica,
+    caller_ledger, fleet_view, order_lease, origin_ledger, outage_tracker, quarantine_archive,
+    stop_plan, topic_replica,
 };
-use coltsfoot_http::pool;
+use coltsfoot_http::{pool, socket};
 use site_platform::{entry, rules, settings, store};
 
 use crate::gateway::{
@@ -113,11 +113,11 @@
     executor: sync::Arc<async_executor::Executor<'static>>,
     signals: async_channel::Receiver<GatewaySignal>,
 ) -> Result<(), GatewayError> {
-    let callers = listen("callers", settings.listen.callers).await?;
-    let readiness = listen("readiness", settings.listen.readiness).await?;
+    let callers = listen("callers", settings.listen.callers)?;
+    let readiness = listen("readiness", settings.listen.readiness)?;
     let metrics_address = net::SocketAddr::new(settings.ip, metrics_port);
-    let scrapes = listen("metrics", metrics_address).await?;
-    let tunnels = listen("tunnels", settings.fleet_address()).await?;
+    let scrapes = listen("metrics", metrics_address)?;
+    let tunnels = listen("tunnels", settings.fleet_address())?;
     let state = build_state(settings, executor).await?;
     let name = &state.settings.instance;
     log::info!(event = event::STARTED.number, instance = name.to_string(); "started");
@@ -173,11 +173,8 @@
     async_io::Timer::after(LOG_WRITE_TIME).await;
 }
 
-async fn listen(
-    purpose: &'static str,
-    address: net::SocketAddr,
-) -> Result<TcpListener, GatewayError> {
-    let bound = TcpListener::bind(address).await;
+fn listen(purpose: &'static str, address: net::SocketAddr) -> Result<TcpListener, GatewayError> {
+    let bound = socket::listen(address).and_then(TcpListener::try_from);
     bound.map_err(|source| GatewayError::Listen { purpose, address, source })
 }
 
@@ -189,7 +186,14 @@
     let bound = async_io::Async::<net::UdpSocket>::bind(address);
     let fleet_socket =
         bound.map_err(|source| GatewayError::Listen { purpose: "instances", address, source })?;
-    let pool = sync::Arc::new(pool::ConnectionPool::default());
+    let max_descriptors = settings.limits.max_descriptors;
+    let max_idle = caller_ledger::idle_descriptors(max_descriptors);
+    let pool = sync::Arc::new(pool::ConnectionPool::new(max_idle));
+    let memory = memory::MessageMemory::new(settings.memory_bytes());
+    let callers = caller_table::CallerTable::new(
+        caller_ledger::caller_descriptors(max_descriptors),
+        memory.requests(),
+    );
     let clock = clock::RuntimeClock::since_boot();
     let lease_settings = order_lease::LeaseSettings {
         validity: lease::VALIDITY,
@@ -207,11 +211,8 @@
         metrics: metrics::GatewayMetrics::new()?,
         store: store::StoreClient::new(settings.store.address, sync::Arc::clone(&pool)),
         pool,
-        memory: memory::MessageMemory::new(settings.memory_bytes()),
-        callers: sync::Arc::new(caller_table::CallerTable::new(
-            settings.limits.max_descriptors,
-            memory::machine_bytes(settings.memory_bytes()),
-        )),
+        memory,
+        callers: sync::Arc::new(callers),
         routes: arc_swap::ArcSwapOption::empty(),
         view: sync::Mutex::new(view),
         quota: sync::Mutex::default(),
--- a/coltsfootd/src/gateway/upstream_attempt.rs
+++ b/coltsfootd/src/gateway/upstream_attempt.rs
@@ -119,9 +119,10 @@
         );
         let demand = admitted.demand.as_ref();
         let in_flight = in_flight::InFlightRequest::begin(state, &chosen.id, demand);
-        let head = self.encode(&chosen.id);
-        let body = &self.exchange.request.body;
+        let head = self.encode(&chosen.id).encode();
+        let received = &self.exchange.request;
         let upstream = sync::Arc::clone(&chosen.id);
+        let lease = state.memory.response_lease(&chosen.id);
         let response = Box::pin(async move {
             let max_idle = match admitted.route.may_retry() {
                 true => attempt::MAX_IDLE,
@@ -140,9 +141,13 @@
                 let error = io::Error::new(io::ErrorKind::TimedOut, "the permit is too old");
                 return Err(attempt::AttemptError::NotSent(error));
             }
-            let request_id = &admitted.request_id;
-            let request = attempt::AttemptRequest { request_id, head: &head, body };
-            attempt::send(connection, &request).await
+            let request = attempt::AttemptRequest {
+                request_id: &admitted.request_id,
+                method: &received.head.method,
+                head,
+                body: &received.body,
+            };
+            attempt::send(connection, request, lease).await
         });
         let attempt = UpstreamAttempt { chosen, sent, in_flight, running, endpoint };
         PendingAttempt { attempt, response }
