Bound connections at the ports for readiness, metrics and other instances

What callers saw: a crowd of connections at the port for readiness checks took all descriptors of the machine (403 of 400), so that callers could not be accepted, and 122 MB of 48 with requests whose answers it did not take.

Cause: connections of these ports were not counted, their heads, answers and receive buffers not charged, and tunnels counted only once their request was read.

Readiness and metrics have 8 connections each, and memory of their own in the account; a new connection replaces a slow or idle one, as at the port for callers. A tunnel charges the account when it is accepted; their number is an eighth of the descriptors for sockets (243 at 4,100, 256 before).

--- a/coltsfoot-gateway/src/caller_ledger.rs
+++ b/coltsfoot-gateway/src/caller_ledger.rs
@@ -13,11 +13,11 @@
 /// while the first upstream is silent.
 const UPSTREAM_DESCRIPTORS: usize = 2;
 /// Time after which a request that is still being read gives way before idle connections. Ordinary ones have
-/// arrived by then.
+/// arrived by then, and so has the first request of a new connection.
 const SLOW_READ: time::Duration = time::Duration::from_secs(1);
 
 /// Returns the number of descriptors for callers' connections and those to upstreams that serve them: three
-/// quarters of what is left for sockets, as the others are for idle connections, tunnels, operators and the store.
+/// quarters of what is left for sockets, as the others are for idle connections and tunnels.
 /// Zero stands for an unknown number of descriptors.
 pub fn caller_descriptors(max_descriptors: usize) -> usize {
     (socket_descriptors(max_descriptors) / 4 * 3).max(1)
@@ -29,6 +29,12 @@
     socket_descriptors(max_descriptors) / 8
 }
 
+/// Returns the number of tunnels that other instances may have, of two descriptors each: an eighth of those for
+/// sockets.
+pub fn max_tunnels(max_descriptors: usize) -> usize {
+    socket_descriptors(max_descriptors) / 8 / 2
+}
+
 fn socket_descriptors(max_descriptors: usize) -> usize {
     let descriptors = match max_descriptors {
         0 => DEFAULT_MAX_DESCRIPTORS,
@@ -131,7 +137,7 @@
     /// Chooses the connection that gives way to the request of another, which needs memory or descriptors: a
     /// request that holds memory and has been read for long, the connection that has been idle longest, and of
     /// the other requests that hold memory and are still being read the one that began first, in this order. A
-    /// request that is being served does not give way.
+    /// request that is being served does not give way, nor a connection whose request may be on its way.
     pub fn give_way_to_request(
         &mut self,
         now: instant::MonotonicTime,
@@ -142,9 +148,9 @@
                 _ if *id == of => return None,
                 CallerPhase::Reading if entry.held == 0 => return None,
                 CallerPhase::Reading if now.since(entry.since) >= SLOW_READ => 0,
-                CallerPhase::Idle => 1,
+                CallerPhase::Idle if now.since(entry.since) >= SLOW_READ => 1,
                 CallerPhase::Reading => 2,
-                CallerPhase::Serving | CallerPhase::Ending => return None,
+                CallerPhase::Idle | CallerPhase::Serving | CallerPhase::Ending => return None,
             };
             Some((rank, entry.since))
         })
@@ -159,14 +165,16 @@
     }
 
     /// Chooses the connection that gives way to a new one: one that ends, a request that has been read for long,
-    /// the one that has been idle longest, and the request that has been read longest, in this order.
+    /// the one that has been idle longest, the request that has been read longest, and one on which the first
+    /// request may be on its way, in this order.
     pub fn give_way_to_connection(&mut self, now: instant::MonotonicTime) -> Option<CallerId> {
         self.choose(|_, entry| {
             let rank = match entry.phase {
                 CallerPhase::Ending => 0,
                 CallerPhase::Reading if now.since(entry.since) >= SLOW_READ => 1,
-                CallerPhase::Idle => 2,
+                CallerPhase::Idle if now.since(entry.since) >= SLOW_READ => 2,
                 CallerPhase::Reading => 3,
+                CallerPhase::Idle => 4,
                 CallerPhase::Serving => return None,
             };
             Some((rank, entry.since))
--- a/coltsfoot-gateway/tests/callers.rs
+++ b/coltsfoot-gateway/tests/callers.rs
@@ -3,7 +3,7 @@
 use std::time;
 
 use coltsfoot_gateway::caller_ledger::{
-    CallerLedger, CallerPhase, caller_descriptors, idle_descriptors,
+    CallerLedger, CallerPhase, caller_descriptors, idle_descriptors, max_tunnels,
 };
 use coltsfoot_types::time::MonotonicTime;
 
@@ -46,12 +46,13 @@
     let served = open(&mut ledger, 0, CallerPhase::Serving);
     let ending = open(&mut ledger, 5, CallerPhase::Ending);
     let idle = [30, 20].map(|ms| open(&mut ledger, ms, CallerPhase::Idle));
+    let new = open(&mut ledger, 1600, CallerPhase::Idle);
     let [slow, young, own] = [10, 1500, 1].map(|ms| open(&mut ledger, ms, CallerPhase::Reading));
     for id in [slow, young, own] {
         ledger.hold(id, 100);
     }
     let order: Vec<_> = std::iter::from_fn(|| ledger.give_way_to_request(at(1700), own)).collect();
-    assert_eq!(order, [slow, idle[1], idle[0], young], "neither {served} nor {ending}");
+    assert_eq!(order, [slow, idle[1], idle[0], young], "neither {served}, {ending} nor {new}");
     for id in [slow, young] {
         ledger.close(id);
     }
@@ -86,8 +87,9 @@
     let idle = [500, 20].map(|ms| open(&mut ledger, ms, CallerPhase::Idle));
     let young = open(&mut ledger, 1500, CallerPhase::Reading);
     let ending = open(&mut ledger, 1600, CallerPhase::Ending);
+    let new = open(&mut ledger, 1400, CallerPhase::Idle);
     let order: Vec<_> = std::iter::from_fn(|| ledger.give_way_to_connection(at(1700))).collect();
-    assert_eq!(order, [ending, slow, idle[1], idle[0], young], "not {served}");
+    assert_eq!(order, [ending, slow, idle[1], idle[0], young, new], "not {served}");
     for id in order {
         ledger.close(id);
     }
@@ -96,8 +98,9 @@
 
 #[test]
 fn connections_leave_descriptors_to_others() {
-    assert_eq!((caller_descriptors(4100), idle_descriptors(4100)), (2925, 487));
-    assert_eq!((caller_descriptors(3075), idle_descriptors(3075)), (2154, 359));
-    assert_eq!((caller_descriptors(0), idle_descriptors(0)), (2922, 487));
-    assert_eq!((caller_descriptors(100), idle_descriptors(100)), (1, 0));
+    let divide = |max| (caller_descriptors(max), idle_descriptors(max), max_tunnels(max));
+    assert_eq!(divide(4100), (2925, 487, 243));
+    assert_eq!(divide(3075), (2154, 359, 179));
+    assert_eq!(divide(0), (2922, 487, 243));
+    assert_eq!(divide(100), (1, 0, 0));
 }
--- a/coltsfootd/src/gateway/caller_table.rs
+++ b/coltsfootd/src/gateway/caller_table.rs
@@ -16,7 +16,7 @@
 /// Memory of the task, the socket and the entries of a connection, in bytes.
 const TASK_BYTES: usize = 12 * 1024;
 /// Memory of a connection on which nothing is read yet.
-const CONNECTION_BYTES: usize = TASK_BYTES + FIRST_READ_BYTES + socket::UNREAD_BYTES;
+pub(super) const CONNECTION_BYTES: usize = TASK_BYTES + FIRST_READ_BYTES + socket::UNREAD_BYTES;
 
 /// Connections of callers, with what tells them to give way.
 #[derive(Debug)]
--- a/coltsfootd/src/gateway/callers.rs
+++ b/coltsfootd/src/gateway/callers.rs
@@ -1,4 +1,4 @@
-//! Listeners for callers, the load balancer's readiness checks and metrics.
+//! The listener for callers.
 
 use std::sync;
 use std::time;
@@ -27,7 +27,7 @@
 /// Maximum number of bytes that are read and dropped meanwhile.
 const MAX_LINGER_BYTES: usize = 256 * 1024;
 /// Delay after a failed `accept`, usually for lack of file descriptors.
-const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(20);
+pub(super) const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(20);
 
 /// Accepts callers until a stop closes the listener. Those that wait in its queue by then are accepted
 /// first, so that they are refused and not reset.
@@ -58,7 +58,7 @@
     }
 }
 
-fn limits(state: &state::GatewayState) -> rules::CallerLimits {
+pub(super) fn limits(state: &state::GatewayState) -> rules::CallerLimits {
     let routes = state.routes.load();
     routes.as_ref().map_or(DEFAULT_LIMITS, |routes| routes.rules().limits)
 }
@@ -361,67 +361,3 @@
     }
     served.unwrap_or(exchange::ConnectionUse::Abort)
 }
-
-/// Responds to the load balancer's readiness checks; never returns.
-pub(crate) async fn serve_readiness(state: sync::Arc<state::GatewayState>, listener: TcpListener) {
-    let content = |state: &state::GatewayState| {
-        let is_ready = !state.is_stopping() && state.routes.load().is_some();
-        (if is_ready { 200 } else { 503 }, String::new())
-    };
-    serve_constant(state, listener, content).await;
-}
-
-/// Serves metrics; never returns.
-pub(crate) async fn serve_metrics(state: sync::Arc<state::GatewayState>, listener: TcpListener) {
-    let content = |state: &state::GatewayState| (200, state.metrics.to_text());
-    serve_constant(state, listener, content).await;
-}
-
-/// Serves the same content for every method and path.
-async fn serve_constant(
-    state: sync::Arc<state::GatewayState>,
-    listener: TcpListener,
-    content: impl Fn(&state::GatewayState) -> (u16, String) + Copy + Send + 'static,
-) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let state = sync::Arc::clone(&state);
-                let executor = sync::Arc::clone(&state.executor);
-                executor
-                    .spawn(async move { serve_requests(&state, stream, content).await })
-                    .detach();
-            }
-            Err(error) => {
-                log::warn!("could not accept an operator: {error}");
-                async_io::Timer::after(ACCEPT_RETRY_DELAY).await;
-            }
-        }
-    }
-}
-
-async fn serve_requests(
-    state: &state::GatewayState,
-    stream: TcpStream,
-    content: impl Fn(&state::GatewayState) -> (u16, String),
-) {
-    let mut operator = message::MessageStream::new(stream);
-    loop {
-        let limits = limits(state);
-        let read = operator.read_request(limits.max_head_bytes);
-        let Some(Ok(request)) = message::with_timeout(limits.idle_timeout, read).await else {
-            return;
-        };
-        let (status, body) = content(state);
-        let mut head = header::ResponseHead::new(status);
-        if !body.is_empty() {
-            head.headers.push("Content-Type", "text/plain; version=0.0.4");
-        }
-        head.headers.push("Content-Length", body.len().to_string());
-        let mut bytes = head.encode();
-        bytes.extend_from_slice(body.as_bytes());
-        if operator.write(&bytes).await.is_err() || request.wants_close() {
-            return;
-        }
-    }
-}
--- a/coltsfootd/src/gateway/memory.rs
+++ b/coltsfootd/src/gateway/memory.rs
@@ -5,7 +5,7 @@
 use coltsfoot_http::memory::{MemoryBudget, MemoryLease};
 use rustc_hash::FxHashMap;
 
-use crate::gateway::{serving_memory, state};
+use crate::gateway::{operator_ports, serving_memory, state};
 
 /// Memory of the machine if the settings do not name it, in bytes.
 const DEFAULT_MEMORY: usize = 256 * 1024 * 1024;
@@ -21,11 +21,12 @@
     if known == 0 { DEFAULT_MEMORY } else { known }
 }
 
-/// The account of the process, with its parts. Requests have one and responses have one, so that requests which
-/// are read leave those that are served the memory for their responses.
+/// The account of the process, with its parts: requests that are read leave those that are served the memory for
+/// their responses, and both leave the ports for operators theirs.
 #[derive(Debug)]
 pub(crate) struct MessageMemory {
     requests: sync::Arc<MemoryBudget>,
+    operators: sync::Arc<MemoryBudget>,
     responses: sync::Arc<MemoryBudget>,
     upstream_capacity: usize,
     /// Budgets of the upstreams whose responses are being read or written.
@@ -40,8 +41,11 @@
         let responses = machine / RESPONSE_DIVISOR;
         let account = sync::Arc::new(MemoryBudget::new(capacity));
         let part = |bytes| sync::Arc::new(MemoryBudget::part_of(&account, bytes));
+        let operators = operator_ports::MEMORY_BYTES;
+        let fixed = responses + operators;
         Self {
-            requests: part(capacity - responses),
+            requests: part(capacity.saturating_sub(fixed)),
+            operators: part(operators),
             responses: part(responses),
             upstream_capacity: responses / UPSTREAM_DIVISOR,
             upstreams: sync::Mutex::default(),
@@ -53,6 +57,11 @@
         sync::Arc::clone(&self.requests)
     }
 
+    /// Returns the budget of connections at the ports for operators.
+    pub fn operators(&self) -> sync::Arc<MemoryBudget> {
+        sync::Arc::clone(&self.operators)
+    }
+
     /// Returns a lease for a caller's request.
     pub fn request_lease(&self) -> MemoryLease {
         MemoryLease::new(self.requests())
--- a/coltsfootd/src/gateway/mod.rs
+++ b/coltsfootd/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 mod memory;
 mod metrics;
 mod news;
+mod operator_ports;
 mod origins;
 mod parts;
 mod paths;
--- a/coltsfootd/src/gateway/run.rs
+++ b/coltsfootd/src/gateway/run.rs
@@ -16,8 +16,8 @@
 
 use crate::gateway::{
     archive, caller_table, callers, cold, crashes, engines, estimates, fleet, follower, heartbeats,
-    lease, memory, metrics, news, origins, paths, pending_calls, permits, reload, state, stop,
-    tunnels,
+    lease, memory, metrics, news, operator_ports, origins, paths, pending_calls, permits, reload,
+    state, stop, tunnels,
 };
 use crate::{clock, event, metrics as registry};
 
@@ -124,8 +124,8 @@
     let executor = &state.executor;
     let open = state.stop.sockets.enter();
     executor.spawn(callers::accept(sync::Arc::clone(&state), callers, open)).detach();
-    executor.spawn(callers::serve_readiness(sync::Arc::clone(&state), readiness)).detach();
-    executor.spawn(callers::serve_metrics(sync::Arc::clone(&state), scrapes)).detach();
+    executor.spawn(operator_ports::serve_readiness(sync::Arc::clone(&state), readiness)).detach();
+    executor.spawn(operator_ports::serve_metrics(sync::Arc::clone(&state), scrapes)).detach();
     executor.spawn(follower::follow_operator(sync::Arc::clone(&state))).detach();
     executor.spawn(follower::follow_upstreams(sync::Arc::clone(&state))).detach();
     executor.spawn(tunnels::accept(sync::Arc::clone(&state), tunnels)).detach();
@@ -237,6 +237,7 @@
         zone_aggregator: sync::Mutex::default(),
         stop: stop::StopState::default(),
         tunnels: stop::OpenCounter::default(),
+        max_tunnels: caller_ledger::max_tunnels(max_descriptors),
         bounds: arc_swap::ArcSwap::from_pointee(settings.bounds.clone()),
         settings,
     }))
--- a/coltsfootd/src/gateway/state.rs
+++ b/coltsfootd/src/gateway/state.rs
@@ -85,6 +85,8 @@
     pub stop: stop::StopState,
     /// Tunnels of other instances that this one serves.
     pub tunnels: stop::OpenCounter,
+    /// Maximum number of them.
+    pub max_tunnels: usize,
 }
 
 impl GatewayState {
--- a/coltsfootd/src/gateway/tunnels.rs
+++ b/coltsfootd/src/gateway/tunnels.rs
@@ -11,7 +11,7 @@
 
 use async_net::{TcpListener, TcpStream};
 use coltsfoot_gateway::path_table::UpstreamPath;
-use coltsfoot_http::{message, socket};
+use coltsfoot_http::{memory, message, socket};
 use coltsfoot_wire::tunnel::{self, TunnelRequest, TunnelResponse};
 use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _, future};
 use rand::seq::SliceRandom as _;
@@ -25,8 +25,8 @@
 const OPEN_TIMEOUT: time::Duration = time::Duration::from_millis(600);
 /// Timeout for reading what an accepted tunnel leads to.
 const REQUEST_TIMEOUT: time::Duration = time::Duration::from_millis(500);
-/// Tunnels that an instance serves at the same time: its own callers come first.
-const MAX_TUNNELS: usize = 256;
+/// Memory of a tunnel: a buffer for each direction, the receive buffers of both connections, and its task.
+const TUNNEL_BYTES: usize = 2 * (8 * 1024 + socket::UNREAD_BYTES) + 4 * 1024;
 /// Longest part of a request's id that is sent along.
 const MAX_ID_BYTES: usize = 64;
 /// Delay after a failed `accept`, usually for lack of file descriptors.
@@ -110,7 +110,18 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let open = (state.tunnels.enter(), state.stop.sockets.enter());
+                // Its own callers come first; the other instance asks a further one.
+                let mut lease = state.memory.request_lease();
+                let open = state.tunnels.count();
+                if open >= state.max_tunnels || !lease.grow_to(TUNNEL_BYTES) {
+                    let verdict = TunnelResponse::Full.code();
+                    log::info!(
+                        event = event::TUNNEL_SERVED.number, verdict = verdict, open = open;
+                        "tunnel_served"
+                    );
+                    continue;
+                }
+                let open = (state.tunnels.enter(), state.stop.sockets.enter(), lease);
                 let task = serve(sync::Arc::clone(&state), stream, open);
                 state.executor.spawn(task).detach();
             }
@@ -125,7 +136,7 @@
 async fn serve(
     state: sync::Arc<state::GatewayState>,
     mut near: TcpStream,
-    _open: (stop::OpenGuard, stop::OpenGuard),
+    _open: (stop::OpenGuard, stop::OpenGuard, memory::MemoryLease),
 ) {
     if let Err(error) = socket::enable_keepalive(&near) {
         log::debug!("could not enable TCP keep-alive: {error}");
@@ -159,7 +170,7 @@
     state: &state::GatewayState,
     request: &TunnelRequest,
 ) -> Result<TcpStream, TunnelResponse> {
-    if state.tunnels.count() > MAX_TUNNELS || state.is_stopping() {
+    if state.is_stopping() {
         return Err(TunnelResponse::Full);
     }
     let (id, address) = {
