Charge connections and requests at the product's own interface before they are held

What callers saw: whole requests that upstreams do not answer, and bytes behind them, made the daemon hold 55 to 98 MB with 24 MB in `limits.max_memory_bytes` and 11 MB of its own.

Cause: the first 16 KiB of each request were not counted, nor the copies that a chat or a call is decoded and encoded into, nor connections with their receive buffers; refused connections had a task each without a bound.

`limits.max_memory_bytes` is the account now: a connection has 72 KiB, with a receive buffer of a fixed size and a small request, and connections have half of it at most; the rest is charged with six times the bytes received of larger requests. As it counts more, its default is 160 MB instead of 32, which leaves the 1,024 connections as they were. At most 64 refused senders get time to read their response. The port for operators has 64 connections, and bodies of 1 KiB.

--- a/coltsfootd/src/caller_stream.rs
+++ b/coltsfootd/src/caller_stream.rs
@@ -16,6 +16,12 @@
 /// Maximum size of a head that the HTTP library accepts, in bytes.
 const MAX_HEAD_BYTES: usize = 8 * 1_024;
 
+/// Copies of a request's bytes while it is served: as received, decoded, and encoded for an upstream, in buffers
+/// that may be twice as large.
+const REQUEST_COPIES: usize = 6;
+/// Memory of a small request and its copies, which is charged with its connection.
+pub(crate) const SMALL_REQUEST_BYTES: usize = REQUEST_COPIES * 4 * 1_024;
+
 /// The limit that a caller exceeded.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ExceededLimit {
@@ -63,6 +69,10 @@
     }
 }
 
+fn new_lease(budget: &sync::Arc<memory::MemoryBudget>) -> memory::MemoryLease {
+    memory::MemoryLease::with_allowance(sync::Arc::clone(budget), SMALL_REQUEST_BYTES)
+}
+
 impl CallerStream {
     /// Wraps a connection whose requests draw on a budget; clones share the state of the current request.
     pub fn new(
@@ -76,7 +86,7 @@
             started: atomic::AtomicBool::new(false),
             exceeded: sync::Mutex::new(None),
             max_bytes,
-            lease: sync::Mutex::new(memory::MemoryLease::new(sync::Arc::clone(budget))),
+            lease: sync::Mutex::new(new_lease(budget)),
             budget: sync::Arc::clone(budget),
             request_timeout: limits.request_timeout,
             idle_timeout: limits.idle_timeout,
@@ -89,7 +99,7 @@
     pub fn reset(&mut self) {
         self.request.bytes_left.store(self.request.max_bytes, atomic::Ordering::Relaxed);
         self.request.started.store(false, atomic::Ordering::Relaxed);
-        *self.lease() = memory::MemoryLease::new(sync::Arc::clone(&self.request.budget));
+        *self.lease() = new_lease(&self.request.budget);
         self.read_timer = None;
     }
 
@@ -151,7 +161,9 @@
         match pin::Pin::new(&mut self.stream).poll_read(context, &mut buffer[..length]) {
             task::Poll::Ready(Ok(count)) => {
                 self.request.bytes_left.fetch_sub(count, atomic::Ordering::Relaxed);
-                if !self.lease().grow_to(self.request.max_bytes - left + count) {
+                // Until then they are in the buffer of the reader, which is charged with the connection.
+                let received = self.request.max_bytes - left + count;
+                if !self.lease().grow_to(REQUEST_COPIES * received) {
                     return task::Poll::Ready(Err(self.fail_exceeded(ExceededLimit::Memory)));
                 }
                 if count > 0 && !self.request.started.swap(true, atomic::Ordering::Relaxed) {
--- a/coltsfootd/src/daemon.rs
+++ b/coltsfootd/src/daemon.rs
@@ -209,11 +209,11 @@
     let callers = settings.caller_address;
     let operators = settings.operator_address;
     let peers = settings.peer_address;
-    let bound = server::bind(peers).await.map_err(failed("peer_address", peers))?;
+    let bound = TcpListener::bind(peers).await.map_err(failed("peer_address", peers))?;
     let peers = bound.local_addr()?;
     Ok(BoundSockets {
-        callers: server::bind(callers).await.map_err(failed("caller_address", callers))?,
-        operators: server::bind(operators).await.map_err(failed("operator_address", operators))?,
+        callers: server::bind(callers).map_err(failed("caller_address", callers))?,
+        operators: server::bind(operators).map_err(failed("operator_address", operators))?,
         peers: bound,
         datagrams: UdpSocket::bind(peers).await.map_err(failed("peer_address", peers))?,
     })
@@ -255,7 +255,7 @@
             operator::respond(sync::Arc::clone(&responding), events.clone(), request)
         },
         count_refusal: |_| {},
-        limits: settings::CallerLimits::default(),
+        limits: settings::CallerLimits::for_operators(),
     };
     let serving = server::serve(listener, sync::Arc::new(service), sync::Arc::clone(executor));
     executor.spawn(serving).detach();
--- a/coltsfootd/src/server.rs
+++ b/coltsfootd/src/server.rs
@@ -8,7 +8,7 @@
 
 use async_h1::server;
 use async_net::{TcpListener, TcpStream};
-use coltsfoot_http::memory;
+use coltsfoot_http::{memory, socket};
 use coltsfoot_types::refusal;
 use futures_lite::{AsyncReadExt as _, FutureExt as _, StreamExt as _};
 
@@ -22,6 +22,12 @@
 /// Delay after a failed `accept`.
 const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(50);
 
+/// Refused senders that get time to read their response at a time; further ones are closed at once.
+const MAX_REFUSALS: usize = 64;
+/// Memory of a connection: its receive buffer, the reader, the task, and a small request.
+const CONNECTION_BYTES: usize =
+    socket::UNREAD_BYTES + 16 * 1_024 + caller_stream::SMALL_REQUEST_BYTES;
+
 /// Counts the open connections of a listener.
 #[derive(Default)]
 struct ConnectionCount(atomic::AtomicUsize);
@@ -55,9 +61,25 @@
     pub limits: settings::CallerLimits,
 }
 
+/// The memory of a listener's limits, divided: connections have half of it at most, requests the rest.
+struct MemoryPlan {
+    max_connections: usize,
+    /// Memory of requests beyond the small ones.
+    requests: sync::Arc<memory::MemoryBudget>,
+}
+
+impl MemoryPlan {
+    fn new(limits: &settings::CallerLimits) -> Self {
+        let most = (limits.max_memory_bytes / 2 / CONNECTION_BYTES).max(1);
+        let max_connections = limits.max_connections.min(most);
+        let rest = limits.max_memory_bytes.saturating_sub(max_connections * CONNECTION_BYTES);
+        Self { max_connections, requests: sync::Arc::new(memory::MemoryBudget::new(rest)) }
+    }
+}
+
 /// Binds a TCP listener, with port 0 to a free port.
-pub async fn bind(address: net::SocketAddr) -> io::Result<TcpListener> {
-    TcpListener::bind(address).await
+pub fn bind(address: net::SocketAddr) -> io::Result<TcpListener> {
+    TcpListener::try_from(socket::listen(address)?)
 }
 
 /// Accepts connections and serves each on a task of `executor`; a failed `accept` is retried.
@@ -71,7 +93,8 @@
     C: Fn(refusal::RefusalReason) + Send + Sync + 'static,
 {
     let count = sync::Arc::new(ConnectionCount::default());
-    let budget = sync::Arc::new(memory::MemoryBudget::new(service.limits.max_memory_bytes));
+    let refusals = sync::Arc::new(ConnectionCount::default());
+    let plan = MemoryPlan::new(&service.limits);
     let mut incoming = listener.incoming();
     while let Some(accepted) = incoming.next().await {
         let Ok(stream) = accepted else {
@@ -79,19 +102,24 @@
             continue;
         };
         let service = sync::Arc::clone(&service);
-        let budget = sync::Arc::clone(&budget);
-        let connection = count.try_increment(service.limits.max_connections);
-        let serving = async move {
-            match connection {
-                Some(_connection) => serve_connection(stream, &service, &budget).await,
-                None => {
-                    let reason = refusal::RefusalReason::TooManyConnections;
-                    (service.count_refusal)(reason);
-                    refuse(stream, reason).await;
-                }
-            }
-        };
-        executor.spawn(serving).detach();
+        let budget = sync::Arc::clone(&plan.requests);
+        if let Some(connection) = count.try_increment(plan.max_connections) {
+            let serving = async move {
+                let _connection = connection;
+                serve_connection(stream, &service, &budget).await;
+            };
+            executor.spawn(serving).detach();
+            continue;
+        }
+        let reason = refusal::RefusalReason::TooManyConnections;
+        (service.count_refusal)(reason);
+        if let Some(refusal) = refusals.try_increment(MAX_REFUSALS) {
+            let refusing = async move {
+                let _refusal = refusal;
+                refuse(stream, reason).await;
+            };
+            executor.spawn(refusing).detach();
+        }
     }
 }
 
--- a/coltsfootd/src/settings.rs
+++ b/coltsfootd/src/settings.rs
@@ -81,7 +81,7 @@
     pub max_connections: usize,
     /// Maximum size of a request's body, in bytes.
     pub max_body_bytes: usize,
-    /// Maximum size of all requests together, in bytes, beyond the first 16 KiB of each.
+    /// Maximum memory of all connections and requests together, in bytes.
     pub max_memory_bytes: usize,
     /// Timeout from a request's first byte to its last.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
@@ -97,12 +97,24 @@
     pub write_timeout: time::Duration,
 }
 
+impl CallerLimits {
+    /// Returns the limits at the port for operators, whose requests have no bodies.
+    pub fn for_operators() -> Self {
+        Self {
+            max_connections: 64,
+            max_body_bytes: 1_024,
+            max_memory_bytes: 16 * 1_024 * 1_024,
+            ..Self::default()
+        }
+    }
+}
+
 impl Default for CallerLimits {
     fn default() -> Self {
         Self {
             max_connections: 1_024,
             max_body_bytes: 256 * 1_024,
-            max_memory_bytes: 32 * 1_024 * 1_024,
+            max_memory_bytes: 160 * 1_024 * 1_024,
             request_timeout: time::Duration::from_secs(10),
             idle_timeout: time::Duration::from_secs(60),
             write_timeout: time::Duration::from_secs(20),
