Refuse connections at once while all others are being served

What callers saw: with all descriptors or all memory in use for requests that are being served, a further caller was not accepted and got no answer, for as long as the requests before it were served.

Cause: the task that accepts callers waited for a connection to close, also if none gives way.

A connection for which nobody gives way gets 503 with Retry-After at once; up to 32 are refused at a time, with memory that the account sets aside, further ones wait.

--- a/coltsfoot-gateway/src/caller_ledger.rs
+++ b/coltsfoot-gateway/src/caller_ledger.rs
@@ -181,6 +181,11 @@
         })
     }
 
+    /// Returns whether a connection gives way that is not closed yet.
+    pub fn awaits_close(&self) -> bool {
+        self.callers.values().any(|entry| entry.gives_way)
+    }
+
     fn choose<K: Ord>(
         &mut self,
         rank: impl Fn(&CallerId, &CallerEntry) -> Option<K>,
--- a/coltsfoot-gateway/tests/callers.rs
+++ b/coltsfoot-gateway/tests/callers.rs
@@ -90,10 +90,11 @@
     let new = open(&mut ledger, 1400, CallerPhase::Idle);
     let order: Vec<_> = std::iter::from_fn(|| ledger.give_way_to_connection(at(1700))).collect();
     assert_eq!(order, [ending, slow, idle[1], idle[0], young, new], "not {served}");
+    assert!(ledger.awaits_close());
     for id in order {
         ledger.close(id);
     }
-    assert_eq!(ledger.open_connections(), 1);
+    assert_eq!((ledger.open_connections(), ledger.awaits_close()), (1, false));
 }
 
 #[test]
--- a/coltsfootd/src/gateway/caller_table.rs
+++ b/coltsfootd/src/gateway/caller_table.rs
@@ -38,6 +38,15 @@
     signals: FxHashMap<CallerId, sync::Arc<GiveWaySignal>>,
 }
 
+/// Result of an attempt to add a connection.
+enum OpenResult {
+    Open(CallerPlace),
+    /// Another connection gives way first.
+    Replacing,
+    /// All connections are being served.
+    Full,
+}
+
 /// Tells the task of a connection that it gives way.
 #[derive(Debug, Default)]
 struct GiveWaySignal {
@@ -68,21 +77,23 @@
         }
     }
 
-    /// Adds a connection; if there are too many, another one gives way first.
+    /// Adds a connection; if there are too many, another one gives way first. Returns `None` if all are being
+    /// served.
     pub async fn open(
         self: &sync::Arc<Self>,
         now: impl Fn() -> instant::MonotonicTime,
-    ) -> CallerPlace {
+    ) -> Option<CallerPlace> {
         loop {
             let closed = self.closed.listen();
-            if let Some(place) = self.try_open(now()) {
-                return place;
+            match self.try_open(now()) {
+                OpenResult::Open(place) => return Some(place),
+                OpenResult::Full => return None,
+                OpenResult::Replacing => closed.await,
             }
-            closed.await;
         }
     }
 
-    fn try_open(self: &sync::Arc<Self>, now: instant::MonotonicTime) -> Option<CallerPlace> {
+    fn try_open(self: &sync::Arc<Self>, now: instant::MonotonicTime) -> OpenResult {
         let mut lease = memory::MemoryLease::new(sync::Arc::clone(&self.budget));
         let mut connections = state::lock(&self.connections);
         let has_room = connections.ledger.descriptors() < self.max_descriptors
@@ -91,12 +102,15 @@
             if let Some(id) = connections.ledger.give_way_to_connection(now) {
                 connections.signal(id, "too_many_connections");
             }
-            return None;
+            return match connections.ledger.awaits_close() {
+                true => OpenResult::Replacing,
+                false => OpenResult::Full,
+            };
         }
         let id = connections.ledger.open(now);
         let signal = sync::Arc::<GiveWaySignal>::default();
         connections.signals.insert(id, sync::Arc::clone(&signal));
-        Some(CallerPlace { table: sync::Arc::clone(self), id, signal, lease })
+        OpenResult::Open(CallerPlace { table: sync::Arc::clone(self), id, signal, lease })
     }
 }
 
--- a/coltsfootd/src/gateway/callers.rs
+++ b/coltsfootd/src/gateway/callers.rs
@@ -26,6 +26,10 @@
 const LINGER_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 /// Maximum number of bytes that are read and dropped meanwhile.
 const MAX_LINGER_BYTES: usize = 256 * 1024;
+/// Connections that are being refused at a time for want of room.
+const MAX_REFUSALS: usize = 32;
+/// Memory of them, in bytes.
+pub(super) const REFUSAL_BYTES: usize = MAX_REFUSALS * (socket::UNREAD_BYTES + 8 * 1024);
 /// Delay after a failed `accept`, usually for lack of file descriptors.
 pub(super) const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(20);
 
@@ -46,9 +50,7 @@
         match accepted {
             Ok((stream, _)) => {
                 let open = state.stop.sockets.enter();
-                let place = state.callers.open(|| state.now()).await;
-                let task = serve_caller(sync::Arc::clone(&state), stream, place, open);
-                state.executor.spawn(task).detach();
+                admit_caller(&state, stream, open).await;
             }
             Err(error) => {
                 log::warn!("could not accept a caller: {error}");
@@ -58,6 +60,39 @@
     }
 }
 
+/// Serves a connection on a task of its own, or refuses it there if there is no room for it.
+async fn admit_caller(
+    state: &sync::Arc<state::GatewayState>,
+    stream: TcpStream,
+    open: stop::OpenGuard,
+) {
+    loop {
+        if let Some(place) = state.callers.open(|| state.now()).await {
+            let serve = serve_caller(sync::Arc::clone(state), stream, place, open);
+            return state.executor.spawn(serve).detach();
+        }
+        if state.refusals.count() < MAX_REFUSALS {
+            let open = (open, state.refusals.enter());
+            let refuse = refuse_caller(sync::Arc::clone(state), stream, open);
+            return state.executor.spawn(refuse).detach();
+        }
+        async_io::Timer::after(ACCEPT_RETRY_DELAY).await;
+    }
+}
+
+/// Refuses a connection for which there is no room, as all others are being served.
+async fn refuse_caller(
+    state: sync::Arc<state::GatewayState>,
+    stream: TcpStream,
+    _open: (stop::OpenGuard, stop::OpenGuard),
+) {
+    let mut caller = message::MessageStream::new(stream);
+    let rejection = Rejection::unavailable("too_many_connections");
+    if reject(&state, &mut caller, &rejection).await == exchange::ConnectionUse::Close {
+        linger(&mut caller).await;
+    }
+}
+
 pub(super) fn limits(state: &state::GatewayState) -> rules::CallerLimits {
     let routes = state.routes.load();
     routes.as_ref().map_or(DEFAULT_LIMITS, |routes| routes.rules().limits)
--- a/coltsfootd/src/gateway/memory.rs
+++ b/coltsfootd/src/gateway/memory.rs
@@ -5,7 +5,7 @@
 use coltsfoot_http::memory::{MemoryBudget, MemoryLease};
 use rustc_hash::FxHashMap;
 
-use crate::gateway::{operator_ports, serving_memory, state};
+use crate::gateway::{callers, operator_ports, serving_memory, state};
 use crate::logs;
 
 /// Memory of the machine if the settings do not name it, in bytes.
@@ -23,7 +23,7 @@
 }
 
 /// The account of the process, with its parts: requests that are read leave those that are served the memory for
-/// their responses, and both leave the ports for operators theirs. The rest is for log lines.
+/// their responses, and both leave the ports for operators theirs. The rest is for refusals and log lines.
 #[derive(Debug)]
 pub(crate) struct MessageMemory {
     requests: sync::Arc<MemoryBudget>,
@@ -43,7 +43,8 @@
         let account = sync::Arc::new(MemoryBudget::new(capacity));
         let part = |bytes| sync::Arc::new(MemoryBudget::part_of(&account, bytes));
         let operators = operator_ports::MEMORY_BYTES;
-        let fixed = responses + operators + logs::MAX_WAITING_BYTES;
+        let refusals = callers::REFUSAL_BYTES;
+        let fixed = responses + operators + refusals + logs::MAX_WAITING_BYTES;
         Self {
             requests: part(capacity.saturating_sub(fixed)),
             operators: part(operators),
--- a/coltsfootd/src/gateway/operator_ports.rs
+++ b/coltsfootd/src/gateway/operator_ports.rs
@@ -45,7 +45,8 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let place = table.open(|| state.now()).await;
+                // None of them counts as being served.
+                let Some(place) = table.open(|| state.now()).await else { continue };
                 let state = sync::Arc::clone(&state);
                 let executor = sync::Arc::clone(&state.executor);
                 let serve = async move { serve_operator(&state, stream, &place, content).await };
--- a/coltsfootd/src/gateway/run.rs
+++ b/coltsfootd/src/gateway/run.rs
@@ -236,6 +236,7 @@
         listed_peers: sync::Mutex::default(),
         zone_aggregator: sync::Mutex::default(),
         stop: stop::StopState::default(),
+        refusals: stop::OpenCounter::default(),
         tunnels: stop::OpenCounter::default(),
         max_tunnels: caller_ledger::max_tunnels(max_descriptors),
         bounds: arc_swap::ArcSwap::from_pointee(settings.bounds.clone()),
--- a/coltsfootd/src/gateway/state.rs
+++ b/coltsfootd/src/gateway/state.rs
@@ -83,6 +83,8 @@
     /// Totals of this zone, sent to other zones while this instance is the zone's relay.
     pub zone_aggregator: sync::Mutex<zone_relay::ZoneAggregator>,
     pub stop: stop::StopState,
+    /// Connections of callers that are being refused for want of room.
+    pub refusals: stop::OpenCounter,
     /// Tunnels of other instances that this one serves.
     pub tunnels: stop::OpenCounter,
     /// Maximum number of them.
