--- a/coltsfoot-http/src/socket.rs
+++ b/coltsfoot-http/src/socket.rs
@@ -51,8 +51,7 @@
 
 async fn begin_connect(address: net::SocketAddr) -> io::Result<TcpStream> {
     let domain = socket2::Domain::for_address(address);
-    let socket = socket2::Socket::new(domain, socket2::Type::STREAM, None)?;
-    socket.set_nonblocking(true)?;
+    let socket = socket2::Socket::new(domain, socket2::Type::STREAM.nonblocking(), None)?;
     limit_unread(&socket);
     match socket.connect(&address.into()) {
         Err(error) if rustix::io::Errno::from_io_error(&error) != Some(IN_PROGRESS) => {
--- a/coltsfootd/src/gateway/exchange.rs
+++ b/coltsfootd/src/gateway/exchange.rs
@@ -12,11 +12,11 @@
 use site_platform::fields;
 
 use crate::event;
-use crate::gateway::{archive, callers, forwarding, request_log, state};
+use crate::gateway::{archive, callers, forwarding, request_log, serving_memory, state};
 use crate::request_digest;
 
 /// Maximum number of a body's bytes that are written together with the head.
-const MAX_JOINED_BYTES: usize = 64 * 1024;
+const MAX_JOINED_BYTES: usize = serving_memory::RESPONSE_BYTES / 2;
 
 /// What happens to the caller's connection after a response.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/coltsfootd/src/gateway/serving_memory.rs
+++ b/coltsfootd/src/gateway/serving_memory.rs
@@ -9,6 +9,9 @@
 /// Bytes of a response that are charged with its request: its head and a short body, or an event of a stream
 /// with its copies.
 pub(super) const RESPONSE_BYTES: usize = 16 * 1024;
+/// Responses that a request holds: the one that is written, with its encoded form, and a failed one of an earlier
+/// attempt.
+const RESPONSES: usize = 2;
 /// Memory of the tasks and entries of a request while it is served, in bytes.
 const TASK_BYTES: usize = 8 * 1024;
 /// Length of the fields that are added to a forwarded request, in bytes.
@@ -17,7 +20,7 @@
 /// Returns the memory that a request needs beyond its head and body until its response is written.
 pub(super) fn needed_bytes(head: &header::RequestHead, body_length: usize) -> usize {
     let attempt = attempt_bytes(head, body_length);
-    TASK_BYTES + fields::decoded_bytes(head) + attempt + RESPONSE_BYTES
+    TASK_BYTES + fields::decoded_bytes(head) + attempt + RESPONSES * RESPONSE_BYTES
 }
 
 /// Returns the memory of one attempt: what is written to the upstream at once, and what its connection receives
