Charge what a connection's task really takes, and keep idle ones small

A connection without a request took 31 KB of resident memory, as its task had the space for serving one, while the account had 12 KiB for it (1,000 idle connections at a release build, resident memory before and after).

Idle connections closed for want of memory are logged like those closed for want of room.

--- a/coltsfootd/src/gateway/caller_table.rs
+++ b/coltsfootd/src/gateway/caller_table.rs
@@ -14,7 +14,7 @@
 /// Bytes that a connection may read of a message before more is charged.
 const FIRST_READ_BYTES: usize = 4 * 1024;
 /// Memory of the task, the socket and the entries of a connection, in bytes.
-const TASK_BYTES: usize = 12 * 1024;
+const TASK_BYTES: usize = 8 * 1024;
 /// Memory of a connection on which nothing is read yet.
 pub(super) const CONNECTION_BYTES: usize = TASK_BYTES + FIRST_READ_BYTES + socket::UNREAD_BYTES;
 
--- a/coltsfootd/src/gateway/callers.rs
+++ b/coltsfootd/src/gateway/callers.rs
@@ -122,7 +122,8 @@
         let take = take_request(&state, &mut caller, &limits, &place);
         let request = future::or(give_way, take).await;
         let is_kept = match request {
-            Ok(request) => serve_request(&state, &mut caller, request).await,
+            // Boxed, as an idle connection would hold the space.
+            Ok(request) => Box::pin(serve_request(&state, &mut caller, request)).await,
             Err(rejection) => {
                 // Its memory was given back, which others may wait for.
                 place.enter(state.now(), CallerPhase::Ending);
@@ -144,7 +145,7 @@
 /// Logs the end of a connection without a request in progress; ends by the caller are only counted.
 fn log_idle_end(state: &state::GatewayState, reason: &'static str) {
     state.metrics.count_connection(reason);
-    if matches!(reason, "idle" | "stopping" | "too_many_connections") {
+    if matches!(reason, "idle" | "stopping" | "too_many_connections" | "no_memory") {
         log::info!(event = event::CONNECTION_CLOSED.number, reason = reason; "connection_closed");
     }
 }
--- a/coltsfootd/src/gateway/serving_memory.rs
+++ b/coltsfootd/src/gateway/serving_memory.rs
@@ -13,7 +13,7 @@
 /// attempt.
 const RESPONSES: usize = 2;
 /// Memory of the tasks and entries of a request while it is served, in bytes.
-const TASK_BYTES: usize = 8 * 1024;
+const TASK_BYTES: usize = 40 * 1024;
 /// Length of the fields that are added to a forwarded request, in bytes.
 const ADDED_FIELD_BYTES: usize = 512;
 
