Test the pool's bound, the bound on unread bytes and the length of encoded heads

Three things that the account rests on had only tests of whole processes: the largest number of idle connections, what a connection of `socket::listen` or `connect_bounded` holds unread, and `encoded_length`.

--- a/coltsfoot-http/tests/connections.rs
+++ b/coltsfoot-http/tests/connections.rs
@@ -4,7 +4,7 @@
 use std::time;
 
 use async_net::{TcpListener, TcpStream};
-use coltsfoot_http::{body, message, pool, socket};
+use coltsfoot_http::{body, header, message, pool, socket};
 use futures_lite::{AsyncWriteExt as _, future};
 use rstest::rstest;
 
@@ -229,3 +229,68 @@
         assert!(turns >= 100, "{turns} turns beside 1,000 reads");
     });
 }
+
+#[test]
+fn pool_keeps_no_more_idle_connections_than_it_may() {
+    async_io::block_on(async {
+        let long = time::Duration::from_secs(60);
+        let pool = pool::ConnectionPool::new(3);
+        let mut remotes = Vec::new();
+        let mut addresses = Vec::new();
+        for _ in 0..5 {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+            let address = listener.local_addr().expect("bound");
+            let local = TcpStream::connect(address).await.expect("connected");
+            remotes.push((listener.accept().await.expect("accepted"), listener));
+            addresses.push(address);
+            pool.put(address, message::MessageStream::new(local), long);
+        }
+        let kept = async |index: usize| pool.take(addresses[index], long).await;
+        let taken = kept(0).await.expect("it was there first");
+        assert!(kept(3).await.is_none(), "the pool was full");
+        pool.put(addresses[4], taken, long);
+        assert!(kept(4).await.is_some(), "one was taken");
+        pool.close_idle(addresses[1]);
+        let replaced = TcpStream::connect(addresses[3]).await.expect("connected");
+        pool.put(addresses[3], message::MessageStream::new(replaced), long);
+        assert!(kept(3).await.is_some(), "one was closed");
+    });
+}
+
+#[test]
+fn connections_hold_no_more_unread_bytes_than_their_receive_buffer() {
+    const SEND_BUFFER: usize = 8 * 1024;
+    async_io::block_on(async {
+        let listener = socket::listen("127.0.0.1:0".parse().expect("an address")).expect("bound");
+        let address = listener.local_addr().expect("bound");
+        let connected = socket::connect_bounded(address, time::Duration::from_secs(10)).await;
+        let near = connected.expect("connected");
+        let (far, _) = listener.accept().expect("accepted");
+        let far = TcpStream::try_from(far).expect("a socket");
+        for writer in [&near, &far] {
+            let buffer = socket2::SockRef::from(writer);
+            buffer.set_send_buffer_size(SEND_BUFFER).expect("an option of the system");
+            let mut taken = 0;
+            while let Some(written) = message::with_timeout(
+                time::Duration::from_millis(300),
+                writer.clone().write(&[b'x'; 4096]),
+            )
+            .await
+            {
+                taken += written.expect("open");
+            }
+            // The system doubles the send buffer.
+            let most = socket::UNREAD_BYTES + 2 * SEND_BUFFER;
+            assert!((1..=most).contains(&taken), "{taken} bytes");
+        }
+    });
+}
+
+#[test]
+fn encoded_length_is_the_length_of_the_encoded_head() {
+    let mut head = header::RequestHead::new("POST", "/notes/x?y=1");
+    for count in 0..3 {
+        assert_eq!(head.encoded_length(), head.encode().len(), "{count} fields");
+        head.headers.push("X-Note", "some text");
+    }
+}
