Wait for a time in the future while a controller is paused

Cause: while it is paused for want of a permit, a controller's step named the time of the next report if nothing else was due. A report that was due, or fell due in the pause, made that a time in the past; the timer was ready at once and the engine's task went round without yielding on the only thread.

Related paths: an order that can't be encoded was decided on again without a pause; the receiver of messages and the accept loops took what was there without yielding.

--- a/coltsfoot-gateway/src/engine_controller.rs
+++ b/coltsfoot-gateway/src/engine_controller.rs
@@ -370,8 +370,9 @@
             self.reported.map(|reported| reported + constraints.min_report_interval);
         let report_due = self.next_report.max(earliest_report.unwrap_or_default());
         if self.is_paused(now) {
+            let due = self.next_due(now, report_due);
             return engine_order::ControllerStep::Wait(
-                self.next_due(now, report_due).min(self.paused_until),
+                due.map_or(self.paused_until, |due| due.min(self.paused_until)),
             );
         }
         if now >= report_due {
@@ -385,7 +386,7 @@
         {
             return engine_order::ControllerStep::Order { order, expected_count };
         }
-        let due = self.next_due(now, report_due);
+        let due = self.next_due(now, report_due).unwrap_or(report_due);
         let waits_for_fetch =
             constraints.may_order && !constraints.may_fetch && !self.load_requests.is_empty();
         engine_order::ControllerStep::Wait(if waits_for_fetch {
@@ -395,11 +396,12 @@
         })
     }
 
+    /// Returns the first time after now at which something is due.
     fn next_due(
         &self,
         now: clock::MonotonicTime,
         report_due: clock::MonotonicTime,
-    ) -> clock::MonotonicTime {
+    ) -> Option<clock::MonotonicTime> {
         let usable = self.placed.values().map(PlacedAdapter::usable_at);
         let pending = self.placed.values().map(|placed| placed.ready_at).chain(usable);
         let expiring =
@@ -410,7 +412,7 @@
             .chain(reservations)
             .chain([report_due, self.blocked_until])
             .chain(self.model_ready_at);
-        due.filter(|due| *due > now).min().unwrap_or(report_due)
+        due.filter(|due| *due > now).min()
     }
 
     /// Returns the number of load requests that wait for a fetch from the weight store.
--- a/coltsfoot-gateway/src/engine_order.rs
+++ b/coltsfoot-gateway/src/engine_order.rs
@@ -103,6 +103,6 @@
     },
     /// Query a report.
     Report,
-    /// Wait until this time or for the next load request.
+    /// Wait until this time, which is in the future, or for the next load request.
     Wait(clock::MonotonicTime),
 }
--- a/coltsfoot-gateway/tests/controller.rs
+++ b/coltsfoot-gateway/tests/controller.rs
@@ -360,3 +360,24 @@
     assert!(!engine.takes_orders);
     assert_eq!(next(&mut controller, 3_000), ControllerStep::Report);
 }
+
+/// Guards against a gateway that answered nobody while a rate-limited engine's report was due: the step
+/// named a time in the past, so that its task went round without waiting.
+#[rstest::rstest]
+#[case::report_is_due(2_000)]
+#[case::report_falls_due_in_the_pause(1_900)]
+#[case::nothing_else_is_due(100)]
+fn a_paused_controller_waits_for_a_time_in_the_future(#[case] paused: u64) {
+    let mut controller = controller(&[1]);
+    controller.pause(at(paused + 300));
+    for now in (paused..paused + 300).step_by(50) {
+        match next(&mut controller, now) {
+            ControllerStep::Wait(due) => assert!(due > at(now), "{due:?} at {now} ms"),
+            step => panic!("a paused controller decides on {step:?}"),
+        }
+    }
+    assert!(controller.take_replies(at(paused)).is_empty());
+    if paused + 300 >= 2_000 {
+        assert_eq!(next(&mut controller, paused + 300), ControllerStep::Report);
+    }
+}
--- a/coltsfootd/src/gateway/callers.rs
+++ b/coltsfootd/src/gateway/callers.rs
@@ -10,8 +10,8 @@
 use futures_lite::{AsyncWriteExt as _, future};
 use site_platform::fields;
 
-use crate::event;
 use crate::gateway::{caller_table, exchange, request_log, serving_memory, state, stop};
+use crate::{event, task};
 
 /// Limits until a configuration is known.
 const DEFAULT_LIMITS: rules::CallerLimits = rules::CallerLimits {
@@ -40,7 +40,9 @@
     listener: TcpListener,
     _open: stop::OpenGuard,
 ) {
+    let mut pacer = task::StepPacer::default();
     loop {
+        pacer.step().await;
         let accept = async { Some(listener.accept().await) };
         let close = async {
             state.stop.wait_for(stop_plan::StopPhase::Closing).await;
@@ -69,12 +71,12 @@
     loop {
         if let Some(place) = state.callers.open(|| state.now()).await {
             let serve = serve_caller(sync::Arc::clone(state), stream, place, open);
-            return state.executor.spawn(serve).detach();
+            return state.spawn("caller", serve);
         }
         if state.refusals.count() < MAX_REFUSALS {
             let open = (open, state.refusals.enter());
             let refuse = refuse_caller(sync::Arc::clone(state), stream, open);
-            return state.executor.spawn(refuse).detach();
+            return state.spawn("refusal", refuse);
         }
         async_io::Timer::after(ACCEPT_RETRY_DELAY).await;
     }
--- a/coltsfootd/src/gateway/crashes.rs
+++ b/coltsfootd/src/gateway/crashes.rs
@@ -142,9 +142,9 @@
     if !state::lock(&state.crashes.probing).insert(sync::Arc::clone(upstream)) {
         return;
     }
-    let executor = sync::Arc::clone(&state.executor);
-    let (state, upstream) = (sync::Arc::clone(state), sync::Arc::clone(upstream));
+    let (own, upstream) = (sync::Arc::clone(state), sync::Arc::clone(upstream));
     let task = async move {
+        let state = own;
         let result = probe(&state, &upstream, address).await;
         state::lock(&state.crashes.probing).remove(&upstream);
         match result {
@@ -158,7 +158,7 @@
             ProbeResult::Unknown => {}
         }
     };
-    executor.spawn(task).detach();
+    state.spawn("crash_probe", task);
 }
 
 /// Result of a probe.
--- a/coltsfootd/src/gateway/engines.rs
+++ b/coltsfootd/src/gateway/engines.rs
@@ -17,8 +17,8 @@
 use rustc_hash::FxHashMap;
 use site_platform::{engine, fields};
 
-use crate::event;
 use crate::gateway::{fleet, heartbeats, intake, permits, state};
+use crate::{event, task};
 
 /// Timeout for the response to an order.
 const ORDER_TIMEOUT: time::Duration = time::Duration::from_millis(300);
@@ -276,7 +276,7 @@
         let slot =
             ControllerSlot { owned: owned.clone(), controller, wake: sync::Arc::clone(&wake) };
         slots.insert(sync::Arc::clone(id), slot);
-        state.executor.spawn(run_engine(sync::Arc::clone(state), owned, wake)).detach();
+        state.spawn("engine", run_engine(sync::Arc::clone(state), owned, wake));
     }
 }
 
@@ -286,7 +286,9 @@
     owned: EngineTenure,
     wake: sync::Arc<event_listener::Event>,
 ) {
+    let mut pacer = task::StepPacer::default();
     loop {
+        pacer.step().await;
         let listener = wake.listen();
         let Some(address) = owned_address(&state, &owned) else {
             state.controllers.retire_ended(&state);
@@ -294,8 +296,8 @@
         };
         if let Some(until) = intake::unavailable_until(&state, owned.number) {
             flush_results(&state, &owned);
-            let wait = until.since(state.now()).min(BACKOFF_CHECK_INTERVAL);
-            async_io::Timer::after(wait).await;
+            let now = state.now();
+            task::wait_until(now, until.min(now + BACKOFF_CHECK_INTERVAL)).await;
             continue;
         }
         let step = next_step(&state, &owned);
@@ -313,11 +315,7 @@
                 }
             }
             Some(engine_order::ControllerStep::Wait(due)) => {
-                let wait = due.since(state.now());
-                let sleep = async {
-                    async_io::Timer::after(wait).await;
-                };
-                futures_lite::future::or(sleep, listener).await;
+                futures_lite::future::or(task::wait_until(state.now(), due), listener).await;
             }
         }
         flush_results(&state, &owned);
@@ -445,7 +443,14 @@
     let holder = &state.settings.instance;
     let authority = engine::OrderAuthority { holder, fence, engine: id };
     let encoded = engine::encode_order(&order, expected_count, authority);
-    let Ok((head, body)) = encoded else { return };
+    let (head, body) = match encoded {
+        Ok(encoded) => encoded,
+        Err(error) => {
+            log::warn!(event = event::LOAD_FAILED.number, upstream = id; "load_failed: {error}");
+            async_io::Timer::after(ORDER_RETRY_PAUSE).await;
+            return;
+        }
+    };
     let sent = state.now();
     let called = client::call(&state.pool, address, &head, &body, MAX_REPORT_BYTES, ORDER_TIMEOUT);
     let answer = match called.await {
--- a/coltsfootd/src/gateway/fleet.rs
+++ b/coltsfootd/src/gateway/fleet.rs
@@ -9,11 +9,11 @@
 use coltsfoot_types::time as instant;
 use coltsfoot_wire::fleet as wire;
 
-use crate::event;
 use crate::gateway::{
     cold, crashes, engines, estimates, heartbeats, intake, loads, news, origins, parts, permits,
     state,
 };
+use crate::{event, task};
 
 /// Keyed topic in which instances register the addresses at which they receive messages.
 const INSTANCE_TOPIC: &str = "keyed.coltsfoot-instances";
@@ -76,7 +76,9 @@
 /// Receives and dispatches messages; never returns.
 pub(crate) async fn receive(state: sync::Arc<state::GatewayState>) {
     let mut buffer = vec![0; MAX_DATAGRAM];
+    let mut pacer = task::StepPacer::default();
     loop {
+        pacer.step().await;
         let length = match state.fleet_socket.recv_from(&mut buffer).await {
             Ok((length, _)) => length,
             Err(error) => {
--- a/coltsfootd/src/gateway/metrics.rs
+++ b/coltsfootd/src/gateway/metrics.rs
@@ -16,6 +16,7 @@
     failovers: metrics::Counter<u64>,
     loads: metrics::Counter<u64>,
     late_loads: metrics::Counter<u64>,
+    held_threads: metrics::Counter<u64>,
     orders: metrics::Counter<u64>,
     reports: metrics::Counter<u64>,
     permits: metrics::Counter<u64>,
@@ -51,6 +52,10 @@
                 "coltsfoot_gateway_late_loads",
                 "Loads at owned engines that had not ended when they were expected to",
             ),
+            held_threads: registry.counter(
+                "coltsfoot_gateway_held_threads",
+                "Times that a task held the thread for over 100 ms, by task",
+            ),
             orders: registry
                 .counter("coltsfoot_gateway_orders", "Orders to engines, by their answer"),
             reports: registry
@@ -122,6 +127,11 @@
         self.late_loads.add(1, &[]);
     }
 
+    /// Counts a task that held the thread for long.
+    pub fn count_held_thread(&self, task: &'static str) {
+        self.held_threads.add(1, &[KeyValue::new("task", task)]);
+    }
+
     /// Counts an order to an engine, by the engine's answer.
     pub fn count_order(&self, answer: &'static str) {
         self.orders.add(1, &[KeyValue::new("answer", answer)]);
--- a/coltsfootd/src/gateway/operator_ports.rs
+++ b/coltsfootd/src/gateway/operator_ports.rs
@@ -8,6 +8,7 @@
 use futures_lite::future;
 
 use crate::gateway::{caller_table, callers, state};
+use crate::task;
 
 /// Connections of one port; further ones replace the slow and the idle ones.
 const MAX_CONNECTIONS: usize = 8;
@@ -42,15 +43,16 @@
 ) {
     let table = caller_table::CallerTable::new(MAX_CONNECTIONS, state.memory.operators());
     let table = sync::Arc::new(table);
+    let mut pacer = task::StepPacer::default();
     loop {
+        pacer.step().await;
         match listener.accept().await {
             Ok((stream, _)) => {
                 // None of them counts as being served.
                 let Some(place) = table.open(|| state.now()).await else { continue };
-                let state = sync::Arc::clone(&state);
-                let executor = sync::Arc::clone(&state.executor);
-                let serve = async move { serve_operator(&state, stream, &place, content).await };
-                executor.spawn(serve).detach();
+                let own = sync::Arc::clone(&state);
+                let serve = async move { serve_operator(&own, stream, &place, content).await };
+                state.spawn("operator", serve);
             }
             Err(error) => {
                 log::warn!("could not accept an operator: {error}");
--- a/coltsfootd/src/gateway/paths.rs
+++ b/coltsfootd/src/gateway/paths.rs
@@ -155,9 +155,8 @@
         async_io::Timer::after(PROBE_CHECK_INTERVAL).await;
         let probes = state.view().start_probes(state.now());
         for (upstream, address) in probes {
-            let state = sync::Arc::clone(&state);
-            let executor = sync::Arc::clone(&state.executor);
-            executor.spawn(async move { probe(&state, &upstream, address).await }).detach();
+            let own = sync::Arc::clone(&state);
+            state.spawn("probe", async move { probe(&own, &upstream, address).await });
         }
     }
 }
--- a/coltsfootd/src/gateway/run.rs
+++ b/coltsfootd/src/gateway/run.rs
@@ -121,26 +121,33 @@
     let state = build_state(settings, executor).await?;
     let name = &state.settings.instance;
     log::info!(event = event::STARTED.number, instance = name.to_string(); "started");
-    let executor = &state.executor;
     let open = state.stop.sockets.enter();
-    executor.spawn(callers::accept(sync::Arc::clone(&state), callers, open)).detach();
-    executor.spawn(operator_ports::serve_readiness(sync::Arc::clone(&state), readiness)).detach();
-    executor.spawn(operator_ports::serve_metrics(sync::Arc::clone(&state), scrapes)).detach();
-    executor.spawn(follower::follow_operator(sync::Arc::clone(&state))).detach();
-    executor.spawn(follower::follow_upstreams(sync::Arc::clone(&state))).detach();
-    executor.spawn(tunnels::accept(sync::Arc::clone(&state), tunnels)).detach();
-    executor.spawn(paths::probe_lost(sync::Arc::clone(&state))).detach();
-    executor.spawn(fleet::receive(sync::Arc::clone(&state))).detach();
-    executor.spawn(heartbeats::send_heartbeats(sync::Arc::clone(&state))).detach();
-    executor.spawn(news::request_when_behind(sync::Arc::clone(&state))).detach();
-    executor.spawn(fleet::discover_peers(sync::Arc::clone(&state))).detach();
-    executor.spawn(fleet::resend_known(sync::Arc::clone(&state))).detach();
-    executor.spawn(estimates::tell(sync::Arc::clone(&state))).detach();
-    executor.spawn(lease::maintain(sync::Arc::clone(&state))).detach();
-    executor.spawn(engines::poll_stale_engines(sync::Arc::clone(&state))).detach();
-    executor.spawn(origins::maintain(sync::Arc::clone(&state))).detach();
-    executor.spawn(archive::maintain(sync::Arc::clone(&state))).detach();
-    executor.spawn(reload::watch(sync::Arc::clone(&state))).detach();
+    state.spawn("callers_accept", callers::accept(sync::Arc::clone(&state), callers, open));
+    state.spawn(
+        "operator_ports_serve_readiness",
+        operator_ports::serve_readiness(sync::Arc::clone(&state), readiness),
+    );
+    state.spawn(
+        "operator_ports_serve_metrics",
+        operator_ports::serve_metrics(sync::Arc::clone(&state), scrapes),
+    );
+    state.spawn("follower_follow_operator", follower::follow_operator(sync::Arc::clone(&state)));
+    state.spawn("follower_follow_upstreams", follower::follow_upstreams(sync::Arc::clone(&state)));
+    state.spawn("tunnels_accept", tunnels::accept(sync::Arc::clone(&state), tunnels));
+    state.spawn("paths_probe_lost", paths::probe_lost(sync::Arc::clone(&state)));
+    state.spawn("fleet_receive", fleet::receive(sync::Arc::clone(&state)));
+    state
+        .spawn("heartbeats_send_heartbeats", heartbeats::send_heartbeats(sync::Arc::clone(&state)));
+    state.spawn("news_request_when_behind", news::request_when_behind(sync::Arc::clone(&state)));
+    state.spawn("fleet_discover_peers", fleet::discover_peers(sync::Arc::clone(&state)));
+    state.spawn("fleet_resend_known", fleet::resend_known(sync::Arc::clone(&state)));
+    state.spawn("estimates_tell", estimates::tell(sync::Arc::clone(&state)));
+    state.spawn("lease_maintain", lease::maintain(sync::Arc::clone(&state)));
+    state
+        .spawn("engines_poll_stale_engines", engines::poll_stale_engines(sync::Arc::clone(&state)));
+    state.spawn("origins_maintain", origins::maintain(sync::Arc::clone(&state)));
+    state.spawn("archive_maintain", archive::maintain(sync::Arc::clone(&state)));
+    state.spawn("reload_watch", reload::watch(sync::Arc::clone(&state)));
     wait_for_stop(&state, &signals).await;
     pass_stop_phases(&state).await;
     Ok(())
--- a/coltsfootd/src/gateway/state.rs
+++ b/coltsfootd/src/gateway/state.rs
@@ -20,7 +20,7 @@
     caller_table, crashes, engines, follower, memory, metrics, origins, pending_calls, permits,
     stop,
 };
-use crate::{clock, event};
+use crate::{clock, event, task};
 
 /// Fraction of the fleet's retry budget that is used, so that the bound holds while some instances
 /// do not know of each other.
@@ -97,6 +97,24 @@
         self.clock.now()
     }
 
+    /// Starts a task; reports it by its name whenever it holds the thread for long.
+    pub fn spawn(
+        self: &sync::Arc<Self>,
+        name: &'static str,
+        future: impl Future<Output = ()> + Send + 'static,
+    ) {
+        let clock = self.clock.clone();
+        let state = sync::Arc::clone(self);
+        let report = move |held: time::Duration| {
+            state.metrics.count_held_thread(name);
+            log::warn!(
+                event = event::THREAD_HELD.number, task = name, held_ms = held.as_millis() as u64;
+                "thread_held"
+            );
+        };
+        self.executor.spawn(task::watch_holds(future, move || clock.now(), report)).detach();
+    }
+
     /// Returns the copy of a topic.
     pub fn replica(&self, topic: fleet::StoreTopic) -> &sync::Mutex<topic_replica::TopicReplica> {
         match topic {
--- a/coltsfootd/src/gateway/tunnels.rs
+++ b/coltsfootd/src/gateway/tunnels.rs
@@ -16,8 +16,8 @@
 use futures_lite::{AsyncReadExt as _, AsyncWriteExt as _, future};
 use rand::seq::SliceRandom as _;
 
-use crate::event;
 use crate::gateway::{paths, state, stop};
+use crate::{event, task};
 
 /// Instances that are asked for a tunnel until one has opened it.
 const MAX_CARRIERS: usize = 2;
@@ -107,7 +107,9 @@
 
 /// Accepts tunnels of other instances; never returns.
 pub(crate) async fn accept(state: sync::Arc<state::GatewayState>, listener: TcpListener) {
+    let mut pacer = task::StepPacer::default();
     loop {
+        pacer.step().await;
         match listener.accept().await {
             Ok((stream, _)) => {
                 // Its own callers come first; the other instance asks a further one.
@@ -123,7 +125,7 @@
                 }
                 let open = (state.tunnels.enter(), state.stop.sockets.enter(), lease);
                 let task = serve(sync::Arc::clone(&state), stream, open);
-                state.executor.spawn(task).detach();
+                state.spawn("tunnel", task);
             }
             Err(error) => {
                 log::warn!("could not accept a tunnel: {error}");
--- a/coltsfootd/src/lib.rs
+++ b/coltsfootd/src/lib.rs
@@ -16,3 +16,4 @@
 mod server;
 pub mod settings;
 mod shared;
+pub mod task;
