Count the grace of a replaced version from its own replacement

Cause: the time for which an older version may be used was counted from the newest version and given to all before it, so that each further version made long replaced ones usable again. It shows where an engine is not reloaded, here in a zone whose only instance has left.

Related path: an instance that has just started gave the versions of its first read the same time.

--- a/coltsfoot-gateway/src/fleet_view.rs
+++ b/coltsfoot-gateway/src/fleet_view.rs
@@ -10,6 +10,7 @@
 pub mod permit_issuers;
 pub mod zones;
 
+use std::collections::hash_map;
 use std::sync;
 use std::time;
 
@@ -20,7 +21,7 @@
 use crate::{
     availability_table, brittle_table, cold_table, demand, engine_controller, engine_estimate,
     engine_order, evacuation_table, fetch_limiter, limit_table, member_memory, path_table,
-    peer_slot, rendezvous, upstream, upstream_slot,
+    peer_slot, rendezvous, upstream, upstream_slot, version_history,
 };
 
 /// Heartbeats of an instance that may be lost before its state counts as stale.
@@ -35,27 +36,13 @@
 const CONNECT_PENALTY: time::Duration = time::Duration::from_millis(1500);
 /// Weight of the newest outcome in the failure rate.
 const FAILURE_WEIGHT: f64 = 0.2;
-/// Time for which an engine with an older adapter version still gets requests, while its owner
-/// replaces the version.
-const VERSION_GRACE: time::Duration = time::Duration::from_millis(2500);
-
-/// The newest configured version of an adapter.
-#[derive(Clone, Debug)]
-pub struct ConfiguredVersion {
-    /// The adapter.
-    pub name: demand::AdapterName,
-    /// The version.
-    pub version: u64,
-    /// When this instance learned of it.
-    pub learned: clock::MonotonicTime,
-}
 
 /// Upstreams, other instances, and adapter versions, as this instance knows them.
 #[derive(Clone, Debug, Default)]
 pub struct FleetView {
     upstreams: FxHashMap<sync::Arc<str>, upstream_slot::UpstreamSlot>,
     peers: FxHashMap<u64, peer_slot::PeerSlot>,
-    versions: FxHashMap<demand::AdapterKey, ConfiguredVersion>,
+    versions: FxHashMap<demand::AdapterKey, version_history::VersionHistory>,
     /// Ids of upstreams by the number that messages use.
     numbers: FxHashMap<u32, sync::Arc<str>>,
     /// Other zones whose state comes from a relay.
@@ -248,28 +235,30 @@
         &mut self.limits
     }
 
-    /// Records a configured adapter version. Returns whether it is newer than the known one.
+    /// Records a configured adapter version. `learned` is when this instance learned of it; `None` if it was in
+    /// force before the instance started. Returns whether it is newer than the known one.
     pub fn record_version(
         &mut self,
         now: clock::MonotonicTime,
-        name: demand::AdapterName,
+        name: &demand::AdapterName,
         version: u64,
+        learned: Option<clock::MonotonicTime>,
     ) -> bool {
-        let key = name.key();
-        if self.versions.get(&key).is_some_and(|known| known.version >= version) {
-            return false;
+        match self.versions.entry(name.key()) {
+            hash_map::Entry::Occupied(mut known) => known.get_mut().record(now, version, learned),
+            hash_map::Entry::Vacant(unknown) => {
+                unknown.insert(version_history::VersionHistory::new(version, learned));
+                true
+            }
         }
-        self.versions.insert(key, ConfiguredVersion { name, version, learned: now });
-        true
     }
 
     /// Returns the newest configured version of an adapter.
     pub fn newest_version(&self, key: demand::AdapterKey) -> Option<u64> {
-        self.versions.get(&key).map(|named| named.version)
+        self.versions.get(&key).map(version_history::VersionHistory::newest)
     }
 
-    /// Returns whether an engine has an adapter in a version that requests may run on: the newest
-    /// one, or any one shortly after a new one became known.
+    /// Returns whether an engine has an adapter in a version that requests may run on.
     pub fn has_usable_adapter(
         &self,
         now: clock::MonotonicTime,
@@ -277,8 +266,7 @@
         key: demand::AdapterKey,
     ) -> bool {
         let Some(held) = slot.residency.adapters.get(&key) else { return false };
-        let Some(named) = self.versions.get(&key) else { return true };
-        *held >= named.version || now.since(named.learned) < VERSION_GRACE
+        self.versions.get(&key).is_none_or(|versions| versions.is_usable(now, *held))
     }
 
     /// Records a request that is sent to an upstream; returns the prompt tokens to prefill there.
@@ -500,7 +488,7 @@
     /// Returns a digest of the configured adapter versions.
     pub fn version_digest(&self) -> u64 {
         let versions = self.versions.iter();
-        let digests = versions.map(|(key, named)| rendezvous::hash_of(&(key, named.version)));
+        let digests = versions.map(|(key, named)| rendezvous::hash_of(&(key, named.newest())));
         digests.fold(0, u64::wrapping_add)
     }
 
--- a/coltsfoot-gateway/src/lib.rs
+++ b/coltsfoot-gateway/src/lib.rs
@@ -43,4 +43,5 @@
 pub mod upstream;
 pub mod upstream_search;
 pub mod upstream_slot;
+pub mod version_history;
 pub mod zone_relay;
--- a/coltsfoot-gateway/tests/choice.rs
+++ b/coltsfoot-gateway/tests/choice.rs
@@ -119,12 +119,25 @@
     let home = choose(&view, 0, &demand).expect("an upstream").id;
     report_adapters(&mut view, &home, &["a1"], 7);
     let name = demand.adapter.clone().expect("an adapter");
-    assert!(view.record_version(at(1000), name.clone(), 2));
-    assert!(!view.record_version(at(1001), name, 2), "the version is known");
+    assert!(view.record_version(at(1000), &name, 2, Some(at(1000))));
+    assert!(!view.record_version(at(1001), &name, 2, Some(at(1001))), "the version is known");
     assert!(!choose(&view, 2000, &demand).expect("an upstream").needs_load);
     assert!(choose(&view, 6000, &demand).expect("an upstream").needs_load);
 }
 
+/// Guards against an engine without an owner, whose old version every further new one made usable again.
+#[test]
+fn a_version_that_was_replaced_long_ago_does_not_serve_while_a_further_one_is_loaded() {
+    let mut view = fleet(&SIX_ENGINES);
+    let demand = prompt("a1", 1);
+    let home = choose(&view, 0, &demand).expect("an upstream").id;
+    report_adapters(&mut view, &home, &["a1"], 7);
+    let name = demand.adapter.clone().expect("an adapter");
+    assert!(view.record_version(at(1000), &name, 2, Some(at(1000))));
+    assert!(view.record_version(at(11_000), &name, 3, Some(at(11_000))));
+    assert!(choose(&view, 11_100, &demand).expect("an upstream").needs_load);
+}
+
 /// Load pattern: an engine stops sending during running requests, without closing a connection.
 #[test]
 fn a_silent_engine_gets_no_further_requests() {
--- a/coltsfootd/src/gateway/follower.rs
+++ b/coltsfootd/src/gateway/follower.rs
@@ -177,10 +177,10 @@
         let started = state.now();
         let news = follower.poll(&state, wire::StoreTopic::Operator).await;
         if let Some(TopicNews { records, read_at, .. }) = news {
-            *state::lock(&state.operator_read_at) = Some(read_at);
             for record in &records {
                 apply_operator_record(&state, record);
             }
+            *state::lock(&state.operator_read_at) = Some(read_at);
             state.view().evacuations_mut().confirm(read_at);
             if !records.is_empty() {
                 if is_known {
@@ -221,8 +221,10 @@
     } else if record.key.starts_with(rules::VERSION_PREFIX) {
         match rules::decode_version(value) {
             Ok((name, version)) => {
-                let adapter = name.adapter.to_string();
-                if state.view().record_version(state.now(), name, version) {
+                let (now, adapter) = (state.now(), name.adapter.to_string());
+                // The records of the first read may be of any age.
+                let learned = state::lock(&state.operator_read_at).map(|_| now);
+                if state.view().record_version(now, &name, version, learned) {
                     state.controllers.wake_all();
                     log::info!(
                         event = event::VERSION_NAMED.number, adapter = adapter,
