Let instances of other zones own the engines of a zone without any

Cause: engines are owned by instances of their own zone only.

Change: a few instances of other zones join the owners of a zone with engines, without a recently heard instance and without an owner of its own in the store. They wait until any earlier holder has ended, including one that was cut off together with the store and extends its lease there, and give back as soon as an instance of the zone is heard or holds.

--- a/coltsfoot-gateway/src/fleet_view.rs
+++ b/coltsfoot-gateway/src/fleet_view.rs
@@ -1,6 +1,7 @@
 //! An instance's view of the fleet: upstreams, other instances, and the requests of all instances
 //! in flight at each upstream.
 
+pub mod adoption;
 pub mod brittle;
 pub mod cold;
 pub mod estimates;
@@ -17,6 +18,7 @@
 use coltsfoot_types::time as clock;
 use coltsfoot_wire::fleet;
 use rustc_hash::{FxHashMap, FxHashSet};
+use smallvec::SmallVec;
 
 use crate::{
     availability_table, brittle_table, cold_table, demand, engine_controller, engine_estimate,
@@ -55,6 +57,8 @@
     brittle: brittle_table::BrittleTable,
     evacuations: evacuation_table::EvacuationTable,
     cold: cold_table::ColdTable,
+    /// Zones without instances whose engines this instance seeks to own.
+    adopted: SmallVec<[sync::Arc<str>; 2]>,
     /// Instances that are not heard any more and may run behind a partition.
     members: member_memory::MemberMemory,
     /// Services whose responses state the pace of their upstreams.
--- a/coltsfoot-gateway/src/fleet_view/zones.rs
+++ b/coltsfoot-gateway/src/fleet_view/zones.rs
@@ -174,8 +174,8 @@
         totals
     }
 
-    /// Returns the reported engines of a zone, each with its revision; `own` is this instance's
-    /// incarnation.
+    /// Returns the reported engines that instances of a zone own, each with its revision; `own` is this
+    /// instance's incarnation.
     pub fn zone_engines(
         &self,
         now: clock::MonotonicTime,
@@ -185,7 +185,7 @@
         let slots = self.upstreams.values().filter(|slot| {
             let residency = &slot.residency;
             let is_reported = residency.reported_at.is_some() && residency.fence > 0;
-            &*slot.entry.zone == zone && is_reported
+            is_reported && self.is_owned_from(zone, slot)
         });
         slots
             .map(|slot| {
--- a/coltsfoot-gateway/src/lib.rs
+++ b/coltsfoot-gateway/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod fleet_view;
 pub mod heartbeat_plan;
 pub mod idle_connection;
+pub mod lease_table;
 pub mod limit_table;
 pub mod member_memory;
 pub mod order_lease;
--- a/coltsfoot-gateway/src/order_lease.rs
+++ b/coltsfoot-gateway/src/order_lease.rs
@@ -127,6 +127,8 @@
 #[derive(Clone, Debug)]
 pub struct OrderLease {
     settings: LeaseSettings,
+    /// Time until the orders of an earlier holder have ended.
+    takeover_wait: time::Duration,
     held: FxHashMap<u32, HeldPartition>,
     /// Tenures begun so far.
     tenure_count: u64,
@@ -138,8 +140,26 @@
 impl OrderLease {
     /// Creates a lease without partitions.
     pub fn new(settings: LeaseSettings) -> Self {
+        Self::with_wait(settings, settings.takeover_wait())
+    }
+
+    /// Creates a lease on partitions of a zone that this instance is not in. The instances of that zone may have
+    /// been cut off together with the store, in which they extend their leases without hearing of this one.
+    /// `ended_tenures` is the number of tenures of leases on the zone before.
+    pub fn adopting(settings: LeaseSettings, ended_tenures: u64) -> Self {
+        let wait = settings.takeover_wait() + MAX_STORE_OUTAGE;
+        Self { tenure_count: ended_tenures, ..Self::with_wait(settings, wait) }
+    }
+
+    /// Returns the number of tenures begun so far.
+    pub fn tenure_count(&self) -> u64 {
+        self.tenure_count
+    }
+
+    fn with_wait(settings: LeaseSettings, takeover_wait: time::Duration) -> Self {
         Self {
             settings,
+            takeover_wait,
             held: FxHashMap::default(),
             tenure_count: 0,
             generation: GroupGeneration::default(),
@@ -243,7 +263,7 @@
             OrderPermission::Own { list_end } => Some((*partition, list_end)),
             OrderPermission::Foreign { list_end } => {
                 // Recorded only after the wait: a machine recorded as the last holder does not wait again.
-                let wait_end = held.acquired + self.settings.takeover_wait();
+                let wait_end = held.acquired + self.takeover_wait;
                 (now >= wait_end).then_some((*partition, list_end))
             }
             _ => None,
--- a/coltsfoot-gateway/tests/lease_model.rs
+++ b/coltsfoot-gateway/tests/lease_model.rs
@@ -9,7 +9,12 @@
 use coltsfoot_types::time as clock;
 use coltsfoot_wire::fleet::TopicPosition;
 
+/// Machines of the zone whose partitions are held.
 const MACHINES: usize = 3;
+/// Machines of other zones that seek the partitions while they hear none of the zone.
+const ADOPTERS: usize = 2;
+/// Time without a machine of the zone after which they do.
+const ABSENCE_MS: u64 = 3000;
 /// Kinds of faults, the last of which restores the store from an older copy.
 const FAULTS: u64 = 9;
 const FAULTS_WITH_RESTORE: u64 = 10;
@@ -124,6 +129,14 @@
         }
     }
 
+    /// Ends a membership.
+    fn leave(&mut self, member: usize, rng: &mut SeededRng) {
+        if self.members.remove(&member).is_some() {
+            self.data.owners.retain(|_, owner| *owner != member);
+            self.rebalance(rng);
+        }
+    }
+
     fn join(&mut self, now: u64, member: usize, generation: u64, rng: &mut SeededRng) -> Vec<u32> {
         let is_new = self.members.insert(member, now).is_none();
         if is_new {
@@ -179,12 +192,16 @@
     Join { generation: order_lease::GroupGeneration },
     Holders,
     Record { partition: u32, list_end: TopicPosition },
+    Owners,
+    Leave,
 }
 
 enum Answer {
     Joined { sent: u64, generation: order_lease::GroupGeneration, partitions: Vec<u32> },
     Holders { holders: BTreeMap<u32, HolderRecord>, list_end: TopicPosition },
     Recorded { partition: u32, ends: Option<(TopicPosition, TopicPosition)> },
+    Owners { has_home: bool },
+    Left,
 }
 
 struct Machine {
@@ -197,6 +214,9 @@
     answers_lost_until: u64,
     peers_cut_until: u64,
     heard: BTreeMap<usize, order_lease::PeerLease>,
+    /// Last heartbeat of a machine of the zone, for a machine of another one.
+    home_heard: u64,
+    has_adopted: bool,
 }
 
 struct Order {
@@ -209,6 +229,9 @@
     rng: SeededRng,
     /// Number of kinds of faults.
     faults: u64,
+    /// Machines of other zones hear nothing of the zone until then.
+    zone_cut_until: u64,
+    adopted_orders: u64,
     now: u64,
     separation_ms: u64,
     store: Store,
@@ -226,6 +249,8 @@
         Self {
             rng: SeededRng(seed),
             faults: FAULTS,
+            zone_cut_until: 0,
+            adopted_orders: 0,
             now: 0,
             separation_ms,
             store: Store::default(),
@@ -249,14 +274,17 @@
     }
 
     fn inject_fault(&mut self) {
-        let machine = self.rng.below(MACHINES as u64) as usize;
+        let machine = self.rng.below(self.machines.len() as u64) as usize;
         let length = 200 + self.rng.below(9000);
         let until = self.now + length;
         match self.rng.below(self.faults) {
             0 => self.machines[machine].awake_at = until,
             1 => {
                 let down = self.now + 300 + self.rng.below(4000);
-                self.machines[machine] = Machine::started(down, self.separation_ms);
+                self.machines[machine] = match machine < MACHINES {
+                    true => Machine::started(down, self.separation_ms),
+                    false => Machine::adopter(down, self.separation_ms),
+                };
             }
             2 => self.machines[machine].store_cut_until = until,
             3 => self.machines[machine].answers_lost_until = until,
@@ -290,7 +318,7 @@
         self.store.back_up(self.now);
         self.execute_calls();
         self.deliver_answers();
-        for machine in 0..MACHINES {
+        for machine in 0..self.machines.len() {
             if self.now >= self.machines[machine].awake_at {
                 self.run_machine(machine)?;
             }
@@ -332,6 +360,14 @@
                     let ends = is_current.then_some((list_end, list_position(offset + 1)));
                     Answer::Recorded { partition, ends }
                 }
+                Call::Owners => {
+                    let has_home = self.store.owners.values().any(|owner| *owner < MACHINES);
+                    Answer::Owners { has_home }
+                }
+                Call::Leave => {
+                    self.store.leave(machine, &mut self.rng);
+                    Answer::Left
+                }
             };
             let arrival = now + self.rng.below(60);
             self.answers.push((arrival, machine, start, answer));
@@ -350,6 +386,8 @@
                 continue;
             }
             match answer {
+                // The zone was given back meanwhile.
+                Answer::Joined { .. } if machine >= MACHINES && !to.has_adopted => {}
                 Answer::Joined { sent, generation, partitions } => {
                     to.lease.renew(at(sent), at(now), generation, &partitions);
                     if !to.lease.unknown_holders().is_empty() {
@@ -376,6 +414,13 @@
                     }
                     None => to.lease.holder_record_failed(partition),
                 },
+                Answer::Owners { has_home: true } => self.give_back(machine),
+                Answer::Owners { has_home: false } if to.misses_home(now) => {
+                    to.has_adopted = true;
+                    let generation = to.lease.generation();
+                    self.send(machine, Call::Join { generation });
+                }
+                Answer::Owners { .. } | Answer::Left => {}
             }
         }
     }
@@ -398,9 +443,13 @@
         if now >= state.next_renewal {
             state.next_renewal = now + RENEW_MS;
             let generation = state.lease.generation();
-            self.send(machine, Call::Join { generation });
+            match machine < MACHINES {
+                true => self.send(machine, Call::Join { generation }),
+                false if state.misses_home(now) => self.send(machine, Call::Owners),
+                false => self.give_back(machine),
+            }
         }
-        if now % HEARTBEAT_MS < TICK_MS {
+        if now % HEARTBEAT_MS < TICK_MS && machine < MACHINES {
             self.send_heartbeats(machine);
         }
         self.send_orders(machine)
@@ -415,6 +464,11 @@
             partitions: from.lease.partitions().collect(),
         };
         let is_cut = now < from.peers_cut_until;
+        for other in self.machines.iter_mut().skip(MACHINES) {
+            if !is_cut && now >= self.zone_cut_until && now >= other.awake_at {
+                other.home_heard = now;
+            }
+        }
         for other in (0..MACHINES).filter(|other| *other != machine) {
             let to = &mut self.machines[other];
             if !is_cut && now >= to.peers_cut_until && now >= to.awake_at {
@@ -423,16 +477,30 @@
         }
     }
 
+    /// Ends the holding of partitions by a machine of another zone.
+    fn give_back(&mut self, machine: usize) {
+        let separation_ms = self.separation_ms;
+        let state = &mut self.machines[machine];
+        if std::mem::take(&mut state.has_adopted) {
+            let ended = state.lease.tenure_count();
+            state.lease = order_lease::OrderLease::adopting(settings(separation_ms), ended);
+            self.send(machine, Call::Leave);
+        }
+    }
+
     fn send_orders(&mut self, machine: usize) -> Result<(), String> {
         let now = self.now;
         let peers: Vec<_> = self.machines[machine].heard.values().cloned().collect();
-        self.machines[machine].lease.extend(at(now), &peers);
+        if machine < MACHINES {
+            self.machines[machine].lease.extend(at(now), &peers);
+        }
         for partition in 0..PARTITIONS {
             let lease = &self.machines[machine].lease;
             let Some(tenure) = lease.tenure(partition) else { continue };
             let Some(fence) = lease.order_fence(at(now), partition, tenure) else { continue };
             let arrival = now + self.rng.below(200);
             self.orders += 1;
+            self.adopted_orders += u64::from(machine >= MACHINES);
             self.outage_orders += u64::from(now < self.store.down_until);
             if let Some(last) = self.last_orders.get(&partition)
                 && last.machine != machine
@@ -464,8 +532,20 @@
             answers_lost_until: 0,
             peers_cut_until: 0,
             heard: BTreeMap::new(),
+            home_heard: start,
+            has_adopted: false,
         }
     }
+
+    /// Creates a machine of another zone.
+    fn adopter(start: u64, separation_ms: u64) -> Self {
+        let lease = order_lease::OrderLease::adopting(settings(separation_ms), 0);
+        Self { lease, ..Self::started(start, separation_ms) }
+    }
+
+    fn misses_home(&self, now: u64) -> bool {
+        now >= self.home_heard + ABSENCE_MS
+    }
 }
 
 fn simulate(seed: u64, separation_ms: u64) -> Result<(u64, u64), String> {
@@ -504,6 +584,65 @@
     assert!(orders > 50_000, "only {orders} orders were sent");
 }
 
+/// Simulates the machines of a zone that is cut off, or whose machines all end, beside those of other zones.
+fn simulate_adoption(seed: u64, wait: AdopterWait) -> Result<u64, String> {
+    let mut simulation = Simulation::new(seed, SEPARATION_MS);
+    let adopter = |_| match wait {
+        AdopterWait::ForExtensions => Machine::adopter(0, SEPARATION_MS),
+        AdopterWait::None => Machine::started(0, SEPARATION_MS),
+    };
+    simulation.machines.extend((0..ADOPTERS).map(adopter));
+    while simulation.now < RUN_MS {
+        if simulation.rng.one_in(200) {
+            simulation.lose_zone();
+        }
+        simulation.step().map_err(|error| format!("seed {seed}: {error}"))?;
+    }
+    Ok(simulation.adopted_orders)
+}
+
+/// Whether machines of other zones wait until the leases of a zone that was cut off have ended.
+#[derive(Clone, Copy)]
+enum AdopterWait {
+    ForExtensions,
+    None,
+}
+
+impl Simulation {
+    /// Cuts the zone off from the others and often from the store, or ends all its machines for a while.
+    fn lose_zone(&mut self) {
+        let until = self.now + 4_000 + self.rng.below(26_000);
+        let fault = self.rng.below(3);
+        if fault == 0 {
+            for machine in &mut self.machines[..MACHINES] {
+                *machine = Machine::started(until, self.separation_ms);
+            }
+            return;
+        }
+        self.zone_cut_until = until;
+        if fault == 1 {
+            for machine in &mut self.machines[..MACHINES] {
+                machine.store_cut_until = until;
+            }
+        }
+    }
+}
+
+/// Guards against two owners of an engine whose zone is taken for one without instances.
+#[test]
+fn orders_of_machines_of_other_zones_are_separated_from_those_of_the_zone() {
+    let orders: u64 = (0..400)
+        .map(|seed| simulate_adoption(seed, AdopterWait::ForExtensions).expect("no violation"))
+        .sum();
+    assert!(orders > 10_000, "only {orders} orders were sent by machines of other zones");
+}
+
+#[test]
+fn the_simulation_detects_machines_of_other_zones_that_do_not_wait_for_extended_leases() {
+    let found = (0..400).filter(|seed| simulate_adoption(*seed, AdopterWait::None).is_err());
+    assert!(found.count() > 0);
+}
+
 #[test]
 fn the_simulation_detects_a_new_holder_that_does_not_wait() {
     let found = (0..400).filter(|seed| simulate(*seed, 0).is_err()).count();
--- a/coltsfootd/src/event.rs
+++ b/coltsfootd/src/event.rs
@@ -109,6 +109,8 @@
     LEASE_AT_RISK = 311, "lease_at_risk", Warn;
     /// The process was stalled, for example by suspension of the machine.
     STOOD_STILL = 312, "stood_still", Warn;
+    /// The instance seeks the engines of a zone without an instance, or gives them back.
+    ZONE_ADOPTED = 314, "zone_adopted", Info;
     /// A task held its thread for long.
     THREAD_HELD = 313, "thread_held", Warn;
     /// An adapter could not be loaded.
--- a/coltsfootd/src/gateway/engines.rs
+++ b/coltsfootd/src/gateway/engines.rs
@@ -8,8 +8,8 @@
 use coltsfoot_gateway::availability_table::UpstreamAvailability;
 use coltsfoot_gateway::path_table::UpstreamPath;
 use coltsfoot_gateway::{
-    demand, engine_controller, engine_order, fetch_limiter, fleet_view, limit_table, order_lease,
-    send_permits, upstream,
+    demand, engine_controller, engine_order, fetch_limiter, fleet_view, lease_table, limit_table,
+    order_lease, send_permits, upstream,
 };
 use coltsfoot_http::client;
 use coltsfoot_types::time as instant;
@@ -49,14 +49,15 @@
 struct EngineTenure {
     id: sync::Arc<str>,
     number: u32,
+    zone: sync::Arc<str>,
     partition: u32,
     tenure: order_lease::LeaseTenure,
 }
 
 impl EngineTenure {
     /// Returns whether the partition is still held in this tenure.
-    fn is_current(&self, lease: &order_lease::OrderLease) -> bool {
-        lease.tenure(self.partition) == Some(self.tenure)
+    fn is_current(&self, lease: &lease_table::LeaseTable) -> bool {
+        lease.tenure(&self.zone, self.partition) == Some(self.tenure)
     }
 
     fn send_context(&self, purpose: limit_table::SendPurpose) -> permits::SendContext<'_> {
@@ -227,13 +228,14 @@
         &self,
         now: instant::MonotonicTime,
         view: &fleet_view::FleetView,
-        lease: &order_lease::OrderLease,
+        lease: &lease_table::LeaseTable,
     ) -> Option<wire::OwnedEngine> {
         if !self.controller.has_report() {
             return None;
         }
-        let EngineTenure { id, number, partition, tenure } = &self.owned;
-        let fence = lease.fence(*partition).filter(|_| self.owned.is_current(lease))?;
+        let EngineTenure { id, number, zone, partition, tenure } = &self.owned;
+        let lease = lease.zone(zone).filter(|_| self.owned.is_current(lease))?;
+        let fence = lease.fence(*partition)?;
         let upstream = view.upstream(id);
         let in_use = |key| upstream.is_some_and(|upstream| upstream.is_in_use(now, key));
         let is_available =
@@ -249,7 +251,7 @@
     }
 }
 
-/// Ends what was begun in ended tenures, and starts a task for each engine of the zone in a partition that
+/// Ends what was begun in ended tenures, and starts a task for each engine in a partition of its zone that
 /// this instance newly holds.
 pub(crate) fn start_owned_engines(state: &sync::Arc<state::GatewayState>) {
     state.controllers.retire_ended(state);
@@ -260,8 +262,8 @@
     for upstream in view.upstreams() {
         let id = &upstream.entry.id;
         let partition = state.partition_of(id);
-        let is_same_zone = upstream.entry.zone == state.settings.zone;
-        let Some(tenure) = lease.tenure(partition).filter(|_| is_same_zone) else { continue };
+        let zone = &upstream.entry.zone;
+        let Some(tenure) = lease.tenure(zone, partition) else { continue };
         if slots.contains_key(id) {
             continue;
         }
@@ -272,10 +274,11 @@
         let controller = engine_controller::EngineController::new(model, rule.adapter_capacity());
         let wake = sync::Arc::new(event_listener::Event::new());
         let number = upstream.number;
-        let owned = EngineTenure { id: sync::Arc::clone(id), number, partition, tenure };
+        let (id, zone) = (sync::Arc::clone(id), sync::Arc::clone(zone));
+        let owned = EngineTenure { id: sync::Arc::clone(&id), number, zone, partition, tenure };
         let slot =
             ControllerSlot { owned: owned.clone(), controller, wake: sync::Arc::clone(&wake) };
-        slots.insert(sync::Arc::clone(id), slot);
+        slots.insert(id, slot);
         state.spawn("engine", run_engine(sync::Arc::clone(state), owned, wake));
     }
 }
@@ -334,7 +337,7 @@
     owned: &EngineTenure,
 ) -> Option<engine_order::ControllerStep> {
     let now = state.now();
-    let fence = state.order_fence(owned.partition, owned.tenure);
+    let fence = state.order_fence(&owned.zone, owned.partition, owned.tenure);
     let own_fetches = state.controllers.fetching(now);
     let view = state.view();
     let may_fetch = view.fetch_load(own_fetches + view.fetching()).may_fetch(own_fetches);
@@ -437,7 +440,7 @@
     expected_count: u64,
 ) {
     // The tenure may have ended since the order was decided on, even if the partition is held again.
-    let Some(fence) = state.order_fence(owned.partition, owned.tenure) else { return };
+    let Some(fence) = state.order_fence(&owned.zone, owned.partition, owned.tenure) else { return };
     let context = owned.send_context(limit_table::SendPurpose::Order);
     let id = context.upstream;
     let holder = &state.settings.instance;
--- a/coltsfootd/src/gateway/heartbeats.rs
+++ b/coltsfootd/src/gateway/heartbeats.rs
@@ -146,7 +146,7 @@
     };
     let (renewed, partitions) = {
         let lease = state.lease();
-        (lease.renewed(), lease.partitions().collect())
+        (lease.own().renewed(), lease.own().partitions().collect())
     };
     let operator = state.to_topic_digest(state.own_operator_digest());
     let upstreams = state.to_topic_digest(state.own_upstream_digest());
--- a/coltsfootd/src/gateway/lease.rs
+++ b/coltsfootd/src/gateway/lease.rs
@@ -17,7 +17,7 @@
 /// the partitions are reassigned.
 pub(crate) const VALIDITY: time::Duration = time::Duration::from_millis(1300);
 /// Interval between renewals: three within the validity.
-const RENEW_INTERVAL: time::Duration = time::Duration::from_millis(400);
+pub(super) const RENEW_INTERVAL: time::Duration = time::Duration::from_millis(400);
 /// Interval between renewals without any partition: three within [`MEMBER_TTL`], and less than the
 /// age at which peers assume that this instance has lost the store.
 const IDLE_RENEW_INTERVAL: time::Duration = time::Duration::from_millis(700);
@@ -32,8 +32,11 @@
 const MAX_RECORD_ROUNDS: usize = 24;
 
 /// Names in the store for the lease of a zone. The engines of a zone are owned by instances of the
-/// same zone, so that a network partition between zones changes no owner.
-struct ZoneGroup {
+/// same zone, so that a network partition between zones changes no owner; those of a zone without one
+/// by a few instances of others.
+pub(super) struct ZoneGroup {
+    /// The zone.
+    pub(super) zone: sync::Arc<str>,
     /// Consumer group among whose members the zone's engines are divided.
     group: String,
     /// Topic whose partitions the zone's engines are hashed to.
@@ -45,9 +48,9 @@
 }
 
 impl ZoneGroup {
-    fn new(state: &state::GatewayState) -> Self {
-        let zone = &state.settings.zone;
+    pub(super) fn new(state: &state::GatewayState, zone: &sync::Arc<str>) -> Self {
         Self {
+            zone: sync::Arc::clone(zone),
             group: format!("coltsfoot-owners-{zone}"),
             topic: format!("coltsfoot-engines-{zone}"),
             holders: format!("keyed.coltsfoot-holders-{zone}"),
@@ -55,7 +58,7 @@
         }
     }
 
-    fn name(&self) -> store::GroupName<'_> {
+    pub(super) fn name(&self) -> store::GroupName<'_> {
         store::GroupName { group: &self.group, topic: &self.topic, member: &self.member }
     }
 
@@ -76,39 +79,16 @@
 
 /// Renews the lease and starts a task for each engine owned.
 pub(crate) async fn maintain(state: sync::Arc<state::GatewayState>) {
-    let group = ZoneGroup::new(&state);
+    let group = ZoneGroup::new(&state, &state.settings.zone);
     let mut is_reachable = true;
     loop {
-        let sent = state.now();
-        let generation = state.lease().generation();
-        match state.store.join(group.name(), MEMBER_TTL, generation).await {
-            Ok(share) => {
-                let now = state.now();
-                let has_changed =
-                    state.lease().renew(sent, now, share.generation, &share.partitions);
-                if has_changed || !is_reachable {
-                    log::info!(
-                        event = event::LEASE_CHANGED.number, era = share.generation.era,
-                        generation = share.generation.number,
-                        partitions = share.partitions.len(); "lease_changed"
-                    );
-                }
-                is_reachable = true;
-                record_holders(&state, &group).await;
-            }
-            Err(error) => {
-                if is_reachable {
-                    log::warn!(event = event::LEASE_AT_RISK.number; "lease_at_risk: {error}");
-                }
-                is_reachable = false;
-            }
-        }
+        is_reachable = renew(&state, &group, is_reachable).await;
         engines::start_owned_engines(&state);
-        if is_reachable && state.lease().awaits_renewal() {
+        if is_reachable && state.lease().own().awaits_renewal() {
             continue;
         }
         let before = state.now();
-        let is_idle = is_reachable && state.lease().partitions().next().is_none();
+        let is_idle = is_reachable && state.lease().own().partitions().next().is_none();
         let pause = if is_idle { IDLE_RENEW_INTERVAL } else { RENEW_INTERVAL };
         async_io::Timer::after(pause).await;
         if state.now().since(before) > pause + STALL_THRESHOLD {
@@ -119,10 +99,55 @@
     }
 }
 
+/// Renews the lease on a zone's partitions; returns whether the store could be reached.
+pub(super) async fn renew(
+    state: &state::GatewayState,
+    group: &ZoneGroup,
+    was_reachable: bool,
+) -> bool {
+    let sent = state.now();
+    let generation = with_lease(state, group, |lease| lease.generation()).unwrap_or_default();
+    match state.store.join(group.name(), MEMBER_TTL, generation).await {
+        Ok(share) => {
+            let has_changed = with_lease(state, group, |lease| {
+                lease.renew(sent, state.now(), share.generation, &share.partitions)
+            });
+            if has_changed == Some(true) || !was_reachable {
+                log::info!(
+                    event = event::LEASE_CHANGED.number, zone = group.zone.to_string(),
+                    era = share.generation.era, generation = share.generation.number,
+                    partitions = share.partitions.len(); "lease_changed"
+                );
+            }
+            record_holders(state, group).await;
+            true
+        }
+        Err(error) => {
+            if was_reachable {
+                log::warn!(
+                    event = event::LEASE_AT_RISK.number, zone = group.zone.to_string();
+                    "lease_at_risk: {error}"
+                );
+            }
+            false
+        }
+    }
+}
+
+/// Calls a function with the lease of a group's zone; `None` if the zone was given back.
+fn with_lease<T>(
+    state: &state::GatewayState,
+    group: &ZoneGroup,
+    call: impl FnOnce(&mut order_lease::OrderLease) -> T,
+) -> Option<T> {
+    state.lease().zone_mut(&group.zone).map(call)
+}
+
 /// Looks up the last holders of newly assigned partitions, and records this machine as the holder
 /// once the lease allows it.
 async fn record_holders(state: &state::GatewayState, group: &ZoneGroup) {
-    if !state.lease().needs_holder_update(state.now()) {
+    let needs_update = with_lease(state, group, |lease| lease.needs_holder_update(state.now()));
+    if needs_update != Some(true) {
         return;
     }
     async_io::Timer::after(record_jitter(state)).await;
@@ -131,16 +156,21 @@
             log::warn!(event = event::LEASE_AT_RISK.number; "could not read last holders: {error}");
             return;
         }
-        let due = state.lease().pending_records(state.now()).first().copied();
-        let Some((partition, list_end)) = due else { return };
+        let due =
+            with_lease(state, group, |lease| lease.pending_records(state.now()).first().copied());
+        let Some((partition, list_end)) = due.flatten() else { return };
         let key = ZoneGroup::holder_key(partition);
         let value = group.holder_value(list_end.era);
         let recorded =
             state.store.put_at(&group.holders, &key, value.as_bytes(), list_end.offset).await;
         match recorded {
-            Ok(end) => state.lease().holder_recorded(state.now(), partition, list_end, end),
+            Ok(end) => {
+                with_lease(state, group, |lease| {
+                    lease.holder_recorded(state.now(), partition, list_end, end);
+                });
+            }
             Err(error) => {
-                state.lease().holder_record_failed(partition);
+                with_lease(state, group, |lease| lease.holder_record_failed(partition));
                 log::info!(
                     event = event::LEASE_AT_RISK.number, partition = partition;
                     "could not record the holder, retrying: {error}"
@@ -164,14 +194,15 @@
     state: &state::GatewayState,
     group: &ZoneGroup,
 ) -> Result<(), store::StoreError> {
-    let unknown = state.lease().unknown_holders();
+    let unknown = with_lease(state, group, |lease| lease.unknown_holders()).unwrap_or_default();
     if unknown.is_empty() {
         return Ok(());
     }
     let newest = match state.store.read_latest(&group.holders).await {
         // The topic is created with its first record.
         Err(store::StoreError::Refused(404)) => {
-            let next = TopicPosition { era: state.lease().generation().era, offset: 0 };
+            let generation = with_lease(state, group, |lease| lease.generation());
+            let next = TopicPosition { era: generation.unwrap_or_default().era, offset: 0 };
             store::KeyedRecords { next, ..store::KeyedRecords::default() }
         }
         newest => newest?,
@@ -184,7 +215,7 @@
             is_this_machine: holder == Some(group.holder_value(newest.next.era).as_bytes()),
             offset: record.map(|record| record.position.offset),
         };
-        state.lease().set_last_holder(partition, holder, newest.next);
+        with_lease(state, group, |lease| lease.set_last_holder(partition, holder, newest.next));
     }
     Ok(())
 }
--- a/coltsfootd/src/gateway/mod.rs
+++ b/coltsfootd/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 //! This module holds the I/O. The decision logic is in `coltsfoot-gateway`, the platform's names
 //! and formats are in `site-platform`.
 
+mod adoption;
 mod archive;
 mod attempt;
 mod caller_table;
--- a/coltsfootd/src/gateway/run.rs
+++ b/coltsfootd/src/gateway/run.rs
@@ -8,16 +8,16 @@
 
 use async_net::TcpListener;
 use coltsfoot_gateway::{
-    caller_ledger, fleet_view, order_lease, origin_ledger, outage_tracker, quarantine_archive,
-    stop_plan, topic_replica,
+    caller_ledger, fleet_view, lease_table, order_lease, origin_ledger, outage_tracker,
+    quarantine_archive, stop_plan, topic_replica,
 };
 use coltsfoot_http::{pool, socket};
 use site_platform::{entry, rules, settings, store};
 
 use crate::gateway::{
-    archive, caller_table, callers, cold, crashes, engines, estimates, fleet, follower, heartbeats,
-    lease, memory, metrics, news, operator_ports, origins, paths, pending_calls, permits, reload,
-    state, stop, tunnels,
+    adoption, archive, caller_table, callers, cold, crashes, engines, estimates, fleet, follower,
+    heartbeats, lease, memory, metrics, news, operator_ports, origins, paths, pending_calls,
+    permits, reload, state, stop, tunnels,
 };
 use crate::{clock, event, metrics as registry};
 
@@ -143,6 +143,7 @@
     state.spawn("fleet_resend_known", fleet::resend_known(sync::Arc::clone(&state)));
     state.spawn("estimates_tell", estimates::tell(sync::Arc::clone(&state)));
     state.spawn("lease_maintain", lease::maintain(sync::Arc::clone(&state)));
+    state.spawn("adoption_maintain", adoption::maintain(sync::Arc::clone(&state)));
     state
         .spawn("engines_poll_stale_engines", engines::poll_stale_engines(sync::Arc::clone(&state)));
     state.spawn("origins_maintain", origins::maintain(sync::Arc::clone(&state)));
@@ -225,7 +226,10 @@
         quota: sync::Mutex::default(),
         retries: sync::Mutex::default(),
         durations: sync::Mutex::default(),
-        lease: sync::Mutex::new(order_lease::OrderLease::new(lease_settings)),
+        lease: sync::Mutex::new(lease_table::LeaseTable::new(
+            sync::Arc::clone(&settings.zone),
+            lease_settings,
+        )),
         controllers: engines::ControllerTable::default(),
         loads: pending_calls::PendingCalls::default(),
         permits: permits::PermitState::default(),
--- a/coltsfootd/src/gateway/state.rs
+++ b/coltsfootd/src/gateway/state.rs
@@ -5,9 +5,9 @@
 use std::time;
 
 use coltsfoot_gateway::{
-    duration_estimate, fleet_view, order_lease, origin_ledger, outage_tracker, part_ledger,
-    quarantine_archive, quota_ledger, reader_selection, rendezvous, route_table, rules,
-    step_tracker, stop_plan, topic_replica, zone_relay,
+    duration_estimate, fleet_view, lease_table, order_lease, origin_ledger, outage_tracker,
+    part_ledger, quarantine_archive, quota_ledger, reader_selection, rendezvous, route_table,
+    rules, step_tracker, stop_plan, topic_replica, zone_relay,
 };
 use coltsfoot_http::pool;
 use coltsfoot_once::retry_budget;
@@ -53,7 +53,7 @@
     pub retries: sync::Mutex<FxHashMap<sync::Arc<str>, retry_budget::RetryBudget>>,
     /// Durations of requests that may not be repeated, by route.
     pub durations: sync::Mutex<FxHashMap<sync::Arc<str>, duration_estimate::DurationEstimate>>,
-    pub lease: sync::Mutex<order_lease::OrderLease>,
+    pub lease: sync::Mutex<lease_table::LeaseTable>,
     pub controllers: engines::ControllerTable,
     pub loads: pending_calls::PendingCalls<fleet::LoadDecision>,
     pub permits: permits::PermitState,
@@ -148,23 +148,28 @@
         lock(&self.origins)
     }
 
-    /// Locks the lease on this instance's partitions.
-    pub fn lease(&self) -> sync::MutexGuard<'_, order_lease::OrderLease> {
+    /// Locks the leases on this instance's partitions.
+    pub fn lease(&self) -> sync::MutexGuard<'_, lease_table::LeaseTable> {
         lock(&self.lease)
     }
 
-    /// Returns the fencing number for an order to an engine of a partition that was decided on in a tenure,
-    /// if one may be given.
-    pub fn order_fence(&self, partition: u32, tenure: order_lease::LeaseTenure) -> Option<u64> {
+    /// Returns the fencing number for an order to an engine of a zone's partition that was decided on in a
+    /// tenure, if one may be given.
+    pub fn order_fence(
+        &self,
+        zone: &str,
+        partition: u32,
+        tenure: order_lease::LeaseTenure,
+    ) -> Option<u64> {
         self.extend_lease();
-        self.lease().order_fence(self.now(), partition, tenure)
+        self.lease().zone(zone)?.order_fence(self.now(), partition, tenure)
     }
 
     /// Extends the lease during a store outage, if all other instances of the zone report it and
     /// none claims the same partitions.
     pub fn extend_lease(&self) {
         let peer_leases = self.view().peer_leases(&self.settings.zone);
-        self.lease().extend(self.now(), &peer_leases);
+        self.lease().own_mut().extend(self.now(), &peer_leases);
     }
 
     /// Returns this instance as a member of its zone.
