--- a/coltsfoot-gateway/tests/lease_model.rs
+++ b/coltsfoot-gateway/tests/lease_model.rs
@@ -631,7 +631,7 @@
 /// Guards against two owners of an engine whose zone is taken for one without instances.
 #[test]
 fn orders_of_machines_of_other_zones_are_separated_from_those_of_the_zone() {
-    let orders: u64 = (0..400)
+    let orders: u64 = (0..500)
         .map(|seed| simulate_adoption(seed, AdopterWait::ForExtensions).expect("no violation"))
         .sum();
     assert!(orders > 10_000, "only {orders} orders were sent by machines of other zones");
