Key adapters by a digest of their names

Cause: everything about an adapter was kept under the lower 32 bits of an unkeyed hash of its name. a213 and a263 of one model have the same one, so that a load of the second took the slot of the first without a check of the slots, and a version declared for the second was ordered for the first.

Why the fix works: decisions use 128 bits of BLAKE3.

--- a/coltsfoot-gateway/src/demand.rs
+++ b/coltsfoot-gateway/src/demand.rs
@@ -2,13 +2,22 @@
 
 use std::sync;
 
+use coltsfoot_wire::fleet;
+use rustc_hash::FxHashMap;
 use smallvec::SmallVec;
 
 use crate::rendezvous;
 
 /// Hash of an adapter name, the same at all instances.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct AdapterKey(pub u32);
+pub struct AdapterKey(pub fleet::AdapterId);
+
+impl AdapterKey {
+    /// Returns what a map holds of the adapter, under its key or under that of a message without digests.
+    pub fn find<T>(self, map: &FxHashMap<Self, T>) -> Option<&T> {
+        map.get(&self).or_else(|| map.get(&Self(self.0.without_digest())))
+    }
+}
 
 /// Name of an adapter, which is unique within its base model.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
@@ -22,7 +31,19 @@
 impl AdapterName {
     /// Returns the hash of this name.
     pub fn key(&self) -> AdapterKey {
-        AdapterKey(rendezvous::hash_of(&(&*self.model, &*self.adapter)) as u32)
+        let (model, adapter) = (&*self.model, &*self.adapter);
+        let number = rendezvous::hash_of(&(model, adapter)) as u32;
+        // The length tells where the model's name ends.
+        let mut bytes: SmallVec<[u8; 96]> = SmallVec::new();
+        bytes.extend_from_slice(&(model.len() as u64).to_le_bytes());
+        bytes.extend_from_slice(model.as_bytes());
+        bytes.extend_from_slice(adapter.as_bytes());
+        let hash = blake3::hash(&bytes);
+        let word = |index: usize| {
+            let bytes = hash.as_bytes()[index * 8..].first_chunk().copied();
+            bytes.map_or(0, u64::from_le_bytes)
+        };
+        AdapterKey(fleet::AdapterId { number, digest: [word(0), word(1)] })
     }
 }
 
@@ -66,10 +87,19 @@
         self.shared_parts().last().map_or(0, |part| part.id)
     }
 
-    /// Returns a hash of the adapter, or of the model without one, for rendezvous hashing.
+    /// Returns a hash of the adapter, or of the model without one, for rendezvous hashing, which ranks engines
+    /// the same way in all builds; two adapters may share it.
     pub fn weights_key(&self) -> u64 {
         match &self.adapter {
-            Some(adapter) => u64::from(adapter.key().0),
+            Some(adapter) => u64::from(adapter.key().0.number),
+            None => rendezvous::hash_of(&&*self.model),
+        }
+    }
+
+    /// Returns a hash of the adapter, or of the model without one, that no two of them share.
+    pub fn cache_key(&self) -> u64 {
+        match &self.adapter {
+            Some(adapter) => adapter.key().0.digest[0],
             None => rendezvous::hash_of(&&*self.model),
         }
     }
--- a/coltsfoot-gateway/src/engine_controller.rs
+++ b/coltsfoot-gateway/src/engine_controller.rs
@@ -125,6 +125,7 @@
 #[derive(Clone, Debug)]
 struct LoadRequest<A> {
     name: demand::AdapterName,
+    key: demand::AdapterKey,
     version: Option<u64>,
     requested_at: clock::MonotonicTime,
     waiters: SmallVec<[A; 2]>,
@@ -216,7 +217,7 @@
     ) -> impl Iterator<Item = (demand::AdapterKey, clock::MonotonicTime)> {
         let ordered = self.placed.iter().filter(move |(_, placed)| !placed.is_usable(now));
         let ordered = ordered.map(|(key, placed)| (*key, placed.ready_at));
-        let requested = self.load_requests.iter().map(|request| request.name.key());
+        let requested = self.load_requests.iter().map(|request| request.key);
         let requested = requested.filter(|key| !self.placed.contains_key(key));
         ordered.chain(requested.map(move |key| {
             let is_warm = self.warm.contains(&key);
@@ -304,6 +305,7 @@
             }
             None => self.load_requests.push_back(LoadRequest {
                 name: name.clone(),
+                key,
                 version,
                 requested_at: now,
                 waiters: SmallVec::from_iter([waiter]),
@@ -313,9 +315,14 @@
 
     /// Marks an adapter as used now, for LRU eviction.
     pub fn touch(&mut self, now: clock::MonotonicTime, key: demand::AdapterKey) {
-        if let Some(placed) = self.placed.get_mut(&key) {
-            placed.last_used = now;
+        if key.0.has_digest() {
+            if let Some(placed) = self.placed.get_mut(&key) {
+                placed.last_used = now;
+            }
+            return;
         }
+        let named = self.placed.iter_mut().filter(|(held, _)| held.0.may_be(key.0));
+        named.for_each(|(_, placed)| placed.last_used = now);
     }
 
     /// Removes and returns the replies that are due. When a load is expected to have ended, one of its
@@ -325,7 +332,7 @@
         let replies = &mut self.replies;
         let mut any_ready = false;
         self.load_requests.retain_mut(|request| {
-            let adapter = placed.get_mut(&request.name.key());
+            let adapter = placed.get_mut(&request.key);
             let matching =
                 adapter.filter(|adapter| adapter.version >= request.version.unwrap_or(0));
             let is_ready = matching.is_some();
@@ -418,7 +425,7 @@
     /// Returns the number of load requests that wait for a fetch from the weight store.
     pub fn queued_fetches(&self) -> u32 {
         let waiting = self.load_requests.iter().filter(|request| {
-            let key = request.name.key();
+            let key = request.key;
             !self.placed.contains_key(&key) && !self.warm.contains(&key)
         });
         waiting.count() as u32
@@ -434,10 +441,8 @@
             .placed
             .iter()
             .filter(|(key, placed)| in_use(**key) || !self.is_evictable(now, placed));
-        let new = self
-            .load_requests
-            .iter()
-            .filter(|request| !self.placed.contains_key(&request.name.key()));
+        let new =
+            self.load_requests.iter().filter(|request| !self.placed.contains_key(&request.key));
         self.capacity.saturating_sub(used.count() + new.count())
     }
 
--- a/coltsfoot-gateway/src/engine_controller/orders.rs
+++ b/coltsfoot-gateway/src/engine_controller/orders.rs
@@ -47,11 +47,11 @@
         newest: &impl Fn(demand::AdapterKey) -> Option<u64>,
     ) -> Option<engine_order::EngineOrder> {
         for request in &self.load_requests {
-            let held = self.placed.get(&request.name.key());
+            let held = self.placed.get(&request.key);
             if held.is_some_and(|held| held.version >= request.version.unwrap_or(0)) {
                 continue;
             }
-            if !constraints.may_fetch && !self.warm.contains(&request.name.key()) {
+            if !constraints.may_fetch && !self.warm.contains(&request.key) {
                 continue;
             }
             if held.is_some() || self.placed.len() < self.capacity {
--- a/coltsfoot-gateway/src/fleet_view.rs
+++ b/coltsfoot-gateway/src/fleet_view.rs
@@ -269,7 +269,7 @@
         slot: &upstream_slot::UpstreamSlot,
         key: demand::AdapterKey,
     ) -> bool {
-        let Some(held) = slot.residency.adapters.get(&key) else { return false };
+        let Some(held) = key.find(&slot.residency.adapters) else { return false };
         self.versions.get(&key).is_none_or(|versions| versions.is_usable(now, *held))
     }
 
@@ -318,7 +318,7 @@
     /// Returns how many requests run on an adapter at all engines that hold it.
     pub fn adapter_running(&self, now: clock::MonotonicTime, key: demand::AdapterKey) -> u32 {
         let slots = self.upstreams.values();
-        let holders = slots.filter(|slot| slot.residency.adapters.contains_key(&key));
+        let holders = slots.filter(|slot| key.find(&slot.residency.adapters).is_some());
         holders.map(|slot| slot.running_on(now, key)).sum()
     }
 
@@ -377,6 +377,7 @@
     pub fn adapter_missing(&mut self, id: &str, key: demand::AdapterKey) {
         if let Some(slot) = self.upstreams.get_mut(id) {
             slot.residency.adapters.remove(&key);
+            slot.residency.adapters.remove(&demand::AdapterKey(key.0.without_digest()));
         }
     }
 
@@ -492,7 +493,8 @@
     /// Returns a digest of the configured adapter versions.
     pub fn version_digest(&self) -> u64 {
         let versions = self.versions.iter();
-        let digests = versions.map(|(key, named)| rendezvous::hash_of(&(key, named.newest())));
+        let digests =
+            versions.map(|(key, named)| rendezvous::hash_of(&(key.0.number, named.newest())));
         digests.fold(0, u64::wrapping_add)
     }
 
@@ -575,7 +577,7 @@
             keys.dedup();
             uses.extend(keys.into_iter().map(|key| fleet::AdapterUsage {
                 upstream: slot.number,
-                adapter: key.0,
+                adapter: slot.usage_id(key),
                 running: slot.adapters_in_use.get(&key).map_or(0, |count| *count as u16),
             }));
             if forget {
--- a/coltsfoot-gateway/src/fleet_view/zones.rs
+++ b/coltsfoot-gateway/src/fleet_view/zones.rs
@@ -9,7 +9,7 @@
 use coltsfoot_wire::fleet;
 use rustc_hash::{FxHashMap, FxHashSet};
 
-use crate::{demand, peer_slot, rendezvous, upstream_slot};
+use crate::{peer_slot, rendezvous, upstream_slot};
 
 use super::{FleetView, MAX_LOST_HEARTBEATS};
 
@@ -303,19 +303,24 @@
                 prefill_tokens: u32::try_from(work.prefill_tokens).unwrap_or(u32::MAX),
             });
         }
-        let mut uses: FxHashMap<demand::AdapterKey, u32> = self.adapters_in_use.clone();
+        let mut uses: FxHashMap<fleet::AdapterId, u32> = FxHashMap::default();
+        for (key, running) in &self.adapters_in_use {
+            *uses.entry(self.usage_id(*key)).or_default() += *running;
+        }
         let remote_uses = self.remote_uses.iter();
         for (_, (counts, _)) in
             remote_uses.filter(|(id, (_, expiry))| now < *expiry && is_same_zone(**id))
         {
             for (key, running) in counts {
-                *uses.entry(*key).or_default() += u32::from(*running);
+                *uses.entry(self.usage_id(*key)).or_default() += u32::from(*running);
             }
         }
-        totals.adapter_usage.extend(uses.into_iter().map(|(key, running)| fleet::AdapterUsage {
-            upstream: self.number,
-            adapter: key.0,
-            running: u16::try_from(running).unwrap_or(u16::MAX),
+        totals.adapter_usage.extend(uses.into_iter().map(|(adapter, running)| {
+            fleet::AdapterUsage {
+                upstream: self.number,
+                adapter,
+                running: u16::try_from(running).unwrap_or(u16::MAX),
+            }
         }));
     }
 
--- a/coltsfoot-gateway/src/upstream_slot.rs
+++ b/coltsfoot-gateway/src/upstream_slot.rs
@@ -191,10 +191,18 @@
         let remote = self.remote_uses.values().filter(|(_, expiry)| now < *expiry);
         let counts = remote.flat_map(|(counts, _)| counts);
         let counts =
-            counts.filter(|(used, _)| *used == key).map(|(_, running)| u32::from(*running));
+            counts.filter(|(used, _)| used.0.may_be(key.0)).map(|(_, running)| u32::from(*running));
         local + counts.sum::<u32>()
     }
 
+    /// Returns the id under which usage of an adapter is reported: without its digest, unless the engine holds or
+    /// loads another one with the same number. Without one, the owner takes all of them for used.
+    pub(crate) fn usage_id(&self, key: demand::AdapterKey) -> fleet::AdapterId {
+        let held = self.residency.adapters.keys().chain(self.residency.pending.keys());
+        let same = held.filter(|held| held.0.number == key.0.number && held.0 != key.0);
+        if same.count() == 0 { key.0.without_digest() } else { key.0 }
+    }
+
     /// Returns when a pending adapter is expected to be ready.
     pub fn expected_ready(
         &self,
@@ -202,12 +210,12 @@
         key: demand::AdapterKey,
     ) -> Option<clock::MonotonicTime> {
         let requested = self.requested.get(&key).filter(|ready| now < **ready + LOAD_REQUEST_GRACE);
-        self.residency.pending.get(&key).or(requested).copied()
+        key.find(&self.residency.pending).or(requested).copied()
     }
 
     /// Returns the number of tokens at the start of a prompt that are probably in the prefix cache.
     pub fn cached_tokens(&self, demand: &demand::PromptDemand) -> u32 {
-        let weights = demand.weights_key();
+        let weights = demand.cache_key();
         let parts = demand.shared_parts().iter();
         let cached = parts.take_while(|part| self.cached_parts.contains_key(&(weights, part.id)));
         cached.map(|part| part.tokens).sum()
@@ -215,7 +223,7 @@
 
     /// Returns whether the engine held an adapter recently, so that it need not be fetched again.
     pub fn is_warm(&self, key: demand::AdapterKey) -> bool {
-        self.warm.contains_key(&key)
+        key.find(&self.warm).is_some()
     }
 
     fn trim_warm(&mut self) {
@@ -274,7 +282,7 @@
         now: clock::MonotonicTime,
         demand: &demand::PromptDemand,
     ) {
-        let weights = demand.weights_key();
+        let weights = demand.cache_key();
         for part in &demand.parts {
             self.cached_parts.insert((weights, part.id), now);
         }
--- a/coltsfoot-gateway/src/zone_relay.rs
+++ b/coltsfoot-gateway/src/zone_relay.rs
@@ -45,7 +45,7 @@
     /// Last total that each instance reported, by incarnation and customer number.
     reported_totals: FxHashMap<(u64, u32), u64>,
     /// Adapters whose requests ended since the last heartbeat, by engine.
-    ended_adapters: FxHashSet<(u32, u32)>,
+    ended_adapters: FxHashSet<(u32, fleet::AdapterId)>,
     /// Revision of each engine that was sent last.
     sent_revisions: FxHashMap<u32, u64>,
     heartbeats_sent: u64,
--- a/coltsfoot-wire/src/fleet.rs
+++ b/coltsfoot-wire/src/fleet.rs
@@ -18,13 +18,50 @@
     pub prefill_tokens: u32,
 }
 
+/// What stands for the name of an adapter. The digest follows at the end of a message, where instances of earlier
+/// builds do not read it.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct AdapterId {
+    /// Short hash of the name, which two names may share.
+    pub number: u32,
+    /// Cryptographic digest of the name; zero if the sender does not tell it.
+    #[serde(skip)]
+    pub digest: [u64; 2],
+}
+
+impl AdapterId {
+    /// Returns the id as a sender that does not tell the digest names it.
+    pub fn without_digest(self) -> Self {
+        Self { digest: [0; 2], ..self }
+    }
+
+    /// Returns whether the digest is known.
+    pub fn has_digest(self) -> bool {
+        self.digest != [0; 2]
+    }
+
+    /// Returns whether both may stand for the same name.
+    pub fn may_be(self, other: Self) -> bool {
+        let is_unclear = !self.has_digest() || !other.has_digest();
+        self.number == other.number && (is_unclear || self.digest == other.digest)
+    }
+}
+
+impl From<u32> for AdapterId {
+    fn from(number: u32) -> Self {
+        Self { number, ..Self::default() }
+    }
+}
+
 /// Requests of the sender in flight on one adapter of an engine.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct AdapterUsage {
     /// The engine's number.
     pub upstream: u32,
-    /// The adapter's number.
-    pub adapter: u32,
+    /// The adapter.
+    pub adapter: AdapterId,
     /// Requests in flight; zero if the last one ended since the previous message.
     pub running: u16,
 }
@@ -32,8 +69,8 @@
 /// An adapter that is loaded on an engine and ready to serve.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ResidentAdapter {
-    /// The adapter's number.
-    pub adapter: u32,
+    /// The adapter.
+    pub adapter: AdapterId,
     /// Its version.
     pub version: u64,
 }
@@ -41,8 +78,8 @@
 /// An adapter that is being loaded or has been requested.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PendingAdapter {
-    /// The adapter's number.
-    pub adapter: u32,
+    /// The adapter.
+    pub adapter: AdapterId,
     /// Expected time until it is ready, in milliseconds.
     pub ready_in_ms: u16,
 }
@@ -537,11 +574,108 @@
 impl FleetMessage {
     /// Encodes the message as one datagram.
     pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
-        postcard::to_stdvec(self)
+        let bytes = postcard::to_stdvec(self)?;
+        let extension = MessageExtension {
+            usage_digests: digests_of(self.used_adapters()),
+            engine_digests: digests_of(self.engine_adapters()),
+        };
+        if extension.usage_digests.is_empty() && extension.engine_digests.is_empty() {
+            return Ok(bytes);
+        }
+        postcard::to_extend(&extension, bytes)
     }
 
-    /// Decodes a datagram.
+    /// Decodes a datagram. An extension that can't be decoded is left out.
     pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
-        postcard::from_bytes(bytes)
+        let (mut message, rest) = postcard::take_from_bytes::<Self>(bytes)?;
+        if let Ok(extension) = postcard::from_bytes::<MessageExtension>(rest) {
+            if extension.usage_digests.len() == message.used_adapters().count() {
+                set_digests(message.used_adapters_mut(), &extension.usage_digests);
+            }
+            if extension.engine_digests.len() == message.engine_adapters().count() {
+                set_digests(message.engine_adapters_mut(), &extension.engine_digests);
+            }
+        }
+        Ok(message)
+    }
+
+    /// Returns the adapters of which the message reports usage, in order.
+    fn used_adapters(&self) -> impl Iterator<Item = &AdapterId> {
+        let usage: &[AdapterUsage] = match self {
+            Self::Heartbeat(heartbeat) => &heartbeat.adapter_usage,
+            Self::ZoneHeartbeat(heartbeat) => &heartbeat.adapter_usage,
+            _ => &[],
+        };
+        usage.iter().map(|used| &used.adapter)
+    }
+
+    fn used_adapters_mut(&mut self) -> impl Iterator<Item = &mut AdapterId> {
+        let usage: &mut [AdapterUsage] = match self {
+            Self::Heartbeat(heartbeat) => &mut heartbeat.adapter_usage,
+            Self::ZoneHeartbeat(heartbeat) => &mut heartbeat.adapter_usage,
+            _ => &mut [],
+        };
+        usage.iter_mut().map(|used| &mut used.adapter)
+    }
+
+    /// Returns the adapters that the message reports at engines, in order.
+    fn engine_adapters(&self) -> impl Iterator<Item = &AdapterId> {
+        let (engines, reported): (&[OwnedEngine], &[ZoneEngine]) = match self {
+            Self::Heartbeat(heartbeat) => (heartbeat.engines.as_deref().unwrap_or_default(), &[]),
+            Self::ZoneHeartbeat(heartbeat) => (&[], &heartbeat.engines),
+            Self::EngineChange(change) => (std::slice::from_ref(&change.engine), &[]),
+            _ => (&[], &[]),
+        };
+        let reported = reported.iter().map(|reported| &reported.engine);
+        engines.iter().chain(reported).flat_map(|engine| {
+            let resident = engine.adapters.iter().map(|held| &held.adapter);
+            resident.chain(engine.pending.iter().map(|pending| &pending.adapter))
+        })
+    }
+
+    fn engine_adapters_mut(&mut self) -> impl Iterator<Item = &mut AdapterId> {
+        let (engines, reported): (&mut [OwnedEngine], &mut [ZoneEngine]) = match self {
+            Self::Heartbeat(heartbeat) => {
+                (heartbeat.engines.as_deref_mut().unwrap_or_default(), &mut [])
+            }
+            Self::ZoneHeartbeat(heartbeat) => (&mut [], &mut heartbeat.engines),
+            Self::EngineChange(change) => (std::slice::from_mut(&mut change.engine), &mut []),
+            _ => (&mut [], &mut []),
+        };
+        let reported = reported.iter_mut().map(|reported| &mut reported.engine);
+        engines.iter_mut().chain(reported).flat_map(|engine| {
+            let resident = engine.adapters.iter_mut().map(|held| &mut held.adapter);
+            resident.chain(engine.pending.iter_mut().map(|pending| &mut pending.adapter))
+        })
+    }
+}
+
+/// Digest of an adapter's name as two words, little-endian.
+type DigestBytes = [[u8; 8]; 2];
+
+/// What follows a message in its datagram. Instances of earlier builds stop reading before it, so that fields may
+/// only be added at its end.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+struct MessageExtension {
+    /// Digests of the adapters of which usage is reported, in their order; none if no digest is told.
+    usage_digests: Vec<DigestBytes>,
+    /// The same of the adapters at engines.
+    engine_digests: Vec<DigestBytes>,
+}
+
+fn digests_of<'a>(adapters: impl Iterator<Item = &'a AdapterId>) -> Vec<DigestBytes> {
+    let mut has_digest = false;
+    let digests: Vec<DigestBytes> = adapters
+        .map(|adapter| {
+            has_digest |= adapter.has_digest();
+            adapter.digest.map(u64::to_le_bytes)
+        })
+        .collect();
+    if has_digest { digests } else { Vec::new() }
+}
+
+fn set_digests<'a>(adapters: impl Iterator<Item = &'a mut AdapterId>, digests: &[DigestBytes]) {
+    for (adapter, digest) in adapters.zip(digests) {
+        adapter.digest = digest.map(u64::from_le_bytes);
     }
 }
--- a/coltsfoot-wire/tests/fleet.rs
+++ b/coltsfoot-wire/tests/fleet.rs
@@ -17,7 +17,7 @@
 }
 
 fn usage() -> Vec<fleet::AdapterUsage> {
-    vec![fleet::AdapterUsage { upstream: 77, adapter: 0x0102_0304, running: 2 }]
+    vec![fleet::AdapterUsage { upstream: 77, adapter: 0x0102_0304.into(), running: 2 }]
 }
 
 fn engine() -> fleet::OwnedEngine {
@@ -27,8 +27,8 @@
         has_model: true,
         takes_orders: true,
         available_slots: 3,
-        adapters: vec![fleet::ResidentAdapter { adapter: 0x0102_0304, version: 4 }],
-        pending: vec![fleet::PendingAdapter { adapter: 9, ready_in_ms: 250 }],
+        adapters: vec![fleet::ResidentAdapter { adapter: 0x0102_0304.into(), version: 4 }],
+        pending: vec![fleet::PendingAdapter { adapter: 9.into(), ready_in_ms: 250 }],
     }
 }
 
@@ -129,3 +129,63 @@
         assert!(fleet::FleetMessage::decode(&bytes).is_err(), "{kind}");
     }
 }
+
+/// Returns a message with the digests of its adapters, counted from 1.
+fn with_digests(mut message: fleet::FleetMessage) -> fleet::FleetMessage {
+    let mut count = 0;
+    let mut set = |adapter: &mut fleet::AdapterId| {
+        count += 1;
+        adapter.digest = [count, !count];
+    };
+    let mut set_engine = |engine: &mut fleet::OwnedEngine| {
+        engine.adapters.iter_mut().for_each(|held| set(&mut held.adapter));
+        engine.pending.iter_mut().for_each(|pending| set(&mut pending.adapter));
+    };
+    match &mut message {
+        fleet::FleetMessage::Heartbeat(heartbeat) => {
+            heartbeat.engines.iter_mut().flatten().for_each(set_engine);
+            heartbeat.adapter_usage.iter_mut().for_each(|used| set(&mut used.adapter));
+        }
+        fleet::FleetMessage::ZoneHeartbeat(heartbeat) => {
+            heartbeat.engines.iter_mut().for_each(|reported| set_engine(&mut reported.engine));
+            heartbeat.adapter_usage.iter_mut().for_each(|used| set(&mut used.adapter));
+        }
+        fleet::FleetMessage::EngineChange(change) => set_engine(&mut change.engine),
+        _ => {}
+    }
+    message
+}
+
+fn engine_change() -> fleet::FleetMessage {
+    fleet::FleetMessage::EngineChange(fleet::EngineChange {
+        sender: 5,
+        sequence: 1,
+        engine: engine(),
+    })
+}
+
+/// Guards against two adapters that instances take for one because their names have the same short hash, and
+/// against builds that do not understand each other.
+#[rstest]
+#[case::heartbeat(heartbeat())]
+#[case::zone_heartbeat(zone_heartbeat())]
+#[case::engine_change(engine_change())]
+fn digests_of_adapters_follow_what_earlier_builds_read(#[case] message: fleet::FleetMessage) {
+    let told = with_digests(message.clone());
+    let bytes = told.encode().expect("encoded");
+    assert_eq!(fleet::FleetMessage::decode(&bytes), Ok(told), "this build");
+    let earlier = message.encode().expect("encoded");
+    assert_eq!(bytes[..earlier.len()], earlier, "an earlier build reads the same");
+    assert_eq!(postcard::from_bytes(&bytes), Ok(message.clone()), "and stops there");
+    assert_eq!(fleet::FleetMessage::decode(&earlier), Ok(message), "its messages are understood");
+}
+
+/// A later build may add to the end; a damaged end does not lose the message.
+#[test]
+fn an_unreadable_end_of_a_message_is_left_out() {
+    let told = with_digests(heartbeat());
+    let bytes = told.encode().expect("encoded");
+    let longer = [&bytes[..], &[1, 2, 3]].concat();
+    assert_eq!(fleet::FleetMessage::decode(&longer), Ok(told));
+    assert_eq!(fleet::FleetMessage::decode(&bytes[..bytes.len() - 1]), Ok(heartbeat()));
+}
