Let each instance spend its share of a quota until it hears of the others

Cause: an instance admitted whatever the level that it knew allowed. What others take is known a few hundred milliseconds late, so that all spent the same level at the moment at which it turned positive; Retry-After sent all callers to it.

Why the fix works: an instance earns credit at its share of a rate that follows from the level, saves it up for requests larger than its share, and admits by a random threshold, so that what is admitted is even in time and in sum what the rate allows, whatever the number of instances. Above the target level and without refusals nothing changes.

The last asserts of quota_usage_is_counted_once_when_its_source_changes spent the level in two steps, the second of which now waits for credit; the test reads the exact level instead, which is as strict.

--- a/coltsfoot-gateway/src/lib.rs
+++ b/coltsfoot-gateway/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod route_table;
 pub mod rules;
 pub mod send_permits;
+pub mod spending_share;
 pub mod step_tracker;
 pub mod stop_plan;
 pub mod topic_replica;
--- a/coltsfoot-gateway/src/quota_ledger.rs
+++ b/coltsfoot-gateway/src/quota_ledger.rs
@@ -1,7 +1,8 @@
 //! Customers' quotas over all instances.
 //!
 //! Every instance keeps its own estimate of one token bucket per customer: requests that it admits count
-//! at once, those that others admit count when their heartbeats arrive.
+//! at once, those that others admit count when their heartbeats arrive. What an instance may spend before others
+//! hear of it is bounded by its [share](crate::spending_share).
 //!
 //! Instances that don't hear of each other may all serve, behind a network partition, and none can tell which
 //! of them the callers use. So they divide the bucket: from the moment at which an instance falls silent, its
@@ -15,6 +16,8 @@
 use coltsfoot_types::time as clock;
 use rustc_hash::FxHashMap;
 
+use crate::spending_share;
+
 /// Age of the last heartbeat above which an instance's usage is extrapolated.
 const PEER_STALE_AGE: time::Duration = time::Duration::from_millis(400);
 /// Intervals without a heartbeat after which an instance's share of the bucket is held for it. Two lost in a
@@ -28,6 +31,8 @@
 const START_LEVEL_SHARE: f64 = 0.1;
 /// Interval at which an instance updates its own rate: that of the reports in a small fleet.
 const OWN_SAMPLE_INTERVAL: time::Duration = time::Duration::from_millis(150);
+/// Time from the report of an instance until others act on it, beyond the interval.
+const NEWS_DELAY: time::Duration = time::Duration::from_millis(100);
 /// Lower bound on the interval over which a rate is computed.
 const MIN_SAMPLE_INTERVAL: time::Duration = time::Duration::from_millis(50);
 
@@ -167,10 +172,12 @@
     peers: FxHashMap<u64, PeerUsage>,
     /// Known instances that have not reported yet.
     unheard: u32,
+    /// What this instance may spend before it hears from others.
+    share: spending_share::SpendingShare,
 }
 
 impl CustomerAccount {
-    fn new(now: clock::MonotonicTime, limit: QuotaLimit, unheard: u32) -> Self {
+    fn new(now: clock::MonotonicTime, limit: QuotaLimit, unheard: u32, seed: u64) -> Self {
         let level = limit.burst * START_LEVEL_SHARE;
         Self {
             limit,
@@ -181,6 +188,7 @@
             own_sample: (now, 0),
             peers: FxHashMap::default(),
             unheard,
+            share: spending_share::SpendingShare::new(now, seed),
         }
     }
 
@@ -199,6 +207,24 @@
             usage.assumed += assumed;
             self.level -= assumed;
         }
+        let fleet = self.fleet_state();
+        self.share.refill(now, fleet);
+    }
+
+    /// Returns what the share of this instance is a share of.
+    fn fleet_state(&self) -> spending_share::FleetState {
+        let others = self.peers.values().filter(|usage| usage.report.instances > 0);
+        let news_age = others.map(|usage| usage.report.interval).max().unwrap_or_default();
+        let peer_rates: f64 = self.peers.values().map(|usage| usage.rate.per_s).sum();
+        spending_share::FleetState {
+            level: self.level,
+            capacity: self.capacity(),
+            rate_per_s: self.limit.rate_per_s,
+            instances: self.instances(),
+            own_rate_per_s: self.own_rate.per_s,
+            all_rates_per_s: self.own_rate.per_s + peer_rates,
+            news_age: news_age + NEWS_DELAY,
+        }
     }
 
     fn update_own_rate(&mut self, now: clock::MonotonicTime) {
@@ -264,9 +290,16 @@
 pub struct QuotaLedger {
     accounts: FxHashMap<sync::Arc<str>, CustomerAccount>,
     unheard: u32,
+    /// Distinguishes this instance from the others, so that they do not admit at the same moment.
+    seed: u64,
 }
 
 impl QuotaLedger {
+    /// Creates a ledger without customers; `seed` differs between instances.
+    pub fn new(seed: u64) -> Self {
+        Self { seed, ..Self::default() }
+    }
+
     /// Sets a customer's quota; `None` means unlimited.
     pub fn set_limit(
         &mut self,
@@ -278,9 +311,9 @@
             self.accounts.remove(customer);
             return;
         };
-        let unheard = self.unheard;
+        let (unheard, seed) = (self.unheard, self.seed);
         let account = self.accounts.entry(sync::Arc::clone(customer));
-        let account = account.or_insert_with(|| CustomerAccount::new(now, limit, unheard));
+        let account = account.or_insert_with(|| CustomerAccount::new(now, limit, unheard, seed));
         account.refill(now);
         account.limit = limit;
         account.level = account.level.min(limit.burst);
@@ -334,8 +367,16 @@
         self.accounts.iter().map(|(customer, account)| (customer, account.spent))
     }
 
-    /// Takes a request's tokens, or returns the time until enough are expected, leaving the share reserved
-    /// for other classes. The last request before the bucket is empty may exceed the tokens left.
+    /// Returns the tokens that are left of a customer's quota, as far as known; `None` if it is unlimited.
+    pub fn level(&mut self, now: clock::MonotonicTime, customer: &str) -> Option<f64> {
+        let account = self.accounts.get_mut(customer)?;
+        account.refill(now);
+        Some(account.level)
+    }
+
+    /// Takes a request's tokens, or returns the time until its turn, leaving the share reserved for other
+    /// classes. The last request before the bucket is empty may exceed the tokens left. An instance that shares
+    /// the quota with others keeps to its share while little is left or callers are refused.
     pub fn admit(
         &mut self,
         now: clock::MonotonicTime,
@@ -349,7 +390,12 @@
         if account.level <= reserve {
             let rate = account.limit.rate_per_s.max(f64::MIN_POSITIVE);
             let wait = ((reserve + 1.0 - account.level) / rate).min(MAX_WAIT.as_secs_f64());
-            return Err(time::Duration::from_secs_f64(wait));
+            let wait = time::Duration::from_secs_f64(wait);
+            return Err(account.share.turn(now, tokens as f64, wait));
+        }
+        let fleet = account.fleet_state();
+        if fleet.is_shared() {
+            account.share.spend(now, tokens as f64, reserve, fleet)?;
         }
         account.level -= tokens as f64;
         account.spent = account.spent.wrapping_add(tokens);
@@ -360,6 +406,7 @@
     pub fn refund(&mut self, customer: &str, tokens: u64) {
         if let Some(account) = self.accounts.get_mut(customer) {
             account.level += tokens as f64;
+            account.share.refund(tokens as f64);
             account.spent = account.spent.wrapping_sub(tokens);
         }
     }
--- a/coltsfoot-gateway/tests/zones.rs
+++ b/coltsfoot-gateway/tests/zones.rs
@@ -185,8 +185,8 @@
     }
     ledger.record_peer_report(at(4), 2, &customer, usage_report(relay_total(&mut aggregators, 1)));
     // A tenth of the burst is available at the start: 1,000 less 350.
-    assert!(ledger.admit(at(5), &customer, 649, QuotaClass::Plain).is_ok());
-    assert!(ledger.admit(at(5), &customer, 1, QuotaClass::Plain).is_ok());
+    assert_eq!(ledger.level(at(5), &customer), Some(650.0));
+    assert!(ledger.admit(at(5), &customer, 650, QuotaClass::Plain).is_ok());
     assert!(ledger.admit(at(5), &customer, 1, QuotaClass::Plain).is_err());
 }
 
--- a/coltsfootd/src/gateway/run.rs
+++ b/coltsfootd/src/gateway/run.rs
@@ -9,7 +9,7 @@
 use async_net::TcpListener;
 use coltsfoot_gateway::{
     caller_ledger, fleet_view, lease_table, order_lease, origin_ledger, outage_tracker,
-    quarantine_archive, stop_plan, topic_replica,
+    quarantine_archive, quota_ledger, stop_plan, topic_replica,
 };
 use coltsfoot_http::{pool, socket};
 use site_platform::{entry, rules, settings, store};
@@ -208,13 +208,14 @@
         separation: settings.bounds.order_separation,
         thaw_pause: settings.bounds.thaw_pause,
     };
+    let incarnation = rand::random();
     let mut view = fleet_view::FleetView::default();
     view.cold_mut().set_bounds(cold::bounds(&settings.bounds));
     Ok(sync::Arc::new(state::GatewayState {
         origins: sync::Mutex::new(origin_ledger::OriginLedger::new(clock.now())),
         archive: sync::Mutex::new(quarantine_archive::QuarantineArchive::new(clock.now())),
         clock,
-        incarnation: rand::random(),
+        incarnation,
         executor,
         metrics: metrics::GatewayMetrics::new()?,
         store: store::StoreClient::new(settings.store.address, sync::Arc::clone(&pool)),
@@ -223,7 +224,7 @@
         callers: sync::Arc::new(callers),
         routes: arc_swap::ArcSwapOption::empty(),
         view: sync::Mutex::new(view),
-        quota: sync::Mutex::default(),
+        quota: sync::Mutex::new(quota_ledger::QuotaLedger::new(incarnation)),
         retries: sync::Mutex::default(),
         durations: sync::Mutex::default(),
         lease: sync::Mutex::new(lease_table::LeaseTable::new(
